--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# The commands of this project. `make test` passes the tests, `make run` shows
+# the whole path in separate processes.
+
+SHELL := /bin/bash
+BIN := bin
+
+.PHONY: build test check run generate fmt
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+# check runs the formatter, the vet pass and the linter.
+check:
+	@unformatted="$$(git ls-files -co --exclude-standard '*.go' | grep -vE '(^|/)oas/' | xargs -r go tool gofumpt -l)"; \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	go vet ./...
+	go tool staticcheck $$(go list ./... | grep -v /oas)
+
+test: check
+	go test -race -timeout 20m ./...
+
+fmt:
+	git ls-files -co --exclude-standard '*.go' | grep -vE '(^|/)oas/' | xargs -r go tool gofumpt -w
+
+generate:
+	go generate ./...
