Platform API, its client, and stand-ins of platform, backend server and link

Cause: the thin path needs something to read, write and call. The stand-in doesn't remember attempt ids: a repeat is stopped by its own condition, the weaker of the guarantees a platform may give. Ruled out: showing a silent instance as ended and live again later. Users of the list act on an end, so a late announcement is refused (410).

--- /dev/null
+++ b/internal/standin/backend.go
@@ -0,0 +1,255 @@
+package standin
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"foxtailspoke/platform"
+)
+
+// Defaults of BackendOptions.
+const (
+	DefaultSlots         = 2
+	DefaultLatency       = 5 * time.Millisecond
+	DefaultAnnounceEvery = 2 * time.Second
+)
+
+// BackendOptions of a backend server stand-in. A zero field takes its
+// default.
+type BackendOptions struct {
+	// Listen and Control are "ip:port"; empty means DefaultListen.
+	Listen  string
+	Control string
+	// Advertise is the address to announce, if it isn't the one listened on.
+	Advertise  string
+	Service    string
+	DataCentre string
+	Region     string
+	// Slots is how many requests are worked on at the same time; Queue is
+	// how many more may wait. Queue 0 means as many as Slots.
+	Slots int
+	Queue int
+	// Latency is the time that the work on one request takes.
+	Latency time.Duration
+	// ColdFor and ColdRequests set a cold start: work takes ColdFactor times
+	// as long for this time, and for this number of requests.
+	ColdFor      time.Duration
+	ColdRequests int
+	ColdFactor   float64
+	// Instances is where the server announces itself; nil if nowhere.
+	Instances     platform.Instances
+	AnnounceEvery time.Duration
+	// Faults from the start.
+	Faults BackendFaults
+	// Seed of the random faults.
+	Seed uint64
+	// Log may be nil.
+	Log *slog.Logger
+}
+
+// Backend is a running backend server stand-in.
+type Backend struct {
+	o          BackendOptions
+	log        *slog.Logger
+	start      time.Time
+	faults     *faultSwitch[BackendFaults]
+	slots      *slots
+	executions *executionLog
+	raw        *rawLog
+	work       *server
+	control    *server
+	announcer  *announcer
+
+	mu        sync.Mutex
+	rand      *rand.Rand
+	served    int
+	draining  bool
+	drainedAt time.Duration
+	// recent are the latest answers, to cross with others.
+	recent []answer
+}
+
+// StartBackend starts a backend server stand-in. Close ends it at once,
+// Shutdown gracefully.
+func StartBackend(o BackendOptions) (*Backend, error) {
+	o = o.withDefaults()
+	b := &Backend{
+		o:          o,
+		log:        logOr(o.Log),
+		start:      time.Now(),
+		executions: newExecutionLog(),
+		raw:        newRawLog(),
+		rand:       rand.New(rand.NewPCG(o.Seed, 0)),
+	}
+	b.slots = newSlots(o.Slots, o.Queue, b.now)
+	b.faults = newFaultSwitch(BackendFaults.validate, func(BackendFaults) {})
+	if err := b.SetFaults(o.Faults); err != nil {
+		return nil, err
+	}
+	listener, err := listenGated(orDefault(o.Listen), b.gates, b.raw)
+	if err != nil {
+		return nil, err
+	}
+	b.work = serve(listener, b.workHandler(), b.log)
+	if b.control, err = startServer(orDefault(o.Control), b.controlHandler(), b.log); err != nil {
+		b.work.close()
+		return nil, err
+	}
+	if o.Instances != nil {
+		b.announcer = startAnnouncer(o.Instances, b.instance(), o.AnnounceEvery, b.log)
+	}
+	return b, nil
+}
+
+// Address takes the entry instances' requests: "ip:port".
+func (b *Backend) Address() string { return b.work.address() }
+
+// URL of Address.
+func (b *Backend) URL() string { return b.work.url() }
+
+// ControlURL is where faults are switched and executions read over HTTP.
+func (b *Backend) ControlURL() string { return b.control.url() }
+
+// ID is the id that the server has in the platform's list; empty if it
+// doesn't announce itself.
+func (b *Backend) ID() string {
+	if b.announcer == nil {
+		return ""
+	}
+	return b.announcer.current().ID
+}
+
+// Faults returns the faults in force.
+func (b *Backend) Faults() BackendFaults {
+	f, _ := b.faults.get()
+	return f
+}
+
+// SetFaults replaces all faults.
+func (b *Backend) SetFaults(f BackendFaults) error {
+	return b.UpdateFaults(func(current *BackendFaults) { *current = f })
+}
+
+// UpdateFaults changes the faults by f.
+func (b *Backend) UpdateFaults(f func(*BackendFaults)) error {
+	return b.faults.update(func(current *BackendFaults) error {
+		f(current)
+		return nil
+	})
+}
+
+// Executions returns the requests that the server began to work on, in that
+// order, and how many more there were than it keeps.
+func (b *Backend) Executions() ([]Execution, int) { return b.executions.all() }
+
+// Load returns the true load.
+func (b *Backend) Load() Load { return b.slots.at(b.now()) }
+
+// Drain announces that the server leaves, and refuses new work as not run
+// from now on. Work under way goes on.
+func (b *Backend) Drain() {
+	b.mu.Lock()
+	if b.draining {
+		b.mu.Unlock()
+		return
+	}
+	b.draining = true
+	b.drainedAt = b.now()
+	b.mu.Unlock()
+	if b.announcer != nil {
+		b.announcer.report(platform.Leaving)
+	}
+}
+
+// Shutdown drains, waits until the work under way has ended or the context
+// has, reports the end and stops.
+func (b *Backend) Shutdown(ctx context.Context) {
+	b.Drain()
+	b.work.shutdown(ctx)
+	if b.announcer != nil {
+		b.announcer.report(platform.Ended)
+	}
+	b.Close()
+}
+
+// Close ends the server and its connections at once, and reports nothing.
+func (b *Backend) Close() {
+	if b.announcer != nil {
+		b.announcer.stop()
+	}
+	b.work.close()
+	b.control.close()
+}
+
+func (b *Backend) now() time.Duration { return time.Since(b.start) }
+
+func (b *Backend) isDraining() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.draining
+}
+
+func (b *Backend) random() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rand.Float64()
+}
+
+func (b *Backend) instance() platform.Instance {
+	address := b.o.Advertise
+	if address == "" {
+		address = b.Address()
+	}
+	return platform.Instance{
+		ID:         uuid.NewString(),
+		Kind:       platform.BackendServer,
+		Service:    b.o.Service,
+		DataCentre: b.o.DataCentre,
+		Region:     b.o.Region,
+		Address:    address,
+		Slots:      b.o.Slots,
+		State:      platform.Live,
+	}
+}
+
+func (o BackendOptions) withDefaults() BackendOptions {
+	if o.Slots <= 0 {
+		o.Slots = DefaultSlots
+	}
+	if o.Queue <= 0 {
+		o.Queue = o.Slots
+	}
+	if o.Latency <= 0 {
+		o.Latency = DefaultLatency
+	}
+	if o.ColdFactor <= 0 {
+		o.ColdFactor = 1
+	}
+	if o.AnnounceEvery <= 0 {
+		o.AnnounceEvery = DefaultAnnounceEvery
+	}
+	return o
+}
+
+func (b *Backend) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/control/faults", b.faults)
+	mux.HandleFunc("GET /control/executions", b.showExecutions)
+	mux.HandleFunc("GET /control/raw", b.showRaw)
+	mux.HandleFunc("POST /control/secrets", b.watchSecrets)
+	mux.HandleFunc("GET /control/secrets", b.showSecrets)
+	mux.HandleFunc("POST /control/drain", func(w http.ResponseWriter, _ *http.Request) {
+		b.Drain()
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
+
+var errNoSecrets = errors.New("give a JSON array of strings that aren't empty")
--- /dev/null
+++ b/internal/standin/backend_control.go
@@ -0,0 +1,65 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+)
+
+// ExecutionsReport is the answer to GET /control/executions.
+type ExecutionsReport struct {
+	Executions []Execution `json:"executions"`
+	// Dropped counts those that were too many to keep.
+	Dropped int `json:"dropped"`
+}
+
+// SecretsReport is the answer to GET /control/secrets.
+type SecretsReport struct {
+	// Seen are the secrets that came in on any connection, anywhere.
+	Seen []string `json:"seen"`
+}
+
+// RawReport is the answer to GET /control/raw.
+type RawReport struct {
+	// Headers are the latest requests' header blocks, as received.
+	Headers []string `json:"headers"`
+	// Incomplete counts the requests whose block couldn't be kept whole.
+	Incomplete int `json:"incomplete"`
+}
+
+func (b *Backend) showExecutions(w http.ResponseWriter, _ *http.Request) {
+	executions, dropped := b.Executions()
+	writeJSON(w, ExecutionsReport{Executions: executions, Dropped: dropped})
+}
+
+func (b *Backend) showRaw(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, b.RawHeaders())
+}
+
+func (b *Backend) showSecrets(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, SecretsReport{Seen: b.SecretsSeen()})
+}
+
+func (b *Backend) watchSecrets(w http.ResponseWriter, r *http.Request) {
+	var secrets []string
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControlBody)).Decode(&secrets)
+	if err == nil && slices.Contains(secrets, "") {
+		err = errNoSecrets
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	b.WatchSecrets(secrets...)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// RawHeaders returns the latest requests' header blocks, as received.
+func (b *Backend) RawHeaders() RawReport { return b.raw.report() }
+
+// WatchSecrets lets the server look for secrets, such as callers' keys, in
+// everything that it receives from now on.
+func (b *Backend) WatchSecrets(secrets ...string) { b.raw.watch(secrets) }
+
+// SecretsSeen returns the watched secrets that came in, sorted.
+func (b *Backend) SecretsSeen() []string { return b.raw.secretsSeen() }
--- /dev/null
+++ b/internal/standin/backend_faults.go
@@ -0,0 +1,143 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/config"
+)
+
+// BackendFaults are the faults that a backend server stand-in can show. The
+// zero value is none. Ratios are shares of requests from 0 to 1; a request
+// meets at most one of them, so they add up to at most 1.
+type BackendFaults struct {
+	// Factor multiplies the time that work takes; 0 means 1.
+	Factor float64 `json:"factor"`
+	// Delay is added to the time that work takes, like "250ms".
+	Delay config.Duration `json:"delay"`
+
+	// HalfRatio of answers end before their declared length.
+	HalfRatio float64 `json:"halfRatio"`
+	// ErrorRatio of answers have status 500, after the work was done.
+	ErrorRatio float64 `json:"errorRatio"`
+	// ErrorWorkspace restricts the errors to one workspace.
+	ErrorWorkspace string `json:"errorWorkspace"`
+	// HangRatio of requests get no answer and keep their slot until the
+	// connection is closed, whatever their time.
+	HangRatio float64 `json:"hangRatio"`
+	// CrossedRatio of requests get another request's answer.
+	CrossedRatio float64 `json:"crossedRatio"`
+	// NoEchoRatio of answers lack the attempt's id.
+	NoEchoRatio float64 `json:"noEchoRatio"`
+	// LateRatio of answers come LateBy after the work was done, whatever the
+	// request's time, and also if it was cancelled.
+	LateRatio float64         `json:"lateRatio"`
+	LateBy    config.Duration `json:"lateBy"`
+	// DuplicateRatio of answers are sent twice on their connection.
+	DuplicateRatio float64 `json:"duplicateRatio"`
+
+	// FlapPeriod, if set, lets all of the above come and go: off for one
+	// period, on for the next.
+	FlapPeriod config.Duration `json:"flapPeriod"`
+
+	// Health is "ok" or "bad" to report that whatever is the case; empty
+	// reports what the server believes. It never knows of its faults.
+	Health string `json:"health"`
+	// ReportLag is how old the health and load reports are.
+	ReportLag config.Duration `json:"reportLag"`
+	// HideLoad reports an idle server.
+	HideLoad bool `json:"hideLoad"`
+
+	// Refuse refuses new connections; those that stand go on.
+	Refuse bool `json:"refuse"`
+	// StopReading reads nothing from any connection.
+	StopReading bool `json:"stopReading"`
+}
+
+// Health reports.
+const (
+	healthOK  = "ok"
+	healthBad = "bad"
+)
+
+func (f BackendFaults) validate() error {
+	sum := 0.0
+	for _, ratio := range f.ratios() {
+		if !(ratio >= 0 && ratio <= 1) {
+			return errors.New("a ratio must be from 0 to 1")
+		}
+		sum += ratio
+	}
+	if sum > 1 {
+		return errors.New("the ratios add up to more than 1")
+	}
+	if !(f.Factor >= 0) || f.Delay < 0 || f.LateBy < 0 || f.FlapPeriod < 0 || f.ReportLag < 0 {
+		return errors.New("factor and times can't be negative")
+	}
+	switch f.Health {
+	case "", healthOK, healthBad:
+		return nil
+	}
+	return errors.Newf("health: %q is neither ok nor bad", f.Health)
+}
+
+// quirk is the way in which one answer goes wrong.
+type quirk int
+
+const (
+	noQuirk quirk = iota
+	halfAnswer
+	errorAnswer
+	hang
+	crossedAnswer
+	noEcho
+	lateAnswer
+	duplicateAnswer
+)
+
+// ratios returns the ratio of each quirk, in the order of the constants.
+func (f BackendFaults) ratios() []float64 {
+	return []float64{
+		f.HalfRatio, f.ErrorRatio, f.HangRatio, f.CrossedRatio,
+		f.NoEchoRatio, f.LateRatio, f.DuplicateRatio,
+	}
+}
+
+// quirk returns what a request meets, by a random number from 0 to 1.
+func (f BackendFaults) quirk(workspace string, random float64) quirk {
+	for i, ratio := range f.ratios() {
+		if random < ratio {
+			q := quirk(i + 1)
+			if q == errorAnswer && f.ErrorWorkspace != "" && f.ErrorWorkspace != workspace {
+				return noQuirk
+			}
+			return q
+		}
+		random -= ratio
+	}
+	return noQuirk
+}
+
+// at returns the faults in force at a time since the start.
+func (f BackendFaults) at(now time.Duration) BackendFaults {
+	period := time.Duration(f.FlapPeriod)
+	if period == 0 || (now/period)%2 == 1 {
+		return f
+	}
+	return BackendFaults{
+		Health:      f.Health,
+		ReportLag:   f.ReportLag,
+		HideLoad:    f.HideLoad,
+		Refuse:      f.Refuse,
+		StopReading: f.StopReading,
+	}
+}
+
+// workTime returns how long the work takes that takes d without faults.
+func (f BackendFaults) workTime(d time.Duration) time.Duration {
+	if f.Factor > 0 {
+		d = time.Duration(float64(d) * f.Factor)
+	}
+	return d + time.Duration(f.Delay)
+}
--- /dev/null
+++ b/internal/standin/backend_report.go
@@ -0,0 +1,47 @@
+package standin
+
+import (
+	"net/http"
+	"time"
+)
+
+// HealthReport is the answer to GET HealthPath.
+type HealthReport struct {
+	// Status is "ok", "bad" or "draining".
+	Status string `json:"status"`
+}
+
+const healthDraining = "draining"
+
+func (b *Backend) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	status := b.health()
+	w.Header().Set("Content-Type", "application/json")
+	if status != healthOK {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	writeJSON(w, HealthReport{Status: status})
+}
+
+// health returns what the server reports: it lags, it can be told to lie,
+// and it never knows of the server's own faults.
+func (b *Backend) health() string {
+	f := b.Faults()
+	if f.Health != "" {
+		return f.Health
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.draining && b.now()-b.drainedAt >= time.Duration(f.ReportLag) {
+		return healthDraining
+	}
+	return healthOK
+}
+
+func (b *Backend) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	f := b.Faults()
+	load := b.slots.at(b.now() - time.Duration(f.ReportLag))
+	if f.HideLoad {
+		load = Load{Slots: load.Slots}
+	}
+	writeJSON(w, load)
+}
--- /dev/null
+++ b/internal/standin/executions.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// End says how the work on a request ended.
+type End string
+
+const (
+	// Running work hasn't ended yet.
+	Running End = "running"
+	// Done work was completed and had its effect.
+	Done End = "done"
+	// TimedOut work was given up when the request's time ran out.
+	TimedOut End = "timed-out"
+	// Cancelled work was given up because the connection was closed.
+	Cancelled End = "cancelled"
+)
+
+// maxExecutions bounds the log of executions.
+const maxExecutions = 500_000
+
+// Execution is one request that a backend server began to work on. A request
+// that it shed isn't here.
+type Execution struct {
+	Attempt    string        `json:"attempt"`
+	Workspace  string        `json:"workspace"`
+	Method     string        `json:"method"`
+	Path       string        `json:"path"`
+	Operation  string        `json:"operation,omitempty"`
+	BodyLength int64         `json:"bodyLength"`
+	BodySHA256 string        `json:"bodySha256"`
+	Begin      time.Duration `json:"begin"`
+	Finish     time.Duration `json:"finish"`
+	End        End           `json:"end"`
+}
+
+// executionLog keeps the executions in the order of their beginnings.
+type executionLog struct {
+	mu      sync.Mutex
+	entries []Execution
+	dropped int
+	// done counts the completed executions by operation.
+	done map[string]int
+}
+
+func newExecutionLog() *executionLog {
+	return &executionLog{done: map[string]int{}}
+}
+
+// begin takes down that work begins, and returns the entry's index; -1 if
+// the log is full.
+func (l *executionLog) begin(e Execution) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.entries) >= maxExecutions {
+		l.dropped++
+		return -1
+	}
+	e.End = Running
+	l.entries = append(l.entries, e)
+	return len(l.entries) - 1
+}
+
+// finish takes down how it ended. It returns how often the operation has
+// been completed, for an operation with an id.
+func (l *executionLog) finish(index int, now time.Duration, end End, operation string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if index >= 0 {
+		l.entries[index].Finish = now
+		l.entries[index].End = end
+	}
+	if end == Done && operation != "" {
+		l.done[operation]++
+	}
+	return l.done[operation]
+}
+
+func (l *executionLog) all() ([]Execution, int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.entries), l.dropped
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,77 @@
+package standin
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const readHeaderTimeout = 10 * time.Second
+
+// server is an HTTP server on its own listener.
+type server struct {
+	listener net.Listener
+	http     *http.Server
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// startServer listens on address ("ip:port"; port 0 takes a free one) and
+// serves until stopped. The handler's requests end with the server.
+func startServer(address string, handler http.Handler, log *slog.Logger) (*server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	return serve(listener, handler, log), nil
+}
+
+func serve(listener net.Listener, handler http.Handler, log *slog.Logger) *server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &server{
+		listener: listener,
+		cancel:   cancel,
+		done:     make(chan struct{}),
+		http: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: readHeaderTimeout,
+			ConnContext:       withConn,
+			BaseContext:       func(net.Listener) context.Context { return ctx },
+			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		},
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(listener)
+	}()
+	return s
+}
+
+func (s *server) address() string { return s.listener.Addr().String() }
+
+func (s *server) url() string { return "http://" + s.address() }
+
+// close ends all connections at once.
+func (s *server) close() {
+	s.cancel()
+	_ = s.http.Close()
+	<-s.done
+}
+
+// shutdown lets running requests finish until the context ends.
+func (s *server) shutdown(ctx context.Context) {
+	_ = s.http.Shutdown(ctx)
+	s.close()
+}
+
+// logOr returns a logger that drops everything in place of nil.
+func logOr(log *slog.Logger) *slog.Logger {
+	if log == nil {
+		return slog.New(slog.DiscardHandler)
+	}
+	return log
+}
--- /dev/null
+++ b/internal/standin/tables/tables.go
@@ -0,0 +1,209 @@
+// Package tables is a transactional table service in memory: what the
+// platform's service promises, and no more.
+//
+// A transaction commits as a whole or not at all. It isn't remembered by its
+// attempt id: sent twice, it is tried twice. That is the weaker of the
+// guarantees that a platform may give, so that users who depend on the
+// stronger one fail here; what protects them is a condition on a row that
+// the transaction itself changes.
+package tables
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/platform"
+)
+
+// ErrMalformed reports a transaction that no state of the tables would take.
+var ErrMalformed = errors.New("malformed transaction")
+
+// Store is a set of tables. It is safe for concurrent use.
+type Store struct {
+	mu     sync.Mutex
+	tables map[platform.TableName]*table
+}
+
+type table struct {
+	revision platform.Revision
+	rows     map[string]platform.Row
+	// log has an entry per change, by ascending revision. An entry counts
+	// only while its row has the entry's revision.
+	log []change
+}
+
+type change struct {
+	revision platform.Revision
+	key      string
+}
+
+// New returns empty tables.
+func New() *Store {
+	s := &Store{tables: map[platform.TableName]*table{}}
+	for _, name := range []platform.TableName{platform.Control, platform.Audit, platform.Claims} {
+		s.tables[name] = &table{rows: map[string]platform.Row{}}
+	}
+	return s
+}
+
+// Read returns the newest state, as far as it differs from r.Since.
+func (s *Store) Read(r platform.ReadRequest) (platform.Changes, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ok := s.tables[r.Table]
+	if !ok {
+		return platform.Changes{}, errors.Wrapf(ErrMalformed, "no table %q", r.Table)
+	}
+	c := platform.Changes{Revision: t.revision, Full: r.Since == 0}
+	for _, entry := range t.log[t.after(r.Since):] {
+		row := t.rows[entry.key]
+		if row.Revision != entry.revision || !strings.HasPrefix(row.Key, r.Prefix) {
+			continue
+		}
+		if c.Full && row.Deleted {
+			continue
+		}
+		c.Rows = append(c.Rows, row)
+	}
+	return c, nil
+}
+
+// Write commits the transaction if all its conditions hold.
+func (s *Store) Write(txn platform.Txn) (platform.WriteResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.check(txn); err != nil {
+		return platform.WriteResult{}, err
+	}
+	if current, ok := s.conditionsHold(txn.Conditions); !ok {
+		return platform.WriteResult{Outcome: platform.Conflict, Current: current}, nil
+	}
+	result := platform.WriteResult{
+		Outcome:   platform.Committed,
+		Revisions: map[platform.TableName]platform.Revision{},
+	}
+	for _, p := range txn.Puts {
+		if _, ok := result.Revisions[p.Table]; !ok {
+			s.tables[p.Table].revision++
+			result.Revisions[p.Table] = s.tables[p.Table].revision
+		}
+		s.tables[p.Table].put(p, txn.Attempt)
+	}
+	return result, nil
+}
+
+// Copy returns tables with the same content that don't change with s.
+func (s *Store) Copy() *Store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := New()
+	for name, t := range s.tables {
+		out.tables[name] = t.copy()
+	}
+	return out
+}
+
+// Revisions returns each table's revision.
+func (s *Store) Revisions() map[platform.TableName]platform.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[platform.TableName]platform.Revision{}
+	for name, t := range s.tables {
+		out[name] = t.revision
+	}
+	return out
+}
+
+func (s *Store) check(txn platform.Txn) error {
+	if txn.Attempt == "" {
+		return errors.Wrap(ErrMalformed, "no attempt id")
+	}
+	if len(txn.Puts) == 0 {
+		return errors.Wrap(ErrMalformed, "no puts")
+	}
+	for _, c := range txn.Conditions {
+		if s.tables[c.Table] == nil {
+			return errors.Wrapf(ErrMalformed, "no table %q", c.Table)
+		}
+	}
+	type rowID struct {
+		table platform.TableName
+		key   string
+	}
+	seen := map[rowID]bool{}
+	for _, p := range txn.Puts {
+		id := rowID{p.Table, p.Key}
+		if s.tables[p.Table] == nil || p.Key == "" || seen[id] {
+			return errors.Wrapf(ErrMalformed, "put of %q in table %q", p.Key, p.Table)
+		}
+		seen[id] = true
+	}
+	return nil
+}
+
+// conditionsHold returns the present rows of the conditions that don't.
+func (s *Store) conditionsHold(conditions []platform.Condition) ([]platform.Row, bool) {
+	var current []platform.Row
+	ok := true
+	for _, c := range conditions {
+		row, present := s.tables[c.Table].present(c.Key)
+		if row.Revision == c.Revision {
+			continue
+		}
+		ok = false
+		if present {
+			current = append(current, row)
+		}
+	}
+	return current, ok
+}
+
+// present returns a row; its zero value if it is absent or deleted.
+func (t *table) present(key string) (platform.Row, bool) {
+	row, ok := t.rows[key]
+	if !ok || row.Deleted {
+		return platform.Row{}, false
+	}
+	return row, true
+}
+
+func (t *table) put(p platform.Put, attempt string) {
+	row := platform.Row{Key: p.Key, Revision: t.revision, Attempt: attempt, Deleted: p.Delete}
+	if !p.Delete {
+		row.Value = slices.Clone(p.Value)
+	}
+	t.rows[p.Key] = row
+	t.log = append(t.log, change{t.revision, p.Key})
+	if len(t.log) > 2*len(t.rows)+64 {
+		t.compact()
+	}
+}
+
+// after returns the index of the first log entry above a revision.
+func (t *table) after(since platform.Revision) int {
+	i, _ := slices.BinarySearchFunc(t.log, since, func(c change, since platform.Revision) int {
+		if c.revision <= since {
+			return -1
+		}
+		return 1
+	})
+	return i
+}
+
+// compact drops the log entries that no longer count.
+func (t *table) compact() {
+	t.log = slices.DeleteFunc(t.log, func(c change) bool {
+		return t.rows[c.key].Revision != c.revision
+	})
+}
+
+func (t *table) copy() *table {
+	out := &table{revision: t.revision, rows: map[string]platform.Row{}, log: slices.Clone(t.log)}
+	for key, row := range t.rows {
+		out.rows[key] = row
+	}
+	return out
+}
