--- a/internal/standin/backend_serve.go
+++ b/internal/standin/backend_serve.go
@@ -65,6 +65,10 @@
 		return
 	}
 	defer b.slots.release()
+	if ctx.Err() != nil {
+		refuse(w, r, http.StatusGatewayTimeout, "no slot within the request's time")
+		return
+	}
 	b.run(ctx, w, r, e)
 }
 
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -112,6 +112,16 @@
 	})
 }
 
+// Tables are the tables themselves, for tests that look at them or change
+// them past all faults.
+func (p *Platform) Tables() *tables.Store { return p.tables }
+
+// Object returns an object past all faults.
+func (p *Platform) Object(name string) ([]byte, bool) { return p.objects.get(name) }
+
+// ObjectNames returns the names of all objects past all faults, ascending.
+func (p *Platform) ObjectNames() []string { return p.objects.list("") }
+
 // Counts returns the requests seen since the start.
 func (p *Platform) Counts() PlatformCounts {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/standin/tables/tables_test.go
@@ -0,0 +1,193 @@
+package tables_test
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"foxtailspoke/internal/standin/tables"
+	"foxtailspoke/platform"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var names = []platform.TableName{platform.Control, platform.Audit, platform.Claims}
+
+// model is the plainest description of the service: a row list per table
+// that is searched from end to end.
+type model map[platform.TableName][]platform.Row
+
+func (m model) revision(t platform.TableName) platform.Revision {
+	var r platform.Revision
+	for _, row := range m[t] {
+		r = max(r, row.Revision)
+	}
+	return r
+}
+
+func (m model) present(t platform.TableName, key string) platform.Revision {
+	for _, row := range m[t] {
+		if row.Key == key && !row.Deleted {
+			return row.Revision
+		}
+	}
+	return 0
+}
+
+func (m model) write(txn platform.Txn) bool {
+	for _, c := range txn.Conditions {
+		if m.present(c.Table, c.Key) != c.Revision {
+			return false
+		}
+	}
+	next := map[platform.TableName]platform.Revision{}
+	for _, t := range names {
+		next[t] = m.revision(t) + 1
+	}
+	for _, p := range txn.Puts {
+		m[p.Table] = slices.DeleteFunc(m[p.Table], func(r platform.Row) bool { return r.Key == p.Key })
+		m[p.Table] = append(m[p.Table], platform.Row{
+			Key: p.Key, Value: p.Value, Revision: next[p.Table], Attempt: txn.Attempt, Deleted: p.Delete,
+		})
+	}
+	return true
+}
+
+func (m model) read(r platform.ReadRequest) platform.Changes {
+	c := platform.Changes{Revision: m.revision(r.Table), Full: r.Since == 0}
+	for _, row := range m[r.Table] {
+		if row.Revision > r.Since && strings.HasPrefix(row.Key, r.Prefix) && (!c.Full || !row.Deleted) {
+			c.Rows = append(c.Rows, row)
+		}
+	}
+	return c
+}
+
+func drawTxn(t *rapid.T, m model, n int) platform.Txn {
+	table := rapid.SampledFrom(names)
+	key := rapid.SampledFrom([]string{"a/1", "a/2", "b/1", "b"})
+	txn := platform.Txn{Attempt: fmt.Sprint(n)}
+	for range rapid.IntRange(0, 2).Draw(t, "conditions") {
+		c := platform.Condition{Table: table.Draw(t, "table"), Key: key.Draw(t, "key")}
+		c.Revision = m.present(c.Table, c.Key)
+		if rapid.IntRange(0, 3).Draw(t, "wrong") == 0 {
+			c.Revision += platform.Revision(rapid.IntRange(0, 2).Draw(t, "off"))
+		}
+		txn.Conditions = append(txn.Conditions, c)
+	}
+	seen := map[string]bool{}
+	for range rapid.IntRange(1, 3).Draw(t, "puts") {
+		p := platform.Put{Table: table.Draw(t, "table"), Key: key.Draw(t, "key")}
+		if p.Delete = rapid.Bool().Draw(t, "delete"); !p.Delete {
+			p.Value = []byte{byte(n)}
+		}
+		if id := string(p.Table) + p.Key; !seen[id] {
+			seen[id] = true
+			txn.Puts = append(txn.Puts, p)
+		}
+	}
+	return txn
+}
+
+func TestStoreIsLikeModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, m := tables.New(), model{}
+		for n := range rapid.IntRange(1, 300).Draw(t, "steps") {
+			before := maps.Clone(s.Revisions())
+			txn := drawTxn(t, m, n)
+			result, err := s.Write(txn)
+			must.NoError(t, err)
+			must.Eq(t, m.write(txn), result.Outcome == platform.Committed)
+			touched := map[platform.TableName]platform.Revision{}
+			for _, p := range txn.Puts {
+				touched[p.Table] = before[p.Table] + 1
+			}
+			if result.Outcome == platform.Committed {
+				must.Eq(t, touched, result.Revisions)
+			}
+			for _, name := range names {
+				must.Eq(t, m.revision(name), s.Revisions()[name])
+			}
+			r := platform.ReadRequest{
+				Table:  rapid.SampledFrom(names).Draw(t, "table"),
+				Since:  platform.Revision(rapid.IntRange(0, n+1).Draw(t, "since")),
+				Prefix: rapid.SampledFrom([]string{"", "a/", "b", "c"}).Draw(t, "prefix"),
+			}
+			c, err := s.Read(r)
+			must.NoError(t, err)
+			sameChanges(t, m.read(r), c)
+		}
+	})
+}
+
+// sameChanges compares rows without the order of those of one revision, and
+// checks that revisions ascend.
+func sameChanges(t *rapid.T, want, got platform.Changes) {
+	must.True(t, slices.IsSortedFunc(got.Rows, func(a, b platform.Row) int { return int(a.Revision) - int(b.Revision) }))
+	byKey := func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) }
+	slices.SortFunc(want.Rows, byKey)
+	slices.SortFunc(got.Rows, byKey)
+	must.Eq(t, want, got)
+}
+
+// A writer's transaction meets a row that another changed, a row that is
+// gone, and one that holds. It must learn the present state of the first
+// only, and nothing may take effect in any table.
+func TestConflictReturnsCurrentRows(t *testing.T) {
+	s := tables.New()
+	puts := []platform.Put{
+		{Table: platform.Control, Key: "changed", Value: []byte("v")},
+		{Table: platform.Control, Key: "gone"},
+		{Table: platform.Claims, Key: "holds"},
+	}
+	_, err := s.Write(platform.Txn{Attempt: "1", Puts: puts})
+	must.NoError(t, err)
+	_, err = s.Write(platform.Txn{Attempt: "2", Puts: []platform.Put{{Table: platform.Control, Key: "gone", Delete: true}}})
+	must.NoError(t, err)
+
+	result, err := s.Write(platform.Txn{
+		Attempt: "3",
+		Conditions: []platform.Condition{
+			{Table: platform.Control, Key: "changed", Revision: 2},
+			{Table: platform.Control, Key: "gone", Revision: 1},
+			{Table: platform.Claims, Key: "holds", Revision: 1},
+		},
+		Puts: []platform.Put{{Table: platform.Audit, Key: "a"}, {Table: platform.Control, Key: "changed"}},
+	})
+	must.NoError(t, err)
+	row := platform.Row{Key: "changed", Value: []byte("v"), Revision: 1, Attempt: "1"}
+	must.Eq(t, platform.WriteResult{Outcome: platform.Conflict, Current: []platform.Row{row}}, result)
+	want := map[platform.TableName]platform.Revision{platform.Control: 2, platform.Audit: 0, platform.Claims: 1}
+	must.Eq(t, want, s.Revisions())
+}
+
+func TestMalformedTransactions(t *testing.T) {
+	ok := platform.Put{Table: platform.Control, Key: "k"}
+	for name, txn := range map[string]platform.Txn{
+		"no attempt":         {Puts: []platform.Put{ok}},
+		"no puts":            {Attempt: "a"},
+		"no key":             {Attempt: "a", Puts: []platform.Put{{Table: platform.Control}}},
+		"same row twice":     {Attempt: "a", Puts: []platform.Put{ok, ok}},
+		"no such table":      {Attempt: "a", Puts: []platform.Put{{Table: "x", Key: "k"}}},
+		"no condition table": {Attempt: "a", Puts: []platform.Put{ok}, Conditions: []platform.Condition{{Table: "x"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := tables.New().Write(txn)
+			must.ErrorIs(t, err, tables.ErrMalformed)
+		})
+	}
+	_, err := tables.New().Read(platform.ReadRequest{Table: "x"})
+	must.ErrorIs(t, err, tables.ErrMalformed)
+}
