--- /dev/null
+++ b/internal/standin/backend_faults_test.go
@@ -0,0 +1,184 @@
+package standin_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/config"
+	"foxtailspoke/internal/standin"
+)
+
+// Each way in which a server goes wrong while its health report is fine.
+// Whatever comes back, the work was done, and what the caller's side can see
+// of it is what tells it from a good answer.
+func TestBackendAnswersGoWrong(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults standin.BackendFaults
+		check  func(t *testing.T, r reply)
+	}{
+		{"half", standin.BackendFaults{HalfRatio: 1}, func(t *testing.T, r reply) {
+			must.ErrorIs(t, r.err, io.ErrUnexpectedEOF)
+			must.Eq(t, http.StatusOK, r.status)
+			must.Positive(t, len(r.body))
+		}},
+		{"error", standin.BackendFaults{ErrorRatio: 1}, func(t *testing.T, r reply) {
+			must.Eq(t, http.StatusInternalServerError, r.status)
+			must.Eq(t, "a1", r.header.Get(standin.AttemptHeader))
+			must.Eq(t, "", r.header.Get(standin.OutcomeHeader))
+		}},
+		{"error for one", standin.BackendFaults{ErrorRatio: 1, ErrorWorkspace: "cebu"}, func(t *testing.T, r reply) {
+			must.Eq(t, http.StatusInternalServerError, r.status)
+		}},
+		{"error for another", standin.BackendFaults{ErrorRatio: 1, ErrorWorkspace: "davao"}, func(t *testing.T, r reply) {
+			must.Eq(t, http.StatusOK, r.status)
+		}},
+		{"crossed", standin.BackendFaults{CrossedRatio: 1}, func(t *testing.T, r reply) {
+			must.Eq(t, http.StatusOK, r.status)
+			must.Eq(t, "a0", r.header.Get(standin.AttemptHeader))
+			must.StrContains(t, r.body, "/before")
+		}},
+		{"no echo", standin.BackendFaults{NoEchoRatio: 1}, func(t *testing.T, r reply) {
+			must.Eq(t, http.StatusOK, r.status)
+			must.MapNotContainsKey(t, r.header, standin.AttemptHeader)
+		}},
+		{"late", standin.BackendFaults{
+			LateRatio: 1, LateBy: config.Duration(20 * time.Millisecond), Delay: config.Duration(20 * time.Millisecond),
+		}, func(t *testing.T, r reply) {
+			must.Eq(t, http.StatusOK, r.status)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := startBackend(t, standin.BackendOptions{Latency: time.Millisecond})
+			before := call{path: "/before", header: map[string]string{standin.AttemptHeader: "a0"}}
+			must.Eq(t, http.StatusOK, before.send(t, client(t), b.URL()).status)
+			must.NoError(t, b.SetFaults(c.faults))
+			header := map[string]string{}
+			if c.faults.LateRatio > 0 {
+				header[standin.TimeoutHeader] = "10"
+			}
+			r := call{path: "/x", header: header}.send(t, client(t), b.URL())
+			if c.faults.HalfRatio == 0 {
+				must.NoError(t, r.err)
+			}
+			c.check(t, r)
+			log, _ := b.Executions()
+			must.Eq(t, standin.Done, log[1].End)
+			must.Eq(t, http.StatusOK, call{path: standin.HealthPath}.send(t, client(t), b.URL()).status)
+		})
+	}
+}
+
+// The same answer comes twice on one connection. The copy would be taken for
+// the answer to the next request.
+func TestBackendSendsAnswerTwice(t *testing.T) {
+	b := startBackend(t, standin.BackendOptions{Faults: standin.BackendFaults{DuplicateRatio: 1}})
+	conn, err := net.Dial("tcp", b.Address())
+	must.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\nFoxtailspoke-Attempt: a1\r\n\r\n")
+	must.NoError(t, err)
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		r, err := http.ReadResponse(reader, nil)
+		must.NoError(t, err)
+		must.Eq(t, "a1", r.Header.Get(standin.AttemptHeader))
+		_, err = io.Copy(io.Discard, r.Body)
+		must.NoError(t, err)
+	}
+	log, _ := b.Executions()
+	must.Len(t, 1, log)
+}
+
+// A slow server runs into the request's time; a hanging one ignores it and
+// keeps its slot until the connection is closed.
+func TestBackendSlowAndHanging(t *testing.T) {
+	timed := call{header: map[string]string{standin.TimeoutHeader: "30"}, timeout: 200 * time.Millisecond}
+	b := startBackend(t, standin.BackendOptions{Latency: time.Millisecond})
+	for _, f := range []standin.BackendFaults{{Factor: 1e6}, {Delay: config.Duration(time.Hour)}} {
+		must.NoError(t, b.SetFaults(f))
+		must.Eq(t, http.StatusGatewayTimeout, timed.send(t, client(t), b.URL()).status)
+	}
+	must.NoError(t, b.SetFaults(standin.BackendFaults{HangRatio: 1}))
+	must.ErrorIs(t, timed.send(t, client(t), b.URL()).err, context.DeadlineExceeded)
+	eventually(t, "the slot is free", func() bool { return b.Load().InFlight == 0 })
+	log, _ := b.Executions()
+	must.Eq(t, standin.Cancelled, log[2].End)
+}
+
+// New connections are refused while those that stand go on; then all is well
+// again on the same address.
+func TestBackendRefusesConnections(t *testing.T) {
+	b := startBackend(t, standin.BackendOptions{})
+	standing := client(t)
+	must.Eq(t, http.StatusOK, call{}.send(t, standing, b.URL()).status)
+	for range 3 {
+		must.NoError(t, b.UpdateFaults(func(f *standin.BackendFaults) { f.Refuse = true }))
+		eventually(t, "refused", func() bool {
+			return errors.Is(call{}.send(t, client(t), b.URL()).err, syscall.ECONNREFUSED)
+		})
+		must.Eq(t, http.StatusOK, call{}.send(t, standing, b.URL()).status)
+		must.NoError(t, b.UpdateFaults(func(f *standin.BackendFaults) { f.Refuse = false }))
+		eventually(t, "taken", func() bool { return call{}.send(t, client(t), b.URL()).status == http.StatusOK })
+	}
+	must.NoError(t, b.UpdateFaults(func(f *standin.BackendFaults) { f.Refuse = true }))
+}
+
+// The server's process is stuck: it takes connections and reads nothing. Once
+// it reads again the request that waited gets its answer.
+func TestBackendStopsReading(t *testing.T) {
+	b := startBackend(t, standin.BackendOptions{Faults: standin.BackendFaults{StopReading: true}})
+	must.Error(t, call{timeout: glance}.send(t, client(t), b.URL()).err)
+	waiting := call{path: "/waits"}.async(t.Context(), t, b.URL())
+	log, _ := b.Executions()
+	must.Len(t, 0, log)
+	must.NoError(t, b.SetFaults(standin.BackendFaults{}))
+	r := <-waiting
+	must.NoError(t, r.err)
+	must.StrContains(t, r.body, "/waits")
+
+	must.NoError(t, b.SetFaults(standin.BackendFaults{StopReading: true}))
+	must.Error(t, call{timeout: glance}.send(t, client(t), b.URL()).err)
+}
+
+// The server stops reading while it works on a request. It can still write,
+// so the answer comes; here twice, for which the server takes the connection
+// over and must not wait for a read that never ends.
+func TestBackendAnswersWithoutReading(t *testing.T) {
+	b := startBackend(t, standin.BackendOptions{
+		Latency: 30 * time.Millisecond, Faults: standin.BackendFaults{DuplicateRatio: 1},
+	})
+	running := call{path: "/x"}.async(t.Context(), t, b.URL())
+	eventually(t, "it runs", func() bool { return b.Load().InFlight == 1 })
+	must.NoError(t, b.SetFaults(standin.BackendFaults{StopReading: true}))
+	r := <-running
+	must.NoError(t, r.err)
+	must.StrContains(t, r.body, "/x")
+}
+
+func TestBackendFaultsOverHTTP(t *testing.T) {
+	b := startBackend(t, standin.BackendOptions{})
+	url := b.ControlURL() + "/control/faults"
+	must.Eq(t, http.StatusOK, control(t, http.MethodPost, url, `{"halfRatio":0.5,"delay":"1ms"}`).status)
+	must.Eq(t, http.StatusOK, control(t, http.MethodPost, url, `{"hangRatio":0.5}`).status)
+	want := standin.BackendFaults{HalfRatio: 0.5, HangRatio: 0.5, Delay: config.Duration(time.Millisecond)}
+	must.Eq(t, want, b.Faults())
+	for _, bad := range []string{
+		`{"errorRatio":0.1}`, `{"halfRatio":-1}`, `{"factor":-1}`, `{"health":"fine"}`, `{"lateBy":"-1s"}`, `{"x":1}`,
+	} {
+		must.Eq(t, http.StatusBadRequest, control(t, http.MethodPost, url, bad).status, must.Sprint(bad))
+	}
+	must.Eq(t, want, b.Faults())
+	report := control(t, http.MethodGet, strings.Replace(url, "faults", "executions", 1), "").body
+	must.Eq(t, `{"executions":null,"dropped":0}`+"\n", report)
+}
--- /dev/null
+++ b/internal/standin/backend_test.go
@@ -0,0 +1,241 @@
+package standin_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/config"
+	"foxtailspoke/internal/standin"
+)
+
+func TestBackendAnswers(t *testing.T) {
+	b := startBackend(t, standin.BackendOptions{})
+	sum := fmt.Sprintf("%x", sha256.Sum256([]byte("glue")))
+	order := call{
+		method: http.MethodPost, path: "/orders", body: "glue",
+		header: map[string]string{standin.OperationHeader: "op1"},
+	}
+	for _, c := range []struct {
+		call call
+		want string
+	}{
+		{call{path: "/woods/narra?q=1"}, "catalogue GET /woods/narra workspace=cebu\n"},
+		{call{path: "/x?size=100"}, "catalogue GET /x workspace=cebu\n" + strings.Repeat(".", 68)},
+		{order, "length=4 sha256=" + sum + " operation=op1 times=1\n"},
+		{order, "length=4 sha256=" + sum + " operation=op1 times=2\n"},
+	} {
+		r := c.call.send(t, client(t), b.URL())
+		must.NoError(t, r.err)
+		must.Eq(t, http.StatusOK, r.status)
+		must.Eq(t, "a1", r.header.Get(standin.AttemptHeader))
+		must.StrContains(t, r.body, c.want)
+	}
+	log, dropped := b.Executions()
+	must.Zero(t, dropped)
+	must.Len(t, 4, log)
+	must.Eq(t, fmt.Sprintf("%x", sha256.Sum256(nil)), log[0].BodySHA256)
+	must.Eq(t, sum, log[2].BodySHA256)
+	must.Eq(t, "op1", log[2].Operation)
+	must.Eq(t, standin.Done, log[3].End)
+}
+
+// More requests come than the server has room for. It must refuse at once
+// and say that they weren't run, and that has to stay true; one that waits in
+// the queue is refused when its time runs out, and another gets its place.
+func TestBackendSheds(t *testing.T) {
+	b := startBackend(t, standin.BackendOptions{
+		Slots: 1, Queue: 1, Faults: standin.BackendFaults{HangRatio: 1},
+	})
+	first, endFirst := context.WithCancel(t.Context())
+	defer endFirst()
+	running := call{path: "/first"}.async(first, t, b.URL())
+	eventually(t, "first runs", func() bool { return b.Load().InFlight == 1 })
+	late := call{path: "/late", header: map[string]string{standin.TimeoutHeader: "20"}}.send(t, client(t), b.URL())
+	notRun(t, late, http.StatusGatewayTimeout)
+
+	queued := call{path: "/queued"}.async(t.Context(), t, b.URL())
+	eventually(t, "second waits", func() bool { return b.Load().Queued == 1 })
+	shed := call{path: "/shed"}.send(t, client(t), b.URL())
+	notRun(t, shed, http.StatusServiceUnavailable)
+	must.NotEq(t, "", shed.header.Get("Retry-After"))
+
+	must.NoError(t, b.SetFaults(standin.BackendFaults{}))
+	endFirst()
+	must.Error(t, (<-running).err)
+	must.Eq(t, http.StatusOK, (<-queued).status)
+	log, _ := b.Executions()
+	must.Len(t, 2, log)
+	must.Eq(t, "/queued", log[1].Path)
+	must.Eq(t, standin.Load{Slots: 1}, b.Load())
+}
+
+func notRun(t *testing.T, r reply, status int) {
+	t.Helper()
+	must.NoError(t, r.err)
+	must.Eq(t, status, r.status)
+	must.Eq(t, standin.NotRun, r.header.Get(standin.OutcomeHeader))
+	must.Eq(t, "a1", r.header.Get(standin.AttemptHeader))
+}
+
+// A request's time runs out, or its connection is closed, while the server
+// works on it. The server gives up and its slot is free again.
+func TestBackendGivesUp(t *testing.T) {
+	b := startBackend(t, standin.BackendOptions{Slots: 1, Latency: time.Hour})
+	expired := call{header: map[string]string{standin.TimeoutHeader: "0"}}
+	notRun(t, expired.send(t, client(t), b.URL()), http.StatusGatewayTimeout)
+	r := call{header: map[string]string{standin.TimeoutHeader: "20"}}.send(t, client(t), b.URL())
+	must.Eq(t, http.StatusGatewayTimeout, r.status)
+	must.Eq(t, standin.GaveUp, r.header.Get(standin.OutcomeHeader))
+
+	ctx, cancel := context.WithCancel(t.Context())
+	running := call{method: http.MethodPost, body: "x"}.async(ctx, t, b.URL())
+	eventually(t, "it runs", func() bool { return b.Load().InFlight == 1 })
+	cancel()
+	must.Error(t, (<-running).err)
+	eventually(t, "the slot is free", func() bool { return b.Load().InFlight == 0 })
+	log, _ := b.Executions()
+	must.Eq(t, standin.TimedOut, log[0].End)
+	must.Eq(t, standin.Cancelled, log[1].End)
+}
+
+func TestBackendRefusesMalformedTime(t *testing.T) {
+	b := startBackend(t, standin.BackendOptions{})
+	for _, value := range []string{"-1", "1s", "+1", "0x1", "99999999999999999999", "3600001"} {
+		r := call{header: map[string]string{standin.TimeoutHeader: value}}.send(t, client(t), b.URL())
+		notRun(t, r, http.StatusBadRequest)
+	}
+	log, _ := b.Executions()
+	must.Len(t, 0, log)
+}
+
+func TestBackendStartsCold(t *testing.T) {
+	for name, o := range map[string]standin.BackendOptions{
+		"first requests": {ColdRequests: 1, ColdFactor: 1e6},
+		"first seconds":  {ColdFor: time.Hour, ColdFactor: 1e6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := startBackend(t, o)
+			c := call{header: map[string]string{standin.TimeoutHeader: "500"}}
+			must.Eq(t, http.StatusGatewayTimeout, c.send(t, client(t), b.URL()).status)
+			if o.ColdRequests > 0 {
+				must.Eq(t, http.StatusOK, c.send(t, client(t), b.URL()).status)
+			}
+		})
+	}
+}
+
+// A body ends before its declared length. A request that isn't whole must
+// not run, or half an order would be taken.
+func TestBackendDoesNotRunHalfRequest(t *testing.T) {
+	b := startBackend(t, standin.BackendOptions{})
+	conn, err := net.Dial("tcp", b.Address())
+	must.NoError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf"))
+	must.NoError(t, err)
+	must.NoError(t, conn.(*net.TCPConn).CloseWrite())
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(patience)))
+	_, err = conn.Read(make([]byte, 1))
+	must.Error(t, err)
+	log, _ := b.Executions()
+	must.Len(t, 0, log)
+}
+
+// The server drains. It tells the platform, refuses new work as not run, and
+// finishes what it has.
+func TestBackendDrains(t *testing.T) {
+	p, instances := startPlatform(t, standin.PlatformOptions{})
+	b := startBackend(t, standin.BackendOptions{
+		Slots: 3, DataCentre: "a", Region: "luzon", Instances: instances, Latency: 50 * time.Millisecond,
+	})
+	state := func() string {
+		list, err := instances.List(t.Context(), 0)
+		if err != nil || len(list.Changed) == 0 {
+			return ""
+		}
+		i := list.Changed[0]
+		must.Eq(t, b.Address(), i.Address)
+		must.Eq(t, 3, i.Slots)
+		return i.Service + " " + i.DataCentre + " " + i.Region + " " + string(i.State)
+	}
+	eventually(t, "announced", func() bool { return state() == "catalogue a luzon live" })
+	running := call{}.async(t.Context(), t, b.URL())
+	eventually(t, "it runs", func() bool { return b.Load().InFlight == 1 })
+
+	must.Eq(t, http.StatusNoContent, control(t, http.MethodPost, b.ControlURL()+"/control/drain", "").status)
+	must.Eq(t, "catalogue a luzon leaving", state())
+	notRun(t, call{}.send(t, client(t), b.URL()), http.StatusServiceUnavailable)
+	must.Eq(t, http.StatusOK, (<-running).status)
+	b.Shutdown(t.Context())
+	must.Eq(t, "catalogue a luzon ended", state())
+	must.Positive(t, p.Counts().Writes)
+}
+
+// The platform declares a server ended that was only slow to announce. It
+// must come back under a new id, since its old one can't.
+func TestBackendTakesNewID(t *testing.T) {
+	_, instances := startPlatform(t, standin.PlatformOptions{EndAfter: time.Nanosecond})
+	b := startBackend(t, standin.BackendOptions{Instances: instances, AnnounceEvery: time.Millisecond})
+	first := b.ID()
+	eventually(t, "a new id", func() bool { return b.ID() != first })
+}
+
+// Health and load reports are old, hide what is the case, or claim it.
+func TestBackendReportsMislead(t *testing.T) {
+	b := startBackend(t, standin.BackendOptions{Slots: 1, Faults: standin.BackendFaults{HangRatio: 1}})
+	ctx, cancel := context.WithCancel(t.Context())
+	running := call{}.async(ctx, t, b.URL())
+	eventually(t, "it runs", func() bool { return b.Load().InFlight == 1 })
+	b.Drain()
+	hour := config.Duration(time.Hour)
+	for _, c := range []struct {
+		faults   standin.BackendFaults
+		health   string
+		inFlight int
+	}{
+		{standin.BackendFaults{}, "draining", 1},
+		{standin.BackendFaults{ReportLag: hour}, "ok", 0},
+		{standin.BackendFaults{Health: "ok", HideLoad: true}, "ok", 0},
+		{standin.BackendFaults{Health: "bad"}, "bad", 1},
+	} {
+		must.NoError(t, b.SetFaults(c.faults))
+		health := call{path: standin.HealthPath}.send(t, client(t), b.URL())
+		must.Eq(t, c.health == "ok", health.status == http.StatusOK)
+		must.StrContains(t, health.body, `"`+c.health+`"`)
+		var load standin.Load
+		must.NoError(t, json.Unmarshal([]byte(call{path: standin.LoadPath}.send(t, client(t), b.URL()).body), &load))
+		must.Eq(t, standin.Load{Slots: 1, InFlight: c.inFlight}, load)
+	}
+	cancel()
+	<-running
+}
+
+// A key must never get as far as a backend server. The stand-in sees all
+// bytes that come in, and keeps the headers, so that a test can tell.
+func TestBackendSeesSecrets(t *testing.T) {
+	b := startBackend(t, standin.BackendOptions{})
+	secrets := `["fsk_header","fsk_body","fsk_path","fsk_never"]`
+	must.Eq(t, http.StatusNoContent, control(t, http.MethodPost, b.ControlURL()+"/control/secrets", secrets).status)
+	must.Eq(t, http.StatusBadRequest, control(t, http.MethodPost, b.ControlURL()+"/control/secrets", `[""]`).status)
+	c := call{method: http.MethodPost, path: "/p", body: "..fsk_body..", header: map[string]string{"X-odd": "fsk_header"}}
+	must.Eq(t, http.StatusOK, c.send(t, client(t), b.URL()).status)
+
+	must.Eq(t, http.StatusOK, call{path: "/fsk_path"}.send(t, client(t), b.URL()).status)
+
+	must.Eq(t, []string{"fsk_body", "fsk_header", "fsk_path"}, b.SecretsSeen())
+	raw := b.RawHeaders()
+	must.Zero(t, raw.Incomplete)
+	must.Len(t, 2, raw.Headers)
+	must.StrHasPrefix(t, "POST /p HTTP/1.1\r\nHost: ", raw.Headers[0])
+	must.StrContains(t, raw.Headers[0], "\r\nX-Odd: fsk_header\r\n")
+	must.StrHasPrefix(t, "GET /fsk_path HTTP/1.1\r\n", raw.Headers[1])
+}
--- /dev/null
+++ b/internal/standin/internal_test.go
@@ -0,0 +1,83 @@
+package standin
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/config"
+)
+
+func TestQuirksFollowRatios(t *testing.T) {
+	f := BackendFaults{
+		HalfRatio: 0.1, ErrorRatio: 0.1, HangRatio: 0.1, CrossedRatio: 0.1,
+		NoEchoRatio: 0.1, LateRatio: 0.1, DuplicateRatio: 0.1, ErrorWorkspace: "w",
+	}
+	found := map[quirk]int{}
+	for i := range 1000 {
+		found[f.quirk("w", (float64(i)+0.5)/1000)]++
+	}
+	must.Eq(t, map[quirk]int{
+		halfAnswer: 100, errorAnswer: 100, hang: 100, crossedAnswer: 100,
+		noEcho: 100, lateAnswer: 100, duplicateAnswer: 100, noQuirk: 300,
+	}, found)
+	must.Eq(t, noQuirk, f.quirk("other", 0.15))
+}
+
+func TestFlappingComesAndGoes(t *testing.T) {
+	f := BackendFaults{
+		HalfRatio: 1, Factor: 2, FlapPeriod: config.Duration(time.Second), Refuse: true, Health: healthOK,
+	}
+	good := BackendFaults{Refuse: true, Health: healthOK}
+	for at, want := range map[time.Duration]BackendFaults{
+		0: good, 999 * time.Millisecond: good, time.Second: f, 2 * time.Second: good, 3 * time.Second: f,
+	} {
+		must.Eq(t, want, f.at(at), must.Sprint(at))
+	}
+}
+
+// FuzzRawStream gives a connection's bytes in pieces. A secret must be seen
+// wherever it is cut, and a whole header block kept.
+func FuzzRawStream(f *testing.F) {
+	f.Add([]byte("GET / HTTP/1.1\r\nK: fsk_1\r\n\r\nbody"), uint8(3))
+	f.Add([]byte("POST / HTTP/1.1\r\n\r\nfsk_"), uint8(1))
+	f.Add([]byte("abcdfsk_1"), uint8(3))
+	f.Add([]byte("GET / HTTP/1.1\r\n\r"), uint8(200))
+	f.Fuzz(func(t *testing.T, data []byte, size uint8) {
+		const secret = "fsk_1"
+		l := newRawLog()
+		l.watch([]string{secret})
+		s := &rawStream{log: l}
+		step := int(size) + 1
+		for i := 0; i < len(data); i += step {
+			s.received(data[i:min(i+step, len(data))])
+		}
+		must.Eq(t, bytes.Contains(data, []byte(secret)), len(l.secretsSeen()) == 1)
+		s.request("GET / HTTP/")
+		begin := bytes.LastIndex(data, []byte("GET / HTTP/"))
+		whole := begin >= 0 && len(data) <= maxPending && bytes.Contains(data[begin:], []byte("\r\n\r\n"))
+		if whole {
+			must.SliceLen(t, 1, l.report().Headers)
+			return
+		}
+		must.Eq(t, len(data) <= maxPending, l.report().Incomplete == 1)
+	})
+}
+
+// FuzzParseTimeout checks that what is taken is in bounds and what isn't a
+// plain number isn't taken.
+func FuzzParseTimeout(f *testing.F) {
+	for _, value := range []string{"0", "1500", "3600000", "3600001", "-1", "+1", "1e3", "١", "", "00000000000000000001"} {
+		f.Add(value)
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		d, err := parseTimeout(value)
+		if err != nil {
+			return
+		}
+		must.Between(t, 0, d, maxTimeout)
+		must.Eq(t, "", string(bytes.Trim([]byte(value), "0123456789")))
+	})
+}
