--- /dev/null
+++ b/peer/handshake.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The handshake: the server sends a nonce; the client sends its own nonce
+// and a MAC over both; the server answers with another MAC over both. Each
+// side thereby proves that it knows the secret, without sending it. Nothing
+// is decoded before that, so a stranger reaches only these few lines.
+const (
+	nonceSize  = 32
+	macSize    = sha256.Size
+	clientRole = "foxtailspoke peer client 1"
+	serverRole = "foxtailspoke peer server 1"
+)
+
+// ErrHandshake reports that the other side doesn't know the secret.
+var ErrHandshake = errors.New("peer: handshake failed")
+
+// greet is the client's side. It ends by the deadline.
+func greet(conn net.Conn, secret []byte, deadline time.Time) error {
+	if err := conn.SetDeadline(deadline); err != nil {
+		return err
+	}
+	var theirs [nonceSize]byte
+	if _, err := io.ReadFull(conn, theirs[:]); err != nil {
+		return err
+	}
+	var ours [nonceSize]byte
+	_, _ = rand.Read(ours[:])
+	hello := append(ours[:], proof(secret, clientRole, theirs, ours)...)
+	if _, err := conn.Write(hello); err != nil {
+		return err
+	}
+	var answer [macSize]byte
+	if _, err := io.ReadFull(conn, answer[:]); err != nil {
+		return err
+	}
+	if !hmac.Equal(answer[:], proof(secret, serverRole, theirs, ours)) {
+		return ErrHandshake
+	}
+	return conn.SetDeadline(time.Time{})
+}
+
+// admit is the server's side. It ends by the deadline.
+func admit(conn net.Conn, secret []byte, deadline time.Time) error {
+	if err := conn.SetDeadline(deadline); err != nil {
+		return err
+	}
+	var ours [nonceSize]byte
+	_, _ = rand.Read(ours[:])
+	if _, err := conn.Write(ours[:]); err != nil {
+		return err
+	}
+	var hello [nonceSize + macSize]byte
+	if _, err := io.ReadFull(conn, hello[:]); err != nil {
+		return err
+	}
+	theirs := [nonceSize]byte(hello[:nonceSize])
+	if !hmac.Equal(hello[nonceSize:], proof(secret, clientRole, ours, theirs)) {
+		return ErrHandshake
+	}
+	if _, err := conn.Write(proof(secret, serverRole, ours, theirs)); err != nil {
+		return err
+	}
+	return conn.SetDeadline(time.Time{})
+}
+
+func proof(secret []byte, role string, server, client [nonceSize]byte) []byte {
+	mac := hmac.New(sha256.New, secret)
+	mac.Write([]byte(role))
+	mac.Write(server[:])
+	mac.Write(client[:])
+	return mac.Sum(nil)
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,188 @@
+// Package peer carries messages between entry instances: net/rpc over TCP,
+// on connections where both sides have proved that they know the fleet's
+// shared secret.
+//
+// One method carries all messages; the packages that own them register their
+// types with encoding/gob. A call that gets no answer in time closes its
+// connection: after a one-way partition the next call dials anew instead of
+// waiting behind the old one.
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// method is the only method of the protocol.
+const method = "Peer.Call"
+
+// ErrNoAnswer reports that a call ended without a reply. The other side may
+// have acted on the request all the same.
+var ErrNoAnswer = errors.New("peer: no answer")
+
+// Envelope wraps a message with its sender.
+type Envelope struct {
+	// From is the sender's instance id.
+	From string
+	// Body is a message of a registered type.
+	Body any
+}
+
+// Client calls other instances, with one connection to each address.
+type Client struct {
+	self   string
+	secret []byte
+	dial   time.Duration
+
+	mu    sync.Mutex
+	conns map[string]*link
+	done  bool
+}
+
+// link is the connection to one address. The mutex makes sure that only one
+// call dials while the others wait for it.
+type link struct {
+	mu     sync.Mutex
+	client *rpc.Client
+	conn   *countingConn
+	used   time.Time
+}
+
+// NewClient returns a client for the instance with the given id. Dialing,
+// with the handshake, ends after dialTimeout.
+func NewClient(self string, secret []byte, dialTimeout time.Duration) *Client {
+	return &Client{self: self, secret: secret, dial: dialTimeout, conns: map[string]*link{}}
+}
+
+// Call sends body to the instance at address and waits for its reply until
+// ctx ends. Every failure is ErrNoAnswer.
+func (c *Client) Call(ctx context.Context, address string, body any) (any, error) {
+	l, err := c.link(address)
+	if err != nil {
+		return nil, err
+	}
+	client, err := l.connect(ctx, c, address)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNoAnswer)
+	}
+	var reply Envelope
+	call := client.Go(method, &Envelope{From: c.self, Body: body}, &reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if call.Error == nil {
+			return reply.Body, nil
+		}
+		var refused rpc.ServerError
+		if !errors.As(call.Error, &refused) {
+			l.drop(client)
+		}
+		return nil, errors.Mark(call.Error, ErrNoAnswer)
+	case <-ctx.Done():
+		l.drop(client)
+		return nil, errors.Mark(ctx.Err(), ErrNoAnswer)
+	}
+}
+
+// Traffic returns the bytes written to and read from all peers by the
+// connections that are open now.
+func (c *Client) Traffic() (written, read uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.conns {
+		l.mu.Lock()
+		if l.conn != nil {
+			written += l.conn.written.Load()
+			read += l.conn.read.Load()
+		}
+		l.mu.Unlock()
+	}
+	return written, read
+}
+
+// CloseIdle closes connections that carried no call for the given time.
+func (c *Client) CloseIdle(idle time.Duration) {
+	limit := time.Now().Add(-idle)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, l := range c.conns {
+		l.mu.Lock()
+		if l.used.Before(limit) {
+			l.closeLocked()
+			delete(c.conns, address)
+		}
+		l.mu.Unlock()
+	}
+}
+
+// Close closes all connections; calls in progress end without an answer.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.done = true
+	for _, l := range c.conns {
+		l.mu.Lock()
+		l.closeLocked()
+		l.mu.Unlock()
+	}
+}
+
+func (c *Client) link(address string) (*link, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.done {
+		return nil, errors.Mark(net.ErrClosed, ErrNoAnswer)
+	}
+	l, ok := c.conns[address]
+	if !ok {
+		l = &link{used: time.Now()}
+		c.conns[address] = l
+	}
+	return l, nil
+}
+
+func (l *link) connect(ctx context.Context, c *Client, address string) (*rpc.Client, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.used = time.Now()
+	if l.client != nil {
+		return l.client, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.dial)
+	defer cancel()
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	deadline, _ := ctx.Deadline()
+	if err := greet(raw, c.secret, deadline); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	l.conn = &countingConn{Conn: raw}
+	l.client = rpc.NewClient(l.conn)
+	return l.client, nil
+}
+
+// drop closes the connection if it is still the one that the caller used.
+func (l *link) drop(client *rpc.Client) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client == client {
+		l.closeLocked()
+	}
+}
+
+func (l *link) closeLocked() {
+	if l.client == nil {
+		return
+	}
+	_ = l.client.Close()
+	l.client = nil
+	l.conn = nil
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,92 @@
+package peer
+
+import (
+	"context"
+	"encoding/gob"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+)
+
+type ping struct{ N int }
+
+type pong struct{ N int }
+
+func init() {
+	gob.Register(ping{})
+	gob.Register(pong{})
+}
+
+// start serves handle on loopback until the test ends.
+func start(t *testing.T, secret string, handle Handler) string {
+	t.Helper()
+	s, err := NewServer([]byte(secret), 10, time.Second, handle)
+	must.NoError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(ctx, l)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return l.Addr().String()
+}
+
+func echo(_ string, body any) (any, bool) {
+	p, ok := body.(ping)
+	return pong(p), ok
+}
+
+func TestCall(t *testing.T) {
+	address := start(t, "secret", echo)
+	c := NewClient("a", []byte("secret"), time.Second)
+	defer c.Close()
+	for i := range 3 {
+		reply, err := c.Call(context.Background(), address, ping{N: i})
+		must.NoError(t, err)
+		must.Eq(t, any(pong{N: i}), reply)
+	}
+	written, read := c.Traffic()
+	must.Positive(t, written)
+	must.Positive(t, read)
+}
+
+func TestCallWithWrongSecretGetsNoAnswer(t *testing.T) {
+	address := start(t, "secret", echo)
+	c := NewClient("a", []byte("other"), time.Second)
+	defer c.Close()
+	_, err := c.Call(context.Background(), address, ping{})
+	must.True(t, errors.Is(err, ErrNoAnswer))
+}
+
+// The other instance is frozen: it accepts the call and never answers. The
+// caller gives up at its deadline, and its next call, after the other side
+// has come back, doesn't wait behind the first.
+func TestCallAfterTimeoutDialsAnew(t *testing.T) {
+	frozen := make(chan struct{})
+	defer close(frozen)
+	var calls atomic.Int32
+	address := start(t, "secret", func(from string, body any) (any, bool) {
+		if calls.Add(1) == 1 {
+			<-frozen
+		}
+		return echo(from, body)
+	})
+	c := NewClient("a", []byte("secret"), time.Second)
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := c.Call(ctx, address, ping{})
+	must.True(t, errors.Is(err, ErrNoAnswer))
+	_, err = c.Call(context.Background(), address, ping{N: 7})
+	must.NoError(t, err)
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,116 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Handler answers one message. It returns false if it has no answer; the
+// caller then sees ErrNoAnswer.
+type Handler func(from string, body any) (reply any, ok bool)
+
+// Server accepts calls from other instances.
+type Server struct {
+	secret   []byte
+	rpc      *rpc.Server
+	maxConns int
+	greeting time.Duration
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+	wg    sync.WaitGroup
+}
+
+// receiver is what net/rpc calls.
+type receiver struct{ handle Handler }
+
+// Call is the method of the protocol.
+func (r *receiver) Call(request *Envelope, reply *Envelope) error {
+	body, ok := r.handle(request.From, request.Body)
+	if !ok {
+		return errors.New("not answered")
+	}
+	reply.Body = body
+	return nil
+}
+
+// NewServer returns a server that accepts at most maxConns connections, each
+// of which must finish its handshake within greeting.
+func NewServer(secret []byte, maxConns int, greeting time.Duration, handle Handler) (*Server, error) {
+	s := &Server{
+		secret:   secret,
+		rpc:      rpc.NewServer(),
+		maxConns: maxConns,
+		greeting: greeting,
+		conns:    map[net.Conn]struct{}{},
+	}
+	if err := s.rpc.RegisterName("Peer", &receiver{handle: handle}); err != nil {
+		return nil, errors.Wrap(err, "peer: register")
+	}
+	return s, nil
+}
+
+// Serve accepts connections until ctx ends, then closes all of them.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		_ = l.Close()
+		s.closeAll()
+	})
+	defer stop()
+	defer s.wg.Wait()
+	for {
+		conn, err := l.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return errors.Wrap(err, "peer: accept")
+		}
+		if !s.add(conn) {
+			_ = conn.Close()
+			continue
+		}
+		s.wg.Go(func() { s.serve(conn) })
+		if ctx.Err() != nil {
+			s.closeAll()
+		}
+	}
+}
+
+func (s *Server) serve(conn net.Conn) {
+	defer s.remove(conn)
+	if admit(conn, s.secret, time.Now().Add(s.greeting)) != nil {
+		return
+	}
+	s.rpc.ServeConn(conn)
+}
+
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= s.maxConns {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(conn net.Conn) {
+	_ = conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
