--- /dev/null
+++ b/entry/attempt/attempt.go
@@ -0,0 +1,271 @@
+// Package attempt sends one request to one backend server and tells how it
+// ended: whether the answer is whole and belongs to this attempt, and, if
+// there is none, whether the request can have run.
+//
+// net/http's Transport by itself sends some requests a second time when a
+// kept connection turns out to be dead. For a request that isn't idempotent
+// that is only right when no byte was written, so requests leave here without
+// the headers that make Transport believe they are idempotent, and the bytes
+// written to the connection are counted.
+package attempt
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Headers between an entry instance and a backend server.
+const (
+	// HeaderAttempt carries the attempt's id; the answer must echo it.
+	HeaderAttempt = "Foxtailspoke-Attempt"
+	// HeaderWorkspace names the workspace that the request runs for.
+	HeaderWorkspace = "Foxtailspoke-Workspace"
+	// HeaderTimeout is the time left for the answer, in milliseconds.
+	HeaderTimeout = "Foxtailspoke-Timeout-Ms"
+	// HeaderOutcome says "not-run" in an answer to work that wasn't begun.
+	HeaderOutcome = "Foxtailspoke-Outcome"
+	// HeaderOperation carries the caller's idempotency key.
+	HeaderOperation = "Foxtailspoke-Operation"
+	// HeaderForwarded marks a request that another entry instance passed on.
+	HeaderForwarded = "Foxtailspoke-Forwarded"
+	// HeaderRequest carries the request's id in answers to callers.
+	HeaderRequest = "Foxtailspoke-Request"
+
+	// OutcomeNotRun is the value of HeaderOutcome for work not begun.
+	OutcomeNotRun = "not-run"
+
+	// ownHeaders is the common prefix of the headers above. What a caller
+	// sends under it is dropped.
+	ownHeaders = "Foxtailspoke-"
+)
+
+// Ending is how an attempt ended.
+type Ending int
+
+const (
+	// Answered means a whole answer of this attempt, or the beginning of one
+	// that is too large to hold.
+	Answered Ending = iota
+	// ConnectFailed means that no connection came about.
+	ConnectFailed
+	// Unwritten means that the connection failed before a byte was written.
+	Unwritten
+	// TimedOut means that the answer didn't come in time.
+	TimedOut
+	// Broken means that the connection failed after a byte was written.
+	Broken
+	// Incomplete means that the answer ended early.
+	Incomplete
+	// Mismatched means that the answer carried another attempt's id or none.
+	Mismatched
+	// Refused means that the backend server said that it didn't run it.
+	Refused
+	// Cancelled means that the instance itself gave the attempt up.
+	Cancelled
+)
+
+// Request is what one attempt sends.
+type Request struct {
+	// Attempt is the attempt's id.
+	Attempt string
+	// Address of the backend server or entry instance, "ip:port".
+	Address string
+	// Method and URI (path with query) are the caller's.
+	Method, URI string
+	// Header is the caller's; hop-by-hop headers, the key and idempotency
+	// headers are left out.
+	Header http.Header
+	Body   *Body
+	// Workspace that the request runs for.
+	Workspace string
+	// Operation is the caller's idempotency key, or empty.
+	Operation string
+	// Timeout bounds the attempt from its start to the end of the part of
+	// the answer that is held.
+	Timeout time.Duration
+	// Forward passes the request on to another entry instance as the caller
+	// sent it, with its key.
+	Forward bool
+}
+
+// Outcome is how an attempt ended, with its answer if there is one.
+type Outcome struct {
+	Ending Ending
+	Status int
+	Header http.Header
+	// Body is the whole answer, or its beginning if Rest isn't nil.
+	Body []byte
+	// Rest is what follows Body. It must be closed.
+	Rest io.ReadCloser
+	// Length is the declared length of the whole answer, or -1.
+	Length int64
+	// RetryAfter is what the backend server asked for; 0 if nothing.
+	RetryAfter time.Duration
+	// Latency is the time to the answer's header, or to the failure.
+	Latency time.Duration
+	Err     error
+}
+
+// NotRun tells whether the request is proved not to have run.
+func (o Outcome) NotRun() bool {
+	return o.Ending == ConnectFailed || o.Ending == Unwritten || o.Ending == Refused
+}
+
+// Sender sends attempts over kept connections.
+type Sender struct {
+	transport *http.Transport
+	// hold is how many bytes of an answer are held before the first goes to
+	// the caller.
+	hold int64
+}
+
+// Send carries out one attempt. It returns when the answer is held, or has
+// filled the bound, or has failed, or ctx has ended.
+func (s *Sender) Send(ctx context.Context, r Request) Outcome {
+	ctx, cancel := context.WithTimeoutCause(ctx, r.Timeout, errTimeout)
+	watch := &watch{}
+	start := time.Now()
+	answer, err := s.roundTrip(httptrace.WithClientTrace(ctx, watch.trace()), r)
+	if err != nil {
+		o := failed(ctx, err, watch)
+		cancel()
+		o.Latency = time.Since(start)
+		return o
+	}
+	latency := time.Since(start)
+	o := s.receive(ctx, r, answer)
+	o.Latency = latency
+	if o.Rest == nil {
+		cancel()
+		return o
+	}
+	o.Rest = &closer{ReadCloser: o.Rest, cancel: cancel}
+	return o
+}
+
+// errTimeout tells an attempt's own timeout from a cancellation.
+var errTimeout = errors.New("attempt: timed out")
+
+func (s *Sender) roundTrip(ctx context.Context, r Request) (*http.Response, error) {
+	out, err := outgoing(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return s.transport.RoundTrip(out)
+}
+
+func outgoing(ctx context.Context, r Request) (*http.Request, error) {
+	body, err := r.Body.Open()
+	if err != nil {
+		return nil, err
+	}
+	if r.Body.Length() == 0 {
+		body = http.NoBody
+	}
+	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Address+r.URI, body)
+	if err != nil {
+		return nil, err
+	}
+	out.ContentLength = r.Body.Length()
+	out.Header = forwardedHeader(r.Header, r.Forward)
+	out.Header.Set(HeaderAttempt, r.Attempt)
+	out.Header.Set(HeaderTimeout, strconv.FormatInt(r.Timeout.Milliseconds(), 10))
+	if r.Forward {
+		out.Header.Set(HeaderForwarded, r.Attempt)
+		out.Header.Set(HeaderOperation, r.Operation)
+		return out, nil
+	}
+	out.Header.Set(HeaderWorkspace, r.Workspace)
+	if r.Operation != "" {
+		out.Header.Set(HeaderOperation, r.Operation)
+	}
+	return out, nil
+}
+
+// failed classifies a round trip that brought no answer.
+func failed(ctx context.Context, err error, w *watch) Outcome {
+	o := Outcome{Err: err, Ending: Broken}
+	switch {
+	case !w.connected():
+		o.Ending = ConnectFailed
+	case !w.wrote():
+		o.Ending = Unwritten
+	case errors.Is(context.Cause(ctx), errTimeout):
+		o.Ending = TimedOut
+	case ctx.Err() != nil:
+		o.Ending = Cancelled
+	}
+	return o
+}
+
+func (s *Sender) receive(ctx context.Context, r Request, answer *http.Response) Outcome {
+	o := Outcome{
+		Status:     answer.StatusCode,
+		Header:     answer.Header,
+		Length:     answer.ContentLength,
+		RetryAfter: retryAfter(answer.Header),
+	}
+	if echo := answer.Header.Values(HeaderAttempt); len(echo) != 1 || echo[0] != r.Attempt {
+		_ = answer.Body.Close()
+		o.Ending = Mismatched
+		return o
+	}
+	if unbounded(answer) {
+		_ = answer.Body.Close()
+		o.Ending = Incomplete
+		return o
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, s.hold+1))
+	o.Body = body
+	if err != nil {
+		_ = answer.Body.Close()
+		o.Err = err
+		o.Ending = Incomplete
+		if errors.Is(context.Cause(ctx), errTimeout) {
+			o.Ending = TimedOut
+		}
+		return o
+	}
+	if int64(len(body)) > s.hold {
+		o.Rest = answer.Body
+		return o
+	}
+	_ = answer.Body.Close()
+	if o.Header.Get(HeaderOutcome) == OutcomeNotRun {
+		o.Ending = Refused
+	}
+	return o
+}
+
+// unbounded tells whether only the connection's end marks the body's end. A
+// half answer looks whole then, and would reach the caller as one.
+func unbounded(answer *http.Response) bool {
+	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
+}
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(strings.TrimSpace(h.Get("Retry-After")))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// closer ends the attempt's context together with its body.
+type closer struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+func (c *closer) Close() error {
+	err := c.ReadCloser.Close()
+	c.cancel()
+	return err
+}
--- /dev/null
+++ b/entry/attempt/attempt_test.go
@@ -0,0 +1,212 @@
+package attempt
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func sender(t *testing.T) *Sender {
+	s := NewSender(Settings{HoldBytes: 1 << 10, ConnectTimeout: time.Second, IdleTimeout: time.Second, ConnectionsPerServer: 4})
+	t.Cleanup(s.Close)
+	return s
+}
+
+func request(address, method, body string) Request {
+	b, err := ReadBody(strings.NewReader(body), int64(len(body)), 1<<10)
+	if err != nil {
+		panic(err)
+	}
+	return Request{
+		Attempt: "a1", Address: address, Method: method, URI: "/orders/1?x=1",
+		Header: http.Header{
+			"Authorization":       {"Bearer fsk_secret"},
+			"Idempotency-Key":     {"op1"},
+			"Connection":          {"X-Hop"},
+			"X-Hop":               {"1"},
+			"X-Kept":              {"1"},
+			"Foxtailspoke-Forged": {"1"},
+		},
+		Body: b, Workspace: "w", Operation: "op1", Timeout: 2 * time.Second,
+	}
+}
+
+// raw serves one connection after another by script: each reads one request's
+// header and then writes what the script says.
+func raw(t *testing.T, script func(n int32, conn net.Conn, head string)) (string, *atomic.Int32) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	var requests atomic.Int32
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveRaw(conn, &requests, script)
+		}
+	}()
+	return l.Addr().String(), &requests
+}
+
+func serveRaw(conn net.Conn, requests *atomic.Int32, script func(int32, net.Conn, string)) {
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	for {
+		var head strings.Builder
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			head.WriteString(line)
+			if line == "\r\n" {
+				break
+			}
+		}
+		script(requests.Add(1), conn, head.String())
+	}
+}
+
+func TestEndings(t *testing.T) {
+	cases := []struct {
+		name, answer string
+		want         Ending
+	}{
+		{"whole", "HTTP/1.1 200 OK\r\nFoxtailspoke-Attempt: a1\r\nContent-Length: 2\r\n\r\nok", Answered},
+		{"another's answer", "HTTP/1.1 200 OK\r\nFoxtailspoke-Attempt: a0\r\nContent-Length: 2\r\n\r\nok", Mismatched},
+		{"no echo", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Mismatched},
+		{"two echoes", "HTTP/1.1 200 OK\r\nFoxtailspoke-Attempt: a1\r\nFoxtailspoke-Attempt: a0\r\nContent-Length: 2\r\n\r\nok", Mismatched},
+		{"half", "HTTP/1.1 200 OK\r\nFoxtailspoke-Attempt: a1\r\nContent-Length: 9\r\n\r\nok", Incomplete},
+		{"half chunk", "HTTP/1.1 200 OK\r\nFoxtailspoke-Attempt: a1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok", Incomplete},
+		{"end not told", "HTTP/1.1 200 OK\r\nFoxtailspoke-Attempt: a1\r\nConnection: close\r\n\r\nok", Incomplete},
+		{"refused", "HTTP/1.1 503 Busy\r\nFoxtailspoke-Attempt: a1\r\nFoxtailspoke-Outcome: not-run\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n", Refused},
+		{"closed at once", "", Broken},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			address, _ := raw(t, func(_ int32, conn net.Conn, _ string) {
+				_, _ = io.WriteString(conn, c.answer)
+				_ = conn.Close()
+			})
+			o := sender(t).Send(context.Background(), request(address, http.MethodPost, "x"))
+			must.Eq(t, c.want, o.Ending, must.Sprint(o.Err))
+			must.Eq(t, c.want == Refused, o.NotRun())
+		})
+	}
+}
+
+// The backend server accepts an order on a kept connection, reads it, and the
+// connection dies. http.Transport would send an order without a body again by
+// itself because of its Idempotency-Key, and the server would run it twice.
+func TestOrderOnDeadKeptConnectionIsSentOnce(t *testing.T) {
+	address, requests := raw(t, func(n int32, conn net.Conn, _ string) {
+		if n == 1 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nFoxtailspoke-Attempt: a1\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		_ = conn.Close()
+	})
+	s := sender(t)
+	must.Eq(t, Answered, s.Send(context.Background(), request(address, http.MethodPost, "")).Ending)
+	o := s.Send(context.Background(), request(address, http.MethodPost, ""))
+	must.Eq(t, Broken, o.Ending)
+	must.False(t, o.NotRun())
+	must.Eq(t, 2, requests.Load())
+}
+
+func TestKeyAndConnectionHeadersStayHere(t *testing.T) {
+	heads := make(chan string, 2)
+	address, _ := raw(t, func(_ int32, conn net.Conn, head string) {
+		heads <- head
+		_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\nFoxtailspoke-Attempt: a1\r\n\r\n")
+	})
+	s := sender(t)
+	s.Send(context.Background(), request(address, http.MethodPost, ""))
+	head := <-heads
+	for _, gone := range []string{"fsk_secret", "Idempotency-Key", "X-Hop", "Forged", "User-Agent"} {
+		must.StrNotContains(t, head, gone)
+	}
+	for _, kept := range []string{"POST /orders/1?x=1 ", "X-Kept: 1", "Foxtailspoke-Workspace: w", "Foxtailspoke-Operation: op1"} {
+		must.StrContains(t, head, kept)
+	}
+	forward := request(address, http.MethodPost, "")
+	forward.Forward = true
+	s.Send(context.Background(), forward)
+	must.StrContains(t, <-heads, "fsk_secret")
+}
+
+func TestNothingListens(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, l.Close())
+	o := sender(t).Send(context.Background(), request(l.Addr().String(), http.MethodPost, "x"))
+	must.Eq(t, ConnectFailed, o.Ending)
+	must.True(t, o.NotRun())
+}
+
+// The backend server takes the order and never answers. The caller learns at
+// the timeout that the outcome is unknown; a caller that hangs up ends the
+// attempt sooner, and that is no evidence against the server.
+func TestTimeoutAndCancelAreToldApart(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	arrived := make(chan struct{}, 2)
+	address, _ := raw(t, func(int32, net.Conn, string) {
+		arrived <- struct{}{}
+		<-release
+	})
+	r := request(address, http.MethodPost, "x")
+	r.Timeout = 30 * time.Millisecond
+	must.Eq(t, TimedOut, sender(t).Send(context.Background(), r).Ending)
+	<-arrived
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	must.Eq(t, Cancelled, sender(t).Send(ctx, request(address, http.MethodPost, "x")).Ending)
+}
+
+func TestLargeAnswerStreamsAndBreaksVisibly(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
+		w.Header().Set("Content-Length", "5000")
+		_, _ = w.Write(make([]byte, 4000))
+	}))
+	defer server.Close()
+	o := sender(t).Send(context.Background(), request(server.Listener.Addr().String(), http.MethodGet, ""))
+	must.Eq(t, Answered, o.Ending)
+	must.NotNil(t, o.Rest)
+	_, err := io.ReadAll(o.Rest)
+	must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	must.NoError(t, o.Rest.Close())
+}
+
+func TestStreamedBodyGoesOutOnce(t *testing.T) {
+	large := strings.Repeat("p", 5000)
+	b, err := ReadBody(strings.NewReader(large), int64(len(large)), 1000)
+	must.NoError(t, err)
+	must.False(t, b.Whole())
+	must.True(t, b.Available())
+	first, err := b.Open()
+	must.NoError(t, err)
+	got, err := io.ReadAll(first)
+	must.NoError(t, err)
+	must.Eq(t, large, string(got))
+	must.False(t, b.Available())
+	_, err = b.Open()
+	must.ErrorIs(t, err, ErrBodyGone)
+	must.Eq(t, fmt.Sprint(len(large)), fmt.Sprint(b.Length()))
+}
