Membership: confirmed age, rounds to witnesses, revisions in force

Cause: taking away a key, parts or a server needs one answer to 'is what I act on still the newest'. Ruled out: a separate memory of the highest revision heard. A witness that had heard of a revision without having its rows couldn't hand it over, and with the writer gone and the table away nobody could be confirmed any more. A witness's knowledge is its replica's revision, and changes are offered to it together with the question.

--- /dev/null
+++ b/membership/alone.go
@@ -0,0 +1,57 @@
+package membership
+
+import (
+	"time"
+
+	"foxtailspoke/effect"
+)
+
+// alone is the state of an instance's attempts to prove its revision by
+// itself, when nobody that proves for others can be reached.
+type alone struct {
+	// next is when the next attempt may start.
+	next     time.Duration
+	failures int
+}
+
+// aloneAfter is the share of Fresh, in tenths, after which a proof is so old
+// that the instance tries by itself.
+const aloneAfter = 7
+
+// longestAlone bounds the time between attempts.
+const longestAlone = 16 * time.Second
+
+// tickAlone reads the table, the list, and asks the witnesses, if pulls give
+// no proof. The attempts are few and spread: if every instance tried as
+// often as a watcher, the platform's return would drown it in reads just
+// when it recovers, and it would go away again.
+func (m *Member) tickAlone(now time.Duration) []effect.Effect {
+	if now < m.alone.next {
+		return nil
+	}
+	if start, held := m.youngest(); held && now < start+m.aloneAge() {
+		m.alone.next = start + m.aloneAge()
+		return nil
+	}
+	m.alone.next = now + m.aloneGap()
+	m.alone.failures++
+	m.table.wanted = m.table.wanted || !m.reads()
+	m.list.wanted = m.list.wanted || !m.watches()
+	out := m.tickTable(now)
+	out = append(out, m.tickList(now)...)
+	if m.round.open && now-m.round.start < m.set.CallTimeout {
+		return out
+	}
+	return append(out, m.startRound(now)...)
+}
+
+func (m *Member) aloneAge() time.Duration { return m.set.Fresh * aloneAfter / 10 }
+
+// aloneGap returns the time to the next attempt: longer for a larger fleet
+// and after every failure, and never the same for two instances.
+func (m *Member) aloneGap() time.Duration {
+	gap := time.Duration(len(m.dir.entryIDs)) * time.Second / time.Duration(m.set.SelfReadsPerSecond)
+	gap = max(gap, m.set.PollEvery) << min(m.alone.failures, maxBackoffDoublings)
+	gap = min(gap, longestAlone)
+	return gap + time.Duration(m.rng.Int64N(int64(gap)))
+}
--- /dev/null
+++ b/membership/call.go
@@ -0,0 +1,121 @@
+package membership
+
+import (
+	"time"
+
+	"foxtailspoke/effect"
+	"foxtailspoke/platform"
+)
+
+// callKind says what a call is for.
+type callKind int
+
+const (
+	// regularPull is one of the pulls that every instance but a watcher makes.
+	regularPull callKind = iota
+	// fetch pulls a newer revision from a witness that knows it.
+	fetch
+	// witnessCall asks or informs a witness.
+	witnessCall
+)
+
+// call is a call to another instance that hasn't ended.
+type call struct {
+	kind callKind
+	to   string
+	sent time.Duration
+	// round is the number of the round that a witnessCall belongs to; 0
+	// for one that only informs.
+	round uint64
+}
+
+func (m *Member) send(now time.Duration, c call, r Request) effect.Effect {
+	c.sent = now
+	id := m.nextID()
+	m.calls[id] = c
+	m.count.Calls++
+	return effect.Call{ID: id, To: c.to, Request: r}
+}
+
+// CallDone takes the end of a call: the reply, or ok false if none came. The
+// driver may report a call late or not at all; it counts as failed after
+// CallTimeout, and a late reply is dropped.
+func (m *Member) CallDone(now time.Duration, id uint64, reply Reply, ok bool) []effect.Effect {
+	c, open := m.calls[id]
+	if !open {
+		return nil
+	}
+	delete(m.calls, id)
+	switch {
+	case ok && c.kind != witnessCall && reply.Pull != nil:
+		return m.pulled(now, c, *reply.Pull)
+	case ok && c.kind == witnessCall && reply.Witness != nil:
+		return m.witnessed(now, c, *reply.Witness)
+	}
+	m.callFailed(now, c)
+	return m.Tick(now)
+}
+
+func (m *Member) callFailed(now time.Duration, c call) {
+	m.count.FailedCalls++
+	if c.kind == regularPull {
+		m.pullFailed(now)
+	}
+}
+
+func (m *Member) expireCalls(now time.Duration) {
+	for id, c := range m.calls {
+		if now-c.sent >= m.set.CallTimeout {
+			delete(m.calls, id)
+			m.callFailed(now, c)
+		}
+	}
+}
+
+// Handle answers a call from another instance.
+func (m *Member) Handle(now time.Duration, _ string, r Request) Reply {
+	switch {
+	case r.Pull != nil:
+		return Reply{Pull: m.answerPull(now, *r.Pull)}
+	case r.Witness != nil:
+		return Reply{Witness: m.answerWitness(now, *r.Witness)}
+	}
+	return Reply{}
+}
+
+func (m *Member) answerPull(now time.Duration, p Pull) *Pulled {
+	table, witnesses := m.ages(now)
+	return &Pulled{
+		Changes:    m.changesSince(p.Since),
+		List:       m.dir.since(p.ListSince),
+		TableAge:   table,
+		WitnessAge: witnesses,
+	}
+}
+
+func (m *Member) answerWitness(now time.Duration, w Witness) *Witnessed {
+	if w.Offer != nil && w.Since <= m.log.Revision() {
+		m.apply(now, *w.Offer)
+	}
+	if w.Revision > m.log.Revision() {
+		m.hurry(now)
+	}
+	return &Witnessed{Revision: m.log.Revision(), Seated: m.Seated()}
+}
+
+// hurry makes the next read or pull come soon, after word of a revision
+// that the replica lacks.
+func (m *Member) hurry(now time.Duration) {
+	m.pull.next = min(m.pull.next, max(now, m.pull.last+hurryGap))
+	if m.reads() {
+		m.table.next = min(m.table.next, max(now, m.table.sent+hurryGap))
+	}
+}
+
+// hurryGap bounds how often word of a newer revision makes an instance read.
+const hurryGap = 100 * time.Millisecond
+
+func (m *Member) offer(since platform.Revision) *platform.Changes {
+	c := m.changesSince(since)
+	return &c
+}
--- /dev/null
+++ b/membership/directory.go
@@ -0,0 +1,135 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"foxtailspoke/platform"
+)
+
+// Directory is the platform's list of instances as far as it was heard,
+// with the roles that follow from it. Its answers are the same on every
+// instance that has the same version. Slices that it returns are shared:
+// callers don't change them.
+type Directory struct {
+	set     Settings
+	version uint64
+	// base is the version of the last full list. What went away before it
+	// isn't known any more, so that older callers need a full list.
+	base      uint64
+	instances map[string]listed
+
+	entries     []platform.Instance
+	entryIDs    []string
+	byService   map[string][]platform.Instance
+	dataCentres []string
+	byCentre    map[string][]string
+	watchers    map[string][]string
+	collectors  map[string]string
+}
+
+type listed struct {
+	platform.Instance
+	// changed is the version of the changes that brought it.
+	changed uint64
+}
+
+func newDirectory(s Settings) *Directory {
+	d := &Directory{set: s, instances: map[string]listed{}}
+	d.index()
+	return d
+}
+
+// Version of the platform's list that the directory has; 0 before the first.
+func (d *Directory) Version() uint64 { return d.version }
+
+// Instance returns an instance by id, in whatever state.
+func (d *Directory) Instance(id string) (platform.Instance, bool) {
+	i, ok := d.instances[id]
+	return i.Instance, ok
+}
+
+// Entries returns the live entry instances, by id.
+func (d *Directory) Entries() []platform.Instance { return d.entries }
+
+// Servers returns the backend servers of a service that haven't ended, by
+// id. Those with State Leaving take no new work.
+func (d *Directory) Servers(service string) []platform.Instance { return d.byService[service] }
+
+// DataCentres returns the data centres with live entry instances, sorted.
+func (d *Directory) DataCentres() []string { return d.dataCentres }
+
+// apply takes changes that were read since the directory's version or an
+// earlier one. It returns false for changes that aren't newer.
+func (d *Directory) apply(c platform.InstanceChanges) bool {
+	if c.Version <= d.version {
+		return false
+	}
+	if c.Full {
+		d.instances = make(map[string]listed, len(c.Changed))
+		d.base = c.Version
+	}
+	for _, i := range c.Changed {
+		d.instances[i.ID] = listed{Instance: i, changed: c.Version}
+	}
+	d.version = c.Version
+	d.index()
+	return true
+}
+
+// since returns what changed after a version, for another instance.
+func (d *Directory) since(version uint64) platform.InstanceChanges {
+	c := platform.InstanceChanges{Version: d.version}
+	if version >= d.version {
+		return c
+	}
+	c.Full = version < d.base
+	for _, i := range d.instances {
+		if c.Full || i.changed > version {
+			c.Changed = append(c.Changed, i.Instance)
+		}
+	}
+	slices.SortFunc(c.Changed, compareInstances)
+	return c
+}
+
+func (d *Directory) index() {
+	d.entries = nil
+	d.entryIDs = nil
+	d.byService = map[string][]platform.Instance{}
+	d.byCentre = map[string][]string{}
+	d.watchers = map[string][]string{}
+	d.collectors = map[string]string{}
+	for _, i := range d.instances {
+		d.indexInstance(i.Instance)
+	}
+	slices.SortFunc(d.entries, compareInstances)
+	for _, i := range d.entries {
+		d.entryIDs = append(d.entryIDs, i.ID)
+		d.byCentre[i.DataCentre] = append(d.byCentre[i.DataCentre], i.ID)
+	}
+	for _, servers := range d.byService {
+		slices.SortFunc(servers, compareInstances)
+	}
+	d.dataCentres = sortedKeys(d.byCentre)
+}
+
+func (d *Directory) indexInstance(i platform.Instance) {
+	switch {
+	case i.Kind == platform.Entry && i.State == platform.Live:
+		d.entries = append(d.entries, i)
+	case i.Kind == platform.BackendServer && i.State != platform.Ended:
+		d.byService[i.Service] = append(d.byService[i.Service], i)
+	}
+}
+
+func compareInstances(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) }
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/membership/force.go
@@ -0,0 +1,173 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"foxtailspoke/effect"
+	"foxtailspoke/platform"
+)
+
+// force is what the Member knows of which revisions are in force.
+type force struct {
+	// target is the highest revision that somebody waits for.
+	target platform.Revision
+	// known is the highest revision that each witness said it knows. A
+	// witness never forgets, so neither does this.
+	known map[string]platform.Revision
+	// takings are the revisions that a majority knew, ascending.
+	takings []taking
+	// reached is the highest revision in force.
+	reached platform.Revision
+	// next is when to inform again the witnesses that don't know.
+	next time.Duration
+}
+
+// taking is a revision that a majority of the witnesses knew at a time. Its
+// end counts for this revision and lower ones, never for a later one: an
+// instance that gets a part, loses it and gets it again waits again.
+type taking struct {
+	revision platform.Revision
+	at       time.Duration
+}
+
+func newForce() force {
+	return force{known: map[string]platform.Revision{}}
+}
+
+func (f *force) learn(id string, r platform.Revision) {
+	f.known[id] = max(f.known[id], r)
+}
+
+// covered is the highest revision that a majority is known to know.
+func (f *force) covered() platform.Revision {
+	if n := len(f.takings); n > 0 {
+		return f.takings[n-1].revision
+	}
+	return f.reached
+}
+
+// Require starts finding out whether a majority of the witnesses knows a
+// revision, and tells them if they don't. For a revision that the replica
+// lacks, say the outcome of an own write, it reads the table first.
+func (m *Member) Require(now time.Duration, rev platform.Revision) []effect.Effect {
+	if rev <= m.force.target {
+		return nil
+	}
+	m.force.target = rev
+	m.force.next = now
+	m.countKnown(now)
+	return m.Tick(now)
+}
+
+// InForce says whether nobody acts on anything older than a revision any
+// more. It becomes true only after Require, or a later one's.
+func (m *Member) InForce(now time.Duration, rev platform.Revision) bool {
+	m.settleForce(now)
+	return m.rules.covers(m.force.reached, rev)
+}
+
+// Missing returns the witnesses that a revision waits for: those that
+// haven't said that they know it and haven't ended. It is empty if a
+// majority knows it.
+func (m *Member) Missing(rev platform.Revision) []string {
+	if rev <= m.force.covered() {
+		return nil
+	}
+	var missing []string
+	for _, id := range witnessIDs(m.log.Witnesses()) {
+		if !m.knows(id, rev) {
+			missing = append(missing, id)
+		}
+	}
+	return missing
+}
+
+func (m *Member) settleForce(now time.Duration) {
+	for len(m.force.takings) > 0 && now >= m.force.takings[0].at+m.rules.wait {
+		m.force.reached = m.force.takings[0].revision
+		m.force.takings = m.force.takings[1:]
+	}
+}
+
+// knows says whether an instance can't answer any more that it knows nothing
+// as new as a revision.
+func (m *Member) knows(id string, rev platform.Revision) bool {
+	if id == m.set.Self {
+		return m.log.Revision() >= rev
+	}
+	return m.force.known[id] >= rev || m.ended(id)
+}
+
+// countKnown notes the highest revision that a majority knows by now. Only
+// revisions that the replica has count, because only then it has the list
+// of witnesses that must know them.
+func (m *Member) countKnown(now time.Duration) {
+	own := m.log.Revision()
+	if m.force.target == 0 || m.force.covered() >= own {
+		return
+	}
+	for _, rev := range m.candidates(own) {
+		if rev <= m.force.covered() {
+			return
+		}
+		knows := func(id string) bool { return m.knows(id, rev) }
+		if m.rules.known(m.log.Witnesses(), knows) {
+			m.force.takings = append(m.force.takings, taking{revision: rev, at: now})
+			return
+		}
+	}
+}
+
+// candidates returns the revisions at which the count of witnesses that
+// know can change, up to the replica's own, highest first.
+func (m *Member) candidates(own platform.Revision) []platform.Revision {
+	revisions := []platform.Revision{own}
+	for _, id := range witnessIDs(m.log.Witnesses()) {
+		revisions = append(revisions, min(own, m.force.known[id]))
+	}
+	slices.Sort(revisions)
+	slices.Reverse(revisions)
+	return slices.Compact(revisions)
+}
+
+func (m *Member) tickForce(now time.Duration) []effect.Effect {
+	if m.force.covered() >= m.force.target || now < m.force.next {
+		return nil
+	}
+	m.force.next = now + m.set.CallTimeout
+	if m.log.Revision() < m.force.target {
+		m.table.wanted = true
+		return m.tickTable(now)
+	}
+	return m.inform(now)
+}
+
+func (m *Member) inform(now time.Duration) []effect.Effect {
+	var out []effect.Effect
+	for _, id := range witnessIDs(m.log.Witnesses()) {
+		if m.knows(id, m.force.target) {
+			continue
+		}
+		known := m.force.known[id]
+		if known == 0 {
+			out = append(out, m.ask(now, id, 0, nil, 0))
+			continue
+		}
+		out = append(out, m.ask(now, id, 0, m.offer(known), known))
+	}
+	return out
+}
+
+func (m *Member) wakeForce() time.Duration {
+	next := never
+	if m.force.covered() < m.force.target {
+		next = m.force.next
+	}
+	if len(m.force.takings) > 0 {
+		next = min(next, m.force.takings[0].at+m.rules.wait)
+	}
+	return next
+}
+
+func contains(ids []string, id string) bool { return slices.Contains(ids, id) }
--- /dev/null
+++ b/membership/proof.go
@@ -0,0 +1,95 @@
+package membership
+
+import (
+	"time"
+
+	"foxtailspoke/platform"
+)
+
+// State is how an instance's revision is confirmed.
+type State int
+
+const (
+	// CutOff means that there is no proof within Fresh. The instance refuses
+	// work as not run.
+	CutOff State = iota
+	// ByWitnesses means that the table can't be reached and the witnesses
+	// know of nothing newer. The instance keeps serving.
+	ByWitnesses
+	// ByTable means that a read of the table is the proof.
+	ByTable
+)
+
+// String returns the state's name for logs.
+func (s State) String() string {
+	switch s {
+	case ByTable:
+		return "confirmed by the table"
+	case ByWitnesses:
+		return "confirmed by witnesses"
+	default:
+		return "cut off"
+	}
+}
+
+// Confirmation is what is known of the instance's revision.
+type Confirmation struct {
+	State State
+	// Age of the youngest proof; meaningless when cut off.
+	Age time.Duration
+	// Revision that the instance acts on.
+	Revision platform.Revision
+}
+
+// proof says that no revision newer than the replica's was in force at
+// start, on the own clock. The replica's revision only rises, so a proof
+// for one revision stays one for every later revision of the replica.
+type proof struct {
+	start time.Duration
+	held  bool
+}
+
+func (p *proof) add(start time.Duration) {
+	if !p.held || start > p.start {
+		*p = proof{start: start, held: true}
+	}
+}
+
+// age returns the proof's age, at least 1 ns, and 0 if it isn't fresh.
+func (p proof) age(now, fresh time.Duration) time.Duration {
+	age := max(now-p.start, 1)
+	if !p.held || age > fresh {
+		return 0
+	}
+	return age
+}
+
+// Confirmed returns how the instance's revision is confirmed now. Ask again
+// for each decision: a process that was frozen learns it here.
+func (m *Member) Confirmed(now time.Duration) Confirmation {
+	c := Confirmation{Revision: m.log.Revision()}
+	table, witnesses := m.ages(now)
+	switch {
+	case table > 0:
+		c.State, c.Age = ByTable, table
+	case witnesses > 0:
+		c.State, c.Age = ByWitnesses, witnesses
+	}
+	if witnesses > 0 {
+		c.Age = min(c.Age, witnesses)
+	}
+	return c
+}
+
+func (m *Member) ages(now time.Duration) (table, witnesses time.Duration) {
+	return m.byTable.age(now, m.set.Fresh), m.byWitnesses.age(now, m.set.Fresh)
+}
+
+// youngest returns the start of the youngest proof.
+func (m *Member) youngest() (time.Duration, bool) {
+	p := m.byTable
+	if m.byWitnesses.held {
+		p.add(m.byWitnesses.start)
+	}
+	return p.start, p.held
+}
--- /dev/null
+++ b/membership/rank_test.go
@@ -0,0 +1,64 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"foxtailspoke/platform"
+)
+
+// A role must not move when somebody else comes or goes: an id that is
+// removed may only hand over what it held itself.
+func TestRankMovesOnlyWhatTheRemovedHeld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,6}`), 2, 20, rapid.ID).Draw(t, "ids")
+		key := rapid.String().Draw(t, "key")
+		gone := rapid.SampledFrom(ids).Draw(t, "gone")
+		ranked := Rank(key, ids)
+		must.Eq(t, ranked[0], First(key, ids))
+		must.Eq(t, slices.Index(ranked, gone), position(key, gone, ids))
+		must.Eq(t, remove(ranked, gone), Rank(key, remove(ids, gone)))
+	})
+}
+
+func entryInstance(id, centre string) platform.Instance {
+	return platform.Instance{ID: id, Kind: platform.Entry, DataCentre: centre, State: platform.Live}
+}
+
+func fleet(n, centres int) []platform.Instance {
+	var all []platform.Instance
+	for i := range n {
+		all = append(all, entryInstance(fmt.Sprintf("i%04d", i), fmt.Sprintf("dc%d", i%centres)))
+	}
+	return all
+}
+
+func TestDirectoryRoles(t *testing.T) {
+	d := newDirectory(Settings{}.withDefaults())
+	must.True(t, d.apply(platform.InstanceChanges{Version: 1, Full: true, Changed: fleet(400, 4)}))
+	must.Len(t, 3, d.Watchers("dc0"))
+	must.Eq(t, Rank(collectorKey+"s", d.entryIDs)[0], d.Collector("s"))
+	centres := map[string]bool{}
+	for _, id := range d.HolderCandidates("shard", 4) {
+		i, _ := d.Instance(id)
+		centres[i.DataCentre] = true
+	}
+	must.MapLen(t, 4, centres)
+	must.Len(t, 400, d.HolderCandidates("shard", 1000))
+
+	// A caller that is older than the last full list gets a full one.
+	must.True(t, d.apply(platform.InstanceChanges{Version: 2, Changed: []platform.Instance{
+		{ID: "i0000", Kind: platform.Entry, DataCentre: "dc0", State: platform.Leaving},
+		{ID: "b", Kind: platform.BackendServer, Service: "s", State: platform.Leaving},
+	}}))
+	must.False(t, d.apply(platform.InstanceChanges{Version: 2}))
+	must.Len(t, 399, d.Entries())
+	must.Len(t, 1, d.Servers("s"))
+	must.Len(t, 2, d.since(1).Changed)
+	must.True(t, d.since(0).Full)
+	must.Len(t, 401, d.since(0).Changed)
+}
--- /dev/null
+++ b/membership/read.go
@@ -0,0 +1,181 @@
+package membership
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"foxtailspoke/effect"
+	"foxtailspoke/platform"
+)
+
+// never is later than any time that a clock shows.
+const never = time.Duration(math.MaxInt64)
+
+// reading is the state of the reads of the table or of the instance list:
+// at most one at a time.
+type reading struct {
+	// id of the read in flight; 0 if there is none.
+	id uint64
+	// begun says that there was a read; sent is when the last one started.
+	begun bool
+	sent  time.Duration
+	// next is when the next read is due for a regular reader.
+	next time.Duration
+	// wanted asks for one read also from an instance that isn't a regular
+	// reader, or before the next is due.
+	wanted bool
+	// failures counts the reads without an answer since the last answer.
+	failures int
+	// answered is when the last read that was answered started.
+	answered time.Duration
+}
+
+// reads says whether the instance reads the table regularly.
+func (m *Member) reads() bool { return m.watches() || m.Seated() }
+
+// tableAway says whether the last read of the table had no answer or has
+// been without one for long. A watcher then asks the witnesses.
+func (m *Member) tableAway(now time.Duration) bool {
+	if m.table.failures > 0 {
+		return true
+	}
+	return m.table.id != 0 && now-m.table.sent >= m.set.HedgeAfter
+}
+
+func (m *Member) tickTable(now time.Duration) []effect.Effect {
+	m.expireRead(now, &m.table)
+	due := m.reads() && now >= m.table.next
+	if m.table.id != 0 || !(due || m.wantedDue(now, &m.table)) {
+		return nil
+	}
+	m.begin(now, &m.table, m.set.PollEvery)
+	read := platform.ReadRequest{Table: platform.Control, Since: m.log.Revision()}
+	return []effect.Effect{effect.ReadTable{ID: m.table.id, Read: read}}
+}
+
+func (m *Member) tickList(now time.Duration) []effect.Effect {
+	m.expireRead(now, &m.list)
+	due := m.watches() && now >= m.list.next
+	if m.list.id != 0 || !(due || m.wantedDue(now, &m.list)) {
+		return nil
+	}
+	m.begin(now, &m.list, m.set.ListEvery)
+	return []effect.Effect{effect.ReadInstances{ID: m.list.id, Since: m.dir.version}}
+}
+
+func (m *Member) begin(now time.Duration, r *reading, every time.Duration) {
+	r.id = m.nextID()
+	r.begun = true
+	r.sent = now
+	r.next = now + m.jitter(every)
+	r.wanted = false
+	m.count.Reads++
+}
+
+func (m *Member) wantedDue(now time.Duration, r *reading) bool {
+	return r.wanted && now >= r.wantedAt()
+}
+
+// wantedAt keeps reads on demand apart, further with every failure.
+func (r *reading) wantedAt() time.Duration {
+	if !r.begun {
+		return 0
+	}
+	return r.sent + hurryGap<<min(r.failures, maxBackoffDoublings)
+}
+
+const maxBackoffDoublings = 6
+
+func (m *Member) expireRead(now time.Duration, r *reading) {
+	if r.id != 0 && now-r.sent >= m.set.ReadTimeout {
+		r.id = 0
+		r.failures++
+	}
+}
+
+func (r *reading) wake(regular bool, timeout time.Duration) time.Duration {
+	switch {
+	case r.id != 0:
+		return r.sent + timeout
+	case r.wanted && regular:
+		return min(r.next, r.wantedAt())
+	case r.wanted:
+		return r.wantedAt()
+	case regular:
+		return r.next
+	}
+	return never
+}
+
+func (m *Member) wakeTable() time.Duration {
+	return m.table.wake(m.reads(), m.set.ReadTimeout)
+}
+
+func (m *Member) wakeList() time.Duration {
+	return m.list.wake(m.watches(), m.set.ReadTimeout)
+}
+
+// ReadDone takes the end of a ReadTable effect; ok is false if there was no
+// answer.
+func (m *Member) ReadDone(now time.Duration, id uint64, c platform.Changes, ok bool) []effect.Effect {
+	if id != m.table.id {
+		return m.lateRead(now, c, ok)
+	}
+	m.table.id = 0
+	if !ok {
+		m.table.failures++
+		return m.Tick(now)
+	}
+	m.table.failures = 0
+	m.table.answered = m.table.sent
+	if c.Revision < m.log.Revision() {
+		m.count.StaleReads++
+		return m.Tick(now)
+	}
+	m.apply(now, c)
+	m.byTable.add(m.rules.proofStart(m.table.sent, now))
+	m.alone.failures = 0
+	return m.Tick(now)
+}
+
+// lateRead takes the rows of a read that was given up. They are as good as
+// any, but the time at which the read started isn't known any more, so that
+// it proves nothing.
+func (m *Member) lateRead(now time.Duration, c platform.Changes, ok bool) []effect.Effect {
+	if ok {
+		m.apply(now, c)
+	}
+	return m.Tick(now)
+}
+
+// InstancesDone takes the end of a ReadInstances effect.
+func (m *Member) InstancesDone(now time.Duration, id uint64, c platform.InstanceChanges, ok bool) []effect.Effect {
+	if id == m.list.id {
+		m.list.id = 0
+		m.list.failures++
+	}
+	if ok {
+		m.list.failures = 0
+		m.list.answered = m.list.sent
+		m.applyList(now, c)
+	}
+	return m.Tick(now)
+}
+
+func (m *Member) applyList(now time.Duration, c platform.InstanceChanges) {
+	if m.dir.apply(c) {
+		m.countKnown(now)
+	}
+}
+
+// ended says that an instance will never answer again.
+func (m *Member) ended(id string) bool {
+	i, ok := m.dir.Instance(id)
+	return ok && i.State == platform.Ended
+}
+
+// remove returns ids without one of them.
+func remove(ids []string, id string) []string {
+	return slices.DeleteFunc(slices.Clone(ids), func(other string) bool { return other == id })
+}
--- /dev/null
+++ b/membership/roles.go
@@ -0,0 +1,77 @@
+package membership
+
+import "slices"
+
+// Keys of the rendezvous hashes, one per role.
+const (
+	watcherKey   = "watcher"
+	witnessKey   = "witness"
+	collectorKey = "collector/"
+	holderKey    = "holder/"
+	pullKey      = "pull/"
+)
+
+// Watchers returns the entry instances of a data centre that read the table
+// for the others there, best first.
+func (d *Directory) Watchers(dataCentre string) []string {
+	watchers, ok := d.watchers[dataCentre]
+	if !ok {
+		ids := d.byCentre[dataCentre]
+		ranked := Rank(watcherKey, ids)
+		watchers = ranked[:min(len(ranked), d.watcherCount(len(ids)))]
+		d.watchers[dataCentre] = watchers
+	}
+	return watchers
+}
+
+// allWatchers returns the watchers of all data centres.
+func (d *Directory) allWatchers() []string {
+	var all []string
+	for _, centre := range d.dataCentres {
+		all = append(all, d.Watchers(centre)...)
+	}
+	return all
+}
+
+// watcherCount grows with the data centre, so that the pulls of the others
+// stay a small load on each watcher.
+func (d *Directory) watcherCount(instances int) int {
+	pullers := d.set.PullersPerWatcher
+	return max(d.set.WatchersPerDataCentre, (instances+pullers-1)/pullers)
+}
+
+// Collector returns the entry instance that gathers the evidence against
+// the backend servers of a service; empty if there is no live instance.
+func (d *Directory) Collector(service string) string {
+	collector, ok := d.collectors[service]
+	if !ok {
+		collector = First(collectorKey+service, d.entryIDs)
+		d.collectors[service] = collector
+	}
+	return collector
+}
+
+// HolderCandidates returns up to count entry instances for a shard, best
+// first. They are in different data centres as long as there are enough.
+func (d *Directory) HolderCandidates(shard string, count int) []string {
+	ranked := Rank(holderKey+shard, d.entryIDs)
+	var chosen, rest []string
+	used := map[string]bool{}
+	for _, id := range ranked {
+		centre := d.instances[id].DataCentre
+		if used[centre] {
+			rest = append(rest, id)
+			continue
+		}
+		used[centre] = true
+		chosen = append(chosen, id)
+	}
+	chosen = append(chosen, rest...)
+	return chosen[:min(count, len(chosen))]
+}
+
+// isWatcher says whether an instance is a watcher of its data centre.
+func (d *Directory) isWatcher(id string) bool {
+	i, ok := d.instances[id]
+	return ok && slices.Contains(d.Watchers(i.DataCentre), id)
+}
--- /dev/null
+++ b/membership/round.go
@@ -0,0 +1,146 @@
+package membership
+
+import (
+	"time"
+
+	"foxtailspoke/config"
+	"foxtailspoke/effect"
+	"foxtailspoke/platform"
+)
+
+// round is the last round to the witnesses.
+type round struct {
+	number uint64
+	start  time.Duration
+	// next is when a watcher starts the next round while the table is away.
+	next    time.Duration
+	open    bool
+	answers map[string]Witnessed
+	// fetched are the witnesses that were pulled from because they know more.
+	fetched map[string]bool
+}
+
+func (m *Member) tickRound(now time.Duration) []effect.Effect {
+	if !m.watches() || now < m.round.next || !m.tableAway(now) {
+		return nil
+	}
+	return m.startRound(now)
+}
+
+func (m *Member) wakeRound() time.Duration {
+	switch {
+	case !m.watches():
+		return never
+	case m.table.failures > 0:
+		return m.round.next
+	case m.table.id != 0:
+		return max(m.round.next, m.table.sent+m.set.HedgeAfter)
+	}
+	return never
+}
+
+// startRound asks every witness. The round before it, if it isn't finished,
+// is given up.
+func (m *Member) startRound(now time.Duration) []effect.Effect {
+	w := m.log.Witnesses()
+	m.round.next = now + m.jitter(m.set.PollEvery)
+	if len(w.Members) == 0 {
+		return nil
+	}
+	m.count.Rounds++
+	m.round.number++
+	m.round.start = now
+	m.round.open = true
+	m.round.answers = map[string]Witnessed{}
+	m.round.fetched = map[string]bool{}
+	var out []effect.Effect
+	for _, id := range witnessIDs(w) {
+		if id != m.set.Self {
+			out = append(out, m.ask(now, id, m.round.number, nil, 0))
+		}
+	}
+	m.settleRound(now)
+	return out
+}
+
+func (m *Member) ask(now time.Duration, to string, round uint64, offer *platform.Changes, since platform.Revision) effect.Effect {
+	w := &Witness{Revision: m.log.Revision(), Offer: offer, Since: since}
+	return m.send(now, call{kind: witnessCall, to: to, round: round}, Request{Witness: w})
+}
+
+// witnessed takes a witness's answer: into the open round if it belongs to
+// it, and into what is known of that witness in any case.
+func (m *Member) witnessed(now time.Duration, c call, w Witnessed) []effect.Effect {
+	m.force.learn(c.to, w.Revision)
+	m.countKnown(now)
+	var out []effect.Effect
+	if c.round == m.round.number && m.round.open {
+		m.round.answers[c.to] = w
+		m.settleRound(now)
+		out = append(out, m.fetchFrom(now, c.to, w)...)
+	}
+	out = append(out, m.offerTo(now, c, w)...)
+	return append(out, m.Tick(now)...)
+}
+
+// fetchFrom pulls from a witness that knows a newer revision.
+func (m *Member) fetchFrom(now time.Duration, from string, w Witnessed) []effect.Effect {
+	if w.Revision <= m.log.Revision() || m.round.fetched[from] {
+		return nil
+	}
+	m.round.fetched[from] = true
+	return []effect.Effect{m.sendPull(now, fetch, from)}
+}
+
+// offerTo sends a witness what it lacks, if that matters: because a change
+// waits for it, or because it doesn't know of its seat.
+func (m *Member) offerTo(now time.Duration, c call, w Witnessed) []effect.Effect {
+	own := m.log.Revision()
+	if w.Revision >= own || !seated(m.log.Witnesses(), c.to) {
+		return nil
+	}
+	if w.Seated && w.Revision >= m.force.target {
+		return nil
+	}
+	return []effect.Effect{m.ask(now, c.to, c.round, m.offer(w.Revision), w.Revision)}
+}
+
+// settleRound ends the open round with a proof if a majority answered and
+// nobody knows a newer revision. The replica may have caught up meanwhile;
+// then its present list of witnesses counts.
+func (m *Member) settleRound(now time.Duration) {
+	if !m.round.open {
+		return
+	}
+	own := m.log.Revision()
+	for _, a := range m.round.answers {
+		if a.Revision > own {
+			return
+		}
+	}
+	answered := func(id string) bool {
+		return id == m.set.Self || m.round.answers[id].Seated
+	}
+	if !m.rules.answered(m.log.Witnesses(), answered) {
+		return
+	}
+	m.round.open = false
+	m.count.ProvedRounds++
+	m.alone.failures = 0
+	m.byWitnesses.add(m.rules.proofStart(m.round.start, now))
+}
+
+// witnessIDs returns everyone who counts.
+func witnessIDs(w config.Witnesses) []string {
+	ids := append([]string(nil), w.Members...)
+	for _, id := range w.Previous {
+		if !contains(w.Members, id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func seated(w config.Witnesses, id string) bool {
+	return contains(w.Members, id) || contains(w.Previous, id)
+}
--- /dev/null
+++ b/membership/rules.go
@@ -0,0 +1,57 @@
+package membership
+
+import (
+	"time"
+
+	"foxtailspoke/config"
+	"foxtailspoke/platform"
+)
+
+// rules are the decisions that the safety of confirmed age rests on. They
+// are values so that the model test can replace one at a time and show that
+// it breaks without it.
+type rules struct {
+	// proofStart returns from when a proof counts, of an exchange that was
+	// sent and answered at these times.
+	proofStart func(sent, answered time.Duration) time.Duration
+	// wait is how long after a majority knew a revision it is in force.
+	wait time.Duration
+	// answered says whether the instances that answered a round are enough.
+	answered func(config.Witnesses, func(id string) bool) bool
+	// known says whether the instances that know a revision are enough.
+	known func(config.Witnesses, func(id string) bool) bool
+	// covers says whether a revision being in force puts another in force.
+	covers func(inForce, revision platform.Revision) bool
+}
+
+func defaultRules(s Settings) rules {
+	return rules{
+		proofStart: func(sent, _ time.Duration) time.Duration { return sent },
+		wait:       s.Wait(),
+		answered:   jointMajority,
+		known:      jointMajority,
+		covers:     func(inForce, revision platform.Revision) bool { return revision <= inForce },
+	}
+}
+
+// jointMajority says whether has holds for a majority of the witnesses and,
+// while a change of the list isn't finished, of the list before as well.
+// Without the second, a majority of the old list and one of the new could
+// have no instance in common: one side would take parts over while the
+// other still confirms the old holder.
+func jointMajority(w config.Witnesses, has func(id string) bool) bool {
+	if len(w.Previous) > 0 && !majority(w.Previous, has) {
+		return false
+	}
+	return majority(w.Members, has)
+}
+
+func majority(ids []string, has func(id string) bool) bool {
+	count := 0
+	for _, id := range ids {
+		if has(id) {
+			count++
+		}
+	}
+	return 2*count > len(ids)
+}
--- /dev/null
+++ b/membership/seats.go
@@ -0,0 +1,228 @@
+package membership
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"foxtailspoke/config"
+	"foxtailspoke/effect"
+	"foxtailspoke/platform"
+)
+
+// seats is the state of the instance's care for the list of witnesses.
+type seats struct {
+	// id of the write in flight; 0 if there is none.
+	id uint64
+	// sent is when the last write was sent, ended when it ended.
+	sent, ended time.Duration
+	// needed says that row needs a change; since is when that was first seen.
+	needed bool
+	since  time.Duration
+	row    platform.Revision
+	// next is when to look again.
+	next     time.Duration
+	attempts uint64
+}
+
+// seatEvery is the time between looks at the list of witnesses.
+const seatEvery = 200 * time.Millisecond
+
+// writeTimeout bounds a write; after it the outcome is unknown, and the
+// condition on the row's revision makes sure that it counts at most once.
+const writeTimeout = 2 * time.Second
+
+// tickSeats changes the list of witnesses by one step if it needs it. Every
+// watcher would do so; the ones further back in the rank wait longer, so
+// that as a rule one of them writes.
+func (m *Member) tickSeats(now time.Duration) []effect.Effect {
+	if m.seats.id != 0 && now-m.seats.sent >= writeTimeout {
+		m.seats.id, m.seats.ended = 0, now
+	}
+	if m.seats.id != 0 || now < m.seats.next {
+		return nil
+	}
+	m.seats.next = now + seatEvery
+	if !m.maySeat(now) {
+		return nil
+	}
+	row, _ := m.log.Row(config.WitnessesKey)
+	next, inform, needed := m.planSeats(row.Revision)
+	if !needed {
+		m.seats.needed = false
+		return nil
+	}
+	if !m.seatTurn(now, row.Revision) {
+		return nil
+	}
+	if inform {
+		return m.Require(now, row.Revision)
+	}
+	return m.writeSeats(now, row.Revision, next)
+}
+
+func (m *Member) caresForSeats() bool {
+	return m.watches() || (m.leaving && m.Seated())
+}
+
+// maySeat says whether the instance sees the table now, with a read that
+// started after its last write ended.
+func (m *Member) maySeat(now time.Duration) bool {
+	if !m.caresForSeats() {
+		return false
+	}
+	seen := m.table.failures == 0 && m.table.answered >= m.seats.ended
+	return seen && m.Confirmed(now).State == ByTable && len(m.dir.entryIDs) > 0
+}
+
+// seatTurn says whether the need for a change has stood for so long that
+// it is this instance's turn. An instance that leaves gives its seat at once.
+func (m *Member) seatTurn(now time.Duration, row platform.Revision) bool {
+	if m.seats.row != row || !m.seats.needed {
+		m.seats.needed, m.seats.row, m.seats.since = true, row, now
+	}
+	if m.leaving && m.Seated() {
+		return true
+	}
+	rank := position(witnessKey, m.set.Self, m.dir.allWatchers())
+	return now >= m.seats.since+time.Duration(rank)*m.set.SeatStagger
+}
+
+// planSeats returns the next list, if one is needed. With inform it isn't
+// time yet: the witnesses must know the present row first.
+func (m *Member) planSeats(row platform.Revision) (next config.Witnesses, inform, needed bool) {
+	w := m.log.Witnesses()
+	if len(w.Members) == 0 {
+		chosen := m.chooseWitnesses(nil, m.set.WitnessCount)
+		return config.Witnesses{Members: chosen}, false, len(chosen) > 0
+	}
+	if len(w.Previous) > 0 {
+		known := m.force.covered() >= row
+		return config.Witnesses{Members: w.Members}, !known, true
+	}
+	members, changed := m.improveSeats(w.Members)
+	return config.Witnesses{Members: members, Previous: w.Members}, false, changed
+}
+
+// improveSeats returns the members with one seat changed: one that went
+// away or leaves is given to another instance, a missing one is filled, and
+// one is moved out of a data centre that has too many.
+func (m *Member) improveSeats(members []string) ([]string, bool) {
+	for _, id := range members {
+		if !m.unfit(id) {
+			continue
+		}
+		kept := remove(members, id)
+		if next := m.chooseWitnesses(kept, len(members)); len(next) == len(members) {
+			return next, true
+		}
+	}
+	if next := m.chooseWitnesses(members, len(members)+1); len(members) < m.set.WitnessCount && len(next) > len(members) {
+		return next, true
+	}
+	return m.spreadSeats(members)
+}
+
+// spreadSeats moves one seat from the data centre with the most to the one
+// with the fewest, if they differ by more than one.
+func (m *Member) spreadSeats(members []string) ([]string, bool) {
+	seats := m.seatsByCentre(members)
+	for _, id := range members {
+		i, _ := m.dir.Instance(id)
+		for _, centre := range m.dir.DataCentres() {
+			if seats[i.DataCentre] < seats[centre]+2 {
+				continue
+			}
+			next := m.chooseWitnesses(remove(members, id), len(members))
+			if m.seatsByCentre(next)[i.DataCentre] < seats[i.DataCentre] {
+				return next, true
+			}
+		}
+	}
+	return nil, false
+}
+
+// unfit says that a witness must be replaced: it ended, it leaves, or the
+// list doesn't know it any more.
+func (m *Member) unfit(id string) bool {
+	if id == m.set.Self && m.leaving {
+		return true
+	}
+	i, ok := m.dir.Instance(id)
+	return !ok || i.State != platform.Live
+}
+
+// chooseWitnesses adds live instances to kept until there are count or no
+// more: always the best ranked one of the data centre with the fewest seats.
+func (m *Member) chooseWitnesses(kept []string, count int) []string {
+	chosen := slices.Clone(kept)
+	seats := m.seatsByCentre(kept)
+	ranked := Rank(witnessKey, m.dir.entryIDs)
+	for len(chosen) < count {
+		best, fewest := "", 0
+		for _, id := range ranked {
+			n := seats[m.dir.instances[id].DataCentre]
+			if (best != "" && n >= fewest) || contains(chosen, id) || m.unfit(id) {
+				continue
+			}
+			best, fewest = id, n
+		}
+		if best == "" {
+			break
+		}
+		chosen = append(chosen, best)
+		seats[m.dir.instances[best].DataCentre]++
+	}
+	return chosen
+}
+
+func (m *Member) seatsByCentre(ids []string) map[string]int {
+	seats := map[string]int{}
+	for _, id := range ids {
+		if i, ok := m.dir.Instance(id); ok {
+			seats[i.DataCentre]++
+		}
+	}
+	return seats
+}
+
+func (m *Member) writeSeats(now time.Duration, row platform.Revision, w config.Witnesses) []effect.Effect {
+	value, err := json.Marshal(w)
+	if err != nil {
+		return nil
+	}
+	m.seats.attempts++
+	m.seats.id = m.nextID()
+	m.seats.sent = now
+	m.seats.needed = false
+	m.count.SeatWrites++
+	txn := platform.Txn{
+		Attempt: fmt.Sprintf("%s/%s/%d", m.set.Self, config.WitnessesKey, m.seats.attempts),
+		Conditions: []platform.Condition{{
+			Table: platform.Control, Key: config.WitnessesKey, Revision: row,
+		}},
+		Puts: []platform.Put{{Table: platform.Control, Key: config.WitnessesKey, Value: value}},
+	}
+	return []effect.Effect{effect.WriteTable{ID: m.seats.id, Txn: txn}}
+}
+
+// WriteDone takes the end of a WriteTable effect. Whatever the outcome, the
+// next read of the table shows the list as it stands.
+func (m *Member) WriteDone(now time.Duration, id uint64, _ platform.WriteResult) []effect.Effect {
+	if id == m.seats.id {
+		m.seats.id, m.seats.ended = 0, now
+		m.table.wanted = true
+	}
+	return m.Tick(now)
+}
+
+func (m *Member) wakeSeats() time.Duration {
+	if m.seats.id != 0 {
+		return m.seats.sent + writeTimeout
+	}
+	if !m.caresForSeats() {
+		return never
+	}
+	return m.seats.next
+}
