Decision records: rules, sentences, a bounded buffer and batches

Cause: every request has to end by a named rule with its figures, and the node needs the vocabulary first. Ruled out: text templates for the sentences (figures untyped, misspelt fields seen only when a sentence is asked for).

--- /dev/null
+++ b/decision/batch.go
@@ -0,0 +1,100 @@
+package decision
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// MaxBatchRecords bounds one batch. At most a few hundred kilobytes go
+	// into the object store with one put.
+	MaxBatchRecords = 1024
+	// maxBatchBytes bounds a batch after decompression, so that a damaged
+	// or hostile object can't fill the reader's memory.
+	maxBatchBytes = 8 << 20
+	batchFormat   = 1
+	namePrefix    = "decisions/"
+	dayLayout     = "2006-01-02"
+	hourLayout    = "15"
+)
+
+// Batch is what goes into the object store with one put.
+type Batch struct {
+	// Name is "decisions/<day>/<hour>/<instance>-<number>", in UTC.
+	Name string
+	// Data is gzip-compressed JSON.
+	Data []byte
+	// Records is how many records Data holds.
+	Records int
+}
+
+// Contents is a decoded batch.
+type Contents struct {
+	Format   int    `json:"format"`
+	Instance string `json:"instance"`
+	// Dropped is how many records fell out of the instance's memory since
+	// its batch before this one.
+	Dropped uint64   `json:"dropped,omitempty"`
+	Records []Record `json:"records"`
+}
+
+// HourPrefix returns the prefix of the names of all batches of an hour.
+func HourPrefix(at time.Time) string {
+	at = at.UTC()
+	return namePrefix + at.Format(dayLayout) + "/" + at.Format(hourLayout) + "/"
+}
+
+// Prefixes returns the prefixes of the batches that may hold the record of a
+// request with this id.
+func (id RequestID) Prefixes() []string {
+	return []string{HourPrefix(id.At) + id.InstancePrefix}
+}
+
+func hourOf(at time.Time) time.Time { return at.UTC().Truncate(time.Hour) }
+
+func encodeBatch(instance string, number, dropped uint64, records []Record) (Batch, error) {
+	var buf bytes.Buffer
+	zip := gzip.NewWriter(&buf)
+	contents := Contents{Format: batchFormat, Instance: instance, Dropped: dropped, Records: records}
+	if err := json.NewEncoder(zip).Encode(contents); err != nil {
+		return Batch{}, errors.Wrap(err, "encode batch")
+	}
+	if err := zip.Close(); err != nil {
+		return Batch{}, errors.Wrap(err, "compress batch")
+	}
+	name := fmt.Sprintf("%s%s-%06d", HourPrefix(records[0].At), nameSafe(instance), number)
+	return Batch{Name: name, Data: buf.Bytes(), Records: len(records)}, nil
+}
+
+// DecodeBatch reads a batch from the object store. It rejects what is damaged,
+// larger than any batch, or of another format.
+func DecodeBatch(data []byte) (Contents, error) {
+	zip, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return Contents{}, errors.Wrap(err, "batch isn't compressed")
+	}
+	plain, err := io.ReadAll(io.LimitReader(zip, maxBatchBytes+1))
+	if err != nil {
+		return Contents{}, errors.Wrap(err, "decompress batch")
+	}
+	if len(plain) > maxBatchBytes {
+		return Contents{}, errors.Newf("batch exceeds %d bytes", maxBatchBytes)
+	}
+	var c Contents
+	if err := json.Unmarshal(plain, &c); err != nil {
+		return Contents{}, errors.Wrap(err, "decode batch")
+	}
+	if c.Format != batchFormat {
+		return Contents{}, errors.Newf("batch has format %d, want %d", c.Format, batchFormat)
+	}
+	if len(c.Records) > MaxBatchRecords {
+		return Contents{}, errors.Newf("batch has %d records, at most %d are allowed", len(c.Records), MaxBatchRecords)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/decision/buffer.go
@@ -0,0 +1,181 @@
+package decision
+
+import "time"
+
+// BufferSettings bound a Buffer.
+type BufferSettings struct {
+	// MaxRecords is how many records are kept in memory; 0 means
+	// DefaultMaxRecords. A full record takes about one kilobyte.
+	MaxRecords int
+	// Slow is the time from which a served request counts as slow and is
+	// kept; 0 means DefaultSlow.
+	Slow time.Duration
+	// SampleEvery keeps one of this many plain successes; 0 keeps none.
+	SampleEvery int
+}
+
+const (
+	// DefaultMaxRecords keeps the buffer near 2 MB at its usual record size.
+	DefaultMaxRecords = 4096
+	// DefaultSlow is one second.
+	DefaultSlow = time.Second
+)
+
+// Buffer keeps one instance's records until they are stored, and after that
+// until newer ones need the room. It is not safe for concurrent use.
+//
+// The object store may be away for hours. Records then fall out oldest first
+// and are counted, so the memory stays bounded and the gap is known.
+type Buffer struct {
+	instance string
+	settings BufferSettings
+	ring     []Record
+	// first and next number the records in the ring: [first, next).
+	first, next uint64
+	// stored is the number of the first record that no batch holds yet.
+	stored  uint64
+	pending *Batch
+	batches uint64
+	dropped uint64
+	// droppedBefore is what the batches so far have reported as dropped.
+	droppedBefore uint64
+	plain         int
+}
+
+// NewBuffer returns an empty buffer of an instance.
+func NewBuffer(instance string, s BufferSettings) *Buffer {
+	if s.MaxRecords <= 0 {
+		s.MaxRecords = DefaultMaxRecords
+	}
+	if s.Slow <= 0 {
+		s.Slow = DefaultSlow
+	}
+	return &Buffer{instance: instance, settings: s}
+}
+
+// Add takes a record if somebody may ask about it: every refusal, repeat and
+// slow request, and a sample of the others. It tells whether it was kept.
+func (b *Buffer) Add(r Record) bool {
+	if !b.wanted(r) {
+		return false
+	}
+	if r.Instance == "" {
+		r.Instance = b.instance
+	}
+	if len(b.ring) < b.settings.MaxRecords {
+		b.ring = append(b.ring, r.bounded())
+		b.next++
+		return true
+	}
+	if b.first >= b.stored {
+		b.dropped++
+		b.stored = b.first + 1
+	}
+	b.ring[b.next%uint64(len(b.ring))] = r.bounded()
+	b.first++
+	b.next++
+	return true
+}
+
+func (b *Buffer) wanted(r Record) bool {
+	plain := r.Rule == RuleServed && r.Attempts <= 1 && r.Took < b.settings.Slow
+	if !plain {
+		return true
+	}
+	if b.settings.SampleEvery <= 0 {
+		return false
+	}
+	b.plain++
+	if b.plain < b.settings.SampleEvery {
+		return false
+	}
+	b.plain = 0
+	return true
+}
+
+// Len returns how many records are in memory.
+func (b *Buffer) Len() int { return len(b.ring) }
+
+// Waiting returns how many records no batch holds yet.
+func (b *Buffer) Waiting() int { return int(b.next - b.stored) }
+
+// Dropped returns how many records fell out before they were stored.
+func (b *Buffer) Dropped() uint64 { return b.dropped }
+
+// Batch returns the next batch to put into the object store; false if there
+// is nothing to store. The same batch, with the same name and bytes, is
+// returned until Stored has been called for it: a put whose answer was lost
+// is repeated without harm.
+func (b *Buffer) Batch() (Batch, bool) {
+	if b.pending != nil {
+		return *b.pending, true
+	}
+	records := b.oldestHour()
+	if len(records) == 0 {
+		return Batch{}, false
+	}
+	b.batches++
+	batch, err := encodeBatch(b.instance, b.batches, b.dropped-b.droppedBefore, records)
+	b.stored += uint64(len(records))
+	if err != nil {
+		b.dropped += uint64(len(records))
+		return Batch{}, false
+	}
+	b.droppedBefore = b.dropped
+	b.pending = &batch
+	return batch, true
+}
+
+// Stored tells that the batch of this name is in the object store.
+func (b *Buffer) Stored(name string) {
+	if b.pending != nil && b.pending.Name == name {
+		b.pending = nil
+	}
+}
+
+// oldestHour returns the unstored records of one hour, so that a batch's
+// name tells the hour of all its records.
+func (b *Buffer) oldestHour() []Record {
+	var records []Record
+	for n := b.stored; n < b.next && len(records) < MaxBatchRecords; n++ {
+		r := b.at(n)
+		if len(records) > 0 && hourOf(r.At) != hourOf(records[0].At) {
+			break
+		}
+		records = append(records, r)
+	}
+	return records
+}
+
+func (b *Buffer) at(n uint64) Record { return b.ring[n%uint64(len(b.ring))] }
+
+// Search returns the records in memory that match, newest first.
+func (b *Buffer) Search(q Query) []Record {
+	var found []Record
+	for n := b.next; n > b.first; n-- {
+		if r := b.at(n - 1); q.Matches(r) {
+			found = append(found, r)
+			if q.Limit > 0 && len(found) == q.Limit {
+				break
+			}
+		}
+	}
+	return found
+}
+
+// Query selects records. Empty fields match everything.
+type Query struct {
+	Request   string
+	Workspace string
+	// Since excludes older records.
+	Since time.Time
+	// Limit bounds the number of records; 0 means no bound.
+	Limit int
+}
+
+// Matches tells whether the record is selected.
+func (q Query) Matches(r Record) bool {
+	return (q.Request == "" || q.Request == r.Request) &&
+		(q.Workspace == "" || q.Workspace == r.Workspace) &&
+		!r.At.Before(q.Since)
+}
--- /dev/null
+++ b/decision/decision_test.go
@@ -0,0 +1,199 @@
+package decision
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+var update = flag.Bool("update", false, "rewrite golden files")
+
+// TestMain fixes the seed of the random histories; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20260302")
+	os.Exit(m.Run())
+}
+
+var noon = time.Date(2026, 3, 2, 11, 59, 58, 0, time.UTC)
+
+const testInstance = "0f8fad5b-d9cb-469f-a165-70867728950e"
+
+// sample returns a record of a rule with figures as an instance would give.
+func sample(rule Rule) Record {
+	r := Record{
+		Request: NewRequestID(testInstance, noon, 7), At: noon, Instance: testInstance,
+		Workspace: "bench-and-joint", Service: "catalogue", Method: "GET",
+		Outcome: Lookup(rule).Outcome, Rule: rule, Server: "catalogue-3", Attempts: 1,
+		Took: 2300 * time.Millisecond,
+		Figures: Figures{
+			Plan: "workshop", Rate: 20, Burst: 40, Age: 4200 * time.Millisecond, AgeLimit: 3 * time.Second,
+			Timeout: 2 * time.Second, Servers: 10, Usable: 0, Size: 3 << 20, MaxSize: 2 << 20,
+		},
+	}
+	if Lookup(rule).RetryAfter {
+		r.RetryAfter = 1200 * time.Millisecond
+	}
+	return r
+}
+
+// The golden file is what managers read. Whoever changes a sentence reads it
+// there as a whole: go test ./decision -run Golden -update
+func TestSentencesGolden(t *testing.T) {
+	var out strings.Builder
+	for _, info := range Catalogue() {
+		fmt.Fprintf(&out, "[%s] %d %s\n%s\n\n", info.Rule, info.Status, info.Title, sample(info.Rule).Sentence())
+	}
+	repeated := sample(RuleServed)
+	repeated.Attempts, repeated.Figures.Detail = 2, "it answered half"
+	fmt.Fprintf(&out, "[served, second attempt]\n%s\n\n", repeated.Sentence())
+	bare := Record{Rule: RuleOverRate, Outcome: NotRun}
+	fmt.Fprintf(&out, "[over-rate, nothing known]\n%s\n", bare.Sentence())
+	path := filepath.Join("testdata", "sentences.golden")
+	if *update {
+		must.NoError(t, os.WriteFile(path, []byte(out.String()), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	must.NoError(t, err)
+	must.Eq(t, string(want), out.String())
+}
+
+// A sentence that says "not carried out" must come from an outcome that says
+// so, and every refused caller must learn which it is.
+func TestSentenceFollowsOutcome(t *testing.T) {
+	for _, info := range Catalogue() {
+		for _, outcome := range []Outcome{NotRun, Unknown} {
+			r := sample(info.Rule)
+			r.Outcome = outcome
+			notRun := strings.Contains(r.Sentence(), "not carried out:")
+			must.Eq(t, outcome == NotRun && info.Rule != RuleServed && info.Rule != RuleCallerGone, notRun, must.Sprint(info.Rule))
+		}
+	}
+}
+
+func TestRequestIDRoundTrip(t *testing.T) {
+	id, ok := ParseRequestID(NewRequestID(testInstance, noon, 1<<40))
+	must.True(t, ok)
+	must.Eq(t, RequestID{InstancePrefix: "0f8fad5b", At: noon, N: 1 << 40}, id)
+	must.Eq(t, []string{"decisions/2026-03-02/11/0f8fad5b"}, id.Prefixes())
+	for _, bad := range []string{"", "a", "a.b", "..", ".1.1", "a.-1.1", "a.1.-1", "a.1.1.1", strings.Repeat("a", 65) + ".1.1"} {
+		_, ok := ParseRequestID(bad)
+		must.False(t, ok, must.Sprint(bad))
+	}
+}
+
+func TestBufferKeepsWhatIsAskedAbout(t *testing.T) {
+	b := NewBuffer(testInstance, BufferSettings{SampleEvery: 10})
+	plain := Record{Rule: RuleServed, Outcome: Served, Attempts: 1, Took: time.Millisecond}
+	slow, repeated, refused := plain, plain, plain
+	slow.Took = DefaultSlow
+	repeated.Attempts = 2
+	refused.Rule = RuleOverRate
+	for _, r := range []Record{slow, repeated, refused} {
+		must.True(t, b.Add(r))
+	}
+	kept := 0
+	for range 100 {
+		if b.Add(plain) {
+			kept++
+		}
+	}
+	must.Eq(t, 10, kept)
+}
+
+// The object store is away, answers late or loses its answer, while records
+// come in. Whatever happens, each record ends up in exactly one batch, or is
+// counted as dropped; a repeated put carries the same bytes; and a batch's
+// name tells the hour of all its records.
+func TestBufferLosesNothingUncounted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBuffer(testInstance, BufferSettings{MaxRecords: rapid.IntRange(1, 20).Draw(t, "max")})
+		at, added, reported := noon, uint64(0), uint64(0)
+		seen := map[string]string{}
+		stored := map[string]bool{}
+		store := func() bool {
+			batch, ok := b.Batch()
+			if !ok {
+				return false
+			}
+			if data, again := seen[batch.Name]; again {
+				must.Eq(t, data, string(batch.Data))
+				return true
+			}
+			seen[batch.Name] = string(batch.Data)
+			c, err := DecodeBatch(batch.Data)
+			must.NoError(t, err)
+			reported += c.Dropped
+			for _, r := range c.Records {
+				must.False(t, stored[r.Request])
+				must.StrHasPrefix(t, HourPrefix(r.At), batch.Name)
+				stored[r.Request] = true
+			}
+			return true
+		}
+		acknowledge := func() {
+			if batch, ok := b.Batch(); ok {
+				store()
+				b.Stored(batch.Name)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				at = at.Add(rapid.SampledFrom([]time.Duration{0, time.Second, time.Hour}).Draw(t, "step"))
+				b.Add(Record{Request: NewRequestID(testInstance, at, added), At: at, Rule: RuleShed, Outcome: NotRun})
+				added++
+			},
+			"put, answer lost": func(*rapid.T) { store() },
+			"put":              func(*rapid.T) { acknowledge() },
+		})
+		for store() {
+			acknowledge()
+		}
+		must.Eq(t, added, uint64(len(stored))+b.Dropped())
+		must.LessEq(t, b.Dropped(), reported)
+	})
+}
+
+func TestSearchNewestFirst(t *testing.T) {
+	b := NewBuffer(testInstance, BufferSettings{MaxRecords: 4})
+	for i := range 6 {
+		b.Add(Record{Request: fmt.Sprint(i), Workspace: []string{"a", "b"}[i%2], At: noon.Add(time.Duration(i) * time.Minute), Rule: RuleShed})
+	}
+	must.Eq(t, 2, int(b.Dropped()))
+	found := b.Search(Query{Workspace: "a", Since: noon})
+	must.Eq(t, []string{"4", "2"}, []string{found[0].Request, found[1].Request})
+	must.Len(t, 1, b.Search(Query{Workspace: "a", Since: noon.Add(3 * time.Minute)}))
+	must.Len(t, 0, b.Search(Query{Request: "0"}))
+}
+
+func TestOversizedFieldsAreCut(t *testing.T) {
+	b := NewBuffer(testInstance, BufferSettings{})
+	r := Record{Rule: RuleBadRequest, Method: strings.Repeat("M", 1<<20), Figures: Figures{Detail: strings.Repeat("d", 1<<20)}}
+	b.Add(r)
+	kept := b.Search(Query{})[0]
+	must.Eq(t, MaxField, len(kept.Method))
+	must.Eq(t, MaxDetail, len(kept.Figures.Detail))
+}
+
+func FuzzDecodeBatch(f *testing.F) {
+	batch, err := encodeBatch(testInstance, 1, 0, []Record{sample(RuleOverRate)})
+	must.NoError(f, err)
+	f.Add(batch.Data)
+	f.Add(batch.Data[:len(batch.Data)/2])
+	f.Add([]byte("not compressed"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := DecodeBatch(data)
+		if err != nil {
+			return
+		}
+		for _, r := range c.Records {
+			must.NotEq(t, "", r.Sentence())
+		}
+	})
+}
--- /dev/null
+++ b/decision/sentence.go
@@ -0,0 +1,111 @@
+package decision
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Sentence tells in plain words what happened to the request and why, with
+// the figures, for a reader without a technical background.
+func (r Record) Sentence() string {
+	info := Lookup(r.Rule)
+	parts := []string{r.subject(), " ", r.verdict(), ": ", info.cause(r)}
+	if advice := r.advice(); advice != "" {
+		parts = append(parts, "; ", advice)
+	}
+	return strings.Join(parts, "") + "."
+}
+
+// subject names the request by what the reader knows of it.
+func (r Record) subject() string {
+	s := "A request"
+	if r.Workspace != "" {
+		s += " of workspace " + r.Workspace
+	}
+	if r.Service != "" {
+		s += " to the service " + r.Service
+	}
+	if !r.At.IsZero() {
+		s += " at " + r.At.UTC().Format("15:04:05 on 2 January 2006") + " (UTC)"
+	}
+	return s
+}
+
+func (r Record) verdict() string {
+	switch {
+	case r.Rule == RuleServed && r.Attempts > 1:
+		return "was served after a repeat"
+	case r.Rule == RuleServed:
+		return "was served"
+	case r.Rule == RuleCallerGone:
+		return "ended early"
+	case r.Outcome == NotRun:
+		return "was refused and not carried out"
+	case r.Outcome == RanBefore:
+		return "was not carried out a second time"
+	case r.Outcome == Unknown:
+		return "got no whole answer"
+	default:
+		return "ended"
+	}
+}
+
+// advice tells what the caller can do now.
+func (r Record) advice() string {
+	switch {
+	case r.Rule == RuleServed:
+		return ""
+	case r.Outcome == NotRun && r.RetryAfter > 0:
+		return "it is safe to send it again, after " + span(r.RetryAfter)
+	case r.Outcome == NotRun && Lookup(r.Rule).RetryAfter:
+		return "it is safe to send it again"
+	case r.Outcome == RanBefore && r.RetryAfter > 0:
+		return "the caller may ask again after " + span(r.RetryAfter)
+	case r.Rule == RuleAttemptsFailed:
+		return "sending it again is safe, because this kind of request changes nothing by being repeated"
+	case r.Outcome == Unknown && r.Rule != RuleCallerGone:
+		return "it may or may not have been carried out, so check before sending it again"
+	default:
+		return ""
+	}
+}
+
+// span writes a time for people: milliseconds below a second, tenths of a
+// second below a minute, else minutes and seconds.
+func span(d time.Duration) string {
+	switch {
+	case d < time.Millisecond:
+		return "less than a millisecond"
+	case d < time.Second:
+		return count(int(d.Round(time.Millisecond)/time.Millisecond), "millisecond")
+	case d < time.Minute:
+		return number(math.Round(d.Seconds()*10)/10) + " seconds"
+	default:
+		d = d.Round(time.Second)
+		return fmt.Sprintf("%s and %s", count(int(d/time.Minute), "minute"), count(int(d%time.Minute/time.Second), "second"))
+	}
+}
+
+func count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return strconv.Itoa(n) + " " + noun + "s"
+}
+
+func number(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
+
+// size writes a number of bytes for people.
+func size(n int64) string {
+	switch {
+	case n >= 1<<20:
+		return number(math.Round(float64(n)/(1<<20)*10)/10) + " MB"
+	case n >= 1<<10:
+		return number(math.Round(float64(n)/(1<<10)*10)/10) + " KB"
+	default:
+		return count(int(n), "byte")
+	}
+}
