--- /dev/null
+++ b/health/collector.go
@@ -0,0 +1,154 @@
+package health
+
+import (
+	"time"
+)
+
+// Collector pools what instances report on services. One instance collects
+// for a service; if another one believes that it does, both see part of the
+// evidence and are slower, and the conditional write of the permits row keeps
+// them from ejecting too many together.
+type Collector struct {
+	settings    Settings
+	instances   int
+	dataCentres int
+	services    map[string]*pool
+}
+
+// pool is the pooled evidence on one service.
+type pool struct {
+	failed *ledger
+	late   *ledger
+	// reporters are the instances that reported lately.
+	reporters map[string]*reporter
+	// servers are those under suspicion, relieved, ejected or returned.
+	servers  map[string]*serverState
+	silentAt time.Duration
+}
+
+// reporter is what the collector remembers of a reporting instance.
+type reporter struct {
+	dataCentre string
+	rate       float64
+	at         time.Duration
+}
+
+// serverState is the collector's course of action against one server.
+type serverState struct {
+	// relievedAt is when lower weights were advised for slowness.
+	relieved   bool
+	relievedAt time.Duration
+	// reset says that evidence from before the relief was dropped.
+	reset bool
+	// unwell is when the server last reported itself as sick.
+	unwell   bool
+	unwellAt time.Duration
+	probing  probing
+}
+
+// reporterMemory is how long a reporter counts as one.
+const reporterMemory = 30 * time.Second
+
+// unwellMemory is how long a server's own report of sickness matters.
+const unwellMemory = 10 * time.Second
+
+// NewCollector returns a collector without evidence.
+func NewCollector(s Settings) *Collector {
+	return &Collector{settings: s, instances: 1, dataCentres: 1, services: map[string]*pool{}}
+}
+
+// SetFleet tells how many entry instances are live, and in how many data
+// centres. An ejection needs evidence from several of each, if there are.
+func (c *Collector) SetFleet(instances, dataCentres int) {
+	c.instances = max(1, instances)
+	c.dataCentres = max(1, dataCentres)
+}
+
+// Accept takes in a report of instance from, and returns advice for it: the
+// servers that the pooled evidence speaks against. See Observer.Advise.
+func (c *Collector) Accept(now time.Duration, from string, r Report) []Suspect {
+	p := c.pool(r.Service)
+	p.reporters[from] = &reporter{dataCentre: r.DataCentre, rate: r.Rate, at: now}
+	for _, w := range r.Elsewhere {
+		p.failed.addTally(now, w.Workspace, 0, 0)
+	}
+	for _, s := range r.Servers {
+		for _, w := range s.Workspaces {
+			src := source{reporter: from, workspace: w.Workspace}
+			p.failed.add(now, s.Server, src, float64(w.Attempts), float64(w.Failed))
+			p.late.add(now, s.Server, src, float64(w.LateAttempts), float64(w.Late))
+		}
+	}
+	p.addElsewhere(now, r)
+	return c.advice(now, p)
+}
+
+// addElsewhere adds the named workspaces' attempts at servers that the report
+// doesn't name.
+func (p *pool) addElsewhere(now time.Duration, r Report) {
+	for _, total := range r.Elsewhere {
+		for _, s := range r.Servers {
+			for _, w := range s.Workspaces {
+				if w.Workspace == total.Workspace {
+					total.Attempts -= min(total.Attempts, w.Attempts)
+					total.LateAttempts -= min(total.LateAttempts, w.LateAttempts)
+				}
+			}
+		}
+		p.failed.addTally(now, total.Workspace, float64(total.Attempts), 0)
+		p.late.addTally(now, total.Workspace, float64(total.LateAttempts), 0)
+	}
+}
+
+// OwnReport takes in what a server says of its own health. "Sick" shortens
+// the suspicion; "healthy" means nothing, because servers say so while they
+// fail requests.
+func (c *Collector) OwnReport(now time.Duration, service, server string, healthy bool) {
+	if healthy {
+		return
+	}
+	s := c.pool(service).server(server)
+	s.unwell = true
+	s.unwellAt = now
+}
+
+func (c *Collector) pool(service string) *pool {
+	p, ok := c.services[service]
+	if !ok {
+		s := c.settings
+		p = &pool{
+			failed:    newLedger(s.FailureShare, s.SickFailureShare, s.PooledMemory),
+			late:      newLedger(s.LateShare, s.SickLateShare, s.PooledMemory),
+			reporters: map[string]*reporter{},
+			servers:   map[string]*serverState{},
+		}
+		c.services[service] = p
+	}
+	return p
+}
+
+func (p *pool) server(id string) *serverState {
+	s, ok := p.servers[id]
+	if !ok {
+		s = &serverState{}
+		p.servers[id] = s
+	}
+	return s
+}
+
+// advice lists the servers whose weight every instance should lower.
+func (c *Collector) advice(now time.Duration, p *pool) []Suspect {
+	var list []Suspect
+	for _, id := range p.suspects() {
+		score := max(c.failedScore(now, p, id), c.lateScore(now, p, id))
+		s := p.servers[id]
+		relieved := s != nil && s.relieved && now-s.relievedAt < c.settings.Relief
+		if score >= c.settings.AdviseScore || relieved {
+			list = append(list, Suspect{Server: id, Weight: adviceWeight})
+		}
+	}
+	return list
+}
+
+// adviceWeight leaves enough requests to go on judging a relieved server.
+const adviceWeight = 0.1
--- /dev/null
+++ b/health/latency.go
@@ -0,0 +1,57 @@
+package health
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	latencyBuckets = 64
+	// latencyUnit is the upper end of the first bucket.
+	latencyUnit = 100 * time.Microsecond
+	// bucketsPerDoubling sets the resolution to 19 %.
+	bucketsPerDoubling = 4
+	// latencyWindow is the number of answers after which old ones count half.
+	latencyWindow = 512
+	// minLatencies is how many answers a quantile needs.
+	minLatencies = 20
+)
+
+// latencies is the fading distribution of one service's latencies.
+type latencies struct {
+	count   int
+	buckets [latencyBuckets]uint16
+}
+
+func (l *latencies) add(d time.Duration) {
+	l.buckets[latencyBucket(d)]++
+	l.count++
+	if l.count < latencyWindow {
+		return
+	}
+	l.count = 0
+	for i := range l.buckets {
+		l.buckets[i] /= 2
+		l.count += int(l.buckets[i])
+	}
+}
+
+func latencyBucket(d time.Duration) int {
+	if d <= latencyUnit {
+		return 0
+	}
+	i := int(math.Ceil(bucketsPerDoubling * math.Log2(float64(d)/float64(latencyUnit))))
+	return min(i, latencyBuckets-1)
+}
+
+// quantile returns the upper end of the bucket that holds the quantile.
+func (l *latencies) quantile(q float64) time.Duration {
+	rank := int(math.Ceil(q * float64(l.count)))
+	for i, n := range l.buckets {
+		rank -= int(n)
+		if rank <= 0 {
+			return time.Duration(float64(latencyUnit) * math.Exp2(float64(i)/bucketsPerDoubling))
+		}
+	}
+	return latencyUnit
+}
--- /dev/null
+++ b/health/observer.go
@@ -0,0 +1,134 @@
+package health
+
+import (
+	"maps"
+	"math/rand/v2"
+	"time"
+)
+
+// Observer is one instance's own evidence on the servers that it uses.
+type Observer struct {
+	settings Settings
+	rng      *rand.Rand
+	services map[string]*serviceView
+	// reportBytes is what may be sent now; it refills by ReportBytes a second.
+	reportBytes float64
+	refilled    time.Duration
+}
+
+// serviceView is the evidence on one service's servers.
+type serviceView struct {
+	latencies latencies
+	failed    *ledger
+	late      *ledger
+	// shed is when a server last refused for want of room.
+	shed map[string]time.Duration
+	// advice is what the service's collector said last.
+	advice    map[string]Suspect
+	advisedAt time.Duration
+	pending   pending
+}
+
+// NewObserver returns an observer without evidence.
+func NewObserver(s Settings, rng *rand.Rand) *Observer {
+	return &Observer{
+		settings:    s,
+		rng:         rng,
+		services:    map[string]*serviceView{},
+		reportBytes: s.ReportBytes,
+	}
+}
+
+// Observe takes in how an attempt went, or that it is late.
+func (o *Observer) Observe(now time.Duration, ob Observation) {
+	v := o.view(ob.Service)
+	failed, late, counts := o.classify(v, ob)
+	if counts.failed {
+		v.failed.add(now, ob.Server, source{workspace: ob.Workspace}, 1, one(failed))
+	}
+	if counts.late {
+		v.late.add(now, ob.Server, source{workspace: ob.Workspace}, 1, one(late))
+	}
+	if ob.Result == Shed {
+		v.shed[ob.Server] = now
+	}
+	if ob.Result == OK && o.suspicion(now, v, ob.Server, "") < suspectScore {
+		v.latencies.add(ob.Latency)
+	}
+	v.pending.note(now, v, ob, failed, late, counts)
+}
+
+// counted says which ledgers an observation belongs to.
+type counted struct{ failed, late bool }
+
+// classify tells which way an observation is bad, and where it counts.
+func (o *Observer) classify(v *serviceView, ob Observation) (failed, late bool, c counted) {
+	switch ob.Result {
+	case Late:
+		return false, true, counted{late: true}
+	case Shed:
+		// A refusal for want of room is about load, like lateness: the server
+		// gets less first, and is suspect only if it goes on refusing then.
+		return false, true, counted{late: true}
+	case NotRun, Cancelled:
+		return false, false, counted{}
+	case OK:
+		late = !ob.WasLate && ob.Latency > o.lateAfter(v)
+		return false, late, counted{failed: true, late: !ob.WasLate}
+	default:
+		return ob.Result.Failed(), false, counted{failed: true}
+	}
+}
+
+// LateAfter returns how long an answer of the service may take before it is
+// late. It is also the moment for a hedge.
+func (o *Observer) LateAfter(service string) time.Duration {
+	return o.lateAfter(o.view(service))
+}
+
+func (o *Observer) lateAfter(v *serviceView) time.Duration {
+	if v.latencies.count < minLatencies {
+		return o.settings.InitialLate
+	}
+	median := v.latencies.quantile(0.5)
+	return max(v.latencies.quantile(1-o.settings.LateShare), 2*median, median+o.settings.MinSlack)
+}
+
+func (o *Observer) view(service string) *serviceView {
+	v, ok := o.services[service]
+	if !ok {
+		s := o.settings
+		v = &serviceView{
+			failed: newLedger(s.FailureShare, s.SickFailureShare, s.LocalMemory),
+			late:   newLedger(s.LateShare, s.SickLateShare, s.LocalMemory),
+			shed:   map[string]time.Duration{},
+			advice: map[string]Suspect{},
+		}
+		o.services[service] = v
+	}
+	return v
+}
+
+func one(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// SetServers drops what is held against servers that aren't in use any more:
+// ended, leaving or ejected. Call it when the list or the permits change. A
+// server that returns from an ejection is judged anew, because what was known
+// of it is as old as the ejection.
+func (o *Observer) SetServers(service string, inUse []string) {
+	v := o.view(service)
+	keep := make(map[string]bool, len(inUse))
+	for _, id := range inUse {
+		keep[id] = true
+	}
+	gone := func(id string) bool { return !keep[id] }
+	maps.DeleteFunc(v.failed.runs, func(id string, _ *run) bool { return gone(id) })
+	maps.DeleteFunc(v.late.runs, func(id string, _ *run) bool { return gone(id) })
+	maps.DeleteFunc(v.shed, func(id string, _ time.Duration) bool { return gone(id) })
+	maps.DeleteFunc(v.advice, func(id string, _ Suspect) bool { return gone(id) })
+}
--- /dev/null
+++ b/health/pooled.go
@@ -0,0 +1,135 @@
+package health
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// suspects lists the servers with evidence against them or under relief.
+func (p *pool) suspects() []string {
+	ids := map[string]bool{}
+	for id := range p.failed.runs {
+		ids[id] = true
+	}
+	for id := range p.late.runs {
+		ids[id] = true
+	}
+	for id, s := range p.servers {
+		if s.relieved {
+			ids[id] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(ids))
+}
+
+func (c *Collector) failedScore(now time.Duration, p *pool, server string) float64 {
+	return c.pooledScore(now, p, p.failed, server)
+}
+
+func (c *Collector) lateScore(now time.Duration, p *pool, server string) float64 {
+	return c.pooledScore(now, p, p.late, server)
+}
+
+// pooledScore is a ledger's score, as far as reporters in several places
+// agree: one reporter, or one data centre whose packets get lost one way,
+// can't have a server ejected from the whole fleet.
+func (c *Collector) pooledScore(now time.Duration, p *pool, l *ledger, server string) float64 {
+	r := l.runs[server]
+	if r == nil {
+		return 0
+	}
+	l.advance(now, r)
+	bad := l.effective(server, r)
+	agreed := min(bad, c.agreed(p, r, bad))
+	score := l.ratio(r.attempts, agreed, l.sick)
+	if bad > 0 && agreed >= bad {
+		score = max(score, l.worstPair(server, r))
+	}
+	return score
+}
+
+const (
+	// topShare bounds the part of the evidence that one place may supply, as
+	// a multiple of all other places' together.
+	topShare = 2
+)
+
+// agreed bounds the bad attempts by what the strongest place can't supply.
+func (c *Collector) agreed(p *pool, r *run, bad float64) float64 {
+	if c.instances < 2 {
+		return bad
+	}
+	byPlace := map[string]float64{}
+	total := 0.0
+	for s, n := range r.bad {
+		byPlace[c.place(p, s.reporter)] += n
+		total += n
+	}
+	top := 0.0
+	for _, n := range byPlace {
+		top = max(top, n)
+	}
+	if total == 0 {
+		return 0
+	}
+	rest := total - top
+	return bad * (rest + min(top, topShare*rest)) / total
+}
+
+// place is a reporter's data centre, or the reporter if there is only one.
+func (c *Collector) place(p *pool, from string) string {
+	if c.dataCentres < 2 {
+		return from
+	}
+	if r := p.reporters[from]; r != nil {
+		return r.dataCentre
+	}
+	return from
+}
+
+// addSilent accounts for the instances that reported nothing on a suspect.
+// They met no bad answer there. Leaving them out would compare the failures
+// with the requests of only those instances that met one, and condemn
+// healthy servers of a large fleet in which each instance sees little.
+func (c *Collector) addSilent(now time.Duration, p *pool, servers int) {
+	passed := now - p.silentAt
+	p.silentAt = now
+	if passed <= 0 || passed > reporterMemory {
+		return
+	}
+	rate := p.typicalRate(now)
+	for _, l := range []*ledger{p.failed, p.late} {
+		for _, id := range slices.Sorted(maps.Keys(l.runs)) {
+			silent := max(0, c.instances-l.runs[id].reporters())
+			l.addSilent(now, id, float64(silent)*rate*passed.Seconds()/float64(max(1, servers)))
+		}
+	}
+}
+
+func (r *run) reporters() int {
+	seen := map[string]bool{}
+	for s := range r.bad {
+		seen[s.reporter] = true
+	}
+	return len(seen)
+}
+
+// typicalRate estimates an instance's requests per second to the service.
+// Instances report the more often the more they send, so the harmonic mean
+// is the one that isn't biased upwards.
+func (p *pool) typicalRate(now time.Duration) float64 {
+	sum, n := 0.0, 0
+	for id, r := range p.reporters {
+		if now-r.at > reporterMemory {
+			delete(p.reporters, id)
+			continue
+		}
+		sum += 1 / max(r.rate, 0.01)
+		n++
+	}
+	if n == 0 {
+		return 0
+	}
+	return float64(n) / sum
+}
--- /dev/null
+++ b/health/probe.go
@@ -0,0 +1,103 @@
+package health
+
+import (
+	"time"
+
+	"foxtailspoke/config"
+)
+
+// Probe is a request to an ejected server that no caller waits for.
+type Probe struct {
+	Service string
+	Server  string
+}
+
+// probing is the way back of one ejected server.
+type probing struct {
+	ejected   bool
+	ejectedAt time.Duration
+	// wait before the first probe; doubled for servers that flap.
+	wait    time.Duration
+	probeAt time.Duration
+	good    int
+	// returnedAt is when it last came back.
+	returned   bool
+	returnedAt time.Duration
+}
+
+// Probes returns the probes that are due, given the service's permits row.
+// The row tells which servers are ejected, whoever ejected them.
+func (c *Collector) Probes(now time.Duration, service string, row config.Permits) []Probe {
+	p := c.pool(service)
+	c.follow(now, p, row)
+	var due []Probe
+	for _, e := range row.Ejected {
+		s := &p.server(e.Server).probing
+		if now-s.ejectedAt < s.wait || now < s.probeAt {
+			continue
+		}
+		s.probeAt = now + c.settings.ProbeInterval
+		due = append(due, Probe{Service: service, Server: e.Server})
+	}
+	return due
+}
+
+// ProbeDone takes in a probe's result.
+func (c *Collector) ProbeDone(now time.Duration, pr Probe, r Result, latency time.Duration) {
+	s := &c.pool(pr.Service).server(pr.Server).probing
+	if r != OK || latency >= c.settings.SlowProbe {
+		s.good = 0
+		return
+	}
+	s.good++
+}
+
+// follow notices which servers were ejected or came back.
+func (c *Collector) follow(now time.Duration, p *pool, row config.Permits) {
+	ejected := map[string]bool{}
+	for _, e := range row.Ejected {
+		ejected[e.Server] = true
+		p.server(e.Server).probing.eject(now, c.settings)
+	}
+	for id, s := range p.servers {
+		if s.probing.ejected && !ejected[id] {
+			s.probing.comeBack(now)
+			p.failed.forget(id)
+			p.late.forget(id)
+			s.relieved = false
+		}
+	}
+}
+
+// eject starts the wait. Without the doubling, a flapping server would be let
+// in every few seconds and fail some requests each time.
+func (s *probing) eject(now time.Duration, settings Settings) {
+	if s.ejected {
+		return
+	}
+	if s.onProbation(now, settings) {
+		s.wait = min(2*s.wait, settings.MaxProbeWait)
+	} else {
+		s.wait = settings.ProbeWait
+	}
+	s.ejected = true
+	s.ejectedAt = now
+	s.good = 0
+}
+
+func (s *probing) comeBack(now time.Duration) {
+	s.ejected = false
+	s.returned = true
+	s.returnedAt = now
+	s.good = 0
+}
+
+func (s *probing) passed(settings Settings) bool {
+	return s.ejected && s.good >= settings.ProbesToReturn
+}
+
+// onProbation reports whether the server came back only lately. The longer
+// it had to wait, the longer it is on probation.
+func (s *probing) onProbation(now time.Duration, settings Settings) bool {
+	return s.returned && now-s.returnedAt < max(settings.Probation, 2*s.wait)
+}
--- /dev/null
+++ b/health/report.go
@@ -0,0 +1,214 @@
+package health
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Report is what an instance tells the collector of one service about
+// servers that it has reason to doubt. Counts are since the report before.
+type Report struct {
+	Service string
+	// DataCentre of the reporting instance.
+	DataCentre string
+	// Rate is the instance's requests per second to this service.
+	Rate    float64
+	Servers []ServerCount
+	// Elsewhere has the attempts at all servers of the workspaces that
+	// Servers names, so that a workspace's bad requests show as such.
+	Elsewhere []WorkspaceCount
+}
+
+// ServerCount counts attempts at one server.
+type ServerCount struct {
+	Server     string
+	Workspaces []WorkspaceCount
+}
+
+// WorkspaceCount counts one workspace's attempts. Failed and Late have their
+// own numbers of attempts, because a late attempt is counted before its end.
+type WorkspaceCount struct {
+	Workspace    string
+	Attempts     uint32
+	Failed       uint32
+	LateAttempts uint32
+	Late         uint32
+}
+
+const (
+	maxReportServers    = 8
+	maxReportWorkspaces = 4
+	// quietInterval is how often attempts are reported when none was bad.
+	quietInterval = time.Second
+	// rateMemory is the time over which an instance averages its rate.
+	rateMemory = 10 * time.Second
+	// otherWorkspaces takes the workspaces beyond maxReportWorkspaces.
+	otherWorkspaces = ""
+)
+
+// pending is what has been observed since the last report on a service.
+type pending struct {
+	servers map[string]map[string]*WorkspaceCount
+	totals  map[string]*WorkspaceCount
+	bad     bool
+	sentAt  time.Duration
+	// rate is a fading count of attempts.
+	rate   float64
+	rateAt time.Duration
+}
+
+// note adds an observation if its server is in doubt or its workspace named.
+func (p *pending) note(now time.Duration, v *serviceView, ob Observation, failed, late bool, c counted) {
+	if ob.Result != Late {
+		p.rate = p.rate*rateFade(now-p.rateAt) + 1
+		p.rateAt = now
+	}
+	if !c.failed && !c.late {
+		return
+	}
+	bad := failed || late
+	if p.servers == nil {
+		p.servers = map[string]map[string]*WorkspaceCount{}
+		p.totals = map[string]*WorkspaceCount{}
+	}
+	if t := p.totals[ob.Workspace]; t != nil || bad {
+		p.totals[ob.Workspace] = t.plus(ob.Workspace, failed, late, c)
+	}
+	server, doubted := p.servers[ob.Server]
+	if !doubted && !bad && !v.doubts(ob.Server) {
+		return
+	}
+	if !doubted {
+		server = map[string]*WorkspaceCount{}
+		p.servers[ob.Server] = server
+	}
+	name := ob.Workspace
+	if server[name] == nil && (!bad || len(server) >= maxReportWorkspaces) {
+		name = otherWorkspaces
+	}
+	server[name] = server[name].plus(name, failed, late, c)
+	p.bad = p.bad || bad
+}
+
+func (w *WorkspaceCount) plus(name string, failed, late bool, c counted) *WorkspaceCount {
+	if w == nil {
+		w = &WorkspaceCount{Workspace: name}
+	}
+	w.Attempts += uint32(one(c.failed))
+	w.Failed += uint32(one(failed))
+	w.LateAttempts += uint32(one(c.late))
+	w.Late += uint32(one(late))
+	return w
+}
+
+// doubts reports whether evidence against the server is being collected.
+func (v *serviceView) doubts(server string) bool {
+	return v.failed.runs[server] != nil || v.late.runs[server] != nil
+}
+
+// rateFade is what is left of a count of attempts after d.
+func rateFade(d time.Duration) float64 {
+	return math.Exp(-d.Seconds() / rateMemory.Seconds())
+}
+
+// Report returns the reports that are due, one for each service at most.
+// They go to the services' collectors; a report that gets lost is not sent
+// again. Together they stay within ReportBytes a second.
+func (o *Observer) Report(now time.Duration) []Report {
+	o.refill(now)
+	var reports []Report
+	for _, name := range slices.Sorted(maps.Keys(o.services)) {
+		v := o.services[name]
+		if !v.pending.due(now, o.settings.ReportInterval) {
+			continue
+		}
+		r := v.pending.take(now, name, o.settings.DataCentre)
+		v.failed.prune(now)
+		v.late.prune(now)
+		size := float64(r.Size())
+		if size > o.reportBytes {
+			continue
+		}
+		o.reportBytes -= size
+		reports = append(reports, r)
+	}
+	return reports
+}
+
+func (o *Observer) refill(now time.Duration) {
+	if now > o.refilled {
+		o.reportBytes += o.settings.ReportBytes * (now - o.refilled).Seconds()
+		o.reportBytes = min(o.reportBytes, o.settings.ReportBytes)
+		o.refilled = now
+	}
+}
+
+func (p *pending) due(now, interval time.Duration) bool {
+	if len(p.servers) == 0 || now-p.sentAt < interval {
+		return false
+	}
+	return p.bad || now-p.sentAt >= quietInterval
+}
+
+// take empties the pending counts into a report.
+func (p *pending) take(now time.Duration, service, dataCentre string) Report {
+	r := Report{Service: service, DataCentre: dataCentre, Rate: p.rate / rateMemory.Seconds()}
+	named := map[string]bool{}
+	for _, id := range p.worst() {
+		sc := ServerCount{Server: id}
+		for _, w := range slices.Sorted(maps.Keys(p.servers[id])) {
+			sc.Workspaces = append(sc.Workspaces, *p.servers[id][w])
+			named[w] = true
+		}
+		r.Servers = append(r.Servers, sc)
+	}
+	for _, w := range slices.Sorted(maps.Keys(p.totals)) {
+		if named[w] {
+			r.Elsewhere = append(r.Elsewhere, *p.totals[w])
+		}
+	}
+	clear(p.servers)
+	clear(p.totals)
+	p.bad = false
+	p.sentAt = now
+	return r
+}
+
+// worst lists the servers to report, the worst first.
+func (p *pending) worst() []string {
+	bad := func(id string) uint32 {
+		sum := uint32(0)
+		for _, w := range p.servers[id] {
+			sum += w.Failed + w.Late
+		}
+		return sum
+	}
+	ids := slices.Sorted(maps.Keys(p.servers))
+	slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(bad(b), bad(a)) })
+	return ids[:min(len(ids), maxReportServers)]
+}
+
+const (
+	// reportBase and countBytes bound the encoded size of a report's parts
+	// beside its names.
+	reportBase = 24
+	countBytes = 10
+)
+
+// Size bounds the report's size in a compact encoding, in bytes.
+func (r Report) Size() int {
+	n := reportBase + len(r.Service) + len(r.DataCentre)
+	for _, s := range r.Servers {
+		n += len(s.Server) + 2
+		for _, w := range s.Workspaces {
+			n += len(w.Workspace) + countBytes
+		}
+	}
+	for _, w := range r.Elsewhere {
+		n += len(w.Workspace) + countBytes
+	}
+	return n
+}
