Rate shares and idempotency claims: first version of both interfaces

Cause: rate and burst must hold over the whole fleet, and repeats of a non-idempotent request must not run twice. Change: quota (shares of a limit, transfers between instances, assignment of shares) and claim (minted operation keys, claim rows for caller-made keys), as pure decisions with the whole interface in place. Ruled out: concentrating small bursts at one holder by the limit's size. A plan's change would then move parts without a write that is in force.

--- /dev/null
+++ b/claim/claimer.go
@@ -0,0 +1,328 @@
+package claim
+
+import (
+	"strconv"
+	"time"
+
+	"foxtailspoke/platform"
+)
+
+// ClaimerSettings bound what an instance does and remembers for caller-made
+// keys.
+type ClaimerSettings struct {
+	// MaxOpen bounds the claims that are being written or run.
+	MaxOpen int
+	// MaxAnswerBytes bounds an answer that is kept in the row.
+	MaxAnswerBytes int
+	// MaxRemembered bounds the attempts known not to have run, and the ended
+	// operations whose row couldn't be brought up to date.
+	MaxRemembered int
+	// FinishRetry is the first wait before an end is written again; it
+	// doubles with each try.
+	FinishRetry time.Duration
+}
+
+// DefaultClaimerSettings suit rows of a few kilobytes.
+func DefaultClaimerSettings() ClaimerSettings {
+	return ClaimerSettings{
+		MaxOpen:        1000,
+		MaxAnswerBytes: 4 << 10,
+		MaxRemembered:  1000,
+		FinishRetry:    time.Second,
+	}
+}
+
+const (
+	// maxInserts is how often one insertion is sent.
+	maxInserts = 2
+	// maxFinishes is how often the end of one operation is sent.
+	maxFinishes = 6
+)
+
+// ID names a claim among those of one Claimer.
+type ID uint64
+
+// Step is what comes next for a claim: exactly one of Decision, Write and
+// Read, or nothing when the claim is over.
+type Step struct {
+	Decision *Decision
+	// Write is to be sent once; its result goes to Written.
+	Write *platform.Txn
+	// After is how long to wait before Write is sent.
+	After time.Duration
+	// Read's result goes to Answered or Unanswered.
+	Read *platform.ReadRequest
+}
+
+func decided(d Decision) Step { return Step{Decision: &d} }
+
+// Claimer claims caller-made keys in the claims table.
+type Claimer struct {
+	self     string
+	settings ClaimerSettings
+	last     ID
+	attempts uint64
+	open     map[ID]*claim
+	byKey    map[string]*claim
+	// notRun has the attempts of this instance that never ran anything. A
+	// row of such an attempt may be taken over.
+	notRun *recent[string, struct{}]
+	// ended has the outcomes whose row still says "started".
+	ended *recent[string, finished]
+}
+
+// phase is how far a claim has come.
+type phase int
+
+const (
+	inserting phase = iota
+	resolving
+	running
+	finishing
+)
+
+// claim is one caller-made key while this instance works on it.
+type claim struct {
+	id     ID
+	key    string
+	digest Digest
+	phase  phase
+	// cancelled claims aren't run, even if their insertion succeeds.
+	cancelled bool
+	insert    platform.Txn
+	inserts   int
+	// revision of the row that this claim holds.
+	revision platform.Revision
+	finish   platform.Txn
+	finishes int
+	end      finished
+}
+
+type finished struct {
+	digest  Digest
+	outcome Outcome
+	answer  *Answer
+}
+
+// NewClaimer returns a claimer without claims. self is the incarnation id.
+func NewClaimer(self string, s ClaimerSettings) *Claimer {
+	return &Claimer{
+		self:     self,
+		settings: s,
+		open:     map[ID]*claim{},
+		byKey:    map[string]*claim{},
+		notRun:   newRecent[string, struct{}](s.MaxRemembered),
+		ended:    newRecent[string, finished](s.MaxRemembered),
+	}
+}
+
+// Begin starts to claim a key for a request.
+func (c *Claimer) Begin(workspace, key string, d Digest) (ID, Step) {
+	rowKey := RowKey(workspace, key)
+	if other := c.byKey[rowKey]; other != nil {
+		return 0, decided(c.local(other, d))
+	}
+	if f, ok := c.ended.get(rowKey); ok {
+		return 0, decided(f.decision(d))
+	}
+	if len(c.open) >= c.settings.MaxOpen {
+		return 0, decided(Decision{Verdict: Refused, Reason: Full})
+	}
+	c.last++
+	cl := &claim{id: c.last, key: rowKey, digest: d}
+	c.open[cl.id] = cl
+	c.byKey[rowKey] = cl
+	return cl.id, c.sendInsert(cl, 0)
+}
+
+// local decides about a key that this instance is already working on.
+func (c *Claimer) local(cl *claim, d Digest) Decision {
+	if cl.digest != d {
+		return Decision{Verdict: Refused, Reason: OtherRequest}
+	}
+	if cl.phase != finishing || cl.end.outcome == NotRun {
+		return Decision{Verdict: InProgress, By: c.self}
+	}
+	return cl.end.decision(d)
+}
+
+func (f finished) decision(d Digest) Decision {
+	switch {
+	case f.digest != d:
+		return Decision{Verdict: Refused, Reason: OtherRequest}
+	case f.outcome == Ran && f.answer != nil:
+		return Decision{Verdict: Replay, Answer: f.answer}
+	case f.outcome == Ran:
+		return Decision{Verdict: RanAlready}
+	default:
+		return Decision{Verdict: UnknownOutcome, Reason: AttemptLost}
+	}
+}
+
+// sendInsert claims the row, provided that it has the revision: 0 if absent.
+func (c *Claimer) sendInsert(cl *claim, revision platform.Revision) Step {
+	r := Record{Digest: cl.digest.String(), By: c.self, State: StateStarted}
+	cl.insert = c.txn(cl.key, revision, platform.Put{Value: r.encode()})
+	return c.repeatInsert(cl)
+}
+
+// repeatInsert sends the insertion, the second time with the same attempt
+// id: whichever of the two took effect is recognised as this claim's own.
+func (c *Claimer) repeatInsert(cl *claim) Step {
+	cl.phase = inserting
+	cl.inserts++
+	return Step{Write: &cl.insert}
+}
+
+func (c *Claimer) txn(key string, revision platform.Revision, p platform.Put) platform.Txn {
+	p.Table = platform.Claims
+	p.Key = key
+	return platform.Txn{
+		Attempt:    c.attemptID(),
+		Conditions: []platform.Condition{{Table: platform.Claims, Key: key, Revision: revision}},
+		Puts:       []platform.Put{p},
+	}
+}
+
+// attemptID returns a new id. Incarnation ids are unique, so is this.
+func (c *Claimer) attemptID() string {
+	c.attempts++
+	return c.self + "/claim/" + strconv.FormatUint(c.attempts, 10)
+}
+
+// Written takes the result of a Step's Write.
+func (c *Claimer) Written(id ID, r platform.WriteResult) Step {
+	cl := c.open[id]
+	switch {
+	case cl == nil:
+		return Step{}
+	case cl.phase == finishing:
+		return c.finishWritten(cl, r)
+	case cl.phase != inserting:
+		return Step{}
+	}
+	switch r.Outcome {
+	case platform.Committed:
+		return c.claimed(cl, r.Revisions[platform.Claims])
+	case platform.Conflict:
+		return c.found(cl, r.Current)
+	default:
+		// The row may be ours or not. Running now could be the second run.
+		cl.phase = resolving
+		return c.read(cl)
+	}
+}
+
+func (c *Claimer) read(cl *claim) Step {
+	return Step{Read: &platform.ReadRequest{Table: platform.Claims, Prefix: cl.key}}
+}
+
+// Answered takes the result of a Step's Read.
+func (c *Claimer) Answered(id ID, ch platform.Changes) Step {
+	cl := c.open[id]
+	if cl == nil || cl.phase != resolving {
+		return Step{}
+	}
+	return c.found(cl, ch.Rows)
+}
+
+// Unanswered says that a Step's Read failed. The request isn't run. Its
+// insertion may still take effect; the attempt is remembered so that a
+// repeat at this instance can take the row over.
+func (c *Claimer) Unanswered(id ID) Step {
+	cl := c.open[id]
+	if cl == nil || cl.phase != resolving {
+		return Step{}
+	}
+	return c.giveUp(cl)
+}
+
+func (c *Claimer) giveUp(cl *claim) Step {
+	c.notRun.put(cl.insert.Attempt, struct{}{})
+	return c.over(cl, Decision{Verdict: Refused, Reason: StoreAway})
+}
+
+// found goes on with what is in the row.
+func (c *Claimer) found(cl *claim, rows []platform.Row) Step {
+	row, ok := present(rows, cl.key)
+	if !ok {
+		// Absent, but an insertion without answer may still arrive.
+		if cl.inserts >= maxInserts || cl.cancelled {
+			return c.giveUp(cl)
+		}
+		return c.repeatInsert(cl)
+	}
+	if row.Attempt == cl.insert.Attempt {
+		return c.claimed(cl, row.Revision)
+	}
+	if _, free := c.notRun.get(row.Attempt); free {
+		return c.takeOver(cl, row)
+	}
+	// This claim's own insertion lost, or can't take effect any more.
+	c.notRun.put(cl.insert.Attempt, struct{}{})
+	d := judge(row, cl.digest)
+	if d.Verdict == InProgress && d.By == c.self {
+		// A claim of this instance that it has forgotten.
+		d = Decision{Verdict: UnknownOutcome, Reason: AttemptLost}
+	}
+	return c.over(cl, d)
+}
+
+// takeOver replaces the row of an attempt of this instance that never ran.
+func (c *Claimer) takeOver(cl *claim, row platform.Row) Step {
+	r, err := decode(row)
+	switch {
+	case err != nil || r.Digest != cl.digest.String():
+		c.notRun.put(cl.insert.Attempt, struct{}{})
+		return c.over(cl, judge(row, cl.digest))
+	case cl.inserts >= maxInserts || cl.cancelled:
+		return c.giveUp(cl)
+	default:
+		c.notRun.put(cl.insert.Attempt, struct{}{})
+		return c.sendInsert(cl, row.Revision)
+	}
+}
+
+func present(rows []platform.Row, key string) (platform.Row, bool) {
+	for _, row := range rows {
+		if row.Key == key && !row.Deleted {
+			return row, true
+		}
+	}
+	return platform.Row{}, false
+}
+
+// claimed has the row. A cancelled claim gives it back unused.
+func (c *Claimer) claimed(cl *claim, revision platform.Revision) Step {
+	cl.revision = revision
+	cl.phase = running
+	if cl.cancelled {
+		return c.Finish(cl.id, NotRun, nil)
+	}
+	return decided(Decision{Verdict: Run})
+}
+
+// over ends a claim that wasn't run.
+func (c *Claimer) over(cl *claim, d Decision) Step {
+	c.drop(cl)
+	if cl.cancelled {
+		return Step{}
+	}
+	return decided(d)
+}
+
+func (c *Claimer) drop(cl *claim) {
+	delete(c.open, cl.id)
+	delete(c.byKey, cl.key)
+}
+
+// Cancel says that the request isn't wanted any more, because its deadline
+// is over. It has no effect after Run, whose end goes to Finish.
+func (c *Claimer) Cancel(id ID) {
+	if cl := c.open[id]; cl != nil && cl.phase < running {
+		cl.cancelled = true
+	}
+}
+
+// Open returns how many claims are being worked on, for metrics.
+func (c *Claimer) Open() int { return len(c.open) }
--- /dev/null
+++ b/claim/finish.go
@@ -0,0 +1,67 @@
+package claim
+
+import (
+	"time"
+
+	"foxtailspoke/platform"
+)
+
+// Finish reports how the operation ended after Run. The row is released only
+// if the operation was proved not to have run.
+func (c *Claimer) Finish(id ID, o Outcome, a *Answer) Step {
+	cl := c.open[id]
+	if cl == nil || cl.phase != running {
+		return Step{}
+	}
+	cl.phase = finishing
+	cl.end = finished{digest: cl.digest, outcome: o, answer: c.short(a)}
+	if o == NotRun {
+		c.notRun.put(cl.insert.Attempt, struct{}{})
+	}
+	cl.finish = c.txn(cl.key, cl.revision, cl.lastPut(c.self))
+	return c.sendFinish(cl, 0)
+}
+
+// short drops an answer that is too long for the row.
+func (c *Claimer) short(a *Answer) *Answer {
+	if a.size() > c.settings.MaxAnswerBytes {
+		return nil
+	}
+	return a
+}
+
+// lastPut is the write that ends a claim.
+func (cl *claim) lastPut(self string) platform.Put {
+	r := Record{Digest: cl.digest.String(), By: self, State: StateUnknown}
+	switch cl.end.outcome {
+	case NotRun:
+		return platform.Put{Delete: true}
+	case Ran:
+		r.State = StateRan
+		r.Answer = cl.end.answer
+	}
+	return platform.Put{Value: r.encode()}
+}
+
+func (c *Claimer) sendFinish(cl *claim, after time.Duration) Step {
+	cl.finishes++
+	return Step{Write: &cl.finish, After: after}
+}
+
+// finishWritten repeats a write without answer. Its condition is the row's
+// revision, so it can't take effect twice, nor on another claim's row.
+func (c *Claimer) finishWritten(cl *claim, r platform.WriteResult) Step {
+	if r.Outcome != platform.Unknown {
+		c.drop(cl)
+		return Step{}
+	}
+	if cl.finishes < maxFinishes {
+		return c.sendFinish(cl, c.settings.FinishRetry<<(cl.finishes-1))
+	}
+	// The row keeps saying "started". Whoever finds it asks this instance.
+	if cl.end.outcome != NotRun {
+		c.ended.put(cl.key, cl.end)
+	}
+	c.drop(cl)
+	return Step{}
+}
--- /dev/null
+++ b/claim/key.go
@@ -0,0 +1,99 @@
+package claim
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrMalformed reports a text that isn't an operation key.
+var ErrMalformed = errors.New("claim: not an operation key")
+
+// keyVersion starts every operation key.
+const keyVersion = "op1"
+
+const (
+	keyFields   = 6
+	tagLength   = 8
+	macLength   = 16
+	maxKeyBytes = 256
+)
+
+// OperationKey is a parsed operation key. Parsing verifies nothing.
+type OperationKey struct {
+	// Minter is the incarnation id of the instance that made the key.
+	Minter string
+	// Number is unique among the minter's keys.
+	Number uint64
+	// Expires is the time on the minter's clock after which it never runs.
+	Expires time.Duration
+	// tag binds the key to a workspace.
+	tag string
+	mac string
+}
+
+// Parse reads the text form of an operation key, so that any instance can
+// find the minter. Only the minter can tell whether the key is genuine.
+func Parse(text string) (OperationKey, error) {
+	fields := strings.Split(text, ".")
+	if len(text) > maxKeyBytes || len(fields) != keyFields || fields[0] != keyVersion {
+		return OperationKey{}, errors.WithStack(ErrMalformed)
+	}
+	number, errNumber := strconv.ParseUint(fields[2], 36, 64)
+	expires, errExpires := strconv.ParseInt(fields[3], 36, 64)
+	if fields[1] == "" || errNumber != nil || errExpires != nil {
+		return OperationKey{}, errors.WithStack(ErrMalformed)
+	}
+	k := OperationKey{
+		Minter:  fields[1],
+		Number:  number,
+		Expires: time.Duration(expires),
+		tag:     fields[4],
+		mac:     fields[5],
+	}
+	if k.String() != text {
+		return OperationKey{}, errors.WithStack(ErrMalformed)
+	}
+	return k, nil
+}
+
+// IsOperationKey tells operation keys from keys that callers made.
+func IsOperationKey(text string) bool {
+	return strings.HasPrefix(text, keyVersion+".")
+}
+
+// String returns the text form.
+func (k OperationKey) String() string {
+	return k.signed() + "." + k.mac
+}
+
+// signed is the part of the text that the MAC covers.
+func (k OperationKey) signed() string {
+	return strings.Join([]string{
+		keyVersion,
+		k.Minter,
+		strconv.FormatUint(k.Number, 36),
+		strconv.FormatInt(int64(k.Expires), 36),
+		k.tag,
+	}, ".")
+}
+
+// workspaceTag names the workspace in a key without showing its name.
+func workspaceTag(secret []byte, workspace string) string {
+	return sum(secret, "workspace\x00"+workspace, tagLength)
+}
+
+func keyMAC(secret []byte, signed string) string {
+	return sum(secret, "key\x00"+signed, macLength)
+}
+
+func sum(secret []byte, text string, length int) string {
+	h := hmac.New(sha256.New, secret)
+	h.Write([]byte(text))
+	return hex.EncodeToString(h.Sum(nil)[:length])
+}
--- /dev/null
+++ b/quota/doc.go
@@ -0,0 +1,49 @@
+// Package quota counts rate and burst over the whole fleet.
+//
+// A shard of workspaces has a row in the control table that says which
+// instances hold how many of 60 parts of the workspaces' limits. A holder of
+// p parts refills rate·p/60 up to burst·p/60. Tokens move between instances
+// by Ask, Transfer and Accept; parts move by a write of the row (Assign).
+//
+// # What holds
+//
+// Over any time w the fleet admits at most burst + rate·w per bucket. Let S
+// be the sum of all tokens that can still be spent: in the buckets of
+// instances whose grants count, and in transfers that can still be used. It
+// is enough that
+//
+//	(1) S never exceeds burst, and
+//	(2) S rises by at most rate·t in a time t, and falls by what is admitted.
+//
+// For then S stays below the level of one bucket of the whole limit that sees
+// the same admissions.
+//
+// Within one row, (1) and (2) hold because each holder keeps level + given ≤
+// burst·p/60, where given is what it gave and what may still be used
+// elsewhere, and because clocks that may be fast by ε count for less. Given
+// tokens can be used until the asker's clock has counted T from the start of
+// its ask; the giver keeps their place for T·(1+ε)² on its own clock, or
+// until the asker has said that they are settled.
+//
+// Between rows, the former holder of a part acts on it until the new row is
+// in force at time I at the latest (package membership: F·(1+ε) after a
+// majority of the witnesses know it, whether the holder is frozen, cut off or
+// gone). What it gave until then can be used until I + T·(1+ε) in truth. So
+// the new holder starts empty at I + T·(1+ε)² on its clock. A holder that
+// wakes after I may find tokens in its buckets, but can't be fresh before it
+// has the new row, and then loses the share that the lost parts had. It may
+// have missed rows in which the parts were gone and came back; then the entry
+// has another Since, and starts empty.
+//
+// While a plan's change spreads, some instances count by the old limit and
+// some by the new one, so the bound is the larger of both until T after the
+// change is in force.
+//
+// # Small bursts
+//
+// Where burst·p/60 is less than a token, an instance puts a token together
+// from the shares of all holders (Give hands out fractions). That keeps to
+// the same inequality without a second rule about who holds what, but costs a
+// message per holder, and fails while a holder whose share is needed is
+// away. HolderCount therefore gives few holders to shards of small bursts.
+package quota
--- /dev/null
+++ b/quota/holder.go
@@ -0,0 +1,233 @@
+package quota
+
+import (
+	"slices"
+	"time"
+
+	"foxtailspoke/config"
+)
+
+// Decision is what one instance can say about a request's tokens.
+type Decision struct {
+	Admitted bool
+	// Missing is what lacks here. Other holders may have it.
+	Missing Amount
+	// RetryAfter is when the tokens will be there if nobody else uses them;
+	// 0 if they never will be.
+	RetryAfter time.Duration
+}
+
+// Holder has one instance's tokens: its own buckets of the shards that it
+// holds parts of, and what other holders gave it.
+//
+// Take and Give must only be called while the instance's configuration is
+// fresh (package membership), and with the limits of that configuration.
+type Holder struct {
+	self     string
+	settings Settings
+	shards   map[string]*shard
+	// shardCount is given to ShardOf.
+	shardCount int
+
+	// asks are ordered by id.
+	asks    []*ask
+	lastAsk uint64
+	// short has the time until which a holder has nothing to give.
+	short map[Bucket]map[string]time.Duration
+}
+
+// shard is what this instance holds of one shard.
+type shard struct {
+	grants  []grant
+	buckets map[Bucket]*bucket
+	// lost is the latest use of a bucket that was forgotten. An unknown
+	// bucket may be one of these and counts as empty at that time.
+	lost time.Duration
+	// forgot tells that lost is set.
+	forgot bool
+}
+
+// NewHolder returns the tokens of an instance that holds nothing yet. The
+// number of shards must be the same on all instances.
+func NewHolder(self string, shards int, s Settings) *Holder {
+	return &Holder{
+		self:       self,
+		settings:   s,
+		shards:     map[string]*shard{},
+		shardCount: shards,
+		short:      map[Bucket]map[string]time.Duration{},
+	}
+}
+
+// SetGrants replaces the entries of a shard's row that this instance may
+// use. To be called whenever the instance learns another row, at once, and
+// when an entry's write has come in force.
+//
+// A new entry starts empty, and only after the time in which tokens that
+// the former holders gave may still be used. Fewer parts take their share
+// of the tokens along.
+func (h *Holder) SetGrants(now time.Duration, name string, grants []Grant) {
+	s := h.shards[name]
+	if s == nil {
+		if len(grants) == 0 {
+			return
+		}
+		s = &shard{buckets: map[Bucket]*bucket{}}
+		h.shards[name] = s
+	}
+	next := s.merge(grants, now+h.settings.settleTime())
+	s.replace(now, next, h.settings.Drift)
+	if len(grants) == 0 {
+		delete(h.shards, name)
+	}
+}
+
+// merge returns the new grants; those known before keep their times and
+// never gain parts.
+func (s *shard) merge(grants []Grant, from time.Duration) []grant {
+	var next []grant
+	for _, g := range grants {
+		i := slices.IndexFunc(s.grants, func(old grant) bool { return old.Since == g.Since })
+		if i < 0 {
+			next = append(next, grant{Grant: g, from: from})
+			continue
+		}
+		known := s.grants[i]
+		known.Parts = min(known.Parts, g.Parts)
+		next = append(next, known)
+	}
+	return next
+}
+
+// replace puts new grants in place and takes the share of lost parts out of
+// every bucket.
+func (s *shard) replace(now time.Duration, next []grant, drift float64) {
+	before := active(s.grants, now)
+	after := active(next, now)
+	for _, b := range s.buckets {
+		b.advance(now, s.grants, drift)
+		if after < before {
+			b.level = b.level / Amount(before) * Amount(after)
+		}
+		b.clamp(now, after)
+	}
+	s.grants = next
+}
+
+// Take takes n tokens for a request if this instance has them: first those
+// that other holders gave, which run out soon, then its own.
+func (h *Holder) Take(now time.Duration, b Bucket, l config.Limit, n Amount) Decision {
+	h.expire(now)
+	received := h.received(b)
+	own, parts := h.bucket(now, b, l)
+	has := received
+	if own != nil {
+		has += own.level
+	}
+	if has < n {
+		return h.refuse(l, parts, n, n-has)
+	}
+	rest := n - h.spend(b, min(n, received))
+	if own != nil {
+		own.level -= rest
+		own.used = now
+	}
+	return Decision{Admitted: true}
+}
+
+// refuse estimates when the missing tokens will be there. A holder whose own
+// share can never store as much has to wait for the others as well.
+func (h *Holder) refuse(l config.Limit, parts int, n, missing Amount) Decision {
+	d := Decision{Missing: missing}
+	switch {
+	case Tokens(l.Burst) < n:
+		return d
+	case capacity(l, parts) < n:
+		parts = config.PartsPerShard
+	}
+	d.RetryAfter = fillTime(l, parts, missing, h.settings.Drift)
+	return d
+}
+
+// bucket returns the own share of a bucket at a time with the parts that
+// count, or nil if there is none.
+func (h *Holder) bucket(now time.Duration, b Bucket, l config.Limit) (*bucket, int) {
+	s := h.shards[ShardOf(b.Workspace, h.shardCount)]
+	if s == nil {
+		return nil, 0
+	}
+	parts := active(s.grants, now)
+	if parts == 0 {
+		return nil, 0
+	}
+	own := s.buckets[b]
+	if own == nil {
+		own = s.create(l)
+		s.buckets[b] = own
+	}
+	own.advance(now, s.grants, h.settings.Drift)
+	own.setLimit(l, now, parts)
+	return own, parts
+}
+
+// create returns a bucket that was empty when the first grant began to
+// count, or when it may last have been used before it was forgotten.
+func (s *shard) create(l config.Limit) *bucket {
+	start := s.grants[0].from
+	for _, g := range s.grants {
+		start = min(start, g.from)
+	}
+	if s.forgot {
+		start = max(start, s.lost)
+	}
+	return &bucket{limit: l, at: start, used: start}
+}
+
+// Forget drops the buckets that would be full by now even if their last use
+// had emptied them, to be called about once a minute. It bounds the memory
+// by the buckets in use.
+func (h *Holder) Forget(now time.Duration) {
+	h.expire(now)
+	for _, s := range h.shards {
+		s.forget(now, h.settings)
+	}
+	for b, until := range h.short {
+		dropPast(until, now)
+		if len(until) == 0 {
+			delete(h.short, b)
+		}
+	}
+}
+
+func (s *shard) forget(now time.Duration, settings Settings) {
+	parts := active(s.grants, now)
+	for key, b := range s.buckets {
+		b.advance(now, s.grants, settings.Drift)
+		idle := now - b.used
+		full := refill(b.limit, parts, idle, settings.Drift) >= capacity(b.limit, parts)
+		if idle < settings.IdleTime || !full || len(b.gifts) > 0 {
+			continue
+		}
+		if !s.forgot || b.used > s.lost {
+			s.lost, s.forgot = b.used, true
+		}
+		delete(s.buckets, key)
+	}
+}
+
+// Buckets returns how many buckets are kept, for metrics.
+func (h *Holder) Buckets() int {
+	n := 0
+	for _, s := range h.shards {
+		n += len(s.buckets)
+	}
+	return n
+}
+
+func dropPast(until map[string]time.Duration, now time.Duration) {
+	for id, t := range until {
+		if t <= now {
+			delete(until, id)
+		}
+	}
+}
--- /dev/null
+++ b/quota/holder_test.go
@@ -0,0 +1,34 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/config"
+)
+
+// A burst lands on one instance. It has half of the parts; the other half
+// comes from the other holder, and not a token more.
+func TestBurstOnOneInstance(t *testing.T) {
+	b := Bucket{Workspace: "w", Service: "s"}
+	l := config.Limit{Rate: 1, Burst: 10}
+	x, y := NewHolder("x", 1, DefaultSettings()), NewHolder("y", 1, DefaultSettings())
+	x.SetGrants(0, "0", []Grant{{Since: 1, Parts: 30}})
+	y.SetGrants(0, "0", []Grant{{Since: 1, Parts: 30}})
+	now := 20 * time.Second
+	admitted := 0
+	for range 20 {
+		d := x.Take(now, b, l, Token)
+		if !d.Admitted {
+			a := x.Ask(now, "y", b, l, d.Missing)
+			x.Accept(now, l, y.Give(now, l, a))
+			d = x.Take(now, b, l, Token)
+		}
+		if d.Admitted {
+			admitted++
+		}
+	}
+	must.Eq(t, 10, admitted)
+}
--- /dev/null
+++ b/quota/shard.go
@@ -0,0 +1,106 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"foxtailspoke/config"
+)
+
+// ShardOf returns the name of the shard that a workspace belongs to, out of
+// a number of shards that is the same on every instance.
+func ShardOf(workspace string, shards int) string {
+	return strconv.FormatUint(xxhash.Sum64String(workspace)%uint64(max(shards, 1)), 10)
+}
+
+// Grant is an entry of a shard's row that names this instance, once its
+// write is in force. An entry is identified by its Since. Its parts only ever
+// go down: more parts come as another entry with another Since. So whoever
+// finds an entry that it knew before, after any number of rows that it
+// missed, has held at least these parts all the time.
+type Grant struct {
+	Since uint64
+	Parts int
+}
+
+// Grants returns the entries of a row that name the instance and are in
+// force. inForce tells whether the write made at table revision since is
+// known to be in force everywhere (package membership). A row whose parts
+// don't add up grants nothing.
+func Grants(row config.Shard, instance string, inForce func(since uint64) bool) []Grant {
+	if !valid(row) {
+		return nil
+	}
+	var grants []Grant
+	for _, e := range row.Holders {
+		if e.Instance == instance && inForce(e.Since) {
+			grants = append(grants, Grant{Since: e.Since, Parts: e.Parts})
+		}
+	}
+	return grants
+}
+
+// Pending returns the Since of the instance's entries in a row, whether in
+// force or not, ascending.
+func Pending(row config.Shard, instance string) []uint64 {
+	var since []uint64
+	for _, e := range row.Holders {
+		if e.Instance == instance {
+			since = append(since, e.Since)
+		}
+	}
+	slices.Sort(since)
+	return since
+}
+
+// Parts returns the parts per instance of a row.
+func Parts(row config.Shard) map[string]int {
+	parts := make(map[string]int, len(row.Holders))
+	for _, e := range row.Holders {
+		parts[e.Instance] += e.Parts
+	}
+	return parts
+}
+
+// AskOrder returns the holders of a row other than the asker, in the order
+// in which to ask them for tokens: most parts first. Askers with the same
+// choice spread over the holders by their ids.
+func AskOrder(row config.Shard, self string) []string {
+	parts := Parts(row)
+	delete(parts, self)
+	order := make([]string, 0, len(parts))
+	for id, p := range parts {
+		if p > 0 {
+			order = append(order, id)
+		}
+	}
+	slices.SortFunc(order, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(parts[b], parts[a]),
+			cmp.Compare(pairHash(self, a), pairHash(self, b)),
+			cmp.Compare(a, b),
+		)
+	})
+	return order
+}
+
+// valid tells whether a row's parts are positive and add up to at most all.
+func valid(row config.Shard) bool {
+	total := 0
+	for _, e := range row.Holders {
+		if e.Parts <= 0 || e.Parts > config.PartsPerShard {
+			return false
+		}
+		total += e.Parts
+	}
+	return total <= config.PartsPerShard
+}
+
+// pairHash orders the candidates b for a differently for every a
+// (rendezvous hashing).
+func pairHash(a, b string) uint64 {
+	return xxhash.Sum64String(a + "\x00" + b)
+}
