Compose one instance's decisions into a node

Cause: the parts are useful only when one state machine drives them all. Change: node.Step(now, event) gives effects; admission, tokens, operations, attempts, shards, permits, locate. Not driven by a process yet. Ruled out: iterating over a map of attempts to cancel them; the order of the effects would differ from run to run, and a recorded trace couldn't be replayed.

--- /dev/null
+++ b/node/attempts.go
@@ -0,0 +1,268 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"foxtailspoke/balance"
+	"foxtailspoke/claim"
+	"foxtailspoke/decision"
+	"foxtailspoke/health"
+	"foxtailspoke/membership"
+	"foxtailspoke/platform"
+	"foxtailspoke/retry"
+)
+
+// attempt is one sending of a request.
+type attempt struct {
+	id      string
+	request *request
+	server  platform.Instance
+	started time.Duration
+	// forwarded attempts go to the entry instance that minted the key.
+	forwarded bool
+	// late says that the attempt was reported as late.
+	late bool
+	// streaming says that its answer is on its way to the caller.
+	streaming bool
+}
+
+// begin sends the request for the first time.
+func (n *Node) begin(r *request) {
+	n.budget(r.service.Name).Request()
+	if n.now >= r.deadline {
+		n.refuse(r, decision.RuleDeadline, 0)
+		return
+	}
+	if !n.send(r) {
+		n.refuse(r, decision.RuleNoServer, 0)
+	}
+}
+
+// send starts an attempt at a backend server that wasn't tried yet.
+func (n *Node) send(r *request) bool {
+	servers := n.servers(r)
+	o := balance.Options{Exclude: r.tried, Careful: !r.idempotent}
+	id, ok := n.picker.Pick(n.now, r.service.Name, servers, o)
+	if !ok {
+		return false
+	}
+	server, _ := n.member.Live().Instance(id)
+	a := n.newAttempt(r, server)
+	r.tried = append(r.tried, id)
+	r.server = id
+	n.picker.Started(r.service.Name, id)
+	n.timers.add(n.now+n.observer.LateAfter(r.service.Name), a.id)
+	n.emit(StartAttempt{
+		Request:   r.arrived.Request,
+		Attempt:   a.id,
+		Server:    server,
+		Workspace: r.workspace.Name,
+		Operation: r.arrived.Operation,
+		Timeout:   r.deadline - n.now,
+	})
+	return true
+}
+
+func (n *Node) newAttempt(r *request, server platform.Instance) *attempt {
+	n.lastAttempt++
+	a := &attempt{
+		id:      n.settings.Self.ID + "." + itoa(n.lastAttempt),
+		request: r,
+		server:  server,
+		started: n.now,
+	}
+	n.attempts[a.id] = a
+	r.running = append(r.running, a)
+	return a
+}
+
+// attemptEnded decides what follows an attempt.
+func (n *Node) attemptEnded(e AttemptEnded) {
+	a, ok := n.attempts[e.Attempt]
+	if !ok {
+		return
+	}
+	if a.forwarded {
+		n.forwardEnded(a, e)
+		return
+	}
+	n.observe(a, e)
+	if e.Streaming && !a.request.answered {
+		a.streaming = true
+		n.deliver(a, e)
+		return
+	}
+	n.forget(a)
+	r := a.request
+	if !e.Result.ProvedNotRun() {
+		r.mayHaveRun = true
+	}
+	if r.answered {
+		return
+	}
+	n.follow(a, e)
+}
+
+// follow carries out what package retry says.
+func (n *Node) follow(a *attempt, e AttemptEnded) {
+	r := a.request
+	r.figures.Detail = e.Detail
+	d := retry.Decide(n.now, n.retryState(r, e), n.budget(r.service.Name))
+	switch d.Action {
+	case retry.Deliver:
+		n.deliver(a, e)
+	case retry.Wait:
+	case retry.Retry:
+		if !n.send(r) {
+			n.giveUp(r, e, retry.Decision{Outcome: outcomeAfter(r)})
+		}
+	default:
+		n.giveUp(r, e, d)
+	}
+}
+
+func (n *Node) retryState(r *request, e AttemptEnded) retry.Attempt {
+	others, room := n.others(r)
+	if !e.Replayable {
+		others = 0
+	}
+	return retry.Attempt{
+		Result:     e.Result,
+		Idempotent: r.idempotent,
+		Number:     len(r.tried),
+		MayHaveRun: r.mayHaveRun,
+		Running:    len(r.running),
+		Deadline:   r.deadline,
+		Others:     others,
+		Room:       room,
+	}
+}
+
+func outcomeAfter(r *request) retry.Outcome {
+	if r.mayHaveRun {
+		return retry.Unknown
+	}
+	return retry.NotRun
+}
+
+// giveUp answers the caller at once, with when to come back.
+func (n *Node) giveUp(r *request, e AttemptEnded, d retry.Decision) {
+	rule := decision.RuleNoServer
+	switch {
+	case d.Outcome == retry.Unknown && r.idempotent:
+		rule = decision.RuleAttemptsFailed
+	case d.Outcome == retry.Unknown:
+		rule = decision.RuleUnknownOutcome
+	case e.Result == health.Shed:
+		rule = decision.RuleShed
+	}
+	r.figures.Servers = len(n.member.Live().Servers(r.service.Name))
+	r.figures.Usable, _ = n.others(r)
+	n.refuse(r, rule, max(d.RetryAfter, e.RetryAfter))
+}
+
+// deliver passes an attempt's answer on and gives up the others.
+func (n *Node) deliver(a *attempt, e AttemptEnded) {
+	r := a.request
+	r.answered = true
+	r.server = a.server.ID
+	n.cancelOthers(r, a)
+	if !r.gone {
+		n.emit(Relay{Request: r.arrived.Request, Attempt: a.id})
+	}
+	if !a.streaming {
+		n.served(r, e.Answer)
+	}
+}
+
+// cancelOthers gives up all attempts of a request but one.
+func (n *Node) cancelOthers(r *request, but *attempt) {
+	for _, a := range r.running {
+		if a != but {
+			n.emit(CancelAttempt{Attempt: a.id})
+		}
+	}
+}
+
+func (n *Node) served(r *request, answer *claim.Answer) {
+	delete(n.requests, r.arrived.Request)
+	n.endOperation(r, claim.Ran, answer)
+	n.emit(Recorded{Record: n.record(r, decision.RuleServed)})
+}
+
+// streamEnded takes the end of an answer that was passed on as it came.
+func (n *Node) streamEnded(e StreamEnded) {
+	a, ok := n.attempts[e.Attempt]
+	if !ok || !a.streaming {
+		return
+	}
+	n.forget(a)
+	r := a.request
+	if e.Whole {
+		n.served(r, nil)
+		return
+	}
+	delete(n.requests, r.arrived.Request)
+	n.endOperation(r, claim.Unknown, nil)
+	rule := decision.RuleAnswerCut
+	if r.gone {
+		rule = decision.RuleCallerGone
+	}
+	if rule == decision.RuleAnswerCut {
+		n.observer.Observe(n.now, n.observation(a, health.Incomplete, n.now-a.started))
+	}
+	n.emit(Recorded{Record: n.record(r, rule)})
+}
+
+// late takes note that an attempt has no answer for longer than nearly all
+// others, and may send a second one beside it.
+func (n *Node) late(a *attempt) {
+	if a.streaming || a.forwarded {
+		return
+	}
+	a.late = true
+	n.observer.Observe(n.now, n.observation(a, health.Late, n.now-a.started))
+	r := a.request
+	if r.answered || r.gone || !r.idempotent || n.member.Confirmed(n.now).State == membership.CutOff {
+		return
+	}
+	state := n.retryState(r, AttemptEnded{Result: health.Late, Replayable: true})
+	if retry.DecideHedge(n.now, state, n.budget(r.service.Name)).Action == retry.Hedge {
+		n.send(r)
+	}
+}
+
+// forget drops an attempt that has ended.
+func (n *Node) forget(a *attempt) {
+	delete(n.attempts, a.id)
+	r := a.request
+	r.running = slices.DeleteFunc(r.running, func(other *attempt) bool { return other == a })
+	if !a.forwarded {
+		n.picker.Ended(r.service.Name, a.server.ID)
+	}
+}
+
+func (n *Node) observe(a *attempt, e AttemptEnded) {
+	n.observer.Observe(n.now, n.observation(a, e.Result, e.Latency))
+}
+
+func (n *Node) observation(a *attempt, result health.Result, latency time.Duration) health.Observation {
+	return health.Observation{
+		Service:   a.request.service.Name,
+		Server:    a.server.ID,
+		Workspace: a.request.workspace.Name,
+		Result:    result,
+		Latency:   latency,
+		WasLate:   a.late,
+	}
+}
+
+func (n *Node) budget(service string) *retry.Budget {
+	b, ok := n.budgets[service]
+	if !ok {
+		b = retry.NewBudget(n.settings.Retry, n.rng)
+		n.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/node/effect.go
@@ -0,0 +1,82 @@
+package node
+
+import "foxtailspoke/effect"
+
+// Effect is what a step asks the driver to do: Relay, Refuse, Repeat,
+// StartAttempt, CancelAttempt, StartProbe, ReplyCall, Located, Recorded,
+// Noted, or one of package effect with ids that are unique in the node.
+type Effect any
+
+// owner is the part of the node that an effect's answer belongs to.
+type owner int
+
+const (
+	ownerMember owner = iota
+	ownerShard
+	ownerPermits
+	ownerTokens
+	ownerReport
+	ownerClaim
+)
+
+// pending is an effect whose answer is awaited.
+type pending struct {
+	owner owner
+	// id is the effect's id within the owner.
+	id uint64
+	// subject is a shard, a service or a request, by owner.
+	subject string
+}
+
+// own gives an effect of a part its id in the node.
+func (n *Node) own(p pending, e effect.Effect) Effect {
+	n.lastEffect++
+	id := n.lastEffect
+	n.pending[id] = p
+	switch e := e.(type) {
+	case effect.Call:
+		e.ID = id
+		return e
+	case effect.ReadTable:
+		e.ID = id
+		return e
+	case effect.WriteTable:
+		e.ID = id
+		return e
+	case effect.ReadInstances:
+		e.ID = id
+		return e
+	}
+	panic("node: effect of unknown type")
+}
+
+// take removes and returns what an answer belongs to.
+func (n *Node) take(id uint64) (pending, bool) {
+	p, ok := n.pending[id]
+	delete(n.pending, id)
+	return p, ok
+}
+
+// memberEffects passes the membership's effects on.
+func (n *Node) memberEffects(effects []effect.Effect) {
+	for _, e := range effects {
+		p := pending{owner: ownerMember}
+		switch e := e.(type) {
+		case effect.Call:
+			p.id = e.ID
+			e.Request = memberRequest(e.Request)
+			n.emit(n.own(p, e))
+		case effect.ReadTable:
+			p.id = e.ID
+			n.emit(n.own(p, e))
+		case effect.WriteTable:
+			p.id = e.ID
+			n.emit(n.own(p, e))
+		case effect.ReadInstances:
+			p.id = e.ID
+			n.emit(n.own(p, e))
+		}
+	}
+}
+
+func (n *Node) emit(e Effect) { n.effects = append(n.effects, e) }
--- /dev/null
+++ b/node/locate.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"slices"
+
+	"foxtailspoke/decision"
+	"foxtailspoke/membership"
+	"foxtailspoke/quota"
+)
+
+// locate answers which addresses a caller should use.
+func (n *Node) locate(e LocateAsked) {
+	r := &request{arrived: RequestArrived{Request: e.Request, At: e.At}, at: n.now}
+	rule, workspace := n.identify(e.Key, e.HasKey, &r.figures)
+	if rule != "" {
+		n.refuse(r, rule, 0)
+		return
+	}
+	located := Located{
+		Request:   e.Request,
+		Addresses: n.addresses(workspace.Name, true),
+		TTL:       n.settings.LocateTTL,
+	}
+	for range e.Operations {
+		located.Operations = append(located.Operations, n.minter.Mint(n.now, workspace.Name))
+	}
+	n.emit(located)
+}
+
+// addresses names the instances for a workspace, best first: those that hold
+// parts of its limits, then others by rendezvous hash. A workspace that
+// floods therefore meets few instances, and always the same.
+func (n *Node) addresses(workspace string, self bool) []string {
+	shard := quota.ShardOf(workspace, n.settings.Shards)
+	ids := n.holders(shard)
+	for _, id := range n.member.Live().HolderCandidates("locate/"+workspace, n.settings.LocateAddresses) {
+		if !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	var addresses []string
+	for _, id := range ids {
+		own := id == n.settings.Self.ID
+		if own && (!self || n.leaving) {
+			continue
+		}
+		if i, ok := n.member.Live().Instance(id); ok {
+			addresses = append(addresses, i.Address)
+		}
+	}
+	return addresses[:min(len(addresses), n.settings.LocateAddresses)]
+}
+
+// holders returns the live holders of a shard, most parts first.
+func (n *Node) holders(shard string) []string {
+	var live []string
+	for _, e := range n.member.Live().Entries() {
+		live = append(live, e.ID)
+	}
+	ids := quota.AskOrder(n.replica.Shard(shard), "")
+	return slices.DeleteFunc(ids, func(id string) bool { return !slices.Contains(live, id) })
+}
+
+// Serving says whether the instance accepts requests; if not, by which rule
+// it refuses them.
+func (n *Node) Serving() (decision.Rule, bool) {
+	switch {
+	case n.member.Confirmed(n.now).State == membership.CutOff:
+		return decision.RuleCutOff, false
+	case n.leaving:
+		return decision.RuleInstanceLeaving, false
+	}
+	return "", true
+}
--- /dev/null
+++ b/node/message.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"encoding/gob"
+
+	"foxtailspoke/health"
+	"foxtailspoke/membership"
+	"foxtailspoke/quota"
+)
+
+// PeerRequest is a call from one entry instance to another; one field is set.
+type PeerRequest struct {
+	Member *membership.Request
+	Ask    *quota.Ask
+	Report *health.Report
+}
+
+// PeerReply answers a PeerRequest; the same field is set.
+type PeerReply struct {
+	Member   *membership.Reply
+	Transfer *quota.Transfer
+	Advice   *Advice
+}
+
+// Advice is a collector's answer to a report.
+type Advice struct {
+	Service  string
+	Suspects []health.Suspect
+}
+
+func init() {
+	gob.Register(PeerRequest{})
+	gob.Register(PeerReply{})
+}
+
+func memberRequest(r any) PeerRequest {
+	request, ok := r.(membership.Request)
+	if !ok {
+		panic("node: membership call without a request")
+	}
+	return PeerRequest{Member: &request}
+}
+
+func (n *Node) called(e Called) {
+	reply, ok := n.answerCall(e)
+	n.emit(ReplyCall{Token: e.Token, Reply: reply, OK: ok})
+}
+
+func (n *Node) answerCall(e Called) (PeerReply, bool) {
+	switch {
+	case e.Request.Member != nil:
+		reply := n.member.Handle(n.now, e.From, *e.Request.Member)
+		n.noticeRevision()
+		return PeerReply{Member: &reply}, true
+	case e.Request.Ask != nil:
+		transfer, ok := n.give(*e.Request.Ask)
+		return PeerReply{Transfer: &transfer}, ok
+	case e.Request.Report != nil:
+		suspects := n.collector.Accept(n.now, e.From, *e.Request.Report)
+		return PeerReply{Advice: &Advice{Service: e.Request.Report.Service, Suspects: suspects}}, true
+	}
+	return PeerReply{}, false
+}
+
+func (n *Node) callEnded(e CallEnded) {
+	p, ok := n.take(e.ID)
+	if !ok {
+		return
+	}
+	switch p.owner {
+	case ownerMember:
+		reply := membership.Reply{}
+		answered := e.OK && e.Reply.Member != nil
+		if answered {
+			reply = *e.Reply.Member
+		}
+		n.memberEffects(n.member.CallDone(n.now, p.id, reply, answered))
+		n.noticeRevision()
+	case ownerTokens:
+		n.asked(p.subject, p.id, e.Reply.Transfer, e.OK)
+	case ownerReport:
+		if e.OK && e.Reply.Advice != nil {
+			n.observer.Advise(n.now, e.Reply.Advice.Service, e.Reply.Advice.Suspects)
+		}
+	default:
+		panic("node: call of a part that makes none")
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,228 @@
+package node
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"foxtailspoke/balance"
+	"foxtailspoke/claim"
+	"foxtailspoke/config"
+	"foxtailspoke/health"
+	"foxtailspoke/membership"
+	"foxtailspoke/platform"
+	"foxtailspoke/quota"
+	"foxtailspoke/retry"
+)
+
+// Node is one entry instance's decisions. It isn't safe for use by several
+// goroutines at once.
+type Node struct {
+	settings Settings
+	rng      *rand.Rand
+
+	replica   *config.Replica
+	member    *membership.Member
+	holder    *quota.Holder
+	minter    *claim.Minter
+	observer  *health.Observer
+	collector *health.Collector
+	picker    *balance.Picker
+	budgets   map[string]*retry.Budget
+
+	// now is the time of the step in progress.
+	now     time.Duration
+	effects []Effect
+
+	lastEffect  uint64
+	pending     map[uint64]pending
+	lastAttempt uint64
+	lastTxn     uint64
+
+	requests map[string]*request
+	attempts map[string]*attempt
+	timers   timers
+
+	shards     shards
+	seen       platform.Revision
+	seenList   uint64
+	state      membership.State
+	housekeep  time.Duration
+	forgetAt   time.Duration
+	leaving    bool
+	permitting map[string]bool
+	ejected    map[string]map[string]bool
+	refused    refusals
+}
+
+// New returns the node of an instance that has just started and knows
+// nothing. Its first step makes it read the platform.
+func New(s Settings) *Node {
+	s.Membership.Self = s.Self.ID
+	s.Membership.DataCentre = s.Self.DataCentre
+	s.Health.DataCentre = s.Self.DataCentre
+	rng := rand.New(rand.NewPCG(s.Seed, s.Seed^0x9e3779b97f4a7c15))
+	replica := config.NewReplica()
+	return &Node{
+		settings:   s,
+		rng:        rng,
+		replica:    replica,
+		member:     membership.New(s.Membership, replica, rng),
+		holder:     quota.NewHolder(s.Self.ID, s.Shards, s.Quota),
+		minter:     claim.NewMinter(s.Self.ID, s.Secret, s.Claim),
+		observer:   health.NewObserver(s.Health, rng),
+		collector:  health.NewCollector(s.Health),
+		picker:     balance.NewPicker(s.Balance, rng),
+		budgets:    map[string]*retry.Budget{},
+		pending:    map[uint64]pending{},
+		requests:   map[string]*request{},
+		attempts:   map[string]*attempt{},
+		shards:     newShards(s.Shards),
+		permitting: map[string]bool{},
+		ejected:    map[string]map[string]bool{},
+		refused:    refusals{},
+	}
+}
+
+// Step takes one event at a time on the instance's monotonic clock, which
+// never goes back, and returns what to do. The slice is valid until the next
+// call.
+func (n *Node) Step(now time.Duration, e Event) []Effect {
+	n.now = max(n.now, now)
+	n.effects = n.effects[:0]
+	n.handle(e)
+	n.noticeState()
+	return n.effects
+}
+
+func (n *Node) handle(e Event) {
+	switch e := e.(type) {
+	case Wake:
+		n.wake()
+	case RequestArrived:
+		n.arrive(e)
+	case RequestGone:
+		n.gone(e.Request)
+	case AttemptEnded:
+		n.attemptEnded(e)
+	case StreamEnded:
+		n.streamEnded(e)
+	case LocateAsked:
+		n.locate(e)
+	case CallEnded:
+		n.callEnded(e)
+	case Called:
+		n.called(e)
+	case TableRead:
+		n.tableRead(e)
+	case TableWritten:
+		n.tableWritten(e)
+	case InstancesRead:
+		n.instancesRead(e)
+	case ProbeEnded:
+		n.collector.ProbeDone(n.now, e.Probe, e.Result, e.Latency)
+	case LeaveRequested:
+		n.leave()
+	}
+}
+
+// NextWake returns the time at which Step with Wake has something to do. Ask
+// again after every step.
+func (n *Node) NextWake() time.Duration {
+	next := min(n.member.NextWake(), n.housekeep, n.shards.next)
+	if at, ok := n.timers.first(); ok {
+		next = min(next, at)
+	}
+	return next
+}
+
+func (n *Node) wake() {
+	n.memberEffects(n.member.Tick(n.now))
+	n.noticeRevision()
+	n.runTimers()
+	n.settleShards()
+	if n.now >= n.housekeep {
+		n.housekeep = n.now + n.settings.HousekeepEvery
+		n.keepHouse()
+	}
+}
+
+func (n *Node) keepHouse() {
+	n.reportHealth()
+	n.collect()
+	n.planShards()
+	if n.now >= n.forgetAt {
+		n.forgetAt = n.now + time.Minute
+		n.holder.Forget(n.now)
+	}
+}
+
+func (n *Node) tableRead(e TableRead) {
+	p, ok := n.take(e.ID)
+	if !ok {
+		return
+	}
+	if p.owner == ownerMember {
+		n.memberEffects(n.member.ReadDone(n.now, p.id, e.Changes, e.OK))
+		n.noticeRevision()
+	}
+}
+
+func (n *Node) tableWritten(e TableWritten) {
+	p, ok := n.take(e.ID)
+	if !ok {
+		return
+	}
+	switch p.owner {
+	case ownerMember:
+		n.memberEffects(n.member.WriteDone(n.now, p.id, e.Result))
+	case ownerShard:
+		n.shardWritten(p.subject, e.Result)
+	case ownerPermits:
+		delete(n.permitting, p.subject)
+	}
+}
+
+func (n *Node) instancesRead(e InstancesRead) {
+	p, ok := n.take(e.ID)
+	if !ok {
+		return
+	}
+	n.memberEffects(n.member.InstancesDone(n.now, p.id, e.Changes, e.OK))
+	n.noticeRevision()
+}
+
+// noticeRevision follows the replica and the instance list after anything
+// that may have changed them.
+func (n *Node) noticeRevision() {
+	if list := n.member.Live().Version(); list != n.seenList {
+		n.seenList = list
+		n.rankShards()
+		n.collector.SetFleet(len(n.member.Live().Entries()), len(n.member.Live().DataCentres()))
+	}
+	if n.replica.Revision() == n.seen {
+		return
+	}
+	n.seen = n.replica.Revision()
+	n.refreshShards()
+	n.noticePermits()
+}
+
+func (n *Node) noticeState() {
+	state := n.member.Confirmed(n.now).State
+	if state == n.state {
+		return
+	}
+	n.state = state
+	n.emit(Noted{Note: NoteConfirmation, Subject: state.String()})
+}
+
+// leave begins a planned stop. The instance goes on serving the callers that
+// know its address; it is no longer named to others, and its parts of the
+// shards move to instances that stay.
+func (n *Node) leave() {
+	if n.leaving {
+		return
+	}
+	n.leaving = true
+	n.memberEffects(n.member.Leave(n.now))
+}
--- /dev/null
+++ b/node/operations.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"foxtailspoke/claim"
+	"foxtailspoke/decision"
+	"foxtailspoke/health"
+	"foxtailspoke/platform"
+)
+
+// operation is a non-idempotent request that this instance runs under an
+// idempotency key.
+type operation struct {
+	key claim.OperationKey
+}
+
+// beginOperation decides whether a request with an idempotency key runs here.
+func (n *Node) beginOperation(r *request) {
+	if !claim.IsOperationKey(r.arrived.Operation) {
+		n.refuse(r, decision.RuleClaimUnavailable, 0)
+		return
+	}
+	key, err := claim.Parse(r.arrived.Operation)
+	if err != nil {
+		r.figures.Detail = "its operation key is malformed"
+		n.refuse(r, decision.RuleBadRequest, 0)
+		return
+	}
+	if key.Minter != n.settings.Self.ID {
+		n.forward(r, key)
+		return
+	}
+	d := n.minter.Begin(n.now, r.workspace.Name, key, r.arrived.Digest)
+	if d.Verdict == claim.Run {
+		r.operation = &operation{key: key}
+		n.takeTokens(r)
+		return
+	}
+	n.answerRepeat(r, d)
+}
+
+// answerRepeat ends a request that the claim doesn't let run.
+func (n *Node) answerRepeat(r *request, d claim.Decision) {
+	switch d.Verdict {
+	case claim.Replay:
+		n.repeat(r, *d.Answer)
+	case claim.InProgress:
+		n.refuse(r, decision.RuleStillRunning, 0)
+	case claim.RanAlready:
+		n.refuse(r, decision.RuleRanAlready, 0)
+	case claim.UnknownOutcome:
+		n.refuse(r, decision.RuleOperationLost, 0)
+	default:
+		n.refuseClaim(r, d)
+	}
+}
+
+func (n *Node) repeat(r *request, a claim.Answer) {
+	delete(n.requests, r.arrived.Request)
+	record := n.record(r, decision.RuleServed)
+	record.Outcome = decision.RanBefore
+	n.emit(Repeat{Request: r.arrived.Request, Answer: a})
+	n.emit(Recorded{Record: record})
+}
+
+// claimDetails tells callers why a key was refused.
+var claimDetails = map[claim.Reason]string{
+	claim.Forged:         "its operation key wasn't made by this system",
+	claim.OtherWorkspace: "its operation key was made for another workspace",
+	claim.Expired:        "its operation key is too old",
+	claim.OtherRequest:   "its operation key was used for a different request before",
+}
+
+func (n *Node) refuseClaim(r *request, d claim.Decision) {
+	r.figures.Detail = claimDetails[d.Reason]
+	rule := decision.RuleBadRequest
+	if d.Reason == claim.Full || d.Reason == claim.StoreAway {
+		rule = decision.RuleClaimUnavailable
+	}
+	record := n.record(r, rule)
+	if !d.NeverRan && d.Reason != claim.OtherRequest {
+		record.Outcome = decision.Unknown
+	}
+	n.refuseAs(r, record)
+}
+
+// endOperation reports how a request under a key ended.
+func (n *Node) endOperation(r *request, o claim.Outcome, a *claim.Answer) {
+	if r.operation == nil {
+		return
+	}
+	n.minter.Finish(n.now, r.operation.key, o, a)
+}
+
+// forward passes a request on to the instance that minted its key. Nobody
+// else ever runs it: the minter may have run it a moment ago.
+func (n *Node) forward(r *request, key claim.OperationKey) {
+	minter, known := n.member.Live().Instance(key.Minter)
+	if r.arrived.Forwarded || !known || minter.State == platform.Ended {
+		n.refuse(r, decision.RuleOperationLost, 0)
+		return
+	}
+	a := n.newAttempt(r, minter)
+	a.forwarded = true
+	n.emit(StartAttempt{
+		Request:   r.arrived.Request,
+		Attempt:   a.id,
+		Server:    minter,
+		Workspace: r.workspace.Name,
+		Operation: r.arrived.Operation,
+		Timeout:   r.deadline - n.now,
+		Forward:   true,
+	})
+}
+
+// forwardEnded passes the minter's answer on. Without one, this request may
+// or may not have run, and an earlier one with the key as well.
+func (n *Node) forwardEnded(a *attempt, e AttemptEnded) {
+	r := a.request
+	if e.Result == health.OK || e.Result == health.ServerError || e.Result == health.Shed {
+		if e.Streaming {
+			a.streaming = true
+		}
+		n.passOn(a)
+		return
+	}
+	n.forget(a)
+	r.figures.Detail = e.Detail
+	record := n.record(r, decision.RuleOperationElsewhere)
+	record.Outcome = decision.Unknown
+	record.RetryAfter = n.settings.Retry.RetryAfter
+	n.refuseAs(r, record)
+}
+
+func (n *Node) passOn(a *attempt) {
+	r := a.request
+	r.answered = true
+	if !r.gone {
+		n.emit(Relay{Request: r.arrived.Request, Attempt: a.id, Forwarded: true})
+	}
+	if a.streaming {
+		return
+	}
+	n.forget(a)
+	delete(n.requests, r.arrived.Request)
+}
--- /dev/null
+++ b/node/servers.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"encoding/json"
+	"slices"
+
+	"foxtailspoke/balance"
+	"foxtailspoke/config"
+	"foxtailspoke/effect"
+	"foxtailspoke/membership"
+	"foxtailspoke/platform"
+)
+
+// servers returns this instance's view of a service for one request: its
+// subset of the backend servers, with their weights.
+func (n *Node) servers(r *request) []balance.Server {
+	service := r.service
+	listed := n.member.Live().Servers(service.Name)
+	ids := make([]string, len(listed))
+	for i, s := range listed {
+		ids[i] = s.ID
+	}
+	entries := len(n.member.Live().Entries())
+	subset := balance.Subset(n.settings.Self.ID, entries, ids, n.settings.MaxConnections)
+	permits := n.replica.Permits(service.Name)
+	view := make([]balance.Server, 0, len(subset))
+	var usable []string
+	for _, id := range subset {
+		s, _ := n.member.Live().Instance(id)
+		b := balance.Server{
+			ID:         id,
+			DataCentre: s.DataCentre,
+			Slots:      s.Slots,
+			Leaving:    s.State != platform.Live,
+			Ejected:    isEjected(permits, id),
+		}
+		view = append(view, b)
+		if !b.Leaving && !b.Ejected {
+			usable = append(usable, id)
+		}
+	}
+	floor := balance.ViewFloor(service.Floor, len(listed), len(subset))
+	n.weigh(r, view, usable, floor)
+	return view
+}
+
+func (n *Node) weigh(r *request, view []balance.Server, usable []string, floor int) {
+	weights := n.observer.Weights(n.now, r.service.Name, r.workspace.Name, usable, floor)
+	next := 0
+	for i := range view {
+		if !view[i].Leaving && !view[i].Ejected {
+			view[i].Weight = weights[next]
+			next++
+		}
+	}
+}
+
+// others counts the servers that the request may still be sent to, and says
+// whether one of them has a free slot as far as this instance knows.
+func (n *Node) others(r *request) (count int, room bool) {
+	for _, s := range n.servers(r) {
+		if s.Leaving || s.Ejected || slices.Contains(r.tried, s.ID) {
+			continue
+		}
+		count++
+		room = room || n.picker.InFlight(r.service.Name, s.ID) < max(s.Slots, 1)
+	}
+	return count, room
+}
+
+func isEjected(p config.Permits, server string) bool {
+	return slices.ContainsFunc(p.Ejected, func(e config.Ejection) bool { return e.Server == server })
+}
+
+// reportHealth sends what this instance saw to the services' collectors.
+func (n *Node) reportHealth() {
+	for _, report := range n.observer.Report(n.now) {
+		collector := n.member.Live().Collector(report.Service)
+		switch collector {
+		case "":
+		case n.settings.Self.ID:
+			suspects := n.collector.Accept(n.now, collector, report)
+			n.observer.Advise(n.now, report.Service, suspects)
+		default:
+			p := pending{owner: ownerReport, subject: report.Service}
+			n.emit(n.own(p, effect.Call{To: collector, Request: PeerRequest{Report: &report}}))
+		}
+	}
+}
+
+// collect proposes ejections for the services that this instance collects
+// for, and probes the ejected backend servers. While the platform is away the
+// permits stay as they are.
+func (n *Node) collect() {
+	for _, service := range n.replica.Services() {
+		if n.member.Live().Collector(service) != n.settings.Self.ID || n.leaving {
+			continue
+		}
+		if n.member.Confirmed(n.now).State == membership.ByTable {
+			n.propose(service)
+		}
+		n.probe(service)
+	}
+}
+
+func (n *Node) propose(service string) {
+	if n.permitting[service] {
+		return
+	}
+	var live []string
+	for _, s := range n.member.Live().Servers(service) {
+		if s.State == platform.Live {
+			live = append(live, s.ID)
+		}
+	}
+	definition, _ := n.replica.Service(service)
+	proposal, ok := n.collector.Propose(n.now, service, n.settings.Self.ID, live, n.replica.Permits(service), definition.Floor)
+	if !ok {
+		return
+	}
+	value, err := json.Marshal(proposal.Permits)
+	if err != nil {
+		panic(err)
+	}
+	n.permitting[service] = true
+	p := pending{owner: ownerPermits, subject: service}
+	n.emit(n.own(p, effect.WriteTable{Txn: n.txn(config.PermitPrefix+service, value)}))
+}
+
+func (n *Node) probe(service string) {
+	for _, probe := range n.collector.Probes(n.now, service, n.replica.Permits(service)) {
+		server, ok := n.member.Live().Instance(probe.Server)
+		if !ok {
+			continue
+		}
+		n.emit(StartProbe{Probe: probe, Server: server, Timeout: n.settings.Health.SlowProbe})
+	}
+}
+
+// noticePermits tells operators which backend servers were ejected or came
+// back.
+func (n *Node) noticePermits() {
+	for _, service := range n.replica.Services() {
+		now := map[string]bool{}
+		for _, e := range n.replica.Permits(service).Ejected {
+			now[e.Server] = true
+			if !n.ejected[service][e.Server] {
+				n.emit(Noted{Note: NoteEjected, Subject: e.Server, Detail: e.Reason})
+			}
+		}
+		for _, server := range sortedKeys(n.ejected[service]) {
+			if !now[server] {
+				n.emit(Noted{Note: NoteReturned, Subject: server})
+			}
+		}
+		n.ejected[service] = now
+	}
+}
--- /dev/null
+++ b/node/status.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"foxtailspoke/config"
+	"foxtailspoke/decision"
+	"foxtailspoke/membership"
+	"foxtailspoke/platform"
+	"foxtailspoke/quota"
+)
+
+// Status is what operators see of an instance.
+type Status struct {
+	Instance     platform.Instance
+	Confirmation membership.Confirmation
+	// Fresh is the age beyond which the instance refuses requests.
+	Fresh    time.Duration
+	Lists    config.Lists
+	Services []ServiceStatus
+	// Refusals for the rate, the most first.
+	Refusals []Refusals
+	Entries  []platform.Instance
+	Leaving  bool
+	Counters membership.Counters
+	Buckets  int
+	Requests int
+}
+
+// ServiceStatus is one service as this instance sees it.
+type ServiceStatus struct {
+	Service config.Service
+	Servers int
+	Usable  int
+	Ejected []config.Ejection
+	Weights map[string]float64
+}
+
+// Refusals counts the requests of a workspace that were refused for the rate.
+type Refusals struct {
+	Workspace, Service string
+	Limit              config.Limit
+	Parts              int
+	Count              uint64
+}
+
+// maxRefusals bounds the workspaces whose refusals are counted.
+const maxRefusals = 1000
+
+type refusals map[quota.Bucket]uint64
+
+func (r refusals) count(record decision.Record) {
+	if record.Rule != decision.RuleOverRate {
+		return
+	}
+	b := quota.Bucket{Workspace: record.Workspace, Service: record.Service}
+	if _, known := r[b]; known || len(r) < maxRefusals {
+		r[b]++
+	}
+}
+
+// Status returns the node's state as of the time.
+func (n *Node) Status(now time.Duration) Status {
+	n.now = max(n.now, now)
+	s := Status{
+		Instance:     n.settings.Self,
+		Confirmation: n.member.Confirmed(n.now),
+		Fresh:        n.member.Settings().Fresh,
+		Lists:        n.replica.Lists(),
+		Entries:      slices.Clone(n.member.Live().Entries()),
+		Leaving:      n.leaving,
+		Counters:     n.member.Counters(),
+		Buckets:      n.holder.Buckets(),
+		Requests:     len(n.requests),
+	}
+	for _, name := range n.replica.Services() {
+		s.Services = append(s.Services, n.serviceStatus(name))
+	}
+	s.Refusals = n.refusalStatus()
+	return s
+}
+
+func (n *Node) serviceStatus(name string) ServiceStatus {
+	definition, _ := n.replica.Service(name)
+	view := n.servers(&request{service: definition})
+	s := ServiceStatus{
+		Service: definition,
+		Servers: len(n.member.Live().Servers(name)),
+		Ejected: n.replica.Permits(name).Ejected,
+		Weights: map[string]float64{},
+	}
+	for _, server := range view {
+		if server.Leaving || server.Ejected {
+			continue
+		}
+		s.Usable++
+		if server.Weight < 1 {
+			s.Weights[server.ID] = server.Weight
+		}
+	}
+	return s
+}
+
+func (n *Node) refusalStatus() []Refusals {
+	list := make([]Refusals, 0, len(n.refused))
+	for b, count := range n.refused {
+		limit, _ := n.replica.Limit(b.Workspace, b.Service)
+		shard := n.replica.Shard(quota.ShardOf(b.Workspace, n.settings.Shards))
+		list = append(list, Refusals{
+			Workspace: b.Workspace,
+			Service:   b.Service,
+			Limit:     limit,
+			Parts:     quota.Parts(shard)[n.settings.Self.ID],
+			Count:     count,
+		})
+	}
+	slices.SortFunc(list, func(a, b Refusals) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Service, b.Service))
+	})
+	return list
+}
+
+// Require starts finding out whether a revision is in force everywhere.
+func (n *Node) Require(now time.Duration, revision platform.Revision) []Effect {
+	n.now = max(n.now, now)
+	n.effects = n.effects[:0]
+	n.memberEffects(n.member.Require(n.now, revision))
+	return n.effects
+}
+
+// InForce says whether a revision is in force everywhere, and which
+// witnesses haven't said that they know it.
+func (n *Node) InForce(now time.Duration, revision platform.Revision) (bool, []string) {
+	n.now = max(n.now, now)
+	return n.member.InForce(n.now, revision), n.member.Missing(revision)
+}
+
+// Idle says whether no request is in progress.
+func (n *Node) Idle() bool { return len(n.requests) == 0 && len(n.attempts) == 0 }
+
+// HoldsParts says whether a shard's row still names this instance.
+func (n *Node) HoldsParts() bool { return len(n.shards.held) > 0 }
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
