--- a/api/caller/oas/oas_client_gen.go
+++ b/api/caller/oas/oas_client_gen.go
@@ -40,13 +40,13 @@
 	// Names the addresses that this caller should use.
 	//
 	// GET /-/v1/locate
-	Locate(ctx context.Context, params LocateParams) (LocateRes, error)
+	Locate(ctx context.Context, params LocateParams) (*Located, error)
 	// Ready invokes ready operation.
 	//
 	// Answers 204 while the instance accepts requests.
 	//
 	// GET /-/v1/ready
-	Ready(ctx context.Context) (ReadyRes, error)
+	Ready(ctx context.Context) error
 }
 
 // Client implements OAS client.
@@ -175,12 +175,12 @@
 // Names the addresses that this caller should use.
 //
 // GET /-/v1/locate
-func (c *Client) Locate(ctx context.Context, params LocateParams) (LocateRes, error) {
+func (c *Client) Locate(ctx context.Context, params LocateParams) (*Located, error) {
 	res, err := c.sendLocate(ctx, params)
 	return res, err
 }
 
-func (c *Client) sendLocate(ctx context.Context, params LocateParams) (res LocateRes, err error) {
+func (c *Client) sendLocate(ctx context.Context, params LocateParams) (res *Located, err error) {
 	otelAttrs := []attribute.KeyValue{
 		otelogen.OperationID("locate"),
 		semconv.HTTPRequestMethodKey.String("GET"),
@@ -309,12 +309,12 @@
 // Answers 204 while the instance accepts requests.
 //
 // GET /-/v1/ready
-func (c *Client) Ready(ctx context.Context) (ReadyRes, error) {
-	res, err := c.sendReady(ctx)
-	return res, err
+func (c *Client) Ready(ctx context.Context) error {
+	_, err := c.sendReady(ctx)
+	return err
 }
 
-func (c *Client) sendReady(ctx context.Context) (res ReadyRes, err error) {
+func (c *Client) sendReady(ctx context.Context) (res *ReadyNoContent, err error) {
 	otelAttrs := []attribute.KeyValue{
 		otelogen.OperationID("ready"),
 		semconv.HTTPRequestMethodKey.String("GET"),
--- a/api/caller/oas/oas_handlers_gen.go
+++ b/api/caller/oas/oas_handlers_gen.go
@@ -143,8 +143,19 @@
 		err = s.h.Live(ctx)
 	}
 	if err != nil {
-		defer recordError("Internal", err)
-		s.cfg.ErrorHandler(ctx, w, r, err)
+		if errRes, ok := errors.Into[*ProblemStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w, span); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w, span); err != nil {
+			defer recordError("Internal", err)
+		}
 		return
 	}
 
@@ -244,8 +255,9 @@
 					Security:         "Key",
 					Err:              err,
 				}
-				defer recordError("Security:Key", err)
-				s.cfg.ErrorHandler(ctx, w, r, err)
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+					defer recordError("Security:Key", err)
+				}
 				return
 			}
 			if ok {
@@ -272,8 +284,9 @@
 				OperationContext: opErrContext,
 				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
 			}
-			defer recordError("Security", err)
-			s.cfg.ErrorHandler(ctx, w, r, err)
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w, span); encodeErr != nil {
+				defer recordError("Security", err)
+			}
 			return
 		}
 	}
@@ -290,7 +303,7 @@
 
 	var rawBody []byte
 
-	var response LocateRes
+	var response *Located
 	if m := s.cfg.Middleware; m != nil {
 		mreq := middleware.Request{
 			Context:          ctx,
@@ -311,7 +324,7 @@
 		type (
 			Request  = struct{}
 			Params   = LocateParams
-			Response = LocateRes
+			Response = *Located
 		)
 		response, err = middleware.HookMiddleware[
 			Request,
@@ -330,8 +343,19 @@
 		response, err = s.h.Locate(ctx, params)
 	}
 	if err != nil {
-		defer recordError("Internal", err)
-		s.cfg.ErrorHandler(ctx, w, r, err)
+		if errRes, ok := errors.Into[*ProblemStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w, span); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w, span); err != nil {
+			defer recordError("Internal", err)
+		}
 		return
 	}
 
@@ -419,7 +443,7 @@
 
 	var rawBody []byte
 
-	var response ReadyRes
+	var response *ReadyNoContent
 	if m := s.cfg.Middleware; m != nil {
 		mreq := middleware.Request{
 			Context:          ctx,
@@ -435,7 +459,7 @@
 		type (
 			Request  = struct{}
 			Params   = struct{}
-			Response = ReadyRes
+			Response = *ReadyNoContent
 		)
 		response, err = middleware.HookMiddleware[
 			Request,
@@ -446,16 +470,27 @@
 			mreq,
 			nil,
 			func(ctx context.Context, request Request, params Params) (response Response, err error) {
-				response, err = s.h.Ready(ctx)
+				err = s.h.Ready(ctx)
 				return response, err
 			},
 		)
 	} else {
-		response, err = s.h.Ready(ctx)
+		err = s.h.Ready(ctx)
 	}
 	if err != nil {
-		defer recordError("Internal", err)
-		s.cfg.ErrorHandler(ctx, w, r, err)
+		if errRes, ok := errors.Into[*ProblemStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w, span); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w, span); err != nil {
+			defer recordError("Internal", err)
+		}
 		return
 	}
 
--- a/api/caller/oas/oas_json_gen.go
+++ b/api/caller/oas/oas_json_gen.go
@@ -577,6 +577,8 @@
 		*s = ProblemOutcomeNotRun
 	case ProblemOutcomeUnknown:
 		*s = ProblemOutcomeUnknown
+	case ProblemOutcomeRanBefore:
+		*s = ProblemOutcomeRanBefore
 	default:
 		*s = ProblemOutcome(v)
 	}
--- a/api/caller/oas/oas_response_decoders_gen.go
+++ b/api/caller/oas/oas_response_decoders_gen.go
@@ -19,10 +19,61 @@
 		// Code 204.
 		return &LiveNoContent{}, nil
 	}
-	return res, validate.UnexpectedStatusCodeWithResponse(resp)
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &ProblemStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeLocateResponse(resp *http.Response) (res LocateRes, _ error) {
+func decodeLocateResponse(resp *http.Response) (res *Located, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -69,8 +120,8 @@
 			return res, validate.InvalidContentType(ct)
 		}
 	}
-	// Default response.
-	res, err := func() (res LocateRes, err error) {
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCode, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -120,17 +171,17 @@
 	if err != nil {
 		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
 	}
-	return res, nil
+	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeReadyResponse(resp *http.Response) (res ReadyRes, _ error) {
+func decodeReadyResponse(resp *http.Response) (res *ReadyNoContent, _ error) {
 	switch resp.StatusCode {
 	case 204:
 		// Code 204.
 		return &ReadyNoContent{}, nil
 	}
-	// Default response.
-	res, err := func() (res ReadyRes, err error) {
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCode, err error) {
 		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 		if err != nil {
 			return res, errors.Wrap(err, "parse media type")
@@ -180,5 +231,5 @@
 	if err != nil {
 		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
 	}
-	return res, nil
+	return res, errors.Wrap(defRes, "error")
 }
--- a/api/caller/oas/oas_response_encoders_gen.go
+++ b/api/caller/oas/oas_response_encoders_gen.go
@@ -18,79 +18,46 @@
 	return nil
 }
 
-func encodeLocateResponse(response LocateRes, w http.ResponseWriter, span trace.Span) error {
-	switch response := response.(type) {
-	case *Located:
-		w.Header().Set("Content-Type", "application/json; charset=utf-8")
-		w.WriteHeader(200)
-
-		e := new(jx.Encoder)
-		response.Encode(e)
-		if _, err := e.WriteTo(w); err != nil {
-			return errors.Wrap(err, "write")
-		}
-
-		return nil
-
-	case *ProblemStatusCode:
-		w.Header().Set("Content-Type", "application/problem+json")
-		code := response.StatusCode
-		if code == 0 {
-			// Set default status code.
-			code = http.StatusOK
-		}
-		w.WriteHeader(code)
-		if code >= http.StatusInternalServerError {
-			span.SetStatus(codes.Error, http.StatusText(code))
-		}
-
-		e := new(jx.Encoder)
-		response.Response.Encode(e)
-		if _, err := e.WriteTo(w); err != nil {
-			return errors.Wrap(err, "write")
-		}
-
-		if code >= http.StatusInternalServerError {
-			return errors.Wrapf(ht.ErrInternalServerErrorResponse, "code: %d, message: %s", code, http.StatusText(code))
-		}
-		return nil
-
-	default:
-		return errors.Errorf("unexpected response type: %T", response)
+func encodeLocateResponse(response *Located, w http.ResponseWriter, span trace.Span) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
 	}
-}
 
-func encodeReadyResponse(response ReadyRes, w http.ResponseWriter, span trace.Span) error {
-	switch response := response.(type) {
-	case *ReadyNoContent:
-		w.WriteHeader(204)
+	return nil
+}
 
-		return nil
+func encodeReadyResponse(response *ReadyNoContent, w http.ResponseWriter, span trace.Span) error {
+	w.WriteHeader(204)
 
-	case *ProblemStatusCode:
-		w.Header().Set("Content-Type", "application/problem+json")
-		code := response.StatusCode
-		if code == 0 {
-			// Set default status code.
-			code = http.StatusOK
-		}
-		w.WriteHeader(code)
-		if code >= http.StatusInternalServerError {
-			span.SetStatus(codes.Error, http.StatusText(code))
-		}
+	return nil
+}
 
-		e := new(jx.Encoder)
-		response.Response.Encode(e)
-		if _, err := e.WriteTo(w); err != nil {
-			return errors.Wrap(err, "write")
-		}
+func encodeErrorResponse(response *ProblemStatusCode, w http.ResponseWriter, span trace.Span) error {
+	w.Header().Set("Content-Type", "application/problem+json")
+	code := response.StatusCode
+	if code == 0 {
+		// Set default status code.
+		code = http.StatusOK
+	}
+	w.WriteHeader(code)
+	if code >= http.StatusInternalServerError {
+		span.SetStatus(codes.Error, http.StatusText(code))
+	}
 
-		if code >= http.StatusInternalServerError {
-			return errors.Wrapf(ht.ErrInternalServerErrorResponse, "code: %d, message: %s", code, http.StatusText(code))
-		}
-		return nil
+	e := new(jx.Encoder)
+	response.Response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
 
-	default:
-		return errors.Errorf("unexpected response type: %T", response)
+	if code >= http.StatusInternalServerError {
+		return errors.Wrapf(ht.ErrInternalServerErrorResponse, "code: %d, message: %s", code, http.StatusText(code))
 	}
+	return nil
+
 }
--- a/api/caller/oas/oas_schemas_gen.go
+++ b/api/caller/oas/oas_schemas_gen.go
@@ -3,9 +3,15 @@
 package oas
 
 import (
+	"fmt"
+
 	"github.com/go-faster/errors"
 )
 
+func (s *ProblemStatusCode) Error() string {
+	return fmt.Sprintf("code %d: %+v", s.StatusCode, s.Response)
+}
+
 type Key struct {
 	Token string
 	Roles []string
@@ -74,8 +80,6 @@
 	s.Operations = val
 }
 
-func (*Located) locateRes() {}
-
 // Ref: #/components/schemas/Operation
 type Operation struct {
 	Key string `json:"key"`
@@ -260,9 +264,10 @@
 type ProblemOutcome string
 
 const (
-	ProblemOutcomeServed  ProblemOutcome = "served"
-	ProblemOutcomeNotRun  ProblemOutcome = "not-run"
-	ProblemOutcomeUnknown ProblemOutcome = "unknown"
+	ProblemOutcomeServed    ProblemOutcome = "served"
+	ProblemOutcomeNotRun    ProblemOutcome = "not-run"
+	ProblemOutcomeUnknown   ProblemOutcome = "unknown"
+	ProblemOutcomeRanBefore ProblemOutcome = "ran-before"
 )
 
 // AllValues returns all ProblemOutcome values.
@@ -271,6 +276,7 @@
 		ProblemOutcomeServed,
 		ProblemOutcomeNotRun,
 		ProblemOutcomeUnknown,
+		ProblemOutcomeRanBefore,
 	}
 }
 
@@ -283,6 +289,8 @@
 		return []byte(s), nil
 	case ProblemOutcomeUnknown:
 		return []byte(s), nil
+	case ProblemOutcomeRanBefore:
+		return []byte(s), nil
 	default:
 		return nil, errors.Errorf("invalid value: %q", s)
 	}
@@ -300,6 +308,9 @@
 	case ProblemOutcomeUnknown:
 		*s = ProblemOutcomeUnknown
 		return nil
+	case ProblemOutcomeRanBefore:
+		*s = ProblemOutcomeRanBefore
+		return nil
 	default:
 		return errors.Errorf("invalid value: %q", data)
 	}
@@ -331,10 +342,5 @@
 	s.Response = val
 }
 
-func (*ProblemStatusCode) locateRes() {}
-func (*ProblemStatusCode) readyRes()  {}
-
 // ReadyNoContent is response for Ready operation.
 type ReadyNoContent struct{}
-
-func (*ReadyNoContent) readyRes() {}
--- a/api/caller/oas/oas_server_gen.go
+++ b/api/caller/oas/oas_server_gen.go
@@ -19,13 +19,17 @@
 	// Names the addresses that this caller should use.
 	//
 	// GET /-/v1/locate
-	Locate(ctx context.Context, params LocateParams) (LocateRes, error)
+	Locate(ctx context.Context, params LocateParams) (*Located, error)
 	// Ready implements ready operation.
 	//
 	// Answers 204 while the instance accepts requests.
 	//
 	// GET /-/v1/ready
-	Ready(ctx context.Context) (ReadyRes, error)
+	Ready(ctx context.Context) error
+	// NewError creates *ProblemStatusCode from error returned by handler.
+	//
+	// Used for common default response.
+	NewError(ctx context.Context, err error) *ProblemStatusCode
 }
 
 // Server implements http server based on OpenAPI v3 specification and
--- a/api/caller/oas/oas_unimplemented_gen.go
+++ b/api/caller/oas/oas_unimplemented_gen.go
@@ -27,7 +27,7 @@
 // Names the addresses that this caller should use.
 //
 // GET /-/v1/locate
-func (UnimplementedHandler) Locate(ctx context.Context, params LocateParams) (r LocateRes, _ error) {
+func (UnimplementedHandler) Locate(ctx context.Context, params LocateParams) (r *Located, _ error) {
 	return r, ht.ErrNotImplemented
 }
 
@@ -36,6 +36,14 @@
 // Answers 204 while the instance accepts requests.
 //
 // GET /-/v1/ready
-func (UnimplementedHandler) Ready(ctx context.Context) (r ReadyRes, _ error) {
-	return r, ht.ErrNotImplemented
+func (UnimplementedHandler) Ready(ctx context.Context) error {
+	return ht.ErrNotImplemented
+}
+
+// NewError creates *ProblemStatusCode from error returned by handler.
+//
+// Used for common default response.
+func (UnimplementedHandler) NewError(ctx context.Context, err error) (r *ProblemStatusCode) {
+	r = new(ProblemStatusCode)
+	return r
 }
--- a/api/caller/oas/oas_validators_gen.go
+++ b/api/caller/oas/oas_validators_gen.go
@@ -72,6 +72,8 @@
 		return nil
 	case "unknown":
 		return nil
+	case "ran-before":
+		return nil
 	default:
 		return errors.Errorf("invalid value: %v", s)
 	}
--- a/entry/attempt/body.go
+++ b/entry/attempt/body.go
@@ -30,7 +30,7 @@
 // -1 if the caller declared none.
 func ReadBody(r io.Reader, length, bound int64) (*Body, error) {
 	if length == 0 || r == nil {
-		return &Body{whole: true}, nil
+		return NoBody(), nil
 	}
 	prefix, err := io.ReadAll(io.LimitReader(r, bound+1))
 	if err != nil {
@@ -44,6 +44,9 @@
 	return b, nil
 }
 
+// NoBody returns the body of a request that has none.
+func NoBody() *Body { return &Body{whole: true} }
+
 // Whole tells whether the entire body is held.
 func (b *Body) Whole() bool { return b.whole }
 
--- /dev/null
+++ b/entry/callers/body.go
@@ -0,0 +1,54 @@
+package callers
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/claim"
+	"foxtailspoke/decision"
+	"foxtailspoke/entry/attempt"
+)
+
+// readBody holds the beginning of the body, within the bounds.
+func (c *Service) readBody(w http.ResponseWriter, r *http.Request) (*attempt.Body, error) {
+	if r.ContentLength > c.settings.MaxBodyBytes {
+		return nil, errTooLarge
+	}
+	return attempt.ReadBody(http.MaxBytesReader(w, r.Body, c.settings.MaxBodyBytes), r.ContentLength, c.settings.HoldBytes)
+}
+
+// refuseBody answers a request whose body can't be read.
+func (c *Service) refuseBody(w http.ResponseWriter, r *http.Request, id string, err error) {
+	record := decision.Record{
+		Request:  id,
+		Instance: c.instance,
+		Method:   r.Method,
+		Outcome:  decision.NotRun,
+		Rule:     decision.RuleBadRequest,
+	}
+	record.Figures.Detail = "its body didn't arrive whole"
+	var tooMuch *http.MaxBytesError
+	if errors.Is(err, errTooLarge) || errors.As(err, &tooMuch) {
+		record.Rule = decision.RuleTooLarge
+		record.Figures = decision.Figures{Size: max(r.ContentLength, 0), MaxSize: c.settings.MaxBodyBytes}
+	}
+	c.writeRefusal(w, r, record, nil)
+}
+
+// digest identifies what a repeat under the same idempotency key must have
+// in common with the first request: method, path, query, length and the part
+// of the body that is held.
+func digest(r *http.Request, b *attempt.Body) claim.Digest {
+	h := sha256.New()
+	for _, part := range []string{r.Method, r.URL.RequestURI()} {
+		h.Write(binary.AppendUvarint(nil, uint64(len(part))))
+		h.Write([]byte(part))
+	}
+	h.Write(binary.AppendVarint(nil, b.Length()))
+	held := b.Digest()
+	h.Write(held[:])
+	return claim.Digest(h.Sum(nil))
+}
--- /dev/null
+++ b/entry/callers/write.go
@@ -0,0 +1,114 @@
+package callers
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"foxtailspoke/api/caller/oas"
+	"foxtailspoke/decision"
+	"foxtailspoke/entry/attempt"
+	"foxtailspoke/node"
+)
+
+// problemType is the media type of RFC 9457.
+const problemType = "application/problem+json"
+
+// write gives the caller the node's answer.
+func (c *Service) write(w http.ResponseWriter, r *http.Request, x *exchange, a answer, start time.Time) {
+	switch {
+	case a.refusal != nil:
+		c.metrics.Answered(a.refusal.Outcome, a.refusal.Rule, time.Since(start))
+		c.writeRefusal(w, r, *a.refusal, a.addresses)
+	case a.stored != nil:
+		c.metrics.Answered(decision.RanBefore, decision.RuleServed, time.Since(start))
+		c.head(w, r, x.id, decision.RanBefore)
+		w.Header().Set("Content-Type", a.stored.ContentType)
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.stored.Body)))
+		w.WriteHeader(a.stored.Status)
+		_, _ = w.Write(a.stored.Body)
+	case a.outcome != nil:
+		c.metrics.Answered(decision.Served, decision.RuleServed, time.Since(start)-a.outcome.Latency)
+		c.relay(w, r, x, a)
+	}
+}
+
+// head sets the headers that every answer of this instance carries.
+func (c *Service) head(w http.ResponseWriter, r *http.Request, id string, o decision.Outcome) {
+	h := w.Header()
+	h.Set(attempt.HeaderRequest, id)
+	h.Set(attempt.HeaderOutcome, string(o))
+	if r.Header.Get(attempt.HeaderForwarded) != "" {
+		h.Set(attempt.HeaderAttempt, r.Header.Get(attempt.HeaderAttempt))
+	}
+}
+
+// relay passes a backend server's answer on, or another entry instance's.
+func (c *Service) relay(w http.ResponseWriter, r *http.Request, x *exchange, a answer) {
+	o := *a.outcome
+	attempt.AnswerHeader(w.Header(), o.Header)
+	c.head(w, r, x.id, decision.Served)
+	if a.forwarded {
+		w.Header().Set(attempt.HeaderOutcome, o.Header.Get(attempt.HeaderOutcome))
+		w.Header().Set(attempt.HeaderRequest, o.Header.Get(attempt.HeaderRequest))
+	}
+	w.WriteHeader(o.Status)
+	_, err := w.Write(o.Body)
+	if o.Rest == nil {
+		return
+	}
+	if err == nil {
+		_, err = io.Copy(w, o.Rest)
+	}
+	c.loop.Submit(node.StreamEnded{Attempt: a.attempt, Whole: err == nil})
+	if err != nil {
+		// Ending the handler normally would make a cut answer look whole to
+		// a caller that got it in chunks. This closes the connection instead.
+		closeRest(o)
+		c.remove(x, a.attempt)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// writeRefusal answers with problem details.
+func (c *Service) writeRefusal(w http.ResponseWriter, r *http.Request, record decision.Record, addresses []string) {
+	c.head(w, r, record.Request, record.Outcome)
+	p := problem(record, addresses)
+	if s, ok := p.RetryAfterSeconds.Get(); ok {
+		w.Header().Set("Retry-After", strconv.Itoa(s))
+	}
+	body, err := json.Marshal(&p)
+	if err != nil {
+		body = []byte(`{}`)
+	}
+	w.Header().Set("Content-Type", problemType)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(p.Status)
+	_, _ = w.Write(body)
+}
+
+// problem returns the problem details of a refusal.
+func problem(record decision.Record, addresses []string) oas.Problem {
+	info := record.Rule.Info()
+	p := oas.Problem{
+		Type:      "urn:foxtailspoke:rule:" + string(record.Rule),
+		Title:     info.Title,
+		Status:    info.Status,
+		Detail:    record.Sentence(),
+		Outcome:   oas.ProblemOutcome(record.Outcome),
+		Rule:      string(record.Rule),
+		Request:   record.Request,
+		Addresses: addresses,
+	}
+	if info.RetryAfter && record.RetryAfter > 0 {
+		p.RetryAfterSeconds.SetTo(wholeSeconds(record.RetryAfter))
+	}
+	return p
+}
+
+// wholeSeconds rounds up: a caller that comes back too early is refused again.
+func wholeSeconds(d time.Duration) int {
+	return int((d + time.Second - 1) / time.Second)
+}
--- /dev/null
+++ b/entry/driver.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"log/slog"
+
+	"foxtailspoke/effect"
+	"foxtailspoke/entry/callers"
+	"foxtailspoke/entry/metrics"
+	"foxtailspoke/entry/peers"
+	"foxtailspoke/entry/records"
+	"foxtailspoke/entry/store"
+	"foxtailspoke/event"
+	"foxtailspoke/node"
+)
+
+// driver carries out a node's effects. None of them blocks.
+type driver struct {
+	log     *slog.Logger
+	metrics *metrics.Metrics
+	callers *callers.Service
+	records *records.Keeper
+	store   *store.Store
+	peers   *peers.Peers
+	probes  *prober
+}
+
+// Dispatch implements loop.Dispatcher.
+func (d *driver) Dispatch(n *node.Node, e node.Effect) {
+	switch e := e.(type) {
+	case node.StartAttempt:
+		d.callers.Start(e)
+	case node.CancelAttempt:
+		d.callers.Cancel(e)
+	case node.Relay, node.Refuse, node.Repeat, node.Located:
+		d.callers.Answer(e)
+	case node.Recorded:
+		d.metrics.Recorded(e.Record)
+		d.records.Add(e.Record)
+	case node.Noted:
+		d.metrics.Noted(e)
+		d.note(e)
+	case node.StartProbe:
+		d.probes.start(e)
+	case node.ReplyCall:
+		d.peers.Reply(e)
+	case effect.Call:
+		d.peers.Call(e, n.PeerAddress(e.To))
+	case effect.ReadTable:
+		d.store.ReadTable(e)
+	case effect.WriteTable:
+		d.store.WriteTable(e)
+	case effect.ReadInstances:
+		d.store.ReadInstances(e)
+	default:
+		panic("entry: effect of unknown type")
+	}
+}
+
+// notes are the log events of what a node notes.
+var notes = map[node.Note]event.Event{
+	node.NoteEjected:      event.ServerEjected,
+	node.NoteReturned:     event.ServerReturned,
+	node.NoteShardWritten: event.ServerMoved,
+	node.NoteConfirmation: event.ConfirmationChanged,
+}
+
+func (d *driver) note(e node.Noted) {
+	notes[e.Note].Log(d.log, slog.String("subject", e.Subject), slog.String("detail", e.Detail))
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,216 @@
+// Package entry is the daemon as a library: a supervisor tree that drives one
+// node and connects it with callers, backend servers, other entry instances,
+// the platform and operators.
+//
+// Each folder below is one child of the tree or one of its tools. The loop is
+// the only child that isn't restarted: if its node breaks an invariant, the
+// process ends and the platform replaces the instance.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/thejerf/suture/v4"
+
+	"foxtailspoke/decision"
+	"foxtailspoke/entry/attempt"
+	"foxtailspoke/entry/callers"
+	"foxtailspoke/entry/clock"
+	"foxtailspoke/entry/loop"
+	"foxtailspoke/entry/metrics"
+	"foxtailspoke/entry/peers"
+	"foxtailspoke/entry/records"
+	"foxtailspoke/entry/settings"
+	"foxtailspoke/entry/store"
+	"foxtailspoke/event"
+	"foxtailspoke/node"
+	"foxtailspoke/peer"
+	"foxtailspoke/platform"
+	"foxtailspoke/platform/client"
+)
+
+const (
+	// callTimeout bounds a call to another instance.
+	callTimeout = 250 * time.Millisecond
+	// platformTimeout bounds a call to the platform.
+	platformTimeout = time.Second
+	// peerIdle closes connections to instances that weren't called lately.
+	peerIdle = time.Minute
+	// keptAnswer bounds the answer that is kept for repeats, in bytes.
+	keptAnswer = 64 << 10
+	// connectTimeout bounds the making of a connection to a backend server.
+	connectTimeout = 250 * time.Millisecond
+	// serverIdle closes unused connections to backend servers.
+	serverIdle = 30 * time.Second
+	// connectionsPerServer bounds the connections to one backend server.
+	connectionsPerServer = 64
+)
+
+// Entry is one instance.
+type Entry struct {
+	settings settings.Settings
+	log      *slog.Logger
+	self     platform.Instance
+
+	client  *client.Client
+	peers   *peer.Client
+	loop    *loop.Loop
+	callers *callers.Service
+	records *records.Keeper
+	metrics *metrics.Metrics
+	ports   ports
+	driver  *driver
+	tree    *suture.Supervisor
+
+	callerServer *http.Server
+	leaving      atomic.Bool
+}
+
+// ports are the listeners, bound before anything is announced.
+type ports struct{ callers, peers, operators net.Listener }
+
+// New binds the addresses and builds the instance. Run starts it.
+func New(s settings.Settings, log *slog.Logger) (*Entry, error) {
+	secret, err := settings.Secret(s.Peers.SecretFile)
+	if err != nil {
+		return nil, err
+	}
+	token, err := settings.Secret(s.Operators.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{settings: s, log: log, metrics: metrics.New()}
+	if err := e.bind(); err != nil {
+		return nil, err
+	}
+	e.self = e.describe()
+	if e.client, err = client.New(s.Platform.URL, client.Settings{Timeout: platformTimeout}); err != nil {
+		return nil, err
+	}
+	return e, e.build(secret, token)
+}
+
+// Addresses returns where the instance listens, for scripts and tests.
+func (e *Entry) Addresses() platform.Instance { return e.self }
+
+func (e *Entry) bind() error {
+	var err error
+	if e.ports.callers, err = net.Listen("tcp", e.settings.Callers.Listen); err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	if e.ports.peers, err = net.Listen("tcp", e.settings.Peers.Listen); err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	if e.ports.operators, err = net.Listen("tcp", e.settings.Operators.Listen); err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	return nil
+}
+
+func (e *Entry) describe() platform.Instance {
+	return platform.Instance{
+		ID:              uuid.NewString(),
+		Kind:            platform.Entry,
+		DataCentre:      e.settings.DataCentre,
+		Region:          e.settings.Region,
+		Address:         advertised(e.settings.Callers.Advertise, e.ports.callers),
+		PeerAddress:     advertised(e.settings.Peers.Advertise, e.ports.peers),
+		OperatorAddress: advertised(e.settings.Operators.Advertise, e.ports.operators),
+		State:           platform.Live,
+	}
+}
+
+func advertised(address string, l net.Listener) string {
+	if address != "" {
+		return address
+	}
+	return l.Addr().String()
+}
+
+func (e *Entry) build(secret, token []byte) error {
+	n := node.New(e.nodeSettings())
+	e.driver = &driver{log: e.log, metrics: e.metrics}
+	e.loop = loop.New(n, clock.New(), e.driver, nil)
+	e.peers = peer.NewClient(e.self.ID, secret, callTimeout)
+	e.records = records.New(
+		decision.NewBuffer(e.self.ID, decision.BufferSettings{}),
+		e.client.Objects(), time.Duration(e.settings.Platform.RecordsEvery), e.log)
+	sender := attempt.NewSender(attempt.Settings{
+		HoldBytes:            e.settings.Callers.HoldBytes,
+		ConnectTimeout:       connectTimeout,
+		IdleTimeout:          serverIdle,
+		ConnectionsPerServer: connectionsPerServer,
+	})
+	var err error
+	e.callers, err = callers.New(e.self.ID, callers.Settings{
+		HoldBytes:       e.settings.Callers.HoldBytes,
+		MaxBodyBytes:    e.settings.Callers.MaxBodyBytes,
+		KeepAnswerBytes: keptAnswer,
+	}, e.loop, sender, e.metrics, e.ready)
+	if err != nil {
+		return err
+	}
+	e.driver.callers = e.callers
+	e.driver.records = e.records
+	e.driver.store = store.New(e.client, e.client, e.loop, e.log, platformTimeout)
+	e.driver.peers = peers.New(e.peers, e.loop, callTimeout)
+	e.driver.probes = newProber(sender, e.loop)
+	e.exportGauges()
+	return e.plant(secret, token)
+}
+
+// nodeSettings translates the settings of the process for the node.
+func (e *Entry) nodeSettings() node.Settings {
+	s := node.DefaultSettings()
+	s.Self = e.self
+	s.Secret = make([]byte, 32)
+	_, _ = rand.Read(s.Secret)
+	var seed [8]byte
+	_, _ = rand.Read(seed[:])
+	s.Seed = binary.LittleEndian.Uint64(seed[:])
+	s.Shards = e.settings.Fleet.Shards
+	s.LocateTTL = time.Duration(e.settings.Fleet.LocateTTL)
+	s.LocateAddresses = e.settings.Fleet.LocateAddresses
+	s.Membership.Fresh = time.Duration(e.settings.Fleet.Fresh)
+	return s
+}
+
+func (e *Entry) ready() (rule decision.Rule, ready bool) {
+	if !e.loop.Do(func(n *node.Node, now time.Duration) { rule, ready = n.Serving(now) }) {
+		return decision.RuleInstanceLeaving, false
+	}
+	return rule, ready
+}
+
+// Run serves until ctx ends, then stops as planned: it cuts no request. The
+// error is nil after a planned stop.
+func (e *Entry) Run(ctx context.Context) error {
+	treeCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	ended := e.tree.ServeBackground(treeCtx)
+	event.Started.Log(e.log,
+		slog.String("instance", e.self.ID),
+		slog.String("dataCentre", e.self.DataCentre),
+		slog.String("callers", e.self.Address),
+		slog.String("peers", e.self.PeerAddress),
+		slog.String("operators", e.self.OperatorAddress))
+	select {
+	case err := <-ended:
+		return errors.Wrap(err, "entry: a part that can't be restarted has ended")
+	case <-ctx.Done():
+	}
+	e.stop(ended)
+	cancel()
+	<-ended
+	e.peers.Close()
+	return nil
+}
--- /dev/null
+++ b/entry/metrics/metrics.go
@@ -0,0 +1,113 @@
+// Package metrics counts what an instance does, for Prometheus.
+//
+// No label is a workspace: at 55,000 workspaces that would be millions of
+// series. How single workspaces fare is in the decision records and in the
+// operators' status.
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"foxtailspoke/decision"
+	"foxtailspoke/node"
+)
+
+const namespace = "foxtailspoke"
+
+// Metrics of one instance. Its methods are safe for concurrent use.
+type Metrics struct {
+	registry  *prometheus.Registry
+	answers   *prometheus.CounterVec
+	added     prometheus.Histogram
+	took      *prometheus.HistogramVec
+	attempts  *prometheus.CounterVec
+	ejections *prometheus.CounterVec
+	states    *prometheus.GaugeVec
+}
+
+// New returns metrics at zero.
+func New() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "answers_total",
+			Help: "Answers to callers by outcome and rule. The rules over-rate and peer-unreachable are refusals for the rate.",
+		}, []string{"outcome", "rule"}),
+		added: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "added_seconds",
+			Help:    "Time from a request's arrival to its answer's first byte, less the backend server's time.",
+			Buckets: prometheus.ExponentialBuckets(50e-6, 2, 14),
+		}),
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "request_seconds",
+			Help:    "Time from a request's arrival to its end, by service.",
+			Buckets: prometheus.ExponentialBuckets(1e-3, 2, 14),
+		}, []string{"service"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "attempts_total",
+			Help: "Attempts at backend servers, by service and result.",
+		}, []string{"service", "result"}),
+		ejections: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "ejection_changes_total",
+			Help: "Ejections and returns of backend servers that this instance heard of.",
+		}, []string{"change"}),
+		states: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "confirmation",
+			Help: "1 for what confirms that the configuration is the newest.",
+		}, []string{"state"}),
+	}
+	m.registry.MustRegister(m.answers, m.added, m.took, m.attempts, m.ejections, m.states)
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Gauge adds a value that is read when the metrics are asked for.
+func (m *Metrics) Gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// Counter adds a rising value that is read when the metrics are asked for.
+func (m *Metrics) Counter(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// Answered implements callers.Metrics.
+func (m *Metrics) Answered(o decision.Outcome, r decision.Rule, added time.Duration) {
+	m.answers.WithLabelValues(string(o), string(r)).Inc()
+	m.added.Observe(added.Seconds())
+}
+
+// Recorded counts a request that has ended.
+func (m *Metrics) Recorded(r decision.Record) {
+	if r.Service != "" {
+		m.took.WithLabelValues(r.Service).Observe(r.Took.Seconds())
+	}
+}
+
+// Attempt counts an attempt that has ended.
+func (m *Metrics) Attempt(service, result string) {
+	m.attempts.WithLabelValues(service, result).Inc()
+}
+
+// Noted counts what the node noted.
+func (m *Metrics) Noted(e node.Noted) {
+	switch e.Note {
+	case node.NoteEjected:
+		m.ejections.WithLabelValues("ejected").Inc()
+	case node.NoteReturned:
+		m.ejections.WithLabelValues("returned").Inc()
+	case node.NoteConfirmation:
+		m.states.Reset()
+		m.states.WithLabelValues(e.Subject).Set(1)
+	}
+}
--- /dev/null
+++ b/entry/operators/operators.go
@@ -0,0 +1,149 @@
+// Package operators serves the operator API and the metrics of an instance.
+package operators
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/ogen-go/ogen/ogenerrors"
+
+	"foxtailspoke/api/operator/oas"
+	"foxtailspoke/decision"
+	"foxtailspoke/entry/records"
+	"foxtailspoke/membership"
+	"foxtailspoke/node"
+	"foxtailspoke/platform"
+)
+
+// ErrStopped reports that the instance doesn't answer any more.
+var ErrStopped = errors.New("operators: the instance has stopped")
+
+// Loop gives access to the node.
+type Loop interface {
+	Do(func(n *node.Node, now time.Duration)) bool
+	Effects(func(n *node.Node, now time.Duration) []node.Effect) bool
+}
+
+// Service implements the generated interfaces.
+type Service struct {
+	instance string
+	token    []byte
+	loop     Loop
+	records  *records.Keeper
+}
+
+// New returns the handler of the operator address: the API under /v1/ and the
+// metrics under /metrics, both for whoever presents the token.
+func New(instance string, token []byte, l Loop, k *records.Keeper, metrics http.Handler) (http.Handler, error) {
+	s := &Service{instance: instance, token: token, loop: l, records: k}
+	api, err := oas.NewServer(s, s)
+	if err != nil {
+		return nil, errors.Wrap(err, "operators: API")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", api)
+	mux.Handle("GET /metrics", s.guarded(metrics))
+	return mux, nil
+}
+
+// HandleOperatorToken implements oas.SecurityHandler.
+func (s *Service) HandleOperatorToken(ctx context.Context, _ oas.OperationName, t oas.OperatorToken) (context.Context, error) {
+	if !s.knows(t.Token) {
+		return ctx, errors.New("not the operators' token")
+	}
+	return ctx, nil
+}
+
+// knows compares in constant time, so that the time of an answer doesn't tell
+// how much of a token was right.
+func (s *Service) knows(token string) bool {
+	return subtle.ConstantTimeCompare([]byte(token), s.token) == 1
+}
+
+func (s *Service) guarded(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		const scheme = "Bearer "
+		got := r.Header.Get("Authorization")
+		if len(got) < len(scheme) || !s.knows(got[len(scheme):]) {
+			http.Error(w, "the operators' token is needed", http.StatusUnauthorized)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// GetStatus implements oas.Handler.
+func (s *Service) GetStatus(context.Context) (*oas.Status, error) {
+	var status node.Status
+	if !s.loop.Do(func(n *node.Node, now time.Duration) { status = n.Status(now) }) {
+		return nil, ErrStopped
+	}
+	_, dropped := s.records.Search(decision.Query{Request: "-"})
+	out := statusToAPI(status)
+	out.DecisionsDropped = dropped
+	return out, nil
+}
+
+// GetInForce implements oas.Handler. It starts finding out, and says what is
+// known by now; operators ask again.
+func (s *Service) GetInForce(_ context.Context, p oas.GetInForceParams) (*oas.InForce, error) {
+	revision := platform.Revision(p.Revision)
+	out := &oas.InForce{Revision: p.Revision, KnownBy: []string{}, Missing: []string{}}
+	ok := s.loop.Effects(func(n *node.Node, now time.Duration) []node.Effect {
+		effects := n.Require(now, revision)
+		inForce, known, missing := n.InForce(now, revision)
+		out.InForce = inForce
+		out.KnownBy = append(out.KnownBy, known...)
+		out.Missing = append(out.Missing, missing...)
+		return effects
+	})
+	if !ok {
+		return nil, ErrStopped
+	}
+	return out, nil
+}
+
+// ListDecisions implements oas.Handler.
+func (s *Service) ListDecisions(_ context.Context, p oas.ListDecisionsParams) (*oas.Decisions, error) {
+	found, dropped := s.records.Search(decision.Query{
+		Request:   p.Request.Or(""),
+		Workspace: p.Workspace.Or(""),
+		Since:     p.Since.Or(time.Time{}),
+		Limit:     p.Limit.Or(0),
+	})
+	out := &oas.Decisions{Instance: s.instance, Dropped: dropped, Decisions: []oas.Decision{}}
+	for _, r := range found {
+		out.Decisions = append(out.Decisions, decisionToAPI(r))
+	}
+	return out, nil
+}
+
+// NewError implements oas.Handler.
+func (s *Service) NewError(_ context.Context, err error) *oas.ProblemStatusCode {
+	status := http.StatusInternalServerError
+	var security *ogenerrors.SecurityError
+	switch {
+	case errors.As(err, &security):
+		status = http.StatusUnauthorized
+	case errors.Is(err, ErrStopped):
+		status = http.StatusServiceUnavailable
+	}
+	return &oas.ProblemStatusCode{
+		StatusCode: status,
+		Response:   oas.Problem{Status: status, Title: http.StatusText(status), Detail: oas.NewOptString(err.Error())},
+	}
+}
+
+func source(state membership.State) oas.ConfirmationSource {
+	switch state {
+	case membership.ByTable:
+		return oas.ConfirmationSourceTable
+	case membership.ByWitnesses:
+		return oas.ConfirmationSourceWitnesses
+	default:
+		return oas.ConfirmationSourceNone
+	}
+}
--- /dev/null
+++ b/entry/store/store.go
@@ -0,0 +1,94 @@
+// Package store carries out a node's reads and writes of the platform, each
+// on a goroutine of its own and bounded in time, and reports their ends.
+package store
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"foxtailspoke/effect"
+	"foxtailspoke/event"
+	"foxtailspoke/node"
+	"foxtailspoke/platform"
+)
+
+// Submitter takes events for the node.
+type Submitter interface{ Submit(node.Event) }
+
+// Store is an instance's access to the platform.
+type Store struct {
+	table     platform.Table
+	instances platform.Instances
+	loop      Submitter
+	log       *slog.Logger
+	timeout   time.Duration
+
+	away   atomic.Bool
+	reads  atomic.Uint64
+	writes atomic.Uint64
+	wg     sync.WaitGroup
+}
+
+// New returns a Store whose calls end after the timeout.
+func New(t platform.Table, i platform.Instances, loop Submitter, log *slog.Logger, timeout time.Duration) *Store {
+	return &Store{table: t, instances: i, loop: loop, log: log, timeout: timeout}
+}
+
+// Counts returns the reads and writes sent so far.
+func (s *Store) Counts() (reads, writes uint64) { return s.reads.Load(), s.writes.Load() }
+
+// Wait returns when no call is under way.
+func (s *Store) Wait() { s.wg.Wait() }
+
+// ReadTable carries out the effect. It doesn't block.
+func (s *Store) ReadTable(e effect.ReadTable) {
+	s.reads.Add(1)
+	s.run(func(ctx context.Context) {
+		changes, err := s.table.Read(ctx, e.Read)
+		s.note(err)
+		s.loop.Submit(node.TableRead{ID: e.ID, Changes: changes, OK: err == nil})
+	})
+}
+
+// WriteTable carries out the effect. It doesn't block.
+func (s *Store) WriteTable(e effect.WriteTable) {
+	s.writes.Add(1)
+	s.run(func(ctx context.Context) {
+		result, err := s.table.Write(ctx, e.Txn)
+		if err != nil {
+			// A transaction that the table finds malformed took no effect.
+			result = platform.WriteResult{Outcome: platform.Conflict}
+		}
+		s.loop.Submit(node.TableWritten{ID: e.ID, Result: result})
+	})
+}
+
+// ReadInstances carries out the effect. It doesn't block.
+func (s *Store) ReadInstances(e effect.ReadInstances) {
+	s.reads.Add(1)
+	s.run(func(ctx context.Context) {
+		changes, err := s.instances.List(ctx, e.Since)
+		s.loop.Submit(node.InstancesRead{ID: e.ID, Changes: changes, OK: err == nil})
+	})
+}
+
+func (s *Store) run(f func(context.Context)) {
+	s.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
+		defer cancel()
+		f(ctx)
+	})
+}
+
+// note logs the beginning and the end of an outage, not every failed read.
+func (s *Store) note(err error) {
+	switch away := err != nil; {
+	case away && !s.away.Swap(true):
+		event.PlatformUnavailable.Log(s.log, slog.String("error", err.Error()))
+	case !away && s.away.Swap(false):
+		event.PlatformReturned.Log(s.log)
+	}
+}
--- /dev/null
+++ b/entry/tree.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/thejerf/suture/v4"
+	"golang.org/x/net/netutil"
+
+	"foxtailspoke/entry/operators"
+	"foxtailspoke/event"
+	"foxtailspoke/peer"
+	"foxtailspoke/platform"
+	"foxtailspoke/platform/client"
+)
+
+const (
+	// greeting bounds a peer's handshake.
+	greeting = time.Second
+	// maxOperatorConnections bounds the connections of operators.
+	maxOperatorConnections = 64
+)
+
+// plant puts the children into the tree.
+func (e *Entry) plant(secret, token []byte) error {
+	e.tree = suture.New("entry", suture.Spec{EventHook: e.logFailure, Timeout: 5 * time.Second})
+	server, err := peer.NewServer(secret, e.settings.Peers.MaxConnections, greeting, e.driver.peers.Handle)
+	if err != nil {
+		return err
+	}
+	operatorAPI, err := operators.New(e.self.ID, token, e.loop, e.records, e.metrics.Handler())
+	if err != nil {
+		return err
+	}
+	e.callerServer = e.httpServer(e.callers)
+	e.tree.Add(child{"loop", e.serveLoop})
+	e.tree.Add(child{"peers", func(ctx context.Context) error { return server.Serve(ctx, e.ports.peers) }})
+	e.tree.Add(child{"callers", func(ctx context.Context) error {
+		l := netutil.LimitListener(e.ports.callers, e.settings.Callers.MaxConnections)
+		return serveHTTP(ctx, e.callerServer, l)
+	}})
+	e.tree.Add(child{"operators", func(ctx context.Context) error {
+		l := netutil.LimitListener(e.ports.operators, maxOperatorConnections)
+		return serveHTTP(ctx, e.httpServer(operatorAPI), l)
+	}})
+	e.tree.Add(child{"announcer", e.announce})
+	e.tree.Add(child{"records", e.records.Serve})
+	e.tree.Add(child{"sweeper", e.sweep})
+	return nil
+}
+
+// child is a named part of the tree.
+type child struct {
+	name  string
+	serve func(context.Context) error
+}
+
+// Serve implements suture.Service.
+func (c child) Serve(ctx context.Context) error { return c.serve(ctx) }
+
+// String names the child in logs.
+func (c child) String() string { return c.name }
+
+// serveLoop runs the node. A panic of the node is a broken invariant: what
+// it would decide next can't be trusted, so the process stops.
+func (e *Entry) serveLoop(ctx context.Context) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			event.InvariantBroken.Log(e.log, slog.Any("panic", r))
+			err = suture.ErrTerminateSupervisorTree
+		}
+	}()
+	e.loop.Run(ctx)
+	return ctx.Err()
+}
+
+func (e *Entry) httpServer(h http.Handler) *http.Server {
+	c := e.settings.Callers
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: time.Duration(c.HeaderTimeout),
+		ReadTimeout:       time.Duration(c.ReadTimeout),
+		IdleTimeout:       time.Duration(c.IdleTimeout),
+		MaxHeaderBytes:    c.MaxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
+	}
+}
+
+func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return err
+}
+
+// announce tells the platform again and again that the instance runs.
+func (e *Entry) announce(ctx context.Context) error {
+	ticker := time.NewTicker(time.Duration(e.settings.Platform.AnnounceEvery))
+	defer ticker.Stop()
+	for {
+		if err := e.client.Announce(ctx, e.announced()); errors.Is(err, client.ErrEnded) {
+			return suture.ErrTerminateSupervisorTree
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (e *Entry) announced() platform.Instance {
+	self := e.self
+	if e.leaving.Load() {
+		self.State = platform.Leaving
+	}
+	return self
+}
+
+// sweep closes connections to instances that aren't called any more.
+func (e *Entry) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(peerIdle)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			e.peers.CloseIdle(peerIdle)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (e *Entry) logFailure(ev suture.Event) {
+	attrs := ev.Map()
+	event.ChildFailed.Log(e.log, slog.String("error", ev.String()), slog.Any("type", attrs["type"]))
+}
+
+// exportGauges adds the figures that are read from the parts on demand.
+func (e *Entry) exportGauges() {
+	e.metrics.Counter("platform_reads_total", "Reads of the platform's table and list.", func() float64 {
+		reads, _ := e.driver.store.Counts()
+		return float64(reads)
+	})
+	e.metrics.Counter("platform_writes_total", "Writes of the platform's table.", func() float64 {
+		_, writes := e.driver.store.Counts()
+		return float64(writes)
+	})
+	e.metrics.Gauge("peer_sent_bytes", "Bytes sent to other instances on the connections open now.", func() float64 {
+		sent, _ := e.peers.Traffic()
+		return float64(sent)
+	})
+	e.metrics.Gauge("peer_received_bytes", "Bytes received from other instances on the connections open now.", func() float64 {
+		_, received := e.peers.Traffic()
+		return float64(received)
+	})
+}
--- a/internal/standin/contract.go
+++ b/internal/standin/contract.go
@@ -13,7 +13,7 @@
 	// OutcomeHeader is in answers that aren't the work's own result.
 	OutcomeHeader = "Foxtailspoke-Outcome"
 	// OperationHeader is the caller's own id of a non-idempotent operation.
-	OperationHeader = "Idempotency-Key"
+	OperationHeader = "Foxtailspoke-Operation"
 )
 
 // Values of OutcomeHeader.
--- a/node/event.go
+++ b/node/event.go
@@ -193,8 +193,10 @@
 	Request   string
 	Addresses []string
 	// TTL is how long the caller may keep the answer.
-	TTL        time.Duration
+	TTL time.Duration
+	// Operations are operation keys; Self is the address that runs them.
 	Operations []string
+	Self       string
 }
 
 // Recorded is the decision on a request that has ended.
--- a/node/locate.go
+++ b/node/locate.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"foxtailspoke/decision"
 	"foxtailspoke/membership"
@@ -20,6 +21,7 @@
 		Request:   e.Request,
 		Addresses: n.addresses(workspace.Name, true),
 		TTL:       n.settings.LocateTTL,
+		Self:      n.settings.Self.Address,
 	}
 	for range e.Operations {
 		located.Operations = append(located.Operations, n.minter.Mint(n.now, workspace.Name))
@@ -63,7 +65,8 @@
 
 // Serving says whether the instance accepts requests; if not, by which rule
 // it refuses them.
-func (n *Node) Serving() (decision.Rule, bool) {
+func (n *Node) Serving(now time.Duration) (decision.Rule, bool) {
+	n.now = max(n.now, now)
 	switch {
 	case n.member.Confirmed(n.now).State == membership.CutOff:
 		return decision.RuleCutOff, false
--- a/node/operations.go
+++ b/node/operations.go
@@ -116,7 +116,7 @@
 // or may not have run, and an earlier one with the key as well.
 func (n *Node) forwardEnded(a *attempt, e AttemptEnded) {
 	r := a.request
-	if e.Result == health.OK || e.Result == health.ServerError || e.Result == health.Shed {
+	if answeredByMinter(e.Result) {
 		if e.Streaming {
 			a.streaming = true
 		}
@@ -131,6 +131,12 @@
 	n.refuseAs(r, record)
 }
 
+// answeredByMinter says whether the minter's own answer came back whole. What
+// it says of the outcome goes to the caller as it is.
+func answeredByMinter(r health.Result) bool {
+	return r == health.OK || r == health.ServerError || r == health.Shed || r == health.NotRun
+}
+
 func (n *Node) passOn(a *attempt) {
 	r := a.request
 	r.answered = true
--- a/node/status.go
+++ b/node/status.go
@@ -36,7 +36,14 @@
 	Servers int
 	Usable  int
 	Ejected []config.Ejection
-	Weights map[string]float64
+	// Lowered are the backend servers that this instance uses less.
+	Lowered []Lowered
+}
+
+// Lowered is a backend server with a weight below 1.
+type Lowered struct {
+	Server string
+	Weight float64
 }
 
 // Refusals counts the requests of a workspace that were refused for the rate.
@@ -90,7 +97,6 @@
 		Service: definition,
 		Servers: len(n.member.Live().Servers(name)),
 		Ejected: n.replica.Permits(name).Ejected,
-		Weights: map[string]float64{},
 	}
 	for _, server := range view {
 		if server.Leaving || server.Ejected {
@@ -98,7 +104,7 @@
 		}
 		s.Usable++
 		if server.Weight < 1 {
-			s.Weights[server.ID] = server.Weight
+			s.Lowered = append(s.Lowered, Lowered{Server: server.ID, Weight: server.Weight})
 		}
 	}
 	return s
@@ -131,11 +137,27 @@
 	return n.effects
 }
 
-// InForce says whether a revision is in force everywhere, and which
-// witnesses haven't said that they know it.
-func (n *Node) InForce(now time.Duration, revision platform.Revision) (bool, []string) {
+// InForce says whether a revision is in force everywhere, and which witnesses
+// know it and which are missing.
+func (n *Node) InForce(now time.Duration, revision platform.Revision) (inForce bool, known, missing []string) {
 	n.now = max(n.now, now)
-	return n.member.InForce(n.now, revision), n.member.Missing(revision)
+	missing = n.member.Missing(revision)
+	for _, id := range n.replica.Witnesses().Members {
+		if !slices.Contains(missing, id) {
+			known = append(known, id)
+		}
+	}
+	return n.member.InForce(n.now, revision), known, missing
+}
+
+// PeerAddress returns where an instance takes calls from other instances;
+// empty if it isn't known or has ended.
+func (n *Node) PeerAddress(id string) string {
+	i, ok := n.member.Live().Instance(id)
+	if !ok || i.State == platform.Ended {
+		return ""
+	}
+	return i.PeerAddress
 }
 
 // Idle says whether no request is in progress.
@@ -145,3 +167,6 @@
 func (n *Node) HoldsParts() bool { return len(n.shards.held) > 0 }
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+// Seated says whether the instance is a witness as far as it knows.
+func (n *Node) Seated() bool { return n.member.Seated() }
