The two lists: strict reading, all faults at once, rows and differences

Cause: a slip in a list reaches 40 instances within seconds, so it has to be found before anything is sent, with its place. Change: config/jsonc reads JSON with comments over the syntax tree of hujson and reports unknown and repeated members, wrong types and ranges with file, line, column and field; config/lists checks names, plans, services, floors, rates, bursts and prefixes, makes rows of the control table and compares two pairs of lists in plain text. Ruled out: encoding/json with DisallowUnknownFields: it stops at the first fault, gives no line, and accepts repeated members. Nesting is bounded before parsing because the parser recurses.

--- /dev/null
+++ b/config/jsonc/document.go
@@ -0,0 +1,112 @@
+package jsonc
+
+import (
+	"fmt"
+	"regexp"
+	"sort"
+	"strconv"
+
+	"github.com/tailscale/hujson"
+)
+
+const (
+	// MaxBytes bounds a file. The lists of 55,000 workspaces take about a
+	// quarter of it.
+	MaxBytes = 16 << 20
+	// MaxDepth bounds nesting. The parser recurses, and a file of brackets
+	// alone would otherwise exhaust the stack, which ends the process.
+	MaxDepth = 1000
+)
+
+// Document is a file being read. It collects the faults.
+type Document struct {
+	file string
+	// lineStarts has the offset of each line's first byte.
+	lineStarts []int
+	faults     Faults
+	parsed     bool
+}
+
+// Parse reads a file's syntax. If that fails, the document has one fault and
+// the value is empty: reading it does nothing.
+func Parse(file string, data []byte) (*Document, Value) {
+	d := &Document{file: file, lineStarts: lineStarts(data)}
+	if len(data) > MaxBytes {
+		d.fault(0, "", fmt.Sprintf("%d bytes", len(data)), fmt.Sprintf("at most %d bytes", MaxBytes))
+		return d, Value{}
+	}
+	if offset := tooDeep(data); offset >= 0 {
+		d.fault(offset, "", fmt.Sprintf("values nested more than %d deep", MaxDepth), "fewer")
+		return d, Value{}
+	}
+	root, err := hujson.Parse(data)
+	if err != nil {
+		d.syntax(err)
+		return d, Value{}
+	}
+	d.parsed = true
+	return d, Value{doc: d, value: root}
+}
+
+// Parsed tells whether the file's syntax could be read.
+func (d *Document) Parsed() bool { return d.parsed }
+
+// Faults returns what was wrong so far, ordered by place.
+func (d *Document) Faults() Faults {
+	d.faults.Sort()
+	return d.faults
+}
+
+func (d *Document) fault(offset int, field, found, allowed string) {
+	line, column := d.place(offset)
+	d.faults = append(d.faults, Fault{
+		File: d.file, Line: line, Column: column, Field: field, Found: found, Allowed: allowed,
+	})
+}
+
+// place returns the line and column of an offset, both from 1.
+func (d *Document) place(offset int) (line, column int) {
+	line = sort.SearchInts(d.lineStarts, offset+1)
+	return line, offset - d.lineStarts[line-1] + 1
+}
+
+func lineStarts(data []byte) []int {
+	starts := []int{0}
+	for i, c := range data {
+		if c == '\n' {
+			starts = append(starts, i+1)
+		}
+	}
+	return starts
+}
+
+// tooDeep returns the offset of the bracket that exceeds MaxDepth, or -1. It
+// counts brackets in strings and comments as well: the bound is far above any
+// honest file, so that counting more than there are does no harm.
+func tooDeep(data []byte) int {
+	depth := 0
+	for i, c := range data {
+		switch c {
+		case '{', '[':
+			depth++
+		case '}', ']':
+			depth--
+		}
+		if depth > MaxDepth {
+			return i
+		}
+	}
+	return -1
+}
+
+var syntaxError = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (.*)$`)
+
+func (d *Document) syntax(err error) {
+	f := Fault{File: d.file, Line: 1, Column: 1, Found: err.Error(), Allowed: "JSON, with // and /* */ comments and trailing commas"}
+	if m := syntaxError.FindStringSubmatch(err.Error()); m != nil {
+		f.Line, _ = strconv.Atoi(m[1])
+		f.Column, _ = strconv.Atoi(m[2])
+		f.Found = m[3]
+	}
+	d.faults = append(d.faults, f)
+}
--- /dev/null
+++ b/config/jsonc/value.go
@@ -0,0 +1,242 @@
+package jsonc
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// Value is one value of a document with its path. Its methods report a fault
+// and return false if the value isn't what they ask for. The zero Value
+// stands for a file that couldn't be parsed; it is silent, because the
+// document has its fault already.
+type Value struct {
+	doc   *Document
+	value hujson.Value
+	field string
+}
+
+// Field is a member that an object may have.
+type Field struct {
+	Name     string
+	Required bool
+	Read     func(Value)
+}
+
+// Path returns the value's path from the root, such as "plans.workshop".
+func (v Value) Path() string { return v.field }
+
+// Fault reports the value as faulty.
+func (v Value) Fault(found, allowed string) {
+	if v.doc != nil {
+		v.doc.fault(v.value.StartOffset, v.field, found, allowed)
+	}
+}
+
+// Line returns the line on which the value begins.
+func (v Value) Line() int {
+	if v.doc == nil {
+		return 0
+	}
+	line, _ := v.doc.place(v.value.StartOffset)
+	return line
+}
+
+// Object reads an object with the given members and no others.
+func (v Value) Object(fields ...Field) {
+	seen := map[string]bool{}
+	ok := v.Members(func(name, member Value) {
+		key, _ := name.Text()
+		i := slices.IndexFunc(fields, func(f Field) bool { return f.Name == key })
+		if i < 0 {
+			name.Fault("the unknown field "+quote(key), "the fields "+fieldNames(fields))
+			return
+		}
+		seen[key] = true
+		fields[i].Read(member)
+	})
+	if !ok {
+		return
+	}
+	for _, f := range fields {
+		if f.Required && !seen[f.Name] {
+			v.Fault("no field "+quote(f.Name), "the field "+quote(f.Name)+" is required")
+		}
+	}
+}
+
+// Members reads an object whose members' names are free, in their order. The
+// first argument of each is the name itself, as a value with a place. A name
+// that comes a second time is a fault and is left out.
+func (v Value) Members(each func(name, member Value)) bool {
+	if v.doc == nil {
+		return false
+	}
+	object, ok := v.value.Value.(*hujson.Object)
+	if !ok {
+		v.Fault(v.kind(), "an object in braces")
+		return false
+	}
+	first := map[string]int{}
+	for _, m := range object.Members {
+		name := Value{doc: v.doc, value: m.Name, field: v.field}
+		key, _ := name.Text()
+		if line, again := first[key]; again {
+			name.Fault(fmt.Sprintf("%s a second time, first on line %d", quote(key), line), "each name once")
+			continue
+		}
+		first[key] = name.Line()
+		name.field = join(v.field, key)
+		each(name, Value{doc: v.doc, value: m.Value, field: name.field})
+	}
+	return true
+}
+
+// Elements reads an array.
+func (v Value) Elements(each func(Value)) bool {
+	if v.doc == nil {
+		return false
+	}
+	array, ok := v.value.Value.(*hujson.Array)
+	if !ok {
+		v.Fault(v.kind(), "a list in square brackets")
+		return false
+	}
+	for i, e := range array.Elements {
+		each(Value{doc: v.doc, value: e, field: fmt.Sprintf("%s[%d]", v.field, i)})
+	}
+	return true
+}
+
+// Text reads a string.
+func (v Value) Text() (string, bool) {
+	literal, ok := v.literal('"')
+	if !ok {
+		v.Fault(v.kind(), "a string in quotes")
+		return "", false
+	}
+	var s string
+	if err := json.Unmarshal(literal, &s); err != nil {
+		v.Fault(v.kind(), "a string in quotes")
+		return "", false
+	}
+	return s, true
+}
+
+// Bool reads true or false.
+func (v Value) Bool() (bool, bool) {
+	literal, ok := v.value.Value.(hujson.Literal)
+	if !ok || (literal.Kind() != 't' && literal.Kind() != 'f') {
+		v.Fault(v.kind(), "true or false")
+		return false, false
+	}
+	return literal.Bool(), true
+}
+
+// Float reads a finite number from least to most.
+func (v Value) Float(least, most float64) (float64, bool) {
+	allowed := fmt.Sprintf("a number from %s to %s", number(least), number(most))
+	literal, ok := v.literal('0')
+	if !ok {
+		v.Fault(v.kind(), allowed)
+		return 0, false
+	}
+	f, err := strconv.ParseFloat(string(literal), 64)
+	if err != nil || math.IsInf(f, 0) || f < least || f > most {
+		v.Fault(v.kind(), allowed)
+		return 0, false
+	}
+	return f, true
+}
+
+// Int reads a whole number from least to most.
+func (v Value) Int(least, most int) (int, bool) {
+	allowed := fmt.Sprintf("a whole number from %d to %d", least, most)
+	literal, ok := v.literal('0')
+	if !ok {
+		v.Fault(v.kind(), allowed)
+		return 0, false
+	}
+	n, err := strconv.Atoi(string(literal))
+	if err != nil || n < least || n > most {
+		v.Fault(v.kind(), allowed)
+		return 0, false
+	}
+	return n, true
+}
+
+// Duration reads a time such as "1.5s", from least to most.
+func (v Value) Duration(least, most time.Duration) (time.Duration, bool) {
+	allowed := fmt.Sprintf(`a time from %s to %s in quotes, such as "1.5s"`, least, most)
+	literal, ok := v.literal('"')
+	if !ok {
+		v.Fault(v.kind(), allowed)
+		return 0, false
+	}
+	var s string
+	_ = json.Unmarshal(literal, &s)
+	d, err := time.ParseDuration(s)
+	if err != nil || d < least || d > most {
+		v.Fault(v.kind(), allowed)
+		return 0, false
+	}
+	return d, true
+}
+
+func (v Value) literal(kind hujson.Kind) ([]byte, bool) {
+	literal, ok := v.value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != kind {
+		return nil, false
+	}
+	return literal, true
+}
+
+// maxShown bounds how much of a faulty value a fault repeats.
+const maxShown = 60
+
+// kind describes the value as found.
+func (v Value) kind() string {
+	switch x := v.value.Value.(type) {
+	case *hujson.Object:
+		return "an object"
+	case *hujson.Array:
+		return "a list"
+	case hujson.Literal:
+		if len(x) > maxShown {
+			return strings.ToValidUTF8(string(x[:maxShown]), "") + "…"
+		}
+		return string(x)
+	default:
+		return "nothing"
+	}
+}
+
+func fieldNames(fields []Field) string {
+	names := make([]string, len(fields))
+	for i, f := range fields {
+		names[i] = quote(f.Name)
+	}
+	return strings.Join(names, ", ")
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func quote(s string) string {
+	if len(s) > maxShown {
+		s = strings.ToValidUTF8(s[:maxShown], "") + "…"
+	}
+	return strconv.Quote(s)
+}
+
+func number(f float64) string { return strconv.FormatFloat(f, 'f', -1, 64) }
--- /dev/null
+++ b/config/lists/check.go
@@ -0,0 +1,112 @@
+package lists
+
+import (
+	"fmt"
+	"maps"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"foxtailspoke/config/jsonc"
+)
+
+// Source is a list as an operator wrote it.
+type Source struct {
+	// File is the name that faults carry.
+	File string
+	Data []byte
+}
+
+// Capacity is the number of live backend servers of each service, from the
+// platform's list. Nil means that it isn't known; then floors are checked
+// against nothing but their own bounds.
+type Capacity map[string]int
+
+// Check reads both lists and returns everything that is wrong with them. If
+// there are faults, the lists returned are incomplete and not to be used.
+func Check(customers, plans Source, capacity Capacity) (Lists, jsonc.Faults) {
+	r := &reader{lists: Empty(), prefixes: map[string]claimedPrefix{}}
+	plansDoc, plansRoot := jsonc.Parse(plans.File, plans.Data)
+	customersDoc, customersRoot := jsonc.Parse(customers.File, customers.Data)
+	r.plansList(plansRoot)
+	r.customers(customersRoot)
+	if plansDoc.Parsed() {
+		r.checkReferences()
+		r.checkFloors(capacity)
+	}
+	faults := append(slices.Clone(plansDoc.Faults()), customersDoc.Faults()...)
+	faults.Sort()
+	return r.lists, faults
+}
+
+// checkReferences finds names of plans and services that don't exist.
+func (r *reader) checkReferences() {
+	services := slices.Sorted(maps.Keys(r.lists.Services))
+	for _, ref := range r.serviceRefs {
+		if _, ok := r.lists.Services[ref.name]; !ok {
+			ref.at.Fault("the unknown service "+quoted(ref.name), oneOf("services", services))
+		}
+	}
+	plans := slices.Sorted(maps.Keys(r.lists.Plans))
+	for _, ref := range r.planRefs {
+		if _, ok := r.lists.Plans[ref.name]; !ok {
+			ref.at.Fault("the unknown plan "+quoted(ref.name), oneOf("plans", plans))
+		}
+	}
+}
+
+// checkFloors compares the floors with the capacity as far as it is known. A
+// service that the platform doesn't list yet has the capacity 0.
+func (r *reader) checkFloors(capacity Capacity) {
+	if capacity == nil {
+		return
+	}
+	for _, s := range r.floors {
+		if live := capacity[s.service]; s.floor > live {
+			s.at.Fault(fmt.Sprintf("the floor %d", s.floor),
+				fmt.Sprintf("at most %d, the live backend servers that the platform lists for %s", live, quoted(s.service)))
+		}
+	}
+}
+
+// maxListed bounds how many names a fault offers.
+const maxListed = 12
+
+func oneOf(kind string, names []string) string {
+	if len(names) == 0 {
+		return "one of the " + kind + " of the list, which has none"
+	}
+	shown := names[:min(len(names), maxListed)]
+	text := "one of the " + kind + " " + strings.Join(shown, ", ")
+	if len(shown) < len(names) {
+		text += fmt.Sprintf(" and %d more", len(names)-len(shown))
+	}
+	return text
+}
+
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+	prefixPattern = regexp.MustCompile(`^/([A-Za-z0-9_.~-]+/)*$`)
+)
+
+func validName(s string) bool {
+	return len(s) <= MaxName && namePattern.MatchString(s)
+}
+
+// validPrefix accepts plain path segments only. Escapes are left out because
+// a path must have one spelling: two would make two routes of one.
+func validPrefix(s string) bool {
+	if len(s) > MaxPrefix || !prefixPattern.MatchString(s) {
+		return false
+	}
+	return !strings.Contains(s, "/./") && !strings.Contains(s, "/../")
+}
+
+func quoted(s string) string {
+	const most = 80
+	if len(s) > most {
+		s = strings.ToValidUTF8(s[:most], "") + "…"
+	}
+	return strconv.Quote(s)
+}
--- /dev/null
+++ b/config/lists/diff.go
@@ -0,0 +1,153 @@
+package lists
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"foxtailspoke/config"
+)
+
+// ChangeKind says what happened to an item.
+type ChangeKind string
+
+const (
+	// Added items are new.
+	Added ChangeKind = "added"
+	// Removed items are gone.
+	Removed ChangeKind = "removed"
+	// Changed items are there before and after.
+	Changed ChangeKind = "changed"
+)
+
+// Change is one difference between two pairs of lists.
+type Change struct {
+	Kind ChangeKind `json:"kind"`
+	// Item is "workspace", "plan" or "service".
+	Item string `json:"item"`
+	Name string `json:"name"`
+	// Details tell in plain words what is different.
+	Details []string `json:"details,omitempty"`
+	// Row is the row to write; its Value is nil for Removed.
+	Row Row `json:"-"`
+}
+
+// String returns the change in one line of plain text.
+func (c Change) String() string {
+	sign := map[ChangeKind]string{Added: "+", Removed: "-", Changed: "~"}[c.Kind]
+	line := fmt.Sprintf("%s %s %s", sign, c.Item, c.Name)
+	if len(c.Details) > 0 {
+		line += ": " + strings.Join(c.Details, "; ")
+	}
+	return line
+}
+
+// Diff returns what has to change to get from one pair of lists to another,
+// ordered by row key.
+func Diff(from, to Lists) []Change {
+	before := map[string][]byte{}
+	for _, row := range from.Rows() {
+		before[row.Key] = row.Value
+	}
+	var changes []Change
+	for _, row := range to.Rows() {
+		old, existed := before[row.Key]
+		delete(before, row.Key)
+		if existed && bytes.Equal(old, row.Value) {
+			continue
+		}
+		changes = append(changes, newChange(row, old, existed))
+	}
+	for key := range before {
+		item, name, _ := strings.Cut(key, "/")
+		changes = append(changes, Change{Kind: Removed, Item: item, Name: name, Row: Row{Key: key}})
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Row.Key, b.Row.Key) })
+	return changes
+}
+
+func newChange(row Row, old []byte, existed bool) Change {
+	item, name, _ := strings.Cut(row.Key, "/")
+	c := Change{Kind: Added, Item: item, Name: name, Row: row}
+	if existed {
+		c.Kind = Changed
+	}
+	before, after := facts(item, old), facts(item, row.Value)
+	for _, f := range slices.Sorted(maps.Keys(after)) {
+		if before[f] != after[f] {
+			c.Details = append(c.Details, detailOf(f, before[f], after[f]))
+		}
+	}
+	for _, f := range slices.Sorted(maps.Keys(before)) {
+		if _, still := after[f]; !still {
+			c.Details = append(c.Details, detailOf(f, before[f], ""))
+		}
+	}
+	return c
+}
+
+func detailOf(fact, before, after string) string {
+	switch {
+	case before == "":
+		return fact + " " + after
+	case after == "":
+		return fact + " " + before + " is removed"
+	default:
+		return fact + " " + before + " becomes " + after
+	}
+}
+
+// facts returns what a row says, by name, in plain words.
+func facts(item string, value []byte) map[string]string {
+	f := map[string]string{}
+	if value == nil {
+		return f
+	}
+	switch item + "/" {
+	case config.WorkspacePrefix:
+		var w config.Workspace
+		_ = json.Unmarshal(value, &w)
+		f["plan"] = w.Plan
+	case config.PlanPrefix:
+		var p config.Plan
+		_ = json.Unmarshal(value, &p)
+		for name, l := range p.Services {
+			f["service "+name] = limitText(l)
+		}
+	case config.ServicePrefix:
+		var s config.Service
+		_ = json.Unmarshal(value, &s)
+		serviceFacts(f, s)
+	}
+	return f
+}
+
+func serviceFacts(f map[string]string, s config.Service) {
+	f["floor"] = strconv.Itoa(s.Floor)
+	f["time-out"] = time.Duration(s.Timeout).String()
+	for _, r := range s.Routes {
+		f["route "+r.Prefix] = idempotentText(r.Idempotent)
+	}
+}
+
+func limitText(l config.Limit) string {
+	return fmt.Sprintf("(%s a second, burst %s)",
+		strconv.FormatFloat(l.Rate, 'f', -1, 64), strconv.FormatFloat(l.Burst, 'f', -1, 64))
+}
+
+func idempotentText(b *bool) string {
+	switch {
+	case b == nil:
+		return "(repeatable by its method)"
+	case *b:
+		return "(always repeatable)"
+	default:
+		return "(never repeatable)"
+	}
+}
--- /dev/null
+++ b/config/lists/lists.go
@@ -0,0 +1,115 @@
+// Package lists reads, checks and compares the two lists that operators edit:
+// the customers' list (which workspace has which plan) and the plans' list
+// (which services there are, and what each plan may use of them).
+//
+// The lists become rows of the control table, one for each workspace, plan
+// and service, so that a change sends only what changed.
+package lists
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/config"
+	"foxtailspoke/platform"
+)
+
+// Lists are both lists together. They are checked together, accepted together
+// and have one version.
+type Lists struct {
+	Workspaces map[string]config.Workspace
+	Plans      map[string]config.Plan
+	Services   map[string]config.Service
+}
+
+// Empty returns lists without anything in them.
+func Empty() Lists {
+	return Lists{
+		Workspaces: map[string]config.Workspace{},
+		Plans:      map[string]config.Plan{},
+		Services:   map[string]config.Service{},
+	}
+}
+
+// Row is one row of the control table.
+type Row struct {
+	Key   string
+	Value []byte
+}
+
+// Rows returns the lists' rows of the control table, ordered by key. Equal
+// lists give equal bytes.
+func (l Lists) Rows() []Row {
+	rows := make([]Row, 0, len(l.Workspaces)+len(l.Plans)+len(l.Services))
+	rows = appendRows(rows, config.PlanPrefix, l.Plans)
+	rows = appendRows(rows, config.ServicePrefix, l.Services)
+	rows = appendRows(rows, config.WorkspacePrefix, l.Workspaces)
+	return rows
+}
+
+func appendRows[V any](rows []Row, prefix string, m map[string]V) []Row {
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		value, err := json.Marshal(m[name])
+		if err != nil {
+			// Checked lists hold finite numbers and plain strings only.
+			panic(errors.Wrapf(err, "encode %s%s", prefix, name))
+		}
+		rows = append(rows, Row{Key: prefix + name, Value: value})
+	}
+	return rows
+}
+
+// Digest returns the SHA-256 of the lists' rows, in hex.
+func (l Lists) Digest() string {
+	h := sha256.New()
+	for _, row := range l.Rows() {
+		h.Write([]byte(row.Key))
+		h.Write([]byte{0})
+		h.Write(row.Value)
+		h.Write([]byte{'\n'})
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// FromRows rebuilds the lists from rows of the control table. Rows of other
+// kinds and tombstones are left out.
+func FromRows(rows []platform.Row) (Lists, error) {
+	l := Empty()
+	for _, row := range rows {
+		if row.Deleted {
+			continue
+		}
+		if err := l.add(row); err != nil {
+			return Lists{}, errors.Wrapf(err, "row %s", row.Key)
+		}
+	}
+	return l, nil
+}
+
+func (l Lists) add(row platform.Row) error {
+	if name, ok := strings.CutPrefix(row.Key, config.WorkspacePrefix); ok {
+		w := config.Workspace{Name: name}
+		err := json.Unmarshal(row.Value, &w)
+		l.Workspaces[name] = w
+		return err
+	}
+	if name, ok := strings.CutPrefix(row.Key, config.PlanPrefix); ok {
+		p := config.Plan{Name: name}
+		err := json.Unmarshal(row.Value, &p)
+		l.Plans[name] = p
+		return err
+	}
+	if name, ok := strings.CutPrefix(row.Key, config.ServicePrefix); ok {
+		s := config.Service{Name: name}
+		err := json.Unmarshal(row.Value, &s)
+		l.Services[name] = s
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/config/lists/lists_test.go
@@ -0,0 +1,186 @@
+package lists
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/config"
+	"foxtailspoke/platform"
+)
+
+const (
+	goodCustomers = `{"workspaces": {"a": {"plan": "p"}}}`
+	goodPlans     = `{
+  "services": {"s": {"floor": 2, "timeout": "2s", "routes": [{"prefix": "/s/"}]}},
+  "plans": {"p": {"services": {"s": {"rate": 20, "burst": 40}}}}
+}`
+)
+
+func check(customers, plans string, c Capacity) (Lists, []string) {
+	l, faults := Check(Source{"c.json", []byte(customers)}, Source{"p.json", []byte(plans)}, c)
+	var lines []string
+	for _, f := range faults {
+		lines = append(lines, f.String())
+	}
+	return l, lines
+}
+
+// Each slip that an operator can make names its place, what was found and
+// what is allowed.
+func TestCheckFaults(t *testing.T) {
+	plan := func(old, replacement string) string { return strings.Replace(goodPlans, old, replacement, 1) }
+	tests := []struct {
+		name, customers, plans string
+		capacity               Capacity
+		want                   []string
+	}{
+		{"good", goodCustomers, goodPlans, Capacity{"s": 2}, nil},
+		{"syntax", `{"workspaces": `, goodPlans, nil, []string{"c.json:1:16: found parsing value: unexpected EOF; allowed: JSON"}},
+		{"unknown field", `{"workspaces": {"a": {"plan": "p", "plam": 1}}}`, goodPlans, nil,
+			[]string{`c.json:1:36: workspaces.a.plam: found the unknown field "plam"; allowed: the fields "plan"`}},
+		{"duplicate workspace", "{\"workspaces\": {\n\"a\": {\"plan\": \"p\"},\n\"a\": {\"plan\": \"p\"}}}", goodPlans, nil,
+			[]string{`c.json:3:1: workspaces: found "a" a second time, first on line 2; allowed: each name once`}},
+		{"missing section", `{}`, goodPlans, nil, []string{`c.json:1:1: found no field "workspaces"`}},
+		{"wrong type", `{"workspaces": []}`, goodPlans, nil, []string{`c.json:1:16: workspaces: found a list; allowed: an object in braces`}},
+		{"unknown plan", `{"workspaces": {"a": {"plan": "q"}}}`, goodPlans, nil,
+			[]string{`c.json:1:31: workspaces.a.plan: found the unknown plan "q"; allowed: one of the plans p`}},
+		{"bad name", `{"workspaces": {"A/b": {"plan": "p"}}}`, goodPlans, nil, []string{`c.json:1:17: workspaces.A/b: found the name "A/b"`}},
+		{"long name", `{"workspaces": {"` + strings.Repeat("a", MaxName+1) + `": {"plan": "p"}}}`, goodPlans, nil, []string{"c.json:1:17: "}},
+		{"unknown service", goodCustomers, plan(`{"s": {"rate"`, `{"t": {"rate"`), nil,
+			[]string{`p.json:3:32: plans.p.services.t: found the unknown service "t"; allowed: one of the services s`}},
+		{"no service", goodCustomers, plan(`{"s": {"rate": 20, "burst": 40}}`, `{}`), nil,
+			[]string{`p.json:3:31: plans.p.services: found a plan without a service`}},
+		{"rate zero", goodCustomers, plan("20", "0"), nil, []string{`p.json:3:46: plans.p.services.s.rate: found 0; allowed: a number from 0.0001 to 1000000`}},
+		{"rate infinite", goodCustomers, plan("20", "1e999"), nil, []string{`p.json:3:46: plans.p.services.s.rate: found 1e999`}},
+		{"rate text", goodCustomers, plan("20", `"20"`), nil, []string{`p.json:3:46: plans.p.services.s.rate: found "20"`}},
+		{"burst below one", goodCustomers, plan("40", "0.5"), nil, []string{`p.json:3:59: plans.p.services.s.burst: found 0.5; allowed: a number from 1 to`}},
+		{"floor above capacity", goodCustomers, goodPlans, Capacity{"s": 1}, []string{`p.json:2:31: services.s.floor: found the floor 2; allowed: at most 1`}},
+		{"floor zero", goodCustomers, plan(`"floor": 2`, `"floor": 0`), nil, []string{`p.json:2:31: services.s.floor: found 0`}},
+		{"time-out without unit", goodCustomers, plan(`"2s"`, `"2"`), nil, []string{`p.json:2:45: services.s.timeout: found "2"; allowed: a time from 1ms to 1h0m0s`}},
+		{"no routes", goodCustomers, plan(`[{"prefix": "/s/"}]`, `[]`), nil, []string{`p.json:2:61: services.s.routes: found no route`}},
+		{"prefix without slash", goodCustomers, plan(`"/s/"`, `"/s"`), nil, []string{`p.json:2:73: services.s.routes[0].prefix: found "/s"`}},
+		{"prefix with dots", goodCustomers, plan(`"/s/"`, `"/s/../"`), nil, []string{`p.json:2:73: `}},
+		{"prefix escaped", goodCustomers, plan(`"/s/"`, `"/%73/"`), nil, []string{`p.json:2:73: `}},
+		{"prefix twice", goodCustomers, plan(`"services": {`, "\"services\": {\"t\": {\"floor\": 1, \"timeout\": \"1s\", \"routes\": [{\"prefix\": \"/s/\"}]},\n"), nil,
+			[]string{`p.json:3:58: services.s.routes[0].prefix: found the prefix "/s/", which the service "t" has on line 2; allowed: each prefix once`}},
+		{"everything at once", `{"workspaces": {"a": {"plan": "q"}}, "x": 1}`, plan("20, \"burst\": 40", "-1, \"burst\": 0"), Capacity{}, []string{
+			`c.json:1:31: `, `c.json:1:38: `, `p.json:2:31: `, `p.json:3:46: `, `p.json:3:59: `}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			_, got := check(tc.customers, tc.plans, tc.capacity)
+			must.Eq(t, len(tc.want), len(got), must.Sprint(got))
+			for i, want := range tc.want {
+				must.StrHasPrefix(t, want, got[i])
+			}
+		})
+	}
+}
+
+// The lists that both deployments start with, at their size of today.
+func TestExamples(t *testing.T) {
+	capacities := map[string]Capacity{
+		"dimaculangan": {"catalogue": 10, "diagnosis": 10, "ordering": 15, "billing": 15},
+		"kervan":       {"archive": 10, "subscription": 15, "dispatch": 15, "editorial": 5},
+	}
+	for name, capacity := range capacities {
+		l, faults := Check(example(t, name, "customers.json"), example(t, name, "plans.json"), capacity)
+		must.NoError(t, faults.Err())
+		must.MapLen(t, 10, l.Workspaces)
+		must.MapLen(t, len(capacity), l.Services)
+		must.MapLen(t, 3, l.Plans)
+		must.Eq(t, l, roundTrip(t, l))
+	}
+}
+
+func example(t testing.TB, name, file string) Source {
+	t.Helper()
+	path := filepath.Join("..", "..", "examples", name, file)
+	data, err := os.ReadFile(path)
+	must.NoError(t, err)
+	return Source{File: path, Data: data}
+}
+
+func roundTrip(t *testing.T, l Lists) Lists {
+	t.Helper()
+	var rows []platform.Row
+	for _, r := range l.Rows() {
+		rows = append(rows, platform.Row{Key: r.Key, Value: r.Value})
+	}
+	back, err := FromRows(rows)
+	must.NoError(t, err)
+	must.Eq(t, l.Digest(), back.Digest())
+	return back
+}
+
+func TestDiffNamesWhatChanged(t *testing.T) {
+	from, faults := check(goodCustomers, goodPlans, nil)
+	must.Len(t, 0, faults)
+	to, faults := check(`{"workspaces": {"b": {"plan": "p"}}}`, strings.NewReplacer(
+		`"rate": 20`, `"rate": 25.5`, `{"prefix": "/s/"}`, `{"prefix": "/s/", "idempotent": true}, {"prefix": "/t/"}`,
+	).Replace(goodPlans), nil)
+	must.Len(t, 0, faults)
+	var lines []string
+	for _, c := range Diff(from, to) {
+		lines = append(lines, c.String())
+	}
+	must.Eq(t, []string{
+		"~ plan p: service s (20 a second, burst 40) becomes (25.5 a second, burst 40)",
+		"~ service s: route /s/ (repeatable by its method) becomes (always repeatable); route /t/ (repeatable by its method)",
+		"- workspace a",
+		"+ workspace b: plan p",
+	}, lines)
+	must.Len(t, 0, Diff(to, to))
+	must.NotEq(t, from.Digest(), to.Digest())
+}
+
+func FuzzCheck(f *testing.F) {
+	f.Add([]byte(goodCustomers), []byte(goodPlans))
+	f.Add([]byte(strings.Repeat("[", 5000)), []byte(`{"services": {"": {"floor": 1e9}}}`))
+	for _, name := range []string{"dimaculangan", "kervan"} {
+		f.Add(example(f, name, "customers.json").Data, example(f, name, "plans.json").Data)
+	}
+	f.Fuzz(func(t *testing.T, customers, plans []byte) {
+		l, faults := Check(Source{"c", customers}, Source{"p", plans}, Capacity{"s": 1})
+		for _, fault := range faults {
+			must.Positive(t, fault.Line)
+			must.Positive(t, fault.Column)
+			must.NotEq(t, "", fault.Allowed)
+		}
+		if len(faults) > 0 {
+			return
+		}
+		must.Eq(t, l, roundTrip(t, l))
+		accepted(t, l)
+	})
+}
+
+// accepted checks that a replica can serve from lists without faults.
+func accepted(t *testing.T, l Lists) {
+	t.Helper()
+	r := config.NewReplica()
+	c := platform.Changes{Revision: 1, Full: true}
+	for _, row := range l.Rows() {
+		c.Rows = append(c.Rows, platform.Row{Key: row.Key, Value: row.Value, Revision: 1})
+	}
+	must.True(t, r.Apply(c))
+	for name, s := range l.Services {
+		for _, route := range s.Routes {
+			service, got, ok := r.Route(route.Prefix)
+			must.True(t, ok)
+			must.Eq(t, name, service)
+			must.Eq(t, route, got)
+		}
+	}
+	for name, w := range l.Workspaces {
+		for service := range l.Plans[w.Plan].Services {
+			limit, ok := r.Limit(name, service)
+			must.True(t, ok)
+			must.Eq(t, l.Plans[w.Plan].Services[service], limit)
+		}
+	}
+}
--- /dev/null
+++ b/config/lists/read.go
@@ -0,0 +1,179 @@
+package lists
+
+import (
+	"fmt"
+	"time"
+
+	"foxtailspoke/config"
+	"foxtailspoke/config/jsonc"
+)
+
+// Bounds of what the lists may hold.
+const (
+	// MaxName bounds the names of workspaces, plans and services, in bytes.
+	MaxName = 63
+	// MaxPrefix bounds a route's prefix, in bytes.
+	MaxPrefix = 256
+	// MaxFloor bounds a service's floor.
+	MaxFloor = 100_000
+	// MinRate is one request in about three hours.
+	MinRate = 0.0001
+	// MaxRate bounds a rate, in requests per second.
+	MaxRate = 1_000_000
+	// MaxBurst bounds a burst, in requests.
+	MaxBurst = 10_000_000
+	// MinTimeout and MaxTimeout bound a service's time-out.
+	MinTimeout = time.Millisecond
+	MaxTimeout = time.Hour
+)
+
+// reader fills lists from both files and remembers where the names are that
+// can only be checked once everything has been read.
+type reader struct {
+	lists       Lists
+	planRefs    []reference
+	serviceRefs []reference
+	floors      []floorAt
+	// prefixes holds the place of the first route with each prefix.
+	prefixes map[string]claimedPrefix
+}
+
+type reference struct {
+	at   jsonc.Value
+	name string
+}
+
+type floorAt struct {
+	at      jsonc.Value
+	service string
+	floor   int
+}
+
+type claimedPrefix struct {
+	service string
+	line    int
+}
+
+func (r *reader) customers(root jsonc.Value) {
+	root.Object(jsonc.Field{Name: "workspaces", Required: true, Read: func(v jsonc.Value) {
+		v.Members(r.workspace)
+	}})
+}
+
+func (r *reader) workspace(name, v jsonc.Value) {
+	w := config.Workspace{Name: checkedName(name)}
+	v.Object(jsonc.Field{Name: "plan", Required: true, Read: func(v jsonc.Value) {
+		plan, ok := v.Text()
+		if ok {
+			w.Plan = plan
+			r.planRefs = append(r.planRefs, reference{at: v, name: plan})
+		}
+	}})
+	r.lists.Workspaces[w.Name] = w
+}
+
+func (r *reader) plansList(root jsonc.Value) {
+	root.Object(
+		jsonc.Field{Name: "services", Required: true, Read: func(v jsonc.Value) { v.Members(r.service) }},
+		jsonc.Field{Name: "plans", Required: true, Read: func(v jsonc.Value) { v.Members(r.plan) }},
+	)
+}
+
+func (r *reader) service(name, v jsonc.Value) {
+	s := config.Service{Name: checkedName(name)}
+	v.Object(
+		jsonc.Field{Name: "floor", Required: true, Read: func(v jsonc.Value) {
+			floor, ok := v.Int(1, MaxFloor)
+			if ok {
+				s.Floor = floor
+				r.floors = append(r.floors, floorAt{at: v, service: s.Name, floor: floor})
+			}
+		}},
+		jsonc.Field{Name: "timeout", Required: true, Read: func(v jsonc.Value) {
+			d, _ := v.Duration(MinTimeout, MaxTimeout)
+			s.Timeout = config.Duration(d)
+		}},
+		jsonc.Field{Name: "routes", Required: true, Read: func(v jsonc.Value) {
+			s.Routes = r.routes(s.Name, v)
+		}},
+	)
+	r.lists.Services[s.Name] = s
+}
+
+func (r *reader) routes(service string, v jsonc.Value) []config.Route {
+	var routes []config.Route
+	ok := v.Elements(func(e jsonc.Value) {
+		routes = append(routes, r.route(service, e))
+	})
+	if ok && len(routes) == 0 {
+		v.Fault("no route", "at least one route, or nobody can reach the service")
+	}
+	return routes
+}
+
+func (r *reader) route(service string, v jsonc.Value) config.Route {
+	var route config.Route
+	v.Object(
+		jsonc.Field{Name: "prefix", Required: true, Read: func(v jsonc.Value) {
+			route.Prefix = r.prefix(service, v)
+		}},
+		jsonc.Field{Name: "idempotent", Read: func(v jsonc.Value) {
+			if b, ok := v.Bool(); ok {
+				route.Idempotent = &b
+			}
+		}},
+	)
+	return route
+}
+
+func (r *reader) prefix(service string, v jsonc.Value) string {
+	prefix, ok := v.Text()
+	if !ok {
+		return ""
+	}
+	if !validPrefix(prefix) {
+		v.Fault(quoted(prefix), fmt.Sprintf(
+			`a path that begins and ends with a slash, such as "/catalogue/", of at most %d letters, digits, "-", "_", ".", "~" and slashes, without "//", "." and ".." between slashes`, MaxPrefix))
+		return prefix
+	}
+	if first, taken := r.prefixes[prefix]; taken {
+		v.Fault(fmt.Sprintf("the prefix %s, which the service %s has on line %d", quoted(prefix), quoted(first.service), first.line),
+			"each prefix once in all services")
+		return prefix
+	}
+	r.prefixes[prefix] = claimedPrefix{service: service, line: v.Line()}
+	return prefix
+}
+
+func (r *reader) plan(name, v jsonc.Value) {
+	p := config.Plan{Name: checkedName(name), Services: map[string]config.Limit{}}
+	v.Object(jsonc.Field{Name: "services", Required: true, Read: func(v jsonc.Value) {
+		ok := v.Members(func(name, v jsonc.Value) {
+			service, _ := name.Text()
+			r.serviceRefs = append(r.serviceRefs, reference{at: name, name: service})
+			p.Services[service] = limit(v)
+		})
+		if ok && len(p.Services) == 0 {
+			v.Fault("a plan without a service", "at least one service, or the plan allows nothing")
+		}
+	}})
+	r.lists.Plans[p.Name] = p
+}
+
+func limit(v jsonc.Value) config.Limit {
+	var l config.Limit
+	v.Object(
+		jsonc.Field{Name: "rate", Required: true, Read: func(v jsonc.Value) { l.Rate, _ = v.Float(MinRate, MaxRate) }},
+		jsonc.Field{Name: "burst", Required: true, Read: func(v jsonc.Value) { l.Burst, _ = v.Float(1, MaxBurst) }},
+	)
+	return l
+}
+
+func checkedName(name jsonc.Value) string {
+	s, ok := name.Text()
+	if ok && !validName(s) {
+		name.Fault("the name "+quoted(s), fmt.Sprintf(
+			`1 to %d lower-case letters, digits, "-" and ".", beginning and ending with a letter or digit`, MaxName))
+	}
+	return s
+}
