--- a/config/lists/lists_test.go
+++ b/config/lists/lists_test.go
@@ -40,20 +40,30 @@
 	}{
 		{"good", goodCustomers, goodPlans, Capacity{"s": 2}, nil},
 		{"syntax", `{"workspaces": `, goodPlans, nil, []string{"c.json:1:16: found parsing value: unexpected EOF; allowed: JSON"}},
-		{"unknown field", `{"workspaces": {"a": {"plan": "p", "plam": 1}}}`, goodPlans, nil,
-			[]string{`c.json:1:36: workspaces.a.plam: found the unknown field "plam"; allowed: the fields "plan"`}},
-		{"duplicate workspace", "{\"workspaces\": {\n\"a\": {\"plan\": \"p\"},\n\"a\": {\"plan\": \"p\"}}}", goodPlans, nil,
-			[]string{`c.json:3:1: workspaces: found "a" a second time, first on line 2; allowed: each name once`}},
+		{
+			"unknown field", `{"workspaces": {"a": {"plan": "p", "plam": 1}}}`, goodPlans, nil,
+			[]string{`c.json:1:36: workspaces.a.plam: found the unknown field "plam"; allowed: the fields "plan"`},
+		},
+		{
+			"duplicate workspace", "{\"workspaces\": {\n\"a\": {\"plan\": \"p\"},\n\"a\": {\"plan\": \"p\"}}}", goodPlans, nil,
+			[]string{`c.json:3:1: workspaces: found "a" a second time, first on line 2; allowed: each name once`},
+		},
 		{"missing section", `{}`, goodPlans, nil, []string{`c.json:1:1: found no field "workspaces"`}},
 		{"wrong type", `{"workspaces": []}`, goodPlans, nil, []string{`c.json:1:16: workspaces: found a list; allowed: an object in braces`}},
-		{"unknown plan", `{"workspaces": {"a": {"plan": "q"}}}`, goodPlans, nil,
-			[]string{`c.json:1:31: workspaces.a.plan: found the unknown plan "q"; allowed: one of the plans p`}},
+		{
+			"unknown plan", `{"workspaces": {"a": {"plan": "q"}}}`, goodPlans, nil,
+			[]string{`c.json:1:31: workspaces.a.plan: found the unknown plan "q"; allowed: one of the plans p`},
+		},
 		{"bad name", `{"workspaces": {"A/b": {"plan": "p"}}}`, goodPlans, nil, []string{`c.json:1:17: workspaces.A/b: found the name "A/b"`}},
 		{"long name", `{"workspaces": {"` + strings.Repeat("a", MaxName+1) + `": {"plan": "p"}}}`, goodPlans, nil, []string{"c.json:1:17: "}},
-		{"unknown service", goodCustomers, plan(`{"s": {"rate"`, `{"t": {"rate"`), nil,
-			[]string{`p.json:3:32: plans.p.services.t: found the unknown service "t"; allowed: one of the services s`}},
-		{"no service", goodCustomers, plan(`{"s": {"rate": 20, "burst": 40}}`, `{}`), nil,
-			[]string{`p.json:3:31: plans.p.services: found a plan without a service`}},
+		{
+			"unknown service", goodCustomers, plan(`{"s": {"rate"`, `{"t": {"rate"`), nil,
+			[]string{`p.json:3:32: plans.p.services.t: found the unknown service "t"; allowed: one of the services s`},
+		},
+		{
+			"no service", goodCustomers, plan(`{"s": {"rate": 20, "burst": 40}}`, `{}`), nil,
+			[]string{`p.json:3:31: plans.p.services: found a plan without a service`},
+		},
 		{"rate zero", goodCustomers, plan("20", "0"), nil, []string{`p.json:3:46: plans.p.services.s.rate: found 0; allowed: a number from 0.0001 to 1000000`}},
 		{"rate infinite", goodCustomers, plan("20", "1e999"), nil, []string{`p.json:3:46: plans.p.services.s.rate: found 1e999`}},
 		{"rate text", goodCustomers, plan("20", `"20"`), nil, []string{`p.json:3:46: plans.p.services.s.rate: found "20"`}},
@@ -65,10 +75,13 @@
 		{"prefix without slash", goodCustomers, plan(`"/s/"`, `"/s"`), nil, []string{`p.json:2:73: services.s.routes[0].prefix: found "/s"`}},
 		{"prefix with dots", goodCustomers, plan(`"/s/"`, `"/s/../"`), nil, []string{`p.json:2:73: `}},
 		{"prefix escaped", goodCustomers, plan(`"/s/"`, `"/%73/"`), nil, []string{`p.json:2:73: `}},
-		{"prefix twice", goodCustomers, plan(`"services": {`, "\"services\": {\"t\": {\"floor\": 1, \"timeout\": \"1s\", \"routes\": [{\"prefix\": \"/s/\"}]},\n"), nil,
-			[]string{`p.json:3:58: services.s.routes[0].prefix: found the prefix "/s/", which the service "t" has on line 2; allowed: each prefix once`}},
+		{
+			"prefix twice", goodCustomers, plan(`"services": {`, "\"services\": {\"t\": {\"floor\": 1, \"timeout\": \"1s\", \"routes\": [{\"prefix\": \"/s/\"}]},\n"), nil,
+			[]string{`p.json:3:58: services.s.routes[0].prefix: found the prefix "/s/", which the service "t" has on line 2; allowed: each prefix once`},
+		},
 		{"everything at once", `{"workspaces": {"a": {"plan": "q"}}, "x": 1}`, plan("20, \"burst\": 40", "-1, \"burst\": 0"), Capacity{}, []string{
-			`c.json:1:31: `, `c.json:1:38: `, `p.json:2:31: `, `p.json:3:46: `, `p.json:3:59: `}},
+			`c.json:1:31: `, `c.json:1:38: `, `p.json:2:31: `, `p.json:3:46: `, `p.json:3:59: `,
+		}},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
