Operators' actions as a library over the platform's table

Cause: operators race each other, lose answers, and work while the instances are down; the command line must be a thin layer over something that others can embed and that histories can check. Change: package operator: Propose and Commit for the lists, GiveKey, WithdrawKey, ListKeys, Audit, Resolve, Explain, Status, WaitInForce; each change one conditional transaction with its audit entry. operator/fleet asks the entry instances; api/operator converts decision records. A lost answer is settled by sending the same transaction again: its conditions name rows that it changes itself, so one copy at most takes effect, and the audit entry tells which. Removing a workspace withdraws its keys; giving a key rewrites the workspace's row, so that neither outruns the other. Ruled out: settling a lost answer by a read alone (the write may still be on its way).

--- /dev/null
+++ b/operator/history_test.go
@@ -0,0 +1,330 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"foxtailspoke/config"
+	"foxtailspoke/config/lists"
+	"foxtailspoke/internal/standin/tables"
+	"foxtailspoke/platform"
+)
+
+// TestMain fixes the seed of the random histories; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20260302")
+	os.Exit(m.Run())
+}
+
+// faultyTable loses answers before and after the write takes effect, delays
+// writes, and lets another operator act between any two calls.
+type faultyTable struct {
+	store *tables.Store
+	// intrude runs before a call. It is nil while an intruder acts.
+	intrude func()
+	// lose draws what happens to a write's answer.
+	lose func() loss
+	// late writes are still on their way.
+	late []platform.Txn
+}
+
+type loss int
+
+const (
+	answered loss = iota
+	lostBefore
+	lostAfter
+	lostLate
+)
+
+func (f *faultyTable) Read(_ context.Context, r platform.ReadRequest) (platform.Changes, error) {
+	f.between()
+	if f.lose() == lostBefore {
+		return platform.Changes{}, platform.ErrUnavailable
+	}
+	return f.store.Read(r)
+}
+
+func (f *faultyTable) Write(_ context.Context, t platform.Txn) (platform.WriteResult, error) {
+	f.between()
+	switch f.lose() {
+	case lostBefore:
+		return platform.WriteResult{}, nil
+	case lostAfter:
+		_, err := f.store.Write(t)
+		return platform.WriteResult{}, err
+	case lostLate:
+		f.late = append(f.late, t)
+		return platform.WriteResult{}, nil
+	default:
+		return f.store.Write(t)
+	}
+}
+
+func (f *faultyTable) between() {
+	if f.intrude != nil {
+		f.intrude()
+	}
+}
+
+func (f *faultyTable) arrive() {
+	for _, t := range f.late {
+		_, _ = f.store.Write(t)
+	}
+	f.late = nil
+}
+
+// history is what the operators were told.
+type history struct {
+	accepted, raced, unresolved map[string]bool
+	givenUp                     int
+}
+
+func (h *history) note(o Outcome, attempt string) {
+	switch o {
+	case Accepted:
+		h.accepted[attempt] = true
+	case Raced:
+		h.raced[attempt] = true
+	case Unresolved:
+		h.unresolved[attempt] = true
+	case NothingToDo:
+	}
+}
+
+// Two operators apply lists, give and withdraw keys, at the same time. The
+// table loses answers before or after the write took effect, or a write
+// arrives only after its operator gave up. Each operator must be told the
+// truth: accepted if and only if the change is in the audit trail, and no
+// accepted change may be overwritten unseen by one made from an older version.
+func TestRacingOperators(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		runHistory(t, rand.New(rand.NewPCG(seed, 1)))
+	})
+}
+
+func runHistory(t must.T, rng *rand.Rand) {
+	f := &faultyTable{store: tables.New()}
+	h := &history{accepted: map[string]bool{}, raced: map[string]bool{}, unresolved: map[string]bool{}}
+	f.lose = func() loss {
+		return []loss{answered, answered, answered, answered, lostBefore, lostAfter, lostLate}[rng.IntN(7)]
+	}
+	now, attempts := time.Date(2026, 3, 2, 23, 59, 0, 0, time.UTC), 0
+	newOperator := func(who string) *Operator {
+		return New(f, Settings{
+			Who: who,
+			Now: func() time.Time { now = now.Add(time.Second); return now },
+			NewAttempt: func() string {
+				attempts++
+				return fmt.Sprintf("attempt-%03d", attempts)
+			},
+			Random: rand.NewChaCha8([32]byte{byte(rng.Uint64()), byte(rng.Uint64())}),
+			Pause: func(context.Context, time.Duration) error {
+				if rng.IntN(4) == 0 {
+					f.arrive()
+				}
+				if rng.IntN(6) == 0 {
+					return context.DeadlineExceeded
+				}
+				return nil
+			},
+		})
+	}
+	a, b := newOperator("a"), newOperator("b")
+	f.intrude = func() {
+		if rng.IntN(4) > 0 {
+			return
+		}
+		resume := f.intrude
+		f.intrude = nil
+		act(b, h, rng)
+		f.intrude = resume
+	}
+	for range 12 {
+		act(a, h, rng)
+	}
+	f.arrive()
+	checkHistory(t, f.store, h)
+}
+
+// act carries out one random action of an operator.
+func act(o *Operator, h *history, rng *rand.Rand) {
+	ctx := context.Background()
+	switch rng.IntN(5) {
+	case 0, 1, 2:
+		p, err := o.Propose(ctx, randomLists(rng))
+		if err != nil {
+			h.givenUp++
+			return
+		}
+		applied, _ := o.Commit(ctx, p)
+		h.note(applied.Outcome, applied.Attempt)
+	case 3:
+		k, err := o.GiveKey(ctx, randomName(rng), "")
+		if err != nil {
+			h.givenUp++
+			return
+		}
+		h.note(k.Outcome, k.Attempt)
+	case 4:
+		keys, err := o.ListKeys(ctx, "")
+		if err != nil || len(keys) == 0 {
+			h.givenUp++
+			return
+		}
+		k, err := o.WithdrawKey(ctx, KeySelector{ID: keys[rng.IntN(len(keys))].ID})
+		if err == nil {
+			h.note(k.Outcome, k.Attempt)
+		}
+	}
+}
+
+func randomName(rng *rand.Rand) string { return string(rune('u' + rng.IntN(4))) }
+
+func randomLists(rng *rand.Rand) lists.Lists {
+	l := lists.Empty()
+	l.Services["s"] = config.Service{Name: "s", Floor: 1 + rng.IntN(3), Timeout: config.Duration(time.Second), Routes: []config.Route{{Prefix: "/s/"}}}
+	l.Plans["p"] = config.Plan{Name: "p", Services: map[string]config.Limit{"s": {Rate: 1, Burst: 1}}}
+	for range 3 {
+		name := randomName(rng)
+		l.Workspaces[name] = config.Workspace{Name: name, Plan: "p"}
+	}
+	return l
+}
+
+func checkHistory(t must.T, store *tables.Store, h *history) {
+	ctx := context.Background()
+	calm := New(&faultyTable{store: store, lose: func() loss { return answered }}, Settings{
+		Now: func() time.Time { return time.Date(2026, 3, 3, 12, 0, 0, 0, time.UTC) },
+	})
+	entries, err := calm.Audit(ctx, AuditQuery{Since: time.Date(2026, 3, 2, 0, 0, 0, 0, time.UTC)})
+	must.NoError(t, err)
+	inTrail := map[string]bool{}
+	version, digest := uint64(0), ""
+	for i := len(entries) - 1; i >= 0; i-- {
+		e := entries[i]
+		must.False(t, inTrail[e.Attempt], must.Sprintf("%s took effect twice", e.Attempt))
+		inTrail[e.Attempt] = true
+		must.False(t, h.raced[e.Attempt], must.Sprintf("%s was called raced, but took effect", e.Attempt))
+	}
+	for attempt := range h.accepted {
+		must.True(t, inTrail[attempt], must.Sprintf("%s was called accepted, but isn't in the trail", attempt))
+	}
+	for _, e := range byVersion(entries) {
+		must.Eq(t, version, e.From, must.Sprintf("%s wasn't made from the version before", e.Attempt))
+		version, digest = e.To, e.Digest
+	}
+	s, err := calm.Current(ctx)
+	must.NoError(t, err)
+	must.Eq(t, version, s.Version)
+	must.Eq(t, digest, s.Digest)
+	if version > 0 {
+		must.Eq(t, digest, s.Lists.Digest(), must.Sprint("the rows aren't those of the last version"))
+	}
+	keys, err := calm.ListKeys(ctx, "")
+	must.NoError(t, err)
+	for _, k := range keys {
+		_, there := s.Lists.Workspaces[k.Workspace]
+		must.True(t, there, must.Sprintf("key %s outlived its workspace %s", k.ID, k.Workspace))
+	}
+}
+
+func byVersion(entries []AuditEntry) []AuditEntry {
+	var applied []AuditEntry
+	for v := uint64(1); ; v++ {
+		n := len(applied)
+		for _, e := range entries {
+			if e.Action == ApplyLists && e.To == v {
+				applied = append(applied, e)
+			}
+		}
+		if len(applied) == n {
+			return applied
+		}
+	}
+}
+
+// One of two operators gets in between the other's reading and writing. The
+// loser must learn who won with what, and nothing of its own may be there.
+func TestRaceNamesTheWinner(t *testing.T) {
+	ctx := context.Background()
+	store := tables.New()
+	table := &faultyTable{store: store, lose: func() loss { return answered }}
+	maria, ercan := New(table, Settings{Who: "maria"}), New(table, Settings{Who: "ercan"})
+	rng := rand.New(rand.NewPCG(1, 1))
+	first, second := randomLists(rng), randomLists(rng)
+	lost, err := maria.Propose(ctx, first)
+	must.NoError(t, err)
+	won, err := ercan.Propose(ctx, second)
+	must.NoError(t, err)
+	a, err := ercan.Commit(ctx, won)
+	must.NoError(t, err)
+	must.Eq(t, Accepted, a.Outcome)
+	b, err := maria.Commit(ctx, lost)
+	must.NoError(t, err)
+	must.Eq(t, Raced, b.Outcome)
+	must.Eq(t, 1, b.Version)
+	must.Len(t, 1, b.Winners)
+	must.Eq(t, "ercan", b.Winners[0].Who)
+	must.SliceContains(t, b.Winners[0].Changes, "+ plan p: service s (1 a second, burst 1)")
+	must.Eq(t, second.Digest(), b.Winners[0].Digest)
+}
+
+// A key is printed once. Nothing that is kept, encoded or formatted has it.
+func TestKeyIsNowhereButRevealed(t *testing.T) {
+	ctx := context.Background()
+	store := tables.New()
+	table := &faultyTable{store: store, lose: func() loss { return answered }}
+	o := New(table, Settings{Who: "maria"})
+	p, err := o.Propose(ctx, randomLists(rand.New(rand.NewPCG(2, 2))))
+	must.NoError(t, err)
+	_, err = o.Commit(ctx, p)
+	must.NoError(t, err)
+	_, err = o.GiveKey(ctx, "nobody", "")
+	must.True(t, errors.Is(err, ErrUnknownWorkspace))
+	var workspace string
+	for name := range p.Changes {
+		if p.Changes[name].Item == "workspace" {
+			workspace = p.Changes[name].Name
+		}
+	}
+	k, err := o.GiveKey(ctx, workspace, "till 3")
+	must.NoError(t, err)
+	secret := k.Secret.Reveal()
+	must.StrHasPrefix(t, KeyStart, secret)
+	must.Eq(t, len(KeyStart)+43, len(secret))
+	must.Eq(t, KeyID(secret), k.Info.ID)
+	encoded, err := json.Marshal(k)
+	must.NoError(t, err)
+	dump := string(encoded) + fmt.Sprintf("%v %+v %#v", k, k, k)
+	for _, name := range []platform.TableName{platform.Control, platform.Audit} {
+		c, err := store.Read(platform.ReadRequest{Table: name})
+		must.NoError(t, err)
+		for _, row := range c.Rows {
+			dump += row.Key + string(row.Value)
+		}
+	}
+	must.False(t, strings.Contains(dump, secret[len(KeyStart):]))
+
+	for _, s := range []KeySelector{{}, {ID: "abc"}, {ID: "zzzzzz"}, {Label: "till 4"}, {Key: "fsk_wrong"}} {
+		_, err := o.WithdrawKey(ctx, s)
+		must.True(t, errors.Is(err, ErrUnknownKey))
+	}
+	gone, err := o.WithdrawKey(ctx, KeySelector{Key: secret})
+	must.NoError(t, err)
+	must.Eq(t, Accepted, gone.Outcome)
+	_, err = o.WithdrawKey(ctx, KeySelector{Label: "till 3"})
+	must.True(t, errors.Is(err, ErrUnknownKey))
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,92 @@
+// Package operator holds what operators do: apply the two lists, give and
+// withdraw keys, see who changed what, and explain a decision. Each change is
+// one conditional transaction on the platform's table, with its audit entry
+// in the same transaction. Nothing here needs an entry instance; only waiting
+// until a change is in force everywhere, the status of the instances and
+// their newest decisions ask them.
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"time"
+
+	"github.com/google/uuid"
+
+	"foxtailspoke/platform"
+)
+
+// Settings of an Operator. A zero field takes its default.
+type Settings struct {
+	// Who is the person, for the audit trail.
+	Who string
+	// Now reads the wall clock, for the audit trail only.
+	Now func() time.Time
+	// NewAttempt returns a new transaction id, unlike all others ever made.
+	NewAttempt func() string
+	// Random is the source of keys; the default is crypto/rand.
+	Random io.Reader
+	// Pause waits before a try is repeated.
+	Pause func(context.Context, time.Duration) error
+	// Backoff is the first pause; it doubles up to MaxBackoff.
+	Backoff, MaxBackoff time.Duration
+}
+
+const (
+	defaultBackoff    = 200 * time.Millisecond
+	defaultMaxBackoff = 2 * time.Second
+)
+
+// Operator carries out one operator's actions. It is safe for concurrent use
+// if the table is.
+type Operator struct {
+	table    platform.Table
+	settings Settings
+}
+
+// New returns an operator that acts on the platform's table.
+func New(table platform.Table, s Settings) *Operator {
+	if s.Now == nil {
+		s.Now = time.Now
+	}
+	if s.NewAttempt == nil {
+		s.NewAttempt = uuid.NewString
+	}
+	if s.Random == nil {
+		s.Random = rand.Reader
+	}
+	if s.Pause == nil {
+		s.Pause = pause
+	}
+	if s.Backoff <= 0 {
+		s.Backoff = defaultBackoff
+	}
+	if s.MaxBackoff <= 0 {
+		s.MaxBackoff = defaultMaxBackoff
+	}
+	return &Operator{table: table, settings: s}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// backoff returns the pause before the n-th repetition, from 0.
+func (o *Operator) backoff(n int) time.Duration {
+	d := o.settings.Backoff
+	for range n {
+		d *= 2
+		if d >= o.settings.MaxBackoff {
+			return o.settings.MaxBackoff
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/operator/status.go
@@ -0,0 +1,108 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/api/operator/oas"
+	"foxtailspoke/config"
+	"foxtailspoke/platform"
+)
+
+// Status is the fleet as the table and the entry instances show it.
+type Status struct {
+	ListsVersion uint64            `json:"listsVersion"`
+	Revision     platform.Revision `json:"revision"`
+	Workspaces   int               `json:"workspaces"`
+	Plans        int               `json:"plans"`
+	Services     int               `json:"services"`
+	Keys         int               `json:"keys"`
+	// Ejected are the backend servers out of use, by service.
+	Ejected map[string][]config.Ejection `json:"ejected"`
+	// Entries are empty if the instances couldn't be listed; EntriesError
+	// tells why.
+	Entries      []EntryStatus `json:"entries"`
+	EntriesError string        `json:"entriesError,omitempty"`
+}
+
+// EntryStatus is one instance's own status, or why there is none.
+type EntryStatus struct {
+	Instance platform.Instance `json:"instance"`
+	Status   *oas.Status       `json:"status,omitempty"`
+	Error    string            `json:"error,omitempty"`
+}
+
+// parallelAsks bounds the questions to instances at one time.
+const parallelAsks = 32
+
+// Status reads the table and asks every instance. Without a fleet, or with
+// the instances down, it shows what the table tells.
+func (o *Operator) Status(ctx context.Context, f Fleet) (Status, error) {
+	s, err := o.tableStatus(ctx)
+	if err != nil || f == nil {
+		return s, err
+	}
+	entries, err := f.Entries(ctx)
+	if err != nil {
+		s.EntriesError = err.Error()
+		return s, nil
+	}
+	s.Entries = make([]EntryStatus, len(entries))
+	inParallel(len(entries), func(i int) {
+		s.Entries[i] = EntryStatus{Instance: entries[i]}
+		status, err := f.Status(ctx, entries[i])
+		s.Entries[i].Status = status
+		if err != nil {
+			s.Entries[i].Error = err.Error()
+		}
+	})
+	return s, nil
+}
+
+func (o *Operator) tableStatus(ctx context.Context) (Status, error) {
+	current, err := o.Current(ctx)
+	if err != nil {
+		return Status{}, err
+	}
+	keys, err := o.ListKeys(ctx, "")
+	if err != nil {
+		return Status{}, err
+	}
+	s := Status{
+		ListsVersion: current.Version,
+		Workspaces:   len(current.Lists.Workspaces),
+		Plans:        len(current.Lists.Plans),
+		Services:     len(current.Lists.Services),
+		Keys:         len(keys),
+		Ejected:      map[string][]config.Ejection{},
+	}
+	c, err := o.table.Read(ctx, platform.ReadRequest{Table: platform.Control, Prefix: config.PermitPrefix})
+	if err != nil {
+		return Status{}, errors.Wrap(err, "read permits")
+	}
+	s.Revision = c.Revision
+	for _, row := range c.Rows {
+		var p config.Permits
+		if !row.Deleted && json.Unmarshal(row.Value, &p) == nil && len(p.Ejected) > 0 {
+			s.Ejected[row.Key[len(config.PermitPrefix):]] = p.Ejected
+		}
+	}
+	return s, nil
+}
+
+// inParallel calls f for 0 to n-1, a bounded number at a time.
+func inParallel(n int, f func(int)) {
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, parallelAsks)
+	for i := range n {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			f(i)
+		})
+	}
+	wg.Wait()
+}
