--- /dev/null
+++ b/node/fleet_test.go
@@ -0,0 +1,456 @@
+package node
+
+import (
+	"container/heap"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"foxtailspoke/config"
+	"foxtailspoke/effect"
+	"foxtailspoke/health"
+	"foxtailspoke/platform"
+)
+
+// fleet drives a handful of real nodes over fakes of the table, the links and
+// the backend servers, in simulated time. The same seed gives the same run.
+type fleet struct {
+	rng   *rand.Rand
+	now   time.Duration
+	seq   int
+	queue jobs
+
+	rows      map[string]platform.Row
+	revision  platform.Revision
+	tableAway bool
+	list      []platform.Instance
+	version   uint64
+
+	nodes   map[string]*instance
+	names   []string
+	servers map[string]*server
+	// cut has the one-way cuts "from>to"; "table" is the platform.
+	cut map[string]bool
+
+	starts    []started
+	executed  []execution
+	answers   map[string]reply
+	located   map[string]Located
+	forwarded map[string]string
+	replying  map[uint64]func(ReplyCall)
+	requests  int
+}
+
+// instance is a node with its clock and what happens while it is frozen.
+type instance struct {
+	node   *Node
+	name   string
+	begin  time.Duration
+	rate   float64
+	frozen bool
+	dead   bool
+	held   []Event
+	wakeAt time.Duration
+}
+
+// server is a fake backend server.
+type server struct {
+	mode    string
+	latency time.Duration
+}
+
+// started is a request's first attempt: the moment of its admission.
+type started struct {
+	at        time.Duration
+	workspace string
+	service   string
+	key       string
+}
+
+type execution struct {
+	at                 time.Duration
+	request, operation string
+}
+
+type reply struct {
+	at      time.Duration
+	outcome string
+	rule    string
+}
+
+const (
+	hop      = time.Millisecond
+	callTime = 250 * time.Millisecond
+	readTime = time.Second
+)
+
+func newFleet(seed uint64, entries, servers int) *fleet {
+	f := &fleet{
+		rng:       rand.New(rand.NewPCG(seed, 1)),
+		rows:      map[string]platform.Row{},
+		nodes:     map[string]*instance{},
+		servers:   map[string]*server{},
+		cut:       map[string]bool{},
+		answers:   map[string]reply{},
+		located:   map[string]Located{},
+		forwarded: map[string]string{},
+		replying:  map[uint64]func(ReplyCall){},
+	}
+	for i := range servers {
+		f.addServer("s" + strconv.Itoa(i))
+	}
+	for i := range entries {
+		f.start("n"+strconv.Itoa(i), i)
+	}
+	return f
+}
+
+func (f *fleet) addServer(id string) {
+	f.servers[id] = &server{mode: "ok", latency: 10 * time.Millisecond}
+	f.announce(platform.Instance{ID: id, Kind: platform.BackendServer, Service: "orders", DataCentre: "a", Address: id, Slots: 2, State: platform.Live})
+}
+
+func (f *fleet) announce(i platform.Instance) {
+	f.version++
+	f.list = slices.DeleteFunc(f.list, func(o platform.Instance) bool { return o.ID == i.ID })
+	f.list = append(f.list, i)
+}
+
+func (f *fleet) start(name string, place int) *instance {
+	self := platform.Instance{ID: name, Kind: platform.Entry, DataCentre: "dc" + strconv.Itoa(place%3), Address: name, PeerAddress: name, State: platform.Live}
+	f.announce(self)
+	s := DefaultSettings()
+	s.Self = self
+	s.Secret = []byte("secret of " + name)
+	s.Seed = f.rng.Uint64()
+	s.Shards = 2
+	s.ShardStagger = time.Second
+	i := &instance{node: New(s), name: name, begin: f.now, rate: 1 + (f.rng.Float64()-0.5)*0.0008, wakeAt: never}
+	f.nodes[name] = i
+	f.names = append(f.names, name)
+	f.step(i, Wake{})
+	return i
+}
+
+// write commits rows at once, as operators do.
+func (f *fleet) write(key string, value any) platform.Revision {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	f.revision++
+	f.rows[key] = platform.Row{Key: key, Value: data, Revision: f.revision}
+	return f.revision
+}
+
+func (f *fleet) drop(key string) {
+	f.revision++
+	f.rows[key] = platform.Row{Key: key, Revision: f.revision, Deleted: true}
+}
+
+func (f *fleet) commit(t platform.Txn) platform.WriteResult {
+	for _, c := range t.Conditions {
+		row := f.rows[c.Key]
+		if row.Deleted {
+			row.Revision = 0
+		}
+		if row.Revision != c.Revision {
+			return platform.WriteResult{Outcome: platform.Conflict}
+		}
+	}
+	f.revision++
+	for _, p := range t.Puts {
+		f.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Revision: f.revision, Attempt: t.Attempt, Deleted: p.Delete}
+	}
+	return platform.WriteResult{Outcome: platform.Committed, Revisions: map[platform.TableName]platform.Revision{platform.Control: f.revision}}
+}
+
+func (f *fleet) read(since platform.Revision) platform.Changes {
+	c := platform.Changes{Revision: f.revision, Full: since == 0}
+	for _, row := range f.rows {
+		if row.Revision > since {
+			c.Rows = append(c.Rows, row)
+		}
+	}
+	slices.SortFunc(c.Rows, func(a, b platform.Row) int {
+		return strings.Compare(strconv.FormatUint(uint64(a.Revision)+1e9, 10)+a.Key, strconv.FormatUint(uint64(b.Revision)+1e9, 10)+b.Key)
+	})
+	return c
+}
+
+// step hands an event to a node, unless it is frozen or gone.
+func (f *fleet) step(i *instance, e Event) {
+	switch {
+	case i.dead:
+		return
+	case i.frozen:
+		i.held = append(i.held, e)
+		return
+	}
+	for _, effect := range slices.Clone(i.node.Step(i.local(f.now), e)) {
+		f.carryOut(i, effect)
+	}
+	f.scheduleWake(i)
+}
+
+func (i *instance) local(now time.Duration) time.Duration {
+	return time.Duration(float64(now-i.begin) * i.rate)
+}
+
+func (f *fleet) scheduleWake(i *instance) {
+	at := max(f.now, i.begin+time.Duration(float64(i.node.NextWake())/i.rate)+1)
+	if i.wakeAt > f.now && i.wakeAt <= at {
+		return
+	}
+	i.wakeAt = at
+	f.at(at-f.now, func() {
+		if i.wakeAt == f.now && !i.frozen {
+			f.step(i, Wake{})
+		}
+	})
+}
+
+func (f *fleet) freeze(name string) { f.nodes[name].frozen = true }
+
+func (f *fleet) thaw(name string) {
+	i := f.nodes[name]
+	i.frozen = false
+	held := i.held
+	i.held = nil
+	for _, e := range held {
+		f.step(i, e)
+	}
+	f.step(i, Wake{})
+}
+
+func (f *fleet) kill(name string) {
+	f.nodes[name].dead = true
+	f.at(3*time.Second, func() {
+		self := f.nodes[name].node.settings.Self
+		self.State = platform.Ended
+		f.announce(self)
+	})
+}
+
+func (f *fleet) open(from, to string) bool { return !f.cut[from+">"+to] }
+
+// carryOut does what a driver does.
+func (f *fleet) carryOut(i *instance, e Effect) {
+	switch e := e.(type) {
+	case StartAttempt:
+		f.attempt(i, e)
+	case ReplyCall:
+		f.replies(e)
+	case Relay:
+		f.answer(e.Request, "served", "")
+	case Repeat:
+		f.answer(e.Request, "ran-before", "")
+	case Refuse:
+		f.answer(e.Request, string(e.Record.Outcome), string(e.Record.Rule))
+	case Located:
+		f.located[e.Request] = e
+	case effect.Call:
+		f.call(i, e)
+	case effect.ReadTable:
+		f.platform(i, func() Event { return TableRead{ID: e.ID, Changes: f.read(e.Read.Since), OK: true} }, TableRead{ID: e.ID})
+	case effect.WriteTable:
+		f.platform(i, func() Event { return TableWritten{ID: e.ID, Result: f.commit(e.Txn)} }, TableWritten{ID: e.ID})
+	case effect.ReadInstances:
+		f.platform(i, func() Event {
+			return InstancesRead{ID: e.ID, OK: true, Changes: platform.InstanceChanges{Version: f.version, Changed: slices.Clone(f.list), Full: true}}
+		}, InstancesRead{ID: e.ID})
+	}
+}
+
+func (f *fleet) answer(request, outcome, rule string) {
+	if origin, ok := f.forwarded[request]; ok {
+		f.answers[request] = reply{at: f.now, outcome: outcome, rule: rule}
+		request = origin
+	}
+	if _, done := f.answers[request]; !done {
+		f.answers[request] = reply{at: f.now, outcome: outcome, rule: rule}
+	}
+}
+
+// platform does something at the table, and brings the answer or none.
+func (f *fleet) platform(i *instance, do func() Event, none Event) {
+	ended := false
+	end := func(e Event) {
+		if !ended {
+			ended = true
+			f.step(i, e)
+		}
+	}
+	f.at(hop, func() {
+		if f.tableAway || !f.open(i.name, "table") {
+			return
+		}
+		e := do()
+		if f.open("table", i.name) {
+			f.at(hop, func() { end(e) })
+		}
+	})
+	f.at(readTime, func() { end(none) })
+}
+
+type jobs []job
+
+type job struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+func (j jobs) Len() int { return len(j) }
+func (j jobs) Less(a, b int) bool {
+	return j[a].at < j[b].at || (j[a].at == j[b].at && j[a].seq < j[b].seq)
+}
+func (j jobs) Swap(a, b int) { j[a], j[b] = j[b], j[a] }
+func (j *jobs) Push(x any)   { *j = append(*j, x.(job)) }
+func (j *jobs) Pop() any {
+	old := *j
+	last := old[len(old)-1]
+	*j = old[:len(old)-1]
+	return last
+}
+
+func (f *fleet) at(in time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.queue, job{at: f.now + in, seq: f.seq, do: do})
+}
+
+// run lets the time pass.
+func (f *fleet) run(d time.Duration) {
+	until := f.now + d
+	for len(f.queue) > 0 && f.queue[0].at <= until {
+		j := heap.Pop(&f.queue).(job)
+		f.now = j.at
+		j.do()
+	}
+	f.now = until
+}
+
+// attempt sends a request to a backend server or to its key's minter.
+func (f *fleet) attempt(i *instance, e StartAttempt) {
+	if e.Forward {
+		f.forward(i, e)
+		return
+	}
+	f.noteStart(i, e)
+	s := f.servers[e.Server.ID]
+	end := func(in time.Duration, r health.Result) {
+		f.at(in, func() {
+			f.step(i, AttemptEnded{Attempt: e.Attempt, Result: r, Latency: in, Replayable: true})
+		})
+	}
+	if s.mode == "refuse" || !f.open(i.name, e.Server.ID) {
+		end(hop, health.ConnectFailed)
+		return
+	}
+	if s.mode == "shed" {
+		end(2*hop, health.Shed)
+		return
+	}
+	f.at(hop, func() {
+		f.executed = append(f.executed, execution{at: f.now, request: e.Request, operation: e.Operation})
+	})
+	switch {
+	case s.mode == "hang" || !f.open(e.Server.ID, i.name):
+		end(e.Timeout, health.Timeout)
+	case s.mode == "half":
+		end(s.latency, health.Incomplete)
+	default:
+		end(s.latency, health.OK)
+	}
+}
+
+func (f *fleet) noteStart(i *instance, e StartAttempt) {
+	r := i.node.requests[e.Request]
+	if len(r.tried) == 1 {
+		f.starts = append(f.starts, started{at: f.now, workspace: e.Workspace, service: r.service.Name, key: r.arrived.Key.String()})
+	}
+}
+
+// forward hands the request to the minter as another request.
+func (f *fleet) forward(i *instance, e StartAttempt) {
+	r := i.node.requests[e.Request].arrived
+	r.Request += "@" + e.Server.ID
+	r.Forwarded = true
+	f.forwarded[r.Request] = e.Request
+	minter := f.nodes[e.Server.ID]
+	if minter.dead || !f.open(i.name, minter.name) {
+		f.at(hop, func() { f.step(i, AttemptEnded{Attempt: e.Attempt, Result: health.ConnectFailed}) })
+		return
+	}
+	f.at(hop, func() { f.step(minter, r) })
+	f.awaitForward(i, e, r.Request, f.now+e.Timeout)
+}
+
+func (f *fleet) awaitForward(i *instance, e StartAttempt, request string, until time.Duration) {
+	f.at(5*hop, func() {
+		switch _, done := f.answers[request]; {
+		case done && f.open(e.Server.ID, i.name):
+			f.step(i, AttemptEnded{Attempt: e.Attempt, Result: health.OK})
+		case f.now >= until:
+			f.step(i, AttemptEnded{Attempt: e.Attempt, Result: health.Timeout})
+		default:
+			f.awaitForward(i, e, request, until)
+		}
+	})
+}
+
+// call carries a message to another node, and its reply back.
+func (f *fleet) call(i *instance, e effect.Call) {
+	f.requests++
+	token := uint64(f.requests)
+	ended := false
+	end := func(c CallEnded) {
+		if !ended {
+			ended = true
+			f.step(i, c)
+		}
+	}
+	f.at(callTime, func() { end(CallEnded{ID: e.ID}) })
+	to, ok := f.nodes[e.To]
+	if !ok || to.dead || !f.open(i.name, to.name) {
+		return
+	}
+	f.at(hop, func() {
+		f.replying[token] = func(r ReplyCall) {
+			if r.OK && f.open(to.name, i.name) {
+				f.at(hop, func() { end(CallEnded{ID: e.ID, Reply: r.Reply, OK: true}) })
+			}
+		}
+		f.step(to, Called{Token: token, From: i.name, Request: e.Request.(PeerRequest)})
+	})
+}
+
+func (f *fleet) replies(e ReplyCall) {
+	if reply, ok := f.replying[e.Token]; ok {
+		delete(f.replying, e.Token)
+		reply(e)
+	}
+}
+
+// arrive sends a caller's request to a node.
+func (f *fleet) arrive(to string, key string, r RequestArrived) string {
+	f.requests++
+	r.Request = "r" + strconv.Itoa(f.requests)
+	r.Key, r.HasKey = config.HashKey(key), true
+	f.step(f.nodes[to], r)
+	return r.Request
+}
+
+func (f *fleet) operationKey(at, key string) string {
+	f.requests++
+	id := "l" + strconv.Itoa(f.requests)
+	f.step(f.nodes[at], LocateAsked{Request: id, Key: config.HashKey(key), HasKey: true, Operations: 1})
+	l := f.located[id]
+	if len(l.Operations) == 0 {
+		return ""
+	}
+	return l.Operations[0]
+}
--- a/node/node.go
+++ b/node/node.go
@@ -128,7 +128,7 @@
 // NextWake returns the time at which Step with Wake has something to do. Ask
 // again after every step.
 func (n *Node) NextWake() time.Duration {
-	next := min(n.member.NextWake(), n.housekeep, n.shards.next)
+	next := min(n.member.NextWake(), n.housekeep, n.shards.next, n.shards.wakeWriter())
 	if at, ok := n.timers.first(); ok {
 		next = min(next, at)
 	}
@@ -140,6 +140,9 @@
 	n.noticeRevision()
 	n.runTimers()
 	n.settleShards()
+	if n.now >= n.shards.wakeWriter() {
+		n.planShards()
+	}
 	if n.now >= n.housekeep {
 		n.housekeep = n.now + n.settings.HousekeepEvery
 		n.keepHouse()
--- a/node/settings.go
+++ b/node/settings.go
@@ -65,7 +65,7 @@
 		LocateAddresses: 4,
 		LocateTTL:       30 * time.Second,
 		DefaultTimeout:  10 * time.Second,
-		ShardWriteGap:   100 * time.Millisecond,
+		ShardWriteGap:   20 * time.Millisecond,
 		ShardStagger:    3 * time.Second,
 		HousekeepEvery:  250 * time.Millisecond,
 		Quota:           quota.DefaultSettings(),
--- a/node/shards.go
+++ b/node/shards.go
@@ -32,8 +32,10 @@
 	// wantedAt is since when a shard's row should be written.
 	wantedAt map[string]time.Duration
 	writing  bool
-	// writeAt is when the next write may be sent.
+	// writeAt is when the next write may be sent; more says that there may
+	// be one to send.
 	writeAt time.Duration
+	more    bool
 	// next is when to look again at the entries that aren't in force.
 	next time.Duration
 }
@@ -63,6 +65,15 @@
 	return s
 }
 
+// wakeWriter returns when to look for the next row to write, after one that
+// was written.
+func (s *shards) wakeWriter() time.Duration {
+	if s.writing || !s.more {
+		return never
+	}
+	return s.writeAt
+}
+
 // refreshShards follows the rows after a new revision.
 func (n *Node) refreshShards() {
 	for _, name := range n.shards.names {
@@ -164,6 +175,7 @@
 	if n.member.Confirmed(n.now).State != membership.ByTable || n.shards.writing || n.now < n.shards.writeAt {
 		return
 	}
+	n.shards.more = false
 	candidates := n.candidates()
 	for _, name := range n.shards.names {
 		place, ok := n.shards.line[name]
@@ -208,6 +220,7 @@
 		n.shards.writeAt = n.now + n.member.Settings().PollEvery
 		return
 	}
+	n.shards.more = true
 	delete(n.shards.wantedAt, name)
 	n.emit(Noted{Note: NoteShardWritten, Subject: name})
 	n.memberEffects(n.member.Require(n.now, r.Revisions[platform.Control]))
