The operators' command line

Cause: operators drive the system by two lists and keys, from a shell, also with the entry instances down. A key is printed once and never taken as an argument.

--- /dev/null
+++ b/config/lists/render.go
@@ -0,0 +1,32 @@
+package lists
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/config"
+)
+
+type customersFile struct {
+	Workspaces map[string]config.Workspace `json:"workspaces"`
+}
+
+type plansFile struct {
+	Services map[string]config.Service `json:"services"`
+	Plans    map[string]config.Plan    `json:"plans"`
+}
+
+// Render writes the lists as the two files that Check reads. Comments of the
+// files that they were applied from aren't kept in the table.
+func (l Lists) Render() (customers, plans []byte, err error) {
+	customers, err = json.MarshalIndent(customersFile{l.Workspaces}, "", "  ")
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "render customers' list")
+	}
+	plans, err = json.MarshalIndent(plansFile{l.Services, l.Plans}, "", "  ")
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "render plans' list")
+	}
+	return append(customers, '\n'), append(plans, '\n'), nil
+}
--- /dev/null
+++ b/internal/cli/apply.go
@@ -0,0 +1,206 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/config/lists"
+	"foxtailspoke/operator"
+	"foxtailspoke/platform"
+)
+
+const applyHelp = `Checks both lists, shows how they differ from those in force, asks, and puts them
+in force if nobody else changed them meanwhile. Then it waits until no instance
+acts on the old ones any more.
+
+Removing a workspace withdraws its keys.
+
+Examples:
+  foxtailspoke apply --dry-run customers.json plans.json
+  foxtailspoke apply customers.json plans.json
+  foxtailspoke apply --yes --made-from 7 --as maria customers.json plans.json
+
+With --made-from, lists made from an older version than the one in force are
+refused (exit code 4). Use it when the files were edited after "foxtailspoke
+get", so that another operator's change isn't taken back unseen.
+
+After exit code 5 (answer lost), "foxtailspoke audit --attempt ID" tells whether
+the change took effect, and applying again is safe.`
+
+type applyCommand struct {
+	app *app
+	listFiles
+	Yes      bool          `long:"yes" description:"Don't ask before the change"`
+	DryRun   bool          `long:"dry-run" description:"Show the difference and change nothing"`
+	MadeFrom int           `long:"made-from" value-name:"VERSION" default:"-1" description:"Refuse unless this version of the lists is in force"`
+	Wait     time.Duration `long:"wait" default:"30s" description:"How long to wait until the change is in force everywhere; 0 doesn't wait"`
+}
+
+type applyResult struct {
+	Changes   []lists.Change     `json:"changes"`
+	Withdrawn []operator.KeyInfo `json:"withdrawnKeys,omitempty"`
+	DryRun    bool               `json:"dryRun,omitempty"`
+	From      uint64             `json:"from"`
+	*operator.Applied
+	InForce *operator.InForce `json:"inForce,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (c *applyCommand) Execute([]string) error {
+	conn, err := c.app.connectToChange()
+	if err != nil {
+		return err
+	}
+	defer conn.platform.Close()
+	p, err := c.propose(conn)
+	if err != nil {
+		return err
+	}
+	r := applyResult{Changes: p.Changes, Withdrawn: p.Withdrawn, DryRun: c.DryRun, From: p.Base.Version}
+	c.show(p)
+	if c.DryRun {
+		return c.app.endJSON(r, nil)
+	}
+	if !p.Empty() && !c.Yes && !c.app.confirm("Apply?") {
+		return exit(exitDeclined, "Nothing was applied.")
+	}
+	ctx, cancel := c.app.limited()
+	defer cancel()
+	applied, err := conn.operator.Commit(ctx, p)
+	if err != nil {
+		return err
+	}
+	r.Applied = &applied
+	r.InForce, err = c.after(conn, p, applied)
+	return c.app.endJSON(r, err)
+}
+
+func (c *applyCommand) propose(conn connection) (operator.Proposal, error) {
+	ctx, cancel := c.app.limited()
+	defer cancel()
+	capacity, err := capacityOf(ctx, conn.platform)
+	if err != nil {
+		return operator.Proposal{}, err
+	}
+	l, err := c.read(capacity)
+	if err != nil {
+		return operator.Proposal{}, err
+	}
+	p, err := conn.operator.Propose(ctx, l)
+	if err == nil && c.MadeFrom >= 0 && uint64(c.MadeFrom) != p.Base.Version {
+		return p, exit(exitRaced, "Nothing was applied: the lists in force are version %d, and yours were made from version %d.", p.Base.Version, c.MadeFrom)
+	}
+	return p, err
+}
+
+// show prints the difference.
+func (c *applyCommand) show(p operator.Proposal) {
+	if c.app.json() {
+		return
+	}
+	if p.Empty() {
+		c.app.printf("Nothing to do: version %d says the same.\n", p.Base.Version)
+		return
+	}
+	c.app.printf("Changes to version %d:\n", p.Base.Version)
+	for _, change := range p.Changes {
+		c.app.printf("  %s\n", change)
+	}
+	for _, k := range p.Withdrawn {
+		c.app.printf("  - key %s of workspace %s is withdrawn with it\n", k.ID, k.Workspace)
+	}
+}
+
+// after tells how the change ended and waits for it.
+func (c *applyCommand) after(conn connection, p operator.Proposal, a operator.Applied) (*operator.InForce, error) {
+	switch a.Outcome {
+	case operator.NothingToDo:
+		return nil, nil
+	case operator.Raced:
+		return nil, c.lost(p, a)
+	case operator.Unresolved:
+		return nil, exit(exitUnresolved, "The platform's answer was lost. It isn't known whether version %d took effect, and it still may.\nFind out by: foxtailspoke audit --attempt %s", a.Version, a.Attempt)
+	case operator.Accepted:
+	}
+	if !c.app.json() {
+		c.app.printf("Version %d is accepted (attempt %s).\n", a.Version, a.Attempt)
+	}
+	return c.app.waitInForce(conn, a.Revision, c.Wait)
+}
+
+func (c *applyCommand) lost(p operator.Proposal, a operator.Applied) error {
+	var b strings.Builder
+	for _, w := range a.Winners {
+		b.WriteString("\n  " + auditLine(w))
+		for _, change := range w.Changes {
+			b.WriteString("\n      " + change)
+		}
+	}
+	return exit(exitRaced, "Nothing was applied: after you read version %d, another change came first:%s\nLook at it by \"foxtailspoke get\", and apply again.", p.Base.Version, b.String())
+}
+
+// endJSON prints a result as JSON if asked for. The error then only sets the
+// exit code, as the result tells it all.
+func (a *app) endJSON(result any, err error) error {
+	if !a.json() {
+		return err
+	}
+	if e := a.printJSON(result); e != nil {
+		return e
+	}
+	if err != nil {
+		return &silentError{err}
+	}
+	return nil
+}
+
+// silentError has been told already.
+type silentError struct{ error }
+
+func (e *silentError) Unwrap() error { return e.error }
+
+// waitInForce waits until a revision is in force everywhere and says so, or
+// what is missing.
+func (a *app) waitInForce(conn connection, r platform.Revision, wait time.Duration) (*operator.InForce, error) {
+	if wait <= 0 {
+		return nil, nil
+	}
+	if conn.fleet == nil {
+		return nil, exit(exitNotInForce, "It is accepted, but whether it is in force everywhere can't be asked without --token-file.")
+	}
+	if r == 0 {
+		return nil, exit(exitNotInForce, "It is accepted, but its revision was lost with the answer, and the platform doesn't answer now. See \"foxtailspoke status\".")
+	}
+	ctx, cancel := context.WithTimeout(a.ctx, wait)
+	defer cancel()
+	f, err := conn.operator.WaitInForce(ctx, conn.fleet, r)
+	if errors.Is(err, operator.ErrNoEntry) {
+		return &f, exit(exitNotInForce, "It is accepted, but no entry instance answered within %s, so nobody can tell whether it is in force everywhere.", wait)
+	}
+	if !f.InForce {
+		return &f, exit(exitNotInForce, "It is accepted, but not in force everywhere after %s. %d witnesses know it; missing: %s", wait, len(f.KnownBy), names(f.Missing))
+	}
+	if !a.json() {
+		a.printf("It is in force everywhere.\n")
+	}
+	return &f, nil
+}
+
+func names(list []string) string {
+	if len(list) == 0 {
+		return "only time"
+	}
+	return strings.Join(list, ", ")
+}
+
+// confirm asks on the terminal. Anything but yes, and the end of input, is no.
+func (a *app) confirm(question string) bool {
+	a.notef("%s [y/N] ", question)
+	line, _ := bufio.NewReader(a.streams.In).ReadString('\n')
+	answer := strings.ToLower(strings.TrimSpace(line))
+	return answer == "y" || answer == "yes"
+}
--- /dev/null
+++ b/internal/cli/audit.go
@@ -0,0 +1,72 @@
+package cli
+
+import (
+	"fmt"
+	"time"
+
+	"foxtailspoke/operator"
+)
+
+const auditHelp = `Shows who changed what, when, from which version to which, the newest first.
+
+Examples:
+  foxtailspoke audit
+  foxtailspoke audit --since 30d
+  foxtailspoke audit --attempt 6d1c...   (did a change whose answer was lost take effect?)`
+
+type auditCommand struct {
+	app     *app
+	Since   span   `long:"since" default:"7d" description:"How far back to look, such as 12h or 30d"`
+	Attempt string `long:"attempt" value-name:"ID" description:"Only this attempt; exit code 8 if it isn't there"`
+}
+
+// Execute implements flags.Commander.
+func (c *auditCommand) Execute([]string) error {
+	conn, err := c.app.connect()
+	if err != nil {
+		return err
+	}
+	defer conn.platform.Close()
+	ctx, cancel := c.app.limited()
+	defer cancel()
+	entries, err := conn.operator.Audit(ctx, operator.AuditQuery{Since: c.Since.ago(), Attempt: c.Attempt})
+	if err != nil {
+		return err
+	}
+	if c.Attempt != "" && len(entries) == 0 {
+		return exit(exitNotFound, "The attempt %s has not taken effect so far.", c.Attempt)
+	}
+	if c.app.json() {
+		return c.app.printJSON(entries)
+	}
+	for _, e := range entries {
+		c.app.printf("%s\n", auditLine(e))
+		for _, change := range e.Changes {
+			c.app.printf("    %s\n", change)
+		}
+		if e.MoreChanges > 0 {
+			c.app.printf("    and %d more\n", e.MoreChanges)
+		}
+	}
+	return nil
+}
+
+// auditLine tells an entry in one line.
+func auditLine(e operator.AuditEntry) string {
+	line := fmt.Sprintf("%s %s ", e.At.UTC().Format(time.RFC3339), e.Who)
+	label := ""
+	if e.Label != "" {
+		label = fmt.Sprintf(" (%s)", e.Label)
+	}
+	switch e.Action {
+	case operator.ApplyLists:
+		line += fmt.Sprintf("changed the lists from version %d to %d", e.From, e.To)
+	case operator.GaveKey:
+		line += fmt.Sprintf("gave key %s%s to workspace %s", e.Key, label, e.Workspace)
+	case operator.WithdrewKey:
+		line += fmt.Sprintf("withdrew key %s%s of workspace %s", e.Key, label, e.Workspace)
+	default:
+		line += string(e.Action)
+	}
+	return line + fmt.Sprintf(" [attempt %s]", e.Attempt)
+}
--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,118 @@
+package cli
+
+import (
+	"context"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/config/lists"
+	"foxtailspoke/platform"
+)
+
+const checkHelp = `Checks both lists and prints every fault with its file, line and field. Floors
+are compared with the backend servers that the platform lists, if it is named;
+--offline leaves that out.
+
+Examples:
+  foxtailspoke check --offline customers.json plans.json
+  foxtailspoke check customers.json plans.json && echo good`
+
+// listFiles are the arguments of check and apply.
+type listFiles struct {
+	Files struct {
+		Customers string `positional-arg-name:"CUSTOMERS" description:"The customers' list"`
+		Plans     string `positional-arg-name:"PLANS" description:"The plans' list"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type checkCommand struct {
+	app *app
+	listFiles
+	Offline bool `long:"offline" description:"Don't ask the platform for the number of backend servers"`
+}
+
+type checkResult struct {
+	Workspaces int `json:"workspaces"`
+	Plans      int `json:"plans"`
+	Services   int `json:"services"`
+	// FloorsCompared tells whether floors were compared with the platform.
+	FloorsCompared bool `json:"floorsCompared"`
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	capacity, err := c.capacity()
+	if err != nil {
+		return err
+	}
+	l, err := c.read(capacity)
+	if err != nil {
+		return err
+	}
+	r := checkResult{len(l.Workspaces), len(l.Plans), len(l.Services), capacity != nil}
+	if c.app.json() {
+		return c.app.printJSON(r)
+	}
+	c.app.printf("Both lists are correct: %d workspaces, %d plans, %d services.\n", r.Workspaces, r.Plans, r.Services)
+	if capacity == nil {
+		c.app.notef("Floors weren't compared with the number of backend servers, because the platform wasn't asked.\n")
+	}
+	return nil
+}
+
+// capacity asks the platform unless the check is offline or no platform is
+// named.
+func (c *checkCommand) capacity() (lists.Capacity, error) {
+	if c.Offline {
+		return nil, nil
+	}
+	conn, err := c.app.connect()
+	if errors.Is(err, errNoPlatform) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer conn.platform.Close()
+	ctx, cancel := c.app.limited()
+	defer cancel()
+	return capacityOf(ctx, conn.platform)
+}
+
+// capacityOf counts the live backend servers of each service.
+func capacityOf(ctx context.Context, p platform.Instances) (lists.Capacity, error) {
+	all, err := p.List(ctx, 0)
+	if err != nil {
+		return nil, errors.Wrap(err, "list backend servers")
+	}
+	capacity := lists.Capacity{}
+	for _, i := range all.Changed {
+		if i.Kind == platform.BackendServer && i.State == platform.Live {
+			capacity[i.Service]++
+		}
+	}
+	return capacity, nil
+}
+
+// read reads and checks both files. All faults come as one error.
+func (f *listFiles) read(capacity lists.Capacity) (lists.Lists, error) {
+	customers, err := source(f.Files.Customers)
+	if err != nil {
+		return lists.Lists{}, err
+	}
+	plans, err := source(f.Files.Plans)
+	if err != nil {
+		return lists.Lists{}, err
+	}
+	l, faults := lists.Check(customers, plans, capacity)
+	return l, faults.Err()
+}
+
+func source(path string) (lists.Source, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return lists.Source{}, errors.Wrap(err, "read list")
+	}
+	return lists.Source{File: path, Data: data}, nil
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,191 @@
+// Package cli has the commands of foxtailspoke, the operators' program. They
+// read the command line and print; what they do is in package operator.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"foxtailspoke/config/jsonc"
+	"foxtailspoke/operator"
+	"foxtailspoke/platform"
+)
+
+// Exit codes, for shells.
+const (
+	exitDone = iota
+	// exitFailed: something else went wrong; see the message.
+	exitFailed
+	// exitUsage: the command line is wrong.
+	exitUsage
+	// exitFaults: a list or the settings have faults. Nothing was applied.
+	exitFaults
+	// exitRaced: another operator's change came first. Nothing was applied.
+	exitRaced
+	// exitUnresolved: the answer was lost and it isn't known yet whether
+	// the change took effect.
+	exitUnresolved
+	// exitUnavailable: the platform gave no answer. Nothing was changed.
+	exitUnavailable
+	// exitNotInForce: the change is accepted, but not known to be in force
+	// everywhere yet.
+	exitNotInForce
+	// exitNotFound: no such workspace, key, request or attempt.
+	exitNotFound
+	// exitDeclined: the operator answered no.
+	exitDeclined
+)
+
+const longHelp = `Operators drive foxtailspoke by two lists (the customers' and the plans') and by
+keys. Every change goes straight to the platform's table, so that it works with
+all entry instances down.
+
+A first session:
+  export FOXTAILSPOKE_PLATFORM=http://10.0.0.1:7000
+  export FOXTAILSPOKE_TOKEN_FILE=/etc/foxtailspoke/operator.token
+  foxtailspoke check customers.json plans.json
+  foxtailspoke apply customers.json plans.json
+  foxtailspoke keys give --workspace cebu-boatyard --label till-3
+  foxtailspoke status
+  foxtailspoke explain --workspace cebu-boatyard --since 1h
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 faults in a list, 4 another
+operator came first, 5 answer lost and not resolved, 6 platform unavailable,
+7 accepted but not known to be in force everywhere, 8 not found, 9 declined.`
+
+// Streams are the program's standard streams.
+type Streams struct {
+	In       io.Reader
+	Out, Err io.Writer
+}
+
+// app is one run of the program.
+type app struct {
+	ctx     context.Context
+	streams Streams
+	getenv  func(string) string
+	global  globalOptions
+}
+
+// exitError ends the program with a code.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+func exit(code int, format string, args ...any) error {
+	return &exitError{code: code, err: errors.Newf(format, args...)}
+}
+
+// Run carries out one command line and returns the exit code.
+func Run(ctx context.Context, args []string, s Streams, getenv func(string) string) int {
+	a := &app{ctx: ctx, streams: s, getenv: getenv}
+	parser := flags.NewNamedParser("foxtailspoke", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = longHelp
+	if err := a.addCommands(parser); err != nil {
+		return a.fail(err)
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
+		return a.fail(err)
+	}
+	return exitDone
+}
+
+// fail prints why the command ended and returns the exit code.
+func (a *app) fail(err error) int {
+	var usage *flags.Error
+	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		fmt.Fprintln(a.streams.Out, usage.Message)
+		return exitDone
+	}
+	if usage != nil {
+		fmt.Fprintf(a.streams.Err, "%s\nSee foxtailspoke --help.\n", usage.Message)
+		return exitUsage
+	}
+	code := exitCode(err)
+	var told *silentError
+	if errors.As(err, &told) {
+		return code
+	}
+	if a.global.Output == outputJSON {
+		a.failJSON(code, err)
+		return code
+	}
+	fmt.Fprintln(a.streams.Err, err.Error())
+	return code
+}
+
+func (a *app) failJSON(code int, err error) {
+	out := struct {
+		Error  string       `json:"error"`
+		Code   int          `json:"code"`
+		Faults jsonc.Faults `json:"faults,omitempty"`
+	}{Error: err.Error(), Code: code}
+	_ = errors.As(err, &out.Faults)
+	_ = a.printJSON(out)
+}
+
+func exitCode(err error) int {
+	var coded *exitError
+	var faults jsonc.Faults
+	switch {
+	case errors.As(err, &coded):
+		return coded.code
+	case errors.As(err, &faults):
+		return exitFaults
+	case errors.Is(err, platform.ErrUnavailable):
+		return exitUnavailable
+	case errors.Is(err, operator.ErrUnknownWorkspace), errors.Is(err, operator.ErrUnknownKey):
+		return exitNotFound
+	case errors.Is(err, operator.ErrAmbiguousKey), errors.Is(err, operator.ErrLabel), errors.Is(err, operator.ErrNoQuestion):
+		return exitUsage
+	default:
+		return exitFailed
+	}
+}
+
+func (a *app) addCommands(p *flags.Parser) error {
+	if _, err := p.AddGroup("General options", "", &a.global); err != nil {
+		return err
+	}
+	add := func(parent interface {
+		AddCommand(string, string, string, any) (*flags.Command, error)
+	}, name, short, long string, command any,
+	) (*flags.Command, error) {
+		return parent.AddCommand(name, short, long, command)
+	}
+	for _, c := range []struct {
+		name, short, long string
+		command           any
+	}{
+		{"check", "Check both lists", checkHelp, &checkCommand{app: a}},
+		{"apply", "Put both lists in force", applyHelp, &applyCommand{app: a}},
+		{"get", "Show the lists in force", getHelp, &getCommand{app: a}},
+		{"audit", "Show who changed what", auditHelp, &auditCommand{app: a}},
+		{"status", "Show the fleet", statusHelp, &statusCommand{app: a}},
+		{"explain", "Tell why a request was served, slowed or refused", explainHelp, &explainCommand{app: a}},
+	} {
+		if _, err := add(p, c.name, c.short, c.long, c.command); err != nil {
+			return err
+		}
+	}
+	keys, err := add(p, "keys", "Give, withdraw and list keys", keysHelp, &struct{}{})
+	if err != nil {
+		return err
+	}
+	if _, err := add(keys, "give", "Give a key to a workspace", giveHelp, &giveCommand{app: a}); err != nil {
+		return err
+	}
+	if _, err := add(keys, "withdraw", "Take a key back", withdrawHelp, &withdrawCommand{app: a}); err != nil {
+		return err
+	}
+	_, err = add(keys, "list", "List keys", listHelp, &listCommand{app: a})
+	return err
+}
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,272 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	api "foxtailspoke/api/operator"
+	"foxtailspoke/api/operator/oas"
+	"foxtailspoke/decision"
+	"foxtailspoke/internal/standin"
+	"foxtailspoke/operator"
+	"foxtailspoke/platform"
+	"foxtailspoke/platform/client"
+)
+
+const testToken = "test-token"
+
+// bench is a platform with one entry instance, and operators before it.
+type bench struct {
+	t        *testing.T
+	platform *standin.Platform
+	entry    *fakeEntry
+	dir      string
+	env      map[string]string
+}
+
+// fakeEntry answers the operator API.
+type fakeEntry struct {
+	oas.UnimplementedHandler
+	inForce bool
+	records []decision.Record
+}
+
+func (f *fakeEntry) GetInForce(_ context.Context, p oas.GetInForceParams) (*oas.InForce, error) {
+	return &oas.InForce{Revision: p.Revision, InForce: f.inForce, KnownBy: []string{"w1"}, Missing: []string{"w2"}}, nil
+}
+
+func (f *fakeEntry) ListDecisions(_ context.Context, p oas.ListDecisionsParams) (*oas.Decisions, error) {
+	out := &oas.Decisions{Decisions: []oas.Decision{}}
+	for _, r := range f.records {
+		if (decision.Query{Request: p.Request.Or(""), Workspace: p.Workspace.Or("")}).Matches(r) {
+			out.Decisions = append(out.Decisions, api.FromRecord(r))
+		}
+	}
+	return out, nil
+}
+
+func (f *fakeEntry) GetStatus(context.Context) (*oas.Status, error) {
+	return &oas.Status{
+		Instance: "0f8fad5b-entry", DataCentre: "a", Serving: oas.StatusServingServing, ListsVersion: 1, Revision: 9,
+		Confirmation: oas.Confirmation{Source: oas.ConfirmationSourceTable, AgeSeconds: 0.4, LimitSeconds: 3},
+		Services: []oas.ServiceStatus{{
+			Name: "catalogue", Floor: 6, Servers: 10, Usable: 10, Ejected: []oas.EjectedServer{},
+			Lowered: []oas.LoweredServer{{Server: "catalogue-3", Weight: 0.25, Reason: "its answers take 8 times as long as the others'"}},
+		}},
+		WorkspacesNearLimit: []oas.WorkspaceUse{{Workspace: "cebu-boatyard", Service: "catalogue", Rate: 20, Burst: 40, Tokens: 1.5, Parts: 20, Refused: 7}},
+	}, nil
+}
+
+func (f *fakeEntry) NewError(_ context.Context, err error) *oas.ProblemStatusCode {
+	return &oas.ProblemStatusCode{StatusCode: 500, Response: oas.Problem{Status: 500, Title: err.Error()}}
+}
+
+func (f *fakeEntry) HandleOperatorToken(ctx context.Context, _ oas.OperationName, t oas.OperatorToken) (context.Context, error) {
+	if t.Token != testToken {
+		return nil, errors.New("wrong token")
+	}
+	return ctx, nil
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	p, err := standin.StartPlatform(standin.PlatformOptions{})
+	must.NoError(t, err)
+	t.Cleanup(p.Close)
+	b := &bench{t: t, platform: p, entry: &fakeEntry{inForce: true}, dir: t.TempDir()}
+	server, err := oas.NewServer(b.entry, b.entry)
+	must.NoError(t, err)
+	listener := httptest.NewServer(server)
+	t.Cleanup(listener.Close)
+	token := filepath.Join(b.dir, "token")
+	must.NoError(t, os.WriteFile(token, []byte(testToken+"\n"), 0o600))
+	b.env = map[string]string{envPlatform: p.URL(), envTokenFile: token, envUser: "maria"}
+	b.announce(platform.Instance{ID: "0f8fad5b-entry", Kind: platform.Entry, State: platform.Live, DataCentre: "a", OperatorAddress: strings.TrimPrefix(listener.URL, "http://")})
+	for service, n := range map[string]int{"catalogue": 10, "diagnosis": 10, "ordering": 15, "billing": 15} {
+		for i := range n {
+			b.announce(platform.Instance{ID: service + string(rune('a'+i)), Kind: platform.BackendServer, Service: service, State: platform.Live, Slots: 2})
+		}
+	}
+	return b
+}
+
+func (b *bench) announce(i platform.Instance) {
+	c, err := client.New(b.platform.URL(), client.Settings{})
+	must.NoError(b.t, err)
+	defer c.Close()
+	must.NoError(b.t, c.Announce(context.Background(), i))
+}
+
+// run carries out a command line and returns the exit code and both outputs.
+func (b *bench) run(stdin string, args ...string) (code int, stdout, stderr string) {
+	var out, err bytes.Buffer
+	code = Run(context.Background(), args, Streams{In: strings.NewReader(stdin), Out: &out, Err: &err},
+		func(name string) string { return b.env[name] })
+	return code, out.String(), err.String()
+}
+
+func (b *bench) must(want int, args ...string) string {
+	b.t.Helper()
+	code, stdout, stderr := b.run("", args...)
+	must.Eq(b.t, want, code, must.Sprintf("%v: %s%s", args, stdout, stderr))
+	return stdout + stderr
+}
+
+func exampleLists() []string {
+	dir := filepath.Join("..", "..", "examples", "dimaculangan")
+	return []string{filepath.Join(dir, "customers.json"), filepath.Join(dir, "plans.json")}
+}
+
+// edited writes the example lists with a replacement and returns their names.
+func (b *bench) edited(old, replacement string) []string {
+	var files []string
+	for _, path := range exampleLists() {
+		data, err := os.ReadFile(path)
+		must.NoError(b.t, err)
+		copied := filepath.Join(b.dir, filepath.Base(path))
+		must.NoError(b.t, os.WriteFile(copied, bytes.Replace(data, []byte(old), []byte(replacement), 1), 0o600))
+		files = append(files, copied)
+	}
+	return files
+}
+
+// A newcomer's first session: check, apply, give a key, see it, explain a
+// refusal, withdraw the key, read the trail.
+func TestFirstSession(t *testing.T) {
+	b := newBench(t)
+	must.StrContains(t, b.must(exitDone, append([]string{"check"}, exampleLists()...)...), "10 workspaces, 3 plans, 4 services")
+	code, stdout, _ := b.run("n\n", append([]string{"apply"}, exampleLists()...)...)
+	must.Eq(t, exitDeclined, code)
+	must.StrContains(t, stdout, "+ plan bench: service catalogue (5 a second, burst 10)")
+	code, stdout, _ = b.run("y\n", append([]string{"apply"}, exampleLists()...)...)
+	must.Eq(t, exitDone, code)
+	must.StrContains(t, stdout, "Version 1 is accepted")
+	must.StrContains(t, stdout, "It is in force everywhere.")
+	must.StrContains(t, b.must(exitDone, append([]string{"apply"}, exampleLists()...)...), "Nothing to do")
+
+	code, key, _ := b.run("", "keys", "give", "--workspace", "cebu-boatyard", "--label", "till-3")
+	must.Eq(t, exitDone, code)
+	key = strings.TrimSpace(key)
+	must.Eq(t, 47, len(key))
+	id := operator.KeyID(key)
+	must.StrContains(t, b.must(exitDone, "keys", "list"), id+"  cebu-boatyard  till-3")
+
+	status := b.must(exitDone, "status")
+	must.StrContains(t, status, "Lists version 1 at revision 2: 10 workspaces, 3 plans, 4 services, 1 keys.")
+	must.StrContains(t, status, "catalogue-3 at weight 0.25: its answers take 8 times as long")
+	must.StrContains(t, status, "1.5 tokens left of burst 40 here (20 of 60 parts), 7 refused")
+
+	must.StrContains(t, b.must(exitUsage, "keys", "withdraw", key), "That is a key")
+	code, stdout, _ = b.run(key+"\n", "keys", "withdraw", "--stdin")
+	must.Eq(t, exitDone, code)
+	must.StrContains(t, stdout, "Key "+id+" of workspace cebu-boatyard is withdrawn.")
+	must.StrContains(t, b.must(exitNotFound, "keys", "withdraw", id), "no such key")
+	trail := b.must(exitDone, "audit")
+	must.StrContains(t, trail, "maria changed the lists from version 0 to 1")
+	must.StrContains(t, trail, "maria gave key "+id+" (till-3) to workspace cebu-boatyard")
+	must.StrContains(t, trail, "maria withdrew key "+id)
+	must.False(t, strings.Contains(trail+status, key[len(operator.KeyStart):]))
+}
+
+// A refusal is explained from the memory of the instance that decided, and
+// after that instance has gone from the object store.
+func TestExplain(t *testing.T) {
+	b := newBench(t)
+	at := time.Now().UTC().Add(-time.Minute).Truncate(time.Millisecond)
+	record := decision.Record{
+		Request: decision.NewRequestID("0f8fad5b-entry", at, 1), At: at, Instance: "0f8fad5b-entry", Workspace: "cebu-boatyard",
+		Service: "catalogue", Method: "GET", Outcome: decision.NotRun, Rule: decision.RuleOverRate, RetryAfter: 1200 * time.Millisecond,
+		Figures: decision.Figures{Plan: "workshop", Rate: 20, Burst: 40, Tokens: 0.25, Parts: 20},
+	}
+	stored := record
+	stored.Instance, stored.Request = "gone-entry", decision.NewRequestID("gone-entry", at, 1)
+	b.entry.records = []decision.Record{record}
+	buffer := decision.NewBuffer("gone-entry", decision.BufferSettings{})
+	buffer.Add(stored)
+	batch, ok := buffer.Batch()
+	must.True(t, ok)
+	c, err := client.New(b.platform.URL(), client.Settings{})
+	must.NoError(t, err)
+	defer c.Close()
+	must.NoError(t, c.Objects().Put(context.Background(), batch.Name, batch.Data))
+
+	for _, r := range []decision.Record{record, stored} {
+		out := b.must(exitDone, "explain", r.Request)
+		must.StrContains(t, out, `the plan "workshop" allows 20 requests a second, with up to 40 at once after a quiet time`)
+		must.StrContains(t, out, "it is safe to send it again, after 1.2 seconds.")
+	}
+	out := b.must(exitDone, "explain", "--workspace", "cebu-boatyard", "--since", "2h", "--output", "json")
+	var result explainResult
+	must.NoError(t, json.Unmarshal([]byte(out), &result))
+	must.Len(t, 2, result.Decisions)
+	must.True(t, result.Complete)
+	must.Eq(t, record.Figures, result.Decisions[0].Figures)
+	must.StrContains(t, b.must(exitNotFound, "explain", "0f8fad5b.zzz.1"), "Nothing is recorded")
+	must.StrContains(t, b.must(exitUsage, "explain"), "name a request or a workspace")
+}
+
+// Faults, races and outages end with their own exit codes, and with nothing
+// applied.
+func TestExitCodes(t *testing.T) {
+	b := newBench(t)
+	apply := func(files []string, more ...string) []string {
+		return append(append([]string{"apply", "--yes", "--wait", "300ms"}, more...), files...)
+	}
+	out := b.must(exitFaults, apply(b.edited(`"floor": 6`, `"floor": 11`))...)
+	must.StrContains(t, out, "plans.json:7:16: services.catalogue.floor: found the floor 11; allowed: at most 10")
+	code, stdout, _ := b.run("", append([]string{"check", "--output", "json"}, b.edited(`"floor": 6`, `"flor": 6`)...)...)
+	must.Eq(t, exitFaults, code)
+	var failed struct {
+		Code   int
+		Faults []struct{ Line int }
+	}
+	must.NoError(t, json.Unmarshal([]byte(stdout), &failed))
+	must.Len(t, 2, failed.Faults)
+	must.Eq(t, exitFaults, failed.Code)
+
+	b.entry.inForce = false
+	must.StrContains(t, b.must(exitNotInForce, apply(exampleLists())...), "not in force everywhere after 300ms. 1 witnesses know it; missing: w2")
+	must.StrContains(t, b.must(exitRaced, apply(b.edited(`"rate": 20`, `"rate": 21`), "--made-from", "0")...), "version 1, and yours were made from version 0")
+	must.Eq(t, 1, strings.Count(b.must(exitDone, "audit"), "changed the lists"))
+	must.StrContains(t, b.must(exitNotFound, "keys", "give", "--workspace", "nobody"), "no such workspace")
+	must.StrContains(t, b.must(exitUsage, "apply"), "required argument")
+	must.StrContains(t, b.must(exitUsage, "frobnicate"), "Unknown command")
+	must.StrContains(t, b.must(exitDone, "apply", "--help"), "foxtailspoke apply --dry-run customers.json plans.json")
+
+	b.env[envTokenFile] = ""
+	must.StrContains(t, b.must(exitNotInForce, apply(b.edited(`"rate": 20`, `"rate": 22`))...), "can't be asked without --token-file")
+	b.platform.Close()
+	b.must(exitUnavailable, apply(exampleLists(), "--timeout", "200ms")...)
+	delete(b.env, envPlatform)
+	must.StrContains(t, b.must(exitUsage, "get"), "--platform URL")
+}
+
+// What get writes can be applied again as it is.
+func TestGetRoundTrip(t *testing.T) {
+	b := newBench(t)
+	b.must(exitDone, append([]string{"apply", "--yes"}, exampleLists()...)...)
+	b.must(exitDone, "get", "--dir", b.dir)
+	files := []string{filepath.Join(b.dir, "customers.json"), filepath.Join(b.dir, "plans.json")}
+	must.StrContains(t, b.must(exitDone, append([]string{"apply", "--made-from", "1"}, files...)...), "Nothing to do: version 1")
+}
+
+func TestSettingsFile(t *testing.T) {
+	b := newBench(t)
+	file := filepath.Join(b.dir, "settings.json")
+	must.NoError(t, os.WriteFile(file, []byte(`{"platform": "`+b.platform.URL()+`", /* who */ "as": "ercan"}`), 0o600))
+	b.env = map[string]string{envSettings: file}
+	must.StrContains(t, b.must(exitNotInForce, append([]string{"apply", "--yes"}, exampleLists()...)...), "accepted")
+	must.StrContains(t, b.must(exitDone, "audit"), "ercan changed the lists")
+	must.NoError(t, os.WriteFile(file, []byte(`{"platfrom": "x"}`), 0o600))
+	must.StrContains(t, b.must(exitFaults, "get"), `settings.json:1:2: platfrom: found the unknown field "platfrom"`)
+}
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,117 @@
+package cli
+
+import (
+	"time"
+
+	"foxtailspoke/decision"
+	"foxtailspoke/operator"
+)
+
+const explainHelp = `Tells in plain sentences why a request, or a workspace's requests, were served,
+slowed or refused, with the rule and the figures behind it. It reads the memory
+of the entry instances and the object store.
+
+Refusals, repeats and slow requests are kept; of the others only a sample is.
+
+Examples:
+  foxtailspoke explain 0f8fad5b.mqn0q5fy.2s
+  foxtailspoke explain --workspace cebu-boatyard --since 1h
+  foxtailspoke explain --workspace cebu-boatyard --since 2d --limit 500 --output json`
+
+type explainCommand struct {
+	app       *app
+	Workspace string `long:"workspace" value-name:"NAME" description:"Explain this workspace's requests"`
+	Since     span   `long:"since" default:"1h" description:"How far back to look"`
+	Limit     int    `long:"limit" default:"50" description:"At most so many requests, the newest first; 0 means all"`
+	Args      struct {
+		Request string `positional-arg-name:"REQUEST-ID" description:"The id from the answer's Foxtailspoke-Request header"`
+	} `positional-args:"yes"`
+}
+
+type explainResult struct {
+	Decisions []explained `json:"decisions"`
+	Complete  bool        `json:"complete"`
+	Asked     int         `json:"instancesAsked"`
+	Silent    int         `json:"instancesSilent"`
+	Batches   int         `json:"batchesRead"`
+	Unread    int         `json:"batchesUnread"`
+	Skipped   int         `json:"batchesSkipped"`
+	Dropped   uint64      `json:"recordsDropped"`
+	Error     string      `json:"storeError,omitempty"`
+}
+
+type explained struct {
+	Sentence string `json:"sentence"`
+	decision.Record
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) error {
+	conn, err := c.app.connect()
+	if err != nil {
+		return err
+	}
+	defer conn.platform.Close()
+	ctx, cancel := c.app.limited()
+	defer cancel()
+	q := decision.Query{Request: c.Args.Request, Workspace: c.Workspace, Limit: c.Limit}
+	if q.Request == "" {
+		q.Since = c.Since.ago()
+	}
+	e, err := conn.operator.Explain(ctx, conn.fleet, conn.platform.Objects(), q)
+	if err != nil {
+		return err
+	}
+	if !c.app.json() {
+		c.print(e)
+	}
+	return c.app.endJSON(resultOf(e), c.verdict(e))
+}
+
+func (c *explainCommand) verdict(e operator.Explanation) error {
+	if len(e.Records) > 0 || c.Args.Request == "" {
+		return nil
+	}
+	return exit(exitNotFound, "Nothing is recorded of the request %s. Plain successes are kept in part only.", c.Args.Request)
+}
+
+func resultOf(e operator.Explanation) explainResult {
+	r := explainResult{
+		Decisions: []explained{}, Complete: e.Complete(), Asked: e.Asked, Silent: e.Silent, Batches: e.Batches,
+		Unread: e.Unread, Skipped: e.Skipped, Dropped: e.Dropped, Error: e.StoreError,
+	}
+	for _, record := range e.Records {
+		r.Decisions = append(r.Decisions, explained{Sentence: record.Sentence(), Record: record})
+	}
+	return r
+}
+
+func (c *explainCommand) print(e operator.Explanation) {
+	for _, r := range e.Records {
+		c.app.printf("%s  [%s] %s\n  %s\n", r.At.UTC().Format(time.RFC3339), r.Rule, r.Request, r.Sentence())
+	}
+	if len(e.Records) == 0 && c.Args.Request == "" {
+		c.app.printf("No refusal, repeat or slow request is recorded for workspace %s in this time.\n", c.Workspace)
+	}
+	if e.Complete() {
+		return
+	}
+	c.app.notef("This may not be all:")
+	for _, gap := range []struct {
+		n    int
+		what string
+	}{
+		{e.Silent, "instances didn't answer"},
+		{e.Unread, "batches couldn't be read"},
+		{e.Skipped, "older batches were left out"},
+		{int(e.Dropped), "records were lost before they were stored"},
+	} {
+		if gap.n > 0 {
+			c.app.notef(" %d %s;", gap.n, gap.what)
+		}
+	}
+	if e.StoreError != "" {
+		c.app.notef(" the object store: %s;", e.StoreError)
+	}
+	c.app.notef("\n")
+}
--- /dev/null
+++ b/internal/cli/keys.go
@@ -0,0 +1,189 @@
+package cli
+
+import (
+	"bufio"
+	"strings"
+	"time"
+
+	"foxtailspoke/operator"
+)
+
+const keysHelp = `Keys are given to workspaces and withdrawn while traffic runs. A key is printed
+once, when it is given; only its SHA-256 hash is kept. A key's id is the start of
+that hash.
+
+Examples:
+  foxtailspoke keys give --workspace cebu-boatyard --label till-3
+  foxtailspoke keys list --workspace cebu-boatyard
+  foxtailspoke keys withdraw 3f2a90c1b7d4`
+
+const giveHelp = `Gives a new key to a workspace and prints it, once, on standard output.
+
+Examples:
+  foxtailspoke keys give --workspace cebu-boatyard --label till-3
+  foxtailspoke keys give --workspace cebu-boatyard > key.txt`
+
+const withdrawHelp = `Takes a key back and waits until no instance accepts it any more. The key is named
+by its id, by its label, or read from standard input. It is never an argument,
+because arguments show in the list of processes.
+
+Examples:
+  foxtailspoke keys withdraw 3f2a90c1b7d4
+  foxtailspoke keys withdraw --workspace cebu-boatyard --label till-3
+  foxtailspoke keys withdraw --stdin < leaked-key.txt`
+
+const listHelp = `Lists keys by id, workspace and label.
+
+Example:
+  foxtailspoke keys list --output json`
+
+type giveCommand struct {
+	app       *app
+	Workspace string        `long:"workspace" value-name:"NAME" required:"yes" description:"Who gets the key"`
+	Label     string        `long:"label" description:"Tells this key from others of the workspace"`
+	Wait      time.Duration `long:"wait" default:"30s" description:"How long to wait until it works everywhere; 0 doesn't wait"`
+}
+
+type keyResult struct {
+	Key string `json:"secret,omitempty"`
+	operator.KeyChange
+	InForce *operator.InForce `json:"inForce,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (c *giveCommand) Execute([]string) error {
+	conn, err := c.app.connectToChange()
+	if err != nil {
+		return err
+	}
+	defer conn.platform.Close()
+	ctx, cancel := c.app.limited()
+	defer cancel()
+	k, err := conn.operator.GiveKey(ctx, c.Workspace, c.Label)
+	if err != nil {
+		return err
+	}
+	switch k.Outcome {
+	case operator.Raced:
+		return exit(exitRaced, "No key was given: other operators keep changing workspace %s.", c.Workspace)
+	case operator.Unresolved:
+		return exit(exitUnresolved, "The platform's answer was lost, so the key isn't shown. If \"foxtailspoke audit --attempt %s\" finds it later, withdraw it by \"foxtailspoke keys withdraw %s\". Then give another.", k.Attempt, k.Info.ID)
+	case operator.Accepted, operator.NothingToDo:
+	}
+	if !c.app.json() {
+		c.app.printf("%s\n", k.Secret.Reveal())
+		c.app.notef("Key %s is given to workspace %s. It isn't shown again.\n", k.Info.ID, c.Workspace)
+	}
+	inForce, err := c.app.quietly().waitInForce(conn, k.Revision, c.Wait)
+	return c.app.endJSON(keyResult{Key: k.Secret.Reveal(), KeyChange: k, InForce: inForce}, err)
+}
+
+// quietly returns an app that prints results beside the standard output, for
+// commands whose standard output is read by scripts.
+func (a *app) quietly() *app {
+	quiet := *a
+	quiet.streams.Out = a.streams.Err
+	return &quiet
+}
+
+type withdrawCommand struct {
+	app       *app
+	Workspace string        `long:"workspace" value-name:"NAME" description:"Whose label it is"`
+	Label     string        `long:"label" description:"Names the key by its label"`
+	Stdin     bool          `long:"stdin" description:"Read the key itself from standard input"`
+	Wait      time.Duration `long:"wait" default:"30s" description:"How long to wait until nobody accepts it; 0 doesn't wait"`
+	Args      struct {
+		ID string `positional-arg-name:"ID" description:"The key's id, at least 6 digits of it"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *withdrawCommand) Execute([]string) error {
+	s, err := c.selector()
+	if err != nil {
+		return err
+	}
+	conn, err := c.app.connectToChange()
+	if err != nil {
+		return err
+	}
+	defer conn.platform.Close()
+	ctx, cancel := c.app.limited()
+	defer cancel()
+	k, err := conn.operator.WithdrawKey(ctx, s)
+	if err != nil {
+		return err
+	}
+	if err := c.told(k); err != nil {
+		return c.app.endJSON(keyResult{KeyChange: k}, err)
+	}
+	inForce, err := c.app.waitInForce(conn, k.Revision, c.Wait)
+	return c.app.endJSON(keyResult{KeyChange: k, InForce: inForce}, err)
+}
+
+func (c *withdrawCommand) told(k operator.KeyChange) error {
+	switch k.Outcome {
+	case operator.Raced:
+		return exit(exitRaced, "The key %s was not withdrawn: it was changed at the same time.", k.Info.ID)
+	case operator.Unresolved:
+		return exit(exitUnresolved, "The platform's answer was lost. It isn't known whether key %s is withdrawn; withdraw it again.", k.Info.ID)
+	case operator.NothingToDo:
+		c.app.notef("Key %s was withdrawn by somebody else meanwhile.\n", k.Info.ID)
+	case operator.Accepted:
+		if !c.app.json() {
+			c.app.printf("Key %s of workspace %s is withdrawn.\n", k.Info.ID, k.Info.Workspace)
+		}
+	}
+	return nil
+}
+
+func (c *withdrawCommand) selector() (operator.KeySelector, error) {
+	ways := 0
+	for _, used := range []bool{c.Args.ID != "", c.Label != "", c.Stdin} {
+		if used {
+			ways++
+		}
+	}
+	if ways != 1 {
+		return operator.KeySelector{}, exit(exitUsage, "Name the key in one way: by its ID, by --label, or by --stdin.")
+	}
+	if strings.HasPrefix(c.Args.ID, operator.KeyStart) {
+		return operator.KeySelector{}, exit(exitUsage, "That is a key, and now it is in the list of processes and perhaps in the shell's history. Use its id, or --stdin.")
+	}
+	s := operator.KeySelector{ID: c.Args.ID, Workspace: c.Workspace, Label: c.Label}
+	if c.Stdin {
+		line, _ := bufio.NewReader(c.app.streams.In).ReadString('\n')
+		s.Key = strings.TrimSpace(line)
+		if s.Key == "" {
+			return s, exit(exitUsage, "No key on standard input.")
+		}
+	}
+	return s, nil
+}
+
+type listCommand struct {
+	app       *app
+	Workspace string `long:"workspace" value-name:"NAME" description:"Only this workspace's keys"`
+}
+
+// Execute implements flags.Commander.
+func (c *listCommand) Execute([]string) error {
+	conn, err := c.app.connect()
+	if err != nil {
+		return err
+	}
+	defer conn.platform.Close()
+	ctx, cancel := c.app.limited()
+	defer cancel()
+	keys, err := conn.operator.ListKeys(ctx, c.Workspace)
+	if err != nil {
+		return err
+	}
+	if c.app.json() {
+		return c.app.printJSON(keys)
+	}
+	for _, k := range keys {
+		c.app.printf("%s  %s  %s\n", k.ID, k.Workspace, k.Label)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/options.go
@@ -0,0 +1,184 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/config/jsonc"
+	"foxtailspoke/operator"
+	"foxtailspoke/operator/fleet"
+	"foxtailspoke/platform/client"
+)
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// Environment variables that stand in for options.
+const (
+	envPlatform  = "FOXTAILSPOKE_PLATFORM"
+	envTokenFile = "FOXTAILSPOKE_TOKEN_FILE"
+	envSettings  = "FOXTAILSPOKE_SETTINGS"
+	envUser      = "USER"
+)
+
+type globalOptions struct {
+	Platform  string        `long:"platform" value-name:"URL" description:"The platform's address; else $FOXTAILSPOKE_PLATFORM, else the settings file's \"platform\""`
+	TokenFile string        `long:"token-file" value-name:"FILE" description:"File with the operators' token for entry instances; else $FOXTAILSPOKE_TOKEN_FILE, else the settings file's \"tokenFile\""`
+	Settings  string        `long:"settings" value-name:"FILE" description:"Settings in JSON with comments; else $FOXTAILSPOKE_SETTINGS. Example: {\"platform\": \"http://10.0.0.1:7000\", \"tokenFile\": \"operator.token\", \"as\": \"maria\"}"`
+	As        string        `long:"as" value-name:"NAME" description:"Who you are, for the audit trail; else the settings file's \"as\", else $USER"`
+	Output    string        `long:"output" choice:"text" choice:"json" default:"text" description:"How to print the result"`
+	Timeout   time.Duration `long:"timeout" default:"20s" description:"How long to try to reach the platform and to resolve a lost answer"`
+}
+
+// settings are the options after the environment and the settings file.
+type settings struct {
+	platform  string
+	tokenFile string
+	as        string
+}
+
+func (a *app) settings() (settings, error) {
+	s, err := a.settingsFile()
+	if err != nil {
+		return settings{}, err
+	}
+	s.platform = first(a.global.Platform, a.getenv(envPlatform), s.platform)
+	s.tokenFile = first(a.global.TokenFile, a.getenv(envTokenFile), s.tokenFile)
+	s.as = first(a.global.As, s.as, a.getenv(envUser))
+	return s, nil
+}
+
+func (a *app) settingsFile() (settings, error) {
+	file := first(a.global.Settings, a.getenv(envSettings))
+	if file == "" {
+		return settings{}, nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return settings{}, errors.Wrap(err, "settings")
+	}
+	var s settings
+	text := func(to *string) func(jsonc.Value) {
+		return func(v jsonc.Value) { *to, _ = v.Text() }
+	}
+	doc, root := jsonc.Parse(file, data)
+	root.Object(
+		jsonc.Field{Name: "platform", Read: text(&s.platform)},
+		jsonc.Field{Name: "tokenFile", Read: text(&s.tokenFile)},
+		jsonc.Field{Name: "as", Read: text(&s.as)},
+	)
+	return s, doc.Faults().Err()
+}
+
+func first(values ...string) string {
+	for _, v := range values {
+		if v != "" {
+			return v
+		}
+	}
+	return ""
+}
+
+// connection is what most commands work with.
+type connection struct {
+	platform *client.Client
+	operator *operator.Operator
+	// fleet is nil without a token.
+	fleet operator.Fleet
+}
+
+// errNoPlatform tells how to name the platform.
+var errNoPlatform = exit(exitUsage, "no platform: use --platform URL or set $%s", envPlatform)
+
+func (a *app) connect() (connection, error) {
+	s, err := a.settings()
+	if err != nil {
+		return connection{}, err
+	}
+	if s.platform == "" {
+		return connection{}, errNoPlatform
+	}
+	p, err := client.New(s.platform, client.Settings{})
+	if err != nil {
+		return connection{}, exit(exitUsage, "platform %q: %v", s.platform, err)
+	}
+	c := connection{platform: p, operator: operator.New(p, operator.Settings{Who: s.as})}
+	if s.tokenFile == "" {
+		return c, nil
+	}
+	token, err := fleet.ReadToken(s.tokenFile)
+	if err != nil {
+		return connection{}, err
+	}
+	c.fleet = fleet.New(p, token, 0)
+	return c, nil
+}
+
+// connectToChange also demands a name for the audit trail.
+func (a *app) connectToChange() (connection, error) {
+	s, err := a.settings()
+	if err != nil {
+		return connection{}, err
+	}
+	if s.as == "" {
+		return connection{}, exit(exitUsage, "nobody to write into the audit trail: use --as NAME")
+	}
+	return a.connect()
+}
+
+// limited bounds the time for the platform.
+func (a *app) limited() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(a.ctx, a.global.Timeout)
+}
+
+func (a *app) printf(format string, args ...any) {
+	fmt.Fprintf(a.streams.Out, format, args...)
+}
+
+// notef prints what isn't a result, beside the results.
+func (a *app) notef(format string, args ...any) {
+	fmt.Fprintf(a.streams.Err, format, args...)
+}
+
+func (a *app) printJSON(v any) error {
+	e := json.NewEncoder(a.streams.Out)
+	e.SetIndent("", "  ")
+	return errors.Wrap(e.Encode(v), "print")
+}
+
+func (a *app) json() bool { return a.global.Output == outputJSON }
+
+// span is a time on the command line, such as 90m, 36h or 7d.
+type span time.Duration
+
+const day = 24 * time.Hour
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (s *span) UnmarshalFlag(value string) error {
+	if days, ok := strings.CutSuffix(value, "d"); ok {
+		n, err := strconv.Atoi(days)
+		if err != nil || n < 0 {
+			return errors.Newf("%q isn't a number of days", value)
+		}
+		*s = span(time.Duration(n) * day)
+		return nil
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil || d < 0 {
+		return errors.Newf("%q isn't a time such as 90m, 36h or 7d", value)
+	}
+	*s = span(d)
+	return nil
+}
+
+// ago returns the time that lies the span back.
+func (s span) ago() time.Time { return time.Now().Add(-time.Duration(s)) }
