--- /dev/null
+++ b/membership/main_test.go
@@ -0,0 +1,15 @@
+package membership
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/membership/model_test.go
@@ -0,0 +1,257 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/effect"
+	"foxtailspoke/platform"
+)
+
+const (
+	modelNodes   = 7
+	modelCentres = 3
+	modelTime    = 60 * time.Second
+	// checkEvery is finer than any window that a fault opens by the passing
+	// of time alone, apart from the millisecond that Wait adds.
+	checkEvery = 5 * time.Millisecond
+)
+
+// modelSettings leave one watcher per data centre, so that most proofs are
+// relayed, and let every clock run wrong by 15 per cent, fast or slow.
+func modelSettings() Settings {
+	return Settings{WatchersPerDataCentre: 1, WitnessCount: 5, DriftPPM: 150_000, SeatStagger: 200 * time.Millisecond}
+}
+
+// history runs one seed: long group cuts with the present holder on the cut
+// side, the table seen by one side, freezes, restarts, planned stops, while
+// the shard moves from holder to holder.
+type history struct {
+	*sim
+	faults      *rand.Rand
+	incarnation int
+	cuts        int
+}
+
+func newHistory(seed uint64, mutate func(*sim)) *history {
+	h := &history{sim: newSim(seed, modelSettings(), modelNodes, modelCentres), faults: rand.New(rand.NewPCG(seed, 3))}
+	mutate(h.sim)
+	h.startAll(modelCentres)
+	h.afterAny = h.askForce
+	h.repeat(checkEvery, func() time.Duration { return checkEvery }, h.check)
+	h.repeat(2*time.Second, h.between(800, 6000), func() { h.take(h.anyTaker()) })
+	h.repeat(6*time.Second, h.between(3500, 9000), h.cutGroup)
+	h.repeat(5*time.Second, h.between(2000, 8000), h.freeze)
+	h.repeat(9*time.Second, h.between(3000, 15000), h.restart)
+	h.repeat(10*time.Second, h.between(4000, 15000), func() { h.leave(h.anyNode()) })
+	return h
+}
+
+func (h *history) repeat(first time.Duration, gap func() time.Duration, do func()) {
+	h.after(first, func() {
+		do()
+		h.repeat(gap(), gap, do)
+	})
+}
+
+func (h *history) between(low, high int) func() time.Duration {
+	return func() time.Duration { return time.Duration(low+h.faults.IntN(high-low)) * time.Millisecond }
+}
+
+func (h *history) anyNode() *simNode { return h.nodes[h.faults.IntN(modelNodes)] }
+
+// anyTaker prefers a node that sees the table.
+func (h *history) anyTaker() *simNode {
+	n := h.anyNode()
+	for range 5 {
+		if !h.lost(n) {
+			break
+		}
+		n = h.anyNode()
+	}
+	return n
+}
+
+// farTaker prefers a node outside a group that sees the table.
+func (h *history) farTaker(side map[int]bool) *simNode {
+	for _, slot := range h.faults.Perm(modelNodes) {
+		if n := h.nodes[slot]; !side[slot] && !h.lost(n) {
+			return n
+		}
+	}
+	return h.anyNode()
+}
+
+// holder returns the node that the table names, or any.
+func (h *history) holder() *simNode {
+	if holders := h.table.Shard("s").Holders; len(holders) == 1 {
+		if n := h.byID(holders[0].Instance); n != nil {
+			return n
+		}
+	}
+	return h.anyNode()
+}
+
+// askForce lets every holder ask for its row to be in force, also when it
+// learnt of its own write only by a later read.
+func (h *history) askForce() {
+	for _, n := range h.nodes {
+		rev, holds := n.holds()
+		if holds && rev > n.m.force.target {
+			h.step(n, func(now time.Duration) []effect.Effect { return n.m.Require(now, rev) })
+		}
+	}
+}
+
+// cutGroup cuts a group with the holder from the others for a long time,
+// one way or both, with the table on the far side, on the near one, on
+// both or on none. Somebody who sees the table takes the shard just then,
+// while the proofs on the cut side are young.
+func (h *history) cutGroup() {
+	side := h.chooseSide()
+	out, in := h.faults.IntN(3) > 0, h.faults.IntN(3) > 0
+	for a := range modelNodes {
+		for b := range modelNodes {
+			h.cut[[2]int{a, b}] = side[a] != side[b] && ((out && side[a]) || (in && side[b]))
+		}
+	}
+	seesTable := h.faults.IntN(8) // below 5: only the far side
+	deaf := h.faults.IntN(3) == 0
+	clear(h.unseen)
+	clear(h.deaf)
+	for slot := range modelNodes {
+		blind := (side[slot] && seesTable < 5) || (!side[slot] && seesTable == 5)
+		h.unseen[slot], h.deaf[slot] = blind && !deaf, blind && deaf
+	}
+	h.away = seesTable == 6
+	h.snapshot()
+	for range 3 {
+		h.after(time.Duration(h.faults.IntN(100))*time.Millisecond, func() { h.take(h.farTaker(side)) })
+	}
+	h.cuts++
+	cut := h.cuts
+	h.after(h.between(2500, 8000)(), func() { h.heal(cut) })
+}
+
+// chooseSide returns the holder with some others, or else a majority of the
+// witnesses, of which one is about to leave: the far side changes the list.
+func (h *history) chooseSide() map[int]bool {
+	side := map[int]bool{h.holder().slot: true}
+	if h.faults.IntN(3) > 0 {
+		for want := 1 + h.faults.IntN(4); len(side) < want; {
+			side[h.faults.IntN(modelNodes)] = true
+		}
+		return side
+	}
+	members := h.table.Witnesses().Members
+	clear(side)
+	for _, i := range h.faults.Perm(len(members)) {
+		n := h.byID(members[i])
+		if n == nil || len(side) > len(members)/2 {
+			continue
+		}
+		if len(side) == 0 {
+			h.leave(n)
+		}
+		side[n.slot] = true
+	}
+	return side
+}
+
+func (h *history) heal(cut int) {
+	if cut != h.cuts {
+		return
+	}
+	clear(h.cut)
+	clear(h.unseen)
+	clear(h.deaf)
+	h.away = false
+	h.old = nil
+}
+
+// freeze stops a node for longer than any timeout. It begins just when the
+// node sent something, so that the answer waits for it.
+func (h *history) freeze() {
+	n := h.holder()
+	if h.faults.IntN(2) == 0 {
+		n = h.anyNode()
+	}
+	n.freezeNext = h.between(300, 8000)()
+}
+
+func (h *history) restart() { h.replace(h.anyNode()) }
+
+// replace ends a node and starts it anew under a new id. The platform's list
+// follows later.
+func (h *history) replace(n *simNode) {
+	if n.dead {
+		return
+	}
+	n.dead = true
+	h.incarnation++
+	started := h.start(n.slot, h.incarnation, modelCentres)
+	h.after(h.between(100, 3000)(), func() {
+		ended, _ := h.list.Instance(n.id)
+		ended.State = platform.Ended
+		h.announce(ended, entryInstance(started.id, ended.DataCentre))
+	})
+}
+
+// leave is a planned stop: the list shows it, the node goes on for a while.
+func (h *history) leave(n *simNode) {
+	leaving, ok := h.list.Instance(n.id)
+	if !ok || leaving.State != platform.Live {
+		return
+	}
+	leaving.State = platform.Leaving
+	h.announce(leaving)
+	h.step(n, n.m.Leave)
+	h.after(h.between(2000, 12000)(), func() { h.replace(n) })
+}
+
+func runHistory(seed uint64, mutate func(*sim)) *history {
+	h := newHistory(seed, mutate)
+	h.run(modelTime)
+	return h
+}
+
+var (
+	modelSeeds   = flag.Uint64("model.seeds", 40, "histories of the model test")
+	countMutants = flag.Bool("model.count", false, "count the red seeds of every mutant")
+)
+
+// Two instances spend the same part, or one acts on a key that was already
+// taken away everywhere: the cut side must run out of proofs before the other
+// side begins to act. Every seed is a different order of cuts, freezes,
+// restarts, planned stops and lost answers.
+func TestModelNobodyActsOnWhatWasTakenAway(t *testing.T) {
+	const lanes = 4
+	for lane := range uint64(lanes) {
+		t.Run(fmt.Sprintf("lane %d", lane), func(t *testing.T) {
+			t.Parallel()
+			states, acted, revisions, inForce := map[State]int{}, 0, platform.Revision(0), platform.Revision(0)
+			for seed := lane; seed < *modelSeeds; seed += lanes {
+				h := runHistory(seed, func(*sim) {})
+				must.SliceEmpty(t, h.failures, must.Sprintf("seed %d", seed))
+				for state, n := range h.states {
+					states[state] += n
+				}
+				acted += h.acted
+				revisions += h.table.Revision()
+				inForce += h.inForce
+			}
+			t.Logf("%d revisions written, %d in force at the end; %d checks found a holder acting; states of nodes: %v",
+				revisions, inForce, acted, states)
+			// A model in which nobody acts would prove nothing.
+			must.Positive(t, acted)
+			must.Positive(t, states[ByWitnesses])
+			must.Positive(t, states[CutOff])
+			must.Greater(t, revisions*8/10, inForce)
+		})
+	}
+}
--- /dev/null
+++ b/membership/sim_test.go
@@ -0,0 +1,430 @@
+package membership
+
+import (
+	"container/heap"
+	"encoding/gob"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"foxtailspoke/config"
+	"foxtailspoke/effect"
+	"foxtailspoke/platform"
+)
+
+// sim drives real Members over fakes of the table, of the instance list and
+// of the links. One goroutine, one queue of events, one seed.
+type sim struct {
+	rng   *rand.Rand
+	now   time.Duration
+	queue eventQueue
+	seq   int
+	set   Settings
+	rules func(*rules)
+
+	nodes []*simNode // one per slot; a restart replaces it
+	cut   map[[2]int]bool
+	// unseen are the slots that don't reach the table; deaf are those that
+	// reach it without hearing its answers.
+	unseen, deaf map[int]bool
+	away         bool
+	// staleFrom serves unseen slots an old copy of the table (mutant).
+	oldCopies bool
+	old       *config.Replica
+
+	table    *config.Replica
+	writes   map[string]platform.Revision
+	list     *Directory
+	inForce  platform.Revision
+	reads    int
+	sent     map[string]int // bytes sent and received, by instance
+	encoder  *gob.Encoder
+	encoded  int
+	failures []string
+	acted    int           // checks that found a holder acting
+	states   map[State]int // checks of one node, by state
+	afterAny func()
+}
+
+type simNode struct {
+	id         string
+	slot       int
+	m          *Member
+	log        *config.Replica
+	rate       float64
+	frozen     time.Duration
+	freezeNext time.Duration
+	wakeAt     time.Duration
+	dead       bool
+	revision   platform.Revision
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+func newSim(seed uint64, set Settings, nodes, centres int) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 1)), set: set, rules: func(*rules) {},
+		cut: map[[2]int]bool{}, unseen: map[int]bool{}, deaf: map[int]bool{},
+		table: config.NewReplica(), writes: map[string]platform.Revision{}, sent: map[string]int{}, states: map[State]int{},
+		list: newDirectory(set.withDefaults()), nodes: make([]*simNode, nodes), now: time.Second,
+	}
+	s.encoder = gob.NewEncoder(s)
+	s.announce(fleetOf(nodes, centres)...)
+	return s
+}
+
+// Write counts the bytes of the encoded messages.
+func (s *sim) Write(p []byte) (int, error) {
+	s.encoded += len(p)
+	return len(p), nil
+}
+
+func fleetOf(n, centres int) []platform.Instance {
+	all := fleet(n, centres)
+	for i := range all {
+		all[i].ID = nodeID(i, 0)
+		all[i].PeerAddress = fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)
+		all[i].Address, all[i].OperatorAddress = all[i].PeerAddress, all[i].PeerAddress
+	}
+	return all
+}
+
+func nodeID(slot, incarnation int) string {
+	return fmt.Sprintf("%08x-0000-4000-8000-%012x", slot, incarnation)
+}
+
+func (s *sim) announce(changed ...platform.Instance) {
+	s.list.apply(platform.InstanceChanges{Version: s.list.version + 1, Full: s.list.version == 0, Changed: changed})
+}
+
+func (s *sim) start(slot, incarnation, centres int) *simNode {
+	set := s.set
+	set.Self, set.DataCentre = nodeID(slot, incarnation), fmt.Sprintf("dc%d", slot%centres)
+	n := &simNode{id: set.Self, slot: slot, log: config.NewReplica(), wakeAt: never}
+	drift := float64(set.withDefaults().DriftPPM) / 1e6
+	n.rate = 1 + drift*float64(s.rng.IntN(2)*2-1)
+	n.m = New(set, n.log, rand.New(rand.NewPCG(s.rng.Uint64(), 2)))
+	s.rules(&n.m.rules)
+	s.nodes[slot] = n
+	s.step(n, func(now time.Duration) []effect.Effect { return n.m.Tick(now) })
+	return n
+}
+
+func (s *sim) startAll(centres int) {
+	for slot := range s.nodes {
+		s.start(slot, 0, centres)
+	}
+}
+
+func (n *simNode) clock(now time.Duration) time.Duration {
+	return time.Duration(float64(now) * n.rate)
+}
+
+func (n *simNode) realTime(clock time.Duration) time.Duration {
+	return time.Duration(float64(clock)/n.rate) + 1
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, event{at: s.now + d, seq: s.seq, do: do})
+}
+
+// run handles events until a time.
+func (s *sim) run(until time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= until && len(s.failures) == 0 {
+		e := heap.Pop(&s.queue).(event)
+		s.now = max(s.now, e.at)
+		e.do()
+		if s.afterAny != nil {
+			s.afterAny()
+		}
+	}
+	s.now = max(s.now, until)
+}
+
+// step hands a node one event, after its freeze if it is frozen.
+func (s *sim) step(n *simNode, do func(now time.Duration) []effect.Effect) {
+	if n.dead {
+		return
+	}
+	if s.now < n.frozen {
+		s.after(n.frozen-s.now, func() { s.step(n, do) })
+		return
+	}
+	effects := do(n.clock(s.now))
+	s.carryOut(n, effects)
+	if n.freezeNext > 0 && len(effects) > 0 {
+		n.frozen, n.freezeNext = s.now+n.freezeNext, 0
+	}
+	s.schedule(n)
+}
+
+func (s *sim) schedule(n *simNode) {
+	at := max(n.realTime(min(n.m.NextWake(), time.Hour*1000)), s.now)
+	if n.wakeAt > s.now && n.wakeAt <= at {
+		return
+	}
+	n.wakeAt = at
+	s.after(at-s.now, func() {
+		if n.wakeAt == at {
+			n.wakeAt = never
+			s.step(n, n.m.Tick)
+		}
+	})
+}
+
+func (s *sim) carryOut(n *simNode, effects []effect.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case effect.Call:
+			s.call(n, e)
+		case effect.ReadTable:
+			s.readTable(n, e)
+		case effect.WriteTable:
+			s.write(n, e.Txn, func(now time.Duration, r platform.WriteResult) []effect.Effect {
+				return n.m.WriteDone(now, e.ID, r)
+			})
+		case effect.ReadInstances:
+			s.readList(n, e)
+		}
+	}
+}
+
+func (s *sim) latency() time.Duration {
+	if s.rng.IntN(100) == 0 {
+		return time.Duration(s.rng.IntN(400)) * time.Millisecond
+	}
+	return time.Duration(1000+s.rng.IntN(1000)) * time.Microsecond
+}
+
+func (s *sim) call(n *simNode, c effect.Call) {
+	timeout := s.set.withDefaults().CallTimeout
+	s.after(timeout, func() {
+		s.step(n, func(now time.Duration) []effect.Effect { return n.m.CallDone(now, c.ID, Reply{}, false) })
+	})
+	to := s.byID(c.To)
+	s.count(n.id, c.To, c.Request)
+	if to == nil || s.cut[[2]int{n.slot, to.slot}] {
+		return
+	}
+	s.after(s.latency(), func() {
+		s.step(to, func(now time.Duration) []effect.Effect {
+			reply := to.m.Handle(now, n.id, c.Request.(Request))
+			s.count(to.id, n.id, reply)
+			if s.cut[[2]int{to.slot, n.slot}] {
+				return nil
+			}
+			s.after(s.latency(), func() {
+				s.step(n, func(now time.Duration) []effect.Effect { return n.m.CallDone(now, c.ID, reply, true) })
+			})
+			return nil
+		})
+	})
+}
+
+func (s *sim) count(from, to string, message any) {
+	before := s.encoded
+	if err := s.encoder.Encode(message); err != nil {
+		panic(err)
+	}
+	s.sent[from] += s.encoded - before
+	s.sent[to] += s.encoded - before
+}
+
+func (s *sim) byID(id string) *simNode {
+	for _, n := range s.nodesAt(id) {
+		if n != nil && n.id == id && !n.dead {
+			return n
+		}
+	}
+	return nil
+}
+
+// nodesAt finds the slot in the id, so that large fleets stay quick.
+func (s *sim) nodesAt(id string) []*simNode {
+	var slot int
+	if _, err := fmt.Sscanf(id[:8], "%08x", &slot); err != nil {
+		return nil
+	}
+	return s.nodes[slot : slot+1]
+}
+
+func (s *sim) lost(n *simNode) bool { return s.away || s.unseen[n.slot] }
+
+func (s *sim) readTable(n *simNode, r effect.ReadTable) {
+	s.reads++
+	fail := func() {
+		s.step(n, func(now time.Duration) []effect.Effect {
+			return n.m.ReadDone(now, r.ID, platform.Changes{}, false)
+		})
+	}
+	if s.lost(n) && !s.oldCopies {
+		s.after(time.Duration(s.rng.IntN(900))*time.Millisecond, fail)
+		return
+	}
+	s.after(s.latency(), func() {
+		from := s.table
+		if s.lost(n) && s.old != nil {
+			from = s.old
+		}
+		c := from.Since(r.Read.Since)
+		if s.deaf[n.slot] {
+			s.after(900*time.Millisecond, fail)
+			return
+		}
+		s.after(s.latency(), func() {
+			s.step(n, func(now time.Duration) []effect.Effect { return n.m.ReadDone(now, r.ID, c, true) })
+		})
+	})
+}
+
+func (s *sim) readList(n *simNode, r effect.ReadInstances) {
+	s.reads++
+	s.after(2*s.latency(), func() {
+		ok := !s.lost(n) && !s.deaf[n.slot]
+		c := s.list.since(r.Since)
+		s.step(n, func(now time.Duration) []effect.Effect { return n.m.InstancesDone(now, r.ID, c, ok) })
+	})
+}
+
+// write commits a transaction if its conditions hold. It may arrive late,
+// and its answer may be lost.
+func (s *sim) write(n *simNode, t platform.Txn, done func(time.Duration, platform.WriteResult) []effect.Effect) {
+	answer := func(d time.Duration, r platform.WriteResult) {
+		s.after(d, func() {
+			s.step(n, func(now time.Duration) []effect.Effect { return done(now, r) })
+		})
+	}
+	if s.lost(n) {
+		answer(900*time.Millisecond, platform.WriteResult{})
+		return
+	}
+	delay := s.latency()
+	if s.rng.IntN(10) == 0 {
+		delay = time.Duration(s.rng.IntN(3000)) * time.Millisecond
+	}
+	s.after(delay, func() {
+		r := s.commit(t)
+		if s.deaf[n.slot] || s.rng.IntN(5) == 0 {
+			answer(900*time.Millisecond, platform.WriteResult{})
+			return
+		}
+		answer(s.latency(), r)
+	})
+}
+
+func (s *sim) commit(t platform.Txn) platform.WriteResult {
+	for _, c := range t.Conditions {
+		if row, _ := s.table.Row(c.Key); row.Revision != c.Revision {
+			return platform.WriteResult{Outcome: platform.Conflict}
+		}
+	}
+	next := s.table.Revision() + 1
+	c := platform.Changes{Revision: next}
+	for _, p := range t.Puts {
+		c.Rows = append(c.Rows, platform.Row{Key: p.Key, Value: p.Value, Revision: next, Attempt: t.Attempt})
+	}
+	s.table.Apply(c)
+	return platform.WriteResult{
+		Outcome:   platform.Committed,
+		Revisions: map[platform.TableName]platform.Revision{platform.Control: next},
+	}
+}
+
+// snapshot keeps a copy of the table as it is now, for old-copy reads.
+func (s *sim) snapshot() {
+	s.old = config.NewReplica()
+	s.old.Apply(s.table.Since(0))
+}
+
+const shardRow = config.ShardPrefix + "s"
+
+// take lets a node try to become the only holder of the shard.
+func (s *sim) take(n *simNode) {
+	s.step(n, func(time.Duration) []effect.Effect {
+		row, _ := n.log.Row(shardRow)
+		value, _ := json.Marshal(config.Shard{Holders: []config.Holder{{Instance: n.id, Parts: config.PartsPerShard}}})
+		s.write(n, platform.Txn{
+			Conditions: []platform.Condition{{Table: platform.Control, Key: shardRow, Revision: row.Revision}},
+			Puts:       []platform.Put{{Table: platform.Control, Key: shardRow, Value: value}},
+		}, func(now time.Duration, r platform.WriteResult) []effect.Effect {
+			if r.Outcome != platform.Committed {
+				return nil
+			}
+			return n.m.Require(now, r.Revisions[platform.Control])
+		})
+		return nil
+	})
+}
+
+// holds says whether the node's replica names it, and with which revision.
+func (n *simNode) holds() (platform.Revision, bool) {
+	row, ok := n.log.Row(shardRow)
+	holders := n.log.Shard("s").Holders
+	return row.Revision, ok && len(holders) == 1 && holders[0].Instance == n.id
+}
+
+// acts says whether the node spends the shard's parts now.
+func (n *simNode) acts(now time.Duration) bool {
+	rev, holds := n.holds()
+	return holds && n.m.Confirmed(now).State != CutOff && n.m.InForce(now, rev)
+}
+
+// check notes a violation of what must always hold.
+func (s *sim) check() {
+	var acting []string
+	for _, n := range s.nodes {
+		if n == nil || n.dead || s.now < n.frozen {
+			continue
+		}
+		now := n.clock(s.now)
+		if n.m.InForce(now, 0); n.m.force.reached > s.inForce {
+			s.inForce = n.m.force.reached
+		}
+		if n.acts(now) {
+			acting = append(acting, n.id)
+		}
+		if n.log.Revision() < n.revision {
+			s.fail("%s went from revision %d back to %d", n.id, n.revision, n.log.Revision())
+		}
+		n.revision = n.log.Revision()
+	}
+	s.acted += min(len(acting), 1)
+	if len(acting) > 1 {
+		s.fail("two holders act: %v", acting)
+	}
+	for _, n := range s.nodes {
+		if n == nil || n.dead || s.now < n.frozen {
+			continue
+		}
+		c := n.m.Confirmed(n.clock(s.now))
+		s.states[c.State]++
+		if c.State != CutOff && c.Revision < s.inForce {
+			s.fail("%s acts on revision %d (%v, age %v) while %d is in force", n.id, c.Revision, c.State, c.Age, s.inForce)
+		}
+	}
+}
+
+func (s *sim) fail(format string, args ...any) {
+	s.failures = append(s.failures, fmt.Sprintf("at %v: ", s.now)+fmt.Sprintf(format, args...))
+}
