--- a/internal/standin/command/backend.go
+++ b/internal/standin/command/backend.go
@@ -9,35 +9,41 @@
 	"foxtailspoke/platform/client"
 )
 
-const backendHelp = `Serves requests as a backend server of a service, and announces itself in the
-platform's list.
+const backendHelp = `Serves requests as a backend server of a service, and announces itself in
+the platform's list. SIGTERM drains, waits for --linger and for the work
+under way, and ends.
 
 Example:
-  foxtailspoke-standin backend --service catalogue --data-centre a --slots 2 \
-    --platform http://127.0.0.1:7000 --control 127.0.0.1:7101
+foxtailspoke-standin backend --service catalogue --data-centre a \
+--platform http://127.0.0.1:7000 --control 127.0.0.1:7101
 
-Faults are switched by one call each on the control address; fields that are
-left out stay as they are:
-  slow                  curl -d '{"factor":20}' http://127.0.0.1:7101/control/faults
-                        {"delay":"500ms"}
-  half answers          {"halfRatio":0.3}
-  errors                {"errorRatio":0.5} and {"errorWorkspace":"cebu"} for one only
-  no answers            {"hangRatio":0.1}
-  crossed answers       {"crossedRatio":0.1}, without the attempt's id {"noEchoRatio":0.1}
-  late answers          {"lateRatio":0.1,"lateBy":"2s"}
-  bytes sent twice      {"duplicateRatio":0.1}
-  flapping              {"flapPeriod":"5s"} lets those above come and go
-  lying reports         {"health":"ok"}, {"hideLoad":true}, {"reportLag":"3s"}
-  no new connections    {"refuse":true}
-  reads nothing         {"stopReading":true}
-  all faults end        curl -X DELETE http://127.0.0.1:7101/control/faults
-  planned stop          curl -X POST http://127.0.0.1:7101/control/drain
-  what was run          curl http://127.0.0.1:7101/control/executions
-  headers received      curl http://127.0.0.1:7101/control/raw
-  look for keys         curl -d '["fsk_..."]' http://127.0.0.1:7101/control/secrets
-  keys seen             curl http://127.0.0.1:7101/control/secrets
+One call each on the control address switches a fault; fields that are left
+out stay as they are. With F=http://127.0.0.1:7101/control/faults:
+curl -d '{"factor":20}' $F -- slow
+curl -X DELETE $F -- all faults end
+curl $F -- shows what is on
 
-SIGTERM drains, waits for --linger and for the work under way, and ends.`
+Faults:
+{"factor":20} or {"delay":"500ms"} -- slow
+{"halfRatio":0.3} -- half answers
+{"errorRatio":0.5} -- errors; with "errorWorkspace" for that one only
+{"hangRatio":0.1} -- no answers
+{"crossedRatio":0.1} -- another request's answer
+{"noEchoRatio":0.1} -- no attempt id in the answer
+{"lateRatio":0.1,"lateBy":"2s"} -- answers after their time
+{"duplicateRatio":0.1} -- answers sent twice
+{"flapPeriod":"5s"} -- all of the above come and go
+{"health":"ok"} or {"health":"bad"} -- claims that, whatever is the case
+{"reportLag":"3s"}, {"hideLoad":true} -- old reports, no load reported
+{"refuse":true} -- no new connections
+{"stopReading":true} -- reads nothing
+
+Further calls:
+POST /control/drain -- planned stop, without the end
+GET /control/executions -- what was run, in order
+GET /control/raw -- the latest requests' headers as received
+POST /control/secrets -- look for keys in all bytes: ["fsk_1","fsk_2"]
+GET /control/secrets -- those that were seen`
 
 type backendCommand struct {
 	program *program
--- a/internal/standin/command/link.go
+++ b/internal/standin/command/link.go
@@ -15,17 +15,19 @@
 A cut holds the bytes; neither side is told.
 
 Example:
-  foxtailspoke-standin link --listen 127.0.0.1:7200 --to 127.0.0.1:7000 --control 127.0.0.1:7201
+foxtailspoke-standin link --listen 127.0.0.1:7200 --to 127.0.0.1:7000 \
+--control 127.0.0.1:7201
 
-  cut one way     curl -d '{"forward":"open","backward":"cut"}' http://127.0.0.1:7201/control/links/link
-  delay           curl -d '{"forwardDelay":"20ms"}' http://127.0.0.1:7201/control/links/link
-  restore         curl -X DELETE http://127.0.0.1:7201/control/links/link
-  what is on      curl http://127.0.0.1:7201/control/links
+With L=http://127.0.0.1:7201/control/links:
+curl -d '{"forward":"open","backward":"cut"}' $L/link -- cut one way
+curl -d '{"forwardDelay":"20ms"}' $L/link -- delay
+curl -X DELETE $L/link -- restore
+curl $L -- shows all links
 
-Several links take a file, in JSON with comments, in place of --listen, --to:
-  [{"name": "a-b", "listen": "127.0.0.1:7210", "to": "127.0.0.1:7310"}]
-and several can be switched by one call:
-  curl -d '{"a-b":{"forward":"cut"},"b-a":{}}' http://127.0.0.1:7201/control/links`
+Several links take a file, in JSON with comments, in place of --listen and
+--to, and one call can switch several of them:
+[{"name": "a-b", "listen": "127.0.0.1:7210", "to": "127.0.0.1:7310"}]
+curl -d '{"a-b":{"forward":"cut"},"b-a":{}}' $L`
 
 type linkCommand struct {
 	program *program
--- a/internal/standin/command/platform.go
+++ b/internal/standin/command/platform.go
@@ -10,23 +10,29 @@
 const platformHelp = `Serves the platform's API from memory.
 
 Example:
-  foxtailspoke-standin platform --listen 127.0.0.1:7000 --control 127.0.0.1:7001
+foxtailspoke-standin platform --listen 127.0.0.1:7000 \
+--control 127.0.0.1:7001
 
-Faults are switched by one call each on the control address; fields that are
-left out stay as they are:
-  the store is away     curl -d '{"table":{"down":"silent"}}' http://127.0.0.1:7001/control/faults
-  ... and is back       curl -d '{"table":{"down":""}}' http://127.0.0.1:7001/control/faults
-  slow                  {"table":{"delay":"300ms"}}
-  answers lost          {"table":{"loseAnswers":3}} or {"table":{"loseAnswersRatio":0.2}}
-  writes lost           {"table":{"loseWrites":1}}
-  reads from a copy     {"table":{"oldCopy":true}}
-  the list lags         {"instances":{"lag":"2s"}} or {"instances":{"frozen":true}}
-"down" is "closed", "silent" or "error". "objects" and "instances" have the
-same fields as "table" but for oldCopy.
-  all faults end        curl -X DELETE http://127.0.0.1:7001/control/faults
-  what is on            curl http://127.0.0.1:7001/control/faults
-  what was asked        curl http://127.0.0.1:7001/control/counts
-  table revisions       curl http://127.0.0.1:7001/control/revisions`
+One call each on the control address switches a fault; fields that are left
+out stay as they are. With F=http://127.0.0.1:7001/control/faults:
+curl -d '{"table":{"down":"silent"}}' $F -- the store is away
+curl -d '{"table":{"down":""}}' $F -- and is back
+curl -X DELETE $F -- all faults end
+curl $F -- shows what is on
+
+Faults of the three services "table", "objects" and "instances":
+{"table":{"down":"closed"}} -- or "silent" or "error"
+{"table":{"delay":"300ms"}} -- slow; writes take effect all the same
+{"table":{"loseAnswers":3}} -- of the next writes, after their effect
+{"table":{"loseAnswersRatio":0.2}} -- the same for a share of writes
+{"table":{"loseWrites":1}} -- lost before their effect
+and of one of them:
+{"table":{"oldCopy":true}} -- reads come from a copy made now
+{"instances":{"lag":"2s"}} -- the list is late
+{"instances":{"frozen":true}} -- the list shows nothing new
+
+GET /control/counts shows what was asked, GET /control/revisions the tables'
+revisions.`
 
 type platformCommand struct {
 	program *program
