Harness: real programs as processes of a test

Cause: freezes, kills and planned stops need processes, and a test that dies must leave none behind. Change: internal/harness builds the programs once, starts them, waits for their lines "listening WHAT ADDRESS", stops, kills, freezes and thaws them by their own handle. The system kills them if their starter dies; one thread is kept to start them, since the system goes by the starting thread's end. Ruled out: leaving that thread to the runtime. Green until a test ended threads on purpose; then a process was killed under its test.

--- /dev/null
+++ b/internal/harness/harness_test.go
@@ -0,0 +1,171 @@
+package harness_test
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"foxtailspoke/internal/harness"
+	"foxtailspoke/platform"
+	"foxtailspoke/platform/client"
+)
+
+const patience = 20 * time.Second
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	harness.Cleanup()
+	os.Exit(code)
+}
+
+func start(t *testing.T, args ...string) *harness.Process {
+	t.Helper()
+	path, err := harness.Program("foxtailspoke-standin")
+	must.NoError(t, err)
+	p, err := harness.Start(harness.Spec{Path: path, Args: args})
+	must.NoError(t, err)
+	t.Cleanup(p.Kill)
+	return p
+}
+
+func address(t *testing.T, p *harness.Process, what string) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	a, err := p.Address(ctx, what)
+	must.NoError(t, err)
+	return a
+}
+
+// The platform's process is frozen, thawed, stopped and killed. Its callers
+// see it away, back with all that it had, and gone.
+func TestProcessesFreezeAndEnd(t *testing.T) {
+	p := start(t, "platform")
+	c, err := client.New("http://"+address(t, p, "platform"), client.Settings{Timeout: 200 * time.Millisecond})
+	must.NoError(t, err)
+	defer c.Close()
+	read := func() (platform.Changes, error) {
+		return c.Read(t.Context(), platform.ReadRequest{Table: platform.Control})
+	}
+	put := []platform.Put{{Table: platform.Control, Key: "k"}}
+	w, err := c.Write(t.Context(), platform.Txn{Attempt: "a", Puts: put})
+	must.NoError(t, err)
+	must.Eq(t, platform.Committed, w.Outcome)
+
+	must.NoError(t, p.Freeze())
+	_, err = read()
+	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.NoError(t, p.Thaw())
+	within(t, "it answers again", func() bool { _, err := read(); return err == nil })
+	changes, err := read()
+	must.NoError(t, err)
+	must.Eq(t, 1, changes.Revision)
+
+	must.NoError(t, p.Freeze())
+	must.Zero(t, p.Stop(patience), must.Sprint("a frozen process is thawed to stop"))
+	must.Error(t, p.Thaw(), must.Sprint("no signal goes to an ended process"))
+	_, err = read()
+	must.ErrorIs(t, err, platform.ErrUnavailable)
+}
+
+// Threads of this process end; the system takes the end of the one that
+// started a process for the end of its starter. The process must go on.
+func TestProcessOutlivesThreads(t *testing.T) {
+	p := start(t, "platform")
+	url := "http://" + address(t, p, "control") + "/control/faults"
+	for range 50 {
+		var threads sync.WaitGroup
+		for range 16 {
+			threads.Go(func() { runtime.LockOSThread() }) // and ends with it
+		}
+		threads.Wait()
+		r, err := http.Get(url)
+		must.NoError(t, err, must.Sprint("the process was ended"))
+		must.NoError(t, r.Body.Close())
+	}
+}
+
+// A process doesn't end when it is asked to. It is killed, and nothing of it
+// stays.
+func TestStubbornProcessIsKilled(t *testing.T) {
+	p := start(t, "backend", "--service", "s", "--linger", "1h")
+	url := "http://" + address(t, p, "backend")
+	must.Eq(t, -1, p.Stop(50*time.Millisecond))
+	_, err := http.Get(url)
+	must.Error(t, err)
+	_, err = os.Stat("/proc/" + strconv.Itoa(p.PID()))
+	must.ErrorIs(t, err, os.ErrNotExist)
+}
+
+func TestProcessThatFails(t *testing.T) {
+	p := start(t, "platform", "--listen", "nowhere")
+	_, err := p.Address(t.Context(), "platform")
+	must.ErrorContains(t, err, "listen on nowhere")
+	must.Eq(t, 1, p.ExitCode())
+	must.StrContains(t, p.Log(), "nowhere")
+
+	running := start(t, "platform")
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = running.Address(ended, "nosuch")
+	must.ErrorIs(t, err, context.Canceled)
+
+	_, err = harness.Program("nosuch")
+	must.ErrorIs(t, err, os.ErrNotExist)
+	_, err = harness.Start(harness.Spec{Path: "/nosuch"})
+	must.Error(t, err)
+}
+
+// The process that started others is killed before it can stop them. They
+// must not outlive it, or a failed test would leave load behind.
+func TestProcessesEndWithTheirStarter(t *testing.T) {
+	if path := os.Getenv("HARNESS_TEST_STARTER"); path != "" {
+		p, err := harness.Start(harness.Spec{Path: path, Args: []string{"platform"}})
+		must.NoError(t, err)
+		address(t, p, "platform")
+		must.NoError(t, os.WriteFile(os.Getenv("HARNESS_TEST_FILE"), []byte(strconv.Itoa(p.PID())), 0o600))
+		select {}
+	}
+	program, err := harness.Program("foxtailspoke-standin")
+	must.NoError(t, err)
+	file := t.TempDir() + "/pid"
+	self, err := os.Executable()
+	must.NoError(t, err)
+	starter, err := harness.Start(harness.Spec{
+		Path: self,
+		Args: []string{"-test.run", "^TestProcessesEndWithTheirStarter$", "-test.timeout", "60s"},
+		Env:  []string{"HARNESS_TEST_STARTER=" + program, "HARNESS_TEST_FILE=" + file},
+	})
+	must.NoError(t, err)
+	t.Cleanup(starter.Kill)
+	var pid string
+	within(t, "the other runs", func() bool {
+		text, err := os.ReadFile(file)
+		pid = string(text)
+		return err == nil && pid != ""
+	})
+	must.True(t, alive(pid))
+	starter.Kill()
+	within(t, "the other ends", func() bool { return !alive(pid) })
+}
+
+// alive reports whether a process runs; one that waits for its parent to
+// notice its end doesn't.
+func alive(pid string) bool {
+	stat, err := os.ReadFile("/proc/" + pid + "/stat")
+	return err == nil && !strings.Contains(string(stat), ") Z ")
+}
+
+func within(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(patience), wait.Gap(time.Millisecond)), must.Sprint(what))
+}
