Limits of the platform's services; one-way cuts to the platform

Cause: the platform gives several hundred writes and about two thousand reads a second; a stand-in without a limit lets a stampede pass. Change: maxReads and maxWrites per service, refused with 429 and no effect. The fault middleware has its own file. A test cuts the link to the platform each way: the write takes effect and its answer is lost, or neither.

--- a/internal/standin/command/command_test.go
+++ b/internal/standin/command/command_test.go
@@ -99,7 +99,7 @@
 
 func TestHelpShowsEveryFault(t *testing.T) {
 	for name, words := range map[string][]string{
-		"platform": {"Example:", "down", "delay", "loseAnswers", "loseAnswersRatio", "loseWrites", "oldCopy", "lag", "frozen"},
+		"platform": {"Example:", "down", "delay", "loseAnswers", "loseAnswersRatio", "loseWrites", "maxReads", "maxWrites", "oldCopy", "lag", "frozen"},
 		"backend": {
 			"Example:", "factor", "delay", "halfRatio", "errorRatio", "errorWorkspace", "hangRatio", "crossedRatio",
 			"noEchoRatio", "lateRatio", "lateBy", "duplicateRatio", "flapPeriod", "health", "reportLag", "hideLoad",
--- a/internal/standin/command/platform.go
+++ b/internal/standin/command/platform.go
@@ -26,6 +26,7 @@
 {"table":{"loseAnswers":3}} -- of the next writes, after their effect
 {"table":{"loseAnswersRatio":0.2}} -- the same for a share of writes
 {"table":{"loseWrites":1}} -- lost before their effect
+{"table":{"maxReads":2000,"maxWrites":300}} -- limits a second
 and of one of them:
 {"table":{"oldCopy":true}} -- reads come from a copy made now
 {"instances":{"lag":"2s"}} -- the list is late
--- a/internal/standin/internal_test.go
+++ b/internal/standin/internal_test.go
@@ -38,6 +38,23 @@
 	}
 }
 
+func TestRateLimit(t *testing.T) {
+	var l rateLimit
+	taken := func(now time.Duration, perSecond int) int {
+		n := 0
+		for n < 100 && l.allow(now, perSecond) {
+			n++
+		}
+		return n
+	}
+	must.Eq(t, 10, taken(5*time.Second, 10))
+	must.Eq(t, 0, taken(5*time.Second, 10))
+	must.Eq(t, 5, taken(5500*time.Millisecond, 10))
+	must.Eq(t, 10, taken(time.Hour, 10))
+	must.Eq(t, 100, taken(time.Hour, 0))
+	must.Eq(t, 3, taken(time.Hour, 3))
+}
+
 // FuzzRawStream gives a connection's bytes in pieces. A secret must be seen
 // wherever it is cut, and a whole header block kept.
 func FuzzRawStream(f *testing.F) {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -46,6 +46,8 @@
 	rand    *rand.Rand
 	oldCopy *tables.Store
 	counts  PlatformCounts
+	// readLimits and writeLimits are by service.
+	readLimits, writeLimits [serviceCount]rateLimit
 }
 
 // PlatformCounts are the requests seen since the start.
--- a/internal/standin/platform_faults.go
+++ b/internal/standin/platform_faults.go
@@ -1,17 +1,12 @@
 package standin
 
 import (
-	"bytes"
-	"context"
-	"io"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"foxtailspoke/config"
-	"foxtailspoke/internal/standin/tables"
 )
 
 // DownMode is how a service of the platform fails while it is down.
@@ -51,6 +46,10 @@
 	// LoseWrites is how many of the next writes are lost before they take
 	// effect. Their writers see what they see by LoseAnswers.
 	LoseWrites int `json:"loseWrites"`
+	// MaxReads and MaxWrites a second; those above get status 429 and have
+	// no effect. 0 is no limit.
+	MaxReads  int `json:"maxReads"`
+	MaxWrites int `json:"maxWrites"`
 }
 
 // TableFaults are those of the table service.
@@ -77,8 +76,8 @@
 		default:
 			return errors.Newf("down: %q is none of closed, silent, error", s.Down)
 		}
-		if s.Delay < 0 || s.LoseAnswers < 0 || s.LoseWrites < 0 {
-			return errors.New("delay, loseAnswers and loseWrites can't be negative")
+		if s.Delay < 0 || min(s.LoseAnswers, s.LoseWrites, s.MaxReads, s.MaxWrites) < 0 {
+			return errors.New("delays, counts and limits can't be negative")
 		}
 		if !(s.LoseAnswersRatio >= 0 && s.LoseAnswersRatio <= 1) {
 			return errors.New("loseAnswersRatio must be from 0 to 1")
@@ -90,140 +89,36 @@
 	return nil
 }
 
-// service returns the part of the faults that a request meets.
-func (f *PlatformFaults) service(path string) *ServiceFaults {
-	switch {
-	case strings.HasPrefix(path, "/v1/objects"):
-		return &f.Objects
-	case strings.HasPrefix(path, "/v1/instances"):
-		return &f.Instances.ServiceFaults
-	default:
-		return &f.Table.ServiceFaults
-	}
-}
-
-// maxAPIBody bounds a request to the platform's API, in bytes.
-const maxAPIBody = 64 << 20
-
-// withFaults puts the faults in front of the API.
-func (p *Platform) withFaults(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		write := r.Method != http.MethodGet
-		p.count(func(c *PlatformCounts) {
-			if write {
-				c.Writes++
-			} else {
-				c.Reads++
-			}
-		})
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAPIBody))
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		r.Body = io.NopCloser(bytes.NewReader(body))
-		faults, changed := p.faults.get()
-		f := *faults.service(r.URL.Path)
-		if f.Down != Up {
-			fail(w, r, f.Down, changed)
-			return
-		}
-		p.delay(r.Context(), time.Duration(f.Delay), write)
-		if write {
-			p.serveWrite(w, r, next)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// fail answers as a service that is down.
-func fail(w http.ResponseWriter, r *http.Request, mode DownMode, changed <-chan struct{}) {
-	switch mode {
-	case DownError:
-		writeProblemStatus(w, http.StatusServiceUnavailable, "the service is down")
-		return
-	case DownSilent:
-		select {
-		case <-changed:
-		case <-r.Context().Done():
-		}
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// delay waits. The wait for a write doesn't end when its writer goes away.
-func (p *Platform) delay(ctx context.Context, d time.Duration, write bool) {
-	if d <= 0 {
-		return
-	}
-	if write {
-		ctx = context.WithoutCancel(ctx)
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// serveWrite does a write, unless it is to be lost, and answers, unless the
-// answer is.
-func (p *Platform) serveWrite(w http.ResponseWriter, r *http.Request, next http.Handler) {
-	path := r.URL.Path
-	if p.faults.take(func(f *PlatformFaults) *int { return &f.service(path).LoseWrites }) {
-		p.count(func(c *PlatformCounts) { c.LostWrites++ })
-		panic(http.ErrAbortHandler)
-	}
-	if !p.loseAnswer(path) {
-		next.ServeHTTP(w, r)
-		return
-	}
-	next.ServeHTTP(discardAnswer{header: http.Header{}}, r)
-	p.count(func(c *PlatformCounts) { c.LostAnswers++ })
-	panic(http.ErrAbortHandler)
-}
+// service is one of the platform's three services.
+type service int
 
-func (p *Platform) loseAnswer(path string) bool {
-	if p.faults.take(func(f *PlatformFaults) *int { return &f.service(path).LoseAnswers }) {
-		return true
-	}
-	faults := p.Faults()
-	ratio := faults.service(path).LoseAnswersRatio
-	if ratio == 0 {
-		return false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.rand.Float64() < ratio
-}
+const (
+	tableService service = iota
+	objectService
+	instanceService
+	serviceCount
+)
 
-// keepOldCopy makes the copy that reads are answered from while OldCopy is on.
-func (p *Platform) keepOldCopy(f PlatformFaults) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// serviceOf returns the service that a request is for.
+func serviceOf(r *http.Request) service {
 	switch {
-	case !f.Table.OldCopy:
-		p.oldCopy = nil
-	case p.oldCopy == nil:
-		p.oldCopy = p.tables.Copy()
+	case strings.HasPrefix(r.URL.Path, "/v1/objects"):
+		return objectService
+	case strings.HasPrefix(r.URL.Path, "/v1/instances"):
+		return instanceService
+	default:
+		return tableService
 	}
 }
 
-// readable returns the tables that reads are answered from.
-func (p *Platform) readable() *tables.Store {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.oldCopy != nil {
-		return p.oldCopy
+// of returns a service's part of the faults.
+func (f *PlatformFaults) of(s service) *ServiceFaults {
+	switch s {
+	case objectService:
+		return &f.Objects
+	case instanceService:
+		return &f.Instances.ServiceFaults
+	default:
+		return &f.Table.ServiceFaults
 	}
-	return p.tables
 }
-
-// discardAnswer takes an answer that nobody gets.
-type discardAnswer struct{ header http.Header }
-
-func (d discardAnswer) Header() http.Header         { return d.header }
-func (d discardAnswer) Write(b []byte) (int, error) { return len(b), nil }
-func (d discardAnswer) WriteHeader(int)             {}
--- /dev/null
+++ b/internal/standin/platform_serve.go
@@ -0,0 +1,157 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"foxtailspoke/internal/standin/tables"
+)
+
+// maxAPIBody bounds a request to the platform's API, in bytes.
+const maxAPIBody = 64 << 20
+
+// withFaults puts the faults in front of the API.
+func (p *Platform) withFaults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s := serviceOf(r)
+		write := r.Method != http.MethodGet
+		p.countRequest(write)
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAPIBody))
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		faults, changed := p.faults.get()
+		f := *faults.of(s)
+		if f.Down != Up {
+			fail(w, r, f.Down, changed)
+			return
+		}
+		if !p.allow(s, f, write) {
+			writeProblemStatus(w, http.StatusTooManyRequests, "above the service's limit")
+			return
+		}
+		p.delay(r.Context(), time.Duration(f.Delay), write)
+		if write {
+			p.serveWrite(w, r, next)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (p *Platform) countRequest(write bool) {
+	p.count(func(c *PlatformCounts) {
+		if write {
+			c.Writes++
+		} else {
+			c.Reads++
+		}
+	})
+}
+
+// allow reports whether a request is within its service's limit.
+func (p *Platform) allow(s service, f ServiceFaults, write bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Since(p.start)
+	if write {
+		return p.writeLimits[s].allow(now, f.MaxWrites)
+	}
+	return p.readLimits[s].allow(now, f.MaxReads)
+}
+
+// fail answers as a service that is down.
+func fail(w http.ResponseWriter, r *http.Request, mode DownMode, changed <-chan struct{}) {
+	switch mode {
+	case DownError:
+		writeProblemStatus(w, http.StatusServiceUnavailable, "the service is down")
+		return
+	case DownSilent:
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// delay waits. The wait for a write doesn't end when its writer goes away.
+func (p *Platform) delay(ctx context.Context, d time.Duration, write bool) {
+	if d <= 0 {
+		return
+	}
+	if write {
+		ctx = context.WithoutCancel(ctx)
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serveWrite does a write, unless it is to be lost, and answers, unless the
+// answer is.
+func (p *Platform) serveWrite(w http.ResponseWriter, r *http.Request, next http.Handler) {
+	s := serviceOf(r)
+	if p.faults.take(func(f *PlatformFaults) *int { return &f.of(s).LoseWrites }) {
+		p.count(func(c *PlatformCounts) { c.LostWrites++ })
+		panic(http.ErrAbortHandler)
+	}
+	if !p.loseAnswer(s) {
+		next.ServeHTTP(w, r)
+		return
+	}
+	next.ServeHTTP(discardAnswer{header: http.Header{}}, r)
+	p.count(func(c *PlatformCounts) { c.LostAnswers++ })
+	panic(http.ErrAbortHandler)
+}
+
+func (p *Platform) loseAnswer(s service) bool {
+	if p.faults.take(func(f *PlatformFaults) *int { return &f.of(s).LoseAnswers }) {
+		return true
+	}
+	faults := p.Faults()
+	ratio := faults.of(s).LoseAnswersRatio
+	if ratio == 0 {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rand.Float64() < ratio
+}
+
+// keepOldCopy makes the copy that reads are answered from while OldCopy is on.
+func (p *Platform) keepOldCopy(f PlatformFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case !f.Table.OldCopy:
+		p.oldCopy = nil
+	case p.oldCopy == nil:
+		p.oldCopy = p.tables.Copy()
+	}
+}
+
+// readable returns the tables that reads are answered from.
+func (p *Platform) readable() *tables.Store {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.oldCopy != nil {
+		return p.oldCopy
+	}
+	return p.tables
+}
+
+// discardAnswer takes an answer that nobody gets.
+type discardAnswer struct{ header http.Header }
+
+func (d discardAnswer) Header() http.Header         { return d.header }
+func (d discardAnswer) Write(b []byte) (int, error) { return len(b), nil }
+func (d discardAnswer) WriteHeader(int)             {}
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -100,3 +100,61 @@
 	must.Zero(t, p.Tables().Revisions()[platform.Control])
 	eventually(t, "takes effect", func() bool { return p.Tables().Revisions()[platform.Control] == 1 })
 }
+
+// The store is asked more than it gives. Those above the limit have no
+// effect; a writer that isn't told so exactly must take it as unknown.
+func TestStoreAboveItsLimit(t *testing.T) {
+	p, c := startPlatform(t, standin.PlatformOptions{})
+	limited := standin.ServiceFaults{MaxReads: 1, MaxWrites: 1}
+	must.NoError(t, p.SetFaults(standin.PlatformFaults{Table: standin.TableFaults{ServiceFaults: limited}, Objects: limited}))
+	outcomes := map[platform.WriteOutcome]int{}
+	unavailable := 0
+	for unavailable == 0 || outcomes[platform.Unknown] == 0 {
+		r, err := c.Write(t.Context(), platform.Txn{Attempt: "a", Puts: []platform.Put{{Table: platform.Control, Key: "k"}}})
+		must.NoError(t, err)
+		outcomes[r.Outcome]++
+		_, err = c.Read(t.Context(), platform.ReadRequest{Table: platform.Control})
+		if err != nil {
+			must.ErrorIs(t, err, platform.ErrUnavailable)
+			unavailable++
+		}
+	}
+	must.Positive(t, outcomes[platform.Committed])
+	must.Eq(t, platform.Revision(outcomes[platform.Committed]), p.Tables().Revisions()[platform.Control])
+	must.NoError(t, c.Objects().Put(t.Context(), "o", nil), must.Sprint("each service has its own limit"))
+}
+
+// The link to the platform is cut one way: the platform hears the writer, the
+// writer doesn't hear the platform. The write takes effect, its answer is
+// lost, and reads fail, until the link is restored and the writer recognises
+// its own write. The other way, nothing takes effect.
+func TestOneWayCutToPlatform(t *testing.T) {
+	for _, cut := range []standin.LinkState{{Backward: standin.Cut}, {Forward: standin.Cut}} {
+		p, _ := startPlatform(t, standin.PlatformOptions{})
+		l, err := standin.StartLink(standin.LinkOptions{Name: "up", To: p.Address()}, nil)
+		must.NoError(t, err)
+		t.Cleanup(l.Close)
+		c, err := platformclient.New("http://"+l.Address(), platformclient.Settings{Timeout: 2 * glance})
+		must.NoError(t, err)
+		t.Cleanup(c.Close)
+		read := platform.ReadRequest{Table: platform.Control}
+		_, err = c.Read(t.Context(), read)
+		must.NoError(t, err)
+
+		must.NoError(t, l.Set(cut))
+		r, err := c.Write(t.Context(), platform.Txn{Attempt: "mine", Puts: []platform.Put{{Table: platform.Control, Key: "k"}}})
+		must.NoError(t, err)
+		must.Eq(t, platform.Unknown, r.Outcome)
+		_, err = c.Read(t.Context(), read)
+		must.ErrorIs(t, err, platform.ErrUnavailable)
+		if cut.Forward == standin.Cut {
+			must.Zero(t, p.Tables().Revisions()[platform.Control])
+			continue
+		}
+		must.NoError(t, l.Set(standin.LinkState{}))
+		eventually(t, "reads again", func() bool {
+			changes, err := c.Read(t.Context(), read)
+			return err == nil && len(changes.Rows) == 1 && changes.Rows[0].Attempt == "mine"
+		})
+	}
+}
