--- a/api/platform/oas/oas_client_gen.go
+++ b/api/platform/oas/oas_client_gen.go
@@ -30,7 +30,9 @@
 type Invoker interface {
 	// AnnounceInstance invokes announceInstance operation.
 	//
-	// Registers an instance or reports its state; repeated every few seconds.
+	// A state never goes back. An instance that the list has shown as ended, by its own word or for its
+	// silence, stays so: an announcement that it is anything else is refused with status 410, and the
+	// process has to start again under a new id.
 	//
 	// PUT /v1/instances/{id}
 	AnnounceInstance(ctx context.Context, request *Instance, params AnnounceInstanceParams) error
@@ -60,7 +62,8 @@
 	PutObject(ctx context.Context, request *Object, params PutObjectParams) error
 	// ReadRows invokes readRows operation.
 	//
-	// The newest state of a table, as far as it differs from a revision.
+	// Never answered from an old copy. A row that was deleted after the revision is in the answer, marked
+	// as such; a read from 0 leaves it out.
 	//
 	// GET /v1/tables/{table}/rows
 	ReadRows(ctx context.Context, params ReadRowsParams) (*Changes, error)
@@ -114,7 +117,9 @@
 
 // AnnounceInstance invokes announceInstance operation.
 //
-// Registers an instance or reports its state; repeated every few seconds.
+// A state never goes back. An instance that the list has shown as ended, by its own word or for its
+// silence, stays so: an announcement that it is anything else is refused with status 410, and the
+// process has to start again under a new id.
 //
 // PUT /v1/instances/{id}
 func (c *Client) AnnounceInstance(ctx context.Context, request *Instance, params AnnounceInstanceParams) error {
@@ -622,7 +627,8 @@
 
 // ReadRows invokes readRows operation.
 //
-// The newest state of a table, as far as it differs from a revision.
+// Never answered from an old copy. A row that was deleted after the revision is in the answer, marked
+// as such; a read from 0 leaves it out.
 //
 // GET /v1/tables/{table}/rows
 func (c *Client) ReadRows(ctx context.Context, params ReadRowsParams) (*Changes, error) {
--- a/api/platform/oas/oas_handlers_gen.go
+++ b/api/platform/oas/oas_handlers_gen.go
@@ -35,7 +35,9 @@
 
 // handleAnnounceInstanceRequest handles announceInstance operation.
 //
-// Registers an instance or reports its state; repeated every few seconds.
+// A state never goes back. An instance that the list has shown as ended, by its own word or for its
+// silence, stays so: an announcement that it is anything else is refused with status 410, and the
+// process has to start again under a new id.
 //
 // PUT /v1/instances/{id}
 func (s *Server) handleAnnounceInstanceRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
@@ -835,7 +837,8 @@
 
 // handleReadRowsRequest handles readRows operation.
 //
-// The newest state of a table, as far as it differs from a revision.
+// Never answered from an old copy. A row that was deleted after the revision is in the answer, marked
+// as such; a read from 0 leaves it out.
 //
 // GET /v1/tables/{table}/rows
 func (s *Server) handleReadRowsRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
--- a/api/platform/oas/oas_server_gen.go
+++ b/api/platform/oas/oas_server_gen.go
@@ -10,7 +10,9 @@
 type Handler interface {
 	// AnnounceInstance implements announceInstance operation.
 	//
-	// Registers an instance or reports its state; repeated every few seconds.
+	// A state never goes back. An instance that the list has shown as ended, by its own word or for its
+	// silence, stays so: an announcement that it is anything else is refused with status 410, and the
+	// process has to start again under a new id.
 	//
 	// PUT /v1/instances/{id}
 	AnnounceInstance(ctx context.Context, req *Instance, params AnnounceInstanceParams) error
@@ -40,7 +42,8 @@
 	PutObject(ctx context.Context, req *Object, params PutObjectParams) error
 	// ReadRows implements readRows operation.
 	//
-	// The newest state of a table, as far as it differs from a revision.
+	// Never answered from an old copy. A row that was deleted after the revision is in the answer, marked
+	// as such; a read from 0 leaves it out.
 	//
 	// GET /v1/tables/{table}/rows
 	ReadRows(ctx context.Context, params ReadRowsParams) (*Changes, error)
--- a/api/platform/oas/oas_unimplemented_gen.go
+++ b/api/platform/oas/oas_unimplemented_gen.go
@@ -15,7 +15,9 @@
 
 // AnnounceInstance implements announceInstance operation.
 //
-// Registers an instance or reports its state; repeated every few seconds.
+// A state never goes back. An instance that the list has shown as ended, by its own word or for its
+// silence, stays so: an announcement that it is anything else is refused with status 410, and the
+// process has to start again under a new id.
 //
 // PUT /v1/instances/{id}
 func (UnimplementedHandler) AnnounceInstance(ctx context.Context, req *Instance, params AnnounceInstanceParams) error {
@@ -60,7 +62,8 @@
 
 // ReadRows implements readRows operation.
 //
-// The newest state of a table, as far as it differs from a revision.
+// Never answered from an old copy. A row that was deleted after the revision is in the answer, marked
+// as such; a read from 0 leaves it out.
 //
 // GET /v1/tables/{table}/rows
 func (UnimplementedHandler) ReadRows(ctx context.Context, params ReadRowsParams) (r *Changes, _ error) {
--- a/internal/standin/backend_answer.go
+++ b/internal/standin/backend_answer.go
@@ -45,7 +45,7 @@
 }
 
 // answer sends an answer, or what the quirk makes of it.
-func (b *Backend) answer(w http.ResponseWriter, q quirk, a answer) {
+func (b *Backend) answer(w http.ResponseWriter, r *http.Request, q quirk, a answer) {
 	switch q {
 	case errorAnswer:
 		a.status = http.StatusInternalServerError
@@ -56,7 +56,11 @@
 		a.attempt = ""
 	case halfAnswer:
 		writeHalf(w, a)
-		return
+		panic(http.ErrAbortHandler)
+	case stalledAnswer:
+		writeHalf(w, a)
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
 	case duplicateAnswer:
 		writeTwice(w, a)
 		return
@@ -84,12 +88,11 @@
 	return h
 }
 
-// writeHalf declares the whole length, sends half and closes.
+// writeHalf declares the whole length and sends half.
 func writeHalf(w http.ResponseWriter, a answer) {
 	a.writeHeader(w)
 	_, _ = w.Write(a.body[:len(a.body)/2])
 	_ = http.NewResponseController(w).Flush()
-	panic(http.ErrAbortHandler)
 }
 
 // writeTwice sends the same answer twice. The second would be taken for the
--- a/internal/standin/backend_faults.go
+++ b/internal/standin/backend_faults.go
@@ -19,6 +19,9 @@
 
 	// HalfRatio of answers end before their declared length.
 	HalfRatio float64 `json:"halfRatio"`
+	// StallRatio of answers stop halfway, and the connection stays open until
+	// the other side closes it.
+	StallRatio float64 `json:"stallRatio"`
 	// ErrorRatio of answers have status 500, after the work was done.
 	ErrorRatio float64 `json:"errorRatio"`
 	// ErrorWorkspace restricts the errors to one workspace.
@@ -94,13 +97,14 @@
 	noEcho
 	lateAnswer
 	duplicateAnswer
+	stalledAnswer
 )
 
 // ratios returns the ratio of each quirk, in the order of the constants.
 func (f BackendFaults) ratios() []float64 {
 	return []float64{
 		f.HalfRatio, f.ErrorRatio, f.HangRatio, f.CrossedRatio,
-		f.NoEchoRatio, f.LateRatio, f.DuplicateRatio,
+		f.NoEchoRatio, f.LateRatio, f.DuplicateRatio, f.StallRatio,
 	}
 }
 
--- a/internal/standin/backend_faults_test.go
+++ b/internal/standin/backend_faults_test.go
@@ -32,6 +32,11 @@
 			must.Eq(t, http.StatusOK, r.status)
 			must.Positive(t, len(r.body))
 		}},
+		{"stalled", standin.BackendFaults{StallRatio: 1}, func(t *testing.T, r reply) {
+			must.ErrorIs(t, r.err, context.DeadlineExceeded)
+			must.Eq(t, http.StatusOK, r.status)
+			must.Positive(t, len(r.body))
+		}},
 		{"error", standin.BackendFaults{ErrorRatio: 1}, func(t *testing.T, r reply) {
 			must.Eq(t, http.StatusInternalServerError, r.status)
 			must.Eq(t, "a1", r.header.Get(standin.AttemptHeader))
@@ -67,10 +72,12 @@
 			if c.faults.LateRatio > 0 {
 				header[standin.TimeoutHeader] = "10"
 			}
-			r := call{path: "/x", header: header}.send(t, client(t), b.URL())
-			if c.faults.HalfRatio == 0 {
-				must.NoError(t, r.err)
+			one := call{path: "/x", header: header}
+			if c.faults.StallRatio > 0 {
+				one.timeout = glance
 			}
+			r := one.send(t, client(t), b.URL())
+			must.Eq(t, c.faults.HalfRatio+c.faults.StallRatio > 0, r.err != nil)
 			c.check(t, r)
 			log, _ := b.Executions()
 			must.Eq(t, standin.Done, log[1].End)
--- a/internal/standin/backend_serve.go
+++ b/internal/standin/backend_serve.go
@@ -120,7 +120,7 @@
 	if q == lateAnswer {
 		_ = wait(ctx, ctx, time.Duration(faults.LateBy))
 	}
-	b.answer(w, q, answerTo(e, b.o.Service, times, r.URL.Query().Get("size")))
+	b.answer(w, r, q, answerTo(e, b.o.Service, times, r.URL.Query().Get("size")))
 }
 
 // baseTime returns how long work takes without faults.
--- a/internal/standin/command/backend.go
+++ b/internal/standin/command/backend.go
@@ -25,7 +25,8 @@
 
 Faults:
 {"factor":20} or {"delay":"500ms"} -- slow
-{"halfRatio":0.3} -- half answers
+{"halfRatio":0.3} -- half answers, then the connection is closed
+{"stallRatio":0.3} -- half answers, then nothing
 {"errorRatio":0.5} -- errors; with "errorWorkspace" for that one only
 {"hangRatio":0.1} -- no answers
 {"crossedRatio":0.1} -- another request's answer
--- a/internal/standin/command/command_test.go
+++ b/internal/standin/command/command_test.go
@@ -9,12 +9,14 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
 
+	"foxtailspoke/internal/standin"
 	"foxtailspoke/internal/standin/command"
 )
 
@@ -97,24 +99,37 @@
 	}
 }
 
+// The help names each field of the structs of faults.
 func TestHelpShowsEveryFault(t *testing.T) {
-	for name, words := range map[string][]string{
-		"platform": {"Example:", "down", "delay", "loseAnswers", "loseAnswersRatio", "loseWrites", "maxReads", "maxWrites", "oldCopy", "lag", "frozen"},
-		"backend": {
-			"Example:", "factor", "delay", "halfRatio", "errorRatio", "errorWorkspace", "hangRatio", "crossedRatio",
-			"noEchoRatio", "lateRatio", "lateBy", "duplicateRatio", "flapPeriod", "health", "reportLag", "hideLoad",
-			"refuse", "stopReading",
-		},
-		"link": {"Example:", "forward", "backward", "forwardDelay"},
+	for name, faults := range map[string]any{
+		"platform": standin.PlatformFaults{},
+		"backend":  standin.BackendFaults{},
+		"link":     standin.LinkState{},
 	} {
 		var out bytes.Buffer
 		must.Zero(t, command.Run(t.Context(), []string{name, "--help"}, &out, io.Discard))
-		for _, word := range words {
-			must.StrContains(t, out.String(), word, must.Sprint(name))
+		must.StrContains(t, out.String(), "Example:")
+		for _, field := range fields(reflect.TypeOf(faults)) {
+			must.StrContains(t, out.String(), `"`+field+`"`, must.Sprint(name))
 		}
 	}
 }
 
+// fields returns the JSON names of a struct's fields and of those in them.
+func fields(t reflect.Type) []string {
+	if t.Kind() != reflect.Struct {
+		return nil
+	}
+	var names []string
+	for i := range t.NumField() {
+		if tag := t.Field(i).Tag.Get("json"); tag != "" {
+			names = append(names, tag)
+		}
+		names = append(names, fields(t.Field(i).Type)...)
+	}
+	return names
+}
+
 func TestWrongUse(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.json")
 	must.NoError(t, os.WriteFile(bad, []byte(`[{"nam":"x"}]`), 0o600))
--- a/internal/standin/command/link.go
+++ b/internal/standin/command/link.go
@@ -20,7 +20,7 @@
 
 With L=http://127.0.0.1:7201/control/links:
 curl -d '{"forward":"open","backward":"cut"}' $L/link -- cut one way
-curl -d '{"forwardDelay":"20ms"}' $L/link -- delay
+curl -d '{"forwardDelay":"20ms","backwardDelay":"5ms"}' $L/link -- delay
 curl -X DELETE $L/link -- restore
 curl $L -- shows all links
 
--- a/internal/standin/internal_test.go
+++ b/internal/standin/internal_test.go
@@ -13,7 +13,7 @@
 func TestQuirksFollowRatios(t *testing.T) {
 	f := BackendFaults{
 		HalfRatio: 0.1, ErrorRatio: 0.1, HangRatio: 0.1, CrossedRatio: 0.1,
-		NoEchoRatio: 0.1, LateRatio: 0.1, DuplicateRatio: 0.1, ErrorWorkspace: "w",
+		NoEchoRatio: 0.1, LateRatio: 0.1, DuplicateRatio: 0.1, StallRatio: 0.1, ErrorWorkspace: "w",
 	}
 	found := map[quirk]int{}
 	for i := range 1000 {
@@ -21,7 +21,7 @@
 	}
 	must.Eq(t, map[quirk]int{
 		halfAnswer: 100, errorAnswer: 100, hang: 100, crossedAnswer: 100,
-		noEcho: 100, lateAnswer: 100, duplicateAnswer: 100, noQuirk: 300,
+		noEcho: 100, lateAnswer: 100, duplicateAnswer: 100, stalledAnswer: 100, noQuirk: 200,
 	}, found)
 	must.Eq(t, noQuirk, f.quirk("other", 0.15))
 }
