A witness with an old list reads it again; the trial walk

Cause: in about one of four starts a change was 'not in force' after 30 s. An instance that read the platform's list before anybody was on it, and then was made a witness, proved its revision by its own table reads, so it never counted as alone and never read the list again; it could reach nobody. Ruled out: the peer connections (no call had failed, none had been sent). Change: an instance that had no word of the list for five intervals reads it. Also: make run (scripts/run, foxtailspoke-trial), still being tried out. Failing first: TestWitnessWithoutListReadsItAgain, 1 read in 30 s, now 5 to 60.

--- a/Makefile
+++ b/Makefile
@@ -22,5 +22,11 @@
 fmt:
 	git ls-files -co --exclude-standard '*.go' | grep -vE '(^|/)oas/' | xargs -r go tool gofumpt -w
 
+# run starts everything as separate processes and walks through what callers
+# see; KEEP=1 leaves it running for trying by hand.
+run: build
+	@scripts/run
+
 generate:
 	go generate ./...
+	go test ./event -update
--- /dev/null
+++ b/membership/list_test.go
@@ -0,0 +1,43 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/config"
+	"foxtailspoke/effect"
+	"foxtailspoke/platform"
+)
+
+// An operator's change isn't in force after half a minute. An instance read
+// the platform's list before anybody was on it; then others made it a
+// witness. As a witness it reads the table by itself, so its proofs are always
+// fresh, it never counts as alone, and it never reads the list again: it
+// can't reach the other witnesses and can't tell whether a revision is known.
+func TestWitnessWithoutListReadsItAgain(t *testing.T) {
+	replica := config.NewReplica()
+	m := New(Settings{Self: "b", DataCentre: "y"}, replica, rand.New(rand.NewPCG(1, 1)))
+	witnesses := platform.Row{Key: config.WitnessesKey, Value: []byte(`{"members":["a","b"]}`), Revision: 1}
+	lists := 0
+	var answer func(now time.Duration, effects []effect.Effect)
+	answer = func(now time.Duration, effects []effect.Effect) {
+		for _, e := range effects {
+			switch e := e.(type) {
+			case effect.ReadTable:
+				answer(now, m.ReadDone(now, e.ID, platform.Changes{Revision: 1, Rows: []platform.Row{witnesses}}, true))
+			case effect.ReadInstances:
+				lists++
+				answer(now, m.InstancesDone(now, e.ID, platform.InstanceChanges{}, true))
+			}
+		}
+	}
+	now := time.Duration(0)
+	for ; now < 30*time.Second; now = max(now+time.Millisecond, m.NextWake()) {
+		answer(now, m.Tick(now))
+	}
+	must.Greater(t, 5, lists)
+	must.Less(t, 60, lists)
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -58,11 +58,13 @@
 	calls  map[uint64]call
 	table  reading
 	list   reading
-	pull   pulling
-	round  round
-	force  force
-	seats  seats
-	alone  alone
+	// listHeard is when the list last came, by a read or with a pull.
+	listHeard time.Duration
+	pull      pulling
+	round     round
+	force     force
+	seats     seats
+	alone     alone
 
 	leaving bool
 }
--- a/membership/pull.go
+++ b/membership/pull.go
@@ -97,14 +97,15 @@
 	switch {
 	case c.kind == fetch:
 	case proved:
-		m.pullSucceeded(c)
+		m.pullSucceeded(now, c)
 	default:
 		m.pullFailed(now)
 	}
 	return m.Tick(now)
 }
 
-func (m *Member) pullSucceeded(c call) {
+func (m *Member) pullSucceeded(now time.Duration, c call) {
+	m.listHeard = now
 	m.pull.inFlight = false
 	m.pull.from = c.to
 	m.pull.failures = 0
--- a/membership/read.go
+++ b/membership/read.go
@@ -56,7 +56,7 @@
 
 func (m *Member) tickList(now time.Duration) []effect.Effect {
 	m.expireRead(now, &m.list)
-	due := m.watches() && now >= m.list.next
+	due := now >= m.listDue()
 	if m.list.id != 0 || !(due || m.wantedDue(now, &m.list)) {
 		return nil
 	}
@@ -64,6 +64,22 @@
 	return []effect.Effect{effect.ReadInstances{ID: m.list.id, Since: m.dir.version}}
 }
 
+// listPatience is how many times ListEvery an instance may go without word of
+// the list before it reads the list itself.
+const listPatience = 5
+
+// listDue returns when the next regular read of the list is due.
+//
+// Most instances hear of the list by their pulls. One that is a witness proves
+// its revision without them, so that it must notice by itself that its list is
+// old: with a list from before the others had started it would reach nobody.
+func (m *Member) listDue() time.Duration {
+	if m.watches() || m.dir.version == 0 {
+		return m.list.next
+	}
+	return max(m.list.next, m.listHeard+listPatience*m.set.ListEvery)
+}
+
 func (m *Member) begin(now time.Duration, r *reading, every time.Duration) {
 	r.id = m.nextID()
 	r.begun = true
@@ -113,7 +129,9 @@
 }
 
 func (m *Member) wakeList() time.Duration {
-	return m.list.wake(m.watches(), m.set.ReadTimeout)
+	r := m.list
+	r.next = m.listDue()
+	return r.wake(true, m.set.ReadTimeout)
 }
 
 // ReadDone takes the end of a ReadTable effect; ok is false if there was no
@@ -158,6 +176,7 @@
 	if ok {
 		m.list.failures = 0
 		m.list.answered = m.list.sent
+		m.listHeard = now
 		m.applyList(now, c)
 	}
 	return m.Tick(now)
