Membership: tests of outages, cuts and cost; cheaper list changes

Cause: safety alone is easy for a fleet that serves nobody. Ruled out: an own attempt at 70 per cent of Fresh. Quick retries of pulls without end: with everybody cut off they were 20 a second for each instance; they now back off to one a PullEvery. Change: tests; the instance list sorts ids, not instances; the rank of the witnesses is worked out once per list and not five times a second.

--- a/membership/alone.go
+++ b/membership/alone.go
@@ -14,9 +14,9 @@
 	failures int
 }
 
-// aloneAfter is the share of Fresh, in tenths, after which a proof is so old
+// aloneAfter is the share of Fresh, in per cent, after which a proof is so old
 // that the instance tries by itself.
-const aloneAfter = 7
+const aloneAfter = 85
 
 // longestAlone bounds the time between attempts.
 const longestAlone = 16 * time.Second
@@ -45,7 +45,7 @@
 	return append(out, m.startRound(now)...)
 }
 
-func (m *Member) aloneAge() time.Duration { return m.set.Fresh * aloneAfter / 10 }
+func (m *Member) aloneAge() time.Duration { return m.set.Fresh * aloneAfter / 100 }
 
 // aloneGap returns the time to the next attempt: longer for a larger fleet
 // and after every failure, and never the same for two instances.
--- /dev/null
+++ b/membership/cost_test.go
@@ -0,0 +1,62 @@
+package membership
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// budget is the most that one instance may send and receive for the fleet's
+// own needs, in bytes a second.
+const budget = 8 << 10
+
+var large = flag.Bool("cost.large", false, "measure fleets of 2000 instances as well")
+
+// The cost of doing nothing: what the fleet exchanges while no row changes,
+// with the table in reach and without. Bytes are those of the messages in
+// encoding/gob, without the framing of the calls that carry them.
+func TestCostAtRest(t *testing.T) {
+	t.Parallel()
+	const measured = 10 * time.Second
+	type fleetSize struct{ nodes, centres int }
+	sizes := []fleetSize{{40, 4}, {400, 4}}
+	if *large {
+		sizes = append(sizes, fleetSize{2000, 4}, fleetSize{2000, 17})
+	}
+	for _, size := range sizes {
+		s := boot(7, Settings{}, size.nodes, size.centres)
+		for _, away := range []bool{false, true} {
+			s.away = away
+			s.run(s.now + 3*time.Second)
+			clear(s.sent)
+			reads, calls := s.reads, s.calls
+			s.run(s.now + measured)
+			total, most := 0, 0
+			for _, bytes := range s.sent {
+				total += bytes
+				most = max(most, bytes)
+			}
+			seconds := int(measured / time.Second)
+			t.Logf("%d instances in %d data centres, platform away %v: %d reads/s, %d calls/s, %d bytes/s each, at most %d",
+				size.nodes, size.centres, away, (s.reads-reads)/seconds, (s.calls-calls)/seconds,
+				total/seconds/size.nodes, most/seconds)
+			must.Less(t, budget, most/seconds)
+			must.Zero(t, s.nodeStates()[CutOff])
+		}
+	}
+}
+
+// BenchmarkWake is one look at an instance in a large fleet: what its owner
+// pays per event of any kind.
+func BenchmarkWake(b *testing.B) {
+	s := boot(8, Settings{}, 400, 4)
+	m := s.nodes[0].m
+	now := s.nodes[0].clock(s.now)
+	for b.Loop() {
+		m.Confirmed(now)
+		m.InForce(now, 1)
+		m.NextWake()
+	}
+}
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"cmp"
 	"slices"
 
 	"foxtailspoke/platform"
@@ -26,6 +25,9 @@
 	byCentre    map[string][]string
 	watchers    map[string][]string
 	collectors  map[string]string
+	witnesses   []string // all live entries in the order of the witness role
+	// selfWatches says that the instance itself is a watcher.
+	selfWatches bool
 }
 
 type listed struct {
@@ -84,15 +86,21 @@
 		return c
 	}
 	c.Full = version < d.base
-	for _, i := range d.instances {
+	var ids []string
+	for id, i := range d.instances {
 		if c.Full || i.changed > version {
-			c.Changed = append(c.Changed, i.Instance)
+			ids = append(ids, id)
 		}
 	}
-	slices.SortFunc(c.Changed, compareInstances)
+	slices.Sort(ids)
+	for _, id := range ids {
+		c.Changed = append(c.Changed, d.instances[id].Instance)
+	}
 	return c
 }
 
+// index works the roles out anew. Ids are sorted and not instances, because
+// a list of some thousands changes every few seconds.
 func (d *Directory) index() {
 	d.entries = nil
 	d.entryIDs = nil
@@ -100,31 +108,25 @@
 	d.byCentre = map[string][]string{}
 	d.watchers = map[string][]string{}
 	d.collectors = map[string]string{}
-	for _, i := range d.instances {
-		d.indexInstance(i.Instance)
-	}
-	slices.SortFunc(d.entries, compareInstances)
-	for _, i := range d.entries {
-		d.entryIDs = append(d.entryIDs, i.ID)
-		d.byCentre[i.DataCentre] = append(d.byCentre[i.DataCentre], i.ID)
-	}
-	for _, servers := range d.byService {
-		slices.SortFunc(servers, compareInstances)
+	d.witnesses = nil
+	for _, id := range sortedKeys(d.instances) {
+		d.indexInstance(d.instances[id].Instance)
 	}
 	d.dataCentres = sortedKeys(d.byCentre)
+	d.selfWatches = d.isWatcher(d.set.Self)
 }
 
 func (d *Directory) indexInstance(i platform.Instance) {
 	switch {
 	case i.Kind == platform.Entry && i.State == platform.Live:
 		d.entries = append(d.entries, i)
+		d.entryIDs = append(d.entryIDs, i.ID)
+		d.byCentre[i.DataCentre] = append(d.byCentre[i.DataCentre], i.ID)
 	case i.Kind == platform.BackendServer && i.State != platform.Ended:
 		d.byService[i.Service] = append(d.byService[i.Service], i)
 	}
 }
 
-func compareInstances(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) }
-
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for key := range m {
--- /dev/null
+++ b/membership/live_test.go
@@ -0,0 +1,186 @@
+package membership
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/effect"
+	"foxtailspoke/platform"
+)
+
+// boot starts a healthy fleet and lets it choose its witnesses.
+func boot(seed uint64, set Settings, n, centres int) *sim {
+	s := newSim(seed, set, n, centres)
+	for slot := range n {
+		s.after(time.Duration(slot)*5*time.Second/time.Duration(n), func() { s.start(slot, 0, centres) })
+	}
+	s.run(s.now + 20*time.Second)
+	return s
+}
+
+// states counts the nodes by state.
+func (s *sim) nodeStates() map[State]int {
+	states := map[State]int{}
+	for _, n := range s.nodes {
+		if !n.dead {
+			states[n.m.Confirmed(n.clock(s.now)).State]++
+		}
+	}
+	return states
+}
+
+func (s *sim) witnessNodes() []*simNode {
+	var nodes []*simNode
+	for _, id := range s.table.Witnesses().Members {
+		if n := s.byID(id); n != nil {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
+// The platform goes away for two hours, and two of the five witnesses with
+// it. Callers go on being served on the last accepted configuration,
+// because every instance still hears from a majority of the witnesses.
+func TestPlatformAwayForHours(t *testing.T) {
+	t.Parallel()
+	s := boot(1, Settings{WatchersPerDataCentre: 1, WitnessCount: 5}, 7, 3)
+	must.Len(t, 5, s.table.Witnesses().Members)
+	s.away = true
+	for _, n := range s.witnessNodes()[:2] {
+		n.dead = true
+	}
+	s.run(s.now + 5*time.Second)
+	for range 2 * 60 * 6 {
+		s.run(s.now + 10*time.Second)
+		must.Eq(t, map[State]int{ByWitnesses: 5}, s.nodeStates())
+	}
+	s.away = false
+	s.run(s.now + 3*time.Second)
+	must.Eq(t, map[State]int{ByTable: 5}, s.nodeStates())
+}
+
+// Two instances are cut off from everything while the rest goes on. Within
+// Fresh of the cut they must refuse, and after it they serve again.
+func TestCutOffWithinFresh(t *testing.T) {
+	t.Parallel()
+	s := boot(2, Settings{}, 40, 4)
+	isolated := []*simNode{s.nodes[3], s.witnessNodes()[0]}
+	for _, n := range isolated {
+		s.unseen[n.slot] = true
+		for slot := range s.nodes {
+			s.cut[[2]int{n.slot, slot}] = true
+		}
+	}
+	s.run(s.now + DefaultFresh*1001/1000)
+	must.Eq(t, map[State]int{CutOff: 2, ByTable: 38}, s.nodeStates())
+	clear(s.cut)
+	clear(s.unseen)
+	s.run(s.now + time.Minute)
+	must.Eq(t, map[State]int{ByTable: 40}, s.nodeStates())
+}
+
+// All watchers of a data centre end at once, and the list doesn't show it
+// for a while. The others there pull from elsewhere, without a gap.
+func TestWatchersOfADataCentreGone(t *testing.T) {
+	t.Parallel()
+	s := boot(3, Settings{}, 40, 4)
+	for _, id := range s.list.Watchers("dc1") {
+		s.byID(id).dead = true
+	}
+	reads := s.reads
+	cutOff := 0
+	for range 300 {
+		s.run(s.now + 100*time.Millisecond)
+		cutOff += s.nodeStates()[CutOff]
+	}
+	t.Logf("seconds of one instance cut off: %.1f; reads a second: %d", float64(cutOff)/10, (s.reads-reads)/30)
+	must.Less(t, 10*7, cutOff) // below one second for each of the 7 left there
+	must.Eq(t, map[State]int{ByTable: 37}, s.nodeStates())
+}
+
+// The platform is away, and so is a majority of the witnesses: every
+// instance is cut off and tries by itself. When the platform returns, their
+// reads must not drown it, and the fleet must be back within seconds.
+func TestReturnWithoutStampede(t *testing.T) {
+	t.Parallel()
+	const nodes = 400
+	s := boot(4, Settings{}, nodes, 4)
+	s.away = true
+	for _, n := range s.witnessNodes()[:4] {
+		n.dead = true
+	}
+	s.run(s.now + time.Minute)
+	must.Eq(t, map[State]int{CutOff: nodes - 4}, s.nodeStates())
+	s.away = false
+	most, back := 0, time.Duration(0)
+	returned := s.now
+	for range 100 {
+		before := s.reads
+		s.run(s.now + 100*time.Millisecond)
+		most = max(most, s.reads-before)
+		if back == 0 && s.nodeStates()[ByTable] == nodes-4 {
+			back = s.now - returned
+		}
+	}
+	t.Logf("%d instances back after %v; at most %d reads in 100 ms", nodes, back, most)
+	must.Between(t, 1, back, 3*time.Second)
+	must.Less(t, 100, most)
+}
+
+// An operator withdraws a key. The change is in force everywhere within three
+// seconds of its write, and every instance has it well before.
+func TestChangeInForceWithinThreeSeconds(t *testing.T) {
+	t.Parallel()
+	s := boot(5, Settings{}, 40, 4)
+	var worst, spread time.Duration
+	for i := range 20 {
+		writer := s.nodes[i]
+		r := s.commit(platform.Txn{Puts: []platform.Put{{Table: platform.Control, Key: "key/x"}}})
+		rev := r.Revisions[platform.Control]
+		written := s.now
+		s.step(writer, func(now time.Duration) []effect.Effect { return writer.m.Require(now, rev) })
+		lags := func(n *simNode) bool { return n.log.Revision() < rev }
+		for !writer.m.InForce(writer.clock(s.now), rev) {
+			s.run(s.now + 10*time.Millisecond)
+			if slices.ContainsFunc(s.nodes, lags) {
+				spread = max(spread, s.now-written)
+			}
+		}
+		worst = max(worst, s.now-written)
+		must.False(t, slices.ContainsFunc(s.nodes, lags))
+	}
+	t.Logf("in force after at most %v; the last instance had it after at most %v", worst, spread)
+	must.Less(t, 3*time.Second, worst)
+}
+
+// Witnesses end or leave. The list of witnesses must follow, one seat at a
+// time, spread over the data centres; a planned stop gives its seat up.
+func TestSeatsFollowTheInstances(t *testing.T) {
+	t.Parallel()
+	s := boot(6, Settings{}, 40, 4)
+	first := s.witnessNodes()
+	must.Len(t, 7, first)
+	leaver := first[0]
+	s.step(leaver, leaver.m.Leave)
+	s.run(s.now + 2*time.Second)
+	must.False(t, leaver.m.Seated())
+
+	for _, n := range first[1:6] {
+		n.dead = true
+		ended, _ := s.list.Instance(n.id)
+		ended.State = platform.Ended
+		s.announce(ended)
+	}
+	s.run(s.now + 15*time.Second)
+	w := s.table.Witnesses()
+	must.SliceEmpty(t, w.Previous)
+	must.Len(t, 7, s.witnessNodes())
+	must.Len(t, 7, w.Members)
+	for centre, seats := range leaver.m.seatsByCentre(w.Members) {
+		must.Between(t, 1, seats, 2, must.Sprint(centre))
+	}
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -169,4 +169,4 @@
 }
 
 // watches says whether the instance is a watcher of its data centre.
-func (m *Member) watches() bool { return m.dir.isWatcher(m.set.Self) }
+func (m *Member) watches() bool { return m.dir.selfWatches }
--- a/membership/pull.go
+++ b/membership/pull.go
@@ -20,8 +20,13 @@
 }
 
 // retryGap is the pause after a pull without a proof, before the next one
-// elsewhere.
-const retryGap = 50 * time.Millisecond
+// elsewhere. After quickRetries it doubles up to PullEvery: when nobody has
+// a proof, all instances ask, and quick retries would load the watchers
+// with many times the calls of a healthy fleet.
+const (
+	retryGap     = 50 * time.Millisecond
+	quickRetries = 4
+)
 
 // pulls says whether the instance gets its proofs from others. A watcher
 // proves for itself.
@@ -115,5 +120,6 @@
 	m.pull.inFlight = false
 	m.pull.from = ""
 	m.pull.failures++
-	m.pull.next = now + retryGap
+	doublings := min(max(m.pull.failures-quickRetries, 0), maxBackoffDoublings)
+	m.pull.next = now + m.jitter(min(retryGap<<doublings, m.set.PullEvery))
 }
--- a/membership/rank.go
+++ b/membership/rank.go
@@ -58,7 +58,10 @@
 }
 
 func compareScores(a, b scoredID) int {
-	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	if a.score != b.score {
+		return cmp.Compare(b.score, a.score)
+	}
+	return cmp.Compare(a.id, b.id)
 }
 
 func score(key, id string) uint64 {
--- a/membership/roles.go
+++ b/membership/roles.go
@@ -70,6 +70,14 @@
 	return chosen[:min(count, len(chosen))]
 }
 
+// witnessRank returns the live entry instances, best witness first.
+func (d *Directory) witnessRank() []string {
+	if d.witnesses == nil {
+		d.witnesses = Rank(witnessKey, d.entryIDs)
+	}
+	return d.witnesses
+}
+
 // isWatcher says whether an instance is a watcher of its data centre.
 func (d *Directory) isWatcher(id string) bool {
 	i, ok := d.instances[id]
--- a/membership/seats.go
+++ b/membership/seats.go
@@ -118,8 +118,9 @@
 			return next, true
 		}
 	}
-	if next := m.chooseWitnesses(members, len(members)+1); len(members) < m.set.WitnessCount && len(next) > len(members) {
-		return next, true
+	if len(members) < m.set.WitnessCount {
+		next := m.chooseWitnesses(members, len(members)+1)
+		return next, len(next) > len(members)
 	}
 	return m.spreadSeats(members)
 }
@@ -158,7 +159,7 @@
 func (m *Member) chooseWitnesses(kept []string, count int) []string {
 	chosen := slices.Clone(kept)
 	seats := m.seatsByCentre(kept)
-	ranked := Rank(witnessKey, m.dir.entryIDs)
+	ranked := m.dir.witnessRank()
 	for len(chosen) < count {
 		best, fewest := "", 0
 		for _, id := range ranked {
--- a/membership/sim_test.go
+++ b/membership/sim_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"foxtailspoke/config"
@@ -38,6 +39,7 @@
 	list     *Directory
 	inForce  platform.Revision
 	reads    int
+	calls    int
 	sent     map[string]int // bytes sent and received, by instance
 	encoder  *gob.Encoder
 	encoded  int
@@ -223,6 +225,7 @@
 		s.step(n, func(now time.Duration) []effect.Effect { return n.m.CallDone(now, c.ID, Reply{}, false) })
 	})
 	to := s.byID(c.To)
+	s.calls++
 	s.count(n.id, c.To, c.Request)
 	if to == nil || s.cut[[2]int{n.slot, to.slot}] {
 		return
@@ -262,8 +265,8 @@
 
 // nodesAt finds the slot in the id, so that large fleets stay quick.
 func (s *sim) nodesAt(id string) []*simNode {
-	var slot int
-	if _, err := fmt.Sscanf(id[:8], "%08x", &slot); err != nil {
+	slot, err := strconv.ParseUint(id[:8], 16, 32)
+	if err != nil {
 		return nil
 	}
 	return s.nodes[slot : slot+1]
