Histories and boundary tests of the shares of a limit

Cause: the inequality burst + rate·w was argued for, not shown. Change: seeded histories of five instances with drifting clocks over a fake table, checked against one bucket of the whole limit; boundary tests to the nanosecond. The settle time is rounded up, not truncated plus one. Ruled out: all kinds of faults at once.

--- /dev/null
+++ b/quota/faults_test.go
@@ -0,0 +1,181 @@
+package quota
+
+import (
+	"slices"
+	"time"
+
+	"foxtailspoke/config"
+)
+
+// fault is something that happens to instances i and j for a time.
+type fault func(f *fleet, i, j int, length time.Duration)
+
+// delayed is the second half of a fault.
+type delayed struct {
+	at time.Duration
+	do func()
+}
+
+// profile is what kinds of faults one history has, and how often. Few kinds
+// at a time bring a fleet back to its full limit between faults, which all
+// kinds at once don't; only there can an error exceed it.
+type profile struct {
+	faults []fault
+	gap    time.Duration
+	quiet  time.Duration
+	flood  time.Duration
+	// drain is the mean time between bursts that take all there is.
+	drain time.Duration
+}
+
+func freeze(f *fleet, i, _ int, d time.Duration) { f.nodes[i].frozen = f.now + d }
+
+func cutLink(f *fleet, i, j int, d time.Duration) { f.cut[[2]int{i, j}] = f.now + d }
+
+func replace(f *fleet, i, _ int, _ time.Duration) { f.nodes[i] = f.start() }
+
+func forget(f *fleet, i, _ int, _ time.Duration) { f.nodes[i].holder.Forget(f.clock(f.nodes[i])) }
+
+func newLimit(f *fleet, _, _ int, _ time.Duration) { f.changeLimit() }
+
+func resize(f *fleet, _, _ int, _ time.Duration) { f.assign(1 + f.rng.IntN(4)) }
+
+// takeOver moves an instance's parts while it still serves, cut off from the
+// table, so that it spends them for as long as it may.
+func takeOver(f *fleet, i, _ int, d time.Duration) {
+	f.nodes[i].tableCut = f.now + d
+	f.assign(3, i)
+}
+
+// awayAndBack moves an instance's parts to another one and back while it is
+// frozen, or only half of them away.
+func awayAndBack(f *fleet, i, j int, d time.Duration) {
+	f.nodes[i].frozen = f.now + 3*freshTime + d
+	f.hand(i, j, 1+f.rng.IntN(2))
+	back := f.now + 2*freshTime
+	f.later = append(f.later, delayed{at: back, do: func() { f.hand(j, i, 1) }})
+}
+
+// hand writes a row that gives a part of what one holder has to another.
+func (f *fleet) hand(from, to, divisor int) {
+	r := f.newest()
+	r.shard.Holders = slices.Clone(r.shard.Holders)
+	gained := 0
+	for k := range r.shard.Holders {
+		h := &r.shard.Holders[k]
+		if h.Instance == f.nodes[from].id {
+			moved := h.Parts - h.Parts/divisor*(divisor-1)
+			h.Parts -= moved
+			gained += moved
+		}
+	}
+	r.shard.Holders = slices.DeleteFunc(r.shard.Holders, func(h config.Holder) bool { return h.Parts == 0 })
+	if gained == 0 || from == to {
+		return
+	}
+	since := uint64(len(f.rows) - 1)
+	r.shard.Holders = append(r.shard.Holders, config.Holder{Instance: f.nodes[to].id, Parts: gained, Since: since})
+	f.write(r)
+}
+
+func (f *fleet) randomProfile() profile {
+	all := []fault{freeze, cutLink, replace, forget, newLimit, resize, takeOver, awayAndBack, takeOver, awayAndBack}
+	f.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	f.size = []int{1, 1, 2, 8}[f.rng.IntN(4)]
+	p := profile{
+		faults: all[:1+f.rng.IntN(2)],
+		gap:    f.between(500*time.Millisecond, 6*time.Second),
+		quiet:  f.between(time.Second, 10*time.Second),
+		flood:  f.between(100*time.Millisecond, 3*time.Second),
+		drain:  f.between(50*time.Millisecond, 4*time.Second),
+	}
+	if f.rng.IntN(3) == 0 {
+		p.quiet = f.between(20*time.Millisecond, 400*time.Millisecond)
+		p.flood = f.between(20*time.Millisecond, 400*time.Millisecond)
+	}
+	return p
+}
+
+func (f *fleet) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(f.rng.Int64N(int64(most-least)))
+}
+
+// meanStep is the mean time between two steps of a history.
+const meanStep = 4 * time.Millisecond
+
+// drain is a burst at all instances at once that takes what each of them
+// has. It shows a token too many wherever it lies.
+func (f *fleet) drain() {
+	for _, n := range f.nodes {
+		if f.now < n.frozen {
+			continue
+		}
+		now := f.act(n)
+		limit := f.rows[n.revision].limit
+		for now < n.fresh && n.holder.Take(now, f.bucket, limit, Token/8).Admitted {
+			f.admitted = append(f.admitted, admission{at: f.now, tokens: 0.125})
+		}
+	}
+}
+
+// run drives one history: quiet times in which buckets fill, floods in which
+// they are emptied, and faults at any time.
+func (f *fleet) run(d time.Duration, p profile) {
+	flood, turn, home := false, time.Duration(0), 0
+	for f.now < d {
+		f.now += f.between(0, 8*time.Millisecond)
+		if f.now >= turn {
+			flood = !flood
+			turn = f.now + f.between(0, 2*p.quiet)
+			if flood {
+				turn = f.now + f.between(0, 2*p.flood)
+			}
+			home = f.rng.IntN(2 * len(f.nodes)) // half the time: everywhere
+		}
+		f.refreshSome()
+		f.fault(p)
+		f.deliver()
+		if f.rng.Int64N(int64(p.drain/meanStep)) == 0 {
+			f.drain()
+		}
+		for i := range f.nodes {
+			if flood && f.rng.IntN(2) == 0 && (home == i || home >= len(f.nodes)) {
+				f.request(i)
+			}
+		}
+	}
+}
+
+func (f *fleet) refreshSome() {
+	for _, n := range f.nodes {
+		if f.rng.IntN(20) == 0 {
+			f.refresh(n, f.between(0, 20*time.Millisecond))
+		}
+	}
+}
+
+// fault brings a fault with the profile's mean time between them, at most
+// times to an instance that holds parts.
+func (f *fleet) fault(p profile) {
+	if len(f.later) > 0 && f.later[0].at <= f.now {
+		f.later[0].do()
+		f.later = f.later[1:]
+	}
+	if f.rng.Int64N(int64(p.gap/meanStep)) != 0 {
+		return
+	}
+	i, j := f.rng.IntN(len(f.nodes)), f.rng.IntN(len(f.nodes))
+	holders := f.newest().shard.Holders
+	if k := f.index(holders[f.rng.IntN(len(holders))].Instance); k >= 0 && f.rng.IntN(4) > 0 {
+		i = k
+	}
+	p.faults[f.rng.IntN(len(p.faults))](f, i, j, f.between(0, 3*freshTime))
+}
+
+func (f *fleet) changeLimit() {
+	r := f.newest()
+	factor := []float64{0.5, 1, 2}[f.rng.IntN(3)]
+	first := f.rows[0].limit
+	r.limit = config.Limit{Rate: first.Rate * factor, Burst: first.Burst * factor}
+	f.write(r)
+}
--- /dev/null
+++ b/quota/safety_test.go
@@ -0,0 +1,215 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/config"
+)
+
+var (
+	sheets = Bucket{Workspace: "w", Service: "sheets"}
+	// sharp gains a token every nanosecond, so that a nanosecond too early
+	// shows as a token too many.
+	sharp    = config.Limit{Rate: 1e9, Burst: 100}
+	drifting = Settings{TransferTime: time.Second, Drift: 0.25, IdleTime: time.Second}
+)
+
+// holding returns a holder of parts that began to count at time 0.
+func holding(id string, s Settings, parts int) *Holder {
+	h := NewHolder(id, 1, s)
+	h.SetGrants(-s.settleTime(), "0", []Grant{{Since: 1, Parts: parts}})
+	return h
+}
+
+// has returns how many whole tokens a holder would admit at a time, and
+// takes them.
+func has(h *Holder, now time.Duration, l config.Limit) int {
+	n := 0
+	for h.Take(now, sheets, l, Token).Admitted {
+		n++
+	}
+	return n
+}
+
+// A holder gives 40 tokens of a burst of 100. The asker's clock is as slow,
+// the giver's as fast as clocks may be. The asker spends the 40 in its last
+// nanosecond; were the giver full again a nanosecond before, callers would
+// get more than 100 at once.
+func TestGivenTokensKeepTheirPlaceUntilTheAskerCannotUseThem(t *testing.T) {
+	sharp := config.Limit{Rate: 1e11, Burst: 100}
+	giveAndLook := func(at time.Duration) int {
+		g, r := holding("g", drifting, 60), NewHolder("r", 1, drifting)
+		start := time.Minute
+		tr := g.Give(start, sharp, r.Ask(0, "g", sheets, sharp, 40*Token))
+		must.Eq(t, 40*Token, tr.Amount)
+		return has(g, start+at, sharp)
+	}
+	useAt := func(at time.Duration) int {
+		g, r := holding("g", drifting, 60), NewHolder("r", 1, drifting)
+		r.Accept(1, sharp, g.Give(time.Minute, sharp, r.Ask(0, "g", sheets, sharp, 40*Token)))
+		return has(r, at, sharp)
+	}
+	last := drifting.TransferTime - 1
+	must.Eq(t, 40, useAt(last))
+	must.Eq(t, 0, useAt(last+1))
+	restored := drifting.settleTime()
+	must.Eq(t, 60, giveAndLook(restored-1))
+	must.Eq(t, 100, giveAndLook(restored+1))
+
+	// In truth: the end of the asker's time, and the giver's full burst.
+	end := float64(drifting.TransferTime) * (1 + drifting.Drift)
+	must.GreaterEq(t, end, float64(restored)/(1+drifting.Drift))
+	must.Less(t, end, float64(restored-1)/(1+drifting.Drift))
+}
+
+// A cut-off holder gave tokens in the last moment in which it was fresh. The
+// new holder of its parts must not start while they can be used.
+func TestNewHolderStartsEmptyAfterTheTransferTime(t *testing.T) {
+	h := NewHolder("n", 1, drifting)
+	inForce := time.Minute
+	h.SetGrants(inForce, "0", []Grant{{Since: 7, Parts: 60}})
+	start := inForce + drifting.settleTime()
+	must.Eq(t, 0, has(h, start, sharp))
+	must.Eq(t, 4, has(h, start+5, sharp)) // five nanoseconds on a fast clock
+}
+
+// Half of a holder's parts move while it is frozen. When it wakes, the other
+// instance has refilled that half for all the time; it must not do so, too.
+func TestFrozenHolderLosesTheShareOfLostParts(t *testing.T) {
+	slow := config.Limit{Rate: 10, Burst: 600}
+	h := holding("h", Settings{TransferTime: time.Second}, 60)
+	must.Eq(t, 600, has(h, time.Minute, slow))
+	wake := time.Minute + 10*time.Second
+	h.SetGrants(wake, "0", []Grant{{Since: 1, Parts: 30}})
+	must.Eq(t, 50, has(h, wake, slow))
+}
+
+// A holder's parts move away and back while it is frozen. Another instance
+// spent them meanwhile. The entry has another Since, so it starts empty.
+func TestPartsThatCameBackStartEmpty(t *testing.T) {
+	h := holding("h", drifting, 60)
+	wake := time.Minute
+	h.SetGrants(wake, "0", []Grant{{Since: 9, Parts: 60}})
+	must.Eq(t, 0, has(h, wake, sharp))
+	must.Eq(t, 0, has(h, wake+drifting.settleTime(), sharp))
+	must.Eq(t, 100, has(h, wake+drifting.settleTime()+time.Second, sharp))
+}
+
+// A full holder gets more parts. It must not have gained on them before they
+// counted, although nobody looked in between.
+func TestAddedPartsCountFromTheirStart(t *testing.T) {
+	l := config.Limit{Rate: 60, Burst: 60}
+	h := holding("h", Settings{TransferTime: time.Second}, 30)
+	must.True(t, h.Take(time.Minute, sheets, l, Token).Admitted)
+	h.SetGrants(time.Minute, "0", []Grant{{Since: 1, Parts: 30}, {Since: 5, Parts: 30}})
+	start := time.Minute + time.Second + 1
+	must.Eq(t, 30, has(h, start, l))
+	must.Eq(t, 30, has(h, start+500*time.Millisecond, l))
+}
+
+// Ten tokens arrive for one request; nine are left. The same message comes
+// again, comes late, or reaches the next incarnation of the asker.
+func TestTransferCountsOnce(t *testing.T) {
+	g, r := holding("g", drifting, 60), NewHolder("r", 1, drifting)
+	tr := g.Give(time.Minute, sharp, r.Ask(0, "g", sheets, sharp, 10*Token))
+	must.Eq(t, 10*Token, r.Accept(0, sharp, tr))
+	must.True(t, r.Take(0, sheets, sharp, Token).Admitted)
+	must.Eq(t, 0, r.Accept(1, sharp, tr))
+	must.Eq(t, 9, has(r, drifting.TransferTime-1, sharp))
+
+	late := g.Give(time.Minute, sharp, r.Ask(0, "g", sheets, sharp, 10*Token))
+	must.Eq(t, 0, r.Accept(drifting.TransferTime, sharp, late))
+	must.Eq(t, 0, NewHolder("r2", 1, drifting).Accept(0, sharp, late))
+
+	other := NewHolder("r", 1, drifting)
+	kept := g.Give(time.Minute, sharp, other.Ask(0, "g", sheets, sharp, 10*Token))
+	must.Eq(t, 10*Token, other.Accept(drifting.TransferTime-1, sharp, kept))
+	must.Eq(t, 0, has(other, drifting.TransferTime, sharp))
+}
+
+// An asker has room for 30 of 40 tokens. The rest isn't stored: it would be
+// there on top of its capacity when the giver is full again.
+func TestAskerStoresOnlyWhatFits(t *testing.T) {
+	l := config.Limit{Rate: 1e-9, Burst: 60}
+	fast := config.Limit{Rate: 1e9, Burst: 60}
+	g, r := holding("g", drifting, 40), holding("r", drifting, 20)
+	must.Eq(t, 20, has(r, time.Minute, fast))
+	must.Eq(t, 40*Token, g.Give(time.Minute, fast, Ask{ID: 9, From: "x", Bucket: sheets, Want: 40 * Token}).Amount)
+	g = holding("g", drifting, 40)
+	tr := g.Give(time.Minute, fast, r.Ask(time.Minute, "g", sheets, l, 40*Token))
+	must.Eq(t, 40*Token, r.Accept(time.Minute, l, tr))
+	must.Eq(t, 20, has(r, time.Minute+drifting.TransferTime, l))
+}
+
+// An asker has tokens left from a first ask and asks again. Only once they
+// are spent may the giver forget them.
+func TestGiverKeepsPlaceOfTokensThatAreNotSettled(t *testing.T) {
+	g, r := holding("g", drifting, 60), NewHolder("r", 1, drifting)
+	now := time.Minute
+	ask := func(n Amount) {
+		r.Accept(0, sharp, g.Give(now, sharp, r.Ask(0, "g", sheets, sharp, n*Token)))
+	}
+	ask(40)
+	must.True(t, r.Take(0, sheets, sharp, Token).Admitted)
+	now++
+	ask(10)
+	now += 1000
+	must.Eq(t, 50, has(g, now, sharp))
+	must.Eq(t, 49, has(r, 0, sharp))
+	now += 1000
+	ask(1)
+	now += 1000
+	must.Eq(t, 99, has(g, now, sharp))
+}
+
+// A plan is lowered to a burst of 1 and raised again, while the bucket was
+// full at 1 and forgotten. The burst spent before must not be there again.
+func TestForgottenBucketIsNotFullUnderAHigherLimit(t *testing.T) {
+	high, low := config.Limit{Rate: 1, Burst: 100}, config.Limit{Rate: 1, Burst: 1}
+	h := holding("h", Settings{TransferTime: time.Second, IdleTime: time.Second}, 60)
+	now := 200 * time.Second
+	must.Eq(t, 100, has(h, now, high))
+	must.False(t, h.Take(now, sheets, low, Token).Admitted)
+	h.Forget(now + 500*time.Millisecond)
+	must.Eq(t, 1, h.Buckets())
+	h.Forget(now + 2*time.Second)
+	must.Eq(t, 0, h.Buckets())
+	must.Eq(t, 3, has(h, now+3*time.Second, high))
+}
+
+// A holder gave its burst away and forgets an idle bucket. What it gave may
+// still be used.
+func TestBucketWithGivenTokensIsNotForgotten(t *testing.T) {
+	s := Settings{TransferTime: 3 * time.Second, IdleTime: time.Second}
+	h := holding("h", s, 60)
+	h.Give(time.Minute, sharp, Ask{ID: 1, From: "x", Bucket: sheets, Want: 100 * Token})
+	h.Forget(time.Minute + 2*time.Second)
+	must.Eq(t, 0, has(h, time.Minute+2*time.Second, sharp))
+}
+
+// The burst is one token in three shares. Two instances put it together at
+// the same time, and crossed asks must not leave both with pieces.
+func TestTinyBurstIsPutTogether(t *testing.T) {
+	l := config.Limit{Rate: 0.1, Burst: 1}
+	s := DefaultSettings()
+	hs := []*Holder{holding("a", s, 20), holding("b", s, 20), holding("c", s, 20)}
+	now := time.Minute
+	gather := []Ask{}
+	for _, asker := range []int{0, 1} {
+		missing := hs[asker].Take(now, sheets, l, Token).Missing
+		for peer, id := range []string{"a", "b", "c"} {
+			if peer != asker {
+				gather = append(gather, hs[asker].Ask(now, id, sheets, l, missing))
+			}
+		}
+	}
+	to := []int{1, 2, 0, 2}
+	for i, a := range gather {
+		hs[i/2].Accept(now, l, hs[to[i]].Give(now, l, a))
+	}
+	must.True(t, hs[0].Take(now, sheets, l, Token).Admitted)
+	must.False(t, hs[1].Take(now, sheets, l, Token).Admitted)
+}
--- a/quota/settings.go
+++ b/quota/settings.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Settings are the same on every instance of the fleet.
 type Settings struct {
@@ -32,5 +35,5 @@
 // So the wait is T·(1+ε)², rounded up, and nothing shorter will do.
 func (s Settings) settleTime() time.Duration {
 	slow := float64(s.TransferTime) * (1 + s.Drift) * (1 + s.Drift)
-	return time.Duration(slow) + 1
+	return time.Duration(math.Ceil(slow))
 }
