--- a/health/collector.go
+++ b/health/collector.go
@@ -43,7 +43,9 @@
 	// unwell is when the server last reported itself as sick.
 	unwell   bool
 	unwellAt time.Duration
-	probing  probing
+	// advised is when which instance was advised to lower the weight.
+	advised map[string]time.Duration
+	probing probing
 }
 
 // reporterMemory is how long a reporter counts as one.
@@ -69,9 +71,6 @@
 func (c *Collector) Accept(now time.Duration, from string, r Report) []Suspect {
 	p := c.pool(r.Service)
 	p.reporters[from] = &reporter{dataCentre: r.DataCentre, rate: r.Rate, at: now}
-	for _, w := range r.Elsewhere {
-		p.failed.addTally(now, w.Workspace, 0, 0)
-	}
 	for _, s := range r.Servers {
 		for _, w := range s.Workspaces {
 			src := source{reporter: from, workspace: w.Workspace}
@@ -79,13 +78,13 @@
 			p.late.add(now, s.Server, src, float64(w.LateAttempts), float64(w.Late))
 		}
 	}
-	p.addElsewhere(now, r)
-	return c.advice(now, p)
+	p.addElsewhere(r)
+	return c.advice(now, p, from)
 }
 
 // addElsewhere adds the named workspaces' attempts at servers that the report
 // doesn't name.
-func (p *pool) addElsewhere(now time.Duration, r Report) {
+func (p *pool) addElsewhere(r Report) {
 	for _, total := range r.Elsewhere {
 		for _, s := range r.Servers {
 			for _, w := range s.Workspaces {
@@ -95,8 +94,8 @@
 				}
 			}
 		}
-		p.failed.addTally(now, total.Workspace, float64(total.Attempts), 0)
-		p.late.addTally(now, total.Workspace, float64(total.LateAttempts), 0)
+		p.failed.addTally(total.Workspace, float64(total.Attempts), 0)
+		p.late.addTally(total.Workspace, float64(total.LateAttempts), 0)
 	}
 }
 
@@ -130,21 +129,21 @@
 func (p *pool) server(id string) *serverState {
 	s, ok := p.servers[id]
 	if !ok {
-		s = &serverState{}
+		s = &serverState{advised: map[string]time.Duration{}}
 		p.servers[id] = s
 	}
 	return s
 }
 
 // advice lists the servers whose weight every instance should lower.
-func (c *Collector) advice(now time.Duration, p *pool) []Suspect {
+func (c *Collector) advice(now time.Duration, p *pool, to string) []Suspect {
 	var list []Suspect
 	for _, id := range p.suspects() {
 		score := max(c.failedScore(now, p, id), c.lateScore(now, p, id))
-		s := p.servers[id]
-		relieved := s != nil && s.relieved && now-s.relievedAt < c.settings.Relief
-		if score >= c.settings.AdviseScore || relieved {
+		s := p.server(id)
+		if score >= c.settings.AdviseScore || s.relieved {
 			list = append(list, Suspect{Server: id, Weight: adviceWeight})
+			s.advised[to] = now
 		}
 	}
 	return list
--- a/health/ejection.go
+++ b/health/ejection.go
@@ -31,8 +31,8 @@
 	p.failed.servers = len(servers)
 	p.late.servers = len(servers)
 	c.addSilent(now, p, len(servers)-len(row.Ejected))
-	p.failed.prune(now)
-	p.late.prune(now)
+	p.failed.advance(now)
+	p.late.advance(now)
 	c.relieve(now, p)
 
 	kept, reason := c.keep(now, p, servers, row, floor)
@@ -138,7 +138,7 @@
 		what = "answered late, also with little to do,"
 	}
 	return fmt.Sprintf("%s %s about %.0f of its last %.0f requests, far more than the other servers of %s",
-		server, what, r.total(), max(r.attempts, r.total()), service)
+		server, what, r.sums.all, max(r.attempts, r.sums.all), service)
 }
 
 // relieve starts and ends the time in which a slow server gets little load.
--- a/health/ledger.go
+++ b/health/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -12,28 +13,73 @@
 	workspace string
 }
 
-// maxSources bounds what a run remembers of its sources.
-const maxSources = 64
+const (
+	// maxSources bounds what a run remembers of its sources.
+	maxSources = 64
+	// minBad is the faded count below which evidence says nothing any more.
+	minBad = 0.1
+	// fadeSteps is in how many steps evidence fades by half.
+	fadeSteps = 64
+)
 
 // otherSource takes the sources beyond maxSources.
 var otherSource = source{reporter: "…", workspace: "…"}
 
+// marginals are bad attempts in sum and by one side of their source.
+type marginals struct {
+	all        float64
+	reporters  map[string]float64
+	workspaces map[string]float64
+}
+
+func newMarginals() marginals {
+	return marginals{reporters: map[string]float64{}, workspaces: map[string]float64{}}
+}
+
+func (m *marginals) add(s source, n float64) {
+	m.all += n
+	m.reporters[s.reporter] += n
+	m.workspaces[s.workspace] += n
+}
+
+func (m *marginals) scale(f float64) {
+	m.all *= f
+	scale(m.reporters, f)
+	scale(m.workspaces, f)
+}
+
+func scale[K comparable](m map[K]float64, f float64) {
+	for k := range m {
+		m[k] *= f
+	}
+}
+
 // run is the evidence on one server since the first bad attempt after which
 // it wasn't cleared again. Attempts before don't dilute it: a server that was
 // well for an hour and fails now is suspect now.
 type run struct {
 	attempts float64
-	bad      map[source]float64
+	// cells are in order of arrival: sums of the same numbers in another
+	// order round differently, and a replay would come out differently.
+	cells []cell
+	sums  marginals
 	// pairs counts attempts by workspace since its first bad one here.
 	pairs map[string]float64
-	at    time.Duration
+	// score is the result of judging at a version of the ledger.
+	score   float64
+	version uint64
+}
+
+// cell counts the bad attempts of one source at one server.
+type cell struct {
+	source
+	bad float64
 }
 
 // tally counts one workspace's attempts at all servers of a service.
 type tally struct {
 	attempts float64
 	bad      float64
-	at       time.Duration
 }
 
 // ledger collects one kind of bad attempts (failed, or late) at the servers
@@ -43,7 +89,10 @@
 	sick     float64 // the same at a sick one
 	halfLife time.Duration
 	servers  int // of the service, suspect or not
+	at       time.Duration
+	version  uint64
 	runs     map[string]*run
+	sums     marginals
 	tallies  map[string]*tally
 }
 
@@ -53,127 +102,160 @@
 		sick:     sick,
 		halfLife: halfLife,
 		runs:     map[string]*run{},
+		sums:     newMarginals(),
 		tallies:  map[string]*tally{},
 	}
 }
 
 // add counts attempts of one source at a server, some of them bad.
 func (l *ledger) add(now time.Duration, server string, s source, attempts, bad float64) {
-	l.addTally(now, s.workspace, attempts, bad)
+	l.advance(now)
+	l.addTally(s.workspace, attempts, bad)
 	r := l.runs[server]
 	if r == nil {
 		if bad == 0 {
 			return
 		}
-		r = &run{bad: map[source]float64{}, pairs: map[string]float64{}, at: now}
+		r = &run{sums: newMarginals(), pairs: map[string]float64{}}
 		l.runs[server] = r
 	}
-	l.advance(now, r)
+	l.version++
 	r.attempts += attempts
-	if bad > 0 {
-		if _, known := r.bad[s]; !known && len(r.bad) >= maxSources {
-			s = otherSource
-		}
-		r.bad[s] += bad
-	}
 	if _, known := r.pairs[s.workspace]; known || bad > 0 {
 		r.pairs[s.workspace] += attempts
 	}
+	if bad > 0 {
+		s = r.add(s, bad)
+		r.sums.add(s, bad)
+		l.sums.add(s, bad)
+	}
 	l.settle(server, r)
 }
 
+// add counts bad attempts of a source, and returns what they were put under.
+func (r *run) add(s source, bad float64) source {
+	at := func(s source) int {
+		return slices.IndexFunc(r.cells, func(c cell) bool { return c.source == s })
+	}
+	i := at(s)
+	if i < 0 && len(r.cells) >= maxSources {
+		s = otherSource
+		i = at(s)
+	}
+	if i < 0 {
+		r.cells = append(r.cells, cell{source: s})
+		i = len(r.cells) - 1
+	}
+	r.cells[i].bad += bad
+	return s
+}
+
 // addTally follows a workspace over all servers once it had a bad attempt.
-func (l *ledger) addTally(now time.Duration, workspace string, attempts, bad float64) {
+func (l *ledger) addTally(workspace string, attempts, bad float64) {
 	t := l.tallies[workspace]
 	if t == nil {
 		if bad == 0 || len(l.tallies) >= maxSources {
 			return
 		}
-		t = &tally{at: now}
+		t = &tally{}
 		l.tallies[workspace] = t
 	}
-	f := l.fade(now - t.at)
-	t.attempts = t.attempts*f + attempts
-	t.bad = t.bad*f + bad
-	t.at = now
+	t.attempts += attempts
+	t.bad += bad
 }
 
 // addSilent counts good attempts of instances that had nothing to report.
 func (l *ledger) addSilent(now time.Duration, server string, attempts float64) {
+	l.advance(now)
 	r := l.runs[server]
-	if r == nil {
+	if r == nil || attempts <= 0 {
 		return
 	}
-	l.advance(now, r)
+	l.version++
 	r.attempts += attempts
 	l.settle(server, r)
 }
 
-// advance fades a run's evidence.
-func (l *ledger) advance(now time.Duration, r *run) {
-	if now <= r.at {
+// advance fades all evidence alike, in steps.
+func (l *ledger) advance(now time.Duration) {
+	passed := now - l.at
+	if passed < l.halfLife/fadeSteps {
 		return
 	}
-	r.scale(l.fade(now - r.at))
-	r.at = now
-}
-
-func (l *ledger) fade(d time.Duration) float64 {
-	return math.Exp2(-d.Seconds() / l.halfLife.Seconds())
+	l.at = now
+	l.version++
+	f := math.Exp2(-passed.Seconds() / l.halfLife.Seconds())
+	l.sums.scale(f)
+	var faded []string
+	for server, r := range l.runs {
+		r.scale(f)
+		if r.sums.all < minBad {
+			faded = append(faded, server)
+		}
+	}
+	slices.Sort(faded)
+	for _, server := range faded {
+		l.forget(server)
+	}
+	for w, t := range l.tallies {
+		t.attempts *= f
+		t.bad *= f
+		if t.bad < minBad {
+			delete(l.tallies, w)
+		}
+	}
 }
 
 func (r *run) scale(f float64) {
 	r.attempts *= f
-	for s := range r.bad {
-		r.bad[s] *= f
-	}
-	for w := range r.pairs {
-		r.pairs[w] *= f
+	r.sums.scale(f)
+	for i := range r.cells {
+		r.cells[i].bad *= f
 	}
+	scale(r.pairs, f)
 }
 
-// minBad is the faded count below which a run says nothing any more.
-const minBad = 0.1
-
 // settle ends a run that speaks for the server, and bounds the others.
 func (l *ledger) settle(server string, r *run) {
-	plain := l.ratio(r.attempts, r.total(), l.sick)
-	worst := l.worstPair(server, r)
-	if r.total() < minBad || (plain <= 0 && worst <= 0) {
-		delete(l.runs, server)
+	if l.ratio(r.attempts, r.sums.all, l.sick) <= 0 && l.worstPair(r) <= 0 {
+		l.forget(server)
 		return
 	}
-	if s := max(plain, worst); s > maxScore {
+	if s := max(l.judge(r), l.worstPair(r)); s > maxScore {
+		l.take(r, 1-maxScore/s)
 		r.scale(maxScore / s)
+		l.version++
 	}
 }
 
-func (r *run) total() float64 {
-	sum := 0.0
-	for _, n := range r.bad {
-		sum += n
+// take subtracts a share of a run from the ledger's sums.
+func (l *ledger) take(r *run, share float64) {
+	for _, c := range r.cells {
+		l.sums.add(c.source, -share*c.bad)
+	}
+}
+
+// forget drops what is known of a server.
+func (l *ledger) forget(server string) {
+	r := l.runs[server]
+	if r == nil {
+		return
+	}
+	l.version++
+	l.take(r, 1)
+	delete(l.runs, server)
+	if len(l.runs) == 0 {
+		// Nothing is left: no rounding error shall be either.
+		l.sums = newMarginals()
 	}
-	return sum
 }
 
 // ratio is the log-likelihood ratio of "sick" against "healthy".
 func (l *ledger) ratio(attempts, bad, sick float64) float64 {
-	good := max(0, attempts-bad)
-	return bad*math.Log(sick/l.healthy) + good*math.Log((1-sick)/(1-l.healthy))
+	return logRatio(attempts, bad, l.healthy, sick)
 }
 
-// forget drops what is known of a server.
-func (l *ledger) forget(server string) { delete(l.runs, server) }
-
-// prune drops runs and tallies that have faded.
-func (l *ledger) prune(now time.Duration) {
-	for server, r := range l.runs {
-		l.advance(now, r)
-		l.settle(server, r)
-	}
-	for w, t := range l.tallies {
-		if t.bad*l.fade(now-t.at) < minBad {
-			delete(l.tallies, w)
-		}
-	}
+func logRatio(attempts, bad, healthy, sick float64) float64 {
+	good := max(0, attempts-bad)
+	return bad*math.Log(sick/healthy) + good*math.Log((1-sick)/(1-healthy))
 }
--- a/health/observer.go
+++ b/health/observer.go
@@ -127,8 +127,13 @@
 		keep[id] = true
 	}
 	gone := func(id string) bool { return !keep[id] }
-	maps.DeleteFunc(v.failed.runs, func(id string, _ *run) bool { return gone(id) })
-	maps.DeleteFunc(v.late.runs, func(id string, _ *run) bool { return gone(id) })
+	for _, l := range []*ledger{v.failed, v.late} {
+		for id := range l.runs {
+			if gone(id) {
+				l.forget(id)
+			}
+		}
+	}
 	maps.DeleteFunc(v.shed, func(id string, _ time.Duration) bool { return gone(id) })
 	maps.DeleteFunc(v.advice, func(id string, _ Suspect) bool { return gone(id) })
 }
--- a/health/pooled.go
+++ b/health/pooled.go
@@ -39,12 +39,12 @@
 	if r == nil {
 		return 0
 	}
-	l.advance(now, r)
-	bad := l.effective(server, r)
+	l.advance(now)
+	bad := l.effective(r)
 	agreed := min(bad, c.agreed(p, r, bad))
 	score := l.ratio(r.attempts, agreed, l.sick)
 	if bad > 0 && agreed >= bad {
-		score = max(score, l.worstPair(server, r))
+		score = max(score, l.worstPair(r))
 	}
 	return score
 }
@@ -61,16 +61,15 @@
 		return bad
 	}
 	byPlace := map[string]float64{}
-	total := 0.0
-	for s, n := range r.bad {
-		byPlace[c.place(p, s.reporter)] += n
-		total += n
+	for from, n := range r.sums.reporters {
+		byPlace[c.place(p, from)] += n
 	}
+	total := r.sums.all
 	top := 0.0
 	for _, n := range byPlace {
 		top = max(top, n)
 	}
-	if total == 0 {
+	if total <= 0 {
 		return 0
 	}
 	rest := total - top
@@ -98,21 +97,34 @@
 	if passed <= 0 || passed > reporterMemory {
 		return
 	}
-	rate := p.typicalRate(now)
+	each := p.typicalRate(now) * passed.Seconds() / float64(max(1, servers))
 	for _, l := range []*ledger{p.failed, p.late} {
+		l.advance(now)
 		for _, id := range slices.Sorted(maps.Keys(l.runs)) {
-			silent := max(0, c.instances-l.runs[id].reporters())
-			l.addSilent(now, id, float64(silent)*rate*passed.Seconds()/float64(max(1, servers)))
+			l.addSilent(now, id, each*float64(c.silent(now, p, l.runs[id], id)))
 		}
 	}
 }
 
-func (r *run) reporters() int {
-	seen := map[string]bool{}
-	for s := range r.bad {
-		seen[s.reporter] = true
+// silent is how many instances use a suspect as usual and don't report it.
+// Those that were advised to use it less aren't among them: counting their
+// usual requests as good ones would clear the server just because it is
+// avoided.
+func (c *Collector) silent(now time.Duration, p *pool, r *run, server string) int {
+	vocal := map[string]bool{}
+	for from := range r.sums.reporters {
+		vocal[from] = true
+	}
+	if s := p.servers[server]; s != nil {
+		for from, at := range s.advised {
+			if now-at > reporterMemory {
+				delete(s.advised, from)
+				continue
+			}
+			vocal[from] = true
+		}
 	}
-	return len(seen)
+	return max(0, c.instances-len(vocal))
 }
 
 // typicalRate estimates an instance's requests per second to the service.
--- a/health/report.go
+++ b/health/report.go
@@ -126,8 +126,6 @@
 			continue
 		}
 		r := v.pending.take(now, name, o.settings.DataCentre)
-		v.failed.prune(now)
-		v.late.prune(now)
 		size := float64(r.Size())
 		if size > o.reportBytes {
 			continue
--- a/health/settings.go
+++ b/health/settings.go
@@ -95,7 +95,4 @@
 	// pairDiscount scales the score of one workspace at one server: there
 	// are many such pairs, so that chance finds one more easily.
 	pairDiscount = 0.75
-	// pairElsewhere is how many of the workspace's requests must have
-	// succeeded elsewhere before a server is blamed for its failures.
-	pairElsewhere = 2
 )
--- /dev/null
+++ b/health/trial_loop_test.go
@@ -0,0 +1,283 @@
+package health_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"foxtailspoke/config"
+	"foxtailspoke/health"
+	"foxtailspoke/retry"
+)
+
+// world runs one trial: a list of arrivals and answers from a seed, worked
+// off in one loop.
+type world struct {
+	deployment deployment
+	fault      *fault
+	rng        *rand.Rand
+	services   []*service
+	instances  []*instance
+	collector  *health.Collector
+	permits    map[string]config.Permits
+	events     events
+	order      int
+	outcome    outcome
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	run   func(now time.Duration)
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+func (w *world) at(t time.Duration, run func(time.Duration)) {
+	w.order++
+	heap.Push(&w.events, event{t, w.order, run})
+}
+
+// request is one caller's request on its way.
+type request struct {
+	service    *service
+	workspace  int
+	arrived    time.Duration
+	attempts   int
+	running    int
+	tried      []string
+	mayHaveRun bool
+	done       bool
+}
+
+func newWorld(d deployment, f *fault, kind string, seed uint64) *world {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	w := &world{
+		deployment: d, fault: f, rng: rng, services: newServices(d),
+		collector: health.NewCollector(health.DefaultSettings()),
+		permits:   map[string]config.Permits{},
+	}
+	w.collector.SetFleet(d.instances, d.dataCentres)
+	for i := range d.instances {
+		w.instances = append(w.instances, newInstance(kind, i, d.dataCentres, w.services, rng))
+	}
+	w.outcome = newOutcome()
+	return w
+}
+
+func (w *world) run() *outcome {
+	for _, s := range w.services {
+		w.arrivals(s)
+	}
+	w.at(0, w.tick)
+	for len(w.events) > 0 {
+		e := heap.Pop(&w.events).(event)
+		if e.at >= trialEnd {
+			break
+		}
+		e.run(e.at)
+	}
+	w.outcome.healthyEjectionsAlone(w)
+	return &w.outcome
+}
+
+// arrivals schedules a service's next request, and itself again.
+func (w *world) arrivals(s *service) {
+	capacity := float64(s.serviceSize.servers*s.slots) / (1.13 * medianWork.Seconds())
+	gap := w.rng.ExpFloat64() / (s.use * capacity)
+	next := time.Duration(gap * float64(time.Second))
+	var arrive func(time.Duration)
+	arrive = func(now time.Duration) {
+		r := &request{service: s, workspace: w.drawWorkspace(), arrived: now}
+		w.start(now, w.drawInstance(r.workspace), r)
+		w.at(now+time.Duration(w.rng.ExpFloat64()/(s.use*capacity)*float64(time.Second)), arrive)
+	}
+	w.at(next, arrive)
+}
+
+func (w *world) drawWorkspace() int {
+	x := w.rng.Float64()
+	for i, share := range shares {
+		if x -= share; x < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+// drawInstance sends a workspace's callers to a few instances: six for a
+// small workspace, half of the fleet for a large one.
+func (w *world) drawInstance(workspace int) *instance {
+	n := 6
+	if workspace < 3 {
+		n = len(w.instances) / 2
+	}
+	return w.instances[(workspace*11+w.rng.IntN(n))%len(w.instances)]
+}
+
+func (w *world) start(now time.Duration, in *instance, r *request) {
+	in.budgets[r.service.name].Request()
+	if !w.send(now, in, r) {
+		w.finish(now, r, false)
+	}
+}
+
+// send makes the next attempt.
+func (w *world) send(now time.Duration, in *instance, r *request) bool {
+	id, ok := in.policy.pick(now, r.service, strconv.Itoa(r.workspace), r.tried)
+	if !ok {
+		return false
+	}
+	s := r.service.servers[slices.IndexFunc(r.service.servers, func(s *server) bool { return s.id == id })]
+	r.tried = append(r.tried, id)
+	r.attempts++
+	r.running++
+	w.outcome.attempts++
+	in.policy.started(r.service.name, id)
+	a := w.attempt(now, s, r.workspace, in.index)
+	ob := health.Observation{Service: r.service.name, Server: id, Workspace: strconv.Itoa(r.workspace), Result: a.result, Latency: a.latency}
+	if late := in.policy.lateAfter(r.service.name); late > 0 && a.latency > late {
+		ob.WasLate = true
+		w.at(now+late, func(now time.Duration) { w.late(now, in, r, ob, late) })
+	}
+	w.at(now+a.latency, func(now time.Duration) { w.end(now, in, r, ob) })
+	return true
+}
+
+// late tells the policy of an attempt that is still out, and may hedge it.
+func (w *world) late(now time.Duration, in *instance, r *request, ob health.Observation, waited time.Duration) {
+	if r.done {
+		return
+	}
+	ob.Result, ob.Latency, ob.WasLate = health.Late, waited, false
+	in.policy.ended(now, ob)
+	d := retry.DecideHedge(now, w.state(r, health.Late), in.budgets[r.service.name])
+	if d.Action == retry.Hedge {
+		w.send(now, in, r)
+	}
+}
+
+func (w *world) state(r *request, result health.Result) retry.Attempt {
+	return retry.Attempt{
+		Result: result, Idempotent: r.service.idempotent, Number: r.attempts, MayHaveRun: r.mayHaveRun,
+		Running: r.running, Deadline: r.arrived + 2*timeout, Others: len(r.service.servers) - len(r.tried), Room: true,
+	}
+}
+
+func (w *world) end(now time.Duration, in *instance, r *request, ob health.Observation) {
+	if r.done {
+		ob.Result = health.Cancelled
+	}
+	in.policy.ended(now, ob)
+	r.running--
+	if r.done {
+		return
+	}
+	d := retry.Decide(now, w.state(r, ob.Result), in.budgets[r.service.name])
+	r.mayHaveRun = r.mayHaveRun || !ob.Result.ProvedNotRun()
+	switch d.Action {
+	case retry.Deliver:
+		w.finish(now, r, ob.Result == health.OK)
+	case retry.Retry:
+		if !w.send(now, in, r) {
+			w.finish(now, r, false)
+		}
+	case retry.GiveUp:
+		w.finish(now, r, false)
+	}
+}
+
+func (w *world) finish(now time.Duration, r *request, ok bool) {
+	r.done = true
+	if w.fault.service == w.serviceIndex(r.service) && r.arrived >= faultStart && r.arrived < faultEnd {
+		w.outcome.served(r.workspace, now-r.arrived, ok)
+	}
+}
+
+const (
+	tickInterval   = 50 * ms
+	reportTime     = 2 * ms
+	probeTime      = 25 * ms
+	ownReportEvery = 2 * time.Second
+)
+
+// tick does what instances do by timer.
+func (w *world) tick(now time.Duration) {
+	w.at(now+tickInterval, w.tick)
+	for _, in := range w.instances {
+		if p, ok := in.policy.(*ours); ok {
+			w.report(now, in, p)
+		}
+	}
+	w.collect(now)
+	w.outcome.look(now, w)
+}
+
+func (w *world) report(now time.Duration, in *instance, p *ours) {
+	for _, r := range p.observer.Report(now) {
+		w.outcome.reportBytes += r.Size()
+		w.outcome.reports++
+		w.at(now+reportTime, func(now time.Duration) {
+			advice := w.collector.Accept(now, strconv.Itoa(in.index), r)
+			w.at(now+reportTime, func(now time.Duration) { p.observer.Advise(now, r.Service, advice) })
+		})
+	}
+}
+
+func (w *world) collect(now time.Duration) {
+	if _, ok := w.instances[0].policy.(*ours); !ok {
+		return
+	}
+	for _, s := range w.services {
+		row := w.permits[s.name]
+		for _, pr := range w.collector.Probes(now, s.name, row) {
+			result := w.probe(now, s, pr)
+			w.at(now+probeTime, func(now time.Duration) { w.collector.ProbeDone(now, pr, result, probeTime) })
+		}
+		ids := make([]string, len(s.servers))
+		for i, sv := range s.servers {
+			ids[i] = sv.id
+			if own := w.fault.ownReport; own != nil && w.fault.active(now) && now%ownReportEvery == 0 {
+				w.collector.OwnReport(now, s.name, sv.id, own(sv))
+			}
+		}
+		if p, ok := w.collector.Propose(now, s.name, "0", ids, row, s.floor); ok {
+			w.write(now, s, p.Permits)
+		}
+	}
+}
+
+func (w *world) probe(now time.Duration, s *service, pr health.Probe) health.Result {
+	i := slices.IndexFunc(s.servers, func(sv *server) bool { return sv.id == pr.Server })
+	if w.fault.active(now) && w.fault.sick[i] && !w.fault.probeOK {
+		return health.Timeout
+	}
+	return health.OK
+}
+
+// write changes the permits. The instances hear of it within about a second.
+func (w *world) write(now time.Duration, s *service, row config.Permits) {
+	w.outcome.permitsWritten(now, w, s, w.permits[s.name], row)
+	w.permits[s.name] = row
+	for _, in := range w.instances {
+		delay := 20*ms + time.Duration(w.rng.Int64N(int64(time.Second)))
+		w.at(now+delay, func(time.Duration) { in.policy.(*ours).setEjected(s, w.permits[s.name]) })
+	}
+}
+
+func (w *world) serviceIndex(s *service) int { return slices.Index(w.services, s) }
