--- /dev/null
+++ b/config/bench_test.go
@@ -0,0 +1,149 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/platform"
+)
+
+// sizes are the three sizes of the slopes in docs/CAPACITY.md; the last is
+// the target size.
+var sizes = []int{5_000, 20_000, 55_000}
+
+func workspaceRow(i int) platform.Row {
+	return row(fmt.Sprintf("%sworkspace-%06d", WorkspacePrefix, i), Workspace{Plan: fmt.Sprintf("plan-%02d", i%40)}, i)
+}
+
+func keyRow(i int) platform.Row {
+	h := HashKey(fmt.Sprint("fsk_", i))
+	return row(KeyPrefix+h.String(), Key{Workspace: fmt.Sprintf("workspace-%06d", i), Label: fmt.Sprintf("till-%d", i%5)}, i)
+}
+
+// serviceRow has 20 routes, near the 11,000 routes of 560 services.
+func serviceRow(i int) platform.Row {
+	s := Service{Floor: 20, Timeout: Duration(2e9)}
+	for n := range 20 {
+		s.Routes = append(s.Routes, Route{Prefix: fmt.Sprintf("/service-%03d/part-%02d/", i, n)})
+	}
+	return row(fmt.Sprintf("%sservice-%03d", ServicePrefix, i), s, i)
+}
+
+func row(key string, v any, i int) platform.Row {
+	value, _ := json.Marshal(v)
+	return platform.Row{Key: key, Value: value, Revision: platform.Revision(i + 1), Attempt: fmt.Sprintf("8c5e0d4a-0000-4000-8000-%012d", i)}
+}
+
+func rowsOf(n int, f func(int) platform.Row) platform.Changes {
+	c := platform.Changes{Revision: platform.Revision(n + 1), Full: true}
+	for i := range n {
+		c.Rows = append(c.Rows, f(i))
+	}
+	return c
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkReplicaBytes reports the memory that a row takes in a replica.
+// Run it with -benchtime 1x.
+func BenchmarkReplicaBytes(b *testing.B) {
+	for _, kind := range []struct {
+		name  string
+		row   func(int) platform.Row
+		of    int
+		sizes []int
+	}{
+		{"workspace", workspaceRow, 1, sizes},
+		{"key", keyRow, 1, sizes},
+		{"route", serviceRow, 20, []int{50, 200, 560}},
+	} {
+		for _, n := range kind.sizes {
+			b.Run(fmt.Sprintf("%s/%d", kind.name, n*kind.of), func(b *testing.B) {
+				for range b.N {
+					before := heap()
+					r := NewReplica()
+					must.True(b, r.Apply(rowsOf(n, kind.row)))
+					b.ReportMetric(float64(heap()-before)/float64(n*kind.of), "B/"+kind.name)
+					runtime.KeepAlive(r)
+				}
+			})
+		}
+	}
+}
+
+// targetReplica has the target size: 55,000 workspaces with a key each and
+// 11,200 routes.
+func targetReplica(tb testing.TB) *Replica {
+	tb.Helper()
+	r := NewReplica()
+	c := platform.Changes{Revision: 200_000, Full: true}
+	for i := range 55_000 {
+		c.Rows = append(c.Rows, workspaceRow(i), keyRow(i))
+	}
+	for i := range 560 {
+		c.Rows = append(c.Rows, serviceRow(i))
+	}
+	must.True(tb, r.Apply(c))
+	return r
+}
+
+func BenchmarkTargetSize(b *testing.B) {
+	before := heap()
+	r := targetReplica(b)
+	b.Run("bytes", func(b *testing.B) {
+		b.ReportMetric(float64(heap()-before)/(1<<20), "MB")
+	})
+	b.Run("route", func(b *testing.B) {
+		for i := 0; b.Loop(); i++ {
+			_, _, ok := r.Route(fmt.Sprintf("/service-%03d/part-%02d/item/7", i%560, i%20))
+			must.True(b, ok)
+		}
+	})
+	b.Run("noRoute", func(b *testing.B) {
+		for b.Loop() {
+			_, _, ok := r.Route("/nothing/of/the/kind/is/there")
+			must.False(b, ok)
+		}
+	})
+	b.Run("workspaceByKey", func(b *testing.B) {
+		h := HashKey("fsk_77")
+		for b.Loop() {
+			_, ok := r.WorkspaceByKey(h)
+			must.True(b, ok)
+		}
+	})
+	b.Run("sinceUnchanged", func(b *testing.B) {
+		for b.Loop() {
+			must.Len(b, 0, r.Since(200_000).Rows)
+		}
+	})
+	revision := platform.Revision(200_000)
+	b.Run("applyWorkspace", func(b *testing.B) {
+		for i := 0; b.Loop(); i++ {
+			revision++
+			w := workspaceRow(i % 55_000)
+			w.Revision = revision
+			must.True(b, r.Apply(platform.Changes{Revision: revision, Rows: []platform.Row{w}}))
+		}
+	})
+	b.Run("applyServiceAndSince", func(b *testing.B) {
+		for i := 0; b.Loop(); i++ {
+			since := revision
+			revision++
+			s := serviceRow(i % 560)
+			s.Revision = revision
+			must.True(b, r.Apply(platform.Changes{Revision: revision, Rows: []platform.Row{s}}))
+			must.Len(b, 1, r.Since(since).Rows)
+		}
+	})
+}
--- a/config/replica.go
+++ b/config/replica.go
@@ -1,9 +1,8 @@
 package config
 
 import (
-	"cmp"
-	"encoding/hex"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 
@@ -14,50 +13,50 @@
 //
 // Its revision never goes down: changes that end at or below it are dropped,
 // so that a late or stale answer can't bring back a withdrawn key.
+//
+// Workspaces and keys, of which there are many, are kept as their rows alone
+// with the one reference decoded that a request needs.
 type Replica struct {
 	revision platform.Revision
-	rows     map[string]platform.Row
-
-	workspaces map[string]Workspace
-	plans      map[string]Plan
-	services   map[string]Service
-	keys       map[KeyHash]Key
-	shards     map[string]Shard
-	permits    map[string]Permits
-	witnesses  Witnesses
-	lists      Lists
-	// routes is ordered by prefix, longest first.
-	routes []routeEntry
-}
+	rows     *rowStore
 
-type routeEntry struct {
-	Route
-	service string
+	plans     map[string]Plan
+	services  map[string]Service
+	shards    map[string]Shard
+	permits   map[string]Permits
+	witnesses Witnesses
+	lists     Lists
+	routes    routeIndex
+	// names has one copy of each plan's name that workspaces refer to.
+	names map[string]string
 }
 
 // NewReplica returns an empty replica at revision 0.
 func NewReplica() *Replica {
 	r := &Replica{}
-	r.reset()
+	r.reset(0)
 	return r
 }
 
-func (r *Replica) reset() {
-	r.rows = map[string]platform.Row{}
-	r.workspaces = map[string]Workspace{}
+func (r *Replica) reset(complete platform.Revision) {
+	r.rows = newRowStore(complete)
 	r.plans = map[string]Plan{}
 	r.services = map[string]Service{}
-	r.keys = map[KeyHash]Key{}
 	r.shards = map[string]Shard{}
 	r.permits = map[string]Permits{}
+	r.names = map[string]string{}
 	r.witnesses = Witnesses{}
 	r.lists = Lists{}
-	r.routes = nil
+	r.routes = routeIndex{}
 }
 
 // Revision returns the revision of the control table that the replica has.
 func (r *Replica) Revision() platform.Revision { return r.revision }
 
+// Complete returns the revision from which on the replica knows every change.
+// Since returns the whole table for an older revision.
+func (r *Replica) Complete() platform.Revision { return r.rows.complete }
+
 // Apply takes changes that were read with Since at or below the replica's
 // revision. It returns false, and changes nothing, if they are not newer.
 func (r *Replica) Apply(c platform.Changes) bool {
@@ -65,77 +64,83 @@
 		return false
 	}
 	if c.Full {
-		r.reset()
+		// The whole table tells nothing of rows that were deleted.
+		r.reset(c.Revision)
 	}
 	routesChanged := c.Full
 	for _, row := range c.Rows {
-		if r.rows[row.Key].Revision >= row.Revision {
+		if old := r.rows.get(packKey(row.Key)); old != nil && old.revision >= row.Revision {
 			continue
 		}
-		r.rows[row.Key] = row
 		r.index(row)
 		routesChanged = routesChanged || strings.HasPrefix(row.Key, ServicePrefix)
 	}
 	if routesChanged {
-		r.indexRoutes()
+		r.routes = newRouteIndex(r.services)
+	}
+	if r.rows.tombstones > maxTombstones {
+		r.prune(maxTombstones / 2)
 	}
 	r.revision = c.Revision
 	return true
 }
 
-// Since returns what changed after a revision, for another instance.
+func (r *Replica) prune(keep int) { r.rows.prune(keep) }
+
+// Since returns what changed after a revision, for another instance. It is
+// the whole table if the revision is 0, or so old that a deletion since then
+// may have been forgotten: whoever would get only the rest of the changes
+// would keep, say, a withdrawn key for ever.
 func (r *Replica) Since(since platform.Revision) platform.Changes {
 	c := platform.Changes{Revision: r.revision, Full: since == 0}
 	if since >= r.revision {
 		return c
 	}
-	for _, row := range r.rows {
-		if row.Revision > since {
-			c.Rows = append(c.Rows, row)
-		}
+	if since < r.rows.complete {
+		c.Full = true
+	}
+	if c.Full {
+		since = 0
 	}
-	slices.SortFunc(c.Rows, func(a, b platform.Row) int {
-		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
-	})
+	c.Rows = r.rows.since(since, !c.Full)
 	return c
 }
 
 // Row returns a row as it stands in the table, for conditional writes. The
 // row's Revision is 0 if it was never there, and for a deleted row the
-// condition to use is 0 as well.
+// condition to use is 0 as well. The rows of workspaces and keys come without
+// their attempt.
 func (r *Replica) Row(key string) (platform.Row, bool) {
-	row, ok := r.rows[key]
-	if !ok || row.Deleted {
+	rec := r.rows.present(packKey(key))
+	if rec == nil {
 		return platform.Row{Key: key}, false
 	}
-	return row, true
+	return rec.row(), true
 }
 
 // Rows returns the keys of the present rows that start with prefix, sorted.
-func (r *Replica) Rows(prefix string) []string {
-	var keys []string
-	for key, row := range r.rows {
-		if !row.Deleted && strings.HasPrefix(key, prefix) {
-			keys = append(keys, key)
-		}
-	}
-	slices.Sort(keys)
-	return keys
-}
+func (r *Replica) Rows(prefix string) []string { return r.rows.keys(prefix) }
 
 // WorkspaceByKey returns the workspace that the key was given to.
 func (r *Replica) WorkspaceByKey(h KeyHash) (Workspace, bool) {
-	key, ok := r.keys[h]
-	if !ok {
+	key := r.rows.present(packHash(h))
+	if key == nil || !key.valid {
+		return Workspace{}, false
+	}
+	return r.workspace(key.note)
+}
+
+func (r *Replica) workspace(name string) (Workspace, bool) {
+	rec := r.rows.present(WorkspacePrefix + name)
+	if rec == nil || !rec.valid {
 		return Workspace{}, false
 	}
-	w, ok := r.workspaces[key.Workspace]
-	return w, ok
+	return Workspace{Name: rec.key()[len(WorkspacePrefix):], Plan: rec.note}, true
 }
 
 // Limit returns what the workspace may use of a service; false if nothing.
 func (r *Replica) Limit(workspace, service string) (Limit, bool) {
-	w, ok := r.workspaces[workspace]
+	w, ok := r.workspace(workspace)
 	if !ok {
 		return Limit{}, false
 	}
@@ -150,23 +155,12 @@
 }
 
 // Services returns the names of all services, sorted.
-func (r *Replica) Services() []string {
-	names := make([]string, 0, len(r.services))
-	for name := range r.services {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
+func (r *Replica) Services() []string { return slices.Sorted(maps.Keys(r.services)) }
 
 // Route returns the service and the route with the longest prefix of path.
 func (r *Replica) Route(path string) (string, Route, bool) {
-	for _, e := range r.routes {
-		if strings.HasPrefix(path, e.Prefix) {
-			return e.service, e.Route, true
-		}
-	}
-	return "", Route{}, false
+	e, ok := r.routes.find(path)
+	return e.service, e.Route, ok
 }
 
 // Shard returns the row of a shard by its name.
@@ -181,32 +175,24 @@
 // Lists returns the version of the accepted lists.
 func (r *Replica) Lists() Lists { return r.lists }
 
+// index takes one row into the store and the indexes.
 func (r *Replica) index(row platform.Row) {
-	prefix, name, found := strings.Cut(row.Key, "/")
-	if !found {
-		r.indexSingle(row)
-		return
-	}
+	rec := newRecord(row)
+	prefix, name, _ := strings.Cut(row.Key, "/")
 	switch prefix + "/" {
 	case WorkspacePrefix:
-		setRow(r.workspaces, name, row, func(w *Workspace) { w.Name = name })
+		r.noteWorkspace(rec)
+	case KeyPrefix:
+		r.noteKey(rec)
 	case PlanPrefix:
 		setRow(r.plans, name, row, func(p *Plan) { p.Name = name })
 	case ServicePrefix:
 		setRow(r.services, name, row, func(s *Service) { s.Name = name })
-	case KeyPrefix:
-		var h KeyHash
-		if n, err := hex.Decode(h[:], []byte(name)); err == nil && n == len(h) {
-			setRow(r.keys, h, row, func(*Key) {})
-		}
 	case ShardPrefix:
 		setRow(r.shards, name, row, func(*Shard) {})
 	case PermitPrefix:
 		setRow(r.permits, name, row, func(*Permits) {})
 	}
-}
-
-func (r *Replica) indexSingle(row platform.Row) {
 	switch row.Key {
 	case WitnessesKey:
 		r.witnesses = Witnesses{}
@@ -215,10 +201,54 @@
 		r.lists = Lists{}
 		_ = json.Unmarshal(row.Value, &r.lists)
 	}
+	r.rows.put(rec)
+}
+
+func newRecord(row platform.Row) *record {
+	key := packKey(row.Key)
+	rec := &record{revision: row.Revision, keyLen: uint32(len(key)), deleted: row.Deleted, note: row.Attempt}
+	rec.data = key
+	if !row.Deleted {
+		rec.data += string(row.Value)
+	}
+	return rec
+}
+
+// noteWorkspace decodes a workspace's plan. A row that can't be decoded
+// counts as absent: what isn't understood isn't granted.
+func (r *Replica) noteWorkspace(rec *record) {
+	var w Workspace
+	rec.note = ""
+	if rec.deleted || json.Unmarshal([]byte(rec.value()), &w) != nil {
+		return
+	}
+	rec.note, rec.valid = r.nameOnce(w.Plan), true
+}
+
+// noteKey decodes a key's workspace.
+func (r *Replica) noteKey(rec *record) {
+	var k Key
+	rec.note = ""
+	if rec.deleted || json.Unmarshal([]byte(rec.value()), &k) != nil {
+		return
+	}
+	rec.note, rec.valid = k.Workspace, true
+	if w, ok := r.workspace(k.Workspace); ok {
+		rec.note = w.Name
+	}
+}
+
+// nameOnce returns the one copy of a name.
+func (r *Replica) nameOnce(name string) string {
+	if known, ok := r.names[name]; ok {
+		return known
+	}
+	r.names[name] = name
+	return name
 }
 
 // setRow puts a row's decoded value into an index. A row that can't be
-// decoded counts as absent: what isn't understood isn't granted.
+// decoded counts as absent.
 func setRow[K comparable, V any](m map[K]V, k K, row platform.Row, named func(*V)) {
 	delete(m, k)
 	if row.Deleted {
@@ -231,15 +261,3 @@
 	named(&v)
 	m[k] = v
 }
-
-func (r *Replica) indexRoutes() {
-	r.routes = r.routes[:0]
-	for name, s := range r.services {
-		for _, route := range s.Routes {
-			r.routes = append(r.routes, routeEntry{Route: route, service: name})
-		}
-	}
-	slices.SortFunc(r.routes, func(a, b routeEntry) int {
-		return cmp.Or(len(b.Prefix)-len(a.Prefix), cmp.Compare(a.Prefix, b.Prefix))
-	})
-}
--- a/config/replica_test.go
+++ b/config/replica_test.go
@@ -1,9 +1,12 @@
 package config
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 
 	"foxtailspoke/platform"
 )
@@ -27,3 +30,103 @@
 	must.False(t, ok)
 	must.Eq(t, platform.Revision(5), r.Revision())
 }
+
+// The index must route as a search through all prefixes would.
+func TestRouteFindsTheLongestPrefix(t *testing.T) {
+	segment := rapid.SampledFrom([]string{"a", "b", "ab", ""})
+	path := rapid.Custom(func(t *rapid.T) string {
+		return "/" + strings.Join(rapid.SliceOfN(segment, 0, 5).Draw(t, "segments"), "/")
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		services := map[string]Service{}
+		var prefixes []string
+		for i, p := range rapid.SliceOfNDistinct(path, 0, 12, rapid.ID).Draw(t, "prefixes") {
+			name := fmt.Sprint("s", i)
+			services[name] = Service{Name: name, Routes: []Route{{Prefix: p}}}
+			prefixes = append(prefixes, p)
+		}
+		index := newRouteIndex(services)
+		wanted := path.Draw(t, "path")
+		if len(prefixes) > 0 && rapid.Bool().Draw(t, "below") {
+			wanted = rapid.SampledFrom(prefixes).Draw(t, "prefix") + strings.TrimPrefix(wanted, "/")
+		}
+		want := ""
+		for _, p := range prefixes {
+			if strings.HasSuffix(p, "/") && strings.HasPrefix(wanted, p) && len(p) > len(want) {
+				want = p
+			}
+		}
+		got, found := index.find(wanted)
+		must.Eq(t, want, got.Prefix)
+		must.Eq(t, want != "", found)
+	})
+}
+
+func TestUnreadableRowsGrantNothing(t *testing.T) {
+	h := HashKey("fsk_test")
+	r := NewReplica()
+	must.True(t, r.Apply(platform.Changes{Revision: 1, Rows: []platform.Row{
+		{Key: WorkspacePrefix + "a", Value: []byte(`{"plan":"p"}`), Revision: 1},
+		{Key: KeyPrefix + h.String(), Value: []byte(`{"workspace":"a"`), Revision: 1},
+		{Key: KeyPrefix + strings.ToUpper(h.String()), Value: []byte(`{"workspace":"a"}`), Revision: 1},
+		{Key: packHash(h), Value: []byte(`{"workspace":"a"}`), Revision: 1},
+	}}))
+	_, ok := r.WorkspaceByKey(h)
+	must.False(t, ok)
+	must.Len(t, 2, r.Rows(KeyPrefix))
+	must.Eq(t, []string{packHash(h)}, r.Rows(packedHash))
+}
+
+// Keys come and go for years. What is remembered of them must stay bounded.
+func TestTombstonesAreBounded(t *testing.T) {
+	r := NewReplica()
+	for i := range 5 * maxTombstones {
+		revision := platform.Revision(i + 1)
+		key := keyRow(i)
+		key.Revision, key.Deleted = revision, true
+		must.True(t, r.Apply(platform.Changes{Revision: revision, Rows: []platform.Row{key}}))
+	}
+	must.LessEq(t, maxTombstones, len(r.rows.byKey))
+	must.LessEq(t, 2*maxTombstones, len(r.rows.log))
+	must.True(t, r.Since(r.Complete()-1).Full)
+	must.False(t, r.Since(r.Complete()).Full)
+}
+
+// One row is rewritten again and again, as a shard's row is. The log of
+// changes must not grow with it.
+func TestRewritesAreBounded(t *testing.T) {
+	r := NewReplica()
+	for i := range 10_000 {
+		w := workspaceRow(1)
+		w.Revision = platform.Revision(i + 1)
+		must.True(t, r.Apply(platform.Changes{Revision: w.Revision, Rows: []platform.Row{w}}))
+	}
+	must.LessEq(t, 2*minSuperseded, len(r.rows.log))
+	must.Len(t, 1, r.Since(0).Rows)
+}
+
+// A sender that doesn't order its rows must not make a receiver that pulls on
+// miss some of them.
+func TestUnorderedRowsAreOrdered(t *testing.T) {
+	r := NewReplica()
+	c := platform.Changes{Revision: 9, Rows: []platform.Row{workspaceRow(8), workspaceRow(3), workspaceRow(5)}}
+	must.True(t, r.Apply(c))
+	var got []platform.Revision
+	for _, row := range r.Since(4).Rows {
+		got = append(got, row.Revision)
+	}
+	must.Eq(t, []platform.Revision{6, 9}, got)
+}
+
+// Two answers to overlapping questions arrive crossed. A row in the later one
+// that is older than what is known must not take its place.
+func TestOlderRowInNewerChangesIsDropped(t *testing.T) {
+	r := NewReplica()
+	old, current := workspaceRow(1), workspaceRow(1)
+	old.Revision, current.Revision, current.Value = 2, 5, []byte(`{"plan":"new"}`)
+	must.True(t, r.Apply(platform.Changes{Revision: 5, Rows: []platform.Row{current}}))
+	must.True(t, r.Apply(platform.Changes{Revision: 6, Rows: []platform.Row{old}}))
+	row, ok := r.Row(old.Key)
+	must.True(t, ok)
+	must.Eq(t, platform.Revision(5), row.Revision)
+}
--- /dev/null
+++ b/config/routes.go
@@ -0,0 +1,62 @@
+package config
+
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
+// routeIndex finds the longest prefix of a path. Prefixes end with a slash,
+// so only the path's own prefixes that do have to be looked up: the time
+// depends on the path's depth and not on the number of routes.
+type routeIndex struct {
+	byPrefix map[string]routeEntry
+	// deepest is the greatest number of slashes in a prefix. It bounds the
+	// work that a hostile path of many slashes can cause.
+	deepest int
+}
+
+type routeEntry struct {
+	Route
+	service string
+}
+
+// newRouteIndex indexes the routes of all services. Lists with a prefix
+// twice aren't accepted; should there be one, the service whose name is first
+// gets it at every instance alike. A prefix that doesn't end with a slash
+// isn't accepted either, and routes nothing.
+func newRouteIndex(services map[string]Service) routeIndex {
+	index := routeIndex{byPrefix: map[string]routeEntry{}}
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		for _, route := range services[name].Routes {
+			index.add(name, route)
+		}
+	}
+	return index
+}
+
+func (x *routeIndex) add(service string, route Route) {
+	if _, taken := x.byPrefix[route.Prefix]; taken || !strings.HasSuffix(route.Prefix, "/") {
+		return
+	}
+	x.byPrefix[route.Prefix] = routeEntry{Route: route, service: service}
+	x.deepest = max(x.deepest, strings.Count(route.Prefix, "/"))
+}
+
+// find returns the entry with the longest prefix of path.
+func (x *routeIndex) find(path string) (routeEntry, bool) {
+	var best routeEntry
+	found := false
+	end := 0
+	for range x.deepest {
+		next := strings.IndexByte(path[end:], '/')
+		if next < 0 {
+			break
+		}
+		end += next + 1
+		if e, ok := x.byPrefix[path[:end]]; ok {
+			best, found = e, true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/config/spread_test.go
@@ -0,0 +1,115 @@
+package config
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"foxtailspoke/internal/standin/tables"
+	"foxtailspoke/platform"
+)
+
+// TestMain fixes the seed of the random histories; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20260302")
+	os.Exit(m.Run())
+}
+
+// A caller keeps using a withdrawn key at an instance that was cut off while
+// it was withdrawn. The instance catches up from a relay that started after
+// the withdrawal and read the whole table, which shows no trace of the key.
+// The relay must not pass on only what it knows to have changed: the
+// instance would call itself up to date and keep the key for ever.
+func TestRelayThatReadTheWholeTablePassesOnWithdrawals(t *testing.T) {
+	store := tables.New()
+	h := HashKey("fsk_test")
+	write(t, store, platform.Put{Key: WorkspacePrefix + "a", Value: []byte(`{"plan":"p"}`)})
+	write(t, store, platform.Put{Key: KeyPrefix + h.String(), Value: []byte(`{"workspace":"a"}`)})
+	instance, relay := NewReplica(), NewReplica()
+	must.True(t, instance.Apply(read(t, store, 0)))
+	write(t, store, platform.Put{Key: KeyPrefix + h.String(), Delete: true})
+	must.True(t, relay.Apply(read(t, store, 0)))
+	must.True(t, instance.Apply(relay.Since(instance.Revision())))
+	must.Eq(t, relay.Revision(), instance.Revision())
+	_, ok := instance.WorkspaceByKey(h)
+	must.False(t, ok)
+}
+
+// Instances read the table or pull from each other in any order, some start
+// anew, and tombstones are pruned. Whoever has reached a revision must have
+// exactly the rows that the table had at that revision.
+func TestSpreadIsExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := tables.New()
+		at := map[platform.Revision]map[string]string{0: {}}
+		replicas := make([]*Replica, 4)
+		for i := range replicas {
+			replicas[i] = NewReplica()
+		}
+		some := func(t *rapid.T, what string) int { return rapid.IntRange(0, len(replicas)-1).Draw(t, what) }
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				var puts []platform.Put
+				for _, n := range rapid.SliceOfNDistinct(rapid.IntRange(0, 9), 1, 3, rapid.ID).Draw(t, "rows") {
+					value := fmt.Sprintf(`{"plan":"p%d"}`, rapid.IntRange(0, 9).Draw(t, "value"))
+					puts = append(puts, platform.Put{Key: fmt.Sprintf("%s%d", WorkspacePrefix, n), Value: []byte(value), Delete: rapid.Bool().Draw(t, "delete")})
+				}
+				write(t, store, puts...)
+				c := read(t, store, 0)
+				at[c.Revision] = contents(c.Rows)
+			},
+			"read": func(t *rapid.T) {
+				r := replicas[some(t, "reader")]
+				r.Apply(read(t, store, r.Revision()))
+			},
+			"pull": func(t *rapid.T) {
+				to, from := replicas[some(t, "to")], replicas[some(t, "from")]
+				c := from.Since(to.Revision())
+				for _, row := range c.Rows {
+					must.True(t, c.Full || row.Revision > to.Revision(), must.Sprint("nothing is sent that was known"))
+				}
+				to.Apply(c)
+			},
+			"restart": func(t *rapid.T) { replicas[some(t, "restarted")] = NewReplica() },
+			"prune":   func(t *rapid.T) { replicas[some(t, "pruned")].prune(rapid.IntRange(0, 2).Draw(t, "keep")) },
+			"": func(t *rapid.T) {
+				for _, r := range replicas {
+					must.Eq(t, at[r.Revision()], contents(r.Since(0).Rows))
+					for name := range at[r.Revision()] {
+						_, ok := r.Row(name)
+						must.True(t, ok)
+					}
+				}
+			},
+		})
+	})
+}
+
+func contents(rows []platform.Row) map[string]string {
+	m := map[string]string{}
+	for _, row := range rows {
+		if !row.Deleted {
+			m[row.Key] = string(row.Value)
+		}
+	}
+	return m
+}
+
+func write(t must.T, store *tables.Store, puts ...platform.Put) {
+	for i := range puts {
+		puts[i].Table = platform.Control
+	}
+	result, err := store.Write(platform.Txn{Attempt: "a", Puts: puts})
+	must.NoError(t, err)
+	must.Eq(t, platform.Committed, result.Outcome)
+}
+
+func read(t must.T, store *tables.Store, since platform.Revision) platform.Changes {
+	c, err := store.Read(platform.ReadRequest{Table: platform.Control, Since: since})
+	must.NoError(t, err)
+	return c
+}
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -13,30 +13,30 @@
 	"foxtailspoke/platform"
 )
 
-const applyHelp = `Checks both lists, shows how they differ from those in force, asks, and puts them
-in force if nobody else changed them meanwhile. Then it waits until no instance
-acts on the old ones any more.
+const applyHelp = `Checks both lists, shows how they differ from those in force, asks, and puts
+them in force if nobody else changed them meanwhile. Then it waits until no
+instance acts on the old ones any more.
 
 Removing a workspace withdraws its keys.
 
 Examples:
-  foxtailspoke apply --dry-run customers.json plans.json
-  foxtailspoke apply customers.json plans.json
-  foxtailspoke apply --yes --made-from 7 --as maria customers.json plans.json
+$ foxtailspoke apply --dry-run customers.json plans.json
+$ foxtailspoke apply customers.json plans.json
+$ foxtailspoke apply --yes --made-from 7 --as maria customers.json plans.json
 
 With --made-from, lists made from an older version than the one in force are
 refused (exit code 4). Use it when the files were edited after "foxtailspoke
 get", so that another operator's change isn't taken back unseen.
 
-After exit code 5 (answer lost), "foxtailspoke audit --attempt ID" tells whether
-the change took effect, and applying again is safe.`
+After exit code 5 (answer lost), "foxtailspoke audit --attempt ID" tells
+whether the change took effect, and applying again is safe.`
 
 type applyCommand struct {
 	app *app
 	listFiles
 	Yes      bool          `long:"yes" description:"Don't ask before the change"`
 	DryRun   bool          `long:"dry-run" description:"Show the difference and change nothing"`
-	MadeFrom int           `long:"made-from" value-name:"VERSION" default:"-1" description:"Refuse unless this version of the lists is in force"`
+	MadeFrom *uint64       `long:"made-from" value-name:"VERSION" description:"Refuse unless this version of the lists is in force"`
 	Wait     time.Duration `long:"wait" default:"30s" description:"How long to wait until the change is in force everywhere; 0 doesn't wait"`
 }
 
@@ -91,8 +91,8 @@
 		return operator.Proposal{}, err
 	}
 	p, err := conn.operator.Propose(ctx, l)
-	if err == nil && c.MadeFrom >= 0 && uint64(c.MadeFrom) != p.Base.Version {
-		return p, exit(exitRaced, "Nothing was applied: the lists in force are version %d, and yours were made from version %d.", p.Base.Version, c.MadeFrom)
+	if err == nil && c.MadeFrom != nil && *c.MadeFrom != p.Base.Version {
+		return p, exit(exitRaced, "Nothing was applied: the lists in force are version %d, and yours were made from version %d.", p.Base.Version, *c.MadeFrom)
 	}
 	return p, err
 }
--- a/internal/cli/audit.go
+++ b/internal/cli/audit.go
@@ -10,9 +10,9 @@
 const auditHelp = `Shows who changed what, when, from which version to which, the newest first.
 
 Examples:
-  foxtailspoke audit
-  foxtailspoke audit --since 30d
-  foxtailspoke audit --attempt 6d1c...   (did a change whose answer was lost take effect?)`
+$ foxtailspoke audit
+$ foxtailspoke audit --since 30d
+$ foxtailspoke audit --attempt 6d1c...   (did a change whose answer was lost take effect?)`
 
 type auditCommand struct {
 	app     *app
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -10,13 +10,13 @@
 	"foxtailspoke/platform"
 )
 
-const checkHelp = `Checks both lists and prints every fault with its file, line and field. Floors
-are compared with the backend servers that the platform lists, if it is named;
---offline leaves that out.
+const checkHelp = `Checks both lists and prints every fault with its file, line and field.
+Floors are compared with the backend servers that the platform lists, if it
+is named; --offline leaves that out.
 
 Examples:
-  foxtailspoke check --offline customers.json plans.json
-  foxtailspoke check customers.json plans.json && echo good`
+$ foxtailspoke check --offline customers.json plans.json
+$ foxtailspoke check customers.json plans.json && echo good`
 
 // listFiles are the arguments of check and apply.
 type listFiles struct {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,18 +40,18 @@
 	exitDeclined
 )
 
-const longHelp = `Operators drive foxtailspoke by two lists (the customers' and the plans') and by
-keys. Every change goes straight to the platform's table, so that it works with
-all entry instances down.
+const longHelp = `Operators drive foxtailspoke by two lists (the customers' and the plans') and
+by keys. Every change goes straight to the platform's table, so that it works
+with all entry instances down.
 
 A first session:
-  export FOXTAILSPOKE_PLATFORM=http://10.0.0.1:7000
-  export FOXTAILSPOKE_TOKEN_FILE=/etc/foxtailspoke/operator.token
-  foxtailspoke check customers.json plans.json
-  foxtailspoke apply customers.json plans.json
-  foxtailspoke keys give --workspace cebu-boatyard --label till-3
-  foxtailspoke status
-  foxtailspoke explain --workspace cebu-boatyard --since 1h
+$ export FOXTAILSPOKE_PLATFORM=http://10.0.0.1:7000
+$ export FOXTAILSPOKE_TOKEN_FILE=/etc/foxtailspoke/operator.token
+$ foxtailspoke check customers.json plans.json
+$ foxtailspoke apply customers.json plans.json
+$ foxtailspoke keys give --workspace cebu-boatyard --label till-3
+$ foxtailspoke status
+$ foxtailspoke explain --workspace cebu-boatyard --since 1h
 
 Exit codes: 0 done, 1 failed, 2 wrong usage, 3 faults in a list, 4 another
 operator came first, 5 answer lost and not resolved, 6 platform unavailable,
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -7,16 +7,16 @@
 	"foxtailspoke/operator"
 )
 
-const explainHelp = `Tells in plain sentences why a request, or a workspace's requests, were served,
-slowed or refused, with the rule and the figures behind it. It reads the memory
-of the entry instances and the object store.
+const explainHelp = `Tells in plain sentences why a request, or a workspace's requests, were
+served, slowed or refused, with the rule and the figures behind it. It reads
+the memory of the entry instances and the object store.
 
 Refusals, repeats and slow requests are kept; of the others only a sample is.
 
 Examples:
-  foxtailspoke explain 0f8fad5b.mqn0q5fy.2s
-  foxtailspoke explain --workspace cebu-boatyard --since 1h
-  foxtailspoke explain --workspace cebu-boatyard --since 2d --limit 500 --output json`
+$ foxtailspoke explain 0f8fad5b.mqn0q5fy.2s
+$ foxtailspoke explain --workspace cebu-boatyard --since 1h
+$ foxtailspoke explain --workspace cebu-boatyard --since 2d --limit 500 --output json`
 
 type explainCommand struct {
 	app       *app
--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -13,9 +13,9 @@
 a directory. Comments of the files that were applied aren't kept.
 
 Examples:
-  foxtailspoke get
-  foxtailspoke get --dir lists      (then edit, and apply with --made-from)
-  foxtailspoke get --output json | jq .version`
+$ foxtailspoke get
+$ foxtailspoke get --dir lists      (then edit, and apply with --made-from)
+$ foxtailspoke get --output json | jq .version`
 
 type getCommand struct {
 	app *app
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -8,34 +8,34 @@
 	"foxtailspoke/operator"
 )
 
-const keysHelp = `Keys are given to workspaces and withdrawn while traffic runs. A key is printed
-once, when it is given; only its SHA-256 hash is kept. A key's id is the start of
-that hash.
+const keysHelp = `Keys are given to workspaces and withdrawn while traffic runs. A key is
+printed once, when it is given; only its SHA-256 hash is kept. A key's id is
+the start of that hash.
 
 Examples:
-  foxtailspoke keys give --workspace cebu-boatyard --label till-3
-  foxtailspoke keys list --workspace cebu-boatyard
-  foxtailspoke keys withdraw 3f2a90c1b7d4`
+$ foxtailspoke keys give --workspace cebu-boatyard --label till-3
+$ foxtailspoke keys list --workspace cebu-boatyard
+$ foxtailspoke keys withdraw 3f2a90c1b7d4`
 
 const giveHelp = `Gives a new key to a workspace and prints it, once, on standard output.
 
 Examples:
-  foxtailspoke keys give --workspace cebu-boatyard --label till-3
-  foxtailspoke keys give --workspace cebu-boatyard > key.txt`
+$ foxtailspoke keys give --workspace cebu-boatyard --label till-3
+$ foxtailspoke keys give --workspace cebu-boatyard > key.txt`
 
-const withdrawHelp = `Takes a key back and waits until no instance accepts it any more. The key is named
-by its id, by its label, or read from standard input. It is never an argument,
-because arguments show in the list of processes.
+const withdrawHelp = `Takes a key back and waits until no instance accepts it any more. The key is
+named by its id, by its label, or read from standard input. It is never an
+argument, because arguments show in the list of processes.
 
 Examples:
-  foxtailspoke keys withdraw 3f2a90c1b7d4
-  foxtailspoke keys withdraw --workspace cebu-boatyard --label till-3
-  foxtailspoke keys withdraw --stdin < leaked-key.txt`
+$ foxtailspoke keys withdraw 3f2a90c1b7d4
+$ foxtailspoke keys withdraw --workspace cebu-boatyard --label till-3
+$ foxtailspoke keys withdraw --stdin < leaked-key.txt`
 
 const listHelp = `Lists keys by id, workspace and label.
 
 Example:
-  foxtailspoke keys list --output json`
+$ foxtailspoke keys list --output json`
 
 type giveCommand struct {
 	app       *app
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -11,13 +11,13 @@
 	"foxtailspoke/operator"
 )
 
-const statusHelp = `Shows the lists in force, the ejected backend servers and why, and for every entry
-instance its configuration, lowered backend servers and workspaces near their
-limits. With the instances down it shows what the platform's table tells.
+const statusHelp = `Shows the lists in force, the ejected backend servers and why, and for every
+entry instance its configuration, lowered backend servers and workspaces near
+their limits. With the instances down it shows what the table tells.
 
 Examples:
-  foxtailspoke status
-  foxtailspoke status --output json | jq '.entries[].status.listsVersion'`
+$ foxtailspoke status
+$ foxtailspoke status --output json | jq '.entries[].status.listsVersion'`
 
 type statusCommand struct{ app *app }
 
