Large changes of the lists in several versions; floors don't block an outage

And a service below its floor during an outage would have refused every other change. Change: a proposal of more than 900 rows is cut into versions, each a whole pair of lists, each depending on the one before; what stands after a race or an outage is told. A floor in force passes the check; raising it doesn't. A caller's repeat that got the first answer again is explained as such. Ruled out: staging rows under another prefix and switching by one row: every replica would hold both sets, twice the memory at the target size.

--- a/config/lists/check.go
+++ b/config/lists/check.go
@@ -65,7 +65,7 @@
 	for _, s := range r.floors {
 		if live := capacity[s.service]; s.floor > live {
 			s.at.Fault(fmt.Sprintf("the floor %d", s.floor),
-				fmt.Sprintf("at most %d, the live backend servers that the platform lists for %s", live, quoted(s.service)))
+				fmt.Sprintf("at most %d, by the live backend servers that the platform lists for %s", live, quoted(s.service)))
 		}
 	}
 }
--- a/config/lists/lists.go
+++ b/config/lists/lists.go
@@ -67,11 +67,20 @@
 
 // Digest returns the SHA-256 of the lists' rows, in hex.
 func (l Lists) Digest() string {
-	h := sha256.New()
+	rows := map[string][]byte{}
 	for _, row := range l.Rows() {
-		h.Write([]byte(row.Key))
+		rows[row.Key] = row.Value
+	}
+	return DigestRows(rows)
+}
+
+// DigestRows returns the digest of the lists that consist of these rows.
+func DigestRows(rows map[string][]byte) string {
+	h := sha256.New()
+	for _, key := range slices.Sorted(maps.Keys(rows)) {
+		h.Write([]byte(key))
 		h.Write([]byte{0})
-		h.Write(row.Value)
+		h.Write(rows[key])
 		h.Write([]byte{'\n'})
 	}
 	return hex.EncodeToString(h.Sum(nil))
--- a/decision/buffer.go
+++ b/decision/buffer.go
@@ -78,7 +78,7 @@
 }
 
 func (b *Buffer) wanted(r Record) bool {
-	plain := r.Rule == RuleServed && r.Attempts <= 1 && r.Took < b.settings.Slow
+	plain := r.Rule == RuleServed && r.Outcome == Served && r.Attempts <= 1 && r.Took < b.settings.Slow
 	if !plain {
 		return true
 	}
--- a/decision/cause.go
+++ b/decision/cause.go
@@ -4,6 +4,8 @@
 
 func causeServed(r Record) string {
 	switch {
+	case r.Outcome == RanBefore:
+		return "it repeats an earlier one with the same operation key, which was carried out and isn't carried out twice"
 	case r.Attempts > 1:
 		return fmt.Sprintf("an earlier backend server failed to answer%s, so it was sent again, and the whole answer came from %s after %s",
 			detail(r), server(r), span(r.Took))
--- a/decision/decision_test.go
+++ b/decision/decision_test.go
@@ -53,6 +53,9 @@
 	repeated := sample(RuleServed)
 	repeated.Attempts, repeated.Figures.Detail = 2, "it answered half"
 	fmt.Fprintf(&out, "[served, second attempt]\n%s\n\n", repeated.Sentence())
+	again := sample(RuleServed)
+	again.Outcome = RanBefore
+	fmt.Fprintf(&out, "[served, repeat by the caller]\n%s\n\n", again.Sentence())
 	bare := Record{Rule: RuleOverRate, Outcome: NotRun}
 	fmt.Fprintf(&out, "[over-rate, nothing known]\n%s\n", bare.Sentence())
 	path := filepath.Join("testdata", "sentences.golden")
--- a/decision/sentence.go
+++ b/decision/sentence.go
@@ -36,6 +36,8 @@
 
 func (r Record) verdict() string {
 	switch {
+	case r.Rule == RuleServed && r.Outcome == RanBefore:
+		return "was given the first answer again"
 	case r.Rule == RuleServed && r.Attempts > 1:
 		return "was served after a repeat"
 	case r.Rule == RuleServed:
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -17,7 +18,8 @@
 them in force if nobody else changed them meanwhile. Then it waits until no
 instance acts on the old ones any more.
 
-Removing a workspace withdraws its keys.
+Removing a workspace withdraws its keys. A change of more than 900 rows is sent
+as several versions, one after the other.
 
 Examples:
 $ foxtailspoke apply --dry-run customers.json plans.json
@@ -82,7 +84,7 @@
 func (c *applyCommand) propose(conn connection) (operator.Proposal, error) {
 	ctx, cancel := c.app.limited()
 	defer cancel()
-	capacity, err := capacityOf(ctx, conn.platform)
+	capacity, err := c.capacity(ctx, conn)
 	if err != nil {
 		return operator.Proposal{}, err
 	}
@@ -97,6 +99,27 @@
 	return p, err
 }
 
+// capacity counts the backend servers against which floors are checked. A
+// floor that is in force already passes even if servers are away just now:
+// otherwise an outage would keep operators from changing anything.
+func (c *applyCommand) capacity(ctx context.Context, conn connection) (lists.Capacity, error) {
+	capacity, err := capacityOf(ctx, conn.platform)
+	if err != nil {
+		return nil, err
+	}
+	current, err := conn.operator.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for name, s := range current.Lists.Services {
+		if live := capacity[name]; live < s.Floor {
+			c.app.notef("Service %s has %d live backend servers, fewer than its floor %d in force.\n", name, live, s.Floor)
+			capacity[name] = s.Floor
+		}
+	}
+	return capacity, nil
+}
+
 // show prints the difference.
 func (c *applyCommand) show(p operator.Proposal) {
 	if c.app.json() {
@@ -123,7 +146,9 @@
 	case operator.Raced:
 		return nil, c.lost(p, a)
 	case operator.Unresolved:
-		return nil, exit(exitUnresolved, "The platform's answer was lost. It isn't known whether version %d took effect, and it still may.\nFind out by: foxtailspoke audit --attempt %s", a.Version, a.Attempt)
+		return nil, exit(exitUnresolved, "The platform's answer was lost. It isn't known whether version %d took effect, and it still may.\nFind out by: foxtailspoke audit --attempt %s. %s", a.Version, a.Attempt, partly(a))
+	case operator.Stopped:
+		return nil, exit(exitUnavailable, "The platform doesn't answer any more. %s", partly(a))
 	case operator.Accepted:
 	}
 	if !c.app.json() {
@@ -140,9 +165,20 @@
 			b.WriteString("\n      " + change)
 		}
 	}
+	if a.Stages.Accepted > 0 {
+		return exit(exitRaced, "Another change came between:%s\n%s", b.String(), partly(a))
+	}
 	return exit(exitRaced, "Nothing was applied: after you read version %d, another change came first:%s\nLook at it by \"foxtailspoke get\", and apply again.", p.Base.Version, b.String())
 }
 
+// partly tells what stands of a change that takes several versions.
+func partly(a operator.Applied) string {
+	if a.Stages.Accepted == 0 {
+		return ""
+	}
+	return fmt.Sprintf("The change is so large that it takes %d versions; the first %d are accepted and stand. Apply again to send the rest.", a.Stages.Of, a.Stages.Accepted)
+}
+
 // endJSON prints a result as JSON if asked for. The error then only sets the
 // exit code, as the result tells it all.
 func (a *app) endJSON(result any, err error) error {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -251,6 +251,20 @@
 	must.StrContains(t, b.must(exitUsage, "get"), "--platform URL")
 }
 
+// A service lost servers and is below its floor. The operator must still be
+// able to change other things, but not to raise that floor.
+func TestOutageDoesNotBlockOtherChanges(t *testing.T) {
+	b := newBench(t)
+	b.must(exitDone, append([]string{"apply", "--yes"}, exampleLists()...)...)
+	for i := range 6 {
+		b.announce(platform.Instance{ID: "catalogue" + string(rune('a'+i)), Kind: platform.BackendServer, Service: "catalogue", State: platform.Leaving, Slots: 2})
+	}
+	out := b.must(exitDone, append([]string{"apply", "--yes"}, b.edited(`"rate": 20`, `"rate": 21`)...)...)
+	must.StrContains(t, out, "Service catalogue has 4 live backend servers, fewer than its floor 6 in force.")
+	out = b.must(exitFaults, append([]string{"apply", "--yes"}, b.edited(`"floor": 6`, `"floor": 7`)...)...)
+	must.StrContains(t, out, "found the floor 7; allowed: at most 6")
+}
+
 // What get writes can be applied again as it is.
 func TestGetRoundTrip(t *testing.T) {
 	b := newBench(t)
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -23,7 +23,6 @@
 	// Withdrawn are the keys of removed workspaces. They go with them, so
 	// that a workspace added again later doesn't find old keys working.
 	Withdrawn []KeyInfo
-	digest    string
 }
 
 // Empty tells whether there is nothing to change.
@@ -39,17 +38,26 @@
 	Revision platform.Revision `json:"revision"`
 	// Attempt identifies the change in the audit trail.
 	Attempt string `json:"attempt,omitempty"`
+	// Stages tell how a proposal fared that took several versions.
+	Stages Stages `json:"stages"`
 	// Winners are, for Raced, the changes accepted since Base, oldest first.
 	Winners []AuditEntry `json:"winners,omitempty"`
 }
 
+// Stages counts the versions that a proposal takes.
+type Stages struct {
+	Of int `json:"of"`
+	// Accepted ones are in the table, also if a later one failed.
+	Accepted int `json:"accepted"`
+}
+
 // Propose compares checked lists with the accepted ones.
 func (o *Operator) Propose(ctx context.Context, to lists.Lists) (Proposal, error) {
 	base, err := o.Current(ctx)
 	if err != nil {
 		return Proposal{}, err
 	}
-	p := Proposal{Base: base, Changes: lists.Diff(base.Lists, to), digest: to.Digest()}
+	p := Proposal{Base: base, Changes: lists.Diff(base.Lists, to)}
 	removed := removedWorkspaces(p.Changes)
 	if len(removed) == 0 {
 		return p, nil
@@ -78,11 +86,57 @@
 
 // Commit sends a proposal, on the condition that the lists are still those
 // that it was made from. Of racing operators one at most wins.
+//
+// A proposal of more rows than one transaction takes is sent as several
+// versions, each a whole pair of lists that the next depends on. If one of
+// them doesn't succeed, those before it stand: Applied.Stages tells.
 func (o *Operator) Commit(ctx context.Context, p Proposal) (Applied, error) {
 	if p.Empty() {
 		return Applied{Outcome: NothingToDo, Version: p.Base.Version}, nil
 	}
-	c, err := o.listsChange(p)
+	stages := p.stages(o.stageRows)
+	base := p.Base
+	for done, stage := range stages {
+		a, err := o.commitStage(ctx, p, base, stage)
+		a.Stages = Stages{Of: len(stages), Accepted: done}
+		if err != nil || a.Outcome != Accepted {
+			return a, err
+		}
+		a.Stages.Accepted++
+		if done == len(stages)-1 {
+			return a, nil
+		}
+		next, err := o.after(ctx, a)
+		if err != nil {
+			a.Outcome = Stopped
+			return a, nil
+		}
+		base = next
+	}
+	return Applied{}, errors.AssertionFailedf("a proposal that isn't empty has no stage")
+}
+
+// after returns the lists row as the stage before has left it. If another
+// operator has changed it since, the next stage's condition won't hold.
+func (o *Operator) after(ctx context.Context, a Applied) (Snapshot, error) {
+	s, err := o.listsRow(ctx)
+	for n := 0; err != nil; n++ {
+		if o.settings.Pause(ctx, o.backoff(n)) != nil {
+			return Snapshot{}, err
+		}
+		s, err = o.listsRow(ctx)
+	}
+	if s.attempt != a.Attempt {
+		s.Version, s.Revision = a.Version, lostRevision
+	}
+	return s, nil
+}
+
+// lostRevision is no row's revision, so that a condition on it fails.
+const lostRevision = ^platform.Revision(0)
+
+func (o *Operator) commitStage(ctx context.Context, p Proposal, base Snapshot, s stage) (Applied, error) {
+	c, err := o.listsChange(base, s)
 	if err != nil {
 		return Applied{}, err
 	}
@@ -91,45 +145,26 @@
 	if err != nil || a.Outcome != Raced {
 		return a, err
 	}
+	p.Base.Version = base.Version
 	a.Version, a.Winners = o.winners(ctx, p)
 	return a, nil
 }
 
-func (o *Operator) listsChange(p Proposal) (change, error) {
+func (o *Operator) listsChange(base Snapshot, s stage) (change, error) {
 	e := o.entry(ApplyLists)
-	e.From, e.To, e.Digest = p.Base.Version, p.Base.Version+1, p.digest
-	for _, c := range p.Changes[:min(len(p.Changes), MaxAuditChanges)] {
-		e.Changes = append(e.Changes, c.String())
-	}
-	e.MoreChanges = len(p.Changes) - len(e.Changes)
+	e.From, e.To, e.Digest = base.Version, base.Version+1, s.digest
+	e.Changes = s.lines[:min(len(s.lines), MaxAuditChanges)]
+	e.MoreChanges = len(s.lines) - len(e.Changes)
 	row, err := json.Marshal(config.Lists{Version: e.To, Digest: e.Digest})
 	if err != nil {
 		return change{}, errors.Wrap(err, "encode lists row")
 	}
-	c := change{
-		entry:      e,
-		conditions: []platform.Condition{{Table: platform.Control, Key: config.ListsKey, Revision: p.Base.Revision}},
-		puts:       []platform.Put{{Table: platform.Control, Key: config.ListsKey, Value: row}},
-	}
-	for _, item := range p.Changes {
-		c.addItem(p.Base, item)
-	}
-	for _, k := range p.Withdrawn {
-		c.puts = append(c.puts, platform.Put{Table: platform.Control, Key: k.row(), Delete: true})
-	}
-	return c, nil
-}
-
-// addItem adds one row to the transaction. Removing a workspace also depends
-// on its row: giving a key rewrites it, so a key that was given after the
-// keys were read, and would be left behind, makes the change lose the race.
-func (c *change) addItem(base Snapshot, item lists.Change) {
-	key := item.Row.Key
-	removed := item.Kind == lists.Removed
-	c.puts = append(c.puts, platform.Put{Table: platform.Control, Key: key, Value: item.Row.Value, Delete: removed})
-	if removed && strings.HasPrefix(key, config.WorkspacePrefix) {
-		c.conditions = append(c.conditions, platform.Condition{Table: platform.Control, Key: key, Revision: base.rows[key]})
-	}
+	return change{
+		entry: e,
+		conditions: append(s.conditions,
+			platform.Condition{Table: platform.Control, Key: config.ListsKey, Revision: base.Revision}),
+		puts: append(s.puts, platform.Put{Table: platform.Control, Key: config.ListsKey, Value: row}),
+	}, nil
 }
 
 // winners returns the version that stands and who brought it there. It is
--- a/operator/change.go
+++ b/operator/change.go
@@ -22,6 +22,9 @@
 	// Unresolved changes got no answer in time. They took effect, or they
 	// didn't, or they still may: Resolve finds out once the platform answers.
 	Unresolved Outcome = "unresolved"
+	// Stopped changes took several versions, and the platform ceased to
+	// answer after some of them. The others weren't sent.
+	Stopped Outcome = "stopped"
 )
 
 // change is a transaction with its audit entry.
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -43,6 +43,8 @@
 type Operator struct {
 	table    platform.Table
 	settings Settings
+	// stageRows is maxStageRows but in tests.
+	stageRows int
 }
 
 // New returns an operator that acts on the platform's table.
@@ -65,7 +67,7 @@
 	if s.MaxBackoff <= 0 {
 		s.MaxBackoff = defaultMaxBackoff
 	}
-	return &Operator{table: table, settings: s}
+	return &Operator{table: table, settings: s, stageRows: maxStageRows}
 }
 
 func pause(ctx context.Context, d time.Duration) error {
--- a/operator/snapshot.go
+++ b/operator/snapshot.go
@@ -32,6 +32,8 @@
 	Digest  string
 	// Revision of the lists row; 0 if it is absent.
 	Revision platform.Revision
+	// attempt that wrote the lists row.
+	attempt string
 	// rows has the revision of each row of the lists.
 	rows map[string]platform.Revision
 }
@@ -72,7 +74,7 @@
 		if err := json.Unmarshal(row.Value, &l); err != nil {
 			return Snapshot{}, errors.Wrap(err, "decode lists row")
 		}
-		return Snapshot{Version: l.Version, Digest: l.Digest, Revision: row.Revision}, nil
+		return Snapshot{Version: l.Version, Digest: l.Digest, Revision: row.Revision, attempt: row.Attempt}, nil
 	}
 	return Snapshot{}, nil
 }
