Decision buffer: a flood leaves room for the others

Cause: a workspace refused several times its rate would push every other workspace's records out of the 4,096 that an instance keeps. Change: refusals of one workspace, service and rule are thinned out after 64 a batch, with doubling intervals; the next record kept tells how many were left out. What may have run is never thinned out. Ruled out: one count a minute and workspace without records (no request id to explain); a fixed share (100,000 refusals still fill the buffer). Seen: TestFloodLeavesRoomForOthers, 200,000 refusals in under 400 records.

--- a/decision/buffer.go
+++ b/decision/buffer.go
@@ -12,6 +12,10 @@
 	Slow time.Duration
 	// SampleEvery keeps one of this many plain successes; 0 keeps none.
 	SampleEvery int
+	// MaxAlike is how many refusals of one workspace, service and rule are
+	// kept for a batch before only one in AlikeEvery is; 0 means
+	// DefaultMaxAlike.
+	MaxAlike int
 }
 
 const (
@@ -19,6 +23,13 @@
 	DefaultMaxRecords = 4096
 	// DefaultSlow is one second.
 	DefaultSlow = time.Second
+	// DefaultMaxAlike leaves room for 64 floods of one rule at a time.
+	DefaultMaxAlike = 64
+	// AlikeEvery thins out what comes beyond MaxAlike: one in so many is
+	// kept, and after so many kept ones one in twice as many.
+	AlikeEvery = 16
+	// maxThinning bounds the doubling.
+	maxThinning = 20
 )
 
 // Buffer keeps one instance's records until they are stored, and after that
@@ -40,8 +51,18 @@
 	// droppedBefore is what the batches so far have reported as dropped.
 	droppedBefore uint64
 	plain         int
+	alike         map[likeness]*flood
 }
 
+// likeness groups refusals that say the same.
+type likeness struct {
+	workspace, service string
+	rule               Rule
+}
+
+// flood counts the refusals of one likeness since the last batch.
+type flood struct{ kept, skipped int }
+
 // NewBuffer returns an empty buffer of an instance.
 func NewBuffer(instance string, s BufferSettings) *Buffer {
 	if s.MaxRecords <= 0 {
@@ -50,20 +71,24 @@
 	if s.Slow <= 0 {
 		s.Slow = DefaultSlow
 	}
-	return &Buffer{instance: instance, settings: s}
+	if s.MaxAlike <= 0 {
+		s.MaxAlike = DefaultMaxAlike
+	}
+	return &Buffer{instance: instance, settings: s, alike: map[likeness]*flood{}}
 }
 
 // Add takes a record if somebody may ask about it: every refusal, repeat and
 // slow request, and a sample of the others. It tells whether it was kept.
 func (b *Buffer) Add(r Record) bool {
-	if !b.wanted(r) {
+	r = r.bounded()
+	if !b.wanted(r) || b.thinnedOut(&r) {
 		return false
 	}
 	if r.Instance == "" {
 		r.Instance = b.instance
 	}
 	if len(b.ring) < b.settings.MaxRecords {
-		b.ring = append(b.ring, r.bounded())
+		b.ring = append(b.ring, r)
 		b.next++
 		return true
 	}
@@ -71,7 +96,7 @@
 		b.dropped++
 		b.stored = b.first + 1
 	}
-	b.ring[b.next%uint64(len(b.ring))] = r.bounded()
+	b.ring[b.next%uint64(len(b.ring))] = r
 	b.first++
 	b.next++
 	return true
@@ -93,6 +118,55 @@
 	return true
 }
 
+// thinnedOut tells whether a refusal is left out because there are many alike.
+// A workspace that floods is refused several times its rate: all its refusals
+// would push the records of every other workspace out of memory, and nobody
+// could explain those. What may have run is always kept, because somebody has
+// to look into each case.
+func (b *Buffer) thinnedOut(r *Record) bool {
+	if r.Outcome != NotRun {
+		return false
+	}
+	like := likeness{workspace: r.Workspace, service: r.Service, rule: r.Rule}
+	f := b.flood(like)
+	if beyond := f.kept - b.settings.MaxAlike; beyond >= 0 {
+		every := AlikeEvery << min(beyond/AlikeEvery, maxThinning)
+		if f.skipped < every-1 {
+			f.skipped++
+			return true
+		}
+	}
+	r.Alike, f.skipped = f.skipped, 0
+	f.kept++
+	return false
+}
+
+// flood returns the count of a likeness. While nothing can be stored, counts
+// pile up; there are never more of them than records, and then all start anew.
+func (b *Buffer) flood(like likeness) *flood {
+	f := b.alike[like]
+	if f != nil {
+		return f
+	}
+	if len(b.alike) >= b.settings.MaxRecords {
+		clear(b.alike)
+	}
+	f = &flood{}
+	b.alike[like] = f
+	return f
+}
+
+// forgetFloods starts counting anew after a batch. What was skipped last stays
+// counted, and shows in the next record alike.
+func (b *Buffer) forgetFloods() {
+	for like, f := range b.alike {
+		f.kept = 0
+		if f.skipped == 0 {
+			delete(b.alike, like)
+		}
+	}
+}
+
 // Len returns how many records are in memory.
 func (b *Buffer) Len() int { return len(b.ring) }
 
@@ -122,6 +196,7 @@
 		return Batch{}, false
 	}
 	b.droppedBefore = b.dropped
+	b.forgetFloods()
 	b.pending = &batch
 	return batch, true
 }
--- a/decision/decision_test.go
+++ b/decision/decision_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
@@ -163,6 +164,39 @@
 	})
 }
 
+// One workspace floods and is refused 200,000 times within a minute. The one
+// refusal of another workspace before that must still be there to explain, the
+// flood must be told in full, and nothing that may have run is left out.
+func TestFloodLeavesRoomForOthers(t *testing.T) {
+	b := NewBuffer(testInstance, BufferSettings{})
+	refused := Record{Workspace: "quiet", Rule: RuleNoServer, Outcome: NotRun, At: noon}
+	must.True(t, b.Add(refused))
+	refused.Workspace, refused.Rule = "flood", RuleOverRate
+	for range 200_000 {
+		b.Add(refused)
+	}
+	unknown := Record{Workspace: "flood", Rule: RuleUnknownOutcome, Outcome: Unknown, At: noon}
+	for range DefaultMaxAlike * 2 {
+		must.True(t, b.Add(unknown))
+	}
+	must.Eq(t, 0, b.Dropped())
+	must.Len(t, 1, b.Search(Query{Workspace: "quiet"}))
+	told := 0
+	for _, r := range b.Search(Query{Workspace: "flood"}) {
+		if r.Rule == RuleOverRate {
+			told += 1 + r.Alike
+		}
+	}
+	must.Eq(t, 200_000, told+b.alike[likeness{workspace: "flood", rule: RuleOverRate}].skipped)
+	must.Less(t, 400, b.Len())
+	must.StrContains(t, Record{Rule: RuleOverRate, Alike: 15}.Sentence(), ". 15 more requests shortly before ended the same way.")
+	for i := range 3 * DefaultMaxRecords {
+		refused.Workspace = fmt.Sprint(i)
+		b.Add(refused)
+	}
+	must.LessEq(t, DefaultMaxRecords, len(b.alike))
+}
+
 func TestSearchNewestFirst(t *testing.T) {
 	b := NewBuffer(testInstance, BufferSettings{MaxRecords: 4})
 	for i := range 6 {
@@ -200,3 +234,34 @@
 		}
 	})
 }
+
+// BenchmarkBuffer tells what a record costs: to keep, in memory, and in the
+// object store.
+func BenchmarkBuffer(b *testing.B) {
+	b.Run("add", func(b *testing.B) {
+		buffer := NewBuffer(testInstance, BufferSettings{})
+		r := sample(RuleShed)
+		r.Outcome = Unknown
+		for b.Loop() {
+			buffer.Add(r)
+		}
+	})
+	b.Run("batch", func(b *testing.B) {
+		size := 0
+		rng := rand.New(rand.NewPCG(1, 1))
+		for b.Loop() {
+			buffer := NewBuffer(testInstance, BufferSettings{MaxAlike: MaxBatchRecords})
+			for i := range MaxBatchRecords {
+				r := sample(catalogue[i%len(catalogue)].Rule)
+				r.At = noon.Add(-time.Duration(rng.IntN(60_000)) * time.Millisecond)
+				r.Request, r.Workspace = NewRequestID(testInstance, r.At, uint64(i)), fmt.Sprint("workspace-", rng.IntN(55_000))
+				r.Server, r.Service = fmt.Sprint("server-", rng.IntN(24_000)), fmt.Sprint("service-", rng.IntN(560))
+				r.Took, r.Figures.Tokens = time.Duration(rng.IntN(2e9)), rng.Float64()
+				buffer.Add(r)
+			}
+			batch, _ := buffer.Batch()
+			size = len(batch.Data)
+		}
+		b.ReportMetric(float64(size)/MaxBatchRecords, "B/record")
+	})
+}
--- a/decision/record.go
+++ b/decision/record.go
@@ -24,7 +24,10 @@
 	Took time.Duration `json:"took,omitempty"`
 	// RetryAfter is what the caller was told to wait; 0 if nothing.
 	RetryAfter time.Duration `json:"retryAfter,omitempty"`
-	Figures    Figures       `json:"figures,omitzero"`
+	// Alike is how many refusals of the same workspace, service and rule
+	// before this one weren't kept.
+	Alike   int     `json:"alike,omitempty"`
+	Figures Figures `json:"figures,omitzero"`
 }
 
 // Figures are the numbers that a rule was applied to. A zero means that the
--- a/decision/sentence.go
+++ b/decision/sentence.go
@@ -16,6 +16,9 @@
 	if advice := r.advice(); advice != "" {
 		parts = append(parts, "; ", advice)
 	}
+	if r.Alike > 0 {
+		parts = append(parts, ". ", count(r.Alike, "more request"), " shortly before ended the same way")
+	}
 	return strings.Join(parts, "") + "."
 }
 
