--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -251,6 +253,71 @@
 	must.StrContains(t, b.must(exitUsage, "get"), "--platform URL")
 }
 
+// reading calls f before it gives its text, as an operator who thinks about a
+// question while others act.
+type reading struct {
+	io.Reader
+	f func()
+}
+
+func (r *reading) Read(p []byte) (int, error) {
+	if r.f != nil {
+		r.f()
+		r.f = nil
+	}
+	return r.Reader.Read(p)
+}
+
+// Maria looks at the difference; Ercan applies his meanwhile; Maria says yes.
+// She must lose and learn who won with what.
+func TestRaceAtThePrompt(t *testing.T) {
+	b := newBench(t)
+	b.must(exitDone, append([]string{"apply", "--yes"}, exampleLists()...)...)
+	theirs := b.edited(`"rate": 20`, `"rate": 25`)
+	in := &reading{Reader: strings.NewReader("yes\n"), f: func() {
+		b.must(exitDone, append([]string{"apply", "--yes", "--as", "ercan"}, theirs...)...)
+	}}
+	mine := filepath.Join(b.dir, "mine.json")
+	data, err := os.ReadFile(exampleLists()[1])
+	must.NoError(t, err)
+	must.NoError(t, os.WriteFile(mine, bytes.Replace(data, []byte(`"rate": 20`), []byte(`"rate": 22`), 1), 0o600))
+	var stdout, stderr bytes.Buffer
+	code := Run(context.Background(), []string{"apply", exampleLists()[0], mine}, Streams{In: in, Out: &stdout, Err: &stderr},
+		func(name string) string { return b.env[name] })
+	must.Eq(t, exitRaced, code)
+	must.StrContains(t, stdout.String(), "~ plan workshop: service catalogue (20 a second, burst 40) becomes (22 a second, burst 40)")
+	must.StrContains(t, stderr.String(), "Nothing was applied: after you read version 1, another change came first:")
+	must.StrContains(t, stderr.String(), "ercan changed the lists from version 1 to 2")
+	must.StrContains(t, stderr.String(), "becomes (25 a second, burst 40)")
+	must.StrContains(t, b.must(exitDone, "get"), `"rate": 25`)
+}
+
+// The platform carries out a change and its answer is lost; the next write is
+// lost itself. Both must end as accepted, once. While it stays away, nobody
+// may claim either.
+func TestLostAnswers(t *testing.T) {
+	b := newBench(t)
+	apply := func(rate string) []string {
+		return append([]string{"apply", "--yes", "--timeout", "4s"}, b.edited(`"rate": 20`, `"rate": `+rate)...)
+	}
+	for i, faults := range []func(*standin.PlatformFaults){
+		func(f *standin.PlatformFaults) { f.Table.LoseAnswers = 1 },
+		func(f *standin.PlatformFaults) { f.Table.LoseWrites = 1 },
+	} {
+		must.NoError(t, b.platform.UpdateFaults(faults))
+		must.StrContains(t, b.must(exitDone, apply(fmt.Sprint(30+i))...), fmt.Sprintf("Version %d is accepted", i+1))
+	}
+	must.Eq(t, 2, strings.Count(b.must(exitDone, "audit"), "changed the lists"))
+	must.NoError(t, b.platform.UpdateFaults(func(f *standin.PlatformFaults) { f.Table.LoseAnswers = 1000 }))
+	out := b.must(exitUnresolved, apply("40")...)
+	must.StrContains(t, out, "It isn't known whether version 3 took effect")
+	must.NoError(t, b.platform.SetFaults(standin.PlatformFaults{}))
+	attempt := strings.TrimSuffix(strings.Fields(strings.SplitN(out, "--attempt ", 2)[1])[0], ".")
+	must.StrContains(t, b.must(exitDone, "audit", "--attempt", attempt), "from version 2 to 3")
+	must.StrContains(t, b.must(exitDone, apply("40")...), "Nothing to do")
+	must.StrContains(t, b.must(exitNotFound, "audit", "--attempt", "none"), "has not taken effect so far")
+}
+
 // A service lost servers and is below its floor. The operator must still be
 // able to change other things, but not to raise that floor.
 func TestOutageDoesNotBlockOtherChanges(t *testing.T) {
