--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -6,18 +6,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
-	api "foxtailspoke/api/operator"
-	"foxtailspoke/api/operator/oas"
 	"foxtailspoke/decision"
 	"foxtailspoke/internal/standin"
 	"foxtailspoke/operator"
@@ -25,123 +21,6 @@
 	"foxtailspoke/platform/client"
 )
 
-const testToken = "test-token"
-
-// bench is a platform with one entry instance, and operators before it.
-type bench struct {
-	t        *testing.T
-	platform *standin.Platform
-	entry    *fakeEntry
-	dir      string
-	env      map[string]string
-}
-
-// fakeEntry answers the operator API.
-type fakeEntry struct {
-	oas.UnimplementedHandler
-	inForce bool
-	records []decision.Record
-}
-
-func (f *fakeEntry) GetInForce(_ context.Context, p oas.GetInForceParams) (*oas.InForce, error) {
-	return &oas.InForce{Revision: p.Revision, InForce: f.inForce, KnownBy: []string{"w1"}, Missing: []string{"w2"}}, nil
-}
-
-func (f *fakeEntry) ListDecisions(_ context.Context, p oas.ListDecisionsParams) (*oas.Decisions, error) {
-	out := &oas.Decisions{Decisions: []oas.Decision{}}
-	for _, r := range f.records {
-		if (decision.Query{Request: p.Request.Or(""), Workspace: p.Workspace.Or("")}).Matches(r) {
-			out.Decisions = append(out.Decisions, api.FromRecord(r))
-		}
-	}
-	return out, nil
-}
-
-func (f *fakeEntry) GetStatus(context.Context) (*oas.Status, error) {
-	return &oas.Status{
-		Instance: "0f8fad5b-entry", DataCentre: "a", Serving: oas.StatusServingServing, ListsVersion: 1, Revision: 9,
-		Confirmation: oas.Confirmation{Source: oas.ConfirmationSourceTable, AgeSeconds: 0.4, LimitSeconds: 3},
-		Services: []oas.ServiceStatus{{
-			Name: "catalogue", Floor: 6, Servers: 10, Usable: 10, Ejected: []oas.EjectedServer{},
-			Lowered: []oas.LoweredServer{{Server: "catalogue-3", Weight: 0.25, Reason: "its answers take 8 times as long as the others'"}},
-		}},
-		WorkspacesNearLimit: []oas.WorkspaceUse{{Workspace: "cebu-boatyard", Service: "catalogue", Rate: 20, Burst: 40, Tokens: 1.5, Parts: 20, Refused: 7}},
-	}, nil
-}
-
-func (f *fakeEntry) NewError(_ context.Context, err error) *oas.ProblemStatusCode {
-	return &oas.ProblemStatusCode{StatusCode: 500, Response: oas.Problem{Status: 500, Title: err.Error()}}
-}
-
-func (f *fakeEntry) HandleOperatorToken(ctx context.Context, _ oas.OperationName, t oas.OperatorToken) (context.Context, error) {
-	if t.Token != testToken {
-		return nil, errors.New("wrong token")
-	}
-	return ctx, nil
-}
-
-func newBench(t *testing.T) *bench {
-	t.Helper()
-	p, err := standin.StartPlatform(standin.PlatformOptions{})
-	must.NoError(t, err)
-	t.Cleanup(p.Close)
-	b := &bench{t: t, platform: p, entry: &fakeEntry{inForce: true}, dir: t.TempDir()}
-	server, err := oas.NewServer(b.entry, b.entry)
-	must.NoError(t, err)
-	listener := httptest.NewServer(server)
-	t.Cleanup(listener.Close)
-	token := filepath.Join(b.dir, "token")
-	must.NoError(t, os.WriteFile(token, []byte(testToken+"\n"), 0o600))
-	b.env = map[string]string{envPlatform: p.URL(), envTokenFile: token, envUser: "maria"}
-	b.announce(platform.Instance{ID: "0f8fad5b-entry", Kind: platform.Entry, State: platform.Live, DataCentre: "a", OperatorAddress: strings.TrimPrefix(listener.URL, "http://")})
-	for service, n := range map[string]int{"catalogue": 10, "diagnosis": 10, "ordering": 15, "billing": 15} {
-		for i := range n {
-			b.announce(platform.Instance{ID: service + string(rune('a'+i)), Kind: platform.BackendServer, Service: service, State: platform.Live, Slots: 2})
-		}
-	}
-	return b
-}
-
-func (b *bench) announce(i platform.Instance) {
-	c, err := client.New(b.platform.URL(), client.Settings{})
-	must.NoError(b.t, err)
-	defer c.Close()
-	must.NoError(b.t, c.Announce(context.Background(), i))
-}
-
-// run carries out a command line and returns the exit code and both outputs.
-func (b *bench) run(stdin string, args ...string) (code int, stdout, stderr string) {
-	var out, err bytes.Buffer
-	code = Run(context.Background(), args, Streams{In: strings.NewReader(stdin), Out: &out, Err: &err},
-		func(name string) string { return b.env[name] })
-	return code, out.String(), err.String()
-}
-
-func (b *bench) must(want int, args ...string) string {
-	b.t.Helper()
-	code, stdout, stderr := b.run("", args...)
-	must.Eq(b.t, want, code, must.Sprintf("%v: %s%s", args, stdout, stderr))
-	return stdout + stderr
-}
-
-func exampleLists() []string {
-	dir := filepath.Join("..", "..", "examples", "dimaculangan")
-	return []string{filepath.Join(dir, "customers.json"), filepath.Join(dir, "plans.json")}
-}
-
-// edited writes the example lists with a replacement and returns their names.
-func (b *bench) edited(old, replacement string) []string {
-	var files []string
-	for _, path := range exampleLists() {
-		data, err := os.ReadFile(path)
-		must.NoError(b.t, err)
-		copied := filepath.Join(b.dir, filepath.Base(path))
-		must.NoError(b.t, os.WriteFile(copied, bytes.Replace(data, []byte(old), []byte(replacement), 1), 0o600))
-		files = append(files, copied)
-	}
-	return files
-}
-
 // A newcomer's first session: check, apply, give a key, see it, explain a
 // refusal, withdraw the key, read the trail.
 func TestFirstSession(t *testing.T) {
--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,140 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"foxtailspoke/config"
+	"foxtailspoke/config/lists"
+	"foxtailspoke/internal/standin/tables"
+	"foxtailspoke/platform"
+)
+
+// A change of many rows is cut into several versions. Instances serve by each
+// of them for a moment, so each must be whole: no plan without its services,
+// no workspace without its plan.
+func TestStagesAreWholeLists(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		from, to := namedLists(rng), namedLists(rng)
+		p := Proposal{Base: Snapshot{Lists: from}, Changes: lists.Diff(from, to)}
+		rows := map[string]platform.Row{}
+		for _, r := range from.Rows() {
+			rows[r.Key] = platform.Row{Key: r.Key, Value: r.Value}
+		}
+		digest := from.Digest()
+		for _, s := range p.stages(1 + rng.IntN(3)) {
+			for _, put := range s.puts {
+				rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Deleted: put.Delete}
+			}
+			l, err := lists.FromRows(slices.Collect(maps.Values(rows)))
+			must.NoError(t, err)
+			must.Eq(t, l.Digest(), s.digest)
+			digest = s.digest
+			for _, w := range l.Workspaces {
+				must.MapContainsKey(t, l.Plans, w.Plan)
+			}
+			for _, plan := range l.Plans {
+				for service := range plan.Services {
+					must.MapContainsKey(t, l.Services, service)
+				}
+			}
+		}
+		must.Eq(t, to.Digest(), digest)
+	})
+}
+
+// namedLists draws lists whose plans and services come and go as well.
+func namedLists(rng *rand.Rand) lists.Lists {
+	l := lists.Empty()
+	for range 1 + rng.IntN(3) {
+		s, p, w := "s"+randomName(rng), "p"+randomName(rng), "w"+randomName(rng)
+		l.Services[s] = config.Service{Name: s, Floor: 1 + rng.IntN(2), Routes: []config.Route{{Prefix: "/" + s + "/"}}}
+		l.Plans[p] = config.Plan{Name: p, Services: map[string]config.Limit{s: {Rate: 1, Burst: float64(1 + rng.IntN(2))}}}
+		l.Workspaces[w] = config.Workspace{Name: w, Plan: p}
+	}
+	return l
+}
+
+// One of two operators gets in between the other's reading and writing. The
+// loser must learn who won with what, and nothing of its own may be there.
+func TestRaceNamesTheWinner(t *testing.T) {
+	ctx := context.Background()
+	store := tables.New()
+	table := &faultyTable{store: store, lose: func() loss { return answered }}
+	maria, ercan := New(table, Settings{Who: "maria"}), New(table, Settings{Who: "ercan"})
+	rng := rand.New(rand.NewPCG(1, 1))
+	first, second := randomLists(rng), randomLists(rng)
+	lost, err := maria.Propose(ctx, first)
+	must.NoError(t, err)
+	won, err := ercan.Propose(ctx, second)
+	must.NoError(t, err)
+	a, err := ercan.Commit(ctx, won)
+	must.NoError(t, err)
+	must.Eq(t, Accepted, a.Outcome)
+	b, err := maria.Commit(ctx, lost)
+	must.NoError(t, err)
+	must.Eq(t, Raced, b.Outcome)
+	must.Eq(t, 1, b.Version)
+	must.Len(t, 1, b.Winners)
+	must.Eq(t, "ercan", b.Winners[0].Who)
+	must.SliceContains(t, b.Winners[0].Changes, "+ plan p: service s (1 a second, burst 1)")
+	must.Eq(t, second.Digest(), b.Winners[0].Digest)
+}
+
+// A key is printed once. Nothing that is kept, encoded or formatted has it.
+func TestKeyIsNowhereButRevealed(t *testing.T) {
+	ctx := context.Background()
+	store := tables.New()
+	table := &faultyTable{store: store, lose: func() loss { return answered }}
+	o := New(table, Settings{Who: "maria"})
+	p, err := o.Propose(ctx, randomLists(rand.New(rand.NewPCG(2, 2))))
+	must.NoError(t, err)
+	_, err = o.Commit(ctx, p)
+	must.NoError(t, err)
+	_, err = o.GiveKey(ctx, "nobody", "")
+	must.True(t, errors.Is(err, ErrUnknownWorkspace))
+	var workspace string
+	for name := range p.Changes {
+		if p.Changes[name].Item == "workspace" {
+			workspace = p.Changes[name].Name
+		}
+	}
+	k, err := o.GiveKey(ctx, workspace, "till 3")
+	must.NoError(t, err)
+	secret := k.Secret.Reveal()
+	must.StrHasPrefix(t, KeyStart, secret)
+	must.Eq(t, len(KeyStart)+43, len(secret))
+	must.Eq(t, KeyID(secret), k.Info.ID)
+	encoded, err := json.Marshal(k)
+	must.NoError(t, err)
+	dump := string(encoded) + fmt.Sprintf("%v %+v %#v", k, k, k)
+	for _, name := range []platform.TableName{platform.Control, platform.Audit} {
+		c, err := store.Read(platform.ReadRequest{Table: name})
+		must.NoError(t, err)
+		for _, row := range c.Rows {
+			dump += row.Key + string(row.Value)
+		}
+	}
+	must.False(t, strings.Contains(dump, secret[len(KeyStart):]))
+
+	for _, s := range []KeySelector{{}, {ID: "abc"}, {ID: "zzzzzz"}, {Label: "till 4"}, {Key: "fsk_wrong"}} {
+		_, err := o.WithdrawKey(ctx, s)
+		must.True(t, errors.Is(err, ErrUnknownKey))
+	}
+	gone, err := o.WithdrawKey(ctx, KeySelector{Key: secret})
+	must.NoError(t, err)
+	must.Eq(t, Accepted, gone.Outcome)
+	_, err = o.WithdrawKey(ctx, KeySelector{Label: "till 3"})
+	must.True(t, errors.Is(err, ErrUnknownKey))
+}
