--- a/api/operator/oas/oas_json_gen.go
+++ b/api/operator/oas/oas_json_gen.go
@@ -253,6 +253,12 @@
 			s.RetryAfterSeconds.Encode(e)
 		}
 	}
+	{
+		if s.Alike.Set {
+			e.FieldStart("alike")
+			s.Alike.Encode(e)
+		}
+	}
 	{
 		if s.Figures.Set {
 			e.FieldStart("figures")
@@ -261,7 +267,7 @@
 	}
 }
 
-var jsonFieldsNameOfDecision = [14]string{
+var jsonFieldsNameOfDecision = [15]string{
 	0:  "request",
 	1:  "at",
 	2:  "instance",
@@ -275,7 +281,8 @@
 	10: "attempts",
 	11: "tookSeconds",
 	12: "retryAfterSeconds",
-	13: "figures",
+	13: "alike",
+	14: "figures",
 }
 
 // Decode decodes Decision from json.
@@ -431,6 +438,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"retryAfterSeconds\"")
 			}
+		case "alike":
+			if err := func() error {
+				s.Alike.Reset()
+				if err := s.Alike.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"alike\"")
+			}
 		case "figures":
 			if err := func() error {
 				s.Figures.Reset()
--- a/api/operator/oas/oas_schemas_gen.go
+++ b/api/operator/oas/oas_schemas_gen.go
@@ -119,7 +119,9 @@
 	Attempts          int        `json:"attempts"`
 	TookSeconds       float64    `json:"tookSeconds"`
 	RetryAfterSeconds OptFloat64 `json:"retryAfterSeconds"`
-	Figures           OptFigures `json:"figures"`
+	// Refusals of the same kind before this one that weren't kept.
+	Alike   OptInt     `json:"alike"`
+	Figures OptFigures `json:"figures"`
 }
 
 // GetRequest returns the value of Request.
@@ -187,6 +189,11 @@
 	return s.RetryAfterSeconds
 }
 
+// GetAlike returns the value of Alike.
+func (s *Decision) GetAlike() OptInt {
+	return s.Alike
+}
+
 // GetFigures returns the value of Figures.
 func (s *Decision) GetFigures() OptFigures {
 	return s.Figures
@@ -257,6 +264,11 @@
 	s.RetryAfterSeconds = val
 }
 
+// SetAlike sets the value of Alike.
+func (s *Decision) SetAlike(val OptInt) {
+	s.Alike = val
+}
+
 // SetFigures sets the value of Figures.
 func (s *Decision) SetFigures(val OptFigures) {
 	s.Figures = val
--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -127,6 +127,22 @@
 			must.Len(b, 0, r.Since(200_000).Rows)
 		}
 	})
+	b.Run("rows", func(b *testing.B) {
+		for b.Loop() {
+			must.Len(b, 55_000, r.Rows(WorkspacePrefix))
+		}
+	})
+	b.Run("sinceAll", func(b *testing.B) {
+		for b.Loop() {
+			must.Len(b, 110_560, r.Since(0).Rows)
+		}
+	})
+	b.Run("applyAll", func(b *testing.B) {
+		c := r.Since(0)
+		for b.Loop() {
+			must.True(b, NewReplica().Apply(c))
+		}
+	})
 	revision := platform.Revision(200_000)
 	b.Run("applyWorkspace", func(b *testing.B) {
 		for i := 0; b.Loop(); i++ {
--- a/config/replica.go
+++ b/config/replica.go
@@ -72,8 +72,7 @@
 		if old := r.rows.get(packKey(row.Key)); old != nil && old.revision >= row.Revision {
 			continue
 		}
-		r.index(row)
-		routesChanged = routesChanged || strings.HasPrefix(row.Key, ServicePrefix)
+		routesChanged = r.index(row) || routesChanged
 	}
 	if routesChanged {
 		r.routes = newRouteIndex(r.services)
@@ -175,8 +174,9 @@
 // Lists returns the version of the accepted lists.
 func (r *Replica) Lists() Lists { return r.lists }
 
-// index takes one row into the store and the indexes.
-func (r *Replica) index(row platform.Row) {
+// index takes one row into the store and the indexes. It tells whether the
+// routes have to be indexed anew.
+func (r *Replica) index(row platform.Row) (routesChanged bool) {
 	rec := newRecord(row)
 	prefix, name, _ := strings.Cut(row.Key, "/")
 	switch prefix + "/" {
@@ -187,7 +187,9 @@
 	case PlanPrefix:
 		setRow(r.plans, name, row, func(p *Plan) { p.Name = name })
 	case ServicePrefix:
+		before := r.services[name].Routes
 		setRow(r.services, name, row, func(s *Service) { s.Name = name })
+		routesChanged = !slices.EqualFunc(before, r.services[name].Routes, Route.equal)
 	case ShardPrefix:
 		setRow(r.shards, name, row, func(*Shard) {})
 	case PermitPrefix:
@@ -202,6 +204,7 @@
 		_ = json.Unmarshal(row.Value, &r.lists)
 	}
 	r.rows.put(rec)
+	return routesChanged
 }
 
 func newRecord(row platform.Row) *record {
--- a/config/replica_test.go
+++ b/config/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -130,3 +131,30 @@
 	must.True(t, ok)
 	must.Eq(t, platform.Revision(5), row.Revision)
 }
+
+// Whatever changes in a service's row, the routes in use are those of the row.
+func TestRoutesFollowTheServices(t *testing.T) {
+	yes, no := true, false
+	r := NewReplica()
+	for i, s := range []Service{
+		{Routes: []Route{{Prefix: "/a/"}}},
+		{Floor: 2, Routes: []Route{{Prefix: "/a/"}}},
+		{Routes: []Route{{Prefix: "/a/", Idempotent: &yes}}},
+		{Routes: []Route{{Prefix: "/a/", Idempotent: &no}}},
+		{Routes: []Route{{Prefix: "/a/"}, {Prefix: "/b/"}}},
+		{Routes: []Route{{Prefix: "/b/"}}},
+		{},
+	} {
+		change := row(ServicePrefix+"s", s, i)
+		change.Deleted = len(s.Routes) == 0
+		must.True(t, r.Apply(platform.Changes{Revision: change.Revision, Rows: []platform.Row{change}}))
+		for _, path := range []string{"/a/", "/b/"} {
+			at := slices.IndexFunc(s.Routes, func(route Route) bool { return route.Prefix == path })
+			_, got, ok := r.Route(path)
+			must.Eq(t, at >= 0, ok)
+			if ok {
+				must.Eq(t, s.Routes[at], got)
+			}
+		}
+	}
+}
--- a/config/routes.go
+++ b/config/routes.go
@@ -60,3 +60,11 @@
 	}
 	return best, found
 }
+
+// equal compares what two routes say.
+func (r Route) equal(o Route) bool {
+	if r.Prefix != o.Prefix || (r.Idempotent == nil) != (o.Idempotent == nil) {
+		return false
+	}
+	return r.Idempotent == nil || *r.Idempotent == *o.Idempotent
+}
--- a/internal/cli/bench_test.go
+++ b/internal/cli/bench_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"testing"
 
-	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
 	api "foxtailspoke/api/operator"
@@ -68,20 +67,13 @@
 	return &oas.ProblemStatusCode{StatusCode: 500, Response: oas.Problem{Status: 500, Title: err.Error()}}
 }
 
-func (f *fakeEntry) HandleOperatorToken(ctx context.Context, _ oas.OperationName, t oas.OperatorToken) (context.Context, error) {
-	if t.Token != testToken {
-		return nil, errors.New("wrong token")
-	}
-	return ctx, nil
-}
-
 func newBench(t *testing.T) *bench {
 	t.Helper()
 	p, err := standin.StartPlatform(standin.PlatformOptions{})
 	must.NoError(t, err)
 	t.Cleanup(p.Close)
 	b := &bench{t: t, platform: p, entry: &fakeEntry{inForce: true}, dir: t.TempDir()}
-	server, err := oas.NewServer(b.entry, b.entry)
+	server, err := oas.NewServer(b.entry, api.NewTokenCheck(testToken))
 	must.NoError(t, err)
 	listener := httptest.NewServer(server)
 	t.Cleanup(listener.Close)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -124,6 +124,9 @@
 	must.StrContains(t, b.must(exitUsage, "frobnicate"), "Unknown command")
 	must.StrContains(t, b.must(exitDone, "apply", "--help"), "foxtailspoke apply --dry-run customers.json plans.json")
 
+	must.NoError(t, os.WriteFile(b.env[envTokenFile], []byte("wrong"), 0o600))
+	must.StrContains(t, b.must(exitNotInForce, apply(b.edited(`"rate": 20`, `"rate": 23`))...), "no entry instance answered")
+	must.StrContains(t, b.must(exitDone, "status"), "no answer")
 	b.env[envTokenFile] = ""
 	must.StrContains(t, b.must(exitNotInForce, apply(b.edited(`"rate": 20`, `"rate": 22`))...), "can't be asked without --token-file")
 	b.platform.Close()
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -24,7 +24,7 @@
 	Since     span   `long:"since" default:"1h" description:"How far back to look"`
 	Limit     int    `long:"limit" default:"50" description:"At most so many requests, the newest first; 0 means all"`
 	Args      struct {
-		Request string `positional-arg-name:"REQUEST-ID" description:"The id from the answer's Foxtailspoke-Request header"`
+		Request string `positional-arg-name:"REQUEST-ID" description:"The request's id, from the refusal's body"`
 	} `positional-args:"yes"`
 }
 
