--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -13,30 +14,31 @@
 	"foxtailspoke/platform"
 )
 
-const applyHelp = `Checks both lists, shows how they differ from those in force, asks, and puts them
-in force if nobody else changed them meanwhile. Then it waits until no instance
-acts on the old ones any more.
+const applyHelp = `Checks both lists, shows how they differ from those in force, asks, and puts
+them in force if nobody else changed them meanwhile. Then it waits until no
+instance acts on the old ones any more.
 
-Removing a workspace withdraws its keys.
+Removing a workspace withdraws its keys. A change of more than 900 rows is sent
+as several versions, one after the other.
 
 Examples:
-  foxtailspoke apply --dry-run customers.json plans.json
-  foxtailspoke apply customers.json plans.json
-  foxtailspoke apply --yes --made-from 7 --as maria customers.json plans.json
+$ foxtailspoke apply --dry-run customers.json plans.json
+$ foxtailspoke apply customers.json plans.json
+$ foxtailspoke apply --yes --made-from 7 --as maria customers.json plans.json
 
 With --made-from, lists made from an older version than the one in force are
 refused (exit code 4). Use it when the files were edited after "foxtailspoke
 get", so that another operator's change isn't taken back unseen.
 
-After exit code 5 (answer lost), "foxtailspoke audit --attempt ID" tells whether
-the change took effect, and applying again is safe.`
+After exit code 5 (answer lost), "foxtailspoke audit --attempt ID" tells
+whether the change took effect, and applying again is safe.`
 
 type applyCommand struct {
 	app *app
 	listFiles
 	Yes      bool          `long:"yes" description:"Don't ask before the change"`
 	DryRun   bool          `long:"dry-run" description:"Show the difference and change nothing"`
-	MadeFrom int           `long:"made-from" value-name:"VERSION" default:"-1" description:"Refuse unless this version of the lists is in force"`
+	MadeFrom *uint64       `long:"made-from" value-name:"VERSION" description:"Refuse unless this version of the lists is in force"`
 	Wait     time.Duration `long:"wait" default:"30s" description:"How long to wait until the change is in force everywhere; 0 doesn't wait"`
 }
 
@@ -82,7 +84,7 @@
 func (c *applyCommand) propose(conn connection) (operator.Proposal, error) {
 	ctx, cancel := c.app.limited()
 	defer cancel()
-	capacity, err := capacityOf(ctx, conn.platform)
+	capacity, err := c.capacity(ctx, conn)
 	if err != nil {
 		return operator.Proposal{}, err
 	}
@@ -91,12 +93,33 @@
 		return operator.Proposal{}, err
 	}
 	p, err := conn.operator.Propose(ctx, l)
-	if err == nil && c.MadeFrom >= 0 && uint64(c.MadeFrom) != p.Base.Version {
-		return p, exit(exitRaced, "Nothing was applied: the lists in force are version %d, and yours were made from version %d.", p.Base.Version, c.MadeFrom)
+	if err == nil && c.MadeFrom != nil && *c.MadeFrom != p.Base.Version {
+		return p, exit(exitRaced, "Nothing was applied: the lists in force are version %d, and yours were made from version %d.", p.Base.Version, *c.MadeFrom)
 	}
 	return p, err
 }
 
+// capacity counts the backend servers against which floors are checked. A
+// floor that is in force already passes even if servers are away just now:
+// otherwise an outage would keep operators from changing anything.
+func (c *applyCommand) capacity(ctx context.Context, conn connection) (lists.Capacity, error) {
+	capacity, err := capacityOf(ctx, conn.platform)
+	if err != nil {
+		return nil, err
+	}
+	current, err := conn.operator.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for name, s := range current.Lists.Services {
+		if live := capacity[name]; live < s.Floor {
+			c.app.notef("Service %s has %d live backend servers, fewer than its floor %d in force.\n", name, live, s.Floor)
+			capacity[name] = s.Floor
+		}
+	}
+	return capacity, nil
+}
+
 // show prints the difference.
 func (c *applyCommand) show(p operator.Proposal) {
 	if c.app.json() {
@@ -123,7 +146,9 @@
 	case operator.Raced:
 		return nil, c.lost(p, a)
 	case operator.Unresolved:
-		return nil, exit(exitUnresolved, "The platform's answer was lost. It isn't known whether version %d took effect, and it still may.\nFind out by: foxtailspoke audit --attempt %s", a.Version, a.Attempt)
+		return nil, exit(exitUnresolved, "The platform's answer was lost. It isn't known whether version %d took effect, and it still may.\nFind out by: foxtailspoke audit --attempt %s. %s", a.Version, a.Attempt, partly(a))
+	case operator.Stopped:
+		return nil, exit(exitUnavailable, "The platform doesn't answer any more. %s", partly(a))
 	case operator.Accepted:
 	}
 	if !c.app.json() {
@@ -140,9 +165,20 @@
 			b.WriteString("\n      " + change)
 		}
 	}
+	if a.Stages.Accepted > 0 {
+		return exit(exitRaced, "Another change came between:%s\n%s", b.String(), partly(a))
+	}
 	return exit(exitRaced, "Nothing was applied: after you read version %d, another change came first:%s\nLook at it by \"foxtailspoke get\", and apply again.", p.Base.Version, b.String())
 }
 
+// partly tells what stands of a change that takes several versions.
+func partly(a operator.Applied) string {
+	if a.Stages.Accepted == 0 {
+		return ""
+	}
+	return fmt.Sprintf("The change is so large that it takes %d versions; the first %d are accepted and stand. Apply again to send the rest.", a.Stages.Of, a.Stages.Accepted)
+}
+
 // endJSON prints a result as JSON if asked for. The error then only sets the
 // exit code, as the result tells it all.
 func (a *app) endJSON(result any, err error) error {
