Orders under keys that callers make

Cause: claims in the table existed as a decision, but no instance made them; such orders were refused as not run. Change: the node claims a row before the request is sent, resolves lost answers by reading, writes the end, and prunes rows after 24 h in slices. Ruled out: counting on the attempt timer's map for delays (a claim's second write needs a timer too; timers now carry what to do).

--- a/node/attempts.go
+++ b/node/attempts.go
@@ -52,7 +52,7 @@
 	r.tried = append(r.tried, id)
 	r.server = id
 	n.picker.Started(r.service.Name, id)
-	n.timers.add(n.now+n.observer.LateAfter(r.service.Name), a.id)
+	n.timers.add(n.now+n.observer.LateAfter(r.service.Name), func() { n.late(a) })
 	n.emit(StartAttempt{
 		Request:   r.arrived.Request,
 		Attempt:   a.id,
@@ -218,7 +218,7 @@
 // late takes note that an attempt has no answer for longer than nearly all
 // others, and may send a second one beside it.
 func (n *Node) late(a *attempt) {
-	if a.streaming || a.forwarded {
+	if n.attempts[a.id] != a || a.streaming {
 		return
 	}
 	a.late = true
--- /dev/null
+++ b/node/claims.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"foxtailspoke/claim"
+	"foxtailspoke/effect"
+	"foxtailspoke/membership"
+	"foxtailspoke/platform"
+)
+
+const (
+	// claimRetention is how long the row of a caller-made key is kept.
+	claimRetention = 24 * time.Hour
+	// pruneEvery is the time between two reads of the claims table for old
+	// rows; each covers one of pruneSlices slices of it.
+	pruneEvery  = 10 * time.Second
+	pruneSlices = 256
+	// pruneLimit bounds the rows deleted at once.
+	pruneLimit = 200
+	// pruneSubject marks the reads and writes of pruning.
+	pruneSubject = "prune"
+)
+
+// pruning is the state of deleting old claims.
+type pruning struct {
+	next    time.Duration
+	slice   int
+	horizon *claim.Horizon
+}
+
+// claimStep does what comes next for a caller-made key.
+func (n *Node) claimStep(id claim.ID, request string, s claim.Step) {
+	p := pending{owner: ownerClaim, id: uint64(id), subject: request}
+	switch {
+	case s.Decision != nil:
+		n.claimDecided(id, request, *s.Decision)
+	case s.Write != nil && s.After > 0:
+		write := effect.WriteTable{Txn: *s.Write}
+		n.timers.add(n.now+s.After, func() { n.emit(n.own(p, write)) })
+	case s.Write != nil:
+		n.emit(n.own(p, effect.WriteTable{Txn: *s.Write}))
+	case s.Read != nil:
+		n.emit(n.own(p, effect.ReadTable{Read: *s.Read}))
+	}
+}
+
+func (n *Node) claimDecided(id claim.ID, request string, d claim.Decision) {
+	r, waiting := n.requests[request]
+	switch {
+	case d.Verdict == claim.Run && !waiting:
+		n.claimStep(id, "", n.claimer.Finish(id, claim.NotRun, nil))
+	case d.Verdict == claim.Run:
+		r.operation = &operation{claim: id}
+		n.runClaimed(r)
+	case waiting:
+		n.answerRepeat(r, claim.InDoubt(d, n.peerState(d.By)))
+	}
+}
+
+// runClaimed goes on with a request whose claim took a while: the key may
+// have been withdrawn meanwhile, or the instance been cut off.
+func (n *Node) runClaimed(r *request) {
+	if rule, _ := n.identify(r.arrived.Key, r.arrived.HasKey, &r.figures); rule != "" {
+		n.refuse(r, rule, 0)
+		return
+	}
+	n.takeTokens(r)
+}
+
+func (n *Node) peerState(id string) claim.PeerState {
+	i, ok := n.member.Live().Instance(id)
+	if !ok || i.State == platform.Ended {
+		return claim.PeerEnded
+	}
+	return claim.PeerLive
+}
+
+func (n *Node) claimRead(p pending, e TableRead) {
+	if e.OK {
+		n.pruning.horizon.Note(n.now, e.Changes.Revision)
+	}
+	switch {
+	case p.subject == pruneSubject:
+		n.prune(e)
+	case e.OK:
+		n.claimStep(claim.ID(p.id), p.subject, n.claimer.Answered(claim.ID(p.id), e.Changes))
+	default:
+		n.claimStep(claim.ID(p.id), p.subject, n.claimer.Unanswered(claim.ID(p.id)))
+	}
+}
+
+func (n *Node) claimWritten(p pending, r platform.WriteResult) {
+	if p.subject != pruneSubject {
+		n.claimStep(claim.ID(p.id), p.subject, n.claimer.Written(claim.ID(p.id), r))
+	}
+}
+
+// lookForOldClaims reads one slice of the claims table now and then, if this
+// instance is the one that does so.
+func (n *Node) lookForOldClaims() {
+	if n.now < n.pruning.next || n.member.Confirmed(n.now).State != membership.ByTable {
+		return
+	}
+	n.pruning.next = n.now + pruneEvery
+	if membership.First("claim-pruner", n.entryIDs()) != n.settings.Self.ID {
+		return
+	}
+	prefix := fmt.Sprintf("%s%02x", claim.RowPrefix, n.pruning.slice)
+	n.pruning.slice = (n.pruning.slice + 1) % pruneSlices
+	read := platform.ReadRequest{Table: platform.Claims, Prefix: prefix}
+	n.emit(n.own(pending{owner: ownerClaim, subject: pruneSubject}, effect.ReadTable{Read: read}))
+}
+
+func (n *Node) prune(e TableRead) {
+	if !e.OK {
+		return
+	}
+	txn, some := n.claimer.Prune(e.Changes.Rows, n.pruning.horizon.Old(n.now), pruneLimit)
+	if some {
+		n.emit(n.own(pending{owner: ownerClaim, subject: pruneSubject}, effect.WriteTable{Txn: txn}))
+	}
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"container/heap"
 	"encoding/json"
 	"math/rand/v2"
@@ -23,8 +24,7 @@
 	seq   int
 	queue jobs
 
-	rows      map[string]platform.Row
-	revision  platform.Revision
+	tables    map[platform.TableName]*table
 	tableAway bool
 	list      []platform.Instance
 	version   uint64
@@ -44,6 +44,12 @@
 	requests  int
 }
 
+// table is one of the platform's tables.
+type table struct {
+	rows     map[string]platform.Row
+	revision platform.Revision
+}
+
 // instance is a node with its clock and what happens while it is frozen.
 type instance struct {
 	node   *Node
@@ -89,8 +95,11 @@
 
 func newFleet(seed uint64, entries, servers int) *fleet {
 	f := &fleet{
-		rng:       rand.New(rand.NewPCG(seed, 1)),
-		rows:      map[string]platform.Row{},
+		rng: rand.New(rand.NewPCG(seed, 1)),
+		tables: map[platform.TableName]*table{
+			platform.Control: {rows: map[string]platform.Row{}},
+			platform.Claims:  {rows: map[string]platform.Row{}},
+		},
 		nodes:     map[string]*instance{},
 		servers:   map[string]*server{},
 		cut:       map[string]bool{},
@@ -135,48 +144,58 @@
 	return i
 }
 
-// write commits rows at once, as operators do.
-func (f *fleet) write(key string, value any) platform.Revision {
+// write commits a row of the control table at once, as operators do.
+func (f *fleet) write(key string, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
 	}
-	f.revision++
-	f.rows[key] = platform.Row{Key: key, Value: data, Revision: f.revision}
-	return f.revision
+	f.commit(platform.Txn{Puts: []platform.Put{{Table: platform.Control, Key: key, Value: data}}})
 }
 
 func (f *fleet) drop(key string) {
-	f.revision++
-	f.rows[key] = platform.Row{Key: key, Revision: f.revision, Deleted: true}
+	f.commit(platform.Txn{Puts: []platform.Put{{Table: platform.Control, Key: key, Delete: true}}})
 }
 
 func (f *fleet) commit(t platform.Txn) platform.WriteResult {
+	result := platform.WriteResult{Outcome: platform.Committed, Revisions: map[platform.TableName]platform.Revision{}}
 	for _, c := range t.Conditions {
-		row := f.rows[c.Key]
+		row := f.tables[c.Table].rows[c.Key]
 		if row.Deleted {
 			row.Revision = 0
 		}
 		if row.Revision != c.Revision {
-			return platform.WriteResult{Outcome: platform.Conflict}
+			result.Outcome = platform.Conflict
+		}
+		if row.Revision > 0 {
+			result.Current = append(result.Current, row)
 		}
 	}
-	f.revision++
+	if result.Outcome == platform.Conflict {
+		return result
+	}
+	result.Current = nil
 	for _, p := range t.Puts {
-		f.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Revision: f.revision, Attempt: t.Attempt, Deleted: p.Delete}
+		to := f.tables[p.Table]
+		if result.Revisions[p.Table] == 0 {
+			to.revision++
+			result.Revisions[p.Table] = to.revision
+		}
+		to.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Revision: to.revision, Attempt: t.Attempt, Deleted: p.Delete}
 	}
-	return platform.WriteResult{Outcome: platform.Committed, Revisions: map[platform.TableName]platform.Revision{platform.Control: f.revision}}
+	return result
 }
 
-func (f *fleet) read(since platform.Revision) platform.Changes {
-	c := platform.Changes{Revision: f.revision, Full: since == 0}
-	for _, row := range f.rows {
-		if row.Revision > since {
+func (f *fleet) read(r platform.ReadRequest) platform.Changes {
+	from := f.tables[r.Table]
+	c := platform.Changes{Revision: from.revision, Full: r.Since == 0}
+	for _, row := range from.rows {
+		if row.Revision > r.Since && strings.HasPrefix(row.Key, r.Prefix) {
 			c.Rows = append(c.Rows, row)
 		}
 	}
 	slices.SortFunc(c.Rows, func(a, b platform.Row) int {
-		return strings.Compare(strconv.FormatUint(uint64(a.Revision)+1e9, 10)+a.Key, strconv.FormatUint(uint64(b.Revision)+1e9, 10)+b.Key)
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
 	})
 	return c
 }
@@ -255,7 +274,7 @@
 	case effect.Call:
 		f.call(i, e)
 	case effect.ReadTable:
-		f.platform(i, func() Event { return TableRead{ID: e.ID, Changes: f.read(e.Read.Since), OK: true} }, TableRead{ID: e.ID})
+		f.platform(i, func() Event { return TableRead{ID: e.ID, Changes: f.read(e.Read), OK: true} }, TableRead{ID: e.ID})
 	case effect.WriteTable:
 		f.platform(i, func() Event { return TableWritten{ID: e.ID, Result: f.commit(e.Txn)} }, TableWritten{ID: e.ID})
 	case effect.ReadInstances:
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -157,7 +157,7 @@
 // orders under keys that are repeated elsewhere, orders without keys, lookups.
 func flood(f *fleet, d time.Duration) {
 	until := f.now + d
-	var keys []string
+	keys := []string{"made-by-caller-0"}
 	for f.now < until {
 		if f.rng.IntN(120) == 0 {
 			f.disturb()
@@ -172,13 +172,13 @@
 		case 1:
 			f.arrive(name, key, post(""))
 		case 2:
-			if k := f.operationKey(name, key); k != "" {
-				keys = append(keys, k)
+			k := f.operationKey(name, key)
+			if k == "" || f.rng.IntN(2) == 0 {
+				k = fmt.Sprintf("made-by-caller-%d", len(keys))
 			}
+			keys = append(keys, k)
 		default:
-			if len(keys) > 0 {
-				f.arrive(name, key, post(keys[max(0, len(keys)-1-f.rng.IntN(6))]))
-			}
+			f.arrive(name, key, post(keys[max(0, len(keys)-1-f.rng.IntN(6))]))
 		}
 		f.run(time.Duration(f.rng.IntN(32)) * time.Millisecond)
 	}
--- a/node/locate.go
+++ b/node/locate.go
@@ -55,14 +55,20 @@
 
 // holders returns the live holders of a shard, most parts first.
 func (n *Node) holders(shard string) []string {
-	var live []string
-	for _, e := range n.member.Live().Entries() {
-		live = append(live, e.ID)
-	}
+	live := n.entryIDs()
 	ids := quota.AskOrder(n.replica.Shard(shard), "")
 	return slices.DeleteFunc(ids, func(id string) bool { return !slices.Contains(live, id) })
 }
 
+func (n *Node) entryIDs() []string {
+	entries := n.member.Live().Entries()
+	ids := make([]string, len(entries))
+	for i, e := range entries {
+		ids[i] = e.ID
+	}
+	return ids
+}
+
 // Serving says whether the instance accepts requests; if not, by which rule
 // it refuses them.
 func (n *Node) Serving(now time.Duration) (decision.Rule, bool) {
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,8 @@
 	member    *membership.Member
 	holder    *quota.Holder
 	minter    *claim.Minter
+	claimer   *claim.Claimer
+	pruning   pruning
 	observer  *health.Observer
 	collector *health.Collector
 	picker    *balance.Picker
@@ -69,6 +71,8 @@
 		member:     membership.New(s.Membership, replica, rng),
 		holder:     quota.NewHolder(s.Self.ID, s.Shards, s.Quota),
 		minter:     claim.NewMinter(s.Self.ID, s.Secret, s.Claim),
+		claimer:    claim.NewClaimer(s.Self.ID, s.Claimer),
+		pruning:    pruning{horizon: claim.NewHorizon(claimRetention)},
 		observer:   health.NewObserver(s.Health, rng),
 		collector:  health.NewCollector(s.Health),
 		picker:     balance.NewPicker(s.Balance, rng),
@@ -153,6 +157,7 @@
 	n.reportHealth()
 	n.collect()
 	n.planShards()
+	n.lookForOldClaims()
 	if n.now >= n.forgetAt {
 		n.forgetAt = n.now + time.Minute
 		n.holder.Forget(n.now)
@@ -164,10 +169,12 @@
 	if !ok {
 		return
 	}
-	if p.owner == ownerMember {
-		n.memberEffects(n.member.ReadDone(n.now, p.id, e.Changes, e.OK))
-		n.noticeRevision()
+	if p.owner == ownerClaim {
+		n.claimRead(p, e)
+		return
 	}
+	n.memberEffects(n.member.ReadDone(n.now, p.id, e.Changes, e.OK))
+	n.noticeRevision()
 }
 
 func (n *Node) tableWritten(e TableWritten) {
@@ -180,6 +187,8 @@
 		n.memberEffects(n.member.WriteDone(n.now, p.id, e.Result))
 	case ownerShard:
 		n.shardWritten(p.subject, e.Result)
+	case ownerClaim:
+		n.claimWritten(p, e.Result)
 	case ownerPermits:
 		delete(n.permitting, p.subject)
 	}
--- a/node/operations.go
+++ b/node/operations.go
@@ -10,13 +10,17 @@
 // operation is a non-idempotent request that this instance runs under an
 // idempotency key.
 type operation struct {
+	// key is set for a key that this instance minted.
 	key claim.OperationKey
+	// claim is set for a key that the caller made.
+	claim claim.ID
 }
 
 // beginOperation decides whether a request with an idempotency key runs here.
 func (n *Node) beginOperation(r *request) {
 	if !claim.IsOperationKey(r.arrived.Operation) {
-		n.refuse(r, decision.RuleClaimUnavailable, 0)
+		id, step := n.claimer.Begin(r.workspace.Name, r.arrived.Operation, r.arrived.Digest)
+		n.claimStep(id, r.arrived.Request, step)
 		return
 	}
 	key, err := claim.Parse(r.arrived.Operation)
@@ -85,10 +89,13 @@
 
 // endOperation reports how a request under a key ended.
 func (n *Node) endOperation(r *request, o claim.Outcome, a *claim.Answer) {
-	if r.operation == nil {
-		return
+	switch {
+	case r.operation == nil:
+	case r.operation.claim != 0:
+		n.claimStep(r.operation.claim, "", n.claimer.Finish(r.operation.claim, o, a))
+	default:
+		n.minter.Finish(n.now, r.operation.key, o, a)
 	}
-	n.minter.Finish(n.now, r.operation.key, o, a)
 }
 
 // forward passes a request on to the instance that minted its key. Nobody
--- a/node/settings.go
+++ b/node/settings.go
@@ -50,6 +50,7 @@
 	Membership membership.Settings
 	Quota      quota.Settings
 	Claim      claim.Settings
+	Claimer    claim.ClaimerSettings
 	Health     health.Settings
 	Balance    balance.Settings
 	Retry      retry.Settings
@@ -70,6 +71,7 @@
 		HousekeepEvery:  250 * time.Millisecond,
 		Quota:           quota.DefaultSettings(),
 		Claim:           claim.DefaultSettings(),
+		Claimer:         claim.DefaultClaimerSettings(),
 		Health:          health.DefaultSettings(),
 		Balance:         balance.DefaultSettings(),
 		Retry:           retry.DefaultSettings(),
--- a/node/timers.go
+++ b/node/timers.go
@@ -5,16 +5,22 @@
 	"time"
 )
 
-// timers are the times at which attempts become late, soonest first.
-type timers struct{ list timerList }
+// timers are things to do later, soonest first.
+type timers struct {
+	list timerList
+	made uint64
+}
 
 type timer struct {
-	at      time.Duration
-	attempt string
+	at time.Duration
+	// number keeps timers of the same time in the order of their making.
+	number uint64
+	do     func()
 }
 
-func (t *timers) add(at time.Duration, attempt string) {
-	heap.Push(&t.list, timer{at: at, attempt: attempt})
+func (t *timers) add(at time.Duration, do func()) {
+	t.made++
+	heap.Push(&t.list, timer{at: at, number: t.made, do: do})
 }
 
 func (t *timers) first() (time.Duration, bool) {
@@ -24,20 +30,23 @@
 	return t.list[0].at, true
 }
 
-// due removes and returns the first attempt whose time has come.
-func (t *timers) due(now time.Duration) (string, bool) {
+// due removes and returns the first thing to do whose time has come.
+func (t *timers) due(now time.Duration) (func(), bool) {
 	if at, ok := t.first(); !ok || at > now {
-		return "", false
+		return nil, false
 	}
-	return heap.Pop(&t.list).(timer).attempt, true
+	return heap.Pop(&t.list).(timer).do, true
 }
 
 type timerList []timer
 
-func (l timerList) Len() int           { return len(l) }
-func (l timerList) Less(i, j int) bool { return l[i].at < l[j].at }
-func (l timerList) Swap(i, j int)      { l[i], l[j] = l[j], l[i] }
-func (l *timerList) Push(x any)        { *l = append(*l, x.(timer)) }
+func (l timerList) Len() int { return len(l) }
+
+func (l timerList) Less(i, j int) bool {
+	return l[i].at < l[j].at || (l[i].at == l[j].at && l[i].number < l[j].number)
+}
+func (l timerList) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
+func (l *timerList) Push(x any)   { *l = append(*l, x.(timer)) }
 func (l *timerList) Pop() any {
 	old := *l
 	last := old[len(old)-1]
@@ -47,12 +56,10 @@
 
 func (n *Node) runTimers() {
 	for {
-		id, ok := n.timers.due(n.now)
+		do, ok := n.timers.due(n.now)
 		if !ok {
 			return
 		}
-		if a, running := n.attempts[id]; running {
-			n.late(a)
-		}
+		do()
 	}
 }
