--- a/decision/sentence.go
+++ b/decision/sentence.go
@@ -16,6 +16,9 @@
 	if advice := r.advice(); advice != "" {
 		parts = append(parts, "; ", advice)
 	}
+	if r.Alike > 0 {
+		parts = append(parts, ". ", count(r.Alike, "more request"), " shortly before ended the same way")
+	}
 	return strings.Join(parts, "") + "."
 }
 
@@ -36,6 +39,8 @@
 
 func (r Record) verdict() string {
 	switch {
+	case r.Rule == RuleServed && r.Outcome == RanBefore:
+		return "was given the first answer again"
 	case r.Rule == RuleServed && r.Attempts > 1:
 		return "was served after a repeat"
 	case r.Rule == RuleServed:
--- a/membership/member.go
+++ b/membership/member.go
@@ -58,11 +58,13 @@
 	calls  map[uint64]call
 	table  reading
 	list   reading
-	pull   pulling
-	round  round
-	force  force
-	seats  seats
-	alone  alone
+	// listHeard is when the list last came, by a read or with a pull.
+	listHeard time.Duration
+	pull      pulling
+	round     round
+	force     force
+	seats     seats
+	alone     alone
 
 	leaving bool
 }
@@ -169,4 +171,4 @@
 }
 
 // watches says whether the instance is a watcher of its data centre.
-func (m *Member) watches() bool { return m.dir.isWatcher(m.set.Self) }
+func (m *Member) watches() bool { return m.dir.selfWatches }
--- a/operator/change.go
+++ b/operator/change.go
@@ -22,6 +22,9 @@
 	// Unresolved changes got no answer in time. They took effect, or they
 	// didn't, or they still may: Resolve finds out once the platform answers.
 	Unresolved Outcome = "unresolved"
+	// Stopped changes took several versions, and the platform ceased to
+	// answer after some of them. The others weren't sent.
+	Stopped Outcome = "stopped"
 )
 
 // change is a transaction with its audit entry.
@@ -63,6 +66,8 @@
 	}
 }
 
+// transaction adds the audit entry, on the condition that it isn't there yet:
+// so every change has a condition on a row that it writes itself.
 func (o *Operator) transaction(c change) (platform.Txn, error) {
 	value, err := json.Marshal(c.entry)
 	if err != nil {
