--- a/decision/batch.go
+++ b/decision/batch.go
@@ -58,18 +58,27 @@
 
 func hourOf(at time.Time) time.Time { return at.UTC().Truncate(time.Hour) }
 
-func encodeBatch(instance string, number, dropped uint64, records []Record) (Batch, error) {
+// Cut is a batch that isn't encoded yet.
+type Cut struct {
+	Name     string
+	contents Contents
+}
+
+// Encode returns the batch. It can be called from any goroutine.
+func (c Cut) Encode() (Batch, error) {
 	var buf bytes.Buffer
 	zip := gzip.NewWriter(&buf)
-	contents := Contents{Format: batchFormat, Instance: instance, Dropped: dropped, Records: records}
-	if err := json.NewEncoder(zip).Encode(contents); err != nil {
+	if err := json.NewEncoder(zip).Encode(c.contents); err != nil {
 		return Batch{}, errors.Wrap(err, "encode batch")
 	}
 	if err := zip.Close(); err != nil {
 		return Batch{}, errors.Wrap(err, "compress batch")
 	}
-	name := fmt.Sprintf("%s%s-%06d", HourPrefix(records[0].At), nameSafe(instance), number)
-	return Batch{Name: name, Data: buf.Bytes(), Records: len(records)}, nil
+	return Batch{Name: c.Name, Data: buf.Bytes(), Records: len(c.contents.Records)}, nil
+}
+
+func batchName(instance string, number uint64, at time.Time) string {
+	return fmt.Sprintf("%s%s-%06d", HourPrefix(at), nameSafe(instance), number)
 }
 
 // DecodeBatch reads a batch from the object store. It rejects what is damaged,
--- a/decision/buffer.go
+++ b/decision/buffer.go
@@ -45,7 +45,7 @@
 	first, next uint64
 	// stored is the number of the first record that no batch holds yet.
 	stored  uint64
-	pending *Batch
+	pending *Cut
 	batches uint64
 	dropped uint64
 	// droppedBefore is what the batches so far have reported as dropped.
@@ -176,28 +176,43 @@
 // Dropped returns how many records fell out before they were stored.
 func (b *Buffer) Dropped() uint64 { return b.dropped }
 
-// Batch returns the next batch to put into the object store; false if there
-// is nothing to store. The same batch, with the same name and bytes, is
-// returned until Stored has been called for it: a put whose answer was lost
-// is repeated without harm.
-func (b *Buffer) Batch() (Batch, bool) {
+// Take cuts the next batch off; false if there is nothing to store. It is
+// quick; encoding the cut takes milliseconds and can be done outside a lock.
+// The same cut is returned until Stored or Discard has been called for it, and
+// always encodes to the same bytes: a put whose answer was lost is repeated
+// without harm.
+func (b *Buffer) Take() (Cut, bool) {
 	if b.pending != nil {
 		return *b.pending, true
 	}
 	records := b.oldestHour()
 	if len(records) == 0 {
-		return Batch{}, false
+		return Cut{}, false
 	}
 	b.batches++
-	batch, err := encodeBatch(b.instance, b.batches, b.dropped-b.droppedBefore, records)
+	b.pending = &Cut{
+		Name: batchName(b.instance, b.batches, records[0].At),
+		contents: Contents{
+			Format: batchFormat, Instance: b.instance, Dropped: b.dropped - b.droppedBefore, Records: records,
+		},
+	}
 	b.stored += uint64(len(records))
+	b.droppedBefore = b.dropped
+	b.forgetFloods()
+	return *b.pending, true
+}
+
+// Batch takes and encodes the next batch in one step.
+func (b *Buffer) Batch() (Batch, bool) {
+	cut, ok := b.Take()
+	if !ok {
+		return Batch{}, false
+	}
+	batch, err := cut.Encode()
 	if err != nil {
-		b.dropped += uint64(len(records))
+		b.Discard(cut.Name)
 		return Batch{}, false
 	}
-	b.droppedBefore = b.dropped
-	b.forgetFloods()
-	b.pending = &batch
 	return batch, true
 }
 
@@ -208,10 +223,18 @@
 	}
 }
 
+// Discard gives a batch up and counts its records as dropped.
+func (b *Buffer) Discard(name string) {
+	if b.pending != nil && b.pending.Name == name {
+		b.dropped += uint64(len(b.pending.contents.Records))
+		b.pending = nil
+	}
+}
+
 // oldestHour returns the unstored records of one hour, so that a batch's
 // name tells the hour of all its records.
 func (b *Buffer) oldestHour() []Record {
-	var records []Record
+	records := make([]Record, 0, min(b.Waiting(), MaxBatchRecords))
 	for n := b.stored; n < b.next && len(records) < MaxBatchRecords; n++ {
 		r := b.at(n)
 		if len(records) > 0 && hourOf(r.At) != hourOf(records[0].At) {
--- a/decision/decision_test.go
+++ b/decision/decision_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -211,16 +212,20 @@
 
 func TestOversizedFieldsAreCut(t *testing.T) {
 	b := NewBuffer(testInstance, BufferSettings{})
-	r := Record{Rule: RuleBadRequest, Method: strings.Repeat("M", 1<<20), Figures: Figures{Detail: strings.Repeat("d", 1<<20)}}
+	r := Record{Rule: RuleBadRequest, Method: strings.Repeat("M", 1<<20), Figures: Figures{Detail: strings.Repeat("d", 1<<20), Tokens: math.NaN(), Rate: math.Inf(1)}}
 	b.Add(r)
 	kept := b.Search(Query{})[0]
 	must.Eq(t, MaxField, len(kept.Method))
 	must.Eq(t, MaxDetail, len(kept.Figures.Detail))
+	_, ok := b.Batch()
+	must.True(t, ok)
 }
 
 func FuzzDecodeBatch(f *testing.F) {
-	batch, err := encodeBatch(testInstance, 1, 0, []Record{sample(RuleOverRate)})
-	must.NoError(f, err)
+	b := NewBuffer(testInstance, BufferSettings{})
+	b.Add(sample(RuleOverRate))
+	batch, ok := b.Batch()
+	must.True(f, ok)
 	f.Add(batch.Data)
 	f.Add(batch.Data[:len(batch.Data)/2])
 	f.Add([]byte("not compressed"))
@@ -246,6 +251,19 @@
 			buffer.Add(r)
 		}
 	})
+	b.Run("take", func(b *testing.B) {
+		buffer := NewBuffer(testInstance, BufferSettings{MaxAlike: DefaultMaxRecords})
+		for b.Loop() {
+			b.StopTimer()
+			for range MaxBatchRecords {
+				buffer.Add(sample(RuleUnknownOutcome))
+			}
+			b.StartTimer()
+			cut, ok := buffer.Take()
+			must.True(b, ok)
+			buffer.Stored(cut.Name)
+		}
+	})
 	b.Run("batch", func(b *testing.B) {
 		size := 0
 		rng := rand.New(rand.NewPCG(1, 1))
--- a/decision/record.go
+++ b/decision/record.go
@@ -1,6 +1,9 @@
 package decision
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Record is the decision on one request. It holds no key, header or body.
 type Record struct {
@@ -80,9 +83,21 @@
 		*s = cut(*s, MaxField)
 	}
 	r.Figures.Detail = cut(r.Figures.Detail, MaxDetail)
+	for _, f := range []*float64{&r.Figures.Rate, &r.Figures.Burst, &r.Figures.Tokens} {
+		*f = finite(*f)
+	}
 	return r
 }
 
+// finite leaves out what JSON can't write: one such figure would cost the
+// whole batch.
+func finite(f float64) float64 {
+	if math.IsNaN(f) || math.IsInf(f, 0) {
+		return 0
+	}
+	return f
+}
+
 func cut(s string, limit int) string {
 	if len(s) <= limit {
 		return s
