Replica: go through workspaces and plans without building keys

Change: Workspaces, in an order that is the same for the same history, and Plan, so that a plan's limits are looked at once and not once a workspace.

--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -132,6 +132,15 @@
 			must.Len(b, 55_000, r.Rows(WorkspacePrefix))
 		}
 	})
+	b.Run("workspaces", func(b *testing.B) {
+		for b.Loop() {
+			n := 0
+			for range r.Workspaces() {
+				n++
+			}
+			must.Eq(b, 55_000, n)
+		}
+	})
 	b.Run("sinceAll", func(b *testing.B) {
 		for b.Loop() {
 			must.Len(b, 110_560, r.Since(0).Rows)
--- a/config/replica.go
+++ b/config/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -146,6 +147,27 @@
 	return Workspace{Name: rec.key()[len(WorkspacePrefix):], Plan: rec.note}, true
 }
 
+// Workspaces goes through all workspaces, those whose row changed last at the
+// end. The order is the same at every replica with the same history.
+func (r *Replica) Workspaces() iter.Seq[Workspace] {
+	return func(yield func(Workspace) bool) {
+		for _, rec := range r.rows.log {
+			if rec.superseded || !rec.valid || !strings.HasPrefix(rec.key(), WorkspacePrefix) {
+				continue
+			}
+			if !yield(Workspace{Name: rec.key()[len(WorkspacePrefix):], Plan: rec.note}) {
+				return
+			}
+		}
+	}
+}
+
+// Plan returns a plan by name.
+func (r *Replica) Plan(name string) (Plan, bool) {
+	p, ok := r.plans[name]
+	return p, ok
+}
+
 // Limit returns what the workspace may use of a service; false if nothing.
 func (r *Replica) Limit(workspace, service string) (Limit, bool) {
 	w, ok := r.workspace(workspace)
--- a/config/spread_test.go
+++ b/config/spread_test.go
@@ -81,6 +81,13 @@
 			"": func(t *rapid.T) {
 				for _, r := range replicas {
 					must.Eq(t, at[r.Revision()], contents(r.Since(0).Rows))
+					present := map[string]bool{}
+					for w := range r.Workspaces() {
+						must.False(t, present[w.Name])
+						present[w.Name] = true
+						must.Eq(t, at[r.Revision()][WorkspacePrefix+w.Name], fmt.Sprintf(`{"plan":%q}`, w.Plan))
+					}
+					must.MapLen(t, len(present), at[r.Revision()])
 					for name := range at[r.Revision()] {
 						_, ok := r.Row(name)
 						must.True(t, ok)
