--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -132,6 +132,15 @@
 			must.Len(b, 55_000, r.Rows(WorkspacePrefix))
 		}
 	})
+	b.Run("workspaces", func(b *testing.B) {
+		for b.Loop() {
+			n := 0
+			for range r.Workspaces() {
+				n++
+			}
+			must.Eq(b, 55_000, n)
+		}
+	})
 	b.Run("sinceAll", func(b *testing.B) {
 		for b.Loop() {
 			must.Len(b, 110_560, r.Since(0).Rows)
@@ -144,6 +153,14 @@
 		}
 	})
 	revision := platform.Revision(200_000)
+	b.Run("applyAllAgain", func(b *testing.B) {
+		c := r.Since(0)
+		for b.Loop() {
+			revision++
+			c.Revision = revision
+			must.True(b, r.Apply(c))
+		}
+	})
 	b.Run("applyWorkspace", func(b *testing.B) {
 		for i := 0; b.Loop(); i++ {
 			revision++
--- a/config/spread_test.go
+++ b/config/spread_test.go
@@ -13,9 +13,11 @@
 	"foxtailspoke/platform"
 )
 
-// TestMain fixes the seed of the random histories; -rapid.seed overrides it.
+// TestMain fixes the seed and the number of the random histories; the flags
+// -rapid.seed and -rapid.checks override them.
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "20260302")
+	_ = flag.Set("rapid.checks", "300")
 	os.Exit(m.Run())
 }
 
@@ -79,6 +81,13 @@
 			"": func(t *rapid.T) {
 				for _, r := range replicas {
 					must.Eq(t, at[r.Revision()], contents(r.Since(0).Rows))
+					present := map[string]bool{}
+					for w := range r.Workspaces() {
+						must.False(t, present[w.Name])
+						present[w.Name] = true
+						must.Eq(t, at[r.Revision()][WorkspacePrefix+w.Name], fmt.Sprintf(`{"plan":%q}`, w.Plan))
+					}
+					must.MapLen(t, len(present), at[r.Revision()])
 					for name := range at[r.Revision()] {
 						_, ok := r.Row(name)
 						must.True(t, ok)
