Membership: a watcher that can't prove pulls, pulls stay where they work

Cause: a watcher that reached neither the table nor enough witnesses never asked another watcher; with all watchers of a data centre gone the others there tried the dead ones before every pull and read the table themselves instead (47 reads/s for 40 instances, 41 expected); a table that went back made everybody cut off, because reads did get answers. Ruled out: trying the own data centre before each pull, for its timeouts. Change: a watcher pulls once its proof is old; a pull stays with the watcher that answered and tries home every 10 s; a read below the own revision counts as no answer, so that the witnesses are asked. Unit tests of proofs, rounds and revisions in force.

--- a/membership/alone.go
+++ b/membership/alone.go
@@ -29,8 +29,8 @@
 	if now < m.alone.next {
 		return nil
 	}
-	if start, held := m.youngest(); held && now < start+m.aloneAge() {
-		m.alone.next = start + m.aloneAge()
+	if old := m.oldAt(); now < old {
+		m.alone.next = old
 		return nil
 	}
 	m.alone.next = now + m.aloneGap()
@@ -45,7 +45,15 @@
 	return append(out, m.startRound(now)...)
 }
 
-func (m *Member) aloneAge() time.Duration { return m.set.Fresh * aloneAfter / 100 }
+// oldAt returns when the youngest proof is so old that a healthy instance
+// would have a younger one.
+func (m *Member) oldAt() time.Duration {
+	p := m.youngest()
+	if !p.held {
+		return 0
+	}
+	return p.start + m.set.Fresh*aloneAfter/100
+}
 
 // aloneGap returns the time to the next attempt: longer for a larger fleet
 // and after every failure, and never the same for two instances.
--- a/membership/call.go
+++ b/membership/call.go
@@ -59,7 +59,7 @@
 func (m *Member) callFailed(now time.Duration, c call) {
 	m.count.FailedCalls++
 	if c.kind == regularPull {
-		m.pullFailed(now)
+		m.pullFailed(now, c)
 	}
 }
 
--- a/membership/live_test.go
+++ b/membership/live_test.go
@@ -88,17 +88,22 @@
 func TestWatchersOfADataCentreGone(t *testing.T) {
 	t.Parallel()
 	s := boot(3, Settings{}, 40, 4)
+	healthy := s.reads
+	s.run(s.now + 30*time.Second)
+	healthy = s.reads - healthy
 	for _, id := range s.list.Watchers("dc1") {
 		s.byID(id).dead = true
 	}
-	reads := s.reads
-	cutOff := 0
+	reads, cutOff := s.reads, 0
 	for range 300 {
 		s.run(s.now + 100*time.Millisecond)
 		cutOff += s.nodeStates()[CutOff]
 	}
-	t.Logf("seconds of one instance cut off: %.1f; reads a second: %d", float64(cutOff)/10, (s.reads-reads)/30)
+	reads = s.reads - reads
+	t.Logf("seconds of one instance cut off: %.1f; reads a second: %d, before: %d", float64(cutOff)/10, reads/30, healthy/30)
 	must.Less(t, 10*7, cutOff) // below one second for each of the 7 left there
+	// Three watchers less read; nobody else reads in their place.
+	must.Less(t, healthy-2*3*30, reads)
 	must.Eq(t, map[State]int{ByTable: 37}, s.nodeStates())
 }
 
@@ -184,3 +189,21 @@
 		must.Between(t, 1, seats, 2, must.Sprint(centre))
 	}
 }
+
+// A watcher reaches neither the table nor enough witnesses, only another
+// watcher. It must pull from there like everybody else.
+func TestWatcherThatCantProvePulls(t *testing.T) {
+	t.Parallel()
+	s := boot(9, Settings{}, 40, 4)
+	n := s.byID(s.list.Watchers("dc0")[0])
+	helper := s.byID(s.list.Watchers("dc0")[1])
+	s.unseen[n.slot] = true
+	for slot := range s.nodes {
+		s.cut[[2]int{n.slot, slot}] = slot != helper.slot
+	}
+	s.run(s.now + 5*time.Second)
+	for range 100 {
+		s.run(s.now + 100*time.Millisecond)
+		must.Eq(t, ByTable, n.m.Confirmed(n.clock(s.now)).State)
+	}
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -114,7 +114,7 @@
 	for _, c := range m.calls {
 		next = min(next, c.sent+m.set.CallTimeout)
 	}
-	next = min(next, m.wakeTable(), m.wakeList(), m.wakePull(), m.wakeRound())
+	next = min(next, m.wakeTable(), m.wakeList(), m.pullAt(), m.wakeRound())
 	return min(next, m.wakeForce(), m.wakeSeats())
 }
 
--- /dev/null
+++ b/membership/member_test.go
@@ -0,0 +1,217 @@
+package membership
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/config"
+	"foxtailspoke/effect"
+	"foxtailspoke/platform"
+)
+
+const ms = time.Millisecond
+
+func row(key string, rev platform.Revision, value any) platform.Row {
+	v, _ := json.Marshal(value)
+	return platform.Row{Key: key, Value: v, Revision: rev}
+}
+
+func full(rev platform.Revision, rows ...platform.Row) platform.Changes {
+	return platform.Changes{Revision: rev, Full: true, Rows: rows}
+}
+
+func members(ids ...string) config.Witnesses { return config.Witnesses{Members: ids} }
+
+// newMember returns "a" of a list of five, whose witnesses are w, and what it
+// sent first at time 0. Rank and timers don't matter to these tests.
+func newMember(w config.Witnesses) (*Member, *config.Replica) {
+	log := config.NewReplica()
+	m := New(Settings{Self: "a", DataCentre: "dc", SeatStagger: time.Hour, WitnessCount: 1}, log, rand.New(rand.NewPCG(1, 1)))
+	m.apply(0, full(10, row(config.WitnessesKey, 10, w)))
+	var list []platform.Instance
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		list = append(list, entryInstance(id, "dc"))
+	}
+	m.applyList(0, platform.InstanceChanges{Version: 1, Full: true, Changed: list})
+	return m, log
+}
+
+// callsTo returns the ids of the Pull or of the Witness calls, by receiver.
+func callsTo(effects []effect.Effect, pulls bool) map[string]uint64 {
+	ids := map[string]uint64{}
+	for _, e := range effects {
+		if c, ok := e.(effect.Call); ok && (c.Request.(Request).Pull != nil) == pulls {
+			ids[c.To] = c.ID
+		}
+	}
+	return ids
+}
+
+func witnessed(rev platform.Revision, seated bool) Reply {
+	return Reply{Witness: &Witnessed{Revision: rev, Seated: seated}}
+}
+
+// A caller uses a key that was withdrawn at revision 7. The relay began with
+// a full read at 10 and has no trace of the key; the puller stands at 5. A
+// delta would leave the key working at the puller.
+func TestPullAcrossAFullReadDropsWhatWasDeleted(t *testing.T) {
+	relay, _ := newMember(members("b"))
+	m, log := newMember(members("b"))
+	*log = *config.NewReplica()
+	log.Apply(full(5, row("plan/p", 5, config.Plan{})))
+	reply := relay.Handle(0, "a", Request{Pull: &Pull{Since: 5}})
+	m.pulled(0, call{}, *reply.Pull)
+	must.Eq(t, platform.Revision(10), log.Revision())
+	_, found := log.Row("plan/p")
+	must.False(t, found)
+}
+
+// What a proof is worth: its age counts from the start of its exchange, and
+// the relay's age comes on top.
+func TestProofs(t *testing.T) {
+	read := func(m *Member, sent, answered time.Duration, rev platform.Revision) {
+		m.table.id, m.table.sent = 99, sent
+		m.ReadDone(answered, 99, platform.Changes{Revision: rev}, true)
+	}
+	pull := func(m *Member, sent, answered time.Duration, p Pulled) {
+		m.calls[99] = call{to: "b", sent: sent}
+		m.CallDone(answered, 99, Reply{Pull: &p}, true)
+	}
+	same := platform.Changes{Revision: 10}
+	for _, c := range []struct {
+		name string
+		do   func(*Member)
+		want Confirmation // at one second
+	}{
+		{"read", func(m *Member) { read(m, 100*ms, 300*ms, 10) }, Confirmation{State: ByTable, Age: 900 * ms}},
+		{"newer read", func(m *Member) { read(m, 100*ms, 300*ms, 11) }, Confirmation{State: ByTable, Age: 900 * ms, Revision: 11}},
+		{"read of a table that went back", func(m *Member) { read(m, 100*ms, 300*ms, 9) }, Confirmation{}},
+		{"late read", func(m *Member) {
+			m.ReadDone(300*ms, 98, platform.Changes{Revision: 11}, true)
+		}, Confirmation{Revision: 11}},
+		{"relayed", func(m *Member) {
+			pull(m, 100*ms, 300*ms, Pulled{Changes: same, TableAge: 500 * ms})
+		}, Confirmation{State: ByTable, Age: 1400 * ms}},
+		{"relayed by a lower replica", func(m *Member) {
+			pull(m, 100*ms, 300*ms, Pulled{Changes: platform.Changes{Revision: 9}, WitnessAge: 500 * ms})
+		}, Confirmation{State: ByWitnesses, Age: 1400 * ms}},
+		{"relayed too old", func(m *Member) {
+			pull(m, 100*ms, 300*ms, Pulled{Changes: same, TableAge: 1200 * ms})
+		}, Confirmation{}},
+		{"relay without a proof", func(m *Member) {
+			pull(m, 100*ms, 300*ms, Pulled{Changes: platform.Changes{Revision: 11}})
+		}, Confirmation{Revision: 11}},
+		{"younger by witnesses", func(m *Member) {
+			read(m, 100*ms, 300*ms, 10)
+			pull(m, 600*ms, 700*ms, Pulled{Changes: same, WitnessAge: 100 * ms})
+		}, Confirmation{State: ByTable, Age: 500 * ms}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m, _ := newMember(members("b"))
+			c.do(m)
+			want := c.want
+			want.Revision = max(want.Revision, 10)
+			must.Eq(t, want, m.Confirmed(time.Second))
+			must.Eq(t, CutOff, m.Confirmed(3*time.Second).State)
+		})
+	}
+}
+
+// Which answers make a round a proof.
+func TestRounds(t *testing.T) {
+	three := members("b", "c", "d")
+	changing := config.Witnesses{Members: []string{"b", "c", "e"}, Previous: []string{"b", "c", "d"}}
+	type answer struct {
+		from string
+		Witnessed
+	}
+	for i, c := range []struct {
+		list    config.Witnesses
+		answers []answer
+		proved  bool
+	}{
+		{three, []answer{{"b", Witnessed{10, true}}}, false},
+		{three, []answer{{"b", Witnessed{10, true}}, {"c", Witnessed{9, true}}}, true},
+		// c doesn't know of its seat.
+		{three, []answer{{"b", Witnessed{10, true}}, {"c", Witnessed{9, false}}}, false},
+		{three, []answer{{"b", Witnessed{11, true}}, {"c", Witnessed{10, true}}, {"d", Witnessed{10, true}}}, false},
+		// Its own answer counts.
+		{members("a", "b", "c"), []answer{{"b", Witnessed{10, true}}}, true},
+		{changing, []answer{{"b", Witnessed{10, true}}, {"e", Witnessed{10, true}}}, false},
+		{changing, []answer{{"b", Witnessed{10, true}}, {"d", Witnessed{10, true}}, {"e", Witnessed{10, true}}}, true},
+	} {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			m, _ := newMember(c.list)
+			ids := callsTo(m.startRound(100*ms), false)
+			for _, a := range c.answers {
+				m.CallDone(200*ms, ids[a.from], witnessed(a.Revision, a.Seated), true)
+			}
+			want := Confirmation{Revision: 10}
+			if c.proved {
+				want.State, want.Age = ByWitnesses, 900*ms
+			}
+			must.Eq(t, want, m.Confirmed(time.Second))
+		})
+	}
+}
+
+// A witness knows a newer revision: the round waits until it was pulled from
+// there, and is a proof for it then.
+func TestRoundFetchesTheNewerRevision(t *testing.T) {
+	m, log := newMember(members("b", "c", "d"))
+	ids := callsTo(m.startRound(100*ms), false)
+	m.CallDone(110*ms, ids["c"], witnessed(10, true), true)
+	fetched := callsTo(m.CallDone(120*ms, ids["b"], witnessed(11, true), true), true)
+	must.Eq(t, CutOff, m.Confirmed(130*ms).State)
+	m.CallDone(130*ms, fetched["b"], Reply{Pull: &Pulled{Changes: platform.Changes{Revision: 11}}}, true)
+	must.Eq(t, platform.Revision(11), log.Revision())
+	must.Eq(t, Confirmation{State: ByWitnesses, Age: 900 * ms, Revision: 11}, m.Confirmed(time.Second))
+}
+
+// When a revision is in force: after a majority was heard to know it, the
+// wait is over. An ended witness counts as knowing, a silent one doesn't. The
+// end of one taking says nothing of the next.
+func TestInForce(t *testing.T) {
+	m, _ := newMember(members("b", "c", "d"))
+	wait := m.set.Wait()
+	ids := callsTo(m.Require(100*ms, 10), false)
+	must.SliceContainsAll(t, []string{"b", "c", "d"}, m.Missing(10))
+	m.CallDone(110*ms, ids["b"], witnessed(10, true), true)
+	must.False(t, m.InForce(time.Hour, 10))
+
+	m.applyList(200*ms, platform.InstanceChanges{Version: 2, Changed: []platform.Instance{
+		{ID: "c", Kind: platform.Entry, State: platform.Ended},
+	}})
+	must.SliceEmpty(t, m.Missing(10))
+	must.False(t, m.InForce(200*ms+wait-1, 10))
+	must.True(t, m.InForce(200*ms+wait, 10))
+
+	m.apply(5*time.Second, platform.Changes{Revision: 12})
+	m.Require(5*time.Second, 12)
+	must.False(t, m.InForce(time.Hour, 12))
+	must.True(t, m.InForce(time.Hour, 10))
+}
+
+// The outcome of an own write is a revision that the replica lacks: the
+// witnesses are asked only when it is there, because only then the list of
+// those who must know is.
+func TestRequireReadsFirst(t *testing.T) {
+	m, _ := newMember(members("b", "c", "d"))
+	m.prove(&m.byTable, 100*ms)
+	effects := m.Require(100*ms, 11)
+	must.MapNotContainsKey(t, callsTo(effects, false), "b")
+	var read effect.ReadTable
+	for _, e := range effects {
+		if r, ok := e.(effect.ReadTable); ok {
+			read = r
+		}
+	}
+	must.Eq(t, platform.Revision(10), read.Read.Since)
+	effects = m.ReadDone(400*ms, read.ID, platform.Changes{Revision: 11}, true)
+	must.MapContainsKeys(t, callsTo(effects, false), []string{"b", "c", "d"})
+}
--- a/membership/proof.go
+++ b/membership/proof.go
@@ -85,11 +85,17 @@
 	return m.byTable.age(now, m.set.Fresh), m.byWitnesses.age(now, m.set.Fresh)
 }
 
-// youngest returns the start of the youngest proof.
-func (m *Member) youngest() (time.Duration, bool) {
+// prove takes a proof of either kind.
+func (m *Member) prove(kind *proof, start time.Duration) {
+	kind.add(start)
+	m.alone.failures = 0
+}
+
+// youngest returns the younger proof of the two kinds.
+func (m *Member) youngest() proof {
 	p := m.byTable
 	if m.byWitnesses.held {
 		p.add(m.byWitnesses.start)
 	}
-	return p.start, p.held
+	return p
 }
--- a/membership/pull.go
+++ b/membership/pull.go
@@ -9,8 +9,12 @@
 
 // pulling is the state of the pulls from other instances, one at a time.
 type pulling struct {
-	// from is the instance that answered last; empty after a failure.
+	// from is the watcher that answered last; empty after it failed.
 	from string
+	// homeAt is when to try the own data centre again, while from is in
+	// another; homeTries counts those.
+	homeAt    time.Duration
+	homeTries int
 	// last is when the last pull was sent, next when the next is due.
 	last, next time.Duration
 	// inFlight is set while a regular pull has no answer.
@@ -28,15 +32,27 @@
 	quickRetries = 4
 )
 
-// pulls says whether the instance gets its proofs from others. A watcher
-// proves for itself.
-func (m *Member) pulls() bool { return m.dir.version > 0 && !m.watches() }
+// homeEvery is the time between attempts to pull from the own data centre
+// again.
+const homeEvery = 10 * time.Second
+
+// pullAt returns when the next pull is due. A watcher proves for itself, and
+// pulls only when it reaches neither the table nor the witnesses.
+func (m *Member) pullAt() time.Duration {
+	switch {
+	case m.dir.version == 0 || m.pull.inFlight:
+		return never
+	case m.watches():
+		return max(m.pull.next, m.oldAt())
+	}
+	return m.pull.next
+}
 
 func (m *Member) tickPull(now time.Duration) []effect.Effect {
-	if !m.pulls() || m.pull.inFlight || now < m.pull.next {
+	if now < m.pullAt() {
 		return nil
 	}
-	to := m.pullTarget()
+	to := m.pullTarget(now)
 	if to == "" {
 		m.pull.next = now + m.jitter(m.set.PullEvery)
 		return nil
@@ -52,27 +68,32 @@
 	return m.send(now, call{kind: kind, to: to}, Request{Pull: p})
 }
 
-func (m *Member) wakePull() time.Duration {
-	if !m.pulls() || m.pull.inFlight {
-		return never
-	}
-	return m.pull.next
-}
-
 // pullTarget returns the watcher that answered last, or else the next: those
 // of the own data centre first, in an order of the instance's own, then one
 // anywhere at random.
-func (m *Member) pullTarget() string {
-	own := m.dir.Watchers(m.set.DataCentre)
-	if m.pull.from != "" && slices.Contains(own, m.pull.from) {
-		return m.pull.from
-	}
-	if m.pull.failures < len(own) {
+func (m *Member) pullTarget(now time.Duration) string {
+	own := remove(m.dir.Watchers(m.set.DataCentre), m.set.Self)
+	switch {
+	case m.dir.isWatcher(m.pull.from):
+		return m.stayOrGoHome(now, own)
+	case m.pull.failures < len(own):
 		return Rank(pullKey+m.set.Self, own)[m.pull.failures]
 	}
 	return m.anyWatcher()
 }
 
+// stayOrGoHome keeps to the watcher that answered. If it is elsewhere, one
+// pull now and then tries the own data centre; trying it before every pull
+// would age the proofs by its timeouts.
+func (m *Member) stayOrGoHome(now time.Duration, own []string) string {
+	if len(own) == 0 || slices.Contains(own, m.pull.from) || now < m.pull.homeAt {
+		return m.pull.from
+	}
+	m.pull.homeAt = now + homeEvery
+	m.pull.homeTries++
+	return own[m.pull.homeTries%len(own)]
+}
+
 func (m *Member) anyWatcher() string {
 	centres := m.dir.DataCentres()
 	if len(centres) == 0 {
@@ -92,11 +113,11 @@
 	start := m.rules.proofStart(c.sent, now)
 	proved := false
 	if p.TableAge > 0 {
-		m.byTable.add(start - p.TableAge)
+		m.prove(&m.byTable, start-p.TableAge)
 		proved = true
 	}
 	if p.WitnessAge > 0 {
-		m.byWitnesses.add(start - p.WitnessAge)
+		m.prove(&m.byWitnesses, start-p.WitnessAge)
 		proved = true
 	}
 	switch {
@@ -104,7 +125,7 @@
 	case proved:
 		m.pullSucceeded(c)
 	default:
-		m.pullFailed(now)
+		m.pullFailed(now, c)
 	}
 	return m.Tick(now)
 }
@@ -113,12 +134,13 @@
 	m.pull.inFlight = false
 	m.pull.from = c.to
 	m.pull.failures = 0
-	m.alone.failures = 0
 }
 
-func (m *Member) pullFailed(now time.Duration) {
+func (m *Member) pullFailed(now time.Duration, c call) {
 	m.pull.inFlight = false
-	m.pull.from = ""
+	if c.to == m.pull.from {
+		m.pull.from = ""
+	}
 	m.pull.failures++
 	doublings := min(max(m.pull.failures-quickRetries, 0), maxBackoffDoublings)
 	m.pull.next = now + m.jitter(min(retryGap<<doublings, m.set.PullEvery))
--- a/membership/read.go
+++ b/membership/read.go
@@ -127,15 +127,17 @@
 		m.table.failures++
 		return m.Tick(now)
 	}
-	m.table.failures = 0
-	m.table.answered = m.table.sent
 	if c.Revision < m.log.Revision() {
+		// The platform's table went back, say to a backup. Accepted changes
+		// mustn't revert: it counts as away, and the witnesses are asked.
 		m.count.StaleReads++
+		m.table.failures++
 		return m.Tick(now)
 	}
+	m.table.failures = 0
+	m.table.answered = m.table.sent
 	m.apply(now, c)
-	m.byTable.add(m.rules.proofStart(m.table.sent, now))
-	m.alone.failures = 0
+	m.prove(&m.byTable, m.rules.proofStart(m.table.sent, now))
 	return m.Tick(now)
 }
 
--- a/membership/round.go
+++ b/membership/round.go
@@ -126,8 +126,7 @@
 	}
 	m.round.open = false
 	m.count.ProvedRounds++
-	m.alone.failures = 0
-	m.byWitnesses.add(m.rules.proofStart(m.round.start, now))
+	m.prove(&m.byWitnesses, m.rules.proofStart(m.round.start, now))
 }
 
 // witnessIDs returns everyone who counts.
--- a/membership/settings.go
+++ b/membership/settings.go
@@ -64,7 +64,7 @@
 func (s Settings) Wait() time.Duration {
 	const million = 1_000_000
 	slow, fast := int64(million-s.DriftPPM), int64(million+s.DriftPPM)
-	return time.Duration(int64(s.Fresh)/slow*fast) + time.Millisecond
+	return time.Duration(int64(s.Fresh)*fast/slow) + time.Millisecond
 }
 
 func (s Settings) withDefaults() Settings {
--- /dev/null
+++ b/membership/sim_holder_test.go
@@ -0,0 +1,83 @@
+package membership
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"foxtailspoke/config"
+	"foxtailspoke/effect"
+	"foxtailspoke/platform"
+)
+
+const shardRow = config.ShardPrefix + "s"
+
+// take lets a node try to become the only holder of the shard.
+func (s *sim) take(n *simNode) {
+	s.step(n, func(time.Duration) []effect.Effect {
+		row, _ := n.log.Row(shardRow)
+		value, _ := json.Marshal(config.Shard{Holders: []config.Holder{{Instance: n.id, Parts: config.PartsPerShard}}})
+		s.write(n, platform.Txn{
+			Conditions: []platform.Condition{{Table: platform.Control, Key: shardRow, Revision: row.Revision}},
+			Puts:       []platform.Put{{Table: platform.Control, Key: shardRow, Value: value}},
+		}, func(now time.Duration, r platform.WriteResult) []effect.Effect {
+			if r.Outcome != platform.Committed {
+				return nil
+			}
+			return n.m.Require(now, r.Revisions[platform.Control])
+		})
+		return nil
+	})
+}
+
+// holds says whether the node's replica names it, and with which revision.
+func (n *simNode) holds() (platform.Revision, bool) {
+	row, ok := n.log.Row(shardRow)
+	holders := n.log.Shard("s").Holders
+	return row.Revision, ok && len(holders) == 1 && holders[0].Instance == n.id
+}
+
+// acts says whether the node spends the shard's parts now.
+func (n *simNode) acts(now time.Duration) bool {
+	rev, holds := n.holds()
+	return holds && n.m.Confirmed(now).State != CutOff && n.m.InForce(now, rev)
+}
+
+// check notes a violation of what must always hold.
+func (s *sim) check() {
+	var acting []string
+	for _, n := range s.nodes {
+		if n == nil || n.dead || s.now < n.frozen {
+			continue
+		}
+		now := n.clock(s.now)
+		if n.m.InForce(now, 0); n.m.force.reached > s.inForce {
+			s.inForce = n.m.force.reached
+		}
+		if n.acts(now) {
+			acting = append(acting, n.id)
+		}
+		if n.log.Revision() < n.revision {
+			s.fail("%s went from revision %d back to %d", n.id, n.revision, n.log.Revision())
+		}
+		n.revision = n.log.Revision()
+	}
+	s.acted += min(len(acting), 1)
+	if len(acting) > 1 {
+		s.fail("two holders act: %v", acting)
+	}
+	for _, n := range s.nodes {
+		if n == nil || n.dead || s.now < n.frozen {
+			continue
+		}
+		c := n.m.Confirmed(n.clock(s.now))
+		s.states[c.State]++
+		if c.State != CutOff && c.Revision < s.inForce {
+			s.fail("%s acts on revision %d (%v, age %v) while %d is in force", n.id, c.Revision, c.State, c.Age, s.inForce)
+		}
+	}
+}
+
+func (s *sim) fail(format string, args ...any) {
+	s.failures = append(s.failures, fmt.Sprintf("at %v: ", s.now)+fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/membership/sim_platform_test.go
@@ -0,0 +1,97 @@
+package membership
+
+import (
+	"time"
+
+	"foxtailspoke/config"
+	"foxtailspoke/effect"
+	"foxtailspoke/platform"
+)
+
+func (s *sim) lost(n *simNode) bool { return s.away || s.unseen[n.slot] }
+
+func (s *sim) readTable(n *simNode, r effect.ReadTable) {
+	s.reads++
+	fail := func() {
+		s.step(n, func(now time.Duration) []effect.Effect {
+			return n.m.ReadDone(now, r.ID, platform.Changes{}, false)
+		})
+	}
+	if s.lost(n) && !s.oldCopies {
+		s.after(time.Duration(s.rng.IntN(900))*time.Millisecond, fail)
+		return
+	}
+	s.after(s.latency(), func() {
+		from := s.table
+		if s.lost(n) && s.old != nil {
+			from = s.old
+		}
+		c := from.Since(r.Read.Since)
+		if s.deaf[n.slot] {
+			s.after(900*time.Millisecond, fail)
+			return
+		}
+		s.after(s.latency(), func() {
+			s.step(n, func(now time.Duration) []effect.Effect { return n.m.ReadDone(now, r.ID, c, true) })
+		})
+	})
+}
+
+func (s *sim) readList(n *simNode, r effect.ReadInstances) {
+	s.reads++
+	s.after(2*s.latency(), func() {
+		ok := !s.lost(n) && !s.deaf[n.slot]
+		c := s.list.since(r.Since)
+		s.step(n, func(now time.Duration) []effect.Effect { return n.m.InstancesDone(now, r.ID, c, ok) })
+	})
+}
+
+// write commits a transaction if its conditions hold. It may arrive late,
+// and its answer may be lost.
+func (s *sim) write(n *simNode, t platform.Txn, done func(time.Duration, platform.WriteResult) []effect.Effect) {
+	answer := func(d time.Duration, r platform.WriteResult) {
+		s.after(d, func() {
+			s.step(n, func(now time.Duration) []effect.Effect { return done(now, r) })
+		})
+	}
+	if s.lost(n) {
+		answer(900*time.Millisecond, platform.WriteResult{})
+		return
+	}
+	delay := s.latency()
+	if s.rng.IntN(10) == 0 {
+		delay = time.Duration(s.rng.IntN(3000)) * time.Millisecond
+	}
+	s.after(delay, func() {
+		r := s.commit(t)
+		if s.deaf[n.slot] || s.rng.IntN(5) == 0 {
+			answer(900*time.Millisecond, platform.WriteResult{})
+			return
+		}
+		answer(s.latency(), r)
+	})
+}
+
+func (s *sim) commit(t platform.Txn) platform.WriteResult {
+	for _, c := range t.Conditions {
+		if row, _ := s.table.Row(c.Key); row.Revision != c.Revision {
+			return platform.WriteResult{Outcome: platform.Conflict}
+		}
+	}
+	next := s.table.Revision() + 1
+	c := platform.Changes{Revision: next}
+	for _, p := range t.Puts {
+		c.Rows = append(c.Rows, platform.Row{Key: p.Key, Value: p.Value, Revision: next, Attempt: t.Attempt})
+	}
+	s.table.Apply(c)
+	return platform.WriteResult{
+		Outcome:   platform.Committed,
+		Revisions: map[platform.TableName]platform.Revision{platform.Control: next},
+	}
+}
+
+// snapshot keeps a copy of the table as it is now, for old-copy reads.
+func (s *sim) snapshot() {
+	s.old = config.NewReplica()
+	s.old.Apply(s.table.Since(0))
+}
