Membership: seats shrink with the fleet, and a mutant for the second write

Cause: with no spare instance a seat of an ended witness stayed; three live instances of seven seats are no majority once the platform is away. A watcher whose list of instances lags takes a new witness for gone. Change: a seat without a successor goes; a change waits one turn longer than the drop of the list before. The fakes panic when a Tick leaves something to do at once.

--- a/membership/live_test.go
+++ b/membership/live_test.go
@@ -207,3 +207,51 @@
 		must.Eq(t, ByTable, n.m.Confirmed(n.clock(s.now)).State)
 	}
 }
+
+// Every instance is replaced at once, and the platform's list shows it. None
+// of the old witnesses will answer; the new fleet must get its own and put
+// a change in force without an operator.
+func TestWholeFleetReplaced(t *testing.T) {
+	t.Parallel()
+	s := boot(10, Settings{}, 12, 3)
+	for slot, n := range s.nodes {
+		n.dead = true
+		ended, _ := s.list.Instance(n.id)
+		ended.State = platform.Ended
+		s.announce(ended, entryInstance(nodeID(slot, 1), ended.DataCentre))
+		s.start(slot, 1, 3)
+	}
+	replaced, n := s.now, s.nodes[0]
+	rev := s.commit(platform.Txn{}).Revisions[platform.Control]
+	s.step(n, func(now time.Duration) []effect.Effect { return n.m.Require(now, rev) })
+	for !n.m.InForce(n.clock(s.now), rev) && s.now < replaced+time.Minute {
+		s.run(s.now + 10*time.Millisecond)
+	}
+	inForce := s.now - replaced
+	for len(s.witnessNodes()) < 7 && s.now < replaced+time.Minute {
+		s.run(s.now + 10*time.Millisecond)
+	}
+	t.Logf("a change was in force after %v, all seats taken after %v", inForce, s.now-replaced)
+	must.Less(t, 5*time.Second, inForce)
+	must.Less(t, 30*time.Second, s.now-replaced)
+}
+
+// A fleet shrinks to three instances. Its list of witnesses must shrink with
+// it: three of seven seats would be no majority once the platform is away.
+func TestSeatsShrinkWithTheFleet(t *testing.T) {
+	t.Parallel()
+	s := boot(11, Settings{}, 9, 3)
+	for _, n := range s.nodes[3:] {
+		n.dead = true
+		ended, _ := s.list.Instance(n.id)
+		ended.State = platform.Ended
+		s.announce(ended)
+	}
+	s.run(s.now + 30*time.Second)
+	must.Len(t, 3, s.table.Witnesses().Members)
+	s.away = true
+	s.run(s.now + 10*time.Second)
+	for _, n := range s.nodes[:3] {
+		must.Eq(t, ByWitnesses, n.m.Confirmed(n.clock(s.now)).State)
+	}
+}
--- a/membership/mutant_test.go
+++ b/membership/mutant_test.go
@@ -39,6 +39,9 @@
 		{"list changed without the joint count", withRules(func(r *rules) {
 			r.answered, r.known = onlyMembers, onlyMembers
 		})},
+		{"list before dropped at once", withRules(func(r *rules) {
+			r.mayDrop = func(_, _ platform.Revision) bool { return true }
+		})},
 		{"earlier taking counted for a later one", withRules(func(r *rules) {
 			r.covers = func(inForce, _ platform.Revision) bool { return inForce > 0 }
 		})},
--- a/membership/rules.go
+++ b/membership/rules.go
@@ -20,6 +20,9 @@
 	answered func(config.Witnesses, func(id string) bool) bool
 	// known says whether the instances that know a revision are enough.
 	known func(config.Witnesses, func(id string) bool) bool
+	// mayDrop says whether the list before may go, when a majority knows
+	// revision known and the row that changed the list is at revision row.
+	mayDrop func(known, row platform.Revision) bool
 	// covers says whether a revision being in force puts another in force.
 	covers func(inForce, revision platform.Revision) bool
 }
@@ -30,6 +33,7 @@
 		wait:       s.Wait(),
 		answered:   jointMajority,
 		known:      jointMajority,
+		mayDrop:    func(known, row platform.Revision) bool { return known >= row },
 		covers:     func(inForce, revision platform.Revision) bool { return revision <= inForce },
 	}
 }
--- a/membership/seats.go
+++ b/membership/seats.go
@@ -85,8 +85,14 @@
 	if m.leaving && m.Seated() {
 		return true
 	}
-	rank := position(witnessKey, m.set.Self, m.dir.allWatchers())
-	return now >= m.seats.since+time.Duration(rank)*m.set.SeatStagger
+	turns := position(witnessKey, m.set.Self, m.dir.allWatchers())
+	if len(m.log.Witnesses().Previous) == 0 {
+		// Whoever chose the present witnesses may have had a newer list of
+		// instances. Until the own list caught up, a new witness that it
+		// lacks looks as if it had gone.
+		turns++
+	}
+	return now >= m.seats.since+time.Duration(turns)*m.set.SeatStagger
 }
 
 // planSeats returns the next list, if one is needed. With inform it isn't
@@ -98,25 +104,24 @@
 		return config.Witnesses{Members: chosen}, false, len(chosen) > 0
 	}
 	if len(w.Previous) > 0 {
-		known := m.force.covered() >= row
-		return config.Witnesses{Members: w.Members}, !known, true
+		drop := m.rules.mayDrop(m.force.covered(), row)
+		return config.Witnesses{Members: w.Members}, !drop, true
 	}
 	members, changed := m.improveSeats(w.Members)
 	return config.Witnesses{Members: members, Previous: w.Members}, false, changed
 }
 
 // improveSeats returns the members with one seat changed: one that went
-// away or leaves is given to another instance, a missing one is filled, and
-// one is moved out of a data centre that has too many.
+// away or leaves is given to another instance, or goes if there is none; a
+// missing one is filled; and one is moved out of a data centre that has too
+// many.
 func (m *Member) improveSeats(members []string) ([]string, bool) {
 	for _, id := range members {
 		if !m.unfit(id) {
 			continue
 		}
-		kept := remove(members, id)
-		if next := m.chooseWitnesses(kept, len(members)); len(next) == len(members) {
-			return next, true
-		}
+		next := m.chooseWitnesses(remove(members, id), len(members))
+		return next, len(next) > 0
 	}
 	if len(members) < m.set.WitnessCount {
 		next := m.chooseWitnesses(members, len(members)+1)
--- a/membership/sim_test.go
+++ b/membership/sim_test.go
@@ -189,7 +189,13 @@
 	s.after(at-s.now, func() {
 		if n.wakeAt == at {
 			n.wakeAt = never
-			s.step(n, n.m.Tick)
+			s.step(n, func(now time.Duration) []effect.Effect {
+				effects := n.m.Tick(now)
+				if n.m.NextWake() <= now {
+					panic("a Tick left something to do at once")
+				}
+				return effects
+			})
 		}
 	})
 }
