--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -67,6 +67,8 @@
 	// notRun has the attempts of this instance that never ran anything. A
 	// row of such an attempt may be taken over.
 	notRun *recent[string, struct{}]
+	// abandoned has the row keys that may yet hold such an attempt.
+	abandoned *recent[string, struct{}]
 	// ended has the outcomes whose row still says "started".
 	ended *recent[string, finished]
 }
@@ -107,12 +109,13 @@
 // NewClaimer returns a claimer without claims. self is the incarnation id.
 func NewClaimer(self string, s ClaimerSettings) *Claimer {
 	return &Claimer{
-		self:     self,
-		settings: s,
-		open:     map[ID]*claim{},
-		byKey:    map[string]*claim{},
-		notRun:   newRecent[string, struct{}](s.MaxRemembered),
-		ended:    newRecent[string, finished](s.MaxRemembered),
+		self:      self,
+		settings:  s,
+		open:      map[ID]*claim{},
+		byKey:     map[string]*claim{},
+		notRun:    newRecent[string, struct{}](s.MaxRemembered),
+		abandoned: newRecent[string, struct{}](s.MaxRemembered),
+		ended:     newRecent[string, finished](s.MaxRemembered),
 	}
 }
 
@@ -239,6 +242,7 @@
 
 func (c *Claimer) giveUp(cl *claim) Step {
 	c.notRun.put(cl.insert.Attempt, struct{}{})
+	c.abandoned.put(cl.key, struct{}{})
 	return c.over(cl, Decision{Verdict: Refused, Reason: StoreAway})
 }
 
--- /dev/null
+++ b/claim/claimer_test.go
@@ -0,0 +1,246 @@
+package claim
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/platform"
+)
+
+// quietTable is a table whose answers a test loses at will.
+func quietTable() *world {
+	return &world{rng: rand.New(rand.NewPCG(1, 1)), table: map[string]platform.Row{}}
+}
+
+func (w *world) changes() platform.Changes {
+	ch := platform.Changes{Revision: w.revision, Full: true}
+	for _, row := range w.table {
+		ch.Rows = append(ch.Rows, row)
+	}
+	return ch
+}
+
+func verdict(t *testing.T, s Step) Decision {
+	t.Helper()
+	must.NotNil(t, s.Decision)
+	return *s.Decision
+}
+
+var unanswered = platform.WriteResult{}
+
+// The table's answer is lost after the claim took effect. The claimer reads
+// before it decides, finds its own attempt, and runs the order.
+func TestLostAnswerOfOwnClaim(t *testing.T) {
+	w, c := quietTable(), NewClaimer("a", DefaultClaimerSettings())
+	id, s := c.Begin("w", "k", Digest{1})
+	w.commit(*s.Write)
+	s = c.Written(id, unanswered)
+	must.Nil(t, s.Decision)
+	must.NotNil(t, s.Read)
+	must.Eq(t, Run, verdict(t, c.Answered(id, w.changes())).Verdict)
+	end := c.Finish(id, Ran, &Answer{Status: 200})
+	must.Eq(t, platform.Committed, w.commit(*end.Write).Outcome)
+}
+
+// The claim's row isn't there after an unanswered write, which may still be
+// on its way. The same attempt is sent again: only one can take effect, and
+// whichever did is the claimer's own.
+func TestUnansweredClaimIsSentAgain(t *testing.T) {
+	for _, firstArrives := range []bool{false, true} {
+		w, c := quietTable(), NewClaimer("a", DefaultClaimerSettings())
+		id, first := c.Begin("w", "k", Digest{1})
+		c.Written(id, unanswered)
+		again := c.Answered(id, w.changes())
+		must.NotNil(t, again.Write)
+		must.Eq(t, first.Write.Attempt, again.Write.Attempt)
+		if firstArrives {
+			w.commit(*first.Write)
+		}
+		must.Eq(t, Run, verdict(t, c.Written(id, w.commit(*again.Write))).Verdict)
+		must.Eq(t, platform.Conflict, w.commit(*first.Write).Outcome)
+	}
+}
+
+// The table goes away during a claim. The caller hears that this request
+// wasn't run. The claim arrives in the table all the same; the caller's next
+// try at this instance takes it over, one at another instance can't.
+func TestAbandonedClaimIsTakenOver(t *testing.T) {
+	w, a, b := quietTable(), NewClaimer("a", DefaultClaimerSettings()), NewClaimer("b", DefaultClaimerSettings())
+	id, s := a.Begin("w", "k", Digest{1})
+	a.Written(id, unanswered)
+	must.Eq(t, Decision{Verdict: Refused, Reason: StoreAway}, verdict(t, a.Unanswered(id)))
+	w.commit(*s.Write)
+
+	id, s = b.Begin("w", "k", Digest{1})
+	d := verdict(t, b.Written(id, w.commit(*s.Write)))
+	must.Eq(t, Decision{Verdict: InProgress, By: "a"}, d)
+	must.Eq(t, Decision{Verdict: UnknownOutcome, Reason: ClaimerGone, By: "a"}, InDoubt(d, PeerEnded))
+
+	id, s = a.Begin("w", "k", Digest{1})
+	s = a.Written(id, w.commit(*s.Write))
+	must.NotNil(t, s.Write)
+	must.Eq(t, Run, verdict(t, a.Written(id, w.commit(*s.Write))).Verdict)
+}
+
+// The same, but the caller never comes back to this instance. It sweeps the
+// claim away when the table answers again, and another instance may run.
+func TestAbandonedClaimIsSwept(t *testing.T) {
+	w, a, b := quietTable(), NewClaimer("a", DefaultClaimerSettings()), NewClaimer("b", DefaultClaimerSettings())
+	id, s := a.Begin("w", "k", Digest{1})
+	a.Written(id, unanswered)
+	a.Unanswered(id)
+	w.commit(*s.Write)
+	keys := a.Abandoned(10)
+	must.Eq(t, []string{RowKey("w", "k")}, keys)
+	txn, ok := a.Sweep(keys[0], w.changes())
+	must.True(t, ok)
+	must.Eq(t, platform.Committed, w.commit(txn).Outcome)
+	must.SliceEmpty(t, a.Abandoned(10))
+
+	id, s = b.Begin("w", "k", Digest{1})
+	must.Eq(t, Run, verdict(t, b.Written(id, w.commit(*s.Write))).Verdict)
+	_, ok = a.Sweep(keys[0], w.changes())
+	must.False(t, ok)
+}
+
+// What a second instance says of an order, after each end at the first.
+func TestClaimAfterAnEnd(t *testing.T) {
+	long := &Answer{Status: 200, Body: make([]byte, 5000)}
+	short := &Answer{Status: 201, Body: []byte("x")}
+	for _, c := range []struct {
+		name    string
+		outcome Outcome
+		answer  *Answer
+		digest  Digest
+		want    Verdict
+	}{
+		{"short answer", Ran, short, Digest{1}, Replay},
+		{"long answer", Ran, long, Digest{1}, RanAlready},
+		{"unknown", Unknown, nil, Digest{1}, UnknownOutcome},
+		{"not run", NotRun, nil, Digest{1}, Run},
+		{"other request", Ran, short, Digest{2}, Refused},
+	} {
+		w, a, b := quietTable(), NewClaimer("a", DefaultClaimerSettings()), NewClaimer("b", DefaultClaimerSettings())
+		id, s := a.Begin("w", "k", Digest{1})
+		a.Written(id, w.commit(*s.Write))
+		s = a.Finish(id, c.outcome, c.answer)
+		must.Eq(t, Step{}, a.Finish(id, NotRun, nil)) // a second report doesn't count
+		a.Written(id, w.commit(*s.Write))
+		must.Zero(t, a.Open())
+		id, s = b.Begin("w", "k", c.digest)
+		must.Eq(t, c.want, verdict(t, b.Written(id, w.commit(*s.Write))).Verdict, must.Sprint(c.name))
+	}
+}
+
+// The end of an order can't be written. The claimer repeats it with growing
+// waits, then remembers the end itself.
+func TestEndThatCannotBeWritten(t *testing.T) {
+	w, c := quietTable(), NewClaimer("a", DefaultClaimerSettings())
+	id, s := c.Begin("w", "k", Digest{1})
+	c.Written(id, w.commit(*s.Write))
+	s = c.Finish(id, Ran, &Answer{Status: 200})
+	var waits time.Duration
+	for s.Write != nil {
+		waits += s.After
+		_, again := c.Begin("w", "k", Digest{1})
+		must.Eq(t, Replay, verdict(t, again).Verdict)
+		s = c.Written(id, unanswered)
+	}
+	must.Eq(t, 31*time.Second, waits)
+	must.Zero(t, c.Open())
+	_, again := c.Begin("w", "k", Digest{1})
+	must.Eq(t, Replay, verdict(t, again).Verdict)
+}
+
+// A caller's deadline ends during the claim. The claim is given back unused
+// and another instance runs the caller's next try.
+func TestCancelledClaimIsGivenBack(t *testing.T) {
+	w, a, b := quietTable(), NewClaimer("a", DefaultClaimerSettings()), NewClaimer("b", DefaultClaimerSettings())
+	id, s := a.Begin("w", "k", Digest{1})
+	a.Cancel(id)
+	s = a.Written(id, w.commit(*s.Write))
+	must.Nil(t, s.Decision)
+	a.Written(id, w.commit(*s.Write))
+	id, s = b.Begin("w", "k", Digest{1})
+	must.Eq(t, Run, verdict(t, b.Written(id, w.commit(*s.Write))).Verdict)
+}
+
+// Claims are pruned once they are older than the retention by the pruner's
+// clock. A claim that changed meanwhile stays.
+func TestPruneByHorizon(t *testing.T) {
+	h := NewHorizon(time.Hour)
+	for at := time.Duration(0); at <= 2*time.Hour; at += time.Minute {
+		h.Note(at, platform.Revision(at/time.Minute))
+		must.LessEq(t, notesKept+1, len(h.notes))
+		must.LessEq(t, platform.Revision(max(0, at-time.Hour)/time.Minute), h.Old(at))
+	}
+	must.GreaterEq(t, 58, h.Old(2*time.Hour))
+
+	w, c := quietTable(), NewClaimer("a", DefaultClaimerSettings())
+	for _, key := range []string{"k1", "k2", "k3"} {
+		id, s := c.Begin("w", key, Digest{1})
+		c.Written(id, w.commit(*s.Write))
+	}
+	txn, ok := c.Prune(w.changes().Rows, 2, 10)
+	must.True(t, ok)
+	must.Len(t, 2, txn.Puts)
+	must.Eq(t, platform.Committed, w.commit(txn).Outcome)
+	must.Eq(t, platform.Conflict, w.commit(txn).Outcome)
+	must.MapLen(t, 1, w.table)
+	_, ok = c.Prune(w.changes().Rows, 2, 10)
+	must.False(t, ok)
+}
+
+// An end can't be written, and the claimer has to forget it, too: its memory
+// is full. The row says "started" of an order that ran; it stays unknown.
+func TestForgottenEndIsUnknown(t *testing.T) {
+	for _, o := range []Outcome{Ran, Unknown} {
+		s := DefaultClaimerSettings()
+		s.MaxRemembered = 1
+		w, c := quietTable(), NewClaimer("a", s)
+		c.notRun.bound = 100 // what never ran may be remembered for longer
+		for _, key := range []string{"k1", "k2"} {
+			id, step := c.Begin("w", key, Digest{1})
+			c.Written(id, w.commit(*step.Write))
+			for step = c.Finish(id, o, nil); step.Write != nil; {
+				step = c.Written(id, unanswered)
+			}
+		}
+		id, step := c.Begin("w", "k1", Digest{1})
+		d := verdict(t, c.Written(id, w.commit(*step.Write)))
+		must.Eq(t, Decision{Verdict: UnknownOutcome, Reason: AttemptLost}, d)
+	}
+}
+
+// An order was given up, then sent again, and ran. What the first try left
+// to sweep must not delete the row of the second.
+func TestSweepLeavesALaterClaim(t *testing.T) {
+	for _, finished := range []bool{false, true} {
+		w, c := quietTable(), NewClaimer("a", DefaultClaimerSettings())
+		id, _ := c.Begin("w", "k", Digest{1})
+		c.Written(id, unanswered)
+		c.Unanswered(id)
+		id, s := c.Begin("w", "k", Digest{1})
+		must.Eq(t, Run, verdict(t, c.Written(id, w.commit(*s.Write))).Verdict)
+		if finished {
+			c.Written(id, w.commit(*c.Finish(id, Ran, nil).Write))
+		}
+		_, ok := c.Sweep(c.Abandoned(1)[0], w.changes())
+		must.False(t, ok)
+	}
+}
+
+// A claim that never ran was for another request with the same key.
+func TestTakeOverNeedsTheSameRequest(t *testing.T) {
+	w, c := quietTable(), NewClaimer("a", DefaultClaimerSettings())
+	id, first := c.Begin("w", "k", Digest{1})
+	c.Written(id, unanswered)
+	c.Unanswered(id)
+	w.commit(*first.Write)
+	id, s := c.Begin("w", "k", Digest{2})
+	d := verdict(t, c.Written(id, w.commit(*s.Write)))
+	must.Eq(t, Decision{Verdict: Refused, Reason: OtherRequest}, d)
+}
--- a/claim/finish.go
+++ b/claim/finish.go
@@ -58,8 +58,10 @@
 	if cl.finishes < maxFinishes {
 		return c.sendFinish(cl, c.settings.FinishRetry<<(cl.finishes-1))
 	}
-	// The row keeps saying "started". Whoever finds it asks this instance.
-	if cl.end.outcome != NotRun {
+	// The row keeps saying "started", but this instance knows better.
+	if cl.end.outcome == NotRun {
+		c.abandoned.put(cl.key, struct{}{})
+	} else {
 		c.ended.put(cl.key, cl.end)
 	}
 	c.drop(cl)
--- a/claim/minter_test.go
+++ b/claim/minter_test.go
@@ -1,24 +1,125 @@
 package claim
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 )
 
+func parse(t *testing.T, text string) OperationKey {
+	t.Helper()
+	k, err := Parse(text)
+	must.NoError(t, err)
+	must.Eq(t, text, k.String())
+	return k
+}
+
 // A caller sends an order with an operation key, loses the answer and sends
-// it again. The second time it gets the first answer; the order runs once.
+// it again, at last long after the key has expired. The order runs once, and
+// nobody says that it never ran.
 func TestMinterRunsOnce(t *testing.T) {
-	m := NewMinter("i1", []byte("secret"), DefaultSettings())
-	k, err := Parse(m.Mint(0, "w"))
-	must.NoError(t, err)
-	d := Digest{1}
+	s := DefaultSettings()
+	m := NewMinter("i1", []byte("secret"), s)
+	k, d := parse(t, m.Mint(0, "w")), Digest{1}
 	must.Eq(t, Run, m.Begin(1, "w", k, d).Verdict)
 	must.Eq(t, InProgress, m.Begin(2, "w", k, d).Verdict)
+	must.Eq(t, Decision{Verdict: Refused, Reason: OtherRequest}, m.Begin(2, "w", k, Digest{2}))
 	m.Finish(3, k, Ran, &Answer{Status: 201})
-	again := m.Begin(4, "w", k, d)
-	must.Eq(t, Replay, again.Verdict)
-	must.Eq(t, 201, again.Answer.Status)
-	must.Eq(t, UnknownOutcome, m.Begin(time.Hour, "w", k, d).Verdict)
+	m.Finish(4, k, NotRun, nil) // a second report doesn't count
+	for _, now := range []time.Duration{5, s.KeyTime, s.KeyTime + s.KeepTime - 1} {
+		again := m.Begin(now, "w", k, d)
+		must.Eq(t, Replay, again.Verdict)
+		must.Eq(t, 201, again.Answer.Status)
+	}
+	forgotten := m.Begin(s.KeyTime+s.KeepTime, "w", k, d)
+	must.Eq(t, Decision{Verdict: UnknownOutcome, Reason: Expired}, forgotten)
+	must.Zero(t, m.Operations())
+}
+
+// An operation that was proved not to have run may run, but not once its key
+// has expired; one that ended unknown never may.
+func TestMinterAfterAnEnd(t *testing.T) {
+	s := DefaultSettings()
+	for _, c := range []struct {
+		name    string
+		outcome Outcome
+		at      time.Duration
+		want    Decision
+	}{
+		{"not run", NotRun, s.KeyTime - 1, Decision{Verdict: Run}},
+		{"not run, expired", NotRun, s.KeyTime, Decision{Verdict: Refused, Reason: Expired, NeverRan: true}},
+		{"unknown", Unknown, 2, Decision{Verdict: UnknownOutcome, Reason: AttemptLost}},
+		{"ran without an answer to keep", Ran, 2, Decision{Verdict: RanAlready}},
+	} {
+		m := NewMinter("i1", []byte("secret"), s)
+		k := parse(t, m.Mint(0, "w"))
+		must.Eq(t, Run, m.Begin(0, "w", k, Digest{}).Verdict)
+		m.Finish(1, k, c.outcome, nil)
+		must.Eq(t, c.want, m.Begin(c.at, "w", k, Digest{}), must.Sprint(c.name))
+	}
+}
+
+// Keys of other minters, other workspaces and none at all are never run, and
+// neither is one that has expired unused.
+func TestMinterRefusesKeys(t *testing.T) {
+	s := DefaultSettings()
+	m := NewMinter("i1", []byte("secret"), s)
+	text := m.Mint(0, "w")
+	later := strings.Replace(text, ".1.", ".2.", 1)
+	for _, c := range []struct {
+		name      string
+		text      string
+		workspace string
+		at        time.Duration
+		want      Decision
+	}{
+		{"number changed", later, "w", 1, Decision{Verdict: Refused, Reason: Forged, NeverRan: true}},
+		{"other workspace", text, "v", 1, Decision{Verdict: Refused, Reason: OtherWorkspace, NeverRan: true}},
+		{"other minter", NewMinter("i2", []byte("secret"), s).Mint(0, "w"), "w", 1, Decision{Verdict: Refused, Reason: OtherMinter}},
+		{"former secret", NewMinter("i1", []byte("former"), s).Mint(0, "w"), "w", 1, Decision{Verdict: Refused, Reason: Forged, NeverRan: true}},
+		{"expired", text, "w", s.KeyTime, Decision{Verdict: Refused, Reason: Expired, NeverRan: true}},
+		{"last moment", text, "w", s.KeyTime - 1, Decision{Verdict: Run}},
+	} {
+		must.Eq(t, c.want, m.Begin(c.at, c.workspace, parse(t, c.text), Digest{}), must.Sprint(c.name))
+	}
+	for _, bad := range []string{"", "order-7", "op1.a.b", "op1..1.1.x.y", "op1.i.01.1.x.y", text + ".x", "op2" + text[3:], "op1." + strings.Repeat("i", 300) + ".1.1.x.y"} {
+		_, err := Parse(bad)
+		must.ErrorIs(t, err, ErrMalformed)
+	}
+}
+
+// Memory is bounded: the oldest answers go, the operations stay; and rather
+// than forget an operation the minter refuses another one.
+func TestMinterIsBounded(t *testing.T) {
+	s := Settings{KeyTime: time.Hour, KeepTime: time.Hour, MaxOperations: 3, MaxAnswerBytes: 10}
+	m := NewMinter("i1", []byte("secret"), s)
+	var keys []OperationKey
+	for range 3 {
+		k := parse(t, m.Mint(0, "w"))
+		must.Eq(t, Run, m.Begin(0, "w", k, Digest{}).Verdict)
+		m.Finish(0, k, Ran, &Answer{Body: []byte("12345")})
+		keys = append(keys, k)
+	}
+	for i, want := range []Verdict{RanAlready, Replay, Replay} {
+		must.Eq(t, want, m.Begin(1, "w", keys[i], Digest{}).Verdict)
+	}
+	another := parse(t, m.Mint(1, "w"))
+	must.Eq(t, Decision{Verdict: Refused, Reason: Full, NeverRan: true}, m.Begin(1, "w", another, Digest{}))
+	m.Begin(3*time.Hour, "w", another, Digest{})
+	must.Zero(t, m.Operations()+m.answerBytes+len(m.answers)+len(m.expiry))
+}
+
+// The minter is gone, or doesn't answer. Nobody else runs its keys.
+func TestElsewhereNeverRuns(t *testing.T) {
+	k := OperationKey{Minter: "i1"}
+	_, forward := Elsewhere(k, PeerLive)
+	must.True(t, forward)
+	for _, state := range []PeerState{PeerUnreachable, PeerEnded} {
+		d, forward := Elsewhere(k, state)
+		must.False(t, forward)
+		must.Eq(t, Decision{Verdict: UnknownOutcome, Reason: MinterGone, By: "i1"}, d)
+	}
+	must.Eq(t, UnknownOutcome, Forwarded(k).Verdict)
 }
--- a/claim/recent.go
+++ b/claim/recent.go
@@ -1,5 +1,7 @@
 package claim
 
+import "slices"
+
 // recent is a map that forgets its oldest entries beyond a bound.
 type recent[K comparable, V any] struct {
 	bound  int
@@ -16,6 +18,16 @@
 	return v, ok
 }
 
+// oldest returns up to n keys, the oldest first.
+func (r *recent[K, V]) oldest(n int) []K {
+	return slices.Clone(r.order[:min(n, len(r.order))])
+}
+
+func (r *recent[K, V]) remove(k K) {
+	delete(r.values, k)
+	r.order = slices.DeleteFunc(r.order, func(o K) bool { return o == k })
+}
+
 func (r *recent[K, V]) put(k K, v V) {
 	if _, known := r.values[k]; !known {
 		r.order = append(r.order, k)
