Requests search for tokens; holders even out their levels

Cause: with all requests at one holder 13.1 % of those inside the rate were refused: full holders gained nothing while one was empty. Small bursts lost 10.9 %: pieces of tokens lay at several holders, and given tokens kept their place for 250 ms. Change: Search (each holder once, then pieces from all if they suffice), Balance (a low holder asks ahead of need), Settlement (the giver hears that its tokens were used), a transfer time of 100 ms. Ruled out: all parts of a small burst at one holder. Less is refused while nothing fails, but all of it when that holder is gone and the table away. HolderCount counts by the greatest rate: a sum of plans overstates the load.

--- a/quota/transfer.go
+++ b/quota/ask.go
@@ -7,71 +7,71 @@
 	"foxtailspoke/config"
 )
 
-// Ask is the message by which an instance asks a holder for tokens. It is
-// sent once; sending it again may lose tokens but never doubles them.
-type Ask struct {
-	// ID is unique among the asks of one instance.
-	ID     uint64
-	From   string
-	Bucket Bucket
-	Want   Amount
-	// Partial means that less than Want is of use, too.
-	Partial bool
-	// Settled tells that nothing given for this and lower ids by the same
-	// holder can be used any more, because it was spent, stored in the
-	// asker's own capacity, or refused.
-	Settled uint64
-}
-
-// Transfer is the answer to an Ask. The giver has already subtracted the
-// tokens; if the message is lost, so are they.
-type Transfer struct {
-	Ask    uint64
-	From   string
-	Bucket Bucket
-	// Amount is 0 if the giver has too little.
-	Amount Amount
-	// RetryAfter is when the giver will have enough, if Amount is 0.
-	RetryAfter time.Duration
-}
-
 // ask is an Ask that may still bring tokens or has some left.
 type ask struct {
 	id     uint64
 	to     string
 	bucket Bucket
-	want   Amount
+	// most is what the ask can bring.
+	most Amount
 	// start is the asker's clock at the start of the ask.
 	start    time.Duration
 	answered bool
+	tight    bool
 	left     Amount
 }
 
 // Ask opens an ask for what lacks. The time counts from now.
 func (h *Holder) Ask(now time.Duration, to string, b Bucket, l config.Limit, want Amount) Ask {
 	h.expire(now)
+	a := Ask{From: h.self, Bucket: b, Want: want}
+	if own, parts := h.bucket(now, b, l); own != nil {
+		a.Room = max(0, capacity(l, parts)-own.given(now)-own.level)
+		a.Level = own.level
+		a.Parts = parts
+	}
+	a.Partial = a.Room >= want
 	h.lastAsk++
-	h.asks = append(h.asks, &ask{id: h.lastAsk, to: to, bucket: b, want: want, start: now})
-	return Ask{
-		ID:      h.lastAsk,
-		From:    h.self,
-		Bucket:  b,
-		Want:    want,
-		Partial: h.room(now, b, l) >= want,
-		Settled: h.settled(to),
+	a.ID = h.lastAsk
+	h.asks = append(h.asks, &ask{id: a.ID, to: to, bucket: b, most: max(want, a.Room), start: now})
+	a.Settled = h.settled(to)
+	return a
+}
+
+// Balance returns an ask for tokens ahead of need, if this instance's share
+// has become low, to be called after Take and Give. Without it one holder
+// that gets all requests would be empty while others are full and gain
+// nothing: the workspace would lose a part of its rate.
+func (h *Holder) Balance(now time.Duration, row config.Shard, b Bucket, l config.Limit) (string, Ask, bool) {
+	own, parts := h.bucket(now, b, l)
+	if own == nil || now < own.calm || h.gathering(b) {
+		return "", Ask{}, false
+	}
+	full := capacity(l, parts)
+	if full-own.given(now)-own.level <= full/lowFraction {
+		return "", Ask{}, false
 	}
+	peers := h.Peers(now, row, b)
+	if len(peers) == 0 {
+		return "", Ask{}, false
+	}
+	own.calm = now + h.settings.TransferTime
+	return peers[0], h.Ask(now, peers[0], b, l, 0), true
 }
 
+// lowFraction of the capacity may be used before a holder asks for more.
+const lowFraction = 8
+
 // settled returns the highest ask id up to which nothing is open with a
 // holder.
 func (h *Holder) settled(to string) uint64 {
-	lowest := h.lastAsk
+	settled := h.lastAsk
 	for _, a := range h.asks {
 		if a.to == to {
-			lowest = min(lowest, a.id)
+			settled = min(settled, a.id-1)
 		}
 	}
-	return lowest - 1
+	return settled
 }
 
 // room returns how much the own bucket can store.
@@ -83,81 +83,13 @@
 	return capacity(l, parts) - own.given(now) - own.level
 }
 
-// Give answers an ask out of the own bucket.
-//
-// The tokens keep their place in the capacity until the asker can't use them
-// any more. An ask that arrives again gets the same answer while it is known.
-func (h *Holder) Give(now time.Duration, l config.Limit, a Ask) Transfer {
-	t := Transfer{Ask: a.ID, From: h.self, Bucket: a.Bucket}
-	own, parts := h.bucket(now, a.Bucket, l)
-	if own == nil {
-		t.RetryAfter = h.settings.TransferTime
-		return t
-	}
-	own.settle(a)
-	if again, ok := own.gift(a); ok {
-		t.Amount = again
-		return t
-	}
-	t.Amount = h.share(own, parts, a)
-	if t.Amount == 0 {
-		short := min(a.Want, capacity(l, parts)) - own.level
-		t.RetryAfter = fillTime(l, parts, short, h.settings.Drift)
-		return t
-	}
-	own.level -= t.Amount
-	own.used = now
-	until := now + h.settings.settleTime()
-	own.gifts = append(own.gifts, gift{to: a.From, ask: a.ID, amount: t.Amount, until: until})
-	return t
-}
-
-// share decides how much of the bucket an asker gets.
-//
-// Where a share can't store a whole token, instances put tokens together from
-// several shares. Two that do so at the same time would each get a piece and
-// neither a token, again and again; so the lower id goes first.
-func (h *Holder) share(own *bucket, parts int, a Ask) Amount {
-	whole := min(a.Want, capacity(own.limit, parts))
-	if own.level < whole && !a.Partial {
-		return 0
-	}
-	tiny := capacity(own.limit, parts) < Token
-	if tiny && h.gathering(a.Bucket) && h.self < a.From {
-		return 0
-	}
-	return min(a.Want, own.level)
-}
-
-// gathering tells whether this instance has asked for the bucket's tokens.
-func (h *Holder) gathering(b Bucket) bool {
-	for _, a := range h.asks {
-		if a.bucket == b {
-			return true
-		}
-	}
-	return false
-}
-
-// settle ends the gifts that the asker says it can't use any more.
-func (b *bucket) settle(a Ask) {
-	kept := b.gifts[:0]
-	for _, g := range b.gifts {
-		if g.to != a.From || g.ask > a.Settled {
-			kept = append(kept, g)
-		}
-	}
-	b.gifts = kept
-}
-
-// gift returns what was given for an ask before.
-func (b *bucket) gift(a Ask) (Amount, bool) {
-	for _, g := range b.gifts {
-		if g.to == a.From && g.ask == a.ID {
-			return g.amount, true
-		}
-	}
-	return 0, false
+// Settlements returns the settlements to send, by giver, and forgets them. To
+// be called after Accept and after a Next that admits; they may also be left
+// unsent.
+func (h *Holder) Settlements() map[string]Settlement {
+	due := h.due
+	h.due = nil
+	return due
 }
 
 // Accept takes a transfer in and returns how much of it can be used. What
@@ -173,15 +105,34 @@
 		return 0
 	}
 	a.answered = true
-	amount := max(0, min(t.Amount, a.want))
-	if amount == 0 {
+	a.tight = t.Tight
+	amount := max(0, min(t.Amount, a.most))
+	if amount == 0 && t.RetryAfter > 0 {
 		h.setShort(now, t)
 	}
 	a.left = amount - h.store(now, t.Bucket, l, amount)
-	h.dropAsks(func(a *ask) bool { return a.answered && a.left == 0 })
+	h.dropUsed()
 	return amount
 }
 
+// dropUsed ends the asks whose tokens are used or stored.
+func (h *Holder) dropUsed() {
+	var tight []*ask
+	h.dropAsks(func(a *ask) bool {
+		used := a.answered && a.left == 0
+		if used && a.tight {
+			tight = append(tight, a)
+		}
+		return used
+	})
+	for _, a := range tight {
+		if h.due == nil {
+			h.due = map[string]Settlement{}
+		}
+		h.due[a.to] = Settlement{From: h.self, Bucket: a.bucket, UpTo: h.settled(a.to)}
+	}
+}
+
 func (h *Holder) findAsk(id uint64) *ask {
 	for _, a := range h.asks {
 		if a.id == id {
@@ -228,9 +179,16 @@
 
 // Peers returns the holders worth asking for a bucket's tokens, in order:
 // those of the row that haven't just said that they have none. It keeps a
-// workspace that floods from flooding the holders with asks.
+// workspace that floods from flooding the holders with asks. Each call starts
+// with another holder, so that they are used evenly.
 func (h *Holder) Peers(now time.Duration, row config.Shard, b Bucket) []string {
 	order := AskOrder(row, h.self)
+	if len(order) == 0 {
+		return nil
+	}
+	h.turn++
+	start := h.turn % len(order)
+	order = slices.Concat(order[start:], order[:start])
 	worth := order[:0]
 	for _, id := range order {
 		if h.short[b][id] <= now {
@@ -267,6 +225,6 @@
 		a.left -= part
 		taken += part
 	}
-	h.dropAsks(func(a *ask) bool { return a.answered && a.left == 0 })
+	h.dropUsed()
 	return taken
 }
--- a/quota/assign.go
+++ b/quota/assign.go
@@ -52,22 +52,22 @@
 }
 
 // HolderCount returns how many holders a shard should have for the limits of
-// its workspaces: enough for the rate, and no more than leave a holder
-// minShare tokens of most bursts, so that few requests have to put a token
-// together from several shares.
+// its workspaces: enough for the greatest rate, and no more than leave a
+// holder minShare tokens of most bursts, so that few requests have to put a
+// token together from several shares.
 func HolderCount(limits []config.Limit, maxHolders int) int {
 	if len(limits) == 0 {
 		return 1
 	}
-	total := 0.0
+	rate := 0.0
 	bursts := make([]float64, 0, len(limits))
 	for _, l := range limits {
-		total += l.Rate
+		rate = max(rate, l.Rate)
 		bursts = append(bursts, l.Burst)
 	}
 	slices.Sort(bursts)
 	byBurst := int(min(bursts[len(bursts)/2]/minShare, float64(maxHolders)))
-	byRate := minHolders + int(min(total/ratePerHolder, float64(maxHolders)))
+	byRate := minHolders + int(min(rate/ratePerHolder, float64(maxHolders)))
 	return max(1, min(byRate, byBurst, maxHolders))
 }
 
--- /dev/null
+++ b/quota/assign_test.go
@@ -0,0 +1,153 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"foxtailspoke/config"
+)
+
+func candidates(n int) []Candidate {
+	list := make([]Candidate, n)
+	for i := range list {
+		list[i] = Candidate{ID: instanceID(i), DataCentre: fmt.Sprint(i % 3)}
+	}
+	return list
+}
+
+// An instance that ends costs its own parts and no others, and a row that
+// needs no change gets none.
+func TestAssignMovesLittle(t *testing.T) {
+	list := candidates(9)
+	row, changed := Assign("7", config.Shard{}, list, 3, 5)
+	must.True(t, changed)
+	must.Len(t, 3, row.Holders)
+	centres := map[string]bool{}
+	for _, e := range row.Holders {
+		must.Eq(t, config.Holder{Instance: e.Instance, Parts: 20, Since: 5}, e)
+		for _, c := range list {
+			if c.ID == e.Instance {
+				centres[c.DataCentre] = true
+			}
+		}
+	}
+	must.MapLen(t, 3, centres)
+	_, changed = Assign("7", row, list, 3, 6)
+	must.False(t, changed)
+
+	gone := row.Holders[0].Instance
+	for i := range list {
+		if list[i].ID == gone {
+			list[i].State = Leaving
+		}
+	}
+	next, changed := Assign("7", row, list, 3, 9)
+	must.True(t, changed)
+	must.Eq(t, row.Holders[1:], next.Holders[:2])
+	must.Eq(t, uint64(9), next.Holders[2].Since)
+	must.Eq(t, 20, next.Holders[2].Parts)
+
+	for i := range list {
+		list[i].State = Ended
+	}
+	same, changed := Assign("7", row, list, 3, 10)
+	must.False(t, changed)
+	must.Eq(t, row, same)
+}
+
+// Whatever happens to the instances, the parts add up, and an entry that
+// stays never has more parts than before: more come as a new entry.
+func TestAssignKeepsTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 4))
+		list := candidates(1 + rng.IntN(12))
+		row := config.Shard{}
+		for since := range uint64(12) {
+			for i := range list {
+				list[i].State = CandidateState(rng.IntN(5) * rng.IntN(2) % 4)
+			}
+			before := map[config.Holder]int{}
+			for _, e := range row.Holders {
+				before[config.Holder{Instance: e.Instance, Since: e.Since}] = e.Parts
+			}
+			next, changed := Assign("7", row, list, 1+rng.IntN(8), since)
+			if !changed {
+				continue
+			}
+			sum := 0
+			for _, e := range next.Holders {
+				sum += e.Parts
+				old, known := before[config.Holder{Instance: e.Instance, Since: e.Since}]
+				if (known && e.Parts > old) || (!known && e.Since != since) || e.Parts <= 0 {
+					t.Fatalf("entry %v after %v", e, row)
+				}
+			}
+			if sum != config.PartsPerShard || !valid(next) {
+				t.Fatalf("%v has %d parts", next, sum)
+			}
+			row = next
+		}
+	})
+}
+
+// A row that gives out more than there is grants nothing.
+func TestGrantsOfARow(t *testing.T) {
+	row := config.Shard{Holders: []config.Holder{
+		{Instance: "a", Parts: 20, Since: 1},
+		{Instance: "b", Parts: 20, Since: 1},
+		{Instance: "a", Parts: 20, Since: 4},
+	}}
+	until := func(limit uint64) func(uint64) bool {
+		return func(since uint64) bool { return since <= limit }
+	}
+	must.Eq(t, []Grant{{Since: 1, Parts: 20}}, Grants(row, "a", until(3)))
+	must.Eq(t, []Grant{{Since: 1, Parts: 20}, {Since: 4, Parts: 20}}, Grants(row, "a", until(4)))
+	must.Eq(t, []uint64{1, 4}, Pending(row, "a"))
+	must.SliceEmpty(t, Grants(row, "c", until(9)))
+	must.Eq(t, []string{"a", "b"}, AskOrder(row, "c"))
+	must.Eq(t, []string{"b"}, AskOrder(row, "a"))
+	row.Holders[1].Parts = 21
+	must.SliceEmpty(t, Grants(row, "a", until(9)))
+	row.Holders[1].Parts = -1
+	must.SliceEmpty(t, Grants(row, "a", until(9)))
+}
+
+func TestHolderCount(t *testing.T) {
+	for _, c := range []struct {
+		limits []config.Limit
+		want   int
+	}{
+		{nil, 1},
+		{[]config.Limit{{Rate: 1, Burst: 1}}, 1},
+		{[]config.Limit{{Rate: 1, Burst: 5}}, 2},
+		{[]config.Limit{{Rate: 50, Burst: 100}}, 3},
+		{[]config.Limit{{Rate: 450, Burst: 1000}}, 7},
+		{[]config.Limit{{Rate: 1e6, Burst: 1e6}}, 8},
+		{[]config.Limit{{Rate: 1, Burst: 1}, {Rate: 50, Burst: 100}, {Rate: 50, Burst: 100}}, 3},
+	} {
+		must.Eq(t, c.want, HolderCount(c.limits, 8), must.Sprint(c.limits))
+	}
+}
+
+// Fifty-five thousand workspaces call once each and stay away. The holder of
+// them all forgets them, and they find a full bucket when they come back.
+func TestIdleBucketsAreForgotten(t *testing.T) {
+	l := config.Limit{Rate: 5, Burst: 10}
+	h := holding("h", DefaultSettings(), 60)
+	now := DefaultSettings().IdleTime
+	for i := range 55_000 {
+		b := Bucket{Workspace: instanceID(i), Service: "s"}
+		must.True(t, h.Take(now, b, l, 10*Token).Admitted)
+	}
+	must.Eq(t, 55_000, h.Buckets())
+	h.Forget(now + DefaultSettings().IdleTime - 1)
+	must.Eq(t, 55_000, h.Buckets())
+	now += DefaultSettings().IdleTime
+	h.Forget(now)
+	must.Zero(t, h.Buckets())
+	must.True(t, h.Take(now, Bucket{Workspace: "i7", Service: "s"}, l, 10*Token).Admitted)
+}
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -33,7 +33,9 @@
 	// at is the time up to which level was brought forward.
 	at time.Duration
 	// used is the time of the last Take or Give.
-	used  time.Duration
+	used time.Duration
+	// calm is the time until which no tokens are asked for ahead of need.
+	calm  time.Duration
 	gifts []gift
 }
 
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -72,8 +73,8 @@
 
 // waiting is a request that has asked a holder for tokens.
 type waiting struct {
-	tried []string
-	until time.Duration
+	search *Search
+	until  time.Duration
 }
 
 func newFleet(seed uint64, s Settings, instances int, l config.Limit) *fleet {
@@ -182,29 +183,41 @@
 		f.refused++
 		return
 	}
-	f.try(i, now, &waiting{until: now + f.settings.TransferTime})
+	search := NewSearch(f.bucket, Amount(f.size)*Token)
+	f.try(i, now, &waiting{search: search, until: now + f.settings.TransferTime})
 }
 
-// try takes a token, or asks the next holder for what lacks.
+// try takes the tokens, or asks the next holder for what lacks.
 func (f *fleet) try(i int, now time.Duration, w *waiting) {
 	n := f.nodes[i]
 	r := f.rows[n.revision]
-	d := n.holder.Take(now, f.bucket, r.limit, Amount(f.size)*Token)
-	if d.Admitted {
+	step := n.holder.Next(now, w.search, r.shard, r.limit)
+	f.balance(i, now)
+	switch {
+	case step.Admitted:
 		f.admitted = append(f.admitted, admission{at: f.now, tokens: float64(f.size)})
-		return
+	case step.To != "" && now < w.until:
+		n.waiting[step.Ask.ID] = w
+		f.send(i, f.index(step.To), step.Ask)
+	default:
+		f.refused++
 	}
-	for _, id := range n.holder.Peers(now, r.shard, f.bucket) {
-		if slices.Contains(w.tried, id) || now >= w.until {
-			continue
-		}
-		w.tried = append(w.tried, id)
-		a := n.holder.Ask(now, id, f.bucket, r.limit, d.Missing)
-		n.waiting[a.ID] = w
-		f.send(i, f.index(id), a)
-		return
+}
+
+// balance sends what the holder asks for ahead of need.
+func (f *fleet) balance(i int, now time.Duration) {
+	n := f.nodes[i]
+	r := f.rows[n.revision]
+	if to, a, ok := n.holder.Balance(now, r.shard, f.bucket, r.limit); ok {
+		f.send(i, f.index(to), a)
+	}
+}
+
+func (f *fleet) settle(i int) {
+	due := f.nodes[i].holder.Settlements()
+	for _, id := range slices.Sorted(maps.Keys(due)) {
+		f.send(i, f.index(id), due[id])
 	}
-	f.refused++
 }
 
 func (f *fleet) index(id string) int {
@@ -249,14 +262,19 @@
 	case Ask:
 		if now < n.fresh {
 			f.send(m.to, m.from, n.holder.Give(now, limit, p))
+			f.balance(m.to, now)
 		}
+	case Settlement:
+		n.holder.Settle(now, limit, p)
 	case Transfer:
 		if now >= n.fresh {
 			return
 		}
 		n.holder.Accept(now, limit, p)
+		defer f.settle(m.to)
 		if w := n.waiting[p.Ask]; w != nil {
 			delete(n.waiting, p.Ask)
+			w.search.Replied(p)
 			f.try(m.to, now, w)
 		}
 	}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -32,6 +32,10 @@
 	// asks are ordered by id.
 	asks    []*ask
 	lastAsk uint64
+	// due has the settlements to send.
+	due map[string]Settlement
+	// turn counts the calls of Peers.
+	turn int
 	// short has the time until which a holder has nothing to give.
 	short map[Bucket]map[string]time.Duration
 }
--- a/quota/settings.go
+++ b/quota/settings.go
@@ -20,7 +20,7 @@
 // DefaultSettings are meant for round trips of a few milliseconds.
 func DefaultSettings() Settings {
 	return Settings{
-		TransferTime: 250 * time.Millisecond,
+		TransferTime: 100 * time.Millisecond,
 		Drift:        0.001,
 		IdleTime:     10 * time.Minute,
 	}
