Floods cost few messages and lose nothing; pieces come back

Change: a refused request gives its pieces back (Settlement.Back); a holder in a flood names each asker a later time than the one before, up to 500 ms.

--- a/quota/ask.go
+++ b/quota/ask.go
@@ -48,7 +48,8 @@
 		return "", Ask{}, false
 	}
 	full := capacity(l, parts)
-	if full-own.given(now)-own.level <= full/lowFraction {
+	low := full-own.given(now)-own.level > full/lowFraction
+	if !low || full < Token {
 		return "", Ask{}, false
 	}
 	peers := h.Peers(now, row, b)
@@ -83,10 +84,9 @@
 	return capacity(l, parts) - own.given(now) - own.level
 }
 
-// Settlements returns the settlements to send, by giver, and forgets them. To
-// be called after Accept and after a Next that admits; they may also be left
-// unsent.
-func (h *Holder) Settlements() map[string]Settlement {
+// Settlements returns the settlements to send and forgets them. To be called
+// after Accept and Next; they may also be left unsent.
+func (h *Holder) Settlements() []Settlement {
 	due := h.due
 	h.due = nil
 	return due
@@ -107,7 +107,7 @@
 	a.answered = true
 	a.tight = t.Tight
 	amount := max(0, min(t.Amount, a.most))
-	if amount == 0 && t.RetryAfter > 0 {
+	if t.RetryAfter > 0 {
 		h.setShort(now, t)
 	}
 	a.left = amount - h.store(now, t.Bucket, l, amount)
@@ -126,10 +126,7 @@
 		return used
 	})
 	for _, a := range tight {
-		if h.due == nil {
-			h.due = map[string]Settlement{}
-		}
-		h.due[a.to] = Settlement{From: h.self, Bucket: a.bucket, UpTo: h.settled(a.to)}
+		h.due = append(h.due, Settlement{To: a.to, From: h.self, Bucket: a.bucket, UpTo: h.settled(a.to)})
 	}
 }
 
@@ -168,15 +165,6 @@
 	h.setShort(now, Transfer{From: a.to, Bucket: a.bucket, RetryAfter: h.settings.TransferTime})
 }
 
-func (h *Holder) setShort(now time.Duration, t Transfer) {
-	until := h.short[t.Bucket]
-	if until == nil {
-		until = map[string]time.Duration{}
-		h.short[t.Bucket] = until
-	}
-	until[t.From] = now + t.RetryAfter
-}
-
 // Peers returns the holders worth asking for a bucket's tokens, in order:
 // those of the row that haven't just said that they have none. It keeps a
 // workspace that floods from flooding the holders with asks. Each call starts
@@ -191,7 +179,7 @@
 	order = slices.Concat(order[start:], order[:start])
 	worth := order[:0]
 	for _, id := range order {
-		if h.short[b][id] <= now {
+		if h.short[b][id].until <= now {
 			worth = append(worth, id)
 		}
 	}
--- a/quota/baseline_test.go
+++ b/quota/baseline_test.go
@@ -166,6 +166,7 @@
 // parts is the scheme of this package.
 type parts struct {
 	common
+	holders int
 	row     config.Shard
 	nodes   []*Holder
 	version uint64
@@ -175,9 +176,17 @@
 }
 
 func newParts(l config.Limit, instances int) scheme {
+	return newPartsOf(l, instances, HolderCount([]config.Limit{l}, 8))
+}
+
+// newThreeHolders has a row made for larger bursts.
+func newThreeHolders(l config.Limit, instances int) scheme { return newPartsOf(l, instances, 3) }
+
+func newPartsOf(l config.Limit, instances, holders int) scheme {
 	s := &parts{
-		common: newCommon(l, instances),
-		bucket: Bucket{Workspace: "w", Service: "s"},
+		common:  newCommon(l, instances),
+		holders: holders,
+		bucket:  Bucket{Workspace: "w", Service: "s"},
 	}
 	for i := range instances {
 		s.nodes = append(s.nodes, NewHolder(instanceID(i), 1, DefaultSettings()))
@@ -200,7 +209,7 @@
 	}
 	s.version++
 	s.ops++
-	s.row, _ = Assign("0", s.row, candidates, HolderCount([]config.Limit{s.limit}, 8), s.version)
+	s.row, _ = Assign("0", s.row, candidates, s.holders, s.version)
 }
 
 // grant lets the holders know the row, which is in force.
@@ -235,13 +244,13 @@
 	search := NewSearch(s.bucket, Token)
 	step := n.Next(now, search, s.row, s.limit)
 	for step.To != "" {
-		now = s.exchange(now, i, step.To, step.Ask, search)
+		now = s.exchange(now, i, step.To, step.Ask)
 		step = n.Next(now, search, s.row, s.limit)
 	}
 	s.balance(now, i)
-	for id, due := range s.nodes[i].Settlements() {
+	for _, due := range s.nodes[i].Settlements() {
 		s.messages++
-		if j := s.index(id); s.live[j] {
+		if j := s.index(due.To); s.live[j] {
 			s.nodes[j].Settle(now+peerTime/2, s.limit, due)
 		}
 	}
@@ -249,7 +258,7 @@
 }
 
 // exchange is one ask with its answer. It returns the time after it.
-func (s *parts) exchange(now time.Duration, i int, id string, a Ask, search *Search) time.Duration {
+func (s *parts) exchange(now time.Duration, i int, id string, a Ask) time.Duration {
 	s.messages++
 	j := s.index(id)
 	if !s.live[j] {
@@ -258,7 +267,6 @@
 	}
 	t := s.nodes[j].Give(now+peerTime/2, s.limit, a)
 	s.nodes[i].Accept(now+peerTime, s.limit, t)
-	search.Replied(t)
 	if a.Want > 0 {
 		s.balance(now+peerTime/2, j)
 	}
@@ -271,7 +279,7 @@
 
 func (s *parts) balance(now time.Duration, i int) {
 	if id, a, ok := s.nodes[i].Balance(now, s.row, s.bucket, s.limit); ok {
-		s.exchange(now, i, id, a, NewSearch(s.bucket, 0))
+		s.exchange(now, i, id, a)
 	}
 }
 
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -37,6 +37,10 @@
 	// calm is the time until which no tokens are asked for ahead of need.
 	calm  time.Duration
 	gifts []gift
+	// promised is the latest time named to an asker that got too little, and
+	// putOffs how many askers were put off since there was none.
+	promised time.Duration
+	putOffs  int
 }
 
 // active returns the parts that count at a time.
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -214,9 +213,8 @@
 }
 
 func (f *fleet) settle(i int) {
-	due := f.nodes[i].holder.Settlements()
-	for _, id := range slices.Sorted(maps.Keys(due)) {
-		f.send(i, f.index(id), due[id])
+	for _, due := range f.nodes[i].holder.Settlements() {
+		f.send(i, f.index(due.To), due)
 	}
 }
 
@@ -274,7 +272,6 @@
 		defer f.settle(m.to)
 		if w := n.waiting[p.Ask]; w != nil {
 			delete(n.waiting, p.Ask)
-			w.search.Replied(p)
 			f.try(m.to, now, w)
 		}
 	}
--- a/quota/give.go
+++ b/quota/give.go
@@ -24,16 +24,13 @@
 		return t
 	}
 	t.Amount = h.share(own, parts, a)
-	if t.Amount == 0 && a.Want == 0 {
-		return t
+	own.level -= t.Amount
+	if t.Amount < a.Want {
+		h.putOff(now, own, parts, a, &t)
 	}
 	if t.Amount == 0 {
-		t.Has = own.level
-		short := min(a.Want, capacity(l, parts)) - own.level
-		t.RetryAfter = fillTime(l, parts, short, h.settings.Drift)
 		return t
 	}
-	own.level -= t.Amount
 	own.used = now
 	until := now + h.settings.settleTime()
 	own.gifts = append(own.gifts, gift{to: a.From, ask: a.ID, amount: t.Amount, until: until})
@@ -41,14 +38,47 @@
 	return t
 }
 
+// putOff tells an asker that got too little when to ask again.
+//
+// In a flood every instance asks, and all would come back for the same next
+// token. So, after the first few, each is named a later time than the one
+// before, up to a bound, and told that the piece left here isn't for it.
+func (h *Holder) putOff(now time.Duration, own *bucket, parts int, a Ask, t *Transfer) {
+	missing := min(a.Want, capacity(own.limit, parts)) - own.level
+	wait := fillTime(own.limit, parts, missing, h.settings.Drift)
+	if own.promised <= now {
+		own.putOffs = 0
+	}
+	own.putOffs++
+	t.Has = own.level
+	t.Contended = own.putOffs > fewPutOffs
+	if t.Contended {
+		wait = min(own.promised-now+wait, max(wait, maxPromise))
+	}
+	t.RetryAfter = wait
+	own.promised = max(own.promised, now+wait)
+}
+
+// fewPutOffs in a row don't make a flood.
+const fewPutOffs = 8
+
+// maxPromise bounds the waits that grow by the number of askers.
+const maxPromise = 500 * time.Millisecond
+
 // tightFraction of the capacity may be given away without a Settlement.
 const tightFraction = 4
 
 // Settle takes a Settlement in.
 func (h *Holder) Settle(now time.Duration, l config.Limit, s Settlement) {
-	if own, _ := h.bucket(now, s.Bucket, l); own != nil {
-		own.settle(s)
+	own, parts := h.bucket(now, s.Bucket, l)
+	if own == nil {
+		return
+	}
+	if s.Back > 0 {
+		own.takeBack(s)
+		own.clamp(now, parts)
 	}
+	own.settle(s)
 }
 
 // share decides how much of the bucket an asker gets.
@@ -87,6 +117,19 @@
 	return false
 }
 
+// takeBack returns unused tokens to the level, once: the gift ends with it.
+// After the gift has ended otherwise, they are lost.
+func (b *bucket) takeBack(s Settlement) {
+	for _, g := range b.gifts {
+		if g.to == s.From && g.ask == s.Ask {
+			b.level += min(s.Back, g.amount)
+		}
+	}
+	b.gifts = slices.DeleteFunc(b.gifts, func(g gift) bool {
+		return g.to == s.From && g.ask == s.Ask
+	})
+}
+
 // settle ends the gifts that the asker says it can't use any more.
 func (b *bucket) settle(s Settlement) {
 	b.gifts = slices.DeleteFunc(b.gifts, func(g gift) bool {
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -33,11 +34,11 @@
 	asks    []*ask
 	lastAsk uint64
 	// due has the settlements to send.
-	due map[string]Settlement
+	due []Settlement
 	// turn counts the calls of Peers.
 	turn int
-	// short has the time until which a holder has nothing to give.
-	short map[Bucket]map[string]time.Duration
+	// short has the holders that have too little to give.
+	short map[Bucket]map[string]shortage
 }
 
 // shard is what this instance holds of one shard.
@@ -59,7 +60,7 @@
 		settings:   s,
 		shards:     map[string]*shard{},
 		shardCount: shards,
-		short:      map[Bucket]map[string]time.Duration{},
+		short:      map[Bucket]map[string]shortage{},
 	}
 }
 
@@ -195,9 +196,9 @@
 	for _, s := range h.shards {
 		s.forget(now, h.settings)
 	}
-	for b, until := range h.short {
-		dropPast(until, now)
-		if len(until) == 0 {
+	for b, known := range h.short {
+		maps.DeleteFunc(known, func(_ string, s shortage) bool { return s.until <= now })
+		if len(known) == 0 {
 			delete(h.short, b)
 		}
 	}
@@ -227,11 +228,3 @@
 	}
 	return n
 }
-
-func dropPast(until map[string]time.Duration, now time.Duration) {
-	for id, t := range until {
-		if t <= now {
-			delete(until, id)
-		}
-	}
-}
--- a/quota/message.go
+++ b/quota/message.go
@@ -36,16 +36,23 @@
 	// Tight means that the giver can hardly gain while the tokens keep their
 	// place, and wants a Settlement when they are used.
 	Tight bool
-	// Has is what the giver has, if Amount is 0 because that is too little.
+	// Has is what the giver has left, if it gave less than was wanted.
 	Has Amount
-	// RetryAfter is when the giver will have enough, if Amount is 0.
+	// Contended means that many instances ask for what is left.
+	Contended bool
+	// RetryAfter is when the giver will have as much again, if it gave less.
 	RetryAfter time.Duration
 }
 
 // Settlement tells a giver that all it gave for asks up to an id is used or
-// stored. It is sent once; if it is lost the giver only waits longer.
+// stored. It is sent once; if it is lost the giver only waits longer, and what
+// should have come back is lost.
 type Settlement struct {
+	To     string
 	From   string
 	Bucket Bucket
 	UpTo   uint64
+	// Back is what the asker gives back of the ask with the id Ask.
+	Back Amount
+	Ask  uint64
 }
--- a/quota/refusal_test.go
+++ b/quota/refusal_test.go
@@ -124,6 +124,7 @@
 		{"counter in the table", newTableCounter},
 		{"leases from the table", newTableLease},
 		{"parts", newParts},
+		{"parts, 3 holders", newThreeHolders},
 	}
 	var table strings.Builder
 	worst := 0.0
@@ -150,6 +151,34 @@
 	must.Less(t, 5, worst)
 }
 
+// A workspace calls at five times its rate, at all instances. It gets nearly
+// its limit, and what is refused costs few messages: instances remember for
+// how long a holder has nothing.
+func TestFloodCostsFewMessages(t *testing.T) {
+	l := config.Limit{Rate: 50, Burst: 100}
+	rng := rand.New(rand.NewPCG(1, 5))
+	for _, pick := range []func(*rand.Rand, int, scheme) int{anywhere, oneHolder, oneOther} {
+		s := newParts(l, 36)
+		one := level{tokens: l.Burst}
+		offered, admitted, due := 0, 0, 0
+		for now := time.Duration(0); now < 30*time.Second; offered++ {
+			now += time.Duration(rng.ExpFloat64() / (5 * l.Rate) * float64(time.Second))
+			if s.request(now, pick(rng, 36, s)) {
+				admitted++
+			}
+			if one.take(now, l.Rate, l.Burst, 1) {
+				due++
+			}
+		}
+		_, messages := s.cost()
+		t.Logf("offered %d, one bucket admits %d, admitted %d, %.2f messages a request",
+			offered, due, admitted, float64(messages)/float64(offered))
+		must.LessEq(t, due, admitted)
+		must.GreaterEq(t, due*9/10, admitted)
+		must.Less(t, offered*3/2, messages)
+	}
+}
+
 func BenchmarkTake(b *testing.B) {
 	h := holding("h", DefaultSettings(), 20)
 	l := config.Limit{Rate: 1e6, Burst: 1e6}
--- a/quota/safety_test.go
+++ b/quota/safety_test.go
@@ -213,3 +213,30 @@
 	must.True(t, hs[0].Take(now, sheets, l, Token).Admitted)
 	must.False(t, hs[1].Take(now, sheets, l, Token).Admitted)
 }
+
+// A refused request gives back what it had put together. The message comes
+// twice, or after the giver has ended the gift; the tokens come back once at
+// most, and the asker can't use them any more.
+func TestTokensComeBackOnce(t *testing.T) {
+	still := config.Limit{Rate: 1e-9, Burst: 100}
+	for _, c := range []struct {
+		name  string
+		after time.Duration
+		want  int
+	}{
+		{"at once", 1, 100},
+		{"after the gift has ended", drifting.settleTime(), 90},
+	} {
+		g, r := holding("g", drifting, 60), NewHolder("r", 1, drifting)
+		must.True(t, g.Take(time.Minute, sheets, sharp, 0).Admitted)
+		tr := g.Give(time.Minute, still, r.Ask(0, "g", sheets, still, 10*Token))
+		must.Eq(t, 10*Token, r.Accept(1, still, tr))
+		r.giveBack(sheets)
+		due := r.Settlements()
+		must.Len(t, 1, due)
+		must.Eq(t, 0, has(r, 2, still))
+		g.Settle(time.Minute+c.after, still, due[0])
+		g.Settle(time.Minute+c.after, still, due[0])
+		must.Eq(t, c.want, has(g, time.Minute+c.after, still), must.Sprint(c.name))
+	}
+}
--- a/quota/search.go
+++ b/quota/search.go
@@ -14,11 +14,8 @@
 	Bucket Bucket
 	Need   Amount
 	tried  []string
-	// has is what the holders said they have.
-	has     Amount
+	// partial is the second round.
 	partial bool
-	// retry is the shortest wait that a holder named.
-	retry time.Duration
 }
 
 // NewSearch returns the search of a request that needs n tokens.
@@ -30,8 +27,8 @@
 type SearchStep struct {
 	// Admitted means that the request has its tokens.
 	Admitted bool
-	// To is the holder to send Ask to. Its answer goes to Accept and
-	// Replied, no answer to Lost, and then Next is called again.
+	// To is the holder to send Ask to. Its answer goes to Accept, no answer
+	// to Lost, and then Next is called again.
 	To  string
 	Ask Ask
 	// RetryAfter is set if the request is refused: neither admitted nor to
@@ -50,12 +47,13 @@
 		return SearchStep{}
 	}
 	to, ok := h.untried(now, s, row)
-	if !ok && !s.partial && s.has >= d.Missing {
+	if !ok && !s.partial && h.estimate(now, s.Bucket, row, l) >= d.Missing {
 		s.partial, s.tried = true, nil
 		to, ok = h.untried(now, s, row)
 	}
 	if !ok {
-		return SearchStep{RetryAfter: s.retryAfter(d)}
+		h.giveBack(s.Bucket)
+		return SearchStep{RetryAfter: h.retryAfter(now, s.Bucket, d)}
 	}
 	s.tried = append(s.tried, to)
 	a := h.Ask(now, to, s.Bucket, l, d.Missing)
@@ -63,8 +61,30 @@
 	return SearchStep{To: to, Ask: a}
 }
 
-// untried returns a holder worth asking. In the second round all are asked
-// that said what they have.
+// giveBack returns the tokens that a refused request had put together, unless
+// another request may be waiting for them. Kept, they would be of no use here
+// after the transfer time, and a flood would lose a part of its rate.
+func (h *Holder) giveBack(b Bucket) {
+	waiting := slices.ContainsFunc(h.asks, func(a *ask) bool { return a.bucket == b && !a.answered })
+	if waiting {
+		return
+	}
+	var unused []*ask
+	h.dropAsks(func(a *ask) bool {
+		drop := a.bucket == b && a.left > 0
+		if drop {
+			unused = append(unused, a)
+		}
+		return drop
+	})
+	for _, a := range unused {
+		h.due = append(h.due, Settlement{
+			To: a.to, From: h.self, Bucket: b, UpTo: h.settled(a.to), Back: a.left, Ask: a.id,
+		})
+	}
+}
+
+// untried returns a holder worth asking. In the second round all are.
 func (h *Holder) untried(now time.Duration, s *Search, row config.Shard) (string, bool) {
 	peers := h.Peers(now, row, s.Bucket)
 	if s.partial {
@@ -78,20 +98,45 @@
 	return "", false
 }
 
-// Replied notes a holder's answer, after Accept.
-func (s *Search) Replied(t Transfer) {
-	if t.Amount > 0 || s.partial {
-		return
+// shortage is what a holder said when it had too little.
+type shortage struct {
+	// at is the time of the answer, until the end of the wait it named.
+	at, until time.Duration
+	has       Amount
+	contended bool
+}
+
+// setShort notes that a holder has too little for a time.
+func (h *Holder) setShort(now time.Duration, t Transfer) {
+	known := h.short[t.Bucket]
+	if known == nil {
+		known = map[string]shortage{}
+		h.short[t.Bucket] = known
 	}
-	s.has += t.Has
-	if t.RetryAfter > 0 && (s.retry == 0 || t.RetryAfter < s.retry) {
-		s.retry = t.RetryAfter
+	known[t.From] = shortage{at: now, until: now + t.RetryAfter, has: t.Has, contended: t.Contended}
+}
+
+// estimate returns what the holders that had too little have together now,
+// if nobody else took it.
+func (h *Holder) estimate(now time.Duration, b Bucket, row config.Shard, l config.Limit) Amount {
+	var sum Amount
+	parts := Parts(row)
+	for id, s := range h.short[b] {
+		if p := parts[id]; p > 0 && !s.contended {
+			has := s.has + refill(l, p, now-s.at, h.settings.Drift)
+			sum += min(has, capacity(l, p))
+		}
 	}
+	return sum
 }
 
-func (s *Search) retryAfter(d Decision) time.Duration {
-	if s.retry > 0 && s.retry < d.RetryAfter {
-		return s.retry
+// retryAfter returns the shortest wait that this instance or a holder named.
+func (h *Holder) retryAfter(now time.Duration, b Bucket, d Decision) time.Duration {
+	wait := d.RetryAfter
+	for _, s := range h.short[b] {
+		if s.until > now {
+			wait = min(wait, s.until-now)
+		}
 	}
-	return d.RetryAfter
+	return wait
 }
