Package comment of quota: what holds, what is refused, how to drive it

Cause: the comment was written before Search, Balance and Settlement. Change: it names them and the order of calls.

--- a/quota/doc.go
+++ b/quota/doc.go
@@ -39,11 +39,26 @@
 // some by the new one, so the bound is the larger of both until T after the
 // change is in force.
 //
-// # Small bursts
+// Evening out (Balance) and giving back (Settlement.Back) move tokens within
+// the same rules: a stored token counts against the capacity of whoever stores
+// it, a returned one ends the gift that kept its place.
 //
-// Where burst·p/60 is less than a token, an instance puts a token together
-// from the shares of all holders (Give hands out fractions). That keeps to
-// the same inequality without a second rule about who holds what, but costs a
-// message per holder, and fails while a holder whose share is needed is
-// away. HolderCount therefore gives few holders to shards of small bursts.
+// # What is refused although it is inside the rate
+//
+// A holder that is full gains nothing while another one is empty; so holders
+// even out their levels ahead of need, and other instances ask the holders in
+// turn. Where burst·p/60 is little more than a token or less, a whole token
+// may lie in pieces at several holders; so a Search asks each holder once for
+// all that lacks, and then, if the pieces suffice, for these. In a flood nobody
+// finds pieces of use, so holders that put off many askers say so. A limit of
+// less than a token a holder costs several messages a request, and nothing
+// is admitted while a needed holder is away; HolderCount gives few holders to
+// shards of small bursts.
+//
+// # How to drive it
+//
+// On every new row, and when a write has come in force: SetGrants with Grants.
+// For each request: NewSearch, then Next until it admits or refuses; after
+// each Next and Accept send what Settlements returns, and after each Next and
+// Give what Balance returns. All of it only while the configuration is fresh.
 package quota
--- a/quota/give.go
+++ b/quota/give.go
@@ -95,7 +95,7 @@
 	if tiny && h.gathering(a.Bucket) && h.self < a.From {
 		return 0
 	}
-	return min(own.level, max(a.Want, min(a.Room, evenOut(own.level, parts, a))))
+	return min(own.level, max(0, a.Want, min(a.Room, evenOut(own.level, parts, a))))
 }
 
 // evenOut returns what to give so that both shares are equally full.
