A repeated transfer says again that it wants a settlement

Cause: an ask that arrived twice was answered the second time without Tight, so the giver's capacity stayed taken for the whole transfer time. Change: both answers are the same; tests that an entry never grows, that a repeated ask gives once, and that no more is taken than was asked for.

--- a/quota/give.go
+++ b/quota/give.go
@@ -21,6 +21,7 @@
 	own.settle(Settlement{From: a.From, Bucket: a.Bucket, UpTo: a.Settled})
 	if again, ok := own.gift(a); ok {
 		t.Amount = again
+		t.Tight = own.tight(now, parts)
 		return t
 	}
 	t.Amount = h.share(own, parts, a)
@@ -34,7 +35,7 @@
 	own.used = now
 	until := now + h.settings.settleTime()
 	own.gifts = append(own.gifts, gift{to: a.From, ask: a.ID, amount: t.Amount, until: until})
-	t.Tight = own.given(now) > capacity(l, parts)/tightFraction
+	t.Tight = own.tight(now, parts)
 	return t
 }
 
@@ -65,6 +66,10 @@
 // maxPromise bounds the waits that grow by the number of askers.
 const maxPromise = 500 * time.Millisecond
 
+func (b *bucket) tight(now time.Duration, parts int) bool {
+	return b.given(now) > capacity(b.limit, parts)/tightFraction
+}
+
 // tightFraction of the capacity may be given away without a Settlement.
 const tightFraction = 4
 
--- a/quota/safety_test.go
+++ b/quota/safety_test.go
@@ -104,7 +104,10 @@
 	l := config.Limit{Rate: 60, Burst: 60}
 	h := holding("h", Settings{TransferTime: time.Second}, 30)
 	must.True(t, h.Take(time.Minute, sheets, l, Token).Admitted)
+	h.SetGrants(time.Minute, "0", []Grant{{Since: 1, Parts: 60}}) // no entry grows
+	must.Eq(t, 29, has(h, time.Minute, l))
 	h.SetGrants(time.Minute, "0", []Grant{{Since: 1, Parts: 30}, {Since: 5, Parts: 30}})
+	must.False(t, h.Take(time.Minute+time.Second, sheets, l, 31*Token).Admitted)
 	start := time.Minute + time.Second + 1
 	must.Eq(t, 30, has(h, start, l))
 	must.Eq(t, 30, has(h, start+500*time.Millisecond, l))
@@ -120,6 +123,16 @@
 	must.Eq(t, 0, r.Accept(1, sharp, tr))
 	must.Eq(t, 9, has(r, drifting.TransferTime-1, sharp))
 
+	twice := Ask{ID: 99, From: "x", Bucket: sheets, Want: 30 * Token}
+	must.Eq(t, g.Give(time.Minute, sharp, twice), g.Give(time.Minute, sharp, twice))
+	must.Eq(t, 60, has(g, time.Minute, sharp))
+
+	g = holding("g", drifting, 60)
+	more := g.Give(time.Minute, sharp, r.Ask(0, "g", sheets, sharp, Token))
+	more.Amount = 50 * Token
+	must.Eq(t, Token, r.Accept(0, sharp, more))
+	must.True(t, r.Take(0, sheets, sharp, Token).Admitted)
+
 	late := g.Give(time.Minute, sharp, r.Ask(0, "g", sheets, sharp, 10*Token))
 	must.Eq(t, 0, r.Accept(drifting.TransferTime, sharp, late))
 	must.Eq(t, 0, NewHolder("r2", 1, drifting).Accept(0, sharp, late))
