The inequality for moved parts, broken by a nanosecond

Cause: that a new holder's start is late enough was argued for in words only. Change: the package comment gives the inequality with F, T and the drift; a test has the extreme clocks and fails if the new holder learns of the row's being in force a nanosecond early. The histories of claims count the writes.

--- a/claim/history_test.go
+++ b/claim/history_test.go
@@ -147,12 +147,15 @@
 type tally struct {
 	verdicts  map[Verdict]int
 	executed  int
+	claimed   int // runs of caller-made keys
+	writes    int
 	avoidable int
 	red       int
 }
 
 func (s *tally) add(w *world) []string {
 	last := w.tick()
+	s.writes += w.writes
 	for _, op := range w.ops {
 		if op.executions > 1 {
 			w.fail(op, "%d executions", op.executions)
@@ -161,6 +164,9 @@
 			w.fail(op, "not a register")
 		}
 		s.executed += op.executions
+		if op.minted == nil {
+			s.claimed += op.verdicts[Run]
+		}
 		s.avoidable += op.avoidable
 		for v, n := range op.verdicts {
 			s.verdicts[v] += n
@@ -170,8 +176,8 @@
 }
 
 func (s tally) String() string {
-	return fmt.Sprintf("%d executed; run %d, in progress %d, replay %d, unknown %d (%d known elsewhere), refused %d; %d red",
-		s.executed, s.verdicts[Run], s.verdicts[InProgress], s.verdicts[Replay],
+	return fmt.Sprintf("%d executed; %.2f writes a run with a claim; run %d, in progress %d, replay %d, unknown %d (%d known elsewhere), refused %d; %d red",
+		s.executed, float64(s.writes)/float64(s.claimed), s.verdicts[Run], s.verdicts[InProgress], s.verdicts[Replay],
 		s.verdicts[UnknownOutcome], s.avoidable, s.verdicts[Refused], s.red)
 }
 
--- a/claim/prune.go
+++ b/claim/prune.go
@@ -8,7 +8,8 @@
 
 // Horizon tells which claims are older than a retention, without comparing
 // clocks: it notes at which time of the own clock the claims table had which
-// revision.
+// revision. The retention must be longer than callers repeat a request: once
+// its claim is pruned, a key is free again.
 type Horizon struct {
 	retention time.Duration
 	// every is the time between two notes.
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -9,6 +9,7 @@
 // write sends a transaction to the table. Its answer may be lost before or
 // after it takes effect, and it may take effect long after that, or twice.
 func (w *world) write(t platform.Txn, answer func(platform.WriteResult)) {
+	w.writes++
 	switch kind := w.rng.IntN(20); {
 	case w.away || kind == 0:
 		answer(platform.WriteResult{})
--- a/claim/world_test.go
+++ b/claim/world_test.go
@@ -22,6 +22,8 @@
 	table    map[string]platform.Row
 	revision platform.Revision
 	away     bool
+	// writes counts the transactions that were sent to the table.
+	writes int
 	// kills is how many of a thousand steps end an instance.
 	kills  int
 	ops    []*operationLog
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -26,14 +26,20 @@
 // until the asker has said that they are settled.
 //
 // Between rows, the former holder of a part acts on it until the new row is
-// in force at time I at the latest (package membership: F·(1+ε) after a
-// majority of the witnesses know it, whether the holder is frozen, cut off or
-// gone). What it gave until then can be used until I + T·(1+ε) in truth. So
-// the new holder starts empty at I + T·(1+ε)² on its clock. A holder that
-// wakes after I may find tokens in its buckets, but can't be fresh before it
-// has the new row, and then loses the share that the lost parts had. It may
-// have missed rows in which the parts were gone and came back; then the entry
-// has another Since, and starts empty.
+// in force, whether it is frozen, cut off or gone (package membership). With c
+// for the time at which a majority of the witnesses know the row, in truth:
+//
+//	last act of the former holder  <  c + F·(1+ε)            =: I
+//	last use of what it gave       <  I + T·(1+ε)
+//	first token of the new holder  >= I + T·(1+ε)²/(1+ε)
+//
+// The new holder learns of I at I or later, and starts empty when its clock,
+// which may be fast, has counted T·(1+ε)² from then. So the use of the old
+// part ends before the new one gains its first token. A holder that wakes
+// after I may find tokens in its buckets, but can't be fresh before it has
+// the new row, and then loses the share that the lost parts had. It may have
+// missed rows in which the parts were gone and came back; then the entry has
+// another Since, and starts empty.
 //
 // While a plan's change spreads, some instances count by the old limit and
 // some by the new one, so the bound is the larger of both until T after the
--- a/quota/safety_test.go
+++ b/quota/safety_test.go
@@ -65,13 +65,48 @@
 	must.Less(t, end, float64(restored-1)/(1+drifting.Drift))
 }
 
-// A cut-off holder gave tokens in the last moment in which it was fresh. The
-// new holder of its parts must not start while they can be used.
-func TestNewHolderStartsEmptyAfterTheTransferTime(t *testing.T) {
+// A cut-off holder gives its whole burst away in the last nanosecond in which
+// it is fresh, on a clock as slow as may be; the asker, as slow, spends it in
+// its last nanosecond. The new holder's clock is fast. Had it acted on the row
+// a nanosecond before that was in force, both would have the burst at once.
+func TestNewHolderStartsAfterTheLastUseOfTheOldOnes(t *testing.T) {
+	const fresh = time.Second
+	slow := 1 + drifting.Drift
+	sharp := config.Limit{Rate: 1e11, Burst: 100}
+	// All true times are counted from when a majority knows the row.
+	inForce := float64(fresh) * slow
+	lastUse := inForce + float64(drifting.TransferTime)*slow
+
+	r := NewHolder("r", 1, drifting)
+	old := holding("old", drifting, 60)
+	r.Accept(1, sharp, old.Give(time.Minute, sharp, r.Ask(0, "old", sheets, sharp, 100*Token)))
+	must.Eq(t, 100, has(r, drifting.TransferTime-1, sharp))
+
+	firstUse := func(learnt time.Duration) float64 {
+		n := NewHolder("n", 1, drifting)
+		n.SetGrants(learnt, "0", []Grant{{Since: 7, Parts: 60}})
+		at := learnt
+		for step := time.Second; step > 0; {
+			if n.Take(at+step, sheets, sharp, Token).Admitted {
+				n = NewHolder("n", 1, drifting)
+				n.SetGrants(learnt, "0", []Grant{{Since: 7, Parts: 60}})
+				step /= 2
+				continue
+			}
+			at += step
+		}
+		return float64(at) / slow
+	}
+	learnt := time.Duration(inForce * slow)
+	must.GreaterEq(t, lastUse, firstUse(learnt))
+	must.Less(t, lastUse, firstUse(learnt-1))
+}
+
+// The same new holder has nothing stored when it starts.
+func TestNewHolderStartsEmpty(t *testing.T) {
 	h := NewHolder("n", 1, drifting)
-	inForce := time.Minute
-	h.SetGrants(inForce, "0", []Grant{{Since: 7, Parts: 60}})
-	start := inForce + drifting.settleTime()
+	h.SetGrants(time.Minute, "0", []Grant{{Since: 7, Parts: 60}})
+	start := time.Minute + drifting.settleTime()
 	must.Eq(t, 0, has(h, start, sharp))
 	must.Eq(t, 4, has(h, start+5, sharp)) // five nanoseconds on a fast clock
 }
