Parts that move may be used until the row before runs out

Cause: a holder that leaves as planned stopped at once on hearing of the new row, and nobody used its parts for the three seconds until that was in force. Change: SetGrantsUntil lets lost parts count until the evidence for the row before ends; WithFormer keeps the former holders among those to be asked. Safe by the same inequality: a frozen or cut-off holder goes on as long.

--- a/quota/baseline_test.go
+++ b/quota/baseline_test.go
@@ -167,6 +167,8 @@
 type parts struct {
 	common
 	holders int
+	// asked is the row with the holders before, until the new one is granted.
+	asked   config.Shard
 	row     config.Shard
 	nodes   []*Holder
 	version uint64
@@ -226,6 +228,30 @@
 	s.moveAt = now + 2*time.Second
 }
 
+// leave is a planned stop of a holder. It hears of the new row after half a
+// second; with drain it goes on while it is fresh by the row before.
+func (s *parts) leave(now time.Duration, i int, drain bool) {
+	const heard, fresh = 500 * time.Millisecond, 3 * time.Second
+	before := s.row
+	s.live[i] = false
+	s.assign()
+	s.live[i] = true
+	until := now + heard
+	if drain {
+		until = now + fresh
+		s.asked = WithFormer(s.row, before)
+	}
+	s.nodes[i].SetGrantsUntil(now, "0", nil, until)
+	s.startAt = now + fresh
+}
+
+func (s *parts) askRow() config.Shard {
+	if len(s.asked.Holders) > 0 && s.startAt != 0 {
+		return s.asked
+	}
+	return s.row
+}
+
 func (s *parts) move(now time.Duration) {
 	if s.moveAt != 0 && now >= s.moveAt && !s.away {
 		s.assign()
@@ -242,10 +268,10 @@
 	s.move(now)
 	n := s.nodes[i]
 	search := NewSearch(s.bucket, Token)
-	step := n.Next(now, search, s.row, s.limit)
+	step := n.Next(now, search, s.askRow(), s.limit)
 	for step.To != "" {
 		now = s.exchange(now, i, step.To, step.Ask)
-		step = n.Next(now, search, s.row, s.limit)
+		step = n.Next(now, search, s.askRow(), s.limit)
 	}
 	s.balance(now, i)
 	for _, due := range s.nodes[i].Settlements() {
@@ -278,7 +304,7 @@
 }
 
 func (s *parts) balance(now time.Duration, i int) {
-	if id, a, ok := s.nodes[i].Balance(now, s.row, s.bucket, s.limit); ok {
+	if id, a, ok := s.nodes[i].Balance(now, s.askRow(), s.bucket, s.limit); ok {
 		s.exchange(now, i, id, a)
 	}
 }
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -12,10 +12,19 @@
 	Service   string
 }
 
-// grant is a Grant with the time on the own clock from which it counts.
+// grant is a Grant with the times on the own clock between which it counts.
 type grant struct {
 	Grant
 	from time.Duration
+	// end is set for parts that this instance has lost, but may use until
+	// then.
+	end time.Duration
+	// lost tells that end is set.
+	lost bool
+}
+
+func (g grant) active(at time.Duration) bool {
+	return g.from <= at && (!g.lost || at < g.end)
 }
 
 // gift is a transfer that this instance gave and that may still be used.
@@ -47,7 +56,18 @@
 func active(grants []grant, at time.Duration) int {
 	parts := 0
 	for _, g := range grants {
-		if g.from <= at {
+		if g.active(at) {
+			parts += g.Parts
+		}
+	}
+	return parts
+}
+
+// kept returns the parts that count at both times.
+func kept(grants []grant, first, second time.Duration) int {
+	parts := 0
+	for _, g := range grants {
+		if g.active(first) && g.active(second) {
 			parts += g.Parts
 		}
 	}
@@ -55,7 +75,7 @@
 }
 
 // advance brings the level forward to now. It stops at every time at which
-// a grant begins to count or a gift ends: a bucket that was full until then
+// a grant begins or ends to count or a gift ends: a bucket that was full until then
 // must not gain afterwards for the time before.
 func (b *bucket) advance(now time.Duration, grants []grant, drift float64) {
 	for b.at < now {
@@ -63,6 +83,7 @@
 		parts := active(grants, b.at)
 		b.level += refill(b.limit, parts, next-b.at, drift)
 		b.clamp(b.at, parts)
+		b.lose(parts, kept(grants, b.at, next))
 		b.at = next
 		b.dropGifts(next)
 	}
@@ -75,6 +96,9 @@
 		if g.from > b.at {
 			next = min(next, g.from)
 		}
+		if g.lost && g.end > b.at {
+			next = min(next, g.end)
+		}
 	}
 	for _, g := range b.gifts {
 		if g.until > b.at {
@@ -84,6 +108,15 @@
 	return next
 }
 
+// lose takes the share of lost parts. Kept, their tokens could have come from
+// a refill of parts that another holder refilled as well: an instance that
+// was frozen counts a long time at once.
+func (b *bucket) lose(before, after int) {
+	if after < before {
+		b.level = b.level / Amount(before) * Amount(after)
+	}
+}
+
 // clamp takes what is above the capacity that gifts leave.
 func (b *bucket) clamp(at time.Duration, parts int) {
 	b.level = max(0, min(b.level, capacity(b.limit, parts)-b.given(at)))
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -165,7 +165,11 @@
 			read = max(read, i)
 		}
 	}
-	n.revision = read
+	before := n.fresh
+	if n.revision != read {
+		n.revision = read
+		n.holder.SetGrantsUntil(f.clock(n), "0", Grants(f.rows[read].shard, n.id, f.inForce), before)
+	}
 	n.fresh = f.clock(n) - time.Duration(float64(took)*n.rate) + freshTime
 	f.act(n)
 }
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -72,6 +72,15 @@
 // the former holders gave may still be used. Fewer parts take their share
 // of the tokens along.
 func (h *Holder) SetGrants(now time.Duration, name string, grants []Grant) {
+	h.SetGrantsUntil(now, name, grants, now)
+}
+
+// SetGrantsUntil is SetGrants for a new row, where the parts that it takes
+// away may be used for a little longer: until the end of the time for which
+// the instance was fresh by the row before. Nobody else uses them before that,
+// because the new row comes in force later still, and stopping at once would
+// leave these parts unused in between.
+func (h *Holder) SetGrantsUntil(now time.Duration, name string, grants []Grant, until time.Duration) {
 	s := h.shards[name]
 	if s == nil {
 		if len(grants) == 0 {
@@ -81,8 +90,9 @@
 		h.shards[name] = s
 	}
 	next := s.merge(grants, now+h.settings.settleTime())
+	next = append(next, s.lostParts(now, grants, until)...)
 	s.replace(now, next, h.settings.Drift)
-	if len(grants) == 0 {
+	if len(next) == 0 {
 		delete(h.shards, name)
 	}
 }
@@ -92,28 +102,53 @@
 func (s *shard) merge(grants []Grant, from time.Duration) []grant {
 	var next []grant
 	for _, g := range grants {
-		i := slices.IndexFunc(s.grants, func(old grant) bool { return old.Since == g.Since })
-		if i < 0 {
+		known, ok := s.known(g.Since)
+		if !ok {
 			next = append(next, grant{Grant: g, from: from})
 			continue
 		}
-		known := s.grants[i]
 		known.Parts = min(known.Parts, g.Parts)
 		next = append(next, known)
 	}
 	return next
 }
 
-// replace puts new grants in place and takes the share of lost parts out of
-// every bucket.
+// known returns the grant of an entry as it was before.
+func (s *shard) known(since uint64) (grant, bool) {
+	for _, g := range s.grants {
+		if g.Since == since && !g.lost {
+			return g, true
+		}
+	}
+	return grant{}, false
+}
+
+// lostParts returns what was lost before and still counts, and what the new
+// grants lack.
+func (s *shard) lostParts(now time.Duration, grants []Grant, until time.Duration) []grant {
+	var lost []grant
+	for _, g := range s.grants {
+		if g.lost {
+			lost = append(lost, g)
+			continue
+		}
+		i := slices.IndexFunc(grants, func(n Grant) bool { return n.Since == g.Since })
+		if i >= 0 {
+			g.Parts -= min(g.Parts, grants[i].Parts)
+		}
+		g.lost, g.end = true, until
+		lost = append(lost, g)
+	}
+	return slices.DeleteFunc(lost, func(g grant) bool { return g.end <= now || g.Parts == 0 })
+}
+
+// replace puts new grants in place.
 func (s *shard) replace(now time.Duration, next []grant, drift float64) {
 	before := active(s.grants, now)
 	after := active(next, now)
 	for _, b := range s.buckets {
 		b.advance(now, s.grants, drift)
-		if after < before {
-			b.level = b.level / Amount(before) * Amount(after)
-		}
+		b.lose(before, after)
 		b.clamp(now, after)
 	}
 	s.grants = next
@@ -193,8 +228,13 @@
 // by the buckets in use.
 func (h *Holder) Forget(now time.Duration) {
 	h.expire(now)
-	for _, s := range h.shards {
+	for name, s := range h.shards {
 		s.forget(now, h.settings)
+		ended := func(g grant) bool { return g.lost && g.end <= now }
+		s.replace(now, slices.DeleteFunc(slices.Clone(s.grants), ended), h.settings.Drift)
+		if len(s.grants) == 0 {
+			delete(h.shards, name)
+		}
 	}
 	for b, known := range h.short {
 		maps.DeleteFunc(known, func(_ string, s shortage) bool { return s.until <= now })
--- a/quota/refusal_test.go
+++ b/quota/refusal_test.go
@@ -45,6 +45,8 @@
 	// killed ends an instance that holds parts, for the schemes that have
 	// such; away makes the table unreachable for forty seconds.
 	killed, away bool
+	// leaves has a holder stop as planned; drains, with SetGrantsUntil.
+	leaves, drains bool
 }
 
 func anywhere(rng *rand.Rand, n int, _ scheme) int { return rng.IntN(n) }
@@ -82,6 +84,10 @@
 			gone = oneHolder(rng, instances, s)
 			s.kill(now, gone)
 		}
+		if p, ok := s.(*parts); ok && sc.leaves && gone < 0 && now >= 15*time.Second {
+			gone = p.holder(true)
+			p.leave(now, gone, sc.drains)
+		}
 		s.setAway(sc.away && now >= 10*time.Second && now < 50*time.Second)
 		i := sc.pick(rng, instances, s)
 		if i == gone {
@@ -113,6 +119,8 @@
 		{name: "burst of 1, even", limit: tiny, pick: anywhere},
 		{name: "holder killed", limit: plan, pick: anywhere, killed: true},
 		{name: "small, holder killed", limit: small, pick: anywhere, killed: true},
+		{name: "holder leaves", limit: plan, pick: anywhere, leaves: true},
+		{name: "holder leaves, drains", limit: plan, pick: anywhere, leaves: true, drains: true},
 		{name: "table away 40 s", limit: plan, pick: anywhere, away: true},
 		{name: "table away and killed", limit: plan, pick: anywhere, away: true, killed: true},
 	}
--- a/quota/safety_test.go
+++ b/quota/safety_test.go
@@ -122,6 +122,37 @@
 	must.Eq(t, 50, has(h, wake, slow))
 }
 
+// A holder learns that half of its parts move. It goes on with them for as
+// long as it was fresh by the row before, and not a nanosecond more; the
+// parts that it keeps gain as before.
+func TestLostPartsMayBeUsedWhileTheOldRowIsFresh(t *testing.T) {
+	l := config.Limit{Rate: 60, Burst: 600}
+	s := Settings{TransferTime: time.Second}
+	learnt, until := time.Minute, time.Minute+time.Second
+	for _, c := range []struct {
+		at   time.Duration
+		want int
+	}{
+		{learnt, 600},
+		{until - 1, 600},
+		{until, 300},
+		{until + time.Minute, 300},
+	} {
+		h := holding("h", s, 60)
+		must.True(t, h.Take(time.Second, sheets, l, 0).Admitted)
+		h.SetGrantsUntil(learnt, "0", []Grant{{Since: 1, Parts: 30}}, until)
+		h.SetGrants(learnt+1, "0", []Grant{{Since: 1, Parts: 30}})
+		must.Eq(t, c.want, has(h, c.at, l), must.Sprint(c.at))
+	}
+	h := holding("h", s, 60)
+	must.Eq(t, 600, has(h, learnt, l))
+	h.SetGrantsUntil(learnt, "0", []Grant{{Since: 1, Parts: 30}}, until)
+	must.Eq(t, 60, has(h, until+time.Second, l)) // 30 kept of 60, and 30 more
+	h.SetGrantsUntil(until+time.Second, "0", nil, until)
+	h.Forget(until + time.Second)
+	must.MapEmpty(t, h.shards)
+}
+
 // A holder's parts move away and back while it is frozen. Another instance
 // spent them meanwhile. The entry has another Since, so it starts empty.
 func TestPartsThatCameBackStartEmpty(t *testing.T) {
--- a/quota/shard.go
+++ b/quota/shard.go
@@ -65,6 +65,20 @@
 	return parts
 }
 
+// WithFormer returns a row for AskOrder, Peers, Next and Balance that names the
+// holders of the row before as well. To be used while these may still use
+// their parts (SetGrantsUntil), else nobody would ask them for these tokens.
+func WithFormer(row, before config.Shard) config.Shard {
+	now := Parts(row)
+	both := config.Shard{Holders: slices.Clone(row.Holders)}
+	for _, e := range before.Holders {
+		if now[e.Instance] == 0 {
+			both.Holders = append(both.Holders, e)
+		}
+	}
+	return both
+}
+
 // AskOrder returns the holders of a row other than the asker, in the order
 // in which to ask them for tokens: most parts first. Askers with the same
 // choice spread over the holders by their ids.
