An entry that comes back counts as a new one; forwarding may be repeated

Cause: a mutant that counted lost parts again after a later row stayed green. Change: a test for it; the comment of Forwarded says that repeats are safe.

--- a/claim/elsewhere.go
+++ b/claim/elsewhere.go
@@ -26,7 +26,9 @@
 }
 
 // Forwarded decides about a request that was forwarded to the minter and
-// brought no answer. Whether the minter got it isn't known.
+// brought no answer. Whether the minter got it isn't known. Forwarding may be
+// repeated before that as long as the deadline allows: the minter runs a key
+// once, and tells a repeat how the first one ended.
 func Forwarded(k OperationKey) Decision {
 	return Decision{Verdict: UnknownOutcome, Reason: MinterGone, By: k.Minter}
 }
--- a/quota/safety_test.go
+++ b/quota/safety_test.go
@@ -151,6 +151,14 @@
 	h.SetGrantsUntil(until+time.Second, "0", nil, until)
 	h.Forget(until + time.Second)
 	must.MapEmpty(t, h.shards)
+
+	// An entry that comes back, which it shouldn't, counts as a new one.
+	h = holding("h", s, 60)
+	must.Eq(t, 600, has(h, learnt, l))
+	h.SetGrantsUntil(learnt, "0", nil, until)
+	h.SetGrants(learnt, "0", []Grant{{Since: 1, Parts: 60}})
+	must.Eq(t, 30, has(h, learnt+500*time.Millisecond, l))
+	must.Eq(t, 0, has(h, until, l))
 }
 
 // A holder's parts move away and back while it is frozen. Another instance
