Compare servers with the others without the worst of them

Cause: healthy servers' rare late answers excused a slow server, a pair that lasted kept hours of good attempts, and two sick servers of five excused each other. Change: the mean of the others leaves out the worst 30 %, each pair settles by itself, instances also report good answers of servers that the collector advised against, hedges leave two tokens to retries and stop while the whole service is slow, one place supplies at most as much as all others.

--- a/health/collector.go
+++ b/health/collector.go
@@ -117,7 +117,7 @@
 		s := c.settings
 		p = &pool{
 			failed:    newLedger(s.FailureShare, s.SickFailureShare, s.PooledMemory),
-			late:      newLedger(s.LateShare, s.SickLateShare, s.PooledMemory),
+			late:      newLedger(s.judgedLateShare(), s.SickLateShare, s.PooledMemory),
 			reporters: map[string]*reporter{},
 			servers:   map[string]*serverState{},
 		}
@@ -150,4 +150,4 @@
 }
 
 // adviceWeight leaves enough requests to go on judging a relieved server.
-const adviceWeight = 0.1
+const adviceWeight = 0.15
--- a/health/ejection.go
+++ b/health/ejection.go
@@ -138,7 +138,7 @@
 		what = "answered late, also with little to do,"
 	}
 	return fmt.Sprintf("%s %s about %.0f of its last %.0f requests, far more than the other servers of %s",
-		server, what, r.sums.all, max(r.attempts, r.sums.all), service)
+		server, what, r.bad, max(r.attempts, r.bad), service)
 }
 
 // relieve starts and ends the time in which a slow server gets little load.
--- a/health/ledger.go
+++ b/health/ledger.go
@@ -62,9 +62,13 @@
 	// cells are in order of arrival: sums of the same numbers in another
 	// order round differently, and a replay would come out differently.
 	cells []cell
-	sums  marginals
-	// pairs counts attempts by workspace since its first bad one here.
-	pairs map[string]float64
+	// bad is the sum of the cells.
+	bad float64
+	// sums are for the comparison of servers. Unlike the cells they aren't
+	// cut down by settle: that would make the other servers stand out.
+	sums marginals
+	// pairs judges single workspaces here, each since its first bad attempt.
+	pairs map[string]*tally
 	// score is the result of judging at a version of the ledger.
 	score   float64
 	version uint64
@@ -76,7 +80,7 @@
 	bad float64
 }
 
-// tally counts one workspace's attempts at all servers of a service.
+// tally counts one workspace's attempts, at one server or at all.
 type tally struct {
 	attempts float64
 	bad      float64
@@ -92,8 +96,10 @@
 	at       time.Duration
 	version  uint64
 	runs     map[string]*run
-	sums     marginals
-	tallies  map[string]*tally
+	// buffer and tallyBuffer save allocations.
+	buffer      []float64
+	tallyBuffer []tally
+	tallies     map[string]*tally
 }
 
 func newLedger(healthy, sick float64, halfLife time.Duration) *ledger {
@@ -102,7 +108,6 @@
 		sick:     sick,
 		halfLife: halfLife,
 		runs:     map[string]*run{},
-		sums:     newMarginals(),
 		tallies:  map[string]*tally{},
 	}
 }
@@ -116,22 +121,31 @@
 		if bad == 0 {
 			return
 		}
-		r = &run{sums: newMarginals(), pairs: map[string]float64{}}
+		r = &run{sums: newMarginals(), pairs: map[string]*tally{}}
 		l.runs[server] = r
 	}
 	l.version++
 	r.attempts += attempts
-	if _, known := r.pairs[s.workspace]; known || bad > 0 {
-		r.pairs[s.workspace] += attempts
-	}
+	r.addPair(s.workspace, attempts, bad)
 	if bad > 0 {
-		s = r.add(s, bad)
-		r.sums.add(s, bad)
-		l.sums.add(s, bad)
+		r.sums.add(r.add(s, bad), bad)
 	}
 	l.settle(server, r)
 }
 
+func (r *run) addPair(workspace string, attempts, bad float64) {
+	t := r.pairs[workspace]
+	if t == nil {
+		if bad == 0 || len(r.pairs) >= maxSources {
+			return
+		}
+		t = &tally{}
+		r.pairs[workspace] = t
+	}
+	t.attempts += attempts
+	t.bad += bad
+}
+
 // add counts bad attempts of a source, and returns what they were put under.
 func (r *run) add(s source, bad float64) source {
 	at := func(s source) int {
@@ -147,6 +161,7 @@
 		i = len(r.cells) - 1
 	}
 	r.cells[i].bad += bad
+	r.bad += bad
 	return s
 }
 
@@ -185,69 +200,65 @@
 	l.at = now
 	l.version++
 	f := math.Exp2(-passed.Seconds() / l.halfLife.Seconds())
-	l.sums.scale(f)
-	var faded []string
 	for server, r := range l.runs {
 		r.scale(f)
-		if r.sums.all < minBad {
-			faded = append(faded, server)
+		r.sums.scale(f)
+		scaleTallies(r.pairs, f)
+		if r.bad < minBad && len(r.pairs) == 0 {
+			delete(l.runs, server)
 		}
 	}
-	slices.Sort(faded)
-	for _, server := range faded {
-		l.forget(server)
-	}
-	for w, t := range l.tallies {
+	scaleTallies(l.tallies, f)
+}
+
+// scaleTallies fades tallies and drops those that say nothing any more.
+func scaleTallies(m map[string]*tally, f float64) {
+	for w, t := range m {
 		t.attempts *= f
 		t.bad *= f
 		if t.bad < minBad {
-			delete(l.tallies, w)
+			delete(m, w)
 		}
 	}
 }
 
 func (r *run) scale(f float64) {
 	r.attempts *= f
-	r.sums.scale(f)
+	r.bad *= f
 	for i := range r.cells {
 		r.cells[i].bad *= f
 	}
-	scale(r.pairs, f)
 }
 
-// settle ends a run that speaks for the server, and bounds the others.
+// settle ends what speaks for the server, and bounds what speaks against it.
+// The whole and the pairs end each by itself: a pair that lasts must not keep
+// the good attempts of hours, which would cover a server's next failure.
 func (l *ledger) settle(server string, r *run) {
-	if l.ratio(r.attempts, r.sums.all, l.sick) <= 0 && l.worstPair(r) <= 0 {
-		l.forget(server)
+	for w := range r.pairs {
+		if s := l.pair(r, w); s <= 0 {
+			delete(r.pairs, w)
+		} else if s > maxScore {
+			r.pairs[w].attempts *= maxScore / s
+			r.pairs[w].bad *= maxScore / s
+		}
+	}
+	if l.ratio(r.attempts, r.bad, l.sick) <= 0 {
+		r.attempts, r.bad, r.cells, r.sums = 0, 0, nil, newMarginals()
+	}
+	if r.bad < minBad && len(r.pairs) == 0 {
+		delete(l.runs, server)
 		return
 	}
-	if s := max(l.judge(r), l.worstPair(r)); s > maxScore {
-		l.take(r, 1-maxScore/s)
+	if s := l.judge(r); s > maxScore {
 		r.scale(maxScore / s)
 		l.version++
 	}
 }
 
-// take subtracts a share of a run from the ledger's sums.
-func (l *ledger) take(r *run, share float64) {
-	for _, c := range r.cells {
-		l.sums.add(c.source, -share*c.bad)
-	}
-}
-
 // forget drops what is known of a server.
 func (l *ledger) forget(server string) {
-	r := l.runs[server]
-	if r == nil {
-		return
-	}
-	l.version++
-	l.take(r, 1)
 	delete(l.runs, server)
-	if len(l.runs) == 0 {
-		// Nothing is left: no rounding error shall be either.
-		l.sums = newMarginals()
-	}
+	l.version++
 }
 
 // ratio is the log-likelihood ratio of "sick" against "healthy".
--- a/health/observer.go
+++ b/health/observer.go
@@ -27,6 +27,8 @@
 	advice    map[string]Suspect
 	advisedAt time.Duration
 	pending   pending
+	// lateShare is the share of late answers among the last ones.
+	lateShare float64
 }
 
 // NewObserver returns an observer without evidence.
@@ -48,6 +50,7 @@
 	}
 	if counts.late {
 		v.late.add(now, ob.Server, source{workspace: ob.Workspace}, 1, one(late))
+		v.lateShare += (one(late) - v.lateShare) / lateShareWindow
 	}
 	if ob.Result == Shed {
 		v.shed[ob.Server] = now
@@ -80,8 +83,24 @@
 	}
 }
 
+const (
+	// lateShareWindow is over about how many answers lateShare goes.
+	lateShareWindow = 32
+	// maxHedgeShare is the share of late answers above which the service as
+	// a whole is slow.
+	maxHedgeShare = 0.2
+)
+
+// HedgeAfter returns after how long a second server may be asked, or false.
+// It is for the sake of a few slow servers. While the whole service is slow,
+// second copies would only slow it further.
+func (o *Observer) HedgeAfter(service string) (time.Duration, bool) {
+	v := o.view(service)
+	return o.lateAfter(v), v.lateShare <= maxHedgeShare
+}
+
 // LateAfter returns how long an answer of the service may take before it is
-// late. It is also the moment for a hedge.
+// late, and is to be observed as Late.
 func (o *Observer) LateAfter(service string) time.Duration {
 	return o.lateAfter(o.view(service))
 }
@@ -100,7 +119,7 @@
 		s := o.settings
 		v = &serviceView{
 			failed: newLedger(s.FailureShare, s.SickFailureShare, s.LocalMemory),
-			late:   newLedger(s.LateShare, s.SickLateShare, s.LocalMemory),
+			late:   newLedger(s.judgedLateShare(), s.SickLateShare, s.LocalMemory),
 			shed:   map[string]time.Duration{},
 			advice: map[string]Suspect{},
 		}
--- a/health/pooled.go
+++ b/health/pooled.go
@@ -52,7 +52,7 @@
 const (
 	// topShare bounds the part of the evidence that one place may supply, as
 	// a multiple of all other places' together.
-	topShare = 2
+	topShare = 1
 )
 
 // agreed bounds the bad attempts by what the strongest place can't supply.
--- a/health/report.go
+++ b/health/report.go
@@ -78,7 +78,7 @@
 		p.totals[ob.Workspace] = t.plus(ob.Workspace, failed, late, c)
 	}
 	server, doubted := p.servers[ob.Server]
-	if !doubted && !bad && !v.doubts(ob.Server) {
+	if !doubted && !bad && !v.doubts(now, ob.Server) {
 		return
 	}
 	if !doubted {
@@ -104,8 +104,13 @@
 	return w
 }
 
-// doubts reports whether evidence against the server is being collected.
-func (v *serviceView) doubts(server string) bool {
+// doubts reports whether evidence on the server is being collected. While the
+// collector has doubts, good answers matter to it as much as bad ones.
+func (v *serviceView) doubts(now time.Duration, server string) bool {
+	_, advised := v.advice[server]
+	if advised && now-v.advisedAt < adviceMemory {
+		return true
+	}
 	return v.failed.runs[server] != nil || v.late.runs[server] != nil
 }
 
--- a/health/score.go
+++ b/health/score.go
@@ -1,7 +1,9 @@
 package health
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -48,25 +50,57 @@
 // workspace that sends bad requests fails wherever they go, so the server is
 // compared with how the workspace fares elsewhere.
 func (l *ledger) pair(r *run, workspace string) float64 {
-	bad := r.sums.workspaces[workspace]
-	t := l.tallies[workspace]
-	if bad <= 0 || t == nil {
+	here := r.pairs[workspace]
+	if here == nil {
 		return 0
 	}
-	attempts := r.pairs[workspace]
-	elsewhere := max(0, t.attempts-attempts)
-	badElsewhere := max(0, t.bad-bad)
-	usual := max(l.healthy, (badElsewhere+priorBad)/(elsewhere+priorAttempts))
+	usual := l.usual(r, workspace)
 	if usual >= pairSickShare {
 		return 0
 	}
-	return pairDiscount * logRatio(attempts, bad, usual, pairSickShare)
+	return pairDiscount * logRatio(here.attempts, here.bad, usual, pairSickShare)
 }
 
+// usual is the share of a workspace's requests that is bad elsewhere, the
+// worst other servers aside: they may be sick too.
+func (l *ledger) usual(r *run, workspace string) float64 {
+	t := l.tallies[workspace]
+	if t == nil {
+		return max(l.healthy, priorBad/priorAttempts)
+	}
+	attempts, bad := t.attempts, t.bad
+	if here := r.pairs[workspace]; here != nil {
+		attempts -= here.attempts
+		bad -= here.bad
+	}
+	for _, p := range l.worstPairs(r, workspace) {
+		attempts -= p.attempts
+		bad -= p.bad
+	}
+	return max(l.healthy, (max(0, bad)+priorBad)/(max(0, attempts)+priorAttempts))
+}
+
+// worstPairs returns the workspace's worst tallies at other servers.
+func (l *ledger) worstPairs(r *run, workspace string) []tally {
+	l.tallyBuffer = l.tallyBuffer[:0]
+	for _, other := range l.runs {
+		if p := other.pairs[workspace]; p != nil && other != r {
+			l.tallyBuffer = append(l.tallyBuffer, *p)
+		}
+	}
+	slices.SortFunc(l.tallyBuffer, func(a, b tally) int {
+		return cmp.Or(cmp.Compare(b.bad, a.bad), cmp.Compare(b.attempts, a.attempts))
+	})
+	return l.tallyBuffer[:min(len(l.tallyBuffer), l.worst())]
+}
+
+// worst is how many servers may be sick and still be told from the others.
+func (l *ledger) worst() int { return int(worstShare * float64(l.servers)) }
+
 const (
 	// priorBad in priorAttempts is what is assumed of a workspace's requests
 	// elsewhere before there were any.
-	priorBad      = 0.5
+	priorBad      = 0.3
 	priorAttempts = 3
 )
 
@@ -75,29 +109,58 @@
 // servers as well is the reporter's network, the workspace's requests or the
 // service's state.
 func (l *ledger) effective(r *run) float64 {
-	if len(l.runs) == 1 {
-		return r.sums.all
-	}
-	all := l.standsOut(r.sums.all, l.sums.all)
+	all := l.standsOut(r, func(m *marginals) float64 { return m.all })
 	if all == 0 {
 		return 0
 	}
 	sum := 0.0
-	for _, s := range r.cells {
-		byReporter := l.standsOut(r.sums.reporters[s.reporter], l.sums.reporters[s.reporter])
-		byWorkspace := l.standsOut(r.sums.workspaces[s.workspace], l.sums.workspaces[s.workspace])
-		sum += s.bad * min(all, byReporter, byWorkspace)
+	for _, c := range r.cells {
+		byReporter := l.standsOut(r, func(m *marginals) float64 { return m.reporters[c.reporter] })
+		byWorkspace := l.standsOut(r, func(m *marginals) float64 { return m.workspaces[c.workspace] })
+		trust := max(0, 1-usualFactor*(l.usual(r, c.workspace)-l.healthy))
+		sum += c.bad * min(all, byReporter, byWorkspace, trust)
 	}
 	return sum
 }
 
+// usualFactor is how fast a workspace's failures elsewhere make those here
+// count less.
+const usualFactor = 3
+
 // standsOut is the share of the bad attempts at one server beyond what the
 // others have too, with room for chance: counts as small as these vary by
 // their square root.
-func (l *ledger) standsOut(here, everywhere float64) float64 {
-	others := max(0, everywhere-here) / float64(max(1, l.servers-1))
+func (l *ledger) standsOut(r *run, of func(*marginals) float64) float64 {
+	here := of(&r.sums)
 	if here <= 0 {
 		return 0
 	}
+	others := l.others(r, of)
 	return max(0, 1-othersFactor*(others+math.Sqrt(others))/here)
 }
+
+// others is what is usual at the other servers: their mean without the worst
+// of them, so that several sick servers don't excuse each other.
+func (l *ledger) others(r *run, of func(*marginals) float64) float64 {
+	n := l.servers - 1
+	worst := l.worst()
+	if len(l.runs)-1 <= worst || n <= worst {
+		return 0
+	}
+	l.buffer = l.buffer[:0]
+	for _, other := range l.runs {
+		if other != r {
+			l.buffer = append(l.buffer, of(&other.sums))
+		}
+	}
+	slices.Sort(l.buffer)
+	sum := 0.0
+	for _, v := range l.buffer[:len(l.buffer)-worst] {
+		sum += v
+	}
+	return sum / float64(n-worst)
+}
+
+// worstShare is the share of a service's servers that may be sick at once
+// and still be told from the others.
+const worstShare = 0.3
--- a/health/settings.go
+++ b/health/settings.go
@@ -83,7 +83,12 @@
 	}
 }
 
+// judgedLateShare is the share of late answers held for healthy. It is above
+// LateShare because late answers come in groups, when a queue is long.
+func (s Settings) judgedLateShare() float64 { return lateGroups * s.LateShare }
+
 const (
+	lateGroups = 4.0 / 3
 	// othersFactor is by how much a server must stand out: bad attempts up
 	// to this many times the mean of the other servers don't count.
 	othersFactor = 2
--- a/health/trial_loop_test.go
+++ b/health/trial_loop_test.go
@@ -166,6 +166,9 @@
 	}
 	ob.Result, ob.Latency, ob.WasLate = health.Late, waited, false
 	in.policy.ended(now, ob)
+	if !in.policy.hedges(r.service.name) {
+		return
+	}
 	d := retry.DecideHedge(now, w.state(r, health.Late), in.budgets[r.service.name])
 	if d.Action == retry.Hedge {
 		w.send(now, in, r)
--- a/health/trial_policy_test.go
+++ b/health/trial_policy_test.go
@@ -19,6 +19,7 @@
 	// avoids reports whether the instance hardly uses the server any more.
 	avoids(now time.Duration, s *service, server, workspace string) bool
 	lateAfter(service string) time.Duration
+	hedges(service string) bool
 }
 
 // roundRobin is the first baseline: each server in turn, no ejection.
@@ -37,6 +38,7 @@
 func (p *roundRobin) started(string, string)                              {}
 func (p *roundRobin) ended(time.Duration, health.Observation)             {}
 func (p *roundRobin) avoids(time.Duration, *service, string, string) bool { return false }
+func (p *roundRobin) hedges(string) bool                                  { return false }
 func (p *roundRobin) lateAfter(string) time.Duration                      { return 0 }
 
 // alone is the second baseline: each instance by itself leaves out a server
@@ -132,6 +134,11 @@
 
 func (p *ours) lateAfter(service string) time.Duration { return p.observer.LateAfter(service) }
 
+func (p *ours) hedges(service string) bool {
+	_, ok := p.observer.HedgeAfter(service)
+	return ok
+}
+
 func (p *ours) setEjected(s *service, row config.Permits) {
 	var ids, inUse []string
 	for _, e := range row.Ejected {
--- a/health/weights.go
+++ b/health/weights.go
@@ -13,7 +13,7 @@
 	sureScore = 6
 	// minWeight keeps a trickle of requests, so that evidence continues and
 	// a recovered server is noticed without an ejection.
-	minWeight = 0.05
+	minWeight = 0.1
 	// LowWeight is the weight below which a server counts as out of use for
 	// the floor.
 	LowWeight = 0.5
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -33,7 +33,7 @@
 	b.tokens = min(b.tokens+b.settings.Share, b.settings.Reserve)
 }
 
-func (b *Budget) take(time.Duration) bool {
+func (b *Budget) take() bool {
 	if b.tokens < 1 {
 		return false
 	}
@@ -41,6 +41,14 @@
 	return true
 }
 
+// hedgeReserve is what hedges leave for retries: a failed request needs its
+// second attempt more than a late one.
+const hedgeReserve = 2
+
+func (b *Budget) takeHedge() bool {
+	return b.tokens >= 1+hedgeReserve && b.take()
+}
+
 // retryAfter spreads the callers' returns: the more requests were given up
 // lately, the later, and each at another moment.
 func (b *Budget) retryAfter(now time.Duration) time.Duration {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -122,7 +122,7 @@
 		return Decision{Action: Wait, Reason: ReasonRunning}
 	}
 	reason := refusal(now, a, b.settings)
-	if reason == "" && !b.take(now) {
+	if reason == "" && !b.take() {
 		reason = ReasonBudget
 	}
 	if reason == "" {
@@ -134,7 +134,7 @@
 // DecideHedge says whether a late attempt gets a second one beside it.
 func DecideHedge(now time.Duration, a Attempt, b *Budget) Decision {
 	a.Result = health.Late
-	if a.Running > 1 || refusal(now, a, b.settings) != "" || !a.Room || !b.take(now) {
+	if a.Running > 1 || refusal(now, a, b.settings) != "" || !a.Room || !b.takeHedge() {
 		return Decision{Action: Wait, Reason: ReasonRunning}
 	}
 	return Decision{Action: Hedge, Reason: ReasonHedge}
