Judge lateness against the service's present state, relieve before ejecting

Ruled out: trust by the workspace's share elsewhere alone (no slow server was ever ejected, its counts are biased for late answers). Change: a pair's attempts are at least the workspace's mean elsewhere, its bad ones must come from several places, late pairs don't count; the usual share of late answers raises what counts as healthy; a relieved server is judged from 1 s to 8 s after the advice, which holds 12 s; a slow service is learnt slowly.

--- a/health/collector.go
+++ b/health/collector.go
@@ -24,12 +24,16 @@
 	// servers are those under suspicion, relieved, ejected or returned.
 	servers  map[string]*serverState
 	silentAt time.Duration
+	// advised is the advice given since adviceAt.
+	advised  []Suspect
+	adviceAt time.Duration
 }
 
 // reporter is what the collector remembers of a reporting instance.
 type reporter struct {
 	dataCentre string
 	rate       float64
+	lateShare  float64
 	at         time.Duration
 }
 
@@ -70,7 +74,7 @@
 // servers that the pooled evidence speaks against. See Observer.Advise.
 func (c *Collector) Accept(now time.Duration, from string, r Report) []Suspect {
 	p := c.pool(r.Service)
-	p.reporters[from] = &reporter{dataCentre: r.DataCentre, rate: r.Rate, at: now}
+	p.reporters[from] = &reporter{dataCentre: r.DataCentre, rate: r.Rate, lateShare: r.LateShare, at: now}
 	for _, s := range r.Servers {
 		for _, w := range s.Workspaces {
 			src := source{reporter: from, workspace: w.Workspace}
@@ -135,15 +139,28 @@
 	return s
 }
 
+// adviceInterval is how often the advice is worked out anew.
+const adviceInterval = 100 * time.Millisecond
+
 // advice lists the servers whose weight every instance should lower.
 func (c *Collector) advice(now time.Duration, p *pool, to string) []Suspect {
+	if now-p.adviceAt >= adviceInterval {
+		p.adviceAt = now
+		p.late.setUsual(p.usualLateShare(), c.settings.judgedLateShare(), c.settings.SickLateShare)
+		p.advised = c.advise(now, p)
+	}
+	for _, s := range p.advised {
+		p.server(s.Server).advised[to] = now
+	}
+	return p.advised
+}
+
+func (c *Collector) advise(now time.Duration, p *pool) []Suspect {
 	var list []Suspect
 	for _, id := range p.suspects() {
 		score := max(c.failedScore(now, p, id), c.lateScore(now, p, id))
-		s := p.server(id)
-		if score >= c.settings.AdviseScore || s.relieved {
+		if s := p.servers[id]; score >= c.settings.AdviseScore || s != nil && s.relieved {
 			list = append(list, Suspect{Server: id, Weight: adviceWeight})
-			s.advised[to] = now
 		}
 	}
 	return list
--- a/health/ejection.go
+++ b/health/ejection.go
@@ -90,7 +90,7 @@
 		need := c.need(now, p, id)
 		if s := c.failedScore(now, p, id); s >= need {
 			list = append(list, suspect{id: id, score: s})
-		} else if s := c.lateScore(now, p, id); s >= need && c.slowDespiteRelief(now, p, id) {
+		} else if s := c.lateScore(now, p, id); s >= lateNeed*need && c.slowDespiteRelief(now, p, id) {
 			list = append(list, suspect{id: id, score: s, late: true})
 		}
 	}
@@ -129,6 +129,9 @@
 	unwellNeed = 0.75
 	// probationNeed scales it for one that was ejected shortly before.
 	probationNeed = 0.6
+	// lateNeed scales it for lateness, which harms less than failures do and
+	// is judged from few requests, because the server is relieved.
+	lateNeed = 1.25
 )
 
 func reason(service, server string, l *ledger, late bool) string {
--- a/health/ledger.go
+++ b/health/ledger.go
@@ -68,7 +68,7 @@
 	// cut down by settle: that would make the other servers stand out.
 	sums marginals
 	// pairs judges single workspaces here, each since its first bad attempt.
-	pairs map[string]*tally
+	pairs map[string]*pair
 	// score is the result of judging at a version of the ledger.
 	score   float64
 	version uint64
@@ -86,6 +86,19 @@
 	bad      float64
 }
 
+// pair counts one workspace's attempts at one server.
+type pair struct {
+	tally
+	// reporters says which instances met the bad ones.
+	reporters map[string]float64
+}
+
+func (p *pair) scale(f float64) {
+	p.attempts *= f
+	p.bad *= f
+	scale(p.reporters, f)
+}
+
 // ledger collects one kind of bad attempts (failed, or late) at the servers
 // of one service. It keeps only servers under suspicion.
 type ledger struct {
@@ -112,6 +125,21 @@
 	}
 }
 
+// setUsual raises what counts as healthy to the service's present state. While
+// a quarter of all answers are late, a late answer says little about a server.
+func (l *ledger) setUsual(share, healthy, sick float64) {
+	l.healthy = min(maxUsual, max(healthy, usualMargin*share))
+	l.sick = min(1-(1-l.healthy)/2, max(sick, sickMargin*l.healthy))
+}
+
+const (
+	// usualMargin is by how much more than usual is healthy still.
+	usualMargin = 1.5
+	// sickMargin is how many times the healthy share is sick for certain.
+	sickMargin = 3
+	maxUsual   = 0.9
+)
+
 // add counts attempts of one source at a server, some of them bad.
 func (l *ledger) add(now time.Duration, server string, s source, attempts, bad float64) {
 	l.advance(now)
@@ -121,29 +149,32 @@
 		if bad == 0 {
 			return
 		}
-		r = &run{sums: newMarginals(), pairs: map[string]*tally{}}
+		r = &run{sums: newMarginals(), pairs: map[string]*pair{}}
 		l.runs[server] = r
 	}
 	l.version++
 	r.attempts += attempts
-	r.addPair(s.workspace, attempts, bad)
+	r.addPair(s, attempts, bad)
 	if bad > 0 {
 		r.sums.add(r.add(s, bad), bad)
 	}
 	l.settle(server, r)
 }
 
-func (r *run) addPair(workspace string, attempts, bad float64) {
-	t := r.pairs[workspace]
-	if t == nil {
+func (r *run) addPair(s source, attempts, bad float64) {
+	p := r.pairs[s.workspace]
+	if p == nil {
 		if bad == 0 || len(r.pairs) >= maxSources {
 			return
 		}
-		t = &tally{}
-		r.pairs[workspace] = t
+		p = &pair{reporters: map[string]float64{}}
+		r.pairs[s.workspace] = p
+	}
+	p.attempts += attempts
+	p.bad += bad
+	if bad > 0 {
+		p.reporters[s.reporter] += bad
 	}
-	t.attempts += attempts
-	t.bad += bad
 }
 
 // add counts bad attempts of a source, and returns what they were put under.
@@ -203,21 +234,20 @@
 	for server, r := range l.runs {
 		r.scale(f)
 		r.sums.scale(f)
-		scaleTallies(r.pairs, f)
+		for w, p := range r.pairs {
+			if p.scale(f); p.bad < minBad {
+				delete(r.pairs, w)
+			}
+		}
 		if r.bad < minBad && len(r.pairs) == 0 {
 			delete(l.runs, server)
 		}
 	}
-	scaleTallies(l.tallies, f)
-}
-
-// scaleTallies fades tallies and drops those that say nothing any more.
-func scaleTallies(m map[string]*tally, f float64) {
-	for w, t := range m {
+	for w, t := range l.tallies {
 		t.attempts *= f
 		t.bad *= f
 		if t.bad < minBad {
-			delete(m, w)
+			delete(l.tallies, w)
 		}
 	}
 }
@@ -238,17 +268,20 @@
 		if s := l.pair(r, w); s <= 0 {
 			delete(r.pairs, w)
 		} else if s > maxScore {
-			r.pairs[w].attempts *= maxScore / s
-			r.pairs[w].bad *= maxScore / s
+			r.pairs[w].scale(maxScore / s)
 		}
 	}
-	if l.ratio(r.attempts, r.bad, l.sick) <= 0 {
+	raw := l.ratio(r.attempts, r.bad, l.sick)
+	if raw <= 0 {
 		r.attempts, r.bad, r.cells, r.sums = 0, 0, nil, newMarginals()
 	}
 	if r.bad < minBad && len(r.pairs) == 0 {
 		delete(l.runs, server)
 		return
 	}
+	if raw <= maxScore {
+		return
+	}
 	if s := l.judge(r); s > maxScore {
 		r.scale(maxScore / s)
 		l.version++
--- a/health/observer.go
+++ b/health/observer.go
@@ -18,6 +18,7 @@
 
 // serviceView is the evidence on one service's servers.
 type serviceView struct {
+	name      string
 	latencies latencies
 	failed    *ledger
 	late      *ledger
@@ -29,6 +30,8 @@
 	pending   pending
 	// lateShare is the share of late answers among the last ones.
 	lateShare float64
+	// skipped counts the latencies not learnt from since the last one.
+	skipped int
 }
 
 // NewObserver returns an observer without evidence.
@@ -50,17 +53,42 @@
 	}
 	if counts.late {
 		v.late.add(now, ob.Server, source{workspace: ob.Workspace}, 1, one(late))
-		v.lateShare += (one(late) - v.lateShare) / lateShareWindow
+		o.noteLate(now, v, ob.Server, late)
 	}
 	if ob.Result == Shed {
 		v.shed[ob.Server] = now
 	}
 	if ob.Result == OK && o.suspicion(now, v, ob.Server, "") < suspectScore {
-		v.latencies.add(ob.Latency)
+		v.learn(ob.Latency)
 	}
 	v.pending.note(now, v, ob, failed, late, counts)
 }
 
+// noteLate follows the share of late answers of servers beyond suspicion.
+func (o *Observer) noteLate(now time.Duration, v *serviceView, server string, late bool) {
+	if o.Weight(now, v.name, server, "") < 1 {
+		return
+	}
+	v.lateShare += (one(late) - v.lateShare) / lateShareWindow
+	v.late.setUsual(v.lateShare, o.settings.judgedLateShare(), o.settings.SickLateShare)
+}
+
+// learn takes a latency into what counts as usual. While the whole service is
+// slow, it learns slowly: otherwise the slowness would pass for usual within
+// seconds, hedges would start again, and chance differences between
+// overloaded servers would count against them.
+func (v *serviceView) learn(latency time.Duration) {
+	v.skipped++
+	if v.slow() && v.skipped < slowLearning {
+		return
+	}
+	v.skipped = 0
+	v.latencies.add(latency)
+}
+
+// slow reports whether the service as a whole is slower than usual.
+func (v *serviceView) slow() bool { return v.lateShare > slowShare }
+
 // counted says which ledgers an observation belongs to.
 type counted struct{ failed, late bool }
 
@@ -85,10 +113,12 @@
 
 const (
 	// lateShareWindow is over about how many answers lateShare goes.
-	lateShareWindow = 32
-	// maxHedgeShare is the share of late answers above which the service as
-	// a whole is slow.
-	maxHedgeShare = 0.2
+	lateShareWindow = 16
+	// slowShare is the share of late answers above which the service as a
+	// whole is slow.
+	slowShare = 0.2
+	// slowLearning is one in how many latencies is learnt from then.
+	slowLearning = 8
 )
 
 // HedgeAfter returns after how long a second server may be asked, or false.
@@ -96,7 +126,7 @@
 // second copies would only slow it further.
 func (o *Observer) HedgeAfter(service string) (time.Duration, bool) {
 	v := o.view(service)
-	return o.lateAfter(v), v.lateShare <= maxHedgeShare
+	return o.lateAfter(v), !v.slow()
 }
 
 // LateAfter returns how long an answer of the service may take before it is
@@ -118,6 +148,7 @@
 	if !ok {
 		s := o.settings
 		v = &serviceView{
+			name:   service,
 			failed: newLedger(s.FailureShare, s.SickFailureShare, s.LocalMemory),
 			late:   newLedger(s.judgedLateShare(), s.SickLateShare, s.LocalMemory),
 			shed:   map[string]time.Duration{},
--- a/health/pooled.go
+++ b/health/pooled.go
@@ -23,10 +23,21 @@
 	return slices.Sorted(maps.Keys(ids))
 }
 
+// failedScore is the pooled evidence that a server fails requests, of all or
+// of one workspace.
 func (c *Collector) failedScore(now time.Duration, p *pool, server string) float64 {
-	return c.pooledScore(now, p, p.failed, server)
+	score := c.pooledScore(now, p, p.failed, server)
+	r := p.failed.runs[server]
+	if r == nil {
+		return score
+	}
+	for w, pr := range r.pairs {
+		score = max(score, p.failed.pairWith(r, w, c.agreed(p, pr.reporters, pr.bad)))
+	}
+	return score
 }
 
+// lateScore is the pooled evidence that a server answers late.
 func (c *Collector) lateScore(now time.Duration, p *pool, server string) float64 {
 	return c.pooledScore(now, p, p.late, server)
 }
@@ -35,43 +46,39 @@
 // agree: one reporter, or one data centre whose packets get lost one way,
 // can't have a server ejected from the whole fleet.
 func (c *Collector) pooledScore(now time.Duration, p *pool, l *ledger, server string) float64 {
+	l.advance(now)
 	r := l.runs[server]
 	if r == nil {
 		return 0
 	}
-	l.advance(now)
-	bad := l.effective(r)
-	agreed := min(bad, c.agreed(p, r, bad))
-	score := l.ratio(r.attempts, agreed, l.sick)
-	if bad > 0 && agreed >= bad {
-		score = max(score, l.worstPair(r))
+	raw := l.ratio(r.attempts, r.bad, l.sick)
+	if raw <= 0 {
+		return raw
 	}
-	return score
+	bad := l.effective(r)
+	return l.ratio(r.attempts, c.agreed(p, r.sums.reporters, bad), l.sick)
 }
 
-const (
-	// topShare bounds the part of the evidence that one place may supply, as
-	// a multiple of all other places' together.
-	topShare = 1
-)
-
-// agreed bounds the bad attempts by what the strongest place can't supply.
-func (c *Collector) agreed(p *pool, r *run, bad float64) float64 {
+// agreed is what is left of bad attempts if no place may supply more than all
+// others together. The reporters' shares are those of all bad attempts.
+func (c *Collector) agreed(p *pool, reporters map[string]float64, bad float64) float64 {
 	if c.instances < 2 {
 		return bad
 	}
 	byPlace := map[string]float64{}
-	for from, n := range r.sums.reporters {
+	total := 0.0
+	for _, from := range slices.Sorted(maps.Keys(reporters)) {
+		n := reporters[from]
 		byPlace[c.place(p, from)] += n
+		total += n
+	}
+	if total <= 0 {
+		return 0
 	}
-	total := r.sums.all
 	top := 0.0
 	for _, n := range byPlace {
 		top = max(top, n)
 	}
-	if total <= 0 {
-		return 0
-	}
 	rest := total - top
 	return bad * (rest + min(top, topShare*rest)) / total
 }
@@ -132,7 +139,8 @@
 // is the one that isn't biased upwards.
 func (p *pool) typicalRate(now time.Duration) float64 {
 	sum, n := 0.0, 0
-	for id, r := range p.reporters {
+	for _, id := range slices.Sorted(maps.Keys(p.reporters)) {
+		r := p.reporters[id]
 		if now-r.at > reporterMemory {
 			delete(p.reporters, id)
 			continue
@@ -145,3 +153,16 @@
 	}
 	return float64(n) / sum
 }
+
+// usualLateShare is the median of the reporters' shares of late answers.
+func (p *pool) usualLateShare() float64 {
+	shares := make([]float64, 0, len(p.reporters))
+	for _, r := range p.reporters {
+		shares = append(shares, r.lateShare)
+	}
+	if len(shares) == 0 {
+		return 0
+	}
+	slices.Sort(shares)
+	return shares[len(shares)/2]
+}
--- a/health/report.go
+++ b/health/report.go
@@ -15,8 +15,11 @@
 	// DataCentre of the reporting instance.
 	DataCentre string
 	// Rate is the instance's requests per second to this service.
-	Rate    float64
-	Servers []ServerCount
+	Rate float64
+	// LateShare is the share of late answers among the instance's last ones,
+	// from servers that it doesn't suspect.
+	LateShare float64
+	Servers   []ServerCount
 	// Elsewhere has the attempts at all servers of the workspaces that
 	// Servers names, so that a workspace's bad requests show as such.
 	Elsewhere []WorkspaceCount
@@ -74,7 +77,7 @@
 		p.servers = map[string]map[string]*WorkspaceCount{}
 		p.totals = map[string]*WorkspaceCount{}
 	}
-	if t := p.totals[ob.Workspace]; t != nil || bad {
+	if t := p.totals[ob.Workspace]; t != nil || bad || v.follows(ob.Workspace) {
 		p.totals[ob.Workspace] = t.plus(ob.Workspace, failed, late, c)
 	}
 	server, doubted := p.servers[ob.Server]
@@ -86,7 +89,7 @@
 		p.servers[ob.Server] = server
 	}
 	name := ob.Workspace
-	if server[name] == nil && (!bad || len(server) >= maxReportWorkspaces) {
+	if server[name] == nil && (!bad && !v.pairs(ob.Server, name) || len(server) >= maxReportWorkspaces) {
 		name = otherWorkspaces
 	}
 	server[name] = server[name].plus(name, failed, late, c)
@@ -104,6 +107,18 @@
 	return w
 }
 
+// pairs reports whether the workspace had a bad answer at the server lately.
+func (v *serviceView) pairs(server, workspace string) bool {
+	r := v.failed.runs[server]
+	return r != nil && r.pairs[workspace] != nil
+}
+
+// follows reports whether a workspace had a bad answer lately. All its
+// attempts are counted then, so that its share of bad ones can be told.
+func (v *serviceView) follows(workspace string) bool {
+	return v.failed.tallies[workspace] != nil || v.late.tallies[workspace] != nil
+}
+
 // doubts reports whether evidence on the server is being collected. While the
 // collector has doubts, good answers matter to it as much as bad ones.
 func (v *serviceView) doubts(now time.Duration, server string) bool {
@@ -131,6 +146,7 @@
 			continue
 		}
 		r := v.pending.take(now, name, o.settings.DataCentre)
+		r.LateShare = v.lateShare
 		size := float64(r.Size())
 		if size > o.reportBytes {
 			continue
@@ -171,10 +187,13 @@
 	for _, w := range slices.Sorted(maps.Keys(p.totals)) {
 		if named[w] {
 			r.Elsewhere = append(r.Elsewhere, *p.totals[w])
+			delete(p.totals, w)
 		}
 	}
+	if len(p.totals) > maxSources {
+		clear(p.totals)
+	}
 	clear(p.servers)
-	clear(p.totals)
 	p.bad = false
 	p.sentAt = now
 	return r
@@ -197,7 +216,7 @@
 const (
 	// reportBase and countBytes bound the encoded size of a report's parts
 	// beside its names.
-	reportBase = 24
+	reportBase = 28
 	countBytes = 10
 )
 
--- a/health/score.go
+++ b/health/score.go
@@ -20,7 +20,10 @@
 
 func (l *ledger) judge(r *run) float64 {
 	if r.version != l.version {
-		r.score = l.ratio(r.attempts, l.effective(r), l.sick)
+		r.score = l.ratio(r.attempts, r.bad, l.sick)
+		if r.score > 0 {
+			r.score = l.ratio(r.attempts, l.effective(r), l.sick)
+		}
 		r.version = l.version
 	}
 	return r.score
@@ -36,48 +39,50 @@
 	return l.pair(r, workspace)
 }
 
-// worstPair is the highest pair score at a server.
-func (l *ledger) worstPair(r *run) float64 {
-	worst := 0.0
-	for w := range r.pairs {
-		worst = max(worst, l.pair(r, w))
-	}
-	return worst
-}
-
 // pair judges one workspace at one server. A server may fail a single
 // workspace (a corrupt partition, say) and look well over all. But a
 // workspace that sends bad requests fails wherever they go, so the server is
 // compared with how the workspace fares elsewhere.
 func (l *ledger) pair(r *run, workspace string) float64 {
-	here := r.pairs[workspace]
-	if here == nil {
+	p := r.pairs[workspace]
+	if p == nil {
 		return 0
 	}
-	usual := l.usual(r, workspace)
+	return l.pairWith(r, workspace, p.bad)
+}
+
+// pairWith is pair with only so many of the bad attempts.
+func (l *ledger) pairWith(r *run, workspace string, bad float64) float64 {
+	elsewhere, usual := l.usual(r, workspace)
 	if usual >= pairSickShare {
 		return 0
 	}
-	return pairDiscount * logRatio(here.attempts, here.bad, usual, pairSickShare)
+	// The workspace's attempts are spread over the servers. Where only the
+	// bad ones here were reported, its attempts elsewhere tell how many there
+	// must have been.
+	attempts := max(r.pairs[workspace].attempts, elsewhere/float64(max(1, l.servers-1)))
+	return pairDiscount * logRatio(attempts, bad, usual, pairSickShare)
 }
 
 // usual is the share of a workspace's requests that is bad elsewhere, the
-// worst other servers aside: they may be sick too.
-func (l *ledger) usual(r *run, workspace string) float64 {
+// worst other servers aside: they may be sick too. It also returns how many
+// attempts there were elsewhere.
+func (l *ledger) usual(r *run, workspace string) (elsewhere, usual float64) {
 	t := l.tallies[workspace]
 	if t == nil {
-		return max(l.healthy, priorBad/priorAttempts)
+		return 0, max(l.healthy, priorBad/priorAttempts)
 	}
 	attempts, bad := t.attempts, t.bad
 	if here := r.pairs[workspace]; here != nil {
 		attempts -= here.attempts
 		bad -= here.bad
 	}
+	elsewhere = max(0, attempts)
 	for _, p := range l.worstPairs(r, workspace) {
 		attempts -= p.attempts
 		bad -= p.bad
 	}
-	return max(l.healthy, (max(0, bad)+priorBad)/(max(0, attempts)+priorAttempts))
+	return elsewhere, max(l.healthy, (max(0, bad)+priorBad)/(max(0, attempts)+priorAttempts))
 }
 
 // worstPairs returns the workspace's worst tallies at other servers.
@@ -85,7 +90,7 @@
 	l.tallyBuffer = l.tallyBuffer[:0]
 	for _, other := range l.runs {
 		if p := other.pairs[workspace]; p != nil && other != r {
-			l.tallyBuffer = append(l.tallyBuffer, *p)
+			l.tallyBuffer = append(l.tallyBuffer, p.tally)
 		}
 	}
 	slices.SortFunc(l.tallyBuffer, func(a, b tally) int {
@@ -113,16 +118,50 @@
 	if all == 0 {
 		return 0
 	}
-	sum := 0.0
+	sum, top, topWorkspace := 0.0, 0.0, ""
+	byWorkspace := l.byWorkspace(r, all)
+	for _, w := range byWorkspace {
+		sum += w.bad
+		if w.bad > top {
+			top, topWorkspace = w.bad, w.workspace
+		}
+	}
+	// What one workspace meets alone counts as far as the others meet it too,
+	// or as its requests are known to succeed elsewhere.
+	rest := sum - top
+	_, usual := l.usual(r, topWorkspace)
+	trust := max(0, 1-usualFactor*(usual-l.healthy))
+	return rest + max(min(top, topShare*rest), top*trust)
+}
+
+// workspaceBad is the part of a run that one workspace supplies.
+type workspaceBad struct {
+	workspace string
+	bad       float64
+}
+
+// byWorkspace sums a run's bad attempts that stand out, by workspace.
+func (l *ledger) byWorkspace(r *run, all float64) []workspaceBad {
+	var list []workspaceBad
 	for _, c := range r.cells {
+		i := slices.IndexFunc(list, func(w workspaceBad) bool { return w.workspace == c.workspace })
+		if i < 0 {
+			i = len(list)
+			list = append(list, workspaceBad{workspace: c.workspace})
+		}
 		byReporter := l.standsOut(r, func(m *marginals) float64 { return m.reporters[c.reporter] })
 		byWorkspace := l.standsOut(r, func(m *marginals) float64 { return m.workspaces[c.workspace] })
-		trust := max(0, 1-usualFactor*(l.usual(r, c.workspace)-l.healthy))
-		sum += c.bad * min(all, byReporter, byWorkspace, trust)
+		list[i].bad += c.bad * min(all, byReporter, byWorkspace)
 	}
-	return sum
+	return list
 }
 
+const (
+	// topShare bounds the part of the evidence that one workspace or one
+	// place may supply, as a multiple of what all others supply together.
+	topShare = 1
+)
+
 // usualFactor is how fast a workspace's failures elsewhere make those here
 // count less.
 const usualFactor = 3
--- a/health/weights.go
+++ b/health/weights.go
@@ -21,8 +21,10 @@
 	shedWeight = 0.3
 	// shedMemory is how long such a refusal matters.
 	shedMemory = time.Second
-	// adviceMemory is how long a collector's advice holds.
-	adviceMemory = 5 * time.Second
+	// adviceMemory is how long a collector's advice holds. It is longer than
+	// Settings.Relief: if the load came back to a relieved server while it is
+	// still judged, it would be ejected for being slow by load.
+	adviceMemory = 12 * time.Second
 )
 
 // Weight returns a server's weight for a workspace's requests, without a
@@ -33,7 +35,7 @@
 		return 1
 	}
 	w := weightOf(o.suspicion(now, v, server, workspace))
-	if at, ok := v.shed[server]; ok && now-at < shedMemory {
+	if at, ok := v.shed[server]; ok && now-at < shedMemory && !v.slow() {
 		w = min(w, shedWeight+(1-shedWeight)*(now-at).Seconds()/shedMemory.Seconds())
 	}
 	if s, ok := v.advice[server]; ok && now-v.advisedAt < adviceMemory {
@@ -81,11 +83,16 @@
 
 // suspicion is the highest score against a server, for a workspace if given.
 func (o *Observer) suspicion(now time.Duration, v *serviceView, server, workspace string) float64 {
-	s := max(v.failed.score(now, server), v.late.score(now, server))
+	s := v.failed.score(now, server)
+	if !v.slow() {
+		// While the whole service is slow, lateness tells servers apart badly,
+		// and every one of them is needed.
+		s = max(s, v.late.score(now, server))
+	}
 	if workspace == "" {
 		return s
 	}
-	return max(s, v.failed.pairScore(now, server, workspace), v.late.pairScore(now, server, workspace))
+	return max(s, v.failed.pairScore(now, server, workspace))
 }
 
 func weightOf(score float64) float64 {
