--- a/health/observer.go
+++ b/health/observer.go
@@ -18,6 +18,7 @@
 
 // serviceView is the evidence on one service's servers.
 type serviceView struct {
+	name      string
 	latencies latencies
 	failed    *ledger
 	late      *ledger
@@ -27,6 +28,10 @@
 	advice    map[string]Suspect
 	advisedAt time.Duration
 	pending   pending
+	// lateShare is the share of late answers among the last ones.
+	lateShare float64
+	// skipped counts the latencies not learnt from since the last one.
+	skipped int
 }
 
 // NewObserver returns an observer without evidence.
@@ -48,16 +53,42 @@
 	}
 	if counts.late {
 		v.late.add(now, ob.Server, source{workspace: ob.Workspace}, 1, one(late))
+		o.noteLate(now, v, ob.Server, late)
 	}
 	if ob.Result == Shed {
 		v.shed[ob.Server] = now
 	}
 	if ob.Result == OK && o.suspicion(now, v, ob.Server, "") < suspectScore {
-		v.latencies.add(ob.Latency)
+		v.learn(ob.Latency)
 	}
 	v.pending.note(now, v, ob, failed, late, counts)
 }
 
+// noteLate follows the share of late answers of servers beyond suspicion.
+func (o *Observer) noteLate(now time.Duration, v *serviceView, server string, late bool) {
+	if o.Weight(now, v.name, server, "") < 1 {
+		return
+	}
+	v.lateShare += (one(late) - v.lateShare) / lateShareWindow
+	v.late.setUsual(v.lateShare, o.settings.judgedLateShare(), o.settings.SickLateShare)
+}
+
+// learn takes a latency into what counts as usual. While the whole service is
+// slow, it learns slowly: otherwise the slowness would pass for usual within
+// seconds, hedges would start again, and chance differences between
+// overloaded servers would count against them.
+func (v *serviceView) learn(latency time.Duration) {
+	v.skipped++
+	if v.slow() && v.skipped < slowLearning {
+		return
+	}
+	v.skipped = 0
+	v.latencies.add(latency)
+}
+
+// slow reports whether the service as a whole is slower than usual.
+func (v *serviceView) slow() bool { return v.lateShare > slowShare }
+
 // counted says which ledgers an observation belongs to.
 type counted struct{ failed, late bool }
 
@@ -80,8 +111,26 @@
 	}
 }
 
+const (
+	// lateShareWindow is over about how many answers lateShare goes.
+	lateShareWindow = 16
+	// slowShare is the share of late answers above which the service as a
+	// whole is slow.
+	slowShare = 0.2
+	// slowLearning is one in how many latencies is learnt from then.
+	slowLearning = 8
+)
+
+// HedgeAfter returns after how long a second server may be asked, or false.
+// It is for the sake of a few slow servers. While the whole service is slow,
+// second copies would only slow it further.
+func (o *Observer) HedgeAfter(service string) (time.Duration, bool) {
+	v := o.view(service)
+	return o.lateAfter(v), !v.slow()
+}
+
 // LateAfter returns how long an answer of the service may take before it is
-// late. It is also the moment for a hedge.
+// late, and is to be observed as Late.
 func (o *Observer) LateAfter(service string) time.Duration {
 	return o.lateAfter(o.view(service))
 }
@@ -99,8 +148,9 @@
 	if !ok {
 		s := o.settings
 		v = &serviceView{
+			name:   service,
 			failed: newLedger(s.FailureShare, s.SickFailureShare, s.LocalMemory),
-			late:   newLedger(s.LateShare, s.SickLateShare, s.LocalMemory),
+			late:   newLedger(s.judgedLateShare(), s.SickLateShare, s.LocalMemory),
 			shed:   map[string]time.Duration{},
 			advice: map[string]Suspect{},
 		}
