Tokens by search, settlement and evening out; no retry under a withdrawn key

Cause: the node asked holders one after the other and kept what it could not use; quota's newer way gives it back and evens levels out. And a retry after the key's withdrawal was still sent: a lookup with a timeout of a minute reached a second server 20 s later. Change: quota.Search drives the asks; retries and hedges ask again whether the key is valid and the configuration confirmed; limits per shard are indexed once through the workspaces, not through all services for each.

--- a/node/attempts.go
+++ b/node/attempts.go
@@ -8,7 +8,6 @@
 	"foxtailspoke/claim"
 	"foxtailspoke/decision"
 	"foxtailspoke/health"
-	"foxtailspoke/membership"
 	"foxtailspoke/platform"
 	"foxtailspoke/retry"
 )
@@ -114,7 +113,7 @@
 		n.deliver(a, e)
 	case retry.Wait:
 	case retry.Retry:
-		if !n.send(r) {
+		if !n.allowed(r) || !n.send(r) {
 			n.giveUp(r, e, retry.Decision{Outcome: outcomeAfter(r)})
 		}
 	default:
@@ -122,6 +121,14 @@
 	}
 }
 
+// allowed says whether the request may still be sent. Its key may have been
+// withdrawn, or the instance been cut off, since its first attempt: a request
+// with a long timeout would reach backend servers long after that.
+func (n *Node) allowed(r *request) bool {
+	rule, _ := n.identify(r.arrived.Key, r.arrived.HasKey, &r.figures)
+	return rule == ""
+}
+
 func (n *Node) retryState(r *request, e AttemptEnded) retry.Attempt {
 	others, room := n.others(r)
 	if !e.Replayable {
@@ -224,7 +231,7 @@
 	a.late = true
 	n.observer.Observe(n.now, n.observation(a, health.Late, n.now-a.started))
 	r := a.request
-	if r.answered || r.gone || !r.idempotent || n.member.Confirmed(n.now).State == membership.CutOff {
+	if r.answered || r.gone || !r.idempotent || !n.allowed(r) {
 		return
 	}
 	state := n.retryState(r, AttemptEnded{Result: health.Late, Replayable: true})
--- a/node/effect.go
+++ b/node/effect.go
@@ -15,6 +15,7 @@
 	ownerShard
 	ownerPermits
 	ownerTokens
+	ownerSettlement
 	ownerReport
 	ownerClaim
 )
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -229,6 +229,27 @@
 	}
 }
 
+// A key is withdrawn while a lookup waits for its first answer, with a
+// timeout of a minute. The server then breaks off. The lookup is not sent to
+// another server under the key that was withdrawn long before.
+func TestWithdrawnKeyIsNotRetried(t *testing.T) {
+	f := ready(7, 3, 3)
+	f.write(config.ServicePrefix+"orders", config.Service{Floor: 1, Timeout: config.Duration(time.Minute), Routes: []config.Route{{Prefix: "/orders/"}}})
+	for _, s := range f.servers {
+		s.mode, s.latency = "half", 20*time.Second
+	}
+	f.run(3 * time.Second)
+	id := f.arrive(f.names[0], key, get())
+	f.run(10 * time.Millisecond)
+	f.drop(config.KeyPrefix + config.HashKey(key).String())
+	sent := len(f.executed)
+	f.run(4 * time.Second)
+	hedged := len(f.executed)
+	f.run(time.Minute)
+	must.Eq(t, hedged, len(f.executed), must.Sprint(sent, f.executed))
+	must.Eq(t, "unknown", f.answers[id].outcome)
+}
+
 // The platform is away for three hours. Everybody keeps serving on the last
 // accepted configuration, confirmed by the witnesses, and orders can still be
 // placed by the advised way.
--- a/node/message.go
+++ b/node/message.go
@@ -13,6 +13,8 @@
 	Member *membership.Request
 	Ask    *quota.Ask
 	Report *health.Report
+	// Settlement needs no reply.
+	Settlement *quota.Settlement
 }
 
 // PeerReply answers a PeerRequest; the same field is set.
@@ -55,6 +57,9 @@
 	case e.Request.Ask != nil:
 		transfer, ok := n.give(*e.Request.Ask)
 		return PeerReply{Transfer: &transfer}, ok
+	case e.Request.Settlement != nil:
+		n.settle(*e.Request.Settlement)
+		return PeerReply{}, true
 	case e.Request.Report != nil:
 		suspects := n.collector.Accept(n.now, e.From, *e.Request.Report)
 		return PeerReply{Advice: &Advice{Service: e.Request.Report.Service, Suspects: suspects}}, true
@@ -78,6 +83,7 @@
 		n.noticeRevision()
 	case ownerTokens:
 		n.asked(p.subject, p.id, e.Reply.Transfer, e.OK)
+	case ownerSettlement:
 	case ownerReport:
 		if e.OK && e.Reply.Advice != nil {
 			n.observer.Advise(n.now, e.Reply.Advice.Service, e.Reply.Advice.Suspects)
--- a/node/request.go
+++ b/node/request.go
@@ -24,8 +24,7 @@
 	// operation is set if this instance runs the request under a key.
 	operation *operation
 
-	// asking lists the holders that weren't asked for tokens yet.
-	asking []string
+	search *quota.Search
 	// lost counts the asks that got no answer.
 	lost int
 
--- a/node/shards.go
+++ b/node/shards.go
@@ -140,6 +140,7 @@
 
 // rankShards finds the shards that this instance is in line for.
 func (n *Node) rankShards() {
+	n.shards.limited = 0
 	clear(n.shards.line)
 	entries := n.member.Live().Entries()
 	for _, name := range n.shards.names {
@@ -249,18 +250,32 @@
 	return n.shards.limits[name]
 }
 
+// indexLimits collects the limits of the shards that this instance writes.
+// It goes once through all workspaces, and not through all services for each.
 func (n *Node) indexLimits() {
 	clear(n.shards.limits)
-	services := n.replica.Services()
-	for _, key := range n.replica.Rows(config.WorkspacePrefix) {
-		workspace := key[len(config.WorkspacePrefix):]
-		shard := quota.ShardOf(workspace, n.settings.Shards)
-		for _, service := range services {
-			if l, ok := n.replica.Limit(workspace, service); ok {
-				n.shards.limits[shard] = append(n.shards.limits[shard], l)
-			}
+	plans := map[string][]config.Limit{}
+	for w := range n.replica.Workspaces() {
+		shard := quota.ShardOf(w.Name, n.settings.Shards)
+		if _, ok := n.shards.line[shard]; !ok {
+			continue
+		}
+		limits, known := plans[w.Plan]
+		if !known {
+			limits = n.planLimits(w.Plan)
+			plans[w.Plan] = limits
 		}
+		n.shards.limits[shard] = append(n.shards.limits[shard], limits...)
+	}
+}
+
+func (n *Node) planLimits(name string) []config.Limit {
+	plan, _ := n.replica.Plan(name)
+	limits := make([]config.Limit, 0, len(plan.Services))
+	for _, service := range sortedKeys(plan.Services) {
+		limits = append(limits, plan.Services[service])
 	}
+	return limits
 }
 
 func itoa(v uint64) string { return strconv.FormatUint(v, 10) }
--- a/node/tokens.go
+++ b/node/tokens.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"foxtailspoke/config"
 	"foxtailspoke/decision"
 	"foxtailspoke/effect"
@@ -12,62 +14,80 @@
 // takeTokens counts the request against its workspace's limit, out of this
 // instance's own parts or by asking the other holders.
 func (n *Node) takeTokens(r *request) {
-	d := n.holder.Take(n.now, r.bucket(), r.limit, quota.Token)
-	if d.Admitted {
+	r.search = quota.NewSearch(r.bucket(), quota.Token)
+	n.searchTokens(r)
+}
+
+func (n *Node) searchTokens(r *request) {
+	row := n.replica.Shard(n.shardOf(r))
+	step := n.holder.Next(n.now, r.search, row, r.limit)
+	n.settleTokens()
+	n.balanceTokens(row, r.bucket(), r.limit)
+	switch {
+	case step.Admitted:
 		n.begin(r)
-		return
+	case step.To != "":
+		n.ask(step.To, step.Ask, r.arrived.Request)
+	default:
+		n.refuseForRate(r, step.RetryAfter)
 	}
-	r.asking = n.holder.Peers(n.now, n.replica.Shard(n.shardOf(r)), r.bucket())
-	n.askNext(r, d)
 }
 
-// askNext asks the next holder for what lacks, or refuses.
-func (n *Node) askNext(r *request, d quota.Decision) {
-	if len(r.asking) == 0 {
-		n.refuseForRate(r, d)
-		return
+// ask asks a holder for tokens, for a request or, without one, to even out
+// the holders' levels.
+func (n *Node) ask(to string, a quota.Ask, request string) {
+	p := pending{owner: ownerTokens, id: a.ID, subject: request}
+	n.emit(n.own(p, effect.Call{To: to, Request: PeerRequest{Ask: &a}}))
+}
+
+func (n *Node) balanceTokens(row config.Shard, b quota.Bucket, l config.Limit) {
+	if to, ask, ok := n.holder.Balance(n.now, row, b, l); ok {
+		n.ask(to, ask, "")
+	}
+}
+
+// settleTokens tells givers that what they gave is used. Nothing depends on
+// their answer.
+func (n *Node) settleTokens() {
+	for _, s := range n.holder.Settlements() {
+		n.emit(n.own(pending{owner: ownerSettlement}, effect.Call{To: s.To, Request: PeerRequest{Settlement: &s}}))
 	}
-	to := r.asking[0]
-	r.asking = r.asking[1:]
-	ask := n.holder.Ask(n.now, to, r.bucket(), r.limit, d.Missing)
-	p := pending{owner: ownerTokens, id: ask.ID, subject: r.arrived.Request}
-	n.emit(n.own(p, effect.Call{To: to, Request: PeerRequest{Ask: &ask}}))
 }
 
 // asked takes the end of an ask. The request may have ended meanwhile; what
 // was given is kept as far as it fits.
 func (n *Node) asked(id string, ask uint64, t *quota.Transfer, ok bool) {
-	r, found := n.requests[id]
-	if !ok || t == nil {
+	answered := ok && t != nil
+	if answered {
+		limit, _ := n.replica.Limit(t.Bucket.Workspace, t.Bucket.Service)
+		n.holder.Accept(n.now, limit, *t)
+	} else {
 		n.holder.Lost(n.now, ask)
-	} else if found {
-		n.holder.Accept(n.now, r.limit, *t)
 	}
-	if !found {
+	r, waiting := n.requests[id]
+	if !waiting {
+		n.settleTokens()
 		return
 	}
-	if !ok {
+	if !answered {
 		r.lost++
 	}
-	if n.member.Confirmed(n.now).State == membership.CutOff {
-		n.refuse(r, decision.RuleCutOff, 0)
+	// The wait was long enough for a key to be withdrawn or for the
+	// instance to be cut off.
+	if rule, _ := n.identify(r.arrived.Key, r.arrived.HasKey, &r.figures); rule != "" {
+		n.refuse(r, rule, 0)
 		return
 	}
-	d := n.holder.Take(n.now, r.bucket(), r.limit, quota.Token)
-	if d.Admitted {
-		n.begin(r)
-		return
-	}
-	n.askNext(r, d)
+	n.searchTokens(r)
 }
 
-func (n *Node) refuseForRate(r *request, d quota.Decision) {
+func (n *Node) refuseForRate(r *request, retryAfter time.Duration) {
 	rule := decision.RuleOverRate
 	if r.lost > 0 {
 		rule = decision.RulePeerUnreachable
 	}
 	r.figures.Parts = quota.Parts(n.replica.Shard(n.shardOf(r)))[n.settings.Self.ID]
-	n.refuse(r, rule, d.RetryAfter)
+	n.refuse(r, rule, retryAfter)
 }
 
 // give answers another instance's ask out of the own parts. An instance
@@ -81,7 +101,17 @@
 	if !ok {
 		return quota.Transfer{}, false
 	}
-	return n.holder.Give(n.now, limit, a), true
+	t := n.holder.Give(n.now, limit, a)
+	shard := quota.ShardOf(a.Bucket.Workspace, n.settings.Shards)
+	n.balanceTokens(n.replica.Shard(shard), a.Bucket, limit)
+	return t, true
+}
+
+// settle takes another instance's word that what it was given is used.
+func (n *Node) settle(s quota.Settlement) {
+	if limit, ok := n.replica.Limit(s.Bucket.Workspace, s.Bucket.Service); ok {
+		n.holder.Settle(n.now, limit, s)
+	}
 }
 
 func (n *Node) shardOf(r *request) string {
