An instance can start while the platform is away

Cause: without the platform's list a new instance knew nobody to ask. Change: peers.seeds in the settings; a member without a list pulls from them. Failing first: TestStartWhilePlatformIsAway without seeds answers cut-off (the 'lost' instance in the same test still does). Ruled out: asking data centre neighbours by address ranges, which settings don't give. Seen: served within 3 s of its start, confirmed by witnesses.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -180,6 +180,7 @@
 	s.Shards = e.settings.Fleet.Shards
 	s.LocateTTL = time.Duration(e.settings.Fleet.LocateTTL)
 	s.LocateAddresses = e.settings.Fleet.LocateAddresses
+	s.Membership.Seeds = e.settings.Peers.Seeds
 	s.Membership.Fresh = time.Duration(e.settings.Fleet.Fresh)
 	return s
 }
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -66,6 +66,9 @@
 	SecretFile string `json:"secretFile"`
 	// MaxConnections bounds the connections of other instances. Default 4096.
 	MaxConnections int `json:"maxConnections"`
+	// Seeds are peer addresses of instances that probably run. They let this
+	// instance start while the platform is away. Default none.
+	Seeds []string `json:"seeds"`
 }
 
 // Operators is the service for operators, with the metrics.
@@ -179,6 +182,9 @@
 	f.address("callers.advertise", s.Callers.Advertise, false)
 	f.address("peers.advertise", s.Peers.Advertise, false)
 	f.address("operators.advertise", s.Operators.Advertise, false)
+	for i, seed := range s.Peers.Seeds {
+		f.address("peers.seeds["+number(int64(i))+"]", seed, true)
+	}
 	f.require("peers.secretFile", s.Peers.SecretFile)
 	f.require("operators.tokenFile", s.Operators.TokenFile)
 	f.require("platform.url", s.Platform.URL)
--- a/membership/pull.go
+++ b/membership/pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"foxtailspoke/effect"
@@ -40,7 +41,7 @@
 // pulls only when it reaches neither the table nor the witnesses.
 func (m *Member) pullAt() time.Duration {
 	switch {
-	case m.dir.version == 0 || m.pull.inFlight:
+	case m.pull.inFlight || (m.dir.version == 0 && len(m.set.Seeds) == 0):
 		return never
 	case m.watches():
 		return max(m.pull.next, m.oldAt())
@@ -48,6 +49,13 @@
 	return m.pull.next
 }
 
+// seedPrefix begins the name under which a Call goes to a seed.
+const seedPrefix = "seed/"
+
+// SeedAddress returns the address of a seed that a Call goes to; false if the
+// Call goes to an instance by its id.
+func SeedAddress(to string) (string, bool) { return strings.CutPrefix(to, seedPrefix) }
+
 func (m *Member) tickPull(now time.Duration) []effect.Effect {
 	if now < m.pullAt() {
 		return nil
@@ -72,6 +80,9 @@
 // of the own data centre first, in an order of the instance's own, then one
 // anywhere at random.
 func (m *Member) pullTarget(now time.Duration) string {
+	if m.dir.version == 0 {
+		return seedPrefix + m.set.Seeds[m.pull.failures%len(m.set.Seeds)]
+	}
 	own := remove(m.dir.Watchers(m.set.DataCentre), m.set.Self)
 	switch {
 	case m.dir.isWatcher(m.pull.from):
--- a/membership/settings.go
+++ b/membership/settings.go
@@ -8,6 +8,10 @@
 	Self string
 	// DataCentre that the instance runs in.
 	DataCentre string
+	// Seeds are peer addresses of instances that probably run. An instance
+	// that starts while the platform is away asks them for the configuration
+	// and the list; without one it stays cut off until the platform returns.
+	Seeds []string
 	// Fresh is how old a proof may be, from the start of its exchange.
 	Fresh time.Duration
 	// DriftPPM bounds the rate error of any instance's clock, in millionths.
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -42,6 +42,8 @@
 	forwarded map[string]string
 	replying  map[uint64]func(ReplyCall)
 	requests  int
+	// seeds of the instances that are started.
+	seeds []string
 }
 
 // table is one of the platform's tables.
@@ -137,6 +139,7 @@
 	s.Seed = f.rng.Uint64()
 	s.Shards = 2
 	s.ShardStagger = time.Second
+	s.Membership.Seeds = f.seeds
 	i := &instance{node: New(s), name: name, begin: f.now, rate: 1 + (f.rng.Float64()-0.5)*0.0008, wakeAt: never}
 	f.nodes[name] = i
 	f.names = append(f.names, name)
@@ -433,7 +436,7 @@
 		}
 	}
 	f.at(callTime, func() { end(CallEnded{ID: e.ID}) })
-	to, ok := f.nodes[e.To]
+	to, ok := f.nodes[i.node.PeerAddress(e.To)]
 	if !ok || to.dead || !f.open(i.name, to.name) {
 		return
 	}
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -268,6 +268,25 @@
 	}
 }
 
+// An instance starts while the platform is away. It gets the configuration
+// and the list from a seed, is confirmed by witnesses, and serves; one whose
+// seeds are all gone refuses as not run rather than serve on nothing.
+func TestStartWhilePlatformIsAway(t *testing.T) {
+	f := ready(6, 5, 3)
+	f.tableAway = true
+	f.run(10 * time.Second)
+	f.seeds = []string{"gone", f.names[2]}
+	f.start("late", 1)
+	f.seeds = []string{"gone"}
+	f.start("lost", 2)
+	f.run(3 * time.Second)
+	served, refused := f.arrive("late", key, get()), f.arrive("lost", key, get())
+	f.run(time.Second)
+	must.Eq(t, "served", f.answers[served].outcome, must.Sprint(f.answers[served]))
+	must.Eq(t, "not-run", f.answers[refused].outcome)
+	must.Eq(t, "cut-off", f.answers[refused].rule)
+}
+
 // A holder of parts is killed while its workspace uses half of its rate.
 // Refusals inside the rate end when the parts have moved.
 func TestKilledHolder(t *testing.T) {
--- a/node/status.go
+++ b/node/status.go
@@ -153,6 +153,9 @@
 // PeerAddress returns where an instance takes calls from other instances;
 // empty if it isn't known or has ended.
 func (n *Node) PeerAddress(id string) string {
+	if address, ok := membership.SeedAddress(id); ok {
+		return address
+	}
 	i, ok := n.member.Live().Instance(id)
 	if !ok || i.State == platform.Ended {
 		return ""
