--- a/quota/safety_test.go
+++ b/quota/safety_test.go
@@ -180,6 +180,7 @@
 	must.True(t, h.Take(time.Minute, sheets, l, Token).Admitted)
 	h.SetGrants(time.Minute, "0", []Grant{{Since: 1, Parts: 60}}) // no entry grows
 	must.Eq(t, 29, has(h, time.Minute, l))
+	must.False(t, h.Take(time.Minute+time.Second, sheets, l, 31*Token).Admitted)
 	h.SetGrants(time.Minute, "0", []Grant{{Since: 1, Parts: 30}, {Since: 5, Parts: 30}})
 	must.False(t, h.Take(time.Minute+time.Second, sheets, l, 31*Token).Admitted)
 	start := time.Minute + time.Second + 1
