--- /dev/null
+++ b/claim/insert.go
@@ -0,0 +1,165 @@
+package claim
+
+import (
+	"strconv"
+
+	"foxtailspoke/platform"
+)
+
+// sendInsert claims the row, provided that it has the revision: 0 if absent.
+func (c *Claimer) sendInsert(cl *claim, revision platform.Revision) Step {
+	r := Record{Digest: cl.digest.String(), By: c.self, State: StateStarted}
+	cl.insert = c.txn(cl.key, revision, platform.Put{Value: r.encode()})
+	return c.repeatInsert(cl)
+}
+
+// repeatInsert sends the insertion, the second time with the same attempt
+// id: whichever of the two took effect is recognised as this claim's own.
+func (c *Claimer) repeatInsert(cl *claim) Step {
+	cl.phase = inserting
+	cl.inserts++
+	return Step{Write: &cl.insert}
+}
+
+func (c *Claimer) txn(key string, revision platform.Revision, p platform.Put) platform.Txn {
+	p.Table = platform.Claims
+	p.Key = key
+	return platform.Txn{
+		Attempt:    c.attemptID(),
+		Conditions: []platform.Condition{{Table: platform.Claims, Key: key, Revision: revision}},
+		Puts:       []platform.Put{p},
+	}
+}
+
+// attemptID returns a new id. Incarnation ids are unique, so is this.
+func (c *Claimer) attemptID() string {
+	c.attempts++
+	return c.self + "/claim/" + strconv.FormatUint(c.attempts, 10)
+}
+
+// Written takes the result of a Step's Write.
+func (c *Claimer) Written(id ID, r platform.WriteResult) Step {
+	cl := c.open[id]
+	switch {
+	case cl == nil:
+		return Step{}
+	case cl.phase == finishing:
+		return c.finishWritten(cl, r)
+	case cl.phase != inserting:
+		return Step{}
+	}
+	switch r.Outcome {
+	case platform.Committed:
+		return c.claimed(cl, r.Revisions[platform.Claims])
+	case platform.Conflict:
+		return c.found(cl, r.Current)
+	default:
+		// The row may be ours or not. Running now could be the second run.
+		cl.phase = resolving
+		return c.read(cl)
+	}
+}
+
+func (c *Claimer) read(cl *claim) Step {
+	return Step{Read: &platform.ReadRequest{Table: platform.Claims, Prefix: cl.key}}
+}
+
+// Answered takes the result of a Step's Read.
+func (c *Claimer) Answered(id ID, ch platform.Changes) Step {
+	cl := c.open[id]
+	if cl == nil || cl.phase != resolving {
+		return Step{}
+	}
+	return c.found(cl, ch.Rows)
+}
+
+// Unanswered says that a Step's Read failed. The request isn't run. Its
+// insertion may still take effect; the attempt is remembered so that a
+// repeat at this instance can take the row over.
+func (c *Claimer) Unanswered(id ID) Step {
+	cl := c.open[id]
+	if cl == nil || cl.phase != resolving {
+		return Step{}
+	}
+	return c.giveUp(cl)
+}
+
+func (c *Claimer) giveUp(cl *claim) Step {
+	c.notRun.put(cl.insert.Attempt, struct{}{})
+	c.abandoned.put(cl.key, struct{}{})
+	return c.over(cl, Decision{Verdict: Refused, Reason: StoreAway})
+}
+
+// found goes on with what is in the row.
+func (c *Claimer) found(cl *claim, rows []platform.Row) Step {
+	row, ok := present(rows, cl.key)
+	if !ok {
+		// Absent, but an insertion without answer may still arrive.
+		if cl.inserts >= maxInserts || cl.cancelled {
+			return c.giveUp(cl)
+		}
+		return c.repeatInsert(cl)
+	}
+	if row.Attempt == cl.insert.Attempt {
+		return c.claimed(cl, row.Revision)
+	}
+	if _, free := c.notRun.get(row.Attempt); free {
+		return c.takeOver(cl, row)
+	}
+	// This claim's own insertion lost, or can't take effect any more.
+	c.notRun.put(cl.insert.Attempt, struct{}{})
+	d := judge(row, cl.digest)
+	if d.Verdict == InProgress && d.By == c.self {
+		// A claim of this instance that it has forgotten.
+		d = Decision{Verdict: UnknownOutcome, Reason: AttemptLost}
+	}
+	return c.over(cl, d)
+}
+
+// takeOver replaces the row of an attempt of this instance that never ran.
+func (c *Claimer) takeOver(cl *claim, row platform.Row) Step {
+	r, err := decode(row)
+	switch {
+	case err != nil || r.Digest != cl.digest.String():
+		c.notRun.put(cl.insert.Attempt, struct{}{})
+		return c.over(cl, judge(row, cl.digest))
+	case cl.inserts >= maxInserts || cl.cancelled:
+		return c.giveUp(cl)
+	default:
+		c.notRun.put(cl.insert.Attempt, struct{}{})
+		return c.sendInsert(cl, row.Revision)
+	}
+}
+
+func present(rows []platform.Row, key string) (platform.Row, bool) {
+	for _, row := range rows {
+		if row.Key == key && !row.Deleted {
+			return row, true
+		}
+	}
+	return platform.Row{}, false
+}
+
+// claimed has the row. A cancelled claim gives it back unused.
+func (c *Claimer) claimed(cl *claim, revision platform.Revision) Step {
+	cl.revision = revision
+	cl.phase = running
+	if cl.cancelled {
+		return c.Finish(cl.id, NotRun, nil)
+	}
+	return decided(Decision{Verdict: Run})
+}
+
+// over ends a claim that wasn't run.
+func (c *Claimer) over(cl *claim, d Decision) Step {
+	c.drop(cl)
+	if cl.cancelled {
+		return Step{}
+	}
+	return decided(d)
+}
+
+func (c *Claimer) drop(cl *claim) {
+	delete(c.open, cl.id)
+	delete(c.byKey, cl.key)
+}
--- /dev/null
+++ b/quota/parts_test.go
@@ -0,0 +1,165 @@
+package quota
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"foxtailspoke/config"
+)
+
+// parts is the scheme of this package.
+type parts struct {
+	common
+	holders int
+	// asked is the row with the holders before, until the new one is granted.
+	asked   config.Shard
+	row     config.Shard
+	nodes   []*Holder
+	version uint64
+	moveAt  time.Duration
+	startAt time.Duration
+	bucket  Bucket
+}
+
+func newParts(l config.Limit, instances int) scheme {
+	return newPartsOf(l, instances, HolderCount([]config.Limit{l}, 8))
+}
+
+// newThreeHolders has a row made for larger bursts.
+func newThreeHolders(l config.Limit, instances int) scheme { return newPartsOf(l, instances, 3) }
+
+func newPartsOf(l config.Limit, instances, holders int) scheme {
+	s := &parts{
+		common:  newCommon(l, instances),
+		holders: holders,
+		bucket:  Bucket{Workspace: "w", Service: "s"},
+	}
+	for i := range instances {
+		s.nodes = append(s.nodes, NewHolder(instanceID(i), 1, DefaultSettings()))
+	}
+	s.assign()
+	s.grant(-time.Hour)
+	return s
+}
+
+func instanceID(i int) string { return fmt.Sprintf("i%d", i) }
+
+func (s *parts) assign() {
+	var candidates []Candidate
+	for i, live := range s.live {
+		c := Candidate{ID: instanceID(i), DataCentre: fmt.Sprint(i % 3)}
+		if !live {
+			c.State = Unreachable
+		}
+		candidates = append(candidates, c)
+	}
+	s.version++
+	s.ops++
+	s.row, _ = Assign("0", s.row, candidates, s.holders, s.version)
+}
+
+// grant lets the holders know the row, which is in force.
+func (s *parts) grant(now time.Duration) {
+	for i, n := range s.nodes {
+		n.SetGrants(now, "0", Grants(s.row, instanceID(i), func(uint64) bool { return true }))
+	}
+}
+
+// kill has the parts moved: two seconds until the holder counts as
+// unreachable, three and a little until the write is in force.
+func (s *parts) kill(now time.Duration, i int) {
+	s.common.kill(now, i)
+	s.moveAt = now + 2*time.Second
+}
+
+// leave is a planned stop of a holder. It hears of the new row after half a
+// second; with drain it goes on while it is fresh by the row before.
+func (s *parts) leave(now time.Duration, i int, drain bool) {
+	const heard, fresh = 500 * time.Millisecond, 3 * time.Second
+	before := s.row
+	s.live[i] = false
+	s.assign()
+	s.live[i] = true
+	until := now + heard
+	if drain {
+		until = now + fresh
+		s.asked = WithFormer(s.row, before)
+	}
+	s.nodes[i].SetGrantsUntil(now, "0", nil, until)
+	s.startAt = now + fresh
+}
+
+func (s *parts) askRow() config.Shard {
+	if len(s.asked.Holders) > 0 && s.startAt != 0 {
+		return s.asked
+	}
+	return s.row
+}
+
+func (s *parts) move(now time.Duration) {
+	if s.moveAt != 0 && now >= s.moveAt && !s.away {
+		s.assign()
+		s.startAt = max(now, s.moveAt) + 3*time.Second
+		s.moveAt = 0
+	}
+	if s.startAt != 0 && now >= s.startAt {
+		s.grant(now)
+		s.startAt = 0
+	}
+}
+
+func (s *parts) request(now time.Duration, i int) bool {
+	s.move(now)
+	n := s.nodes[i]
+	search := NewSearch(s.bucket, Token)
+	step := n.Next(now, search, s.askRow(), s.limit)
+	for step.To != "" {
+		now = s.exchange(now, i, step.To, step.Ask)
+		step = n.Next(now, search, s.askRow(), s.limit)
+	}
+	s.balance(now, i)
+	for _, due := range s.nodes[i].Settlements() {
+		s.messages++
+		if j := s.index(due.To); s.live[j] {
+			s.nodes[j].Settle(now+peerTime/2, s.limit, due)
+		}
+	}
+	return step.Admitted
+}
+
+// exchange is one ask with its answer. It returns the time after it.
+func (s *parts) exchange(now time.Duration, i int, id string, a Ask) time.Duration {
+	s.messages++
+	j := s.index(id)
+	if !s.live[j] {
+		s.nodes[i].Lost(now, a.ID)
+		return now
+	}
+	t := s.nodes[j].Give(now+peerTime/2, s.limit, a)
+	s.nodes[i].Accept(now+peerTime, s.limit, t)
+	if a.Want > 0 {
+		s.balance(now+peerTime/2, j)
+	}
+	return now + peerTime
+}
+
+func (s *parts) index(id string) int {
+	return slices.IndexFunc(s.nodes, func(n *Holder) bool { return n.self == id })
+}
+
+func (s *parts) balance(now time.Duration, i int) {
+	if id, a, ok := s.nodes[i].Balance(now, s.askRow(), s.bucket, s.limit); ok {
+		s.exchange(now, i, id, a)
+	}
+}
+
+// holder returns an instance that holds parts, or one that doesn't.
+func (s *parts) holder(holds bool) int {
+	for i := range s.nodes {
+		if s.live[i] && (Parts(s.row)[instanceID(i)] > 0) == holds {
+			return i
+		}
+	}
+	return 0
+}
