Moving parts stay in use, forwards repeat, abandoned claims are swept

Cause: a leaving holder's parts lay idle until the new row was in force; an order whose minter's connection broke ended at once as unknown; a claim given up while the table was away could make others say 'in progress' for good; a limit changed while a request waited for tokens was ignored; a caller that hung up while tokens were sought still had its request sent. Ruled out: repeating a forward after a timeout (the deadline is used up by then).

--- a/node/attempts.go
+++ b/node/attempts.go
@@ -29,7 +29,13 @@
 // begin sends the request for the first time.
 func (n *Node) begin(r *request) {
 	n.budget(r.service.Name).Request()
-	if n.now >= r.deadline {
+	switch {
+	case r.gone:
+		record := n.record(r, decision.RuleCallerGone)
+		record.Outcome = decision.NotRun
+		n.refuseAs(r, record)
+		return
+	case n.now >= r.deadline:
 		n.refuse(r, decision.RuleDeadline, 0)
 		return
 	}
@@ -121,13 +127,9 @@
 	}
 }
 
-// allowed says whether the request may still be sent. Its key may have been
-// withdrawn, or the instance been cut off, since its first attempt: a request
-// with a long timeout would reach backend servers long after that.
-func (n *Node) allowed(r *request) bool {
-	rule, _ := n.identify(r.arrived.Key, r.arrived.HasKey, &r.figures)
-	return rule == ""
-}
+// allowed says whether the request may still be sent: one with a long timeout
+// could otherwise reach backend servers long after its key was withdrawn.
+func (n *Node) allowed(r *request) bool { return n.reconsider(r) == "" }
 
 func (n *Node) retryState(r *request, e AttemptEnded) retry.Attempt {
 	others, room := n.others(r)
@@ -157,6 +159,8 @@
 func (n *Node) giveUp(r *request, e AttemptEnded, d retry.Decision) {
 	rule := decision.RuleNoServer
 	switch {
+	case r.gone:
+		rule = decision.RuleCallerGone
 	case d.Outcome == retry.Unknown && r.idempotent:
 		rule = decision.RuleAttemptsFailed
 	case d.Outcome == retry.Unknown:
--- a/node/claims.go
+++ b/node/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"foxtailspoke/claim"
@@ -21,11 +22,17 @@
 	pruneLimit = 200
 	// pruneSubject marks the reads and writes of pruning.
 	pruneSubject = "prune"
+	// sweepEvery is the time between two looks at claims that this instance
+	// gave up without knowing whether they took effect.
+	sweepEvery = 5 * time.Second
+	// sweepLimit bounds the claims looked at each time.
+	sweepLimit = 8
 )
 
 // pruning is the state of deleting old claims.
 type pruning struct {
 	next    time.Duration
+	sweepAt time.Duration
 	slice   int
 	horizon *claim.Horizon
 }
@@ -53,22 +60,12 @@
 		n.claimStep(id, "", n.claimer.Finish(id, claim.NotRun, nil))
 	case d.Verdict == claim.Run:
 		r.operation = &operation{claim: id}
-		n.runClaimed(r)
+		n.goOn(r)
 	case waiting:
 		n.answerRepeat(r, claim.InDoubt(d, n.peerState(d.By)))
 	}
 }
 
-// runClaimed goes on with a request whose claim took a while: the key may
-// have been withdrawn meanwhile, or the instance been cut off.
-func (n *Node) runClaimed(r *request) {
-	if rule, _ := n.identify(r.arrived.Key, r.arrived.HasKey, &r.figures); rule != "" {
-		n.refuse(r, rule, 0)
-		return
-	}
-	n.takeTokens(r)
-}
-
 func (n *Node) peerState(id string) claim.PeerState {
 	i, ok := n.member.Live().Instance(id)
 	if !ok || i.State == platform.Ended {
@@ -84,6 +81,8 @@
 	switch {
 	case p.subject == pruneSubject:
 		n.prune(e)
+	case strings.HasPrefix(p.subject, claim.RowPrefix):
+		n.sweep(p.subject, e)
 	case e.OK:
 		n.claimStep(claim.ID(p.id), p.subject, n.claimer.Answered(claim.ID(p.id), e.Changes))
 	default:
@@ -117,8 +116,35 @@
 	if !e.OK {
 		return
 	}
-	txn, some := n.claimer.Prune(e.Changes.Rows, n.pruning.horizon.Old(n.now), pruneLimit)
-	if some {
-		n.emit(n.own(pending{owner: ownerClaim, subject: pruneSubject}, effect.WriteTable{Txn: txn}))
+	if txn, some := n.claimer.Prune(e.Changes.Rows, n.pruning.horizon.Old(n.now), pruneLimit); some {
+		n.tidy(txn)
+	}
+}
+
+// lookForAbandonedClaims reads the rows of claims that were given up while
+// the table didn't answer. One that took effect late is deleted: it would make
+// every instance say "in progress" of an operation that nobody runs.
+func (n *Node) lookForAbandonedClaims() {
+	if n.now < n.pruning.sweepAt || n.member.Confirmed(n.now).State != membership.ByTable {
+		return
+	}
+	n.pruning.sweepAt = n.now + sweepEvery
+	for _, key := range n.claimer.Abandoned(sweepLimit) {
+		read := platform.ReadRequest{Table: platform.Claims, Prefix: key}
+		n.emit(n.own(pending{owner: ownerClaim, subject: key}, effect.ReadTable{Read: read}))
 	}
 }
+
+func (n *Node) sweep(key string, e TableRead) {
+	if !e.OK {
+		return
+	}
+	if txn, some := n.claimer.Sweep(key, e.Changes); some {
+		n.tidy(txn)
+	}
+}
+
+// tidy deletes rows that nobody needs. If it fails, a later look repeats it.
+func (n *Node) tidy(txn platform.Txn) {
+	n.emit(n.own(pending{owner: ownerClaim, subject: pruneSubject}, effect.WriteTable{Txn: txn}))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -44,10 +44,13 @@
 	attempts map[string]*attempt
 	timers   timers
 
-	shards     shards
-	seen       platform.Revision
-	seenList   uint64
-	state      membership.State
+	shards   shards
+	seen     platform.Revision
+	seenList uint64
+	state    membership.State
+	// freshUntil is until when this instance could act on what it knew at
+	// the end of the last step.
+	freshUntil time.Duration
 	housekeep  time.Duration
 	forgetAt   time.Duration
 	leaving    bool
@@ -158,6 +161,7 @@
 	n.collect()
 	n.planShards()
 	n.lookForOldClaims()
+	n.lookForAbandonedClaims()
 	if n.now >= n.forgetAt {
 		n.forgetAt = n.now + time.Minute
 		n.holder.Forget(n.now)
@@ -220,12 +224,15 @@
 }
 
 func (n *Node) noticeState() {
-	state := n.member.Confirmed(n.now).State
-	if state == n.state {
+	c := n.member.Confirmed(n.now)
+	if c.State != membership.CutOff {
+		n.freshUntil = n.now - c.Age + n.member.Settings().Fresh
+	}
+	if c.State == n.state {
 		return
 	}
-	n.state = state
-	n.emit(Noted{Note: NoteConfirmation, Subject: state.String()})
+	n.state = c.State
+	n.emit(Noted{Note: NoteConfirmation, Subject: c.State.String()})
 }
 
 // leave begins a planned stop. The instance goes on serving the callers that
--- a/node/operations.go
+++ b/node/operations.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"foxtailspoke/claim"
 	"foxtailspoke/decision"
 	"foxtailspoke/health"
@@ -106,6 +108,7 @@
 		n.refuse(r, decision.RuleOperationLost, 0)
 		return
 	}
+	r.forwards++
 	a := n.newAttempt(r, minter)
 	a.forwarded = true
 	n.emit(StartAttempt{
@@ -131,6 +134,9 @@
 		return
 	}
 	n.forget(a)
+	if n.forwardAgain(r, e) {
+		return
+	}
 	r.figures.Detail = e.Detail
 	record := n.record(r, decision.RuleOperationElsewhere)
 	record.Outcome = decision.Unknown
@@ -138,6 +144,30 @@
 	n.refuseAs(r, record)
 }
 
+const (
+	// maxForwards bounds how often a request is passed on to its minter.
+	maxForwards = 3
+	// forwardGap is the pause before it is passed on again.
+	forwardGap = 50 * time.Millisecond
+)
+
+// forwardAgain passes a request on once more after a connection failed. The
+// minter runs a key once, so this can't run it twice.
+func (n *Node) forwardAgain(r *request, e AttemptEnded) bool {
+	failed := e.Result == health.ConnectFailed || e.Result == health.Incomplete
+	if !failed || !e.Replayable || r.gone || r.forwards >= maxForwards || n.now+2*forwardGap >= r.deadline {
+		return false
+	}
+	n.timers.add(n.now+forwardGap, func() {
+		if rule := n.reconsider(r); rule != "" {
+			n.refuse(r, rule, 0)
+			return
+		}
+		n.beginOperation(r)
+	})
+	return true
+}
+
 // answeredByMinter says whether the minter's own answer came back whole. What
 // it says of the outcome goes to the caller as it is.
 func answeredByMinter(r health.Result) bool {
--- a/node/request.go
+++ b/node/request.go
@@ -27,6 +27,8 @@
 	search *quota.Search
 	// lost counts the asks that got no answer.
 	lost int
+	// forwards counts how often it was passed on to its key's minter.
+	forwards int
 
 	// tried are the backend servers that had an attempt.
 	tried []string
@@ -89,6 +91,30 @@
 	return ""
 }
 
+// reconsider looks again at a request that waited for another instance or for
+// the platform: meanwhile its key may have been withdrawn, its plan changed,
+// or this instance been cut off.
+func (n *Node) reconsider(r *request) decision.Rule {
+	if rule, _ := n.identify(r.arrived.Key, r.arrived.HasKey, &r.figures); rule != "" {
+		return rule
+	}
+	limit, ok := n.replica.Limit(r.workspace.Name, r.service.Name)
+	if !ok {
+		return decision.RuleServiceNotInPlan
+	}
+	r.limit = limit
+	return ""
+}
+
+// goOn takes tokens for a request that waited.
+func (n *Node) goOn(r *request) {
+	if rule := n.reconsider(r); rule != "" {
+		n.refuse(r, rule, 0)
+		return
+	}
+	n.takeTokens(r)
+}
+
 // identify finds the workspace of a key.
 func (n *Node) identify(key config.KeyHash, has bool, f *decision.Figures) (decision.Rule, config.Workspace) {
 	c := n.member.Confirmed(n.now)
@@ -145,7 +171,7 @@
 	if rule.Info().RetryAfter {
 		record.RetryAfter = max(retryAfter, time.Second)
 	}
-	if r.mayHaveRun {
+	if r.mayHaveRun || r.forwards > 0 {
 		record.Outcome = decision.Unknown
 	}
 	n.refuseAs(r, record)
--- a/node/shards.go
+++ b/node/shards.go
@@ -24,6 +24,7 @@
 type shards struct {
 	names []string
 	held  map[string]*heldShard
+	seen  map[string]seenRow
 	// line has the shards that this instance writes, with its place.
 	line map[string]int
 	// limits of the workspaces, by shard; for the lists with this version.
@@ -40,6 +41,16 @@
 	next time.Duration
 }
 
+// seenRow is a shard's row as this instance knows it.
+type seenRow struct {
+	revision platform.Revision
+	row      config.Shard
+	// former is the row before, whose holders may still use their parts
+	// until formerUntil.
+	former      config.Shard
+	formerUntil time.Duration
+}
+
 // heldShard is a shard whose row names this instance.
 type heldShard struct {
 	revision platform.Revision
@@ -54,6 +65,7 @@
 func newShards(count int) shards {
 	s := shards{
 		held:     map[string]*heldShard{},
+		seen:     map[string]seenRow{},
 		line:     map[string]int{},
 		limits:   map[string][]config.Limit{},
 		wantedAt: map[string]time.Duration{},
@@ -83,11 +95,18 @@
 
 func (n *Node) refreshShard(name string) {
 	row, _ := n.replica.Row(shardKey(name))
-	held := n.shards.held[name]
-	if held != nil && held.revision == row.Revision {
+	seen := n.shards.seen[name]
+	if row.Revision == seen.revision {
 		return
 	}
 	shard := n.replica.Shard(name)
+	n.shards.seen[name] = seenRow{
+		revision:    row.Revision,
+		row:         shard,
+		former:      seen.row,
+		formerUntil: n.now + n.member.Settings().Wait(),
+	}
+	held := n.shards.held[name]
 	if held == nil && len(quota.Pending(shard, n.settings.Self.ID)) == 0 {
 		return
 	}
@@ -97,21 +116,33 @@
 	}
 	held.revision = row.Revision
 	n.memberEffects(n.member.Require(n.now, row.Revision))
-	n.settleShard(name, held)
+	n.settleShard(name, held, n.freshUntil)
+}
+
+// holderRow returns a shard's row for asking its holders. Until a new row is
+// in force it names the former holders as well: they may still use their
+// parts, and the new ones may not yet.
+func (n *Node) holderRow(name string) config.Shard {
+	seen := n.shards.seen[name]
+	if n.now >= seen.formerUntil {
+		return seen.row
+	}
+	return quota.WithFormer(seen.row, seen.former)
 }
 
-// settleShard hands the holder the entries of a row that are in force.
+// settleShard hands the holder the entries of a row that are in force. Parts
+// that the row takes away count until lostUntil.
 //
 // An entry counts as in force when the row that it was read from is. The
 // entry's own Since is older than the write that made it: if that were
 // enough, two instances could use the same parts for the time in which the
 // former holder hasn't heard of the write.
-func (n *Node) settleShard(name string, held *heldShard) {
+func (n *Node) settleShard(name string, held *heldShard, lostUntil time.Duration) {
 	row := n.replica.Shard(name)
 	rowInForce := n.member.InForce(n.now, held.revision)
 	inForce := func(since uint64) bool { return held.granted[since] || rowInForce }
 	grants := quota.Grants(row, n.settings.Self.ID, inForce)
-	n.holder.SetGrants(n.now, name, grants)
+	n.holder.SetGrantsUntil(n.now, name, grants, lostUntil)
 	held.granted = map[uint64]bool{}
 	for _, g := range grants {
 		held.granted[g.Since] = true
@@ -133,7 +164,7 @@
 	n.shards.next = never
 	for _, name := range n.shards.names {
 		if held := n.shards.held[name]; held != nil && held.waiting {
-			n.settleShard(name, held)
+			n.settleShard(name, held, n.now)
 		}
 	}
 }
--- a/node/tokens.go
+++ b/node/tokens.go
@@ -19,7 +19,7 @@
 }
 
 func (n *Node) searchTokens(r *request) {
-	row := n.replica.Shard(n.shardOf(r))
+	row := n.holderRow(n.shardOf(r))
 	step := n.holder.Next(n.now, r.search, row, r.limit)
 	n.settleTokens()
 	n.balanceTokens(row, r.bucket(), r.limit)
@@ -72,9 +72,7 @@
 	if !answered {
 		r.lost++
 	}
-	// The wait was long enough for a key to be withdrawn or for the
-	// instance to be cut off.
-	if rule, _ := n.identify(r.arrived.Key, r.arrived.HasKey, &r.figures); rule != "" {
+	if rule := n.reconsider(r); rule != "" {
 		n.refuse(r, rule, 0)
 		return
 	}
@@ -103,7 +101,7 @@
 	}
 	t := n.holder.Give(n.now, limit, a)
 	shard := quota.ShardOf(a.Bucket.Workspace, n.settings.Shards)
-	n.balanceTokens(n.replica.Shard(shard), a.Bucket, limit)
+	n.balanceTokens(n.holderRow(shard), a.Bucket, limit)
 	return t, true
 }
 
