A backend server that says it leaves is left alone at once

Cause: only the platform's list, which lags, kept new requests from a server that drains; each cost an attempt that was refused. Change: its own word counts for a minute.

--- a/node/attempts.go
+++ b/node/attempts.go
@@ -93,6 +93,9 @@
 		return
 	}
 	n.observe(a, e)
+	if e.Leaving {
+		n.noteLeaver(a.server.ID)
+	}
 	if e.Streaming && !a.request.answered {
 		a.streaming = true
 		n.deliver(a, e)
--- a/node/event.go
+++ b/node/event.go
@@ -50,6 +50,9 @@
 	RetryAfter time.Duration
 	// Replayable says that the request's body can be sent once more.
 	Replayable bool
+	// Leaving says that the backend server refused because it is about to
+	// stop.
+	Leaving bool
 	// Streaming says that the answer continues behind what is held.
 	Streaming bool
 	// Answer is the whole answer of a request with an operation key, for
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -68,6 +68,7 @@
 type server struct {
 	mode    string
 	latency time.Duration
+	refused int
 }
 
 // started is a request's first attempt: the moment of its admission.
@@ -372,6 +373,13 @@
 		end(hop, health.ConnectFailed)
 		return
 	}
+	if s.mode == "leaving" {
+		s.refused++
+		f.at(2*hop, func() {
+			f.step(i, AttemptEnded{Attempt: e.Attempt, Result: health.NotRun, Replayable: true, Leaving: true})
+		})
+		return
+	}
 	if s.mode == "shed" {
 		end(2*hop, health.Shed)
 		return
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -287,6 +287,19 @@
 	must.Eq(t, "cut-off", f.answers[refused].rule)
 }
 
+// A backend server drains, and the platform's list doesn't show it. It refuses
+// as not run; the requests go elsewhere, and each instance tries it once only.
+func TestServerThatLeavesIsLeftAlone(t *testing.T) {
+	f := ready(8, 3, 4)
+	f.servers["s0"].mode = "leaving"
+	for i := range 200 {
+		id := f.arrive(f.names[i%3], key, post(""))
+		f.run(60 * time.Millisecond)
+		must.Eq(t, "served", f.answers[id].outcome)
+	}
+	must.Between(t, 1, f.servers["s0"].refused, 3)
+}
+
 // A holder of parts is killed while its workspace uses half of its rate.
 // Refusals inside the rate end when the parts have moved.
 func TestKilledHolder(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -55,8 +55,10 @@
 	forgetAt   time.Duration
 	leaving    bool
 	permitting map[string]bool
-	ejected    map[string]map[string]bool
-	refused    refusals
+	// leavers are backend servers that said that they leave, until when.
+	leavers map[string]time.Duration
+	ejected map[string]map[string]bool
+	refused refusals
 }
 
 // New returns the node of an instance that has just started and knows
@@ -85,6 +87,7 @@
 		attempts:   map[string]*attempt{},
 		shards:     newShards(s.Shards),
 		permitting: map[string]bool{},
+		leavers:    map[string]time.Duration{},
 		ejected:    map[string]map[string]bool{},
 		refused:    refusals{},
 	}
@@ -165,6 +168,7 @@
 	if n.now >= n.forgetAt {
 		n.forgetAt = n.now + time.Minute
 		n.holder.Forget(n.now)
+		n.forgetLeavers()
 	}
 }
 
--- a/node/servers.go
+++ b/node/servers.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"time"
 
 	"foxtailspoke/balance"
 	"foxtailspoke/config"
@@ -31,7 +32,7 @@
 			ID:         id,
 			DataCentre: s.DataCentre,
 			Slots:      s.Slots,
-			Leaving:    s.State != platform.Live,
+			Leaving:    s.State != platform.Live || n.now < n.leavers[id],
 			Ejected:    isEjected(permits, id),
 		}
 		view = append(view, b)
@@ -44,6 +45,25 @@
 	return view
 }
 
+// leaverMemory is how long a server's own word that it leaves counts. The
+// platform's list says so as well by then, or the server has stayed after all.
+const leaverMemory = time.Minute
+
+// noteLeaver keeps new requests from a server that said that it leaves. The
+// platform's list may lag by minutes; every request in between would cost an
+// attempt that is refused.
+func (n *Node) noteLeaver(server string) {
+	n.leavers[server] = n.now + leaverMemory
+}
+
+func (n *Node) forgetLeavers() {
+	for server, until := range n.leavers {
+		if n.now >= until {
+			delete(n.leavers, server)
+		}
+	}
+}
+
 func (n *Node) weigh(r *request, view []balance.Server, usable []string, floor int) {
 	weights := n.observer.Weights(n.now, r.service.Name, r.workspace.Name, usable, floor)
 	next := 0
