Relieve no more servers than half of the room above the floor

Change: advice for lateness only with relief, at most half of the room at a time, failing servers first, all advice within the room.

--- a/health/collector.go
+++ b/health/collector.go
@@ -1,6 +1,8 @@
 package health
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -24,6 +26,8 @@
 	// servers are those under suspicion, relieved, ejected or returned.
 	servers  map[string]*serverState
 	silentAt time.Duration
+	// room is how many more servers the floor allows to take out of use.
+	room int
 	// advised is the advice given since adviceAt.
 	advised  []Suspect
 	adviceAt time.Duration
@@ -158,17 +162,29 @@
 	return p.advised
 }
 
+// advise lists the servers that fail, the worst first, then those that are
+// relieved: no more than could be ejected, or the load of all of them would
+// make the others late as well, and they would be advised against in turn.
 func (c *Collector) advise(now time.Duration, p *pool) []Suspect {
-	var list []Suspect
+	type scored struct {
+		Suspect
+		score float64
+	}
+	var list []scored
 	for _, id := range p.suspects() {
 		s := p.servers[id]
-		late := c.lateScore(now, p, id) >= c.settings.AdviseScore || s != nil && s.relieved
-		failed := c.failedScore(now, p, id) >= c.settings.AdviseScore
-		if late || failed {
-			list = append(list, Suspect{Server: id, Weight: adviceWeight, Late: !failed})
+		score := c.failedScore(now, p, id)
+		failed := score >= c.settings.AdviseScore
+		if failed || s != nil && s.relieved {
+			list = append(list, scored{Suspect{Server: id, Weight: adviceWeight, Late: !failed}, score})
 		}
 	}
-	return list
+	slices.SortStableFunc(list, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	suspects := make([]Suspect, 0, len(list))
+	for _, s := range list[:min(len(list), p.room)] {
+		suspects = append(suspects, s.Suspect)
+	}
+	return suspects
 }
 
 // adviceWeight leaves enough requests to go on judging a relieved server.
--- a/health/ejection.go
+++ b/health/ejection.go
@@ -33,6 +33,7 @@
 	c.addSilent(now, p, len(servers)-len(row.Ejected))
 	p.failed.advance(now)
 	p.late.advance(now)
+	p.room = max(0, len(servers)-floor-len(row.Ejected))
 	c.relieve(now, p)
 
 	kept, reason := c.keep(now, p, servers, row, floor)
@@ -151,6 +152,7 @@
 // taken away first: if it is still late then, load wasn't the cause.
 func (c *Collector) relieve(now time.Duration, p *pool) {
 	slow := p.usualLateShare() > slowShare
+	free := (p.room+1)/2 - p.relieved()
 	for _, id := range p.suspects() {
 		s := p.server(id)
 		late := c.lateScore(now, p, id) >= c.need(now, p, id)
@@ -158,7 +160,8 @@
 		case slow:
 			// Every server is needed while all are slow.
 			s.relieved = false
-		case !s.relieved && late:
+		case !s.relieved && late && free > 0:
+			free--
 			*s = serverState{advised: map[string]time.Duration{}, unwell: s.unwell, unwellAt: s.unwellAt, probing: s.probing}
 			s.relieved, s.relievedAt = true, now
 		case s.relieved && !s.inEffect:
@@ -173,6 +176,18 @@
 	}
 }
 
+// relieved is how many servers are being relieved. Only half of the room is
+// for them: their load moves to the others and makes these later too.
+func (p *pool) relieved() int {
+	n := 0
+	for _, s := range p.servers {
+		if s.relieved {
+			n++
+		}
+	}
+	return n
+}
+
 const (
 	// heardShare of the reporting instances must have been advised before a
 	// server counts as relieved; until then the others still load it.
