Added latency: the same lookup straight and through an entry

Cause: nothing measured the time that an entry adds to a request. Change: foxtailspoke-trial load and make latency send a lookup both ways at the same moments, in an open loop at rising rates, bounded and over loopback only; HDR histograms, processor time and memory of the entry's process. Ruled out: timing from the due moment; on a busy machine it adds the sender's own lateness to both ways, so that is printed beside instead.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SHELL := /bin/bash
 BIN := bin
 
-.PHONY: build test check run generate fmt
+.PHONY: build test check run latency generate fmt
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -27,6 +27,13 @@
 run: build
 	@scripts/run
 
+# latency measures the time that an entry adds to a lookup, against the same
+# lookup without it, at rising load. ENTRIES=1 starts one entry instance
+# instead of three, RATES="100 500" and FOR=5s change the load, OUTPUT=json
+# the output.
+latency: build
+	@scripts/latency
+
 generate:
 	go generate ./...
 	go test ./event -update
--- /dev/null
+++ b/internal/measure/pair.go
@@ -0,0 +1,210 @@
+package measure
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+)
+
+// Pair is the two ways that are compared.
+type Pair struct {
+	Direct, Through *Target
+	// PID is the process whose processor time is read; 0 for none.
+	PID int
+}
+
+// Quantiles of latencies, in microseconds.
+type Quantiles struct {
+	P50  int64 `json:"p50us"`
+	P99  int64 `json:"p99us"`
+	P999 int64 `json:"p999us"`
+}
+
+// Count of requests by how they ended.
+type Count struct {
+	Served  int64 `json:"served"`
+	Refused int64 `json:"refused"`
+	// Failed requests had no whole answer.
+	Failed int64 `json:"failed"`
+	// Skipped requests weren't sent: too many were under way.
+	Skipped int64 `json:"skipped"`
+}
+
+// Step is the measurement at one rate.
+type Step struct {
+	// Rate is in requests a second, each way.
+	Rate    int       `json:"rate"`
+	Seconds float64   `json:"seconds"`
+	Direct  Quantiles `json:"direct"`
+	Through Quantiles `json:"through"`
+	// Added is the difference of the quantiles, which isn't the quantile of
+	// the differences.
+	Added        Quantiles `json:"added"`
+	DirectCount  Count     `json:"directCount"`
+	ThroughCount Count     `json:"throughCount"`
+	// SentLate is how long after its time a request was sent. It shows
+	// whether the machine kept up with the rate; no latency contains it.
+	SentLate Quantiles `json:"sentLate"`
+	// CPU is the process's time per request through it, in microseconds; 0
+	// if it wasn't read.
+	CPU float64 `json:"cpuUsPerRequest"`
+	// Memory is the process's resident memory afterwards, in bytes.
+	Memory int64 `json:"residentBytes"`
+}
+
+const (
+	// maxUnderWay bounds the requests that wait for an answer, each way.
+	maxUnderWay = 1000
+	// Range of the histograms, in microseconds, and their precision.
+	lowest, highest, digits = 1, 10_000_000, 3
+	// warmUpServed is how many requests in a row must be served to begin.
+	warmUpServed = 200
+)
+
+// way collects what became of the requests of one way.
+type way struct {
+	target *Target
+	slots  chan struct{}
+
+	mu        sync.Mutex
+	latencies *hdrhistogram.Histogram
+	count     Count
+}
+
+func newWay(t *Target) *way {
+	return &way{
+		target:    t,
+		slots:     make(chan struct{}, maxUnderWay),
+		latencies: hdrhistogram.New(lowest, highest, digits),
+	}
+}
+
+// Close closes the connections.
+func (p Pair) Close() {
+	p.Direct.http.CloseIdleConnections()
+	p.Through.http.CloseIdleConnections()
+}
+
+// WarmUp sends requests one after the other until enough in a row are served
+// both ways, so that connections are made and buckets have filled.
+func (p Pair) WarmUp(ctx context.Context, atMost time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, atMost)
+	defer cancel()
+	var last error
+	for served, number := 0, 0; served < warmUpServed; number++ {
+		if ctx.Err() != nil {
+			return errors.Wrapf(errors.CombineErrors(last, ctx.Err()), "measure: not served after %s", atMost)
+		}
+		err := errors.CombineErrors(p.Direct.send(ctx, number), p.Through.send(ctx, number))
+		if err == nil {
+			served++
+			continue
+		}
+		last = err
+		served = 0
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil
+}
+
+// Run sends requests at a rate, both ways at the same moments, whether or not
+// earlier ones were answered (an open loop).
+func (p Pair) Run(ctx context.Context, rate int, during time.Duration) (Step, error) {
+	direct, through := newWay(p.Direct), newWay(p.Through)
+	lateness := hdrhistogram.New(lowest, highest, digits)
+	before, err := usageOf(p.PID)
+	if err != nil {
+		return Step{}, err
+	}
+	var wg sync.WaitGroup
+	start := time.Now()
+	total := int(float64(rate) * during.Seconds())
+	for number := range total {
+		due := start.Add(time.Duration(number) * time.Second / time.Duration(rate))
+		time.Sleep(time.Until(due))
+		if ctx.Err() != nil {
+			break
+		}
+		_ = lateness.RecordValue(micros(time.Since(due)))
+		// Which of the two goes first alternates, so that neither gains.
+		first, second := direct, through
+		if number%2 == 1 {
+			first, second = through, direct
+		}
+		first.start(ctx, &wg, number)
+		second.start(ctx, &wg, number)
+	}
+	wg.Wait()
+	took := time.Since(start)
+	after, err := usageOf(p.PID)
+	if err != nil {
+		return Step{}, err
+	}
+	step := Step{
+		Rate:         rate,
+		Seconds:      took.Seconds(),
+		Direct:       quantiles(direct.latencies),
+		Through:      quantiles(through.latencies),
+		DirectCount:  direct.count,
+		ThroughCount: through.count,
+		SentLate:     quantiles(lateness),
+		Memory:       after.resident,
+	}
+	step.Added = step.Through.minus(step.Direct)
+	if n := through.count.Served + through.count.Refused; n > 0 {
+		step.CPU = (after.processor - before.processor).Seconds() * 1e6 / float64(n)
+	}
+	return step, ctx.Err()
+}
+
+func (w *way) start(ctx context.Context, wg *sync.WaitGroup, number int) {
+	select {
+	case w.slots <- struct{}{}:
+	default:
+		w.mu.Lock()
+		w.count.Skipped++
+		w.mu.Unlock()
+		return
+	}
+	wg.Go(func() {
+		begin := time.Now()
+		err := w.target.send(ctx, number)
+		took := time.Since(begin)
+		<-w.slots
+		w.note(took, err)
+	})
+}
+
+func (w *way) note(took time.Duration, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case err == nil:
+		w.count.Served++
+		_ = w.latencies.RecordValue(micros(took))
+	case errors.Is(err, errRefused):
+		w.count.Refused++
+	default:
+		w.count.Failed++
+	}
+}
+
+// micros rounds up to a microsecond within the histograms' range.
+func micros(d time.Duration) int64 {
+	return min(max(int64((d+time.Microsecond-1)/time.Microsecond), lowest), highest)
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	return Quantiles{
+		P50:  h.ValueAtQuantile(50),
+		P99:  h.ValueAtQuantile(99),
+		P999: h.ValueAtQuantile(99.9),
+	}
+}
+
+func (q Quantiles) minus(o Quantiles) Quantiles {
+	return Quantiles{P50: q.P50 - o.P50, P99: q.P99 - o.P99, P999: q.P999 - o.P999}
+}
--- a/internal/trial/command/command.go
+++ b/internal/trial/command/command.go
@@ -35,6 +35,9 @@
 	if _, err := parser.AddCommand("walk", "Walk through what callers see", walkHelp, &walkCommand{program: p}); err != nil {
 		panic(err)
 	}
+	if _, err := parser.AddCommand("load", "Measure the time that an entry adds", loadHelp, &loadCommand{program: p}); err != nil {
+		panic(err)
+	}
 	_, err := parser.ParseArgs(args)
 	var flagsErr *flags.Error
 	switch {
