Proofs in the real processes: the promises under faults

One run under load with a fixed schedule of kills, freezes, one-way cuts, an absent platform, lost answers, gray and draining backend servers and a withdrawn key; the history of what callers saw and what backend servers ran is checked afterwards.

--- /dev/null
+++ b/internal/proofs/load_test.go
@@ -0,0 +1,242 @@
+package proofs
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/internal/trial"
+)
+
+const (
+	// sendTimeout bounds one request as its caller waits.
+	sendTimeout = 8 * time.Second
+	// locateTimeout bounds the question for addresses.
+	locateTimeout = time.Second
+)
+
+// load runs callers against a world until it is stopped.
+type load struct {
+	w       *world
+	history *history
+	number  atomic.Int64
+	ctx     context.Context
+	stop    context.CancelFunc
+	running sync.WaitGroup
+}
+
+func newLoad(w *world) *load {
+	l := &load{w: w, history: &history{}}
+	l.ctx, l.stop = context.WithCancel(context.Background())
+	return l
+}
+
+// end stops the callers and waits until each has its last answer.
+func (l *load) end() []send {
+	l.stop()
+	l.running.Wait()
+	l.history.mu.Lock()
+	defer l.history.mu.Unlock()
+	return l.history.sends
+}
+
+// caller is one customer's program. It isn't safe for concurrent use.
+type caller struct {
+	l         *load
+	workspace string
+	key       string
+	rng       *rand.Rand
+	http      map[string]*trial.Caller
+	addresses []string
+	until     time.Time
+}
+
+// every lets a new caller act at about a rate, until the load ends.
+func (l *load) every(period time.Duration, workspace, key string, seed uint64, act func(*caller)) {
+	c := &caller{
+		l: l, workspace: workspace, key: key,
+		rng: rand.New(rand.NewPCG(seed, 0)), http: map[string]*trial.Caller{},
+	}
+	l.running.Go(func() {
+		ticker := time.NewTicker(period)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				act(c)
+			case <-l.ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+func (c *caller) at(address string) *trial.Caller {
+	if c.http[address] == nil {
+		c.http[address] = trial.NewCaller(address, c.key)
+	}
+	return c.http[address]
+}
+
+// locate returns the addresses to use. The caller keeps the answer as long as
+// it may and asks the addresses that it has, then all others, for a new one.
+func (c *caller) locate() []string {
+	if time.Now().Before(c.until) {
+		return c.addresses
+	}
+	for _, address := range append(c.addresses, c.l.w.callerAddresses()...) {
+		ctx, cancel := context.WithTimeout(context.Background(), locateTimeout)
+		start := time.Now()
+		found, err := trial.NewCaller(address, c.key).Addresses(ctx)
+		cancel()
+		if err == nil && len(found) > 0 {
+			c.addresses, c.until = found, start.Add(c.l.w.ttl)
+			return found
+		}
+	}
+	return c.l.w.callerAddresses()
+}
+
+// operation asks for an operation key, at one address after the other.
+func (c *caller) operation() (key, address string) {
+	for _, address := range c.locate() {
+		ctx, cancel := context.WithTimeout(context.Background(), locateTimeout)
+		operation, err := c.at(address).Operation(ctx)
+		cancel()
+		if err == nil {
+			return operation.Key, operation.Address
+		}
+	}
+	return "", ""
+}
+
+// request returns a request to a service whose path nobody else uses.
+func (c *caller) request(service, method string) send {
+	prefix := map[string]string{"catalogue": "/catalogue/", "ordering": "/orders/", "diagnosis": "/photos/"}[service]
+	n := c.l.number.Add(1)
+	return send{
+		workspace: c.workspace, key: c.key, service: service, method: method,
+		path: prefix + c.workspace + "-" + strconv.FormatInt(n, 10),
+	}
+}
+
+// send sends to one address and takes down what came of it.
+func (c *caller) send(address string, s send) send {
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	var written atomic.Int32
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { written.Add(1) },
+	})
+	uri := s.path
+	if s.size > 0 {
+		uri += "?size=" + strconv.Itoa(s.size)
+	}
+	s.at = time.Now()
+	a, err := c.at(address).SendTo(ctx, address, s.method, uri, s.operation, s.body)
+	s.took = time.Since(s.at)
+	s.written = written.Load()
+	if err != nil {
+		s.failure = fmt.Sprintf("%s: %v", address, err)
+	} else {
+		s.status, s.outcome, s.rule, s.answer = a.Status, a.Outcome, a.Problem.Rule, a.Body
+	}
+	c.l.history.add(s)
+	return s
+}
+
+// anywhere returns one of the addresses to use.
+func (c *caller) anywhere() string {
+	addresses := c.locate()
+	return addresses[c.rng.IntN(len(addresses))]
+}
+
+// awaitServed waits until each service serves a workspace. A fleet that has
+// just started has no parts of any limit in force.
+func (w *world) awaitServed(key, workspace string) {
+	w.t.Helper()
+	l := newLoad(w)
+	c := &caller{l: l, workspace: workspace, key: key, rng: rand.New(rand.NewPCG(0, 0)), http: map[string]*trial.Caller{}}
+	start := time.Now()
+	for _, service := range []string{"catalogue", "ordering", "diagnosis"} {
+		for c.send(c.anywhere(), c.request(service, http.MethodGet)).outcome != "served" {
+			must.Less(w.t, patience, time.Since(start), must.Sprintf("%s doesn't serve", service))
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	w.t.Logf("served %s after the key was in force", time.Since(start).Round(10*time.Millisecond))
+}
+
+// lookup asks for something small, now and then for something large.
+func lookup(c *caller) {
+	s := c.request("catalogue", http.MethodGet)
+	if c.rng.IntN(10) == 0 {
+		s.size = 300_000
+	}
+	c.send(c.anywhere(), s)
+}
+
+// advisedOrder places an order under a key of the system's, and repeats it at
+// other instances, at the same time and later.
+func advisedOrder(c *caller) {
+	key, address := c.operation()
+	if key == "" {
+		return
+	}
+	c.order(key, address)
+}
+
+// ownOrder places an order under a key that the caller made.
+func ownOrder(c *caller) {
+	c.order(fmt.Sprintf("own-%s-%d", c.workspace, c.l.number.Add(1)), c.anywhere())
+}
+
+func (c *caller) order(key, address string) {
+	s := c.request("ordering", http.MethodPost)
+	s.operation = key
+	s.body = []byte(`{"item":"cartridge","path":"` + s.path + `"}`)
+	other := &caller{l: c.l, workspace: c.workspace, key: c.key, http: map[string]*trial.Caller{}}
+	second := c.anywhere()
+	var both sync.WaitGroup
+	both.Go(func() { other.send(second, s) })
+	c.send(address, s)
+	both.Wait()
+	c.send(c.anywhere(), s)
+}
+
+// bareOrder places an order without any key, once.
+func bareOrder(c *caller) {
+	s := c.request("ordering", http.MethodPost)
+	s.body = []byte(`{"item":"sample"}`)
+	c.send(c.anywhere(), s)
+}
+
+// upload sends a photo.
+func upload(c *caller) {
+	s := c.request("diagnosis", http.MethodPost)
+	s.body = bytes.Repeat([]byte("joint"), 20_000+c.rng.IntN(100_000))
+	c.send(c.anywhere(), s)
+}
+
+// cutOrRefused returns the sends that got no whole answer, or a refusal that
+// isn't for the rate.
+func cutOrRefused(sends []send) []string {
+	var faults []string
+	for _, s := range sends {
+		if s.status == 0 || s.outcome != "served" && s.outcome != "ran-before" {
+			what := strings.TrimSpace(s.outcome + " " + s.rule + " " + s.failure)
+			faults = append(faults, fmt.Sprintf("%s %s: %s after %s", s.method, s.path, what, s.took.Round(time.Millisecond)))
+		}
+	}
+	return faults
+}
