A cold start isn't told as over the rate

Cause: in a fleet that has just started nobody holds parts for 2 to 5 s, and callers were told that their workspace had used its rate up (found by the planned-stop test in real processes). Change: such refusals say that the rate can't be checked yet. Failing first: TestColdStartIsNotOverRate, over-rate.

--- a/node/history_test.go
+++ b/node/history_test.go
@@ -25,13 +25,18 @@
 // ready returns a fleet with one service, one workspace and settled parts.
 func ready(seed uint64, entries, servers int) *fleet {
 	f := newFleet(seed, entries, servers)
+	f.configure()
+	f.run(12 * time.Second)
+	return f
+}
+
+// configure writes one service, one plan and one workspace with its key.
+func (f *fleet) configure() {
 	f.write(config.ServicePrefix+"orders", config.Service{Floor: 1, Timeout: config.Duration(2 * time.Second), Routes: []config.Route{{Prefix: "/orders/"}}})
 	f.write(config.PlanPrefix+"p", config.Plan{Services: map[string]config.Limit{"orders": {Rate: rate, Burst: burst}}})
 	f.write(config.WorkspacePrefix+"a", config.Workspace{Plan: "p"})
 	f.write(config.KeyPrefix+config.HashKey(key).String(), config.Key{Workspace: "a"})
 	f.write(config.ListsKey, config.Lists{Version: 1})
-	f.run(12 * time.Second)
-	return f
 }
 
 func get() RequestArrived {
@@ -300,6 +305,18 @@
 	must.Between(t, 1, f.servers["s0"].refused, 3)
 }
 
+// The fleet has just started, and no instance holds parts of any limit yet. A
+// caller is refused, but not told that its workspace has used its rate up.
+func TestColdStartIsNotOverRate(t *testing.T) {
+	f := newFleet(9, 3, 3)
+	f.configure()
+	f.run(1500 * time.Millisecond)
+	id := f.arrive(f.names[0], key, get())
+	f.run(time.Second)
+	must.Eq(t, "peer-unreachable", f.answers[id].rule)
+	must.Eq(t, "not-run", f.answers[id].outcome)
+}
+
 // A holder of parts is killed while its workspace uses half of its rate.
 // Refusals inside the rate end when the parts have moved.
 func TestKilledHolder(t *testing.T) {
--- a/node/tokens.go
+++ b/node/tokens.go
@@ -81,13 +81,25 @@
 
 func (n *Node) refuseForRate(r *request, retryAfter time.Duration) {
 	rule := decision.RuleOverRate
-	if r.lost > 0 {
+	switch {
+	case n.unheld(n.shardOf(r)):
+		rule = decision.RulePeerUnreachable
+		r.figures.Detail = "no instance holds them yet"
+	case r.lost > 0:
 		rule = decision.RulePeerUnreachable
 	}
 	r.figures.Parts = quota.Parts(n.replica.Shard(n.shardOf(r)))[n.settings.Self.ID]
 	n.refuse(r, rule, retryAfter)
 }
 
+// unheld says whether nobody may use any part of a shard's limits by now: its
+// first row isn't written or isn't in force. Its workspaces have used nothing
+// up then, and must not be told that they have.
+func (n *Node) unheld(name string) bool {
+	seen := n.shards.seen[name]
+	return len(seen.row.Holders) == 0 || (len(seen.former.Holders) == 0 && n.now < seen.formerUntil)
+}
+
 // give answers another instance's ask out of the own parts. An instance
 // whose configuration isn't confirmed gives nothing: its parts may be
 // somebody else's by now.
