--- a/node/attempts.go
+++ b/node/attempts.go
@@ -202,7 +202,7 @@
 func (n *Node) served(r *request, answer *claim.Answer) {
 	delete(n.requests, r.arrived.Request)
 	n.endOperation(r, claim.Ran, answer)
-	n.emit(Recorded{Record: n.record(r, decision.RuleServed)})
+	n.recorded(n.record(r, decision.RuleServed))
 }
 
 // streamEnded takes the end of an answer that was passed on as it came.
@@ -226,7 +226,7 @@
 	if rule == decision.RuleAnswerCut {
 		n.observer.Observe(n.now, n.observation(a, health.Incomplete, n.now-a.started))
 	}
-	n.emit(Recorded{Record: n.record(r, rule)})
+	n.recorded(n.record(r, rule))
 }
 
 // late takes note that an attempt has no answer for longer than nearly all
--- /dev/null
+++ b/node/fake_platform_test.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"foxtailspoke/platform"
+)
+
+// table is one of the platform's tables.
+type table struct {
+	rows     map[string]platform.Row
+	revision platform.Revision
+}
+
+// write commits a row of the control table at once, as operators do.
+func (f *fleet) write(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	f.commit(platform.Txn{Puts: []platform.Put{{Table: platform.Control, Key: key, Value: data}}})
+}
+
+func (f *fleet) drop(key string) {
+	f.commit(platform.Txn{Puts: []platform.Put{{Table: platform.Control, Key: key, Delete: true}}})
+}
+
+func (f *fleet) commit(t platform.Txn) platform.WriteResult {
+	result := platform.WriteResult{Outcome: platform.Committed, Revisions: map[platform.TableName]platform.Revision{}}
+	for _, c := range t.Conditions {
+		row := f.tables[c.Table].rows[c.Key]
+		if row.Deleted {
+			row.Revision = 0
+		}
+		if row.Revision != c.Revision {
+			result.Outcome = platform.Conflict
+		}
+		if row.Revision > 0 {
+			result.Current = append(result.Current, row)
+		}
+	}
+	if result.Outcome == platform.Conflict {
+		return result
+	}
+	result.Current = nil
+	for _, p := range t.Puts {
+		to := f.tables[p.Table]
+		if result.Revisions[p.Table] == 0 {
+			to.revision++
+			result.Revisions[p.Table] = to.revision
+		}
+		to.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Revision: to.revision, Attempt: t.Attempt, Deleted: p.Delete}
+	}
+	return result
+}
+
+func (f *fleet) read(r platform.ReadRequest) platform.Changes {
+	from := f.tables[r.Table]
+	c := platform.Changes{Revision: from.revision, Full: r.Since == 0}
+	for _, row := range from.rows {
+		if row.Revision > r.Since && strings.HasPrefix(row.Key, r.Prefix) {
+			c.Rows = append(c.Rows, row)
+		}
+	}
+	slices.SortFunc(c.Rows, func(a, b platform.Row) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
+	})
+	return c
+}
+
+// platform does something at the table, and brings the answer or none.
+func (f *fleet) platform(i *instance, do func() Event, none Event) {
+	ended := false
+	end := func(e Event) {
+		if !ended {
+			ended = true
+			f.step(i, e)
+		}
+	}
+	f.at(hop, func() {
+		if f.tableAway || !f.open(i.name, "table") {
+			return
+		}
+		e := do()
+		if f.open("table", i.name) {
+			f.at(hop, func() { end(e) })
+		}
+	})
+	f.at(readTime, func() { end(none) })
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -1,13 +1,9 @@
 package node
 
 import (
-	"cmp"
-	"container/heap"
-	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"foxtailspoke/config"
@@ -46,12 +42,6 @@
 	seeds []string
 }
 
-// table is one of the platform's tables.
-type table struct {
-	rows     map[string]platform.Row
-	revision platform.Revision
-}
-
 // instance is a node with its clock and what happens while it is frozen.
 type instance struct {
 	node   *Node
@@ -148,62 +138,6 @@
 	return i
 }
 
-// write commits a row of the control table at once, as operators do.
-func (f *fleet) write(key string, value any) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	f.commit(platform.Txn{Puts: []platform.Put{{Table: platform.Control, Key: key, Value: data}}})
-}
-
-func (f *fleet) drop(key string) {
-	f.commit(platform.Txn{Puts: []platform.Put{{Table: platform.Control, Key: key, Delete: true}}})
-}
-
-func (f *fleet) commit(t platform.Txn) platform.WriteResult {
-	result := platform.WriteResult{Outcome: platform.Committed, Revisions: map[platform.TableName]platform.Revision{}}
-	for _, c := range t.Conditions {
-		row := f.tables[c.Table].rows[c.Key]
-		if row.Deleted {
-			row.Revision = 0
-		}
-		if row.Revision != c.Revision {
-			result.Outcome = platform.Conflict
-		}
-		if row.Revision > 0 {
-			result.Current = append(result.Current, row)
-		}
-	}
-	if result.Outcome == platform.Conflict {
-		return result
-	}
-	result.Current = nil
-	for _, p := range t.Puts {
-		to := f.tables[p.Table]
-		if result.Revisions[p.Table] == 0 {
-			to.revision++
-			result.Revisions[p.Table] = to.revision
-		}
-		to.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Revision: to.revision, Attempt: t.Attempt, Deleted: p.Delete}
-	}
-	return result
-}
-
-func (f *fleet) read(r platform.ReadRequest) platform.Changes {
-	from := f.tables[r.Table]
-	c := platform.Changes{Revision: from.revision, Full: r.Since == 0}
-	for _, row := range from.rows {
-		if row.Revision > r.Since && strings.HasPrefix(row.Key, r.Prefix) {
-			c.Rows = append(c.Rows, row)
-		}
-	}
-	slices.SortFunc(c.Rows, func(a, b platform.Row) int {
-		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
-	})
-	return c
-}
-
 // step hands an event to a node, unless it is frozen or gone.
 func (f *fleet) step(i *instance, e Event) {
 	switch {
@@ -298,64 +232,6 @@
 	}
 }
 
-// platform does something at the table, and brings the answer or none.
-func (f *fleet) platform(i *instance, do func() Event, none Event) {
-	ended := false
-	end := func(e Event) {
-		if !ended {
-			ended = true
-			f.step(i, e)
-		}
-	}
-	f.at(hop, func() {
-		if f.tableAway || !f.open(i.name, "table") {
-			return
-		}
-		e := do()
-		if f.open("table", i.name) {
-			f.at(hop, func() { end(e) })
-		}
-	})
-	f.at(readTime, func() { end(none) })
-}
-
-type jobs []job
-
-type job struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-func (j jobs) Len() int { return len(j) }
-func (j jobs) Less(a, b int) bool {
-	return j[a].at < j[b].at || (j[a].at == j[b].at && j[a].seq < j[b].seq)
-}
-func (j jobs) Swap(a, b int) { j[a], j[b] = j[b], j[a] }
-func (j *jobs) Push(x any)   { *j = append(*j, x.(job)) }
-func (j *jobs) Pop() any {
-	old := *j
-	last := old[len(old)-1]
-	*j = old[:len(old)-1]
-	return last
-}
-
-func (f *fleet) at(in time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.queue, job{at: f.now + in, seq: f.seq, do: do})
-}
-
-// run lets the time pass.
-func (f *fleet) run(d time.Duration) {
-	until := f.now + d
-	for len(f.queue) > 0 && f.queue[0].at <= until {
-		j := heap.Pop(&f.queue).(job)
-		f.now = j.at
-		j.do()
-	}
-	f.now = until
-}
-
 // attempt sends a request to a backend server or to its key's minter.
 func (f *fleet) attempt(i *instance, e StartAttempt) {
 	if e.Forward {
--- a/node/node.go
+++ b/node/node.go
@@ -59,6 +59,7 @@
 	leavers map[string]time.Duration
 	ejected map[string]map[string]bool
 	refused refusals
+	fares   fares
 }
 
 // New returns the node of an instance that has just started and knows
@@ -90,6 +91,7 @@
 		leavers:    map[string]time.Duration{},
 		ejected:    map[string]map[string]bool{},
 		refused:    refusals{},
+		fares:      newFares(),
 	}
 }
 
@@ -169,6 +171,7 @@
 		n.forgetAt = n.now + time.Minute
 		n.holder.Forget(n.now)
 		n.forgetLeavers()
+		n.fares.forget(n.now)
 	}
 }
 
--- a/node/operations.go
+++ b/node/operations.go
@@ -65,7 +65,7 @@
 	record := n.record(r, decision.RuleServed)
 	record.Outcome = decision.RanBefore
 	n.emit(Repeat{Request: r.arrived.Request, Answer: a})
-	n.emit(Recorded{Record: record})
+	n.recorded(record)
 }
 
 // claimDetails tells callers why a key was refused.
--- a/node/request.go
+++ b/node/request.go
@@ -184,7 +184,7 @@
 	if !r.gone {
 		n.emit(Refuse{Request: r.arrived.Request, Record: record, Addresses: n.otherAddresses(r)})
 	}
-	n.emit(Recorded{Record: record})
+	n.recorded(record)
 }
 
 // outcomeOf returns what a refusal means for the operation that it ends.
@@ -213,6 +213,12 @@
 	}
 }
 
+// recorded hands out the decision on a request that has ended.
+func (n *Node) recorded(record decision.Record) {
+	n.fares.note(n.now, record)
+	n.emit(Recorded{Record: record})
+}
+
 // otherAddresses names the instances to try instead, for refusals that are
 // this instance's own trouble.
 func (n *Node) otherAddresses(r *request) []string {
--- a/node/status.go
+++ b/node/status.go
@@ -30,6 +30,13 @@
 	Requests int
 }
 
+// Worst returns the workspace that fares worst here; false if none was here
+// often enough to tell.
+func (n *Node) Worst(now time.Duration) (Fare, bool) {
+	n.now = max(n.now, now)
+	return n.fares.worst(n.now)
+}
+
 // ServiceStatus is one service as this instance sees it.
 type ServiceStatus struct {
 	Service config.Service
--- /dev/null
+++ b/node/worst_test.go
@@ -0,0 +1,30 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/decision"
+)
+
+func TestWorstServedWorkspace(t *testing.T) {
+	f := newFares()
+	note := func(workspace string, rule decision.Rule, times int) {
+		for range times {
+			f.note(time.Second, decision.Record{Workspace: workspace, Rule: rule})
+		}
+	}
+	note("well", decision.RuleServed, 30)
+	note("over", decision.RuleServed, 30)
+	note("over", decision.RuleOverRate, 100) // its own doing
+	note("ill", decision.RuleServed, 30)
+	note("ill", decision.RuleNoServer, 10)
+	note("rare", decision.RuleNoServer, 5) // too few to judge
+	worst, ok := f.worst(time.Second)
+	must.True(t, ok)
+	must.Eq(t, Fare{Workspace: "ill", Failed: 0.25}, worst)
+	f.forget(2 * time.Hour)
+	must.MapEmpty(t, f.by)
+}
