--- a/health/ejection.go
+++ b/health/ejection.go
@@ -165,8 +165,9 @@
 			*s = serverState{advised: map[string]time.Duration{}, unwell: s.unwell, unwellAt: s.unwellAt, probing: s.probing}
 			s.relieved, s.relievedAt = true, now
 		case s.relieved && !s.inEffect:
-			s.inEffect = p.heard(s) >= heardShare || now-s.relievedAt >= maxHearing
+			s.inEffect = p.heard(s) >= heardShare
 			s.effectAt = now
+			s.relieved = s.inEffect || now-s.relievedAt < maxHearing
 		case s.relieved && !s.reset && now-s.effectAt >= c.settings.Settle:
 			p.late.forget(id)
 			s.reset = true
@@ -192,7 +193,8 @@
 	// heardShare of the reporting instances must have been advised before a
 	// server counts as relieved; until then the others still load it.
 	heardShare = 0.75
-	// maxHearing is how long that is waited for.
+	// maxHearing is how long that is waited for. If too few have heard by then,
+	// lateness proves nothing, and the relief ends.
 	maxHearing = 3 * time.Second
 )
 
--- a/health/pooled.go
+++ b/health/pooled.go
@@ -135,7 +135,7 @@
 	}
 	if s := p.servers[server]; s != nil {
 		for from, at := range s.advised {
-			if now-at > reporterMemory {
+			if now-at > adviceMemory {
 				delete(s.advised, from)
 				continue
 			}
