A repeat that comes too early isn't told that the operation ran

Cause: the answer to a repeat while the first request is still being decided (rule still-running) had the outcome ran-before. The first may still be refused, for the rate for instance, and then nothing ever ran: a caller that trusts the outcome never places its order. Ruled out: a lost execution (the operation's other answers were all not-run over-rate).

The outcome is unknown now, the sentence says that the request came too early.

--- a/decision/catalogue.go
+++ b/decision/catalogue.go
@@ -44,7 +44,7 @@
 	{RuleCallerGone, statusCallerGone, "Caller hung up", Unknown, false, causeCallerGone},
 	{RuleOperationElsewhere, http.StatusMisdirectedRequest, "Operation belongs to another instance", NotRun, true, causeOperationElsewhere},
 	{RuleOperationLost, http.StatusConflict, "Operation's record is lost", Unknown, false, causeOperationLost},
-	{RuleStillRunning, http.StatusConflict, "Operation is running", RanBefore, true, causeStillRunning},
+	{RuleStillRunning, http.StatusConflict, "Operation is running", Unknown, true, causeStillRunning},
 	{RuleRanAlready, http.StatusConflict, "Operation ran already", RanBefore, false, causeRanAlready},
 	{RuleClaimUnavailable, http.StatusServiceUnavailable, "Operation can't be claimed", NotRun, true, causeClaimUnavailable},
 	{RuleInternal, http.StatusInternalServerError, "Internal fault", Unknown, false, causeInternal},
--- a/decision/rule.go
+++ b/decision/rule.go
@@ -20,7 +20,7 @@
 	// Unknown requests may have run or not.
 	Unknown Outcome = "unknown"
 	// RanBefore answers a repeat: the first request with this operation key
-	// ran, or is running, and this one didn't run again.
+	// ran, and this one didn't run again.
 	RanBefore Outcome = "ran-before"
 )
 
@@ -76,6 +76,8 @@
 	// gone, so nobody knows whether the operation ran.
 	RuleOperationLost Rule = "operation-lost"
 	// RuleStillRunning: the first request of this operation has no end yet.
+	// It may still be refused, for the rate for instance. A caller told that
+	// the operation ran would then never place it: the outcome is unknown.
 	RuleStillRunning Rule = "still-running"
 	// RuleRanAlready: the operation ran and its answer is no longer held.
 	RuleRanAlready Rule = "ran-already"
--- a/decision/sentence.go
+++ b/decision/sentence.go
@@ -49,6 +49,8 @@
 		return "ended early"
 	case r.Outcome == NotRun:
 		return "was refused and not carried out"
+	case r.Rule == RuleStillRunning:
+		return "came too early"
 	case r.Outcome == RanBefore:
 		return "was not carried out a second time"
 	case r.Outcome == Unknown:
@@ -67,7 +69,7 @@
 		return "it is safe to send it again, after " + span(r.RetryAfter)
 	case r.Outcome == NotRun && Lookup(r.Rule).RetryAfter:
 		return "it is safe to send it again"
-	case r.Outcome == RanBefore && r.RetryAfter > 0:
+	case r.Rule == RuleStillRunning && r.RetryAfter > 0:
 		return "the caller may ask again after " + span(r.RetryAfter)
 	case r.Rule == RuleAttemptsFailed:
 		return "sending it again is safe, because this kind of request changes nothing by being repeated"
--- a/internal/proofs/faults_test.go
+++ b/internal/proofs/faults_test.go
@@ -32,6 +32,7 @@
 	{"cebu-boatyard", "catalogue"}: {Rate: 100, Burst: 200},
 	{"cebu-boatyard", "ordering"}:  {Rate: 10, Burst: 20},
 	{"cebu-boatyard", "diagnosis"}: {Rate: 4, Burst: 12},
+	{"cebu-boatyard", "archive"}:   {Rate: 10, Burst: 20},
 	{"bohol-guitars", "catalogue"}: {Rate: 20, Burst: 40},
 	{"bohol-guitars", "ordering"}:  {Rate: 2, Burst: 4},
 }
@@ -41,6 +42,7 @@
 	l.Services["catalogue"] = service("catalogue", "/catalogue/", 2, 2*time.Second)
 	l.Services["ordering"] = service("ordering", "/orders/", 1, 3*time.Second)
 	l.Services["diagnosis"] = service("diagnosis", "/photos/", 1, 5*time.Second)
+	l.Services["archive"] = service("archive", "/archive/", 1, 20*time.Second)
 	for b, limit := range limits {
 		plan, ok := l.Plans[b.workspace]
 		if !ok {
@@ -130,6 +132,8 @@
 	r.load.every(500*time.Millisecond, "cebu-boatyard", cebu, seed+21, ownOrder)
 	r.load.every(700*time.Millisecond, "cebu-boatyard", cebu, seed+22, bareOrder)
 	r.load.every(200*time.Millisecond, "bohol-guitars", bohol, seed+23, bareOrder)
+	r.load.every(300*time.Millisecond, "bohol-guitars", bohol, seed+27, ownOrder)
+	r.load.every(300*time.Millisecond, "bohol-guitars", bohol, seed+28, advisedOrder)
 	r.load.every(600*time.Millisecond, "cebu-boatyard", cebu, seed+24, upload)
 	r.load.every(50*time.Millisecond, "cebu-boatyard", r.leaver, seed+25, lookup)
 	r.load.every(time.Second, "cebu-boatyard", r.leaver, seed+26, ownOrder)
--- a/internal/proofs/history_test.go
+++ b/internal/proofs/history_test.go
@@ -111,7 +111,7 @@
 		case s.outcome == "not-run" && !maybe[s.path] && times[s.path] > 0:
 			faults = append(faults, fmt.Sprintf("%s %s: answered not-run (%s), and ran", s.method, s.path, s.rule))
 		case (s.outcome == "served" || s.outcome == "ran-before") && times[s.path] == 0:
-			faults = append(faults, fmt.Sprintf("%s %s: answered %s, and never ran", s.method, s.path, s.outcome))
+			faults = append(faults, fmt.Sprintf("%s %s: answered %s (%s), and never ran", s.method, s.path, s.outcome, s.rule))
 		}
 		if fault := wrongAnswer(s); fault != "" {
 			faults = append(faults, fault)
