--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SHELL := /bin/bash
 BIN := bin
 
-.PHONY: build test check run latency generate fmt
+.PHONY: build test check run latency idle generate fmt
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -34,6 +34,11 @@
 latency: build
 	@scripts/latency
 
+# idle measures what entry instances cost while nothing happens; ENTRIES=9
+# starts nine of them.
+idle: build
+	@scripts/idle
+
 generate:
 	go generate ./...
 	go test ./event -update
--- a/node/scale_bench_test.go
+++ b/node/scale_bench_test.go
@@ -320,23 +320,16 @@
 	part("reportHealth", n.reportHealth)
 	part("planShards", n.planShards)
 	part("refreshShards", n.refreshShards)
+	n.shards.line["0"] = 0
+	part("indexLimits,writer", n.indexLimits)
+	part("planShards,writer", func() {
+		n.planShards()
+		n.shards.writing = false
+	})
 	part("rankShards", n.rankShards)
 	part("holderForget", func() { n.holder.Forget(n.now) })
 }
 
-// BenchmarkIndexLimits is what an instance that writes rows of shards pays
-// after every accepted pair of lists. Run it with -benchtime 2x.
-func BenchmarkIndexLimits(b *testing.B) {
-	for _, s := range scales {
-		b.Run(s.String(), func(b *testing.B) {
-			l := newLone(b, s)
-			for b.Loop() {
-				l.node.indexLimits()
-			}
-		})
-	}
-}
-
 // BenchmarkScaleBytes reports the memory of an instance's list and of the
 // whole node. Run it with -benchtime 1x.
 func BenchmarkScaleBytes(b *testing.B) {
@@ -354,13 +347,15 @@
 		b.Run("node/"+s.String(), func(b *testing.B) {
 			before := heapBytes()
 			l := newLone(b, s)
-			for i := range 2 * s.workspaces {
+			idle := heapBytes()
+			b.ReportMetric(float64(idle-before)/(1<<20), "MB")
+			for i := range s.workspaces {
 				l.request(i, s)
 				if i%1000 == 0 {
 					l.pass(250 * time.Millisecond)
 				}
 			}
-			b.ReportMetric(float64(heapBytes()-before)/(1<<20), "MB")
+			b.ReportMetric(float64(heapBytes()-idle)/float64(s.workspaces), "B/bucket")
 			runtime.KeepAlive(l)
 		})
 	}
