entry: header names stand once; records encode outside the lock

Cause: header names stood in the stand-in and in entry/attempt; the records keeper encoded a batch of up to 1,024 records while the loop's goroutine could wait for its lock; entry/operators had its own token check and its own translation of a record, which lost the count of refusals alike; and an answer's headers that its Connection lists were passed on to the caller. Change: package wire; Buffer.Take with Cut.Encode outside the lock; operator.NewTokenCheck and FromRecord; one removal of hop-by-hop headers for both directions.

--- a/entry/attempt/attempt.go
+++ b/entry/attempt/attempt.go
@@ -19,31 +19,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-)
-
-// Headers between an entry instance and a backend server.
-const (
-	// HeaderAttempt carries the attempt's id; the answer must echo it.
-	HeaderAttempt = "Foxtailspoke-Attempt"
-	// HeaderWorkspace names the workspace that the request runs for.
-	HeaderWorkspace = "Foxtailspoke-Workspace"
-	// HeaderTimeout is the time left for the answer, in milliseconds.
-	HeaderTimeout = "Foxtailspoke-Timeout-Ms"
-	// HeaderOutcome says "not-run" in an answer to work that wasn't begun.
-	HeaderOutcome = "Foxtailspoke-Outcome"
-	// HeaderOperation carries the caller's idempotency key.
-	HeaderOperation = "Foxtailspoke-Operation"
-	// HeaderForwarded marks a request that another entry instance passed on.
-	HeaderForwarded = "Foxtailspoke-Forwarded"
-	// HeaderRequest carries the request's id in answers to callers.
-	HeaderRequest = "Foxtailspoke-Request"
-
-	// OutcomeNotRun is the value of HeaderOutcome for work not begun.
-	OutcomeNotRun = "not-run"
 
-	// ownHeaders is the common prefix of the headers above. What a caller
-	// sends under it is dropped.
-	ownHeaders = "Foxtailspoke-"
+	"foxtailspoke/wire"
 )
 
 // Ending is how an attempt ended.
@@ -87,8 +64,8 @@
 	Workspace string
 	// Operation is the caller's idempotency key, or empty.
 	Operation string
-	// Timeout bounds the attempt from its start to the end of the part of
-	// the answer that is held.
+	// Timeout bounds the attempt from its start to the end of its answer,
+	// also of the part that is passed on as it comes.
 	Timeout time.Duration
 	// Forward passes the request on to another entry instance as the caller
 	// sent it, with its key.
@@ -175,16 +152,16 @@
 	}
 	out.ContentLength = r.Body.Length()
 	out.Header = forwardedHeader(r.Header, r.Forward)
-	out.Header.Set(HeaderAttempt, r.Attempt)
-	out.Header.Set(HeaderTimeout, strconv.FormatInt(r.Timeout.Milliseconds(), 10))
+	out.Header.Set(wire.HeaderAttempt, r.Attempt)
+	out.Header.Set(wire.HeaderTimeout, strconv.FormatInt(r.Timeout.Milliseconds(), 10))
 	if r.Forward {
-		out.Header.Set(HeaderForwarded, r.Attempt)
-		out.Header.Set(HeaderOperation, r.Operation)
+		out.Header.Set(wire.HeaderForwarded, r.Attempt)
+		out.Header.Set(wire.HeaderOperation, r.Operation)
 		return out, nil
 	}
-	out.Header.Set(HeaderWorkspace, r.Workspace)
+	out.Header.Set(wire.HeaderWorkspace, r.Workspace)
 	if r.Operation != "" {
-		out.Header.Set(HeaderOperation, r.Operation)
+		out.Header.Set(wire.HeaderOperation, r.Operation)
 	}
 	return out, nil
 }
@@ -212,7 +189,7 @@
 		Length:     answer.ContentLength,
 		RetryAfter: retryAfter(answer.Header),
 	}
-	if echo := answer.Header.Values(HeaderAttempt); len(echo) != 1 || echo[0] != r.Attempt {
+	if echo := answer.Header.Values(wire.HeaderAttempt); len(echo) != 1 || echo[0] != r.Attempt {
 		_ = answer.Body.Close()
 		o.Ending = Mismatched
 		return o
@@ -238,7 +215,7 @@
 		return o
 	}
 	_ = answer.Body.Close()
-	if o.Header.Get(HeaderOutcome) == OutcomeNotRun {
+	if o.Header.Get(wire.HeaderOutcome) == wire.OutcomeNotRun {
 		o.Ending = Refused
 	}
 	return o
--- a/entry/attempt/attempt_test.go
+++ b/entry/attempt/attempt_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"foxtailspoke/wire"
 )
 
 func sender(t *testing.T) *Sender {
@@ -181,7 +183,7 @@
 
 func TestLargeAnswerStreamsAndBreaksVisibly(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
+		w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
 		w.Header().Set("Content-Length", "5000")
 		_, _ = w.Write(make([]byte, 4000))
 	}))
--- a/entry/attempt/header.go
+++ b/entry/attempt/header.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"strings"
+
+	"foxtailspoke/wire"
 )
 
 // hopByHop lists the headers that belong to one connection (RFC 9110,
@@ -18,7 +20,7 @@
 // replayHeaders lists the headers that make http.Transport send a request a
 // second time by itself. With one of them a POST without a body would be
 // repeated after its bytes were written; the backend server would run it
-// twice. HeaderOperation takes their place.
+// twice. wire.HeaderOperation takes their place.
 var replayHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
 
 // forwardedHeader returns the caller's headers as they may go on. The key
@@ -28,18 +30,13 @@
 	if out == nil {
 		out = http.Header{}
 	}
-	for _, listed := range out.Values("Connection") {
-		for name := range strings.SplitSeq(listed, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	deleteAll(out, hopByHop)
+	deleteHopByHop(out)
 	deleteAll(out, replayHeaders)
 	if !toEntry {
 		deleteAll(out, keyHeaders)
 	}
 	for name := range out {
-		if strings.HasPrefix(name, ownHeaders) {
+		if strings.HasPrefix(name, wire.OwnHeaders) {
 			delete(out, name)
 		}
 	}
@@ -53,14 +50,26 @@
 // without those of the connection and of the protocol between the two.
 func AnswerHeader(to, from http.Header) {
 	kept := from.Clone()
-	deleteAll(kept, hopByHop)
+	deleteHopByHop(kept)
 	for name, values := range kept {
-		if !strings.HasPrefix(name, ownHeaders) {
+		if !strings.HasPrefix(name, wire.OwnHeaders) {
 			to[name] = values
 		}
 	}
 }
 
+// deleteHopByHop removes the headers of one connection, and those that
+// Connection lists as such. Passed on, they would tell the next connection
+// what was meant for this one.
+func deleteHopByHop(h http.Header) {
+	for _, listed := range h.Values("Connection") {
+		for name := range strings.SplitSeq(listed, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	deleteAll(h, hopByHop)
+}
+
 func deleteAll(h http.Header, names []string) {
 	for _, name := range names {
 		h.Del(name)
--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -20,6 +20,7 @@
 	"foxtailspoke/entry/attempt"
 	"foxtailspoke/health"
 	"foxtailspoke/node"
+	"foxtailspoke/wire"
 )
 
 // ownPrefix begins the paths that aren't passed on.
@@ -126,7 +127,7 @@
 		Path:      r.URL.Path,
 		Operation: operationOf(r),
 		Digest:    digest(r, body),
-		Forwarded: r.Header.Get(attempt.HeaderForwarded) != "",
+		Forwarded: r.Header.Get(wire.HeaderForwarded) != "",
 	})
 	passedOn := c.await(w, r, x, start)
 	c.remove(x, passedOn)
@@ -268,7 +269,7 @@
 // operationOf returns the caller's idempotency key. Another entry instance
 // passes it on under another name; see package attempt.
 func operationOf(r *http.Request) string {
-	if forwarded := r.Header.Get(attempt.HeaderOperation); forwarded != "" && r.Header.Get(attempt.HeaderForwarded) != "" {
+	if forwarded := r.Header.Get(wire.HeaderOperation); forwarded != "" && r.Header.Get(wire.HeaderForwarded) != "" {
 		return forwarded
 	}
 	return r.Header.Get("Idempotency-Key")
--- a/entry/callers/write.go
+++ b/entry/callers/write.go
@@ -11,6 +11,7 @@
 	"foxtailspoke/decision"
 	"foxtailspoke/entry/attempt"
 	"foxtailspoke/node"
+	"foxtailspoke/wire"
 )
 
 // problemType is the media type of RFC 9457.
@@ -38,10 +39,10 @@
 // head sets the headers that every answer of this instance carries.
 func (c *Service) head(w http.ResponseWriter, r *http.Request, id string, o decision.Outcome) {
 	h := w.Header()
-	h.Set(attempt.HeaderRequest, id)
-	h.Set(attempt.HeaderOutcome, string(o))
-	if r.Header.Get(attempt.HeaderForwarded) != "" {
-		h.Set(attempt.HeaderAttempt, r.Header.Get(attempt.HeaderAttempt))
+	h.Set(wire.HeaderRequest, id)
+	h.Set(wire.HeaderOutcome, string(o))
+	if r.Header.Get(wire.HeaderForwarded) != "" {
+		h.Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
 	}
 }
 
@@ -51,8 +52,8 @@
 	attempt.AnswerHeader(w.Header(), o.Header)
 	c.head(w, r, x.id, decision.Served)
 	if a.forwarded {
-		w.Header().Set(attempt.HeaderOutcome, o.Header.Get(attempt.HeaderOutcome))
-		w.Header().Set(attempt.HeaderRequest, o.Header.Get(attempt.HeaderRequest))
+		w.Header().Set(wire.HeaderOutcome, o.Header.Get(wire.HeaderOutcome))
+		w.Header().Set(wire.HeaderRequest, o.Header.Get(wire.HeaderRequest))
 	}
 	w.WriteHeader(o.Status)
 	_, err := w.Write(o.Body)
--- a/entry/operators/convert.go
+++ b/entry/operators/convert.go
@@ -1,10 +1,7 @@
 package operators
 
 import (
-	"time"
-
 	"foxtailspoke/api/operator/oas"
-	"foxtailspoke/decision"
 	"foxtailspoke/membership"
 	"foxtailspoke/node"
 )
@@ -77,54 +74,4 @@
 	return out
 }
 
-func decisionToAPI(r decision.Record) oas.Decision {
-	out := oas.Decision{
-		Request:     r.Request,
-		At:          r.At,
-		Instance:    r.Instance,
-		Workspace:   optString(r.Workspace),
-		Service:     optString(r.Service),
-		Method:      optString(r.Method),
-		Outcome:     oas.DecisionOutcome(r.Outcome),
-		Rule:        string(r.Rule),
-		Sentence:    r.Sentence(),
-		Server:      optString(r.Server),
-		Attempts:    r.Attempts,
-		TookSeconds: r.Took.Seconds(),
-	}
-	if r.RetryAfter > 0 {
-		out.RetryAfterSeconds = oas.NewOptFloat64(r.RetryAfter.Seconds())
-	}
-	if f := r.Figures; f != (decision.Figures{}) {
-		out.Figures = oas.NewOptFigures(figuresToAPI(f))
-	}
-	return out
-}
-
-func figuresToAPI(f decision.Figures) oas.Figures {
-	return oas.Figures{
-		Plan:            optString(f.Plan),
-		Rate:            optFloat(f.Rate),
-		Burst:           optFloat(f.Burst),
-		Tokens:          optFloat(f.Tokens),
-		Parts:           optInt(f.Parts),
-		AgeSeconds:      optSeconds(f.Age),
-		AgeLimitSeconds: optSeconds(f.AgeLimit),
-		Revision:        oas.OptUint64{Value: f.Revision, Set: f.Revision > 0},
-		TimeoutSeconds:  optSeconds(f.Timeout),
-		WaitedSeconds:   optSeconds(f.Waited),
-		Servers:         optInt(f.Servers),
-		Usable:          optInt(f.Usable),
-		Size:            oas.OptInt64{Value: f.Size, Set: f.Size > 0},
-		MaxSize:         oas.OptInt64{Value: f.MaxSize, Set: f.MaxSize > 0},
-		Detail:          optString(f.Detail),
-	}
-}
-
 func optString(s string) oas.OptString { return oas.OptString{Value: s, Set: s != ""} }
-
-func optFloat(v float64) oas.OptFloat64 { return oas.OptFloat64{Value: v, Set: v != 0} }
-
-func optInt(v int) oas.OptInt { return oas.OptInt{Value: v, Set: v != 0} }
-
-func optSeconds(d time.Duration) oas.OptFloat64 { return optFloat(d.Seconds()) }
--- a/entry/operators/operators.go
+++ b/entry/operators/operators.go
@@ -3,13 +3,14 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/ogen-go/ogen/ogenerrors"
 
+	"foxtailspoke/api/operator"
 	"foxtailspoke/api/operator/oas"
 	"foxtailspoke/decision"
 	"foxtailspoke/entry/records"
@@ -30,7 +31,6 @@
 // Service implements the generated interfaces.
 type Service struct {
 	instance string
-	token    []byte
 	loop     Loop
 	records  *records.Keeper
 }
@@ -38,36 +38,23 @@
 // New returns the handler of the operator address: the API under /v1/ and the
 // metrics under /metrics, both for whoever presents the token.
 func New(instance string, token []byte, l Loop, k *records.Keeper, metrics http.Handler) (http.Handler, error) {
-	s := &Service{instance: instance, token: token, loop: l, records: k}
-	api, err := oas.NewServer(s, s)
+	s := &Service{instance: instance, loop: l, records: k}
+	check := operator.NewTokenCheck(string(token))
+	api, err := oas.NewServer(s, check)
 	if err != nil {
 		return nil, errors.Wrap(err, "operators: API")
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", api)
-	mux.Handle("GET /metrics", s.guarded(metrics))
+	mux.Handle("GET /metrics", guarded(check, metrics))
 	return mux, nil
 }
 
-// HandleOperatorToken implements oas.SecurityHandler.
-func (s *Service) HandleOperatorToken(ctx context.Context, _ oas.OperationName, t oas.OperatorToken) (context.Context, error) {
-	if !s.knows(t.Token) {
-		return ctx, errors.New("not the operators' token")
-	}
-	return ctx, nil
-}
-
-// knows compares in constant time, so that the time of an answer doesn't tell
-// how much of a token was right.
-func (s *Service) knows(token string) bool {
-	return subtle.ConstantTimeCompare([]byte(token), s.token) == 1
-}
-
-func (s *Service) guarded(h http.Handler) http.Handler {
+// guarded lets in who presents the operators' token, like the API.
+func guarded(check *operator.TokenCheck, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		const scheme = "Bearer "
-		got := r.Header.Get("Authorization")
-		if len(got) < len(scheme) || !s.knows(got[len(scheme):]) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if _, err := check.HandleOperatorToken(r.Context(), "", oas.OperatorToken{Token: token}); err != nil {
 			http.Error(w, "the operators' token is needed", http.StatusUnauthorized)
 			return
 		}
@@ -116,7 +103,7 @@
 	})
 	out := &oas.Decisions{Instance: s.instance, Dropped: dropped, Decisions: []oas.Decision{}}
 	for _, r := range found {
-		out.Decisions = append(out.Decisions, decisionToAPI(r))
+		out.Decisions = append(out.Decisions, operator.FromRecord(r))
 	}
 	return out, nil
 }
--- a/entry/records/records.go
+++ b/entry/records/records.go
@@ -43,8 +43,8 @@
 	return k.buffer.Search(q), k.buffer.Dropped()
 }
 
-// Serve writes batches until ctx ends, and what is left once more then. It
-// implements suture.Service.
+// Serve writes batches until ctx ends. It implements suture.Service. What is
+// left then is for Flush.
 func (k *Keeper) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(k.every)
 	defer ticker.Stop()
@@ -62,22 +62,42 @@
 func (k *Keeper) Flush(ctx context.Context) { k.flush(ctx) }
 
 func (k *Keeper) flush(ctx context.Context) {
-	for ctx.Err() == nil {
-		batch, ok := k.next()
-		if !ok || k.objects.Put(ctx, batch.Name, batch.Data) != nil {
-			break
-		}
-		k.mu.Lock()
-		k.buffer.Stored(batch.Name)
-		k.mu.Unlock()
+	for ctx.Err() == nil && k.storeNext(ctx) {
 	}
 	k.noteDropped()
 }
 
-func (k *Keeper) next() (decision.Batch, bool) {
+// storeNext stores one batch. It returns false if there is none, or if the
+// object store didn't take it; the same batch is then tried again later. The
+// batch is encoded outside the lock: that takes milliseconds, and Add is
+// called on the loop's goroutine.
+func (k *Keeper) storeNext(ctx context.Context) bool {
+	cut, ok := k.take()
+	if !ok {
+		return false
+	}
+	batch, err := cut.Encode()
+	if err != nil {
+		k.settle(func() { k.buffer.Discard(cut.Name) })
+		return true
+	}
+	if k.objects.Put(ctx, batch.Name, batch.Data) != nil {
+		return false
+	}
+	k.settle(func() { k.buffer.Stored(batch.Name) })
+	return true
+}
+
+func (k *Keeper) take() (decision.Cut, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.buffer.Take()
+}
+
+func (k *Keeper) settle(f func()) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.buffer.Batch()
+	f()
 }
 
 func (k *Keeper) noteDropped() {
--- a/internal/trial/caller.go
+++ b/internal/trial/caller.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"foxtailspoke/api/caller/oas"
-	"foxtailspoke/entry/attempt"
+	"foxtailspoke/wire"
 )
 
 // Caller is a customer's program: it asks which addresses to use, keeps the
@@ -125,8 +125,8 @@
 	}
 	a := Answer{
 		Status:  response.StatusCode,
-		Outcome: response.Header.Get(attempt.HeaderOutcome),
-		Request: response.Header.Get(attempt.HeaderRequest),
+		Outcome: response.Header.Get(wire.HeaderOutcome),
+		Request: response.Header.Get(wire.HeaderRequest),
 		Body:    body,
 		Took:    time.Since(start),
 	}
