--- a/entry/attempt/attempt.go
+++ b/entry/attempt/attempt.go
@@ -46,6 +46,9 @@
 	Refused
 	// Cancelled means that the instance itself gave the attempt up.
 	Cancelled
+	// BodyFailed means that the request's own body ended early or was too
+	// long, so that the backend server can't be blamed.
+	BodyFailed
 )
 
 // Request is what one attempt sends.
@@ -112,6 +115,9 @@
 	answer, err := s.roundTrip(httptrace.WithClientTrace(ctx, watch.trace()), r)
 	if err != nil {
 		o := failed(ctx, err, watch)
+		if r.Body.Failed() && o.Ending != Unwritten && o.Ending != ConnectFailed {
+			o.Ending = BodyFailed
+		}
 		cancel()
 		o.Latency = time.Since(start)
 		return o
--- a/entry/attempt/body.go
+++ b/entry/attempt/body.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	rest    io.Reader
 	started bool
+	failed  bool
 }
 
 // ReadBody reads up to bound bytes of r. Length is the declared length, or
@@ -64,6 +65,13 @@
 	return b.whole || !b.started
 }
 
+// Failed tells whether the part that isn't held couldn't be read.
+func (b *Body) Failed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failed
+}
+
 // Open returns the body from its beginning. A streamed body fails with
 // ErrBodyGone once a byte behind the held ones was read.
 func (b *Body) Open() (io.ReadCloser, error) {
@@ -83,5 +91,11 @@
 	s.b.mu.Lock()
 	s.b.started = true
 	s.b.mu.Unlock()
-	return s.b.rest.Read(p)
+	n, err := s.b.rest.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.b.mu.Lock()
+		s.b.failed = true
+		s.b.mu.Unlock()
+	}
+	return n, err
 }
--- a/entry/attempt/header.go
+++ b/entry/attempt/header.go
@@ -31,6 +31,8 @@
 		out = http.Header{}
 	}
 	deleteHopByHop(out)
+	// The caller was told to go on here already.
+	out.Del("Expect")
 	deleteAll(out, replayHeaders)
 	if !toEntry {
 		deleteAll(out, keyHeaders)
--- a/entry/callers/body.go
+++ b/entry/callers/body.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -22,14 +23,7 @@
 
 // refuseBody answers a request whose body can't be read.
 func (c *Service) refuseBody(w http.ResponseWriter, r *http.Request, id string, err error) {
-	record := decision.Record{
-		Request:  id,
-		Instance: c.instance,
-		Method:   r.Method,
-		Outcome:  decision.NotRun,
-		Rule:     decision.RuleBadRequest,
-	}
-	record.Figures.Detail = "its body didn't arrive whole"
+	record := c.malformed(r, id, "its body didn't arrive whole")
 	var tooMuch *http.MaxBytesError
 	if errors.Is(err, errTooLarge) || errors.As(err, &tooMuch) {
 		record.Rule = decision.RuleTooLarge
@@ -38,6 +32,23 @@
 	c.writeRefusal(w, r, record, nil)
 }
 
+// refuseMalformed answers a request that can't be served whoever sends it.
+func (c *Service) refuseMalformed(w http.ResponseWriter, r *http.Request, why string) {
+	id := decision.NewRequestID(c.instance, time.Now(), c.number.Add(1))
+	c.writeRefusal(w, r, c.malformed(r, id, why), nil)
+}
+
+func (c *Service) malformed(r *http.Request, id, why string) decision.Record {
+	return decision.Record{
+		Request:  id,
+		Instance: c.instance,
+		Method:   r.Method,
+		Outcome:  decision.NotRun,
+		Rule:     decision.RuleBadRequest,
+		Figures:  decision.Figures{Detail: why},
+	}
+}
+
 // digest identifies what a repeat under the same idempotency key must have
 // in common with the first request: method, path, query, length and the part
 // of the body that is held.
--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -36,6 +36,8 @@
 	HoldBytes int64
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
+	// WriteTimeout is how long a caller may take nothing of its answer.
+	WriteTimeout time.Duration
 	// KeepAnswerBytes bounds the answer kept for repeats of an operation.
 	KeepAnswerBytes int
 }
@@ -90,6 +92,12 @@
 
 // ServeHTTP implements http.Handler.
 func (c *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The deadline of the connection's last answer would still stand.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	if why := notUnderstood(r); why != "" {
+		c.refuseMalformed(w, r, why)
+		return
+	}
 	if strings.HasPrefix(r.URL.Path, ownPrefix) {
 		c.api.ServeHTTP(w, r)
 		return
@@ -294,7 +302,7 @@
 			return health.Shed
 		}
 		return health.NotRun
-	case attempt.Cancelled:
+	case attempt.Cancelled, attempt.BodyFailed:
 		return health.Cancelled
 	default:
 		return health.Incomplete
@@ -309,6 +317,7 @@
 	attempt.Broken:        "the connection broke before the answer",
 	attempt.Incomplete:    "the answer ended too early",
 	attempt.Mismatched:    "the answer belonged to another request",
+	attempt.BodyFailed:    "the caller's body didn't arrive whole",
 	attempt.Refused:       "the backend server had no room",
 }
 
--- a/entry/callers/write.go
+++ b/entry/callers/write.go
@@ -39,6 +39,7 @@
 // head sets the headers that every answer of this instance carries.
 func (c *Service) head(w http.ResponseWriter, r *http.Request, id string, o decision.Outcome) {
 	h := w.Header()
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(c.settings.WriteTimeout))
 	h.Set(wire.HeaderRequest, id)
 	h.Set(wire.HeaderOutcome, string(o))
 	if r.Header.Get(wire.HeaderForwarded) != "" {
@@ -56,12 +57,18 @@
 		w.Header().Set(wire.HeaderRequest, o.Header.Get(wire.HeaderRequest))
 	}
 	w.WriteHeader(o.Status)
-	_, err := w.Write(o.Body)
+	to := patient{w: w, timeout: c.settings.WriteTimeout}
+	_, err := to.Write(o.Body)
 	if o.Rest == nil {
 		return
 	}
 	if err == nil {
-		_, err = io.Copy(w, o.Rest)
+		_, err = io.Copy(&to, o.Rest)
+	}
+	if to.failed {
+		// The caller has gone or reads nothing. Told only that the answer was
+		// cut, the node would hold it against the backend server.
+		c.loop.Submit(node.RequestGone{Request: x.id})
 	}
 	c.loop.Submit(node.StreamEnded{Attempt: a.attempt, Whole: err == nil})
 	if err != nil {
@@ -73,6 +80,24 @@
 	}
 }
 
+// patient writes to a caller and gives up when nothing was taken for the
+// timeout. A caller that stops reading would otherwise keep its exchange and
+// the connection to the backend server for as long as it likes.
+type patient struct {
+	w       http.ResponseWriter
+	timeout time.Duration
+	// failed says that the caller didn't take what was written.
+	failed bool
+}
+
+// Write implements io.Writer.
+func (p *patient) Write(b []byte) (int, error) {
+	_ = http.NewResponseController(p.w).SetWriteDeadline(time.Now().Add(p.timeout))
+	n, err := p.w.Write(b)
+	p.failed = p.failed || err != nil
+	return n, err
+}
+
 // writeRefusal answers with problem details.
 func (c *Service) writeRefusal(w http.ResponseWriter, r *http.Request, record decision.Record, addresses []string) {
 	c.head(w, r, record.Request, record.Outcome)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -154,6 +154,7 @@
 	e.callers, err = callers.New(e.self.ID, callers.Settings{
 		HoldBytes:       e.settings.Callers.HoldBytes,
 		MaxBodyBytes:    e.settings.Callers.MaxBodyBytes,
+		WriteTimeout:    time.Duration(e.settings.Callers.WriteTimeout),
 		KeepAnswerBytes: keptAnswer,
 	}, e.loop, sender, e.metrics, e.ready)
 	if err != nil {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -52,6 +52,9 @@
 	HeaderTimeout config.Duration `json:"headerTimeout"`
 	// ReadTimeout bounds the reading of a whole request. Default "60s".
 	ReadTimeout config.Duration `json:"readTimeout"`
+	// WriteTimeout is how long a caller may take nothing of its answer before
+	// the connection is closed. Default "30s".
+	WriteTimeout config.Duration `json:"writeTimeout"`
 	// IdleTimeout closes connections without a request. Default "90s".
 	IdleTimeout config.Duration `json:"idleTimeout"`
 }
@@ -129,6 +132,7 @@
 			HoldBytes:      256 << 10,
 			HeaderTimeout:  config.Duration(5 * time.Second),
 			ReadTimeout:    config.Duration(60 * time.Second),
+			WriteTimeout:   config.Duration(30 * time.Second),
 			IdleTimeout:    config.Duration(90 * time.Second),
 		},
 		Peers:    Peers{MaxConnections: 4096},
@@ -194,6 +198,7 @@
 	f.duration("stop.patience", s.Stop.Patience, 0, time.Hour)
 	f.duration("callers.headerTimeout", s.Callers.HeaderTimeout, time.Millisecond, time.Hour)
 	f.duration("callers.readTimeout", s.Callers.ReadTimeout, time.Millisecond, time.Hour)
+	f.duration("callers.writeTimeout", s.Callers.WriteTimeout, time.Millisecond, time.Hour)
 	f.duration("callers.idleTimeout", s.Callers.IdleTimeout, time.Millisecond, time.Hour)
 	f.duration("platform.announceEvery", s.Platform.AnnounceEvery, 10*time.Millisecond, time.Hour)
 	f.duration("platform.recordsEvery", s.Platform.RecordsEvery, 10*time.Millisecond, time.Hour)
