--- a/entry/callers/body.go
+++ b/entry/callers/body.go
@@ -29,18 +29,26 @@
 		record.Rule = decision.RuleTooLarge
 		record.Figures = decision.Figures{Size: max(r.ContentLength, 0), MaxSize: c.settings.MaxBodyBytes}
 	}
+	c.refuseHere(w, r, record)
+}
+
+// refuseHere answers a request that the node doesn't hear of.
+func (c *Service) refuseHere(w http.ResponseWriter, r *http.Request, record decision.Record) {
+	c.metrics.Answered(record.Outcome, record.Rule, 0)
+	c.record(record)
 	c.writeRefusal(w, r, record, nil)
 }
 
 // refuseMalformed answers a request that can't be served whoever sends it.
 func (c *Service) refuseMalformed(w http.ResponseWriter, r *http.Request, why string) {
 	id := decision.NewRequestID(c.instance, time.Now(), c.number.Add(1))
-	c.writeRefusal(w, r, c.malformed(r, id, why), nil)
+	c.refuseHere(w, r, c.malformed(r, id, why))
 }
 
 func (c *Service) malformed(r *http.Request, id, why string) decision.Record {
 	return decision.Record{
 		Request:  id,
+		At:       time.Now(),
 		Instance: c.instance,
 		Method:   r.Method,
 		Outcome:  decision.NotRun,
--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -50,6 +50,7 @@
 	sender   *attempt.Sender
 	metrics  Metrics
 	ready    Readiness
+	record   func(decision.Record)
 	api      http.Handler
 
 	number atomic.Uint64
@@ -73,8 +74,9 @@
 	Attempt(service, result string)
 }
 
-// New returns the service of an instance.
-func New(instance string, s Settings, loop Submitter, sender *attempt.Sender, m Metrics, ready Readiness) (*Service, error) {
+// New returns the service of an instance. Record takes the records of requests
+// that are refused before the node hears of them; it must not block.
+func New(instance string, s Settings, loop Submitter, sender *attempt.Sender, m Metrics, ready Readiness, record func(decision.Record)) (*Service, error) {
 	c := &Service{
 		instance: instance,
 		settings: s,
@@ -82,6 +84,7 @@
 		sender:   sender,
 		metrics:  m,
 		ready:    ready,
+		record:   record,
 		open:     map[string]*exchange{},
 		cancels:  map[string]context.CancelFunc{},
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -156,7 +156,7 @@
 		MaxBodyBytes:    e.settings.Callers.MaxBodyBytes,
 		WriteTimeout:    time.Duration(e.settings.Callers.WriteTimeout),
 		KeepAnswerBytes: keptAnswer,
-	}, e.loop, sender, e.metrics, e.ready)
+	}, e.loop, sender, e.metrics, e.ready, e.records.Add)
 	if err != nil {
 		return err
 	}
