Probes ask for the service's own path

Cause: probes of ejected backend servers asked for /-/health, and a server that is healthy by its own report while it fails real requests came back. Change: config.Service.Probe, optional in the plans' list and checked there (nothing under /-/); without it the first route's prefix. Ruled out: replaying a caller's request, which nobody allowed.

--- a/config/config.go
+++ b/config/config.go
@@ -64,6 +64,18 @@
 	// Timeout bounds one request from arrival to the end of its answer.
 	Timeout Duration `json:"timeout"`
 	Routes  []Route  `json:"routes"`
+	// Probe is the path of a GET that is safe to send at any time and makes
+	// a backend server do a little of its real work. Probes of ejected
+	// servers ask for it. Empty stands for the first route's prefix.
+	Probe string `json:"probe,omitempty"`
+}
+
+// ProbePath returns the path that probes ask for.
+func (s Service) ProbePath() string {
+	if s.Probe != "" || len(s.Routes) == 0 {
+		return s.Probe
+	}
+	return s.Routes[0].Prefix
 }
 
 // Lists is the row under ListsKey.
--- a/config/lists/check.go
+++ b/config/lists/check.go
@@ -103,6 +103,13 @@
 	return !strings.Contains(s, "/./") && !strings.Contains(s, "/../")
 }
 
+// validProbe accepts what validPrefix does, with or without a last slash, but
+// nothing under /-/: there backend servers report their own health, which
+// they do well while they fail real requests.
+func validProbe(s string) bool {
+	return validPrefix(strings.TrimSuffix(s, "/")+"/") && !strings.HasPrefix(s, "/-/") && s != "/-"
+}
+
 func quoted(s string) string {
 	const most = 80
 	if len(s) > most {
--- a/config/lists/diff.go
+++ b/config/lists/diff.go
@@ -131,6 +131,9 @@
 func serviceFacts(f map[string]string, s config.Service) {
 	f["floor"] = strconv.Itoa(s.Floor)
 	f["time-out"] = time.Duration(s.Timeout).String()
+	if s.Probe != "" {
+		f["probe"] = "GET " + s.Probe
+	}
 	for _, r := range s.Routes {
 		f["route "+r.Prefix] = idempotentText(r.Idempotent)
 	}
--- a/config/lists/lists_test.go
+++ b/config/lists/lists_test.go
@@ -70,6 +70,7 @@
 		{"burst below one", goodCustomers, plan("40", "0.5"), nil, []string{`p.json:3:59: plans.p.services.s.burst: found 0.5; allowed: a number from 1 to`}},
 		{"floor above capacity", goodCustomers, goodPlans, Capacity{"s": 1}, []string{`p.json:2:31: services.s.floor: found the floor 2; allowed: at most 1`}},
 		{"floor zero", goodCustomers, plan(`"floor": 2`, `"floor": 0`), nil, []string{`p.json:2:31: services.s.floor: found 0`}},
+		{"probe of the own report", goodCustomers, plan(`"2s"`, `"2s", "probe": "/-/health"`), nil, []string{`p.json:2:60: services.s.probe: found "/-/health"; allowed: a path such as "/catalogue/glue", of at most 256 letters, digits, "-", "_", ".", "~" and slashes, without "//", "." and ".." between slashes, and not under /-/`}},
 		{"time-out without unit", goodCustomers, plan(`"2s"`, `"2"`), nil, []string{`p.json:2:45: services.s.timeout: found "2"; allowed: a time from 1ms to 1h0m0s`}},
 		{"no routes", goodCustomers, plan(`[{"prefix": "/s/"}]`, `[]`), nil, []string{`p.json:2:61: services.s.routes: found no route`}},
 		{"prefix without slash", goodCustomers, plan(`"/s/"`, `"/s"`), nil, []string{`p.json:2:73: services.s.routes[0].prefix: found "/s"`}},
--- a/config/lists/read.go
+++ b/config/lists/read.go
@@ -96,6 +96,7 @@
 		jsonc.Field{Name: "routes", Required: true, Read: func(v jsonc.Value) {
 			s.Routes = r.routes(s.Name, v)
 		}},
+		jsonc.Field{Name: "probe", Read: func(v jsonc.Value) { s.Probe = probe(v) }},
 	)
 	r.lists.Services[s.Name] = s
 }
@@ -145,6 +146,15 @@
 	return prefix
 }
 
+func probe(v jsonc.Value) string {
+	path, ok := v.Text()
+	if ok && !validProbe(path) {
+		v.Fault(quoted(path), fmt.Sprintf(
+			`a path such as "/catalogue/glue", of at most %d letters, digits, "-", "_", ".", "~" and slashes, without "//", "." and ".." between slashes, and not under /-/`, MaxPrefix))
+	}
+	return path
+}
+
 func (r *reader) plan(name, v jsonc.Value) {
 	p := config.Plan{Name: checkedName(name), Services: map[string]config.Limit{}}
 	v.Object(jsonc.Field{Name: "services", Required: true, Read: func(v jsonc.Value) {
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -83,6 +83,8 @@
 // options of a world.
 type options struct {
 	entries int
+	// catalogues is how many servers the catalogue has, at least 1.
+	catalogues int
 	// own serves the path /own/ if it is set; echoing the attempt is its job.
 	own    http.HandlerFunc
 	adjust func(*settings.Settings)
@@ -100,6 +102,9 @@
 	must.NoError(t, err)
 	t.Cleanup(w.client.Close)
 	w.catalogue = w.backend("catalogue")
+	for range o.catalogues - 1 {
+		w.backend("catalogue")
+	}
 	w.orders = w.backend("ordering")
 	if o.own != nil {
 		w.serveOwn(o.own)
--- a/node/event.go
+++ b/node/event.go
@@ -176,8 +176,10 @@
 
 // StartProbe sends a request that no caller waits for.
 type StartProbe struct {
-	Probe   health.Probe
-	Server  platform.Instance
+	Probe  health.Probe
+	Server platform.Instance
+	// Path is what the probe asks for by GET.
+	Path    string
 	Timeout time.Duration
 }
 
--- a/node/servers.go
+++ b/node/servers.go
@@ -128,12 +128,13 @@
 }
 
 func (n *Node) probe(service string) {
+	about, _ := n.replica.Service(service)
 	for _, probe := range n.collector.Probes(n.now, service, n.replica.Permits(service)) {
 		server, ok := n.member.Live().Instance(probe.Server)
 		if !ok {
 			continue
 		}
-		n.emit(StartProbe{Probe: probe, Server: server, Timeout: n.settings.Health.SlowProbe})
+		n.emit(StartProbe{Probe: probe, Server: server, Path: about.ProbePath(), Timeout: n.settings.Health.SlowProbe})
 	}
 }
 
