--- /dev/null
+++ b/node/example_test.go
@@ -0,0 +1,48 @@
+package node_test
+
+import (
+	"fmt"
+	"time"
+
+	"foxtailspoke/config"
+	"foxtailspoke/effect"
+	"foxtailspoke/node"
+	"foxtailspoke/platform"
+)
+
+// A node is driven by events and answers with effects; the same events give
+// the same effects. Here it learns its configuration from the table and
+// refuses a request without a key.
+func Example() {
+	s := node.DefaultSettings()
+	s.Self = platform.Instance{ID: "a", Kind: platform.Entry, DataCentre: "luzon-1", State: platform.Live}
+	s.Secret = []byte("a secret of this start, kept in memory")
+	s.Seed = 1
+	n := node.New(s)
+
+	now := time.Second
+	request := node.RequestArrived{Request: "r1", Method: "GET", Path: "/catalogue/narra"}
+	for _, e := range n.Step(now, request) {
+		if refused, ok := e.(node.Refuse); ok {
+			fmt.Println(refused.Record.Rule, refused.Record.Outcome)
+		}
+	}
+	for _, e := range n.Step(now, node.Wake{}) {
+		if read, ok := e.(effect.ReadTable); ok {
+			rows := []platform.Row{{
+				Key: config.ServicePrefix + "catalogue", Revision: 1,
+				Value: []byte(`{"floor":1,"timeout":"2s","routes":[{"prefix":"/catalogue/"}]}`),
+			}}
+			n.Step(now, node.TableRead{ID: read.ID, Changes: platform.Changes{Revision: 1, Rows: rows}, OK: true})
+		}
+	}
+	request.Request = "r2"
+	for _, e := range n.Step(now, request) {
+		if refused, ok := e.(node.Refuse); ok {
+			fmt.Println(refused.Record.Rule, refused.Record.Outcome)
+		}
+	}
+	// Output:
+	// cut-off not-run
+	// no-key not-run
+}
--- /dev/null
+++ b/peer/example_test.go
@@ -0,0 +1,56 @@
+package peer_test
+
+import (
+	"context"
+	"encoding/gob"
+	"fmt"
+	"net"
+	"time"
+
+	"foxtailspoke/peer"
+)
+
+// question and reply are the messages of the example.
+type (
+	question struct{ Text string }
+	reply    struct{ Text string }
+)
+
+// Two processes with the same secret call each other; one with another secret
+// is refused.
+func Example() {
+	gob.Register(question{})
+	gob.Register(reply{})
+	secret := []byte("the fleet's secret, at least 16 bytes")
+	server, err := peer.NewServer(secret, 16, time.Second, func(from string, body any) (any, bool) {
+		q, ok := body.(question)
+		return reply{Text: from + " asked: " + q.Text}, ok
+	})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, l) }()
+
+	client := peer.NewClient("a", secret, time.Second)
+	answer, err := client.Call(ctx, l.Addr().String(), question{Text: "newest revision?"})
+	fmt.Println(answer, err)
+	client.Close()
+
+	stranger := peer.NewClient("b", []byte("another secret of enough length"), time.Second)
+	_, err = stranger.Call(ctx, l.Addr().String(), question{})
+	fmt.Println(err != nil)
+	stranger.Close()
+	cancel()
+	<-done
+	// Output:
+	// {a asked: newest revision?} <nil>
+	// true
+}
--- /dev/null
+++ b/retry/example_test.go
@@ -0,0 +1,33 @@
+package retry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"foxtailspoke/health"
+	"foxtailspoke/retry"
+)
+
+// A lookup whose answer broke off is tried elsewhere. An order is not: it may
+// have run. An order that reached nobody is.
+func Example() {
+	b := retry.NewBudget(retry.DefaultSettings(), rand.New(rand.NewPCG(1, 2)))
+	for range 100 {
+		b.Request() // a share of the requests may be retries
+	}
+	a := retry.Attempt{Result: health.Incomplete, Idempotent: true, Number: 1, Deadline: 2 * time.Second, Others: 3, Room: true}
+	lookup := retry.Decide(time.Second, a, b)
+	fmt.Println(lookup.Action == retry.Retry, lookup.Reason)
+
+	a.Idempotent = false
+	order := retry.Decide(time.Second, a, b)
+	fmt.Println(order.Action == retry.GiveUp, order.Outcome == retry.Unknown, order.Reason)
+
+	a.Result = health.ConnectFailed
+	fmt.Println(retry.Decide(time.Second, a, b).Action == retry.Retry)
+	// Output:
+	// true another server is tried
+	// true true the request may have run and must not be repeated
+	// true
+}
