--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -20,6 +20,7 @@
 	"foxtailspoke/entry/attempt"
 	"foxtailspoke/health"
 	"foxtailspoke/node"
+	"foxtailspoke/wire"
 )
 
 // ownPrefix begins the paths that aren't passed on.
@@ -35,6 +36,8 @@
 	HoldBytes int64
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
+	// WriteTimeout is how long a caller may take nothing of its answer.
+	WriteTimeout time.Duration
 	// KeepAnswerBytes bounds the answer kept for repeats of an operation.
 	KeepAnswerBytes int
 }
@@ -47,6 +50,7 @@
 	sender   *attempt.Sender
 	metrics  Metrics
 	ready    Readiness
+	record   func(decision.Record)
 	api      http.Handler
 
 	number atomic.Uint64
@@ -70,8 +74,9 @@
 	Attempt(service, result string)
 }
 
-// New returns the service of an instance.
-func New(instance string, s Settings, loop Submitter, sender *attempt.Sender, m Metrics, ready Readiness) (*Service, error) {
+// New returns the service of an instance. Record takes the records of requests
+// that are refused before the node hears of them; it must not block.
+func New(instance string, s Settings, loop Submitter, sender *attempt.Sender, m Metrics, ready Readiness, record func(decision.Record)) (*Service, error) {
 	c := &Service{
 		instance: instance,
 		settings: s,
@@ -79,6 +84,7 @@
 		sender:   sender,
 		metrics:  m,
 		ready:    ready,
+		record:   record,
 		open:     map[string]*exchange{},
 		cancels:  map[string]context.CancelFunc{},
 	}
@@ -89,6 +95,12 @@
 
 // ServeHTTP implements http.Handler.
 func (c *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The deadline of the connection's last answer would still stand.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	if why := notUnderstood(r); why != "" {
+		c.refuseMalformed(w, r, why)
+		return
+	}
 	if strings.HasPrefix(r.URL.Path, ownPrefix) {
 		c.api.ServeHTTP(w, r)
 		return
@@ -126,7 +138,7 @@
 		Path:      r.URL.Path,
 		Operation: operationOf(r),
 		Digest:    digest(r, body),
-		Forwarded: r.Header.Get(attempt.HeaderForwarded) != "",
+		Forwarded: r.Header.Get(wire.HeaderForwarded) != "",
 	})
 	passedOn := c.await(w, r, x, start)
 	c.remove(x, passedOn)
@@ -268,7 +280,7 @@
 // operationOf returns the caller's idempotency key. Another entry instance
 // passes it on under another name; see package attempt.
 func operationOf(r *http.Request) string {
-	if forwarded := r.Header.Get(attempt.HeaderOperation); forwarded != "" && r.Header.Get(attempt.HeaderForwarded) != "" {
+	if forwarded := r.Header.Get(wire.HeaderOperation); forwarded != "" && r.Header.Get(wire.HeaderForwarded) != "" {
 		return forwarded
 	}
 	return r.Header.Get("Idempotency-Key")
@@ -293,7 +305,7 @@
 			return health.Shed
 		}
 		return health.NotRun
-	case attempt.Cancelled:
+	case attempt.Cancelled, attempt.BodyFailed:
 		return health.Cancelled
 	default:
 		return health.Incomplete
@@ -308,6 +320,7 @@
 	attempt.Broken:        "the connection broke before the answer",
 	attempt.Incomplete:    "the answer ended too early",
 	attempt.Mismatched:    "the answer belonged to another request",
+	attempt.BodyFailed:    "the caller's body didn't arrive whole",
 	attempt.Refused:       "the backend server had no room",
 }
 
