A drain answer reaches the node; the worst-served workspace as a metric

Cause: the node could leave a draining server alone, but nothing told it. Change: Foxtailspoke-Leaving in a backend server's refusal. Seen: tests of entry, node, stand-ins and health green with -race.

--- a/entry/attempt/attempt.go
+++ b/entry/attempt/attempt.go
@@ -88,6 +88,9 @@
 	Length int64
 	// RetryAfter is what the backend server asked for; 0 if nothing.
 	RetryAfter time.Duration
+	// Leaving says that the backend server refused because it is about to
+	// stop.
+	Leaving bool
 	// Latency is the time to the answer's header, or to the failure.
 	Latency time.Duration
 	Err     error
@@ -223,6 +226,7 @@
 	_ = answer.Body.Close()
 	if o.Header.Get(wire.HeaderOutcome) == wire.OutcomeNotRun {
 		o.Ending = Refused
+		o.Leaving = o.Header.Get(wire.HeaderLeaving) != ""
 	}
 	return o
 }
--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -233,6 +233,7 @@
 		Result:     Result(o),
 		Latency:    o.Latency,
 		RetryAfter: o.RetryAfter,
+		Leaving:    o.Leaving,
 		Replayable: x.body.Available(),
 		Streaming:  o.Rest != nil && o.Ending == attempt.Answered,
 		Detail:     detail(o),
--- a/entry/tree.go
+++ b/entry/tree.go
@@ -13,6 +13,7 @@
 
 	"foxtailspoke/entry/operators"
 	"foxtailspoke/event"
+	"foxtailspoke/node"
 	"foxtailspoke/peer"
 	"foxtailspoke/platform"
 	"foxtailspoke/platform/client"
@@ -154,6 +155,11 @@
 		_, writes := e.driver.store.Counts()
 		return float64(writes)
 	})
+	e.metrics.Gauge("worst_workspace_failed_ratio", "Share of requests that failed by no fault of their own, of the workspace that fares worst at this instance.", func() float64 {
+		var worst node.Fare
+		e.loop.Do(func(n *node.Node, now time.Duration) { worst, _ = n.Worst(now) })
+		return worst.Failed
+	})
 	e.metrics.Gauge("peer_sent_bytes", "Bytes sent to other instances on the connections open now.", func() float64 {
 		sent, _ := e.peers.Traffic()
 		return float64(sent)
--- a/internal/standin/backend_serve.go
+++ b/internal/standin/backend_serve.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/wire"
 )
 
 // maxWorkBody bounds a request's body, in bytes.
@@ -53,6 +55,7 @@
 	}
 	defer cancel()
 	if b.isDraining() {
+		w.Header().Set(wire.HeaderLeaving, "1")
 		shed(w, r)
 		return
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -23,6 +23,10 @@
 	// backend server sets it in answers that aren't the work's own result.
 	HeaderOutcome = "Foxtailspoke-Outcome"
 
+	// HeaderLeaving is set, to any value, in a backend server's refusal when
+	// it is about to stop and will take nothing new.
+	HeaderLeaving = "Foxtailspoke-Leaving"
+
 	// OwnHeaders is the common prefix of the headers above. What a caller
 	// sends under it is dropped.
 	OwnHeaders = "Foxtailspoke-"
