--- a/entry/callers/body.go
+++ b/entry/callers/body.go
@@ -34,7 +34,7 @@
 
 // refuseHere answers a request that the node doesn't hear of.
 func (c *Service) refuseHere(w http.ResponseWriter, r *http.Request, record decision.Record) {
-	c.metrics.Answered(record.Outcome, record.Rule, 0)
+	c.metrics.Answered(record.Outcome, record.Rule)
 	c.record(record)
 	c.writeRefusal(w, r, record, nil)
 }
--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -67,9 +67,11 @@
 
 // Metrics counts what callers see. Its methods must not block.
 type Metrics interface {
-	// Answered counts an answer, with the time that the instance added: from
-	// arrival to the answer's first byte, less the time of its attempts.
-	Answered(outcome decision.Outcome, rule decision.Rule, added time.Duration)
+	// Answered counts an answer.
+	Answered(outcome decision.Outcome, rule decision.Rule)
+	// Added takes the time that the instance added to an answer: from arrival
+	// to its first byte, less the time of the attempt that brought it.
+	Added(time.Duration)
 	// Attempt counts an attempt that has ended, by the server's service.
 	Attempt(service, result string)
 }
--- a/entry/callers/write.go
+++ b/entry/callers/write.go
@@ -21,17 +21,22 @@
 func (c *Service) write(w http.ResponseWriter, r *http.Request, x *exchange, a answer, start time.Time) {
 	switch {
 	case a.refusal != nil:
-		c.metrics.Answered(a.refusal.Outcome, a.refusal.Rule, time.Since(start))
+		c.metrics.Answered(a.refusal.Outcome, a.refusal.Rule)
+		if a.refusal.Attempts == 0 {
+			c.metrics.Added(time.Since(start))
+		}
 		c.writeRefusal(w, r, *a.refusal, a.addresses)
 	case a.stored != nil:
-		c.metrics.Answered(decision.RanBefore, decision.RuleServed, time.Since(start))
+		c.metrics.Answered(decision.RanBefore, decision.RuleServed)
+		c.metrics.Added(time.Since(start))
 		c.head(w, r, x.id, decision.RanBefore)
 		w.Header().Set("Content-Type", a.stored.ContentType)
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.stored.Body)))
 		w.WriteHeader(a.stored.Status)
 		_, _ = w.Write(a.stored.Body)
 	case a.outcome != nil:
-		c.metrics.Answered(decision.Served, decision.RuleServed, time.Since(start)-a.outcome.Latency)
+		c.metrics.Answered(decision.Served, decision.RuleServed)
+		c.metrics.Added(time.Since(start) - a.outcome.Latency)
 		c.relay(w, r, x, a)
 	}
 }
--- a/entry/metrics/metrics.go
+++ b/entry/metrics/metrics.go
@@ -82,11 +82,13 @@
 }
 
 // Answered implements callers.Metrics.
-func (m *Metrics) Answered(o decision.Outcome, r decision.Rule, added time.Duration) {
+func (m *Metrics) Answered(o decision.Outcome, r decision.Rule) {
 	m.answers.WithLabelValues(string(o), string(r)).Inc()
-	m.added.Observe(added.Seconds())
 }
 
+// Added implements callers.Metrics.
+func (m *Metrics) Added(d time.Duration) { m.added.Observe(d.Seconds()) }
+
 // Recorded counts a request that has ended.
 func (m *Metrics) Recorded(r decision.Record) {
 	if r.Service != "" {
