Traces and their replay; a stop that ends also when the tree ends first

Connections to backend servers and to the platform stayed open after Run. Change: a channel that is closed; entry/trace records events with a hash of the effects behind trace.file, default off, and replays them on a fresh node.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,7 @@
 	"foxtailspoke/entry/records"
 	"foxtailspoke/entry/settings"
 	"foxtailspoke/entry/store"
+	"foxtailspoke/entry/trace"
 	"foxtailspoke/event"
 	"foxtailspoke/node"
 	"foxtailspoke/peer"
@@ -64,6 +66,7 @@
 	client  *client.Client
 	peers   *peer.Client
 	loop    *loop.Loop
+	sender  *attempt.Sender
 	callers *callers.Service
 	records *records.Keeper
 	metrics *metrics.Metrics
@@ -73,6 +76,8 @@
 
 	callerServer *http.Server
 	leaving      atomic.Bool
+	// traceFile is nil without a trace.
+	traceFile *os.File
 }
 
 // ports are the listeners, bound before anything is announced.
@@ -137,26 +142,29 @@
 }
 
 func (e *Entry) build(secret, token []byte) error {
-	n := node.New(e.nodeSettings())
+	nodeSettings := e.nodeSettings()
+	recorder, err := e.record(nodeSettings)
+	if err != nil {
+		return err
+	}
 	e.driver = &driver{log: e.log, metrics: e.metrics}
-	e.loop = loop.New(n, clock.New(), e.driver, nil)
+	e.loop = loop.New(node.New(nodeSettings), clock.New(), e.driver, recorder)
 	e.peers = peer.NewClient(e.self.ID, secret, callTimeout)
 	e.records = records.New(
 		decision.NewBuffer(e.self.ID, decision.BufferSettings{}),
 		e.client.Objects(), time.Duration(e.settings.Platform.RecordsEvery), e.log)
-	sender := attempt.NewSender(attempt.Settings{
+	e.sender = attempt.NewSender(attempt.Settings{
 		HoldBytes:            e.settings.Callers.HoldBytes,
 		ConnectTimeout:       connectTimeout,
 		IdleTimeout:          serverIdle,
 		ConnectionsPerServer: connectionsPerServer,
 	})
-	var err error
 	e.callers, err = callers.New(e.self.ID, callers.Settings{
 		HoldBytes:       e.settings.Callers.HoldBytes,
 		MaxBodyBytes:    e.settings.Callers.MaxBodyBytes,
 		WriteTimeout:    time.Duration(e.settings.Callers.WriteTimeout),
 		KeepAnswerBytes: keptAnswer,
-	}, e.loop, sender, e.metrics, e.ready, e.records.Add)
+	}, e.loop, e.sender, e.metrics, e.ready, e.records.Add)
 	if err != nil {
 		return err
 	}
@@ -164,11 +172,24 @@
 	e.driver.records = e.records
 	e.driver.store = store.New(e.client, e.client, e.loop, e.log, platformTimeout)
 	e.driver.peers = peers.New(e.peers, e.loop, callTimeout)
-	e.driver.probes = newProber(sender, e.loop)
+	e.driver.probes = newProber(e.sender, e.loop)
 	e.exportGauges()
 	return e.plant(secret, token)
 }
 
+// record begins the trace, if the settings ask for one.
+func (e *Entry) record(s node.Settings) (loop.Recorder, error) {
+	if e.settings.Trace.File == "" {
+		return nil, nil
+	}
+	f, err := os.OpenFile(e.settings.Trace.File, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "trace")
+	}
+	e.traceFile = f
+	return trace.NewRecorder(f, e.settings.Trace.MaxBytes, s)
+}
+
 // nodeSettings translates the settings of the process for the node.
 func (e *Entry) nodeSettings() node.Settings {
 	s := node.DefaultSettings()
@@ -197,7 +218,12 @@
 func (e *Entry) Run(ctx context.Context) error {
 	treeCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	ended := e.tree.ServeBackground(treeCtx)
+	ended := make(chan struct{})
+	var treeErr error
+	go func() {
+		defer close(ended)
+		treeErr = e.tree.Serve(treeCtx)
+	}()
 	event.Started.Log(e.log,
 		slog.String("instance", e.self.ID),
 		slog.String("dataCentre", e.self.DataCentre),
@@ -205,13 +231,24 @@
 		slog.String("peers", e.self.PeerAddress),
 		slog.String("operators", e.self.OperatorAddress))
 	select {
-	case err := <-ended:
-		return errors.Wrap(err, "entry: a part that can't be restarted has ended")
+	case <-ended:
+		e.close()
+		return errors.Wrap(treeErr, "entry: a part that can't be restarted has ended")
 	case <-ctx.Done():
 	}
 	e.stop(ended)
 	cancel()
 	<-ended
-	e.peers.Close()
+	e.close()
 	return nil
 }
+
+// close ends what outlives the tree: connections to others, and the trace.
+func (e *Entry) close() {
+	e.peers.Close()
+	e.sender.Close()
+	e.client.Close()
+	if e.traceFile != nil {
+		_ = e.traceFile.Close()
+	}
+}
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -55,7 +55,10 @@
 	catalogue *standin.Backend
 	orders    *standin.Backend
 	entries   []*entry.Entry
-	log       *logged
+	// stops begins the planned stop of an instance, and ends are how Run ended.
+	stops []context.CancelFunc
+	ends  []chan error
+	log   *logged
 	// key belongs to a workspace that may use the catalogue only; full to one
 	// that may use everything.
 	key, full string
@@ -201,12 +204,16 @@
 	must.NoError(w.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- e.Run(ctx) }()
+	go func() {
+		defer close(done)
+		done <- e.Run(ctx)
+	}()
+	w.stops, w.ends = append(w.stops, cancel), append(w.ends, done)
 	w.t.Cleanup(func() {
 		cancel()
 		select {
-		case err := <-done:
-			must.NoError(w.t, err)
+		case err, open := <-done:
+			must.NoError(w.t, err, must.Sprint(open))
 		case <-time.After(patience):
 			w.t.Error("the instance didn't stop")
 		}
--- a/entry/gone_test.go
+++ b/entry/gone_test.go
@@ -19,6 +19,7 @@
 	"foxtailspoke/entry"
 	"foxtailspoke/entry/settings"
 	"foxtailspoke/internal/standin"
+	"foxtailspoke/platform"
 	"foxtailspoke/wire"
 )
 
@@ -198,3 +199,20 @@
 		must.StrNotContains(t, all, hidden)
 	}
 }
+
+// An instance stops as planned and waits for the answers that named it to run
+// out. Meanwhile the platform lists it as ended, and what keeps it announced
+// ends the tree. Run must come back; it once waited for the tree's end twice.
+func TestStopEndsAlsoWhenTheTreeEndsFirst(t *testing.T) {
+	w := newWorld(t, options{adjust: func(s *settings.Settings) { s.Fleet.LocateTTL = config.Duration(time.Hour) }})
+	self := w.entries[0].Addresses()
+	w.stops[0]()
+	eventually(t, "it stops", func() bool { return strings.Contains(w.log.text(), "planned stop begun") })
+	self.State = platform.Ended
+	must.NoError(t, w.client.Announce(context.Background(), self))
+	select {
+	case <-w.ends[0]:
+	case <-time.After(patience):
+		t.Error("Run doesn't come back")
+	}
+}
--- a/entry/loop/loop.go
+++ b/entry/loop/loop.go
@@ -29,7 +29,10 @@
 
 // Recorder sees every step, for replay. It is called on the loop's goroutine.
 type Recorder interface {
-	Record(now time.Duration, e node.Event)
+	// Record takes an event with its effects, which are valid during the call.
+	Record(now time.Duration, e node.Event, effects []node.Effect)
+	// Outside says that the node was changed by something else than an event.
+	Outside(now time.Duration)
 }
 
 // Loop owns a node. No one else may touch it.
@@ -83,7 +86,13 @@
 
 // Effects runs f like Do and carries out the effects that it returns.
 func (l *Loop) Effects(f func(n *node.Node, now time.Duration) []node.Effect) bool {
-	return l.Do(func(n *node.Node, now time.Duration) { l.carryOut(f(n, now)) })
+	return l.Do(func(n *node.Node, now time.Duration) {
+		effects := f(n, now)
+		if l.recorder != nil {
+			l.recorder.Outside(now)
+		}
+		l.carryOut(effects)
+	})
 }
 
 // Run steps the node until ctx ends. It runs once.
@@ -116,10 +125,11 @@
 
 func (l *Loop) step(e node.Event) {
 	now := l.clock.Now()
+	effects := l.node.Step(now, e)
 	if l.recorder != nil {
-		l.recorder.Record(now, e)
+		l.recorder.Record(now, e, effects)
 	}
-	l.carryOut(l.node.Step(now, e))
+	l.carryOut(effects)
 }
 
 func (l *Loop) carryOut(effects []node.Effect) {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -30,6 +30,7 @@
 	Fleet     Fleet     `json:"fleet"`
 	Stop      Stop      `json:"stop"`
 	Log       Log       `json:"log"`
+	Trace     Trace     `json:"trace"`
 }
 
 // Callers is the service for callers.
@@ -119,6 +120,15 @@
 	Level string `json:"level"`
 }
 
+// Trace is the recording of what the instance decides, for replay. The file
+// has to be kept like a secret.
+type Trace struct {
+	// File to write; nothing is recorded without it.
+	File string `json:"file"`
+	// MaxBytes bounds the file. Default 67108864 (64 MiB).
+	MaxBytes int64 `json:"maxBytes"`
+}
+
 // minSecret is the least length of the shared secret, in bytes.
 const minSecret = 16
 
@@ -145,6 +155,8 @@
 		},
 		Stop: Stop{Patience: config.Duration(30 * time.Second)},
 		Log:  Log{Level: "info"},
+
+		Trace: Trace{MaxBytes: 64 << 20},
 	}
 }
 
@@ -202,6 +214,7 @@
 	f.duration("callers.idleTimeout", s.Callers.IdleTimeout, time.Millisecond, time.Hour)
 	f.duration("platform.announceEvery", s.Platform.AnnounceEvery, 10*time.Millisecond, time.Hour)
 	f.duration("platform.recordsEvery", s.Platform.RecordsEvery, 10*time.Millisecond, time.Hour)
+	f.between("trace.maxBytes", s.Trace.MaxBytes, 1<<10, 1<<40)
 	f.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	return f.err()
 }
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -22,7 +22,7 @@
 // answers to locate, goes on serving until the answers that name it have run
 // out and its parts have moved, and closes its listener only then. A caller
 // never finds the address that it was given closed.
-func (e *Entry) stop(ended <-chan error) {
+func (e *Entry) stop(ended <-chan struct{}) {
 	event.Stopping.Log(e.log, slog.String("instance", e.self.ID))
 	e.leaving.Store(true)
 	e.tell(platform.Leaving)
--- /dev/null
+++ b/entry/trace_test.go
@@ -0,0 +1,84 @@
+package entry_test
+
+import (
+	"bytes"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/entry/settings"
+	"foxtailspoke/entry/trace"
+	"foxtailspoke/internal/standin"
+	"foxtailspoke/node"
+)
+
+// An instance runs among faults and records; a fresh node then gets the same
+// events and must decide the same, and what it decided can be stated.
+func TestRecordedTraceReplays(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "trace")
+	w := newWorld(t, options{catalogues: 3, adjust: func(s *settings.Settings) { s.Trace.File = file }})
+	e := w.entries[0]
+	must.NoError(t, w.catalogue.SetFaults(standin.BackendFaults{ErrorRatio: 0.5, HalfRatio: 0.5}))
+	for range 30 {
+		must.Eq(t, http.StatusOK, w.get(e, "/catalogue/a", w.key).status)
+		w.call(e, http.MethodPost, "/orders/", w.full, strings.NewReader("x"), map[string]string{"Idempotency-Key": "mine"})
+		w.get(e, "/orders/", w.key)
+		w.get(e, "/-/v1/locate?operations=1", w.full)
+	}
+	w.metrics(e) // asked on the loop's goroutine, without a change
+	eventually(t, "the trace is written", func() bool {
+		data, err := os.ReadFile(file)
+		return err == nil && len(data) > 1<<14
+	})
+	data, err := os.ReadFile(file)
+	must.NoError(t, err)
+	refused := 0
+	done, err := trace.Replay(bytes.NewReader(data), func(_ time.Duration, _ node.Event, effects []node.Effect) {
+		for _, f := range effects {
+			if r, ok := f.(node.Refuse); ok && r.Record.Rule == "service-not-in-plan" {
+				refused++
+			}
+		}
+	})
+	t.Log(done.Steps, "steps,", len(data), "bytes")
+	// What was read last may be half a step.
+	must.False(t, errors.Is(err, trace.ErrDiffers), must.Sprint(err))
+	must.False(t, done.Outside)
+	must.GreaterEq(t, 200, done.Steps)
+	must.Eq(t, 30, refused)
+
+	info, err := os.Stat(file)
+	must.NoError(t, err)
+	must.Eq(t, os.FileMode(0o600), info.Mode().Perm())
+}
+
+// A trace that says otherwise than the node decides is noticed at its step.
+func TestChangedTraceIsNoticed(t *testing.T) {
+	s := node.DefaultSettings()
+	s.Self.ID, s.Secret = "a", []byte("sixteen bytes of secret")
+	var b bytes.Buffer
+	r, err := trace.NewRecorder(&b, 1<<20, s)
+	must.NoError(t, err)
+	n := node.New(s)
+	r.Record(time.Second, node.Wake{}, n.Step(time.Second, node.Wake{}))
+	wrong := node.RequestArrived{Request: "r", Method: http.MethodGet, Path: "/"}
+	r.Record(time.Second, wrong, n.Step(time.Second, node.RequestArrived{Request: "q", Method: http.MethodGet, Path: "/"}))
+	must.NoError(t, r.Err())
+	done, err := trace.Replay(&b, nil)
+	must.ErrorIs(t, err, trace.ErrDiffers)
+	must.Eq(t, 1, done.Steps)
+
+	small, err := trace.NewRecorder(&b, 4<<10, s)
+	must.NoError(t, err)
+	for range 1000 {
+		small.Record(time.Second, node.Wake{}, nil)
+	}
+	must.Error(t, small.Err())
+	must.LessEq(t, 4<<10, b.Len())
+}
