Spread reports in time; smaller files

Change: the wait between reports varies by 20 % either way; counts and the trial's timers have their own files.

--- a/health/ledger.go
+++ b/health/ledger.go
@@ -25,35 +25,6 @@
 // otherSource takes the sources beyond maxSources.
 var otherSource = source{reporter: "…", workspace: "…"}
 
-// marginals are bad attempts in sum and by one side of their source.
-type marginals struct {
-	all        float64
-	reporters  map[string]float64
-	workspaces map[string]float64
-}
-
-func newMarginals() marginals {
-	return marginals{reporters: map[string]float64{}, workspaces: map[string]float64{}}
-}
-
-func (m *marginals) add(s source, n float64) {
-	m.all += n
-	m.reporters[s.reporter] += n
-	m.workspaces[s.workspace] += n
-}
-
-func (m *marginals) scale(f float64) {
-	m.all *= f
-	scale(m.reporters, f)
-	scale(m.workspaces, f)
-}
-
-func scale[K comparable](m map[K]float64, f float64) {
-	for k := range m {
-		m[k] *= f
-	}
-}
-
 // run is the evidence on one server since the first bad attempt after which
 // it wasn't cleared again. Attempts before don't dilute it: a server that was
 // well for an hour and fails now is suspect now.
@@ -80,25 +51,6 @@
 	bad float64
 }
 
-// tally counts one workspace's attempts, at one server or at all.
-type tally struct {
-	attempts float64
-	bad      float64
-}
-
-// pair counts one workspace's attempts at one server.
-type pair struct {
-	tally
-	// reporters says which instances met the bad ones.
-	reporters map[string]float64
-}
-
-func (p *pair) scale(f float64) {
-	p.attempts *= f
-	p.bad *= f
-	scale(p.reporters, f)
-}
-
 // ledger collects one kind of bad attempts (failed, or late) at the servers
 // of one service. It keeps only servers under suspicion.
 type ledger struct {
--- a/health/report.go
+++ b/health/report.go
@@ -46,6 +46,8 @@
 	maxReportWorkspaces = 4
 	// quietInterval is how often attempts are reported when none was bad.
 	quietInterval = time.Second
+	// reportJitter is the part of ReportInterval that varies.
+	reportJitter = 0.4
 	// rateMemory is the time over which an instance averages its rate.
 	rateMemory = 10 * time.Second
 	// otherWorkspaces takes the workspaces beyond maxReportWorkspaces.
@@ -58,6 +60,9 @@
 	totals  map[string]*WorkspaceCount
 	bad     bool
 	sentAt  time.Duration
+	// wait is the time to the next report; it differs a little every time, so
+	// that instances that meet a failure together don't report together.
+	wait time.Duration
 	// rate is a fading count of attempts.
 	rate   float64
 	rateAt time.Duration
@@ -142,11 +147,12 @@
 	var reports []Report
 	for _, name := range slices.Sorted(maps.Keys(o.pending)) {
 		v := o.services[name]
-		if !v.pending.due(now, o.settings.ReportInterval) {
+		if !v.pending.due(now) {
 			continue
 		}
 		r := v.pending.take(now, name, o.settings.DataCentre)
 		r.LateShare = v.lateShare
+		v.pending.wait = time.Duration(float64(o.settings.ReportInterval) * (1 + reportJitter*(o.rng.Float64()-0.5)))
 		delete(o.pending, name)
 		size := float64(r.Size())
 		if size > o.reportBytes {
@@ -166,8 +172,8 @@
 	}
 }
 
-func (p *pending) due(now, interval time.Duration) bool {
-	if len(p.servers) == 0 || now-p.sentAt < interval {
+func (p *pending) due(now time.Duration) bool {
+	if len(p.servers) == 0 || now-p.sentAt < p.wait {
 		return false
 	}
 	return p.bad || now-p.sentAt >= quietInterval
