A planned stop is patient for stop.patience and no longer

Cause: after the listener had closed, the stop waited for every attempt without a bound; an operation under a key runs on after its caller has gone, for up to its service's time-out of an hour. Change: what is left when the patience ends is given up, and callers that still wait are told how their requests ended before the connections close. Requests without a key are refused without their body being held.

--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -117,20 +117,50 @@
 	return len(c.open)
 }
 
-// Wait returns when no attempt is under way.
-func (c *Service) Wait() { c.wg.Wait() }
+// Finish waits for the attempts under way. When ctx ends it gives up those
+// that are left and returns their number: an operation with a key runs to its
+// end though its caller has gone, and that end may be an hour away.
+func (c *Service) Finish(ctx context.Context) (cut int) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.wg.Wait()
+	}()
+	select {
+	case <-done:
+		return 0
+	case <-ctx.Done():
+	}
+	cut = c.cancelAll()
+	<-done
+	return cut
+}
+
+func (c *Service) cancelAll() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cancel := range c.cancels {
+		cancel()
+	}
+	return len(c.cancels)
+}
 
 func (c *Service) serve(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
 	id := decision.NewRequestID(c.instance, start, c.number.Add(1))
-	body, err := c.readBody(w, r)
+	key, has := presentedKey(r)
+	body := attempt.NoBody()
+	var err error
+	if has {
+		// Without a key the request is refused: its body needn't be held.
+		body, err = c.readBody(w, r)
+	}
 	if err != nil {
 		c.refuseBody(w, r, id, err)
 		return
 	}
 	x := newExchange(id, r, body)
 	c.add(x)
-	key, has := presentedKey(r)
 	c.loop.Submit(node.RequestArrived{
 		Request:   id,
 		At:        start,
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -136,7 +136,7 @@
 	l := lists.Empty()
 	l.Services["catalogue"] = config.Service{Floor: 1, Timeout: config.Duration(time.Minute), Routes: []config.Route{{Prefix: "/catalogue/"}}}
 	l.Services["ordering"] = config.Service{Floor: 1, Timeout: config.Duration(3 * time.Second), Routes: []config.Route{{Prefix: "/orders/"}}}
-	l.Services["own"] = config.Service{Floor: 1, Timeout: config.Duration(3 * time.Second), Routes: []config.Route{{Prefix: "/own/"}}}
+	l.Services["own"] = config.Service{Floor: 1, Timeout: config.Duration(time.Minute), Routes: []config.Route{{Prefix: "/own/"}}}
 	limit := config.Limit{Rate: 5000, Burst: 5000}
 	l.Plans["bench"] = config.Plan{Services: map[string]config.Limit{"catalogue": limit}}
 	l.Plans["full"] = config.Plan{Services: map[string]config.Limit{"catalogue": limit, "ordering": limit, "own": limit}}
--- a/entry/gone_test.go
+++ b/entry/gone_test.go
@@ -216,3 +216,41 @@
 		t.Error("Run doesn't come back")
 	}
 }
+
+// An order under an operation key hangs at its backend server; one caller has
+// hung up, another waits. The stop is patient for so long and no longer: the
+// minute that the order may take isn't waited for, and the caller that is
+// still there is told that its order may have run.
+func TestStopDoesNotWaitForEver(t *testing.T) {
+	hangs := make(chan struct{}, 8)
+	w := newWorld(t, options{
+		adjust: func(s *settings.Settings) { s.Stop.Patience = config.Duration(300 * time.Millisecond) },
+		own: func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				hangs <- struct{}{}
+				<-r.Context().Done()
+			}
+			w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
+		},
+	})
+	e := w.entries[0]
+	eventually(t, "the own service is known", func() bool { return w.get(e, "/own/", w.full).status == http.StatusOK })
+	gone := w.dial(e)
+	_, err := fmt.Fprintf(gone, "POST /own/ HTTP/1.1\r\nHost: x\r\nIdempotency-Key: mine\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", w.full)
+	must.NoError(t, err)
+	<-hangs
+	_ = gone.Close()
+	waits := make(chan reply, 1)
+	go func() { waits <- w.call(e, http.MethodPost, "/own/", w.full, nil, nil) }()
+	<-hangs
+	w.stops[0]()
+	select {
+	case <-w.ends[0]:
+	case <-time.After(patience):
+		t.Error("Run doesn't come back")
+	}
+	r := <-waits
+	must.NoError(t, r.err)
+	must.Eq(t, "unknown", r.header.Get(wire.HeaderOutcome))
+	must.StrContains(t, w.log.text(), `"cut":2`)
+}
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -70,9 +70,13 @@
 func (e *Entry) finishRequests() int {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Stop.Patience))
 	defer cancel()
-	if e.callerServer.Shutdown(ctx) == nil {
-		e.callers.Wait()
-		return 0
+	_ = e.callerServer.Shutdown(ctx)
+	cut := e.callers.Finish(ctx)
+	if cut > 0 {
+		// Callers that still wait are told how their requests ended.
+		ctx, cancel := context.WithTimeout(context.Background(), lastWords)
+		defer cancel()
+		_ = e.callerServer.Shutdown(ctx)
 	}
-	return e.callers.Open()
+	return max(cut, e.callers.Open())
 }
