--- a/membership/live_test.go
+++ b/membership/live_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -49,6 +50,7 @@
 	t.Parallel()
 	s := boot(1, Settings{WatchersPerDataCentre: 1, WitnessCount: 5}, 7, 3)
 	must.Len(t, 5, s.table.Witnesses().Members)
+	s.encoder = nil
 	s.away = true
 	for _, n := range s.witnessNodes()[:2] {
 		n.dead = true
@@ -88,17 +90,22 @@
 func TestWatchersOfADataCentreGone(t *testing.T) {
 	t.Parallel()
 	s := boot(3, Settings{}, 40, 4)
+	healthy := s.reads
+	s.run(s.now + 30*time.Second)
+	healthy = s.reads - healthy
 	for _, id := range s.list.Watchers("dc1") {
 		s.byID(id).dead = true
 	}
-	reads := s.reads
-	cutOff := 0
+	reads, cutOff := s.reads, 0
 	for range 300 {
 		s.run(s.now + 100*time.Millisecond)
 		cutOff += s.nodeStates()[CutOff]
 	}
-	t.Logf("seconds of one instance cut off: %.1f; reads a second: %d", float64(cutOff)/10, (s.reads-reads)/30)
+	reads = s.reads - reads
+	t.Logf("seconds of one instance cut off: %.1f; reads a second: %d, before: %d", float64(cutOff)/10, reads/30, healthy/30)
 	must.Less(t, 10*7, cutOff) // below one second for each of the 7 left there
+	// Three watchers less read; nobody else reads in their place.
+	must.Less(t, healthy-2*3*30, reads)
 	must.Eq(t, map[State]int{ByTable: 37}, s.nodeStates())
 }
 
@@ -107,14 +114,21 @@
 // reads must not drown it, and the fleet must be back within seconds.
 func TestReturnWithoutStampede(t *testing.T) {
 	t.Parallel()
-	const nodes = 400
+	nodes := 400
+	if *large {
+		nodes = 2000
+	}
 	s := boot(4, Settings{}, nodes, 4)
 	s.away = true
 	for _, n := range s.witnessNodes()[:4] {
 		n.dead = true
 	}
-	s.run(s.now + time.Minute)
+	s.run(s.now + 5*time.Second)
+	clear(s.sent)
+	s.run(s.now + 20*time.Second)
 	must.Eq(t, map[State]int{CutOff: nodes - 4}, s.nodeStates())
+	perSecond := slices.Max(slices.Collect(maps.Values(s.sent))) / 20
+	must.Less(t, budget, perSecond)
 	s.away = false
 	most, back := 0, time.Duration(0)
 	returned := s.now
@@ -126,7 +140,8 @@
 			back = s.now - returned
 		}
 	}
-	t.Logf("%d instances back after %v; at most %d reads in 100 ms", nodes, back, most)
+	t.Logf("%d instances, all cut off: at most %d bytes/s each; back after %v with at most %d reads in 100 ms",
+		nodes, perSecond, back, most)
 	must.Between(t, 1, back, 3*time.Second)
 	must.Less(t, 100, most)
 }
@@ -184,3 +199,106 @@
 		must.Between(t, 1, seats, 2, must.Sprint(centre))
 	}
 }
+
+// A watcher reaches neither the table nor enough witnesses, only another
+// watcher. It must pull from there like everybody else.
+func TestWatcherThatCantProvePulls(t *testing.T) {
+	t.Parallel()
+	s := boot(9, Settings{}, 40, 4)
+	n := s.byID(s.list.Watchers("dc0")[0])
+	helper := s.byID(s.list.Watchers("dc0")[1])
+	s.unseen[n.slot] = true
+	for slot := range s.nodes {
+		s.cut[[2]int{n.slot, slot}] = slot != helper.slot
+	}
+	s.run(s.now + 5*time.Second)
+	for range 100 {
+		s.run(s.now + 100*time.Millisecond)
+		must.Eq(t, ByTable, n.m.Confirmed(n.clock(s.now)).State)
+	}
+}
+
+// Every instance is replaced at once, and the platform's list shows it. None
+// of the old witnesses will answer; the new fleet must get its own and put
+// a change in force without an operator.
+func TestWholeFleetReplaced(t *testing.T) {
+	t.Parallel()
+	s := boot(10, Settings{}, 12, 3)
+	for slot, n := range s.nodes {
+		n.dead = true
+		ended, _ := s.list.Instance(n.id)
+		ended.State = platform.Ended
+		s.announce(ended, entryInstance(nodeID(slot, 1), ended.DataCentre))
+		s.start(slot, 1, 3)
+	}
+	replaced, n := s.now, s.nodes[0]
+	rev := s.commit(platform.Txn{}).Revisions[platform.Control]
+	s.step(n, func(now time.Duration) []effect.Effect { return n.m.Require(now, rev) })
+	for !n.m.InForce(n.clock(s.now), rev) && s.now < replaced+time.Minute {
+		s.run(s.now + 10*time.Millisecond)
+	}
+	inForce := s.now - replaced
+	for len(s.witnessNodes()) < 7 && s.now < replaced+time.Minute {
+		s.run(s.now + 10*time.Millisecond)
+	}
+	t.Logf("a change was in force after %v, all seats taken after %v", inForce, s.now-replaced)
+	must.Less(t, 5*time.Second, inForce)
+	must.Less(t, 30*time.Second, s.now-replaced)
+}
+
+// A fleet shrinks to three instances. Its list of witnesses must shrink with
+// it: three of seven seats would be no majority once the platform is away.
+func TestSeatsShrinkWithTheFleet(t *testing.T) {
+	t.Parallel()
+	s := boot(11, Settings{}, 9, 3)
+	for _, n := range s.nodes[3:] {
+		n.dead = true
+		ended, _ := s.list.Instance(n.id)
+		ended.State = platform.Ended
+		s.announce(ended)
+	}
+	s.run(s.now + 30*time.Second)
+	must.Len(t, 3, s.table.Witnesses().Members)
+	s.away = true
+	s.run(s.now + 10*time.Second)
+	for _, n := range s.nodes[:3] {
+		must.Eq(t, ByWitnesses, n.m.Confirmed(n.clock(s.now)).State)
+	}
+}
+
+// A fleet of one to three instances serves through an outage as well.
+func TestSmallFleets(t *testing.T) {
+	t.Parallel()
+	for n := 1; n <= 3; n++ {
+		s := boot(12, Settings{}, n, 2)
+		must.Eq(t, map[State]int{ByTable: n}, s.nodeStates())
+		s.away = true
+		s.run(s.now + time.Minute)
+		must.Eq(t, map[State]int{ByWitnesses: n}, s.nodeStates())
+	}
+}
+
+// The platform goes away and comes back, or answers after 700 ms only. No
+// instance may refuse a caller at the turn, also none whose proof happened
+// to be old, so that every one is looked at twenty times a second. Nor may
+// all of them turn to the platform themselves.
+func TestNoGapWhenThePlatformTurns(t *testing.T) {
+	t.Parallel()
+	s := boot(13, Settings{}, 400, 4)
+	for turn := range 6 {
+		s.away = turn%3 == 0
+		s.slow = 0
+		if turn%3 == 1 {
+			s.slow = 700 * time.Millisecond
+		}
+		cutOff, reads := 0, s.reads
+		for range 160 {
+			s.run(s.now + 50*time.Millisecond)
+			cutOff += s.nodeStates()[CutOff]
+		}
+		perSecond := (s.reads - reads) / 8
+		t.Logf("away %v, slow %v: %d reads/s, %d ms of one instance cut off", s.away, s.slow, perSecond, cutOff*50)
+		must.Zero(t, cutOff)
+		must.Less(t, 60, perSecond)
+	}
+}
--- a/membership/round.go
+++ b/membership/round.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"foxtailspoke/config"
@@ -126,15 +127,14 @@
 	}
 	m.round.open = false
 	m.count.ProvedRounds++
-	m.alone.failures = 0
-	m.byWitnesses.add(m.rules.proofStart(m.round.start, now))
+	m.prove(&m.byWitnesses, m.rules.proofStart(m.round.start, now))
 }
 
 // witnessIDs returns everyone who counts.
 func witnessIDs(w config.Witnesses) []string {
-	ids := append([]string(nil), w.Members...)
+	ids := slices.Clone(w.Members)
 	for _, id := range w.Previous {
-		if !contains(w.Members, id) {
+		if !slices.Contains(w.Members, id) {
 			ids = append(ids, id)
 		}
 	}
@@ -142,5 +142,5 @@
 }
 
 func seated(w config.Witnesses, id string) bool {
-	return contains(w.Members, id) || contains(w.Previous, id)
+	return slices.Contains(w.Members, id) || slices.Contains(w.Previous, id)
 }
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -8,7 +8,6 @@
 	"foxtailspoke/claim"
 	"foxtailspoke/decision"
 	"foxtailspoke/health"
-	"foxtailspoke/membership"
 	"foxtailspoke/platform"
 	"foxtailspoke/retry"
 )
@@ -30,7 +29,13 @@
 // begin sends the request for the first time.
 func (n *Node) begin(r *request) {
 	n.budget(r.service.Name).Request()
-	if n.now >= r.deadline {
+	switch {
+	case r.gone:
+		record := n.record(r, decision.RuleCallerGone)
+		record.Outcome = decision.NotRun
+		n.refuseAs(r, record)
+		return
+	case n.now >= r.deadline:
 		n.refuse(r, decision.RuleDeadline, 0)
 		return
 	}
@@ -88,6 +93,9 @@
 		return
 	}
 	n.observe(a, e)
+	if e.Leaving {
+		n.noteLeaver(a.server.ID)
+	}
 	if e.Streaming && !a.request.answered {
 		a.streaming = true
 		n.deliver(a, e)
@@ -114,7 +122,7 @@
 		n.deliver(a, e)
 	case retry.Wait:
 	case retry.Retry:
-		if !n.send(r) {
+		if !n.allowed(r) || !n.send(r) {
 			n.giveUp(r, e, retry.Decision{Outcome: outcomeAfter(r)})
 		}
 	default:
@@ -122,6 +130,10 @@
 	}
 }
 
+// allowed says whether the request may still be sent: one with a long timeout
+// could otherwise reach backend servers long after its key was withdrawn.
+func (n *Node) allowed(r *request) bool { return n.reconsider(r) == "" }
+
 func (n *Node) retryState(r *request, e AttemptEnded) retry.Attempt {
 	others, room := n.others(r)
 	if !e.Replayable {
@@ -150,6 +162,8 @@
 func (n *Node) giveUp(r *request, e AttemptEnded, d retry.Decision) {
 	rule := decision.RuleNoServer
 	switch {
+	case r.gone:
+		rule = decision.RuleCallerGone
 	case d.Outcome == retry.Unknown && r.idempotent:
 		rule = decision.RuleAttemptsFailed
 	case d.Outcome == retry.Unknown:
@@ -188,7 +202,7 @@
 func (n *Node) served(r *request, answer *claim.Answer) {
 	delete(n.requests, r.arrived.Request)
 	n.endOperation(r, claim.Ran, answer)
-	n.emit(Recorded{Record: n.record(r, decision.RuleServed)})
+	n.recorded(n.record(r, decision.RuleServed))
 }
 
 // streamEnded takes the end of an answer that was passed on as it came.
@@ -212,7 +226,7 @@
 	if rule == decision.RuleAnswerCut {
 		n.observer.Observe(n.now, n.observation(a, health.Incomplete, n.now-a.started))
 	}
-	n.emit(Recorded{Record: n.record(r, rule)})
+	n.recorded(n.record(r, rule))
 }
 
 // late takes note that an attempt has no answer for longer than nearly all
@@ -224,7 +238,7 @@
 	a.late = true
 	n.observer.Observe(n.now, n.observation(a, health.Late, n.now-a.started))
 	r := a.request
-	if r.answered || r.gone || !r.idempotent || n.member.Confirmed(n.now).State == membership.CutOff {
+	if r.answered || r.gone || !r.idempotent || !n.allowed(r) {
 		return
 	}
 	state := n.retryState(r, AttemptEnded{Result: health.Late, Replayable: true})
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -25,13 +25,18 @@
 // ready returns a fleet with one service, one workspace and settled parts.
 func ready(seed uint64, entries, servers int) *fleet {
 	f := newFleet(seed, entries, servers)
+	f.configure()
+	f.run(12 * time.Second)
+	return f
+}
+
+// configure writes one service, one plan and one workspace with its key.
+func (f *fleet) configure() {
 	f.write(config.ServicePrefix+"orders", config.Service{Floor: 1, Timeout: config.Duration(2 * time.Second), Routes: []config.Route{{Prefix: "/orders/"}}})
 	f.write(config.PlanPrefix+"p", config.Plan{Services: map[string]config.Limit{"orders": {Rate: rate, Burst: burst}}})
 	f.write(config.WorkspacePrefix+"a", config.Workspace{Plan: "p"})
 	f.write(config.KeyPrefix+config.HashKey(key).String(), config.Key{Workspace: "a"})
 	f.write(config.ListsKey, config.Lists{Version: 1})
-	f.run(12 * time.Second)
-	return f
 }
 
 func get() RequestArrived {
@@ -229,6 +234,27 @@
 	}
 }
 
+// A key is withdrawn while a lookup waits for its first answer, with a
+// timeout of a minute. The server then breaks off. The lookup is not sent to
+// another server under the key that was withdrawn long before.
+func TestWithdrawnKeyIsNotRetried(t *testing.T) {
+	f := ready(7, 3, 3)
+	f.write(config.ServicePrefix+"orders", config.Service{Floor: 1, Timeout: config.Duration(time.Minute), Routes: []config.Route{{Prefix: "/orders/"}}})
+	for _, s := range f.servers {
+		s.mode, s.latency = "half", 20*time.Second
+	}
+	f.run(3 * time.Second)
+	id := f.arrive(f.names[0], key, get())
+	f.run(10 * time.Millisecond)
+	f.drop(config.KeyPrefix + config.HashKey(key).String())
+	sent := len(f.executed)
+	f.run(4 * time.Second)
+	hedged := len(f.executed)
+	f.run(time.Minute)
+	must.Eq(t, hedged, len(f.executed), must.Sprint(sent, f.executed))
+	must.Eq(t, "unknown", f.answers[id].outcome)
+}
+
 // The platform is away for three hours. Everybody keeps serving on the last
 // accepted configuration, confirmed by the witnesses, and orders can still be
 // placed by the advised way.
@@ -247,6 +273,50 @@
 	}
 }
 
+// An instance starts while the platform is away. It gets the configuration
+// and the list from a seed, is confirmed by witnesses, and serves; one whose
+// seeds are all gone refuses as not run rather than serve on nothing.
+func TestStartWhilePlatformIsAway(t *testing.T) {
+	f := ready(6, 5, 3)
+	f.tableAway = true
+	f.run(10 * time.Second)
+	f.seeds = []string{"gone", f.names[2]}
+	f.start("late", 1)
+	f.seeds = []string{"gone"}
+	f.start("lost", 2)
+	f.run(3 * time.Second)
+	served, refused := f.arrive("late", key, get()), f.arrive("lost", key, get())
+	f.run(time.Second)
+	must.Eq(t, "served", f.answers[served].outcome, must.Sprint(f.answers[served]))
+	must.Eq(t, "not-run", f.answers[refused].outcome)
+	must.Eq(t, "cut-off", f.answers[refused].rule)
+}
+
+// A backend server drains, and the platform's list doesn't show it. It refuses
+// as not run; the requests go elsewhere, and each instance tries it once only.
+func TestServerThatLeavesIsLeftAlone(t *testing.T) {
+	f := ready(8, 3, 4)
+	f.servers["s0"].mode = "leaving"
+	for i := range 200 {
+		id := f.arrive(f.names[i%3], key, post(""))
+		f.run(60 * time.Millisecond)
+		must.Eq(t, "served", f.answers[id].outcome)
+	}
+	must.Between(t, 1, f.servers["s0"].refused, 3)
+}
+
+// The fleet has just started, and no instance holds parts of any limit yet. A
+// caller is refused, but not told that its workspace has used its rate up.
+func TestColdStartIsNotOverRate(t *testing.T) {
+	f := newFleet(9, 3, 3)
+	f.configure()
+	f.run(1500 * time.Millisecond)
+	id := f.arrive(f.names[0], key, get())
+	f.run(time.Second)
+	must.Eq(t, "peer-unreachable", f.answers[id].rule)
+	must.Eq(t, "not-run", f.answers[id].outcome)
+}
+
 // A holder of parts is killed while its workspace uses half of its rate.
 // Refusals inside the rate end when the parts have moved.
 func TestKilledHolder(t *testing.T) {
--- a/node/request.go
+++ b/node/request.go
@@ -24,10 +24,11 @@
 	// operation is set if this instance runs the request under a key.
 	operation *operation
 
-	// asking lists the holders that weren't asked for tokens yet.
-	asking []string
+	search *quota.Search
 	// lost counts the asks that got no answer.
 	lost int
+	// forwards counts how often it was passed on to its key's minter.
+	forwards int
 
 	// tried are the backend servers that had an attempt.
 	tried []string
@@ -90,6 +91,30 @@
 	return ""
 }
 
+// reconsider looks again at a request that waited for another instance or for
+// the platform: meanwhile its key may have been withdrawn, its plan changed,
+// or this instance been cut off.
+func (n *Node) reconsider(r *request) decision.Rule {
+	if rule, _ := n.identify(r.arrived.Key, r.arrived.HasKey, &r.figures); rule != "" {
+		return rule
+	}
+	limit, ok := n.replica.Limit(r.workspace.Name, r.service.Name)
+	if !ok {
+		return decision.RuleServiceNotInPlan
+	}
+	r.limit = limit
+	return ""
+}
+
+// goOn takes tokens for a request that waited.
+func (n *Node) goOn(r *request) {
+	if rule := n.reconsider(r); rule != "" {
+		n.refuse(r, rule, 0)
+		return
+	}
+	n.takeTokens(r)
+}
+
 // identify finds the workspace of a key.
 func (n *Node) identify(key config.KeyHash, has bool, f *decision.Figures) (decision.Rule, config.Workspace) {
 	c := n.member.Confirmed(n.now)
@@ -146,7 +171,7 @@
 	if rule.Info().RetryAfter {
 		record.RetryAfter = max(retryAfter, time.Second)
 	}
-	if r.mayHaveRun {
+	if r.mayHaveRun || r.forwards > 0 {
 		record.Outcome = decision.Unknown
 	}
 	n.refuseAs(r, record)
@@ -159,7 +184,7 @@
 	if !r.gone {
 		n.emit(Refuse{Request: r.arrived.Request, Record: record, Addresses: n.otherAddresses(r)})
 	}
-	n.emit(Recorded{Record: record})
+	n.recorded(record)
 }
 
 // outcomeOf returns what a refusal means for the operation that it ends.
@@ -188,6 +213,12 @@
 	}
 }
 
+// recorded hands out the decision on a request that has ended.
+func (n *Node) recorded(record decision.Record) {
+	n.fares.note(n.now, record)
+	n.emit(Recorded{Record: record})
+}
+
 // otherAddresses names the instances to try instead, for refusals that are
 // this instance's own trouble.
 func (n *Node) otherAddresses(r *request) []string {
