Proofs: withdrawn key tried on kept connections at every instance; refusals inside the rate counted

The check of the withdrawn key didn't notice an instance that serves without proof of the newest configuration: the only caller with that key hung in the frozen instance. Each instance now has a caller of its own that keeps its connection.

--- a/internal/proofs/faults_test.go
+++ b/internal/proofs/faults_test.go
@@ -59,6 +59,7 @@
 type faultRun struct {
 	*world
 	load      *load
+	begin     time.Time
 	keys      []string
 	leaver    string
 	withdrawn time.Time
@@ -92,9 +93,9 @@
 	watching, stopWatching := context.WithCancel(context.Background())
 	defer stopWatching()
 	go r.watchRevisions(watching)
-	start := time.Now()
+	r.begin = time.Now()
 	for _, step := range r.schedule() {
-		time.Sleep(time.Until(start.Add(step.at)))
+		time.Sleep(time.Until(r.begin.Add(step.at)))
 		step.do()
 	}
 	sends := r.load.end()
@@ -137,6 +138,9 @@
 	r.load.every(600*time.Millisecond, "cebu-boatyard", cebu, seed+24, upload)
 	r.load.every(50*time.Millisecond, "cebu-boatyard", r.leaver, seed+25, lookup)
 	r.load.every(time.Second, "cebu-boatyard", r.leaver, seed+26, ownOrder)
+	for n, e := range r.running() {
+		r.load.every(250*time.Millisecond, "cebu-boatyard", r.leaver, seed+30+uint64(n), lookupAt(e.callers))
+	}
 }
 
 // step is one thing that happens, counted from the beginning of the load.
@@ -240,6 +244,8 @@
 	for b, worst := range excess(ran, limits) {
 		t.Logf("%s at %s: at worst %+.1f requests against rate and burst", b.workspace, b.service, worst)
 	}
+	inside, refused := refusedInside(sends, "cebu-boatyard")
+	t.Logf("of cebu-boatyard's %d requests, all inside its rate, %d were refused for the rate:\n%s", inside, len(refused), timeline(r.begin, refused))
 	served := map[string]int{}
 	for _, s := range sends {
 		if s.outcome == "served" {
--- a/internal/proofs/history_test.go
+++ b/internal/proofs/history_test.go
@@ -287,3 +287,19 @@
 	slices.Sort(lines)
 	return strings.Join(lines, "\n")
 }
+
+// refusedInside counts a workspace's requests with a valid key, and returns
+// those refused for the rate. For a workspace that never comes near its rate
+// and burst, each of them is wrongful.
+func refusedInside(sends []send, workspace string) (all int, refused []send) {
+	for _, s := range sends {
+		if s.workspace != workspace || s.rule == "key-unknown" {
+			continue
+		}
+		all++
+		if s.rule == "over-rate" || s.rule == "peer-unreachable" {
+			refused = append(refused, s)
+		}
+	}
+	return all, refused
+}
--- a/internal/proofs/load_test.go
+++ b/internal/proofs/load_test.go
@@ -160,6 +160,11 @@
 	return addresses[c.rng.IntN(len(addresses))]
 }
 
+// lookupAt stays with one instance, on a connection that it keeps.
+func lookupAt(address string) func(*caller) {
+	return func(c *caller) { c.send(address, c.request("catalogue", http.MethodGet)) }
+}
+
 // awaitServed waits until each service serves a workspace. A fleet that has
 // just started has no parts of any limit in force.
 func (w *world) awaitServed(key, workspace string) {
