Hedges only when the service isn't slow, and only with a held body

Cause: a late PUT whose body was on its way got a second attempt, which could not read the body, failed at once and counted against an innocent server; and while a whole service was slow, hedges slowed it further. Change: HedgeAfter decides; requests say whether their body is held; health and balance hear of the list and the permits. Failing first: TestHedgeNeedsAHeldBody, two executions instead of one without the check.

--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -168,6 +168,7 @@
 		HasKey:    has,
 		Method:    r.Method,
 		Path:      r.URL.Path,
+		Held:      body.Whole(),
 		Operation: operationOf(r),
 		Digest:    digest(r, body),
 		Forwarded: r.Header.Get(wire.HeaderForwarded) != "",
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -230,15 +230,29 @@
 }
 
 // late takes note that an attempt has no answer for longer than nearly all
-// others, and may send a second one beside it.
+// others, and hedges it if the service as a whole isn't slow.
 func (n *Node) late(a *attempt) {
 	if n.attempts[a.id] != a || a.streaming {
 		return
 	}
 	a.late = true
 	n.observer.Observe(n.now, n.observation(a, health.Late, n.now-a.started))
+	after, may := n.observer.HedgeAfter(a.request.service.Name)
+	if !may {
+		return
+	}
+	if wait := a.started + after - n.now; wait > 0 {
+		n.timers.add(n.now+wait, func() { n.hedge(a) })
+		return
+	}
+	n.hedge(a)
+}
+
+// hedge sends a second copy of a lookup beside a late attempt, if its body is
+// held as a whole.
+func (n *Node) hedge(a *attempt) {
 	r := a.request
-	if r.answered || r.gone || !r.idempotent || !n.allowed(r) {
+	if n.attempts[a.id] != a || r.answered || r.gone || !r.idempotent || !r.arrived.Held || !n.allowed(r) {
 		return
 	}
 	state := n.retryState(r, AttemptEnded{Result: health.Late, Replayable: true})
--- a/node/event.go
+++ b/node/event.go
@@ -28,6 +28,9 @@
 	HasKey bool
 	Method string
 	Path   string
+	// Held says that the whole body is held, so that two attempts can be
+	// under way at the same time.
+	Held bool
 	// Operation is the caller's idempotency key, or empty.
 	Operation string
 	// Digest identifies method, path and body. A repeat under the same
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -40,7 +40,7 @@
 }
 
 func get() RequestArrived {
-	return RequestArrived{Method: http.MethodGet, Path: "/orders/1"}
+	return RequestArrived{Method: http.MethodGet, Path: "/orders/1", Held: true}
 }
 
 func post(operation string) RequestArrived {
@@ -292,6 +292,26 @@
 	must.Eq(t, "cut-off", f.answers[refused].rule)
 }
 
+// A large photo is put, and the server is late. Its body is on its way and
+// can't be read twice at the same time, so there is no second copy; the one for
+// a lookup goes out.
+func TestHedgeNeedsAHeldBody(t *testing.T) {
+	for held, executions := range map[bool]int{false: 1, true: 2} {
+		f := ready(10, 3, 3)
+		for range 40 { // teaches the instance how long answers take
+			f.arrive(f.names[0], key, get())
+			f.run(60 * time.Millisecond)
+		}
+		for _, s := range f.servers {
+			s.latency = 1500 * time.Millisecond
+		}
+		before := len(f.executed)
+		f.arrive(f.names[0], key, RequestArrived{Method: http.MethodPut, Path: "/orders/1", Held: held})
+		f.run(2 * time.Second)
+		must.Eq(t, executions, len(f.executed)-before, must.Sprint("held ", held))
+	}
+}
+
 // A backend server drains, and the platform's list doesn't show it. It refuses
 // as not run; the requests go elsewhere, and each instance tries it once only.
 func TestServerThatLeavesIsLeftAlone(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -221,6 +221,7 @@
 		n.seenList = list
 		n.rankShards()
 		n.collector.SetFleet(len(n.member.Live().Entries()), len(n.member.Live().DataCentres()))
+		n.noticeServers()
 	}
 	if n.replica.Revision() == n.seen {
 		return
@@ -228,6 +229,7 @@
 	n.seen = n.replica.Revision()
 	n.refreshShards()
 	n.noticePermits()
+	n.noticeServers()
 }
 
 func (n *Node) noticeState() {
--- a/node/servers.go
+++ b/node/servers.go
@@ -92,6 +92,23 @@
 	return slices.ContainsFunc(p.Ejected, func(e config.Ejection) bool { return e.Server == server })
 }
 
+// noticeServers tells health and balance which servers there are, for the
+// services that this instance was asked for.
+func (n *Node) noticeServers() {
+	for _, service := range sortedKeys(n.budgets) {
+		permits := n.replica.Permits(service)
+		var all, inUse []string
+		for _, s := range n.member.Live().Servers(service) {
+			all = append(all, s.ID)
+			if s.State == platform.Live && !isEjected(permits, s.ID) {
+				inUse = append(inUse, s.ID)
+			}
+		}
+		n.observer.SetServers(service, inUse)
+		n.picker.SetServers(service, all)
+	}
+}
+
 // reportHealth sends what this instance saw to the services' collectors.
 func (n *Node) reportHealth() {
 	for _, report := range n.observer.Report(n.now) {
