Proofs: callers end with their current request

A caller whose request took longer than its period chose between the next tick and the end at random, and went on for up to 30 s.

--- a/internal/proofs/load_test.go
+++ b/internal/proofs/load_test.go
@@ -69,12 +69,11 @@
 	l.running.Go(func() {
 		ticker := time.NewTicker(period)
 		defer ticker.Stop()
-		for {
+		for l.ctx.Err() == nil {
 			select {
 			case <-ticker.C:
 				act(c)
 			case <-l.ctx.Done():
-				return
 			}
 		}
 	})
