--- a/internal/proofs/spread_test.go
+++ b/internal/proofs/spread_test.go
@@ -76,7 +76,7 @@
 		for i, a := range all {
 			spread = append(spread, a.acted)
 			if a.before > known {
-				t.Errorf("change %d: instance %d still acted on the old state %s after it was said to be in force everywhere",
+				t.Errorf("change %d: instance %d still answered as before the change %s after it was said to be in force everywhere",
 					n, i, a.before-known)
 			}
 		}
