--- a/internal/proofs/start_test.go
+++ b/internal/proofs/start_test.go
@@ -15,7 +15,8 @@
 // The platform is away when an instance starts. The list of instances is
 // there too, so the new one knows nobody, has no configuration and no proof
 // of its age. It must refuse everything as not run until the platform is
-// back, and then serve; the instances that were there go on meanwhile.
+// back, and then serve; the instances that were there go on meanwhile. Another
+// one that was given the address of one of them serves at once.
 func TestStartWhilePlatformIsAway(t *testing.T) {
 	const away = 8 * time.Second
 	w := newWorld(t, worldOptions{endAfter: time.Minute, locateTTL: time.Second})
@@ -45,6 +46,13 @@
 		refused++
 		must.Eq(t, "served", c.send(old.callers, c.request("catalogue", http.MethodGet)).outcome)
 	}
+	seeded := w.startEntry("luzon-3", old.toPeers.Address())
+	started := time.Now()
+	for c.send(seeded.callers, c.request("catalogue", http.MethodGet)).outcome != "served" {
+		must.Less(t, patience, time.Since(started), must.Sprint("it never serves, though it has a seed"))
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Logf("with a seed: served %s after its start, the platform still away", time.Since(started).Round(10*time.Millisecond))
 	must.NoError(t, w.platform.SetFaults(standin.PlatformFaults{}))
 	back := time.Now()
 	for c.send(late.callers, c.request("catalogue", http.MethodGet)).outcome != "served" {
--- a/internal/proofs/world_test.go
+++ b/internal/proofs/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -123,7 +124,17 @@
 
 // startEntry starts an entry instance and waits until it listens. Others
 // reach it, and it reaches the platform, by links of its own.
-func (w *world) startEntry(dataCentre string) *instance {
+// list writes texts as a JSON list.
+func list(texts []string) string {
+	data, err := json.Marshal(append([]string{}, texts...))
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
+// startEntry starts an entry instance; seeds are peer addresses of others.
+func (w *world) startEntry(dataCentre string, seeds ...string) *instance {
 	w.mu.Lock()
 	w.started++
 	name := fmt.Sprintf("entry%d", w.started)
@@ -135,12 +146,12 @@
 	settings := w.write(name+".json", fmt.Sprintf(`{
 		"dataCentre": %q, "region": "luzon",
 		"callers": { "listen": "127.0.0.1:0" },
-		"peers": { "listen": %q, "advertise": %q, "secretFile": %q },
+		"peers": { "listen": %q, "advertise": %q, "secretFile": %q, "seeds": %s },
 		"operators": { "listen": "127.0.0.1:0", "tokenFile": %q },
 		"platform": { "url": %q, "announceEvery": "1s", "recordsEvery": "5s" },
 		"fleet": { "locateTTL": %q },
 		"stop": { "patience": "10s" },
-	}`, dataCentre, peers, e.toPeers.Address(), filepath.Join(w.dir, "secret"),
+	}`, dataCentre, peers, e.toPeers.Address(), filepath.Join(w.dir, "secret"), list(seeds),
 		filepath.Join(w.dir, "token"), "http://"+e.toPlatform.Address(), w.ttl))
 	program, err := harness.Program("foxtailspoke-entry")
 	must.NoError(w.t, err)
