Announcements every 10 s, refused handshakes logged, one catalogue entry less

Cause: an announcement every 2 s is 1,000 a second at 2,000 instances; two log events of the catalogue were never written. Change: 10 s, 1 s after a failed one; event 203 is logged, 202 is gone. Seen: peer's test sees the refusal.

--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -88,7 +88,9 @@
 type Platform struct {
 	// URL such as "http://10.0.0.1:7000". Required.
 	URL string `json:"url"`
-	// AnnounceEvery is the time between two announcements. Default "2s".
+	// AnnounceEvery is the time between two announcements. It must be well
+	// below the silence after which the platform takes an instance for ended.
+	// At 2,000 instances "10s" makes 200 announcements a second. Default "10s".
 	AnnounceEvery config.Duration `json:"announceEvery"`
 	// RecordsEvery is the time between two batches of decision records.
 	// Default "60s".
@@ -149,7 +151,7 @@
 			IdleTimeout:    config.Duration(90 * time.Second),
 		},
 		Peers:    Peers{MaxConnections: 4096},
-		Platform: Platform{AnnounceEvery: config.Duration(2 * time.Second), RecordsEvery: config.Duration(time.Minute)},
+		Platform: Platform{AnnounceEvery: config.Duration(10 * time.Second), RecordsEvery: config.Duration(time.Minute)},
 		Fleet: Fleet{
 			Shards:          64,
 			Fresh:           config.Duration(2 * time.Second),
--- a/entry/tree.go
+++ b/entry/tree.go
@@ -33,6 +33,9 @@
 	if err != nil {
 		return err
 	}
+	server.OnRefused(func(address string) {
+		event.HandshakeFailed.Log(e.log, slog.String("address", address))
+	})
 	operatorAPI, err := operators.New(e.self.ID, token, e.loop, e.records, e.metrics.Handler())
 	if err != nil {
 		return err
@@ -104,20 +107,27 @@
 
 // announce tells the platform again and again that the instance runs.
 func (e *Entry) announce(ctx context.Context) error {
-	ticker := time.NewTicker(time.Duration(e.settings.Platform.AnnounceEvery))
-	defer ticker.Stop()
 	for {
-		if err := e.client.Announce(ctx, e.announced()); errors.Is(err, client.ErrEnded) {
+		pause := time.Duration(e.settings.Platform.AnnounceEvery)
+		switch err := e.client.Announce(ctx, e.announced()); {
+		case errors.Is(err, client.ErrEnded):
 			return suture.ErrTerminateSupervisorTree
+		case err != nil:
+			pause = min(pause, announceRetry)
 		}
 		select {
-		case <-ticker.C:
+		case <-time.After(pause):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// announceRetry is the pause after an announcement without an answer. Waiting
+// for the next regular one could let the platform take a working instance for
+// ended.
+const announceRetry = time.Second
+
 func (e *Entry) announced() platform.Instance {
 	self := e.self
 	if e.leaving.Load() {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -31,10 +31,6 @@
 		"What proves that this instance's configuration is the newest has changed: table, witnesses or nothing.",
 		"On `cut-off` for more than a minute, check the network between this instance, its peers and the platform.",
 	}
-	RevisionApplied = Event{
-		202, slog.LevelDebug, "revision applied",
-		"The instance acts on a newer revision of the control table.", "Nothing.",
-	}
 	HandshakeFailed = Event{
 		203, slog.LevelWarn, "peer connection refused",
 		"Somebody connected to the peer address without knowing the fleet's secret.", "Check the sender's secret, or who it is.",
@@ -72,7 +68,7 @@
 func All() []Event {
 	return []Event{
 		Started, Stopping, Stopped, ChildFailed, InvariantBroken,
-		ConfirmationChanged, RevisionApplied, HandshakeFailed,
+		ConfirmationChanged, HandshakeFailed,
 		ServerEjected, ServerReturned, ServerMoved,
 		PlatformUnavailable, PlatformReturned, RecordsDropped,
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -22,10 +22,12 @@
 }
 
 // start serves handle on loopback until the test ends.
-func start(t *testing.T, secret string, handle Handler) string {
+func start(t *testing.T, secret string, handle Handler) (string, chan string) {
 	t.Helper()
 	s, err := NewServer([]byte(secret), 10, time.Second, handle)
 	must.NoError(t, err)
+	refused := make(chan string, 10)
+	s.OnRefused(func(address string) { refused <- address })
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -38,7 +40,7 @@
 		cancel()
 		<-done
 	})
-	return l.Addr().String()
+	return l.Addr().String(), refused
 }
 
 func echo(_ string, body any) (any, bool) {
@@ -47,7 +49,7 @@
 }
 
 func TestCall(t *testing.T) {
-	address := start(t, "secret", echo)
+	address, _ := start(t, "secret", echo)
 	c := NewClient("a", []byte("secret"), time.Second)
 	defer c.Close()
 	for i := range 3 {
@@ -61,11 +63,12 @@
 }
 
 func TestCallWithWrongSecretGetsNoAnswer(t *testing.T) {
-	address := start(t, "secret", echo)
+	address, refused := start(t, "secret", echo)
 	c := NewClient("a", []byte("other"), time.Second)
 	defer c.Close()
 	_, err := c.Call(context.Background(), address, ping{})
 	must.True(t, errors.Is(err, ErrNoAnswer))
+	must.StrContains(t, <-refused, "127.0.0.1:")
 }
 
 // The other instance is frozen: it accepts the call and never answers. The
@@ -75,7 +78,7 @@
 	frozen := make(chan struct{})
 	defer close(frozen)
 	var calls atomic.Int32
-	address := start(t, "secret", func(from string, body any) (any, bool) {
+	address, _ := start(t, "secret", func(from string, body any) (any, bool) {
 		if calls.Add(1) == 1 {
 			<-frozen
 		}
--- a/peer/server.go
+++ b/peer/server.go
@@ -20,6 +20,8 @@
 	rpc      *rpc.Server
 	maxConns int
 	greeting time.Duration
+	// refused hears of connections whose handshake failed; it may be nil.
+	refused func(address string)
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -55,6 +57,10 @@
 	return s, nil
 }
 
+// OnRefused sets who hears of connections from somebody who doesn't know the
+// secret. To be called before Serve.
+func (s *Server) OnRefused(f func(address string)) { s.refused = f }
+
 // Serve accepts connections until ctx ends, then closes all of them.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() {
@@ -84,7 +90,10 @@
 
 func (s *Server) serve(conn net.Conn) {
 	defer s.remove(conn)
-	if admit(conn, s.secret, time.Now().Add(s.greeting)) != nil {
+	if err := admit(conn, s.secret, time.Now().Add(s.greeting)); err != nil {
+		if s.refused != nil && errors.Is(err, ErrHandshake) {
+			s.refused(conn.RemoteAddr().String())
+		}
 		return
 	}
 	s.rpc.ServeConn(conn)
