--- a/membership/directory.go
+++ b/membership/directory.go
@@ -28,6 +28,8 @@
 	watchers    map[string][]string
 	collectors  map[string]string
 	witnesses   []string // all live entries in the order of the witness role
+	// strings has the names that many instances share.
+	strings map[string]string
 	// selfWatches says that the instance itself is a watcher.
 	selfWatches bool
 }
@@ -39,7 +41,7 @@
 }
 
 func newDirectory(s Settings) *Directory {
-	d := &Directory{set: s, instances: map[string]listed{}, collectors: map[string]string{}}
+	d := &Directory{set: s, instances: map[string]listed{}, collectors: map[string]string{}, strings: map[string]string{}}
 	d.index()
 	return d
 }
@@ -74,7 +76,7 @@
 		d.base = c.Version
 	}
 	for _, i := range c.Changed {
-		d.instances[i.ID] = listed{Instance: i, changed: c.Version}
+		d.instances[i.ID] = listed{Instance: d.shared(i), changed: c.Version}
 	}
 	d.version = c.Version
 	d.forgetEnded()
@@ -130,6 +132,26 @@
 
 // index works the roles out anew. Ids are sorted and not instances, because
 // a list of some thousands changes every few seconds.
+// shared returns the instance with those of its strings that many instances
+// have in common held once. Decoding makes a copy of each for every instance;
+// at 26,000 instances these take megabytes.
+func (d *Directory) shared(i platform.Instance) platform.Instance {
+	i.Kind = platform.Kind(d.intern(string(i.Kind)))
+	i.State = platform.State(d.intern(string(i.State)))
+	i.Service = d.intern(i.Service)
+	i.DataCentre = d.intern(i.DataCentre)
+	i.Region = d.intern(i.Region)
+	return i
+}
+
+func (d *Directory) intern(s string) string {
+	if known, ok := d.strings[s]; ok {
+		return known
+	}
+	d.strings[s] = s
+	return s
+}
+
 func (d *Directory) index() {
 	before := d.entryIDs
 	d.entries = nil
