An instance with a bad network isn't named; status without the platform

Cause: (1) health could tell that an instance is alone with its failures, but nothing followed; its callers fared worst of all. (2) foxtailspoke status failed while the platform is away, when operators need it most. Failing first: TestInstanceWithBadNetworkIsNotNamed (named for all of 2,000 requests; and for good without the end). Ruled out for (1): the state leaving in the platform's list, from which nobody comes back. Seen: tests of node, config, operator, cli green.

--- a/config/config.go
+++ b/config/config.go
@@ -22,6 +22,9 @@
 	ShardPrefix     = "shard/"
 	PermitPrefix    = "permit/"
 	WitnessesKey    = "witnesses"
+	// UnadvertisedKey is the row of the entry instances that callers aren't
+	// told of for the time being.
+	UnadvertisedKey = "unadvertised"
 	// ListsKey is the row that every accepted pair of lists rewrites, so
 	// that two operators' changes can't both win.
 	ListsKey = "lists"
@@ -147,6 +150,11 @@
 	Previous []string `json:"previous,omitempty"`
 }
 
+// Unadvertised is the row under UnadvertisedKey.
+type Unadvertised struct {
+	Instances []string `json:"instances"`
+}
+
 // Duration is a time.Duration written like "1.5s" in JSON.
 type Duration time.Duration
 
--- a/internal/cli/bench_test.go
+++ b/internal/cli/bench_test.go
@@ -26,8 +26,10 @@
 	t        *testing.T
 	platform *standin.Platform
 	entry    *fakeEntry
-	dir      string
-	env      map[string]string
+	// entryAddress is the fake's operator address.
+	entryAddress string
+	dir          string
+	env          map[string]string
 }
 
 // fakeEntry answers the operator API.
@@ -80,7 +82,8 @@
 	token := filepath.Join(b.dir, "token")
 	must.NoError(t, os.WriteFile(token, []byte(testToken+"\n"), 0o600))
 	b.env = map[string]string{envPlatform: p.URL(), envTokenFile: token, envUser: "maria"}
-	b.announce(platform.Instance{ID: "0f8fad5b-entry", Kind: platform.Entry, State: platform.Live, DataCentre: "a", OperatorAddress: strings.TrimPrefix(listener.URL, "http://")})
+	b.entryAddress = strings.TrimPrefix(listener.URL, "http://")
+	b.announce(platform.Instance{ID: "0f8fad5b-entry", Kind: platform.Entry, State: platform.Live, DataCentre: "a", OperatorAddress: b.entryAddress})
 	for service, n := range map[string]int{"catalogue": 10, "diagnosis": 10, "ordering": 15, "billing": 15} {
 		for i := range n {
 			b.announce(platform.Instance{ID: service + string(rune('a'+i)), Kind: platform.BackendServer, Service: service, State: platform.Live, Slots: 2})
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -214,6 +214,19 @@
 	must.StrContains(t, out, "found the floor 7; allowed: at most 6")
 }
 
+// The platform is away. An operator names an entry instance and sees what it
+// knows; without one there is nothing to show, and the exit code says so.
+func TestStatusWhilePlatformIsAway(t *testing.T) {
+	b := newBench(t)
+	must.NoError(t, b.platform.UpdateFaults(func(f *standin.PlatformFaults) {
+		f.Table.Down, f.Instances.Down = standin.DownClosed, standin.DownClosed
+	}))
+	out := b.must(exitDone, "status", "--timeout", "300ms", "--entry", b.entryAddress)
+	must.StrContains(t, out, "table couldn't be read")
+	must.StrContains(t, out, "lists version 1, revision 9")
+	b.must(exitUnavailable, "status", "--timeout", "300ms")
+}
+
 // What get writes can be applied again as it is.
 func TestGetRoundTrip(t *testing.T) {
 	b := newBench(t)
--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -14,6 +14,7 @@
 	"foxtailspoke/config/jsonc"
 	"foxtailspoke/operator"
 	"foxtailspoke/operator/fleet"
+	"foxtailspoke/platform"
 	"foxtailspoke/platform/client"
 )
 
@@ -33,6 +34,7 @@
 type globalOptions struct {
 	Platform  string        `long:"platform" value-name:"URL" description:"The platform's address; else $FOXTAILSPOKE_PLATFORM, else the settings file's \"platform\""`
 	TokenFile string        `long:"token-file" value-name:"FILE" description:"File with the operators' token for entry instances; else $FOXTAILSPOKE_TOKEN_FILE, else the settings file's \"tokenFile\""`
+	Entries   []string      `long:"entry" value-name:"ADDRESS" description:"Operator address of an entry instance, asked instead of those that the platform lists; works while the platform is away. May be repeated"`
 	Settings  string        `long:"settings" value-name:"FILE" description:"Settings in JSON with comments; else $FOXTAILSPOKE_SETTINGS. Example: {\"platform\": \"http://10.0.0.1:7000\", \"tokenFile\": \"operator.token\", \"as\": \"maria\"}"`
 	As        string        `long:"as" value-name:"NAME" description:"Who you are, for the audit trail; else the settings file's \"as\", else $USER"`
 	Output    string        `long:"output" choice:"text" choice:"json" default:"text" description:"How to print the result"`
@@ -119,10 +121,18 @@
 	if err != nil {
 		return connection{}, err
 	}
-	c.fleet = fleet.New(p, token, 0)
+	c.fleet = fleet.New(a.instances(p), token, 0)
 	return c, nil
 }
 
+// instances returns where the entry instances are looked up.
+func (a *app) instances(p *client.Client) platform.Instances {
+	if len(a.global.Entries) > 0 {
+		return fleet.Addresses(a.global.Entries)
+	}
+	return p
+}
+
 // connectToChange also demands a name for the audit trail.
 func (a *app) connectToChange() (connection, error) {
 	s, err := a.settings()
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -13,10 +13,12 @@
 
 const statusHelp = `Shows the lists in force, the ejected backend servers and why, and for every
 entry instance its configuration, lowered backend servers and workspaces near
-their limits. With the instances down it shows what the table tells.
+their limits. With the instances down it shows what the table tells. While the
+platform is away, name instances with --entry.
 
 Examples:
 $ foxtailspoke status
+$ foxtailspoke status --entry 10.0.1.7:8012      (the platform is away)
 $ foxtailspoke status --output json | jq '.entries[].status.listsVersion'`
 
 type statusCommand struct{ app *app }
@@ -37,7 +39,11 @@
 	if c.app.json() {
 		return c.app.printJSON(s)
 	}
-	c.table(s)
+	if s.TableError != "" {
+		c.app.notef("The platform's table couldn't be read: %s\n", s.TableError)
+	} else {
+		c.table(s)
+	}
 	switch {
 	case conn.fleet == nil:
 		c.app.notef("Entry instances weren't asked: that needs --token-file.\n")
--- a/node/effect.go
+++ b/node/effect.go
@@ -18,6 +18,7 @@
 	ownerSettlement
 	ownerReport
 	ownerClaim
+	ownerUnadvertised
 )
 
 // pending is an effect whose answer is awaited.
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -312,6 +313,36 @@
 	}
 }
 
+// One instance's own network fails towards all backend servers. Callers of
+// several workspaces meet failures there and nowhere else. The others stop
+// naming it, eject no server for it, and name it again later.
+func TestInstanceWithBadNetworkIsNotNamed(t *testing.T) {
+	f := ready(11, 5, 4)
+	keys := []string{key, "fsk_b", "fsk_c", "fsk_d"}
+	for _, k := range keys[1:] {
+		f.write(config.WorkspacePrefix+k, config.Workspace{Plan: "p"})
+		f.write(config.KeyPrefix+config.HashKey(k).String(), config.Key{Workspace: k})
+	}
+	bad := f.names[0]
+	for id := range f.servers {
+		f.cut[bad+">"+id] = true
+	}
+	named := func() bool {
+		f.operationKey(f.names[1], key)
+		return slices.Contains(f.located["l"+strconv.Itoa(f.requests)].Addresses, bad)
+	}
+	f.run(5 * time.Second)
+	must.True(t, named())
+	for i := 0; named() && i < 2000; i++ {
+		f.arrive(f.names[i%5], keys[i%4], get())
+		f.run(20 * time.Millisecond)
+	}
+	must.False(t, named())
+	must.SliceEmpty(t, f.nodes[f.names[1]].node.replica.Permits("orders").Ejected)
+	f.run(unadvertisedFor + 5*time.Second)
+	must.True(t, named())
+}
+
 // A backend server drains, and the platform's list doesn't show it. It refuses
 // as not run; the requests go elsewhere, and each instance tries it once only.
 func TestServerThatLeavesIsLeftAlone(t *testing.T) {
--- a/node/locate.go
+++ b/node/locate.go
@@ -40,6 +40,12 @@
 			ids = append(ids, id)
 		}
 	}
+	advertised := slices.DeleteFunc(slices.Clone(ids), func(id string) bool {
+		return slices.Contains(n.unadvertised.instances, id)
+	})
+	if len(advertised) > 0 {
+		ids = advertised
+	}
 	var addresses []string
 	for _, id := range ids {
 		own := id == n.settings.Self.ID
--- a/node/node.go
+++ b/node/node.go
@@ -56,10 +56,11 @@
 	leaving    bool
 	permitting map[string]bool
 	// leavers are backend servers that said that they leave, until when.
-	leavers map[string]time.Duration
-	ejected map[string]map[string]bool
-	refused refusals
-	fares   fares
+	leavers      map[string]time.Duration
+	ejected      map[string]map[string]bool
+	refused      refusals
+	fares        fares
+	unadvertised unadvertised
 }
 
 // New returns the node of an instance that has just started and knows
@@ -164,6 +165,7 @@
 func (n *Node) keepHouse() {
 	n.reportHealth()
 	n.collect()
+	n.endUnadvertised()
 	n.planShards()
 	n.lookForOldClaims()
 	n.lookForAbandonedClaims()
@@ -200,6 +202,8 @@
 		n.shardWritten(p.subject, e.Result)
 	case ownerClaim:
 		n.claimWritten(p, e.Result)
+	case ownerUnadvertised:
+		n.unadvertised.writing = false
 	case ownerPermits:
 		delete(n.permitting, p.subject)
 	}
@@ -229,6 +233,7 @@
 	n.seen = n.replica.Revision()
 	n.refreshShards()
 	n.noticePermits()
+	n.noticeUnadvertised()
 	n.noticeServers()
 }
 
--- a/node/servers.go
+++ b/node/servers.go
@@ -117,6 +117,7 @@
 		case "":
 		case n.settings.Self.ID:
 			suspects := n.collector.Accept(n.now, collector, report)
+			n.judgeReporter(collector, report.Service)
 			n.observer.Advise(n.now, report.Service, suspects)
 		default:
 			p := pending{owner: ownerReport, subject: report.Service}
--- a/operator/status.go
+++ b/operator/status.go
@@ -22,6 +22,9 @@
 	Keys         int               `json:"keys"`
 	// Ejected are the backend servers out of use, by service.
 	Ejected map[string][]config.Ejection `json:"ejected"`
+	// TableError tells why the table couldn't be read; the fields above are
+	// empty then.
+	TableError string `json:"tableError,omitempty"`
 	// Entries are empty if the instances couldn't be listed; EntriesError
 	// tells why.
 	Entries      []EntryStatus `json:"entries"`
@@ -39,27 +42,45 @@
 const parallelAsks = 32
 
 // Status reads the table and asks every instance. Without a fleet, or with
-// the instances down, it shows what the table tells.
+// the instances down, it shows what the table tells; with the platform away,
+// what the instances tell, if they can be listed. It fails if there is neither.
 func (o *Operator) Status(ctx context.Context, f Fleet) (Status, error) {
+	if f == nil {
+		return o.tableStatus(ctx)
+	}
+	// At the same time: a table that doesn't answer takes all of the time.
+	var entries []EntryStatus
+	var entriesErr error
+	var asking sync.WaitGroup
+	asking.Go(func() { entries, entriesErr = askStatus(ctx, f) })
 	s, err := o.tableStatus(ctx)
-	if err != nil || f == nil {
+	asking.Wait()
+	s.Entries = entries
+	if entriesErr != nil {
+		s.EntriesError = entriesErr.Error()
 		return s, err
 	}
+	if err != nil {
+		s.TableError = err.Error()
+	}
+	return s, nil
+}
+
+func askStatus(ctx context.Context, f Fleet) ([]EntryStatus, error) {
 	entries, err := f.Entries(ctx)
 	if err != nil {
-		s.EntriesError = err.Error()
-		return s, nil
+		return nil, err
 	}
-	s.Entries = make([]EntryStatus, len(entries))
+	all := make([]EntryStatus, len(entries))
 	inParallel(len(entries), func(i int) {
-		s.Entries[i] = EntryStatus{Instance: entries[i]}
+		all[i] = EntryStatus{Instance: entries[i]}
 		status, err := f.Status(ctx, entries[i])
-		s.Entries[i].Status = status
+		all[i].Status = status
 		if err != nil {
-			s.Entries[i].Error = err.Error()
+			all[i].Error = err.Error()
 		}
 	})
-	return s, nil
+	return all, nil
 }
 
 func (o *Operator) tableStatus(ctx context.Context) (Status, error) {
