Status shows the tokens that are left

Cause: 'tokens left' in foxtailspoke status was never filled in and always read 0. Failing first: TestStatusShowsTokens after a minute's rest, 0 instead of 12 (the whole burst).

--- a/entry/operators/convert.go
+++ b/entry/operators/convert.go
@@ -32,6 +32,7 @@
 			Service:   r.Service,
 			Rate:      r.Limit.Rate,
 			Burst:     r.Limit.Burst,
+			Tokens:    r.Tokens,
 			Parts:     r.Parts,
 			Refused:   r.Count,
 		})
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -60,6 +60,22 @@
 	}
 }
 
+// A workspace is over its rate. The status shows what is left here, and that it
+// fills again.
+func TestStatusShowsTokens(t *testing.T) {
+	f := ready(12, 1, 3)
+	for range 3 * int(burst) {
+		f.arrive(f.names[0], key, get())
+	}
+	n := f.nodes[f.names[0]]
+	empty := n.node.Status(n.local(f.now)).Refusals
+	must.Len(t, 1, empty)
+	must.Less(t, 1, empty[0].Tokens)
+	must.Positive(t, empty[0].Count)
+	f.run(time.Minute)
+	must.Eq(t, burst, n.node.Status(n.local(f.now)).Refusals[0].Tokens)
+}
+
 // disturb makes one fault at random, and undoes it later.
 func (f *fleet) disturb() {
 	name := f.names[f.rng.IntN(len(f.names))]
--- a/node/status.go
+++ b/node/status.go
@@ -58,7 +58,9 @@
 	Workspace, Service string
 	Limit              config.Limit
 	Parts              int
-	Count              uint64
+	// Tokens that this instance has now.
+	Tokens float64
+	Count  uint64
 }
 
 // maxRefusals bounds the workspaces whose refusals are counted.
@@ -127,6 +129,7 @@
 			Service:   b.Service,
 			Limit:     limit,
 			Parts:     quota.Parts(shard)[n.settings.Self.ID],
+			Tokens:    n.holder.Level(n.now, b, limit).Float(),
 			Count:     count,
 		})
 	}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -260,6 +260,15 @@
 	}
 }
 
+// Level returns the tokens that this instance has for a bucket now.
+func (h *Holder) Level(now time.Duration, b Bucket, l config.Limit) Amount {
+	level := h.received(b)
+	if own, _ := h.bucket(now, b, l); own != nil {
+		level += own.level
+	}
+	return level
+}
+
 // Buckets returns how many buckets are kept, for metrics.
 func (h *Holder) Buckets() int {
 	n := 0
