A frozen peer holds up nobody else

Cause: a call that dialed kept its connection's lock, and reading the metrics or closing idle connections waits for that lock with the list of all connections locked: every call to every peer waited for the dial to a frozen one, up to 250 ms. Found by reading. Ruled out: calls to the same frozen peer piling up; each ends at its own deadline (tried, green on the old code). Change: one dials, the others wait for it with their own deadlines, and no lock is held meanwhile. Failing first: TestFrozenPeerHoldsUpNobodyElse, 5 s. Also names and comments of the node's fields.

--- a/entry/driver.go
+++ b/entry/driver.go
@@ -60,7 +60,7 @@
 var notes = map[node.Note]event.Event{
 	node.NoteEjected:      event.ServerEjected,
 	node.NoteReturned:     event.ServerReturned,
-	node.NoteShardWritten: event.ServerMoved,
+	node.NoteShardWritten: event.ShardWritten,
 	node.NoteConfirmation: event.ConfirmationChanged,
 }
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -44,7 +44,7 @@
 		302, slog.LevelInfo, "backend server returned",
 		"An ejected backend server is used again, slowly at first.", "Nothing.",
 	}
-	ServerMoved = Event{
+	ShardWritten = Event{
 		303, slog.LevelInfo, "shard parts moved",
 		"This instance wrote a new division of a shard's rate and burst.", "Nothing.",
 	}
@@ -69,7 +69,7 @@
 	return []Event{
 		Started, Stopping, Stopped, ChildFailed, InvariantBroken,
 		ConfirmationChanged, HandshakeFailed,
-		ServerEjected, ServerReturned, ServerMoved,
+		ServerEjected, ServerReturned, ShardWritten,
 		PlatformUnavailable, PlatformReturned, RecordsDropped,
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -44,19 +44,25 @@
 	attempts map[string]*attempt
 	timers   timers
 
-	shards   shards
+	shards shards
+	// seen and seenList are the table's revision and the list's version that
+	// the node has followed.
 	seen     platform.Revision
 	seenList uint64
-	state    membership.State
+	// state is the confirmation as operators heard of it last.
+	state membership.State
 	// freshUntil is until when this instance could act on what it knew at
 	// the end of the last step.
 	freshUntil time.Duration
-	housekeep  time.Duration
-	forgetAt   time.Duration
-	leaving    bool
+	// housekeep and forgetAt are when the regular work is due.
+	housekeep time.Duration
+	forgetAt  time.Duration
+	leaving   bool
+	// permitting has the services whose permits row is being written.
 	permitting map[string]bool
 	// leavers are backend servers that said that they leave, until when.
-	leavers      map[string]time.Duration
+	leavers map[string]time.Duration
+	// ejected are the servers by service that operators heard of.
 	ejected      map[string]map[string]bool
 	refused      refusals
 	fares        fares
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -44,9 +44,12 @@
 	done  bool
 }
 
-// link is the connection to one address. The mutex makes sure that only one
-// call dials while the others wait for it.
+// link is the connection to one address.
 type link struct {
+	// dialing has room for the one call that dials; the others wait for it,
+	// each until its own deadline.
+	dialing chan struct{}
+
 	mu     sync.Mutex
 	client *rpc.Client
 	conn   *countingConn
@@ -139,19 +142,46 @@
 	}
 	l, ok := c.conns[address]
 	if !ok {
-		l = &link{used: time.Now()}
+		l = &link{dialing: make(chan struct{}, 1), used: time.Now()}
 		c.conns[address] = l
 	}
 	return l, nil
 }
 
+// connect returns the connection, and makes one if there is none.
 func (l *link) connect(ctx context.Context, c *Client, address string) (*rpc.Client, error) {
+	if client := l.current(); client != nil {
+		return client, nil
+	}
+	select {
+	case l.dialing <- struct{}{}:
+		defer func() { <-l.dialing }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if client := l.current(); client != nil {
+		return client, nil
+	}
+	conn, err := c.open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn = conn
+	l.client = rpc.NewClient(conn)
+	return l.client, nil
+}
+
+func (l *link) current() *rpc.Client {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.used = time.Now()
-	if l.client != nil {
-		return l.client, nil
-	}
+	return l.client
+}
+
+// open dials and shakes hands.
+func (c *Client) open(ctx context.Context, address string) (*countingConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.dial)
 	defer cancel()
 	var d net.Dialer
@@ -164,9 +194,7 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	l.conn = &countingConn{Conn: raw}
-	l.client = rpc.NewClient(l.conn)
-	return l.client, nil
+	return &countingConn{Conn: raw}, nil
 }
 
 // drop closes the connection if it is still the one that the caller used.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/gob"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -93,3 +94,35 @@
 	_, err = c.Call(context.Background(), address, ping{N: 7})
 	must.NoError(t, err)
 }
+
+// One instance is frozen: connections to it come about and nobody greets. While
+// a call to it waits, the metrics are read. Calls to the others must not wait
+// for either.
+func TestFrozenPeerHoldsUpNobodyElse(t *testing.T) {
+	frozen, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = frozen.Close() }()
+	live, _ := start(t, "secret", echo)
+	c := NewClient("a", []byte("secret"), time.Minute)
+	defer c.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	var waiting sync.WaitGroup
+	waiting.Go(func() { _, _ = c.Call(ctx, frozen.Addr().String(), ping{}) })
+	conn, err := frozen.Accept() // the call waits for the greeting now
+	must.NoError(t, err)
+	answered := make(chan error, 1)
+	waiting.Go(func() {
+		c.Traffic()
+		_, err := c.Call(ctx, live, ping{})
+		answered <- err
+	})
+	select {
+	case err := <-answered:
+		must.NoError(t, err)
+	case <-time.After(5 * time.Second):
+		t.Error("the call waits for the frozen peer")
+	}
+	cancel()
+	_ = conn.Close()
+	waiting.Wait()
+}
