Detection time can be read off an instance

Change: detection_seconds, from the first bad attempt reported against a backend server to the write that ejects it. Failing first: TestDetectionIsTimed, nothing noted without the reports being followed. Seen: node and entry green.

--- a/entry/driver.go
+++ b/entry/driver.go
@@ -65,5 +65,9 @@
 }
 
 func (d *driver) note(e node.Noted) {
-	notes[e.Note].Log(d.log, slog.String("subject", e.Subject), slog.String("detail", e.Detail))
+	logged, ok := notes[e.Note]
+	if !ok {
+		return // only counted
+	}
+	logged.Log(d.log, slog.String("subject", e.Subject), slog.String("detail", e.Detail))
 }
--- a/entry/metrics/metrics.go
+++ b/entry/metrics/metrics.go
@@ -27,6 +27,7 @@
 	took      *prometheus.HistogramVec
 	attempts  *prometheus.CounterVec
 	ejections *prometheus.CounterVec
+	detection prometheus.Histogram
 	states    *prometheus.GaugeVec
 }
 
@@ -56,12 +57,17 @@
 			Namespace: namespace, Name: "ejection_changes_total",
 			Help: "Ejections and returns of backend servers that this instance heard of.",
 		}, []string{"change"}),
+		detection: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "detection_seconds",
+			Help:    "Time from the first bad attempt reported against a backend server to its ejection, by the instance that had it ejected.",
+			Buckets: prometheus.ExponentialBuckets(0.125, 2, 12),
+		}),
 		states: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "confirmation",
 			Help: "1 for what confirms that the configuration is the newest.",
 		}, []string{"state"}),
 	}
-	m.registry.MustRegister(m.answers, m.added, m.took, m.attempts, m.ejections, m.states)
+	m.registry.MustRegister(m.answers, m.added, m.took, m.attempts, m.ejections, m.detection, m.states)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -108,6 +114,8 @@
 		m.ejections.WithLabelValues("ejected").Inc()
 	case node.NoteReturned:
 		m.ejections.WithLabelValues("returned").Inc()
+	case node.NoteDetected:
+		m.detection.Observe(e.Took.Seconds())
 	case node.NoteConfirmation:
 		m.states.Reset()
 		m.states.WithLabelValues(e.Subject).Set(1)
--- a/node/event.go
+++ b/node/event.go
@@ -217,6 +217,8 @@
 	Subject string
 	// Detail is a plain sentence or empty.
 	Detail string
+	// Took is set with NoteDetected.
+	Took time.Duration
 }
 
 // Note says what Noted is about.
@@ -231,4 +233,7 @@
 	NoteShardWritten
 	// NoteConfirmation: the confirmation state changed.
 	NoteConfirmation
+	// NoteDetected: this instance had a backend server ejected; Took is the
+	// time since the first bad attempt reported against it.
+	NoteDetected
 )
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -38,6 +38,8 @@
 	forwarded map[string]string
 	replying  map[uint64]func(ReplyCall)
 	requests  int
+	// noted has the detections.
+	noted []Noted
 	// seeds of the instances that are started.
 	seeds []string
 }
@@ -207,6 +209,10 @@
 		f.answer(e.Request, "ran-before", "")
 	case Refuse:
 		f.answer(e.Request, string(e.Record.Outcome), string(e.Record.Rule))
+	case Noted:
+		if e.Note == NoteDetected {
+			f.noted = append(f.noted, e)
+		}
 	case Located:
 		f.located[e.Request] = e
 	case effect.Call:
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -359,6 +359,25 @@
 	must.True(t, named())
 }
 
+// A backend server sends half answers from one moment on. The instance that has
+// it ejected says how long that took since the first one reported.
+func TestDetectionIsTimed(t *testing.T) {
+	f := ready(13, 5, 4)
+	for i := range 50 {
+		f.arrive(f.names[i%5], key, get())
+		f.run(60 * time.Millisecond)
+	}
+	f.servers["s0"].mode = "half"
+	began := f.now
+	for i := 0; len(f.noted) == 0 && i < 1000; i++ {
+		f.arrive(f.names[i%5], key, get())
+		f.run(60 * time.Millisecond)
+	}
+	must.Len(t, 1, f.noted)
+	must.Eq(t, "s0", f.noted[0].Subject)
+	must.Between(t, 1, f.noted[0].Took, f.now-began)
+}
+
 // A backend server drains, and the platform's list doesn't show it. It refuses
 // as not run; the requests go elsewhere, and each instance tries it once only.
 func TestServerThatLeavesIsLeftAlone(t *testing.T) {
--- a/node/message.go
+++ b/node/message.go
@@ -63,6 +63,7 @@
 	case e.Request.Report != nil:
 		suspects := n.collector.Accept(n.now, e.From, *e.Request.Report)
 		n.judgeReporter(e.From, e.Request.Report.Service)
+		n.noteDoubts(*e.Request.Report)
 		return PeerReply{Advice: &Advice{Service: e.Request.Report.Service, Suspects: suspects}}, true
 	}
 	return PeerReply{}, false
--- a/node/node.go
+++ b/node/node.go
@@ -58,8 +58,10 @@
 	housekeep time.Duration
 	forgetAt  time.Duration
 	leaving   bool
-	// permitting has the services whose permits row is being written.
-	permitting map[string]bool
+	// permitting has the services whose permits row is being written, with
+	// the servers that this ejects.
+	permitting map[string][]string
+	doubts     map[string]doubt
 	// leavers are backend servers that said that they leave, until when.
 	leavers map[string]time.Duration
 	// ejected are the servers by service that operators heard of.
@@ -94,7 +96,8 @@
 		requests:   map[string]*request{},
 		attempts:   map[string]*attempt{},
 		shards:     newShards(s.Shards),
-		permitting: map[string]bool{},
+		permitting: map[string][]string{},
+		doubts:     map[string]doubt{},
 		leavers:    map[string]time.Duration{},
 		ejected:    map[string]map[string]bool{},
 		refused:    refusals{},
@@ -179,6 +182,7 @@
 		n.forgetAt = n.now + time.Minute
 		n.holder.Forget(n.now)
 		n.forgetLeavers()
+		n.forgetDoubts()
 		n.fares.forget(n.now)
 	}
 }
@@ -211,7 +215,7 @@
 	case ownerUnadvertised:
 		n.unadvertised.writing = false
 	case ownerPermits:
-		delete(n.permitting, p.subject)
+		n.permitsWritten(p.subject, e.Result)
 	}
 }
 
--- a/node/servers.go
+++ b/node/servers.go
@@ -118,6 +118,7 @@
 		case n.settings.Self.ID:
 			suspects := n.collector.Accept(n.now, collector, report)
 			n.judgeReporter(collector, report.Service)
+			n.noteDoubts(report)
 			n.observer.Advise(n.now, report.Service, suspects)
 		default:
 			p := pending{owner: ownerReport, subject: report.Service}
@@ -142,7 +143,7 @@
 }
 
 func (n *Node) propose(service string) {
-	if n.permitting[service] {
+	if _, writing := n.permitting[service]; writing {
 		return
 	}
 	var live []string
@@ -160,7 +161,7 @@
 	if err != nil {
 		panic(err)
 	}
-	n.permitting[service] = true
+	n.permitting[service] = proposed(n.replica.Permits(service), proposal.Permits)
 	p := pending{owner: ownerPermits, subject: service}
 	n.emit(n.own(p, effect.WriteTable{Txn: n.txn(config.PermitPrefix+service, value)}))
 }
