A decision's age is asked again before the first byte

The instance was frozen for 5 s from one second before the withdrawal, and the request ran as it woke: the decision was made before the freeze, the bytes left after it. Change: an attempt carries the time up to which its decision is confirmed; right before the first byte the connection asks the boot-time clock. Too late means that nothing is written: proved not run, and decided anew. Failing first: TestExpiredDecisionWritesNothing (the order arrived).

--- a/entry/attempt/attempt.go
+++ b/entry/attempt/attempt.go
@@ -46,6 +46,8 @@
 	Refused
 	// Cancelled means that the instance itself gave the attempt up.
 	Cancelled
+	// Expired means that nothing was written because Valid said no.
+	Expired
 	// BodyFailed means that the request's own body ended early or was too
 	// long, so that the backend server can't be blamed.
 	BodyFailed
@@ -70,6 +72,11 @@
 	// Timeout bounds the attempt from its start to the end of its answer,
 	// also of the part that is passed on as it comes.
 	Timeout time.Duration
+	// Valid is asked right before the first byte is written; if it says no,
+	// nothing is. A process that is frozen between its decision and the
+	// sending would otherwise send a request when it wakes, for a key that was
+	// withdrawn long before. Nil means always.
+	Valid func() bool
 	// Forward passes the request on to another entry instance as the caller
 	// sent it, with its key.
 	Forward bool
@@ -98,7 +105,7 @@
 
 // NotRun tells whether the request is proved not to have run.
 func (o Outcome) NotRun() bool {
-	return o.Ending == ConnectFailed || o.Ending == Unwritten || o.Ending == Refused
+	return o.Ending == ConnectFailed || o.Ending == Unwritten || o.Ending == Refused || o.Ending == Expired
 }
 
 // Sender sends attempts over kept connections.
@@ -114,7 +121,7 @@
 func (s *Sender) Send(ctx context.Context, r Request) Outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(r.Timeout, func() { cancel(errTimeout) })
-	watch := &watch{}
+	watch := &watch{valid: r.Valid}
 	start := time.Now()
 	answer, err := s.roundTrip(httptrace.WithClientTrace(ctx, watch.trace()), r)
 	if err != nil {
@@ -181,6 +188,8 @@
 func failed(ctx context.Context, err error, w *watch) Outcome {
 	o := Outcome{Err: err, Ending: Broken}
 	switch {
+	case w.expired.Load() && !w.wrote():
+		o.Ending = Expired
 	case !w.connected():
 		o.Ending = ConnectFailed
 	case !w.wrote():
--- a/entry/attempt/attempt_test.go
+++ b/entry/attempt/attempt_test.go
@@ -149,6 +149,30 @@
 	must.StrContains(t, <-heads, "fsk_secret")
 }
 
+// The process is frozen after its decision to send an order, on a new or on a
+// kept connection, and wakes when the caller's key has long been withdrawn.
+// Nothing is written, which proves the order not run.
+func TestExpiredDecisionWritesNothing(t *testing.T) {
+	address, requests := raw(t, func(_ int32, conn net.Conn, _ string) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nFoxtailspoke-Attempt: a1\r\nContent-Length: 0\r\n\r\n")
+	})
+	s := sender(t)
+	for _, body := range []string{"x", ""} {
+		r := request(address, http.MethodPost, body)
+		r.Valid = func() bool { return false }
+		o := s.Send(context.Background(), r)
+		must.Eq(t, Expired, o.Ending, must.Sprint(o.Err))
+		must.True(t, o.NotRun())
+		must.Eq(t, 0, requests.Load())
+	}
+	r := request(address, http.MethodPost, "")
+	r.Valid = func() bool { return true }
+	must.Eq(t, Answered, s.Send(context.Background(), r).Ending)
+	r.Valid = func() bool { return false }
+	must.Eq(t, Expired, s.Send(context.Background(), r).Ending)
+	must.Eq(t, 1, requests.Load())
+}
+
 func TestNothingListens(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
--- a/entry/attempt/transport.go
+++ b/entry/attempt/transport.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Settings of a Sender.
@@ -52,9 +54,14 @@
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+	// gate is asked before the first byte of a request is written.
+	gate atomic.Pointer[func() bool]
 }
 
 func (c *countingConn) Write(p []byte) (int, error) {
+	if gate := c.gate.Swap(nil); gate != nil && !(*gate)() {
+		return 0, errExpired
+	}
 	c.written.Add(int64(len(p)))
 	return c.Conn.Write(p)
 }
@@ -66,6 +73,22 @@
 	before int64
 	// unseen means that the connection's bytes can't be counted.
 	unseen bool
+	// valid says whether the decision to send still holds.
+	valid func() bool
+	// expired says that it didn't when the first byte was due.
+	expired atomic.Bool
+}
+
+// errExpired keeps a request from being written.
+var errExpired = errors.New("attempt: the decision to send it is too old")
+
+// check is the gate of a connection for this round trip.
+func (w *watch) check() bool {
+	if w.valid() {
+		return true
+	}
+	w.expired.Store(true)
+	return false
 }
 
 func (w *watch) trace() *httptrace.ClientTrace {
@@ -82,6 +105,10 @@
 		}
 		w.conn = conn
 		w.before = conn.written.Load()
+		if w.valid != nil {
+			check := w.check
+			conn.gate.Store(&check)
+		}
 	}}
 }
 
--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -58,6 +58,7 @@
 	open   map[string]*exchange
 	// cancels gives up attempts that are under way.
 	cancels map[string]context.CancelFunc
+	now     func() time.Duration
 	wg      sync.WaitGroup
 }
 
@@ -77,8 +78,9 @@
 }
 
 // New returns the service of an instance. Record takes the records of requests
-// that are refused before the node hears of them; it must not block.
-func New(instance string, s Settings, loop Submitter, sender *attempt.Sender, m Metrics, ready Readiness, record func(decision.Record)) (*Service, error) {
+// that are refused before the node hears of them; it must not block. Now is the
+// node's clock.
+func New(instance string, s Settings, loop Submitter, sender *attempt.Sender, m Metrics, ready Readiness, record func(decision.Record), now func() time.Duration) (*Service, error) {
 	c := &Service{
 		instance: instance,
 		settings: s,
@@ -87,6 +89,7 @@
 		metrics:  m,
 		ready:    ready,
 		record:   record,
+		now:      now,
 		open:     map[string]*exchange{},
 		cancels:  map[string]context.CancelFunc{},
 	}
@@ -222,7 +225,7 @@
 	c.cancels[e.Attempt] = cancel
 	c.mu.Unlock()
 	c.wg.Go(func() {
-		o := c.sender.Send(ctx, request(x, e))
+		o := c.sender.Send(ctx, c.request(x, e))
 		c.mu.Lock()
 		delete(c.cancels, e.Attempt)
 		c.mu.Unlock()
@@ -243,7 +246,7 @@
 	}
 }
 
-func request(x *exchange, e node.StartAttempt) attempt.Request {
+func (c *Service) request(x *exchange, e node.StartAttempt) attempt.Request {
 	return attempt.Request{
 		Attempt:   e.Attempt,
 		Address:   e.Server.Address,
@@ -254,6 +257,7 @@
 		Workspace: e.Workspace,
 		Operation: e.Operation,
 		Timeout:   e.Timeout,
+		Valid:     func() bool { return c.now() <= e.Until },
 		Forward:   e.Forward,
 	}
 }
@@ -339,6 +343,8 @@
 			return health.Shed
 		}
 		return health.NotRun
+	case attempt.Expired:
+		return health.NotRun
 	case attempt.Cancelled, attempt.BodyFailed:
 		return health.Cancelled
 	default:
@@ -349,6 +355,7 @@
 // details says in plain words how an attempt failed.
 var details = map[attempt.Ending]string{
 	attempt.ConnectFailed: "no connection could be made",
+	attempt.Expired:       "the instance stood still before it could be sent",
 	attempt.Unwritten:     "the connection failed before anything was sent",
 	attempt.TimedOut:      "no whole answer came in time",
 	attempt.Broken:        "the connection broke before the answer",
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -148,7 +148,8 @@
 		return err
 	}
 	e.driver = &driver{log: e.log, metrics: e.metrics}
-	e.loop = loop.New(node.New(nodeSettings), clock.New(), e.driver, recorder)
+	monotonic := clock.New()
+	e.loop = loop.New(node.New(nodeSettings), monotonic, e.driver, recorder)
 	e.peers = peer.NewClient(e.self.ID, secret, callTimeout)
 	e.records = records.New(
 		decision.NewBuffer(e.self.ID, decision.BufferSettings{}),
@@ -164,7 +165,7 @@
 		MaxBodyBytes:    e.settings.Callers.MaxBodyBytes,
 		WriteTimeout:    time.Duration(e.settings.Callers.WriteTimeout),
 		KeepAnswerBytes: keptAnswer,
-	}, e.loop, e.sender, e.metrics, e.ready, e.records.Add)
+	}, e.loop, e.sender, e.metrics, e.ready, e.records.Add, monotonic.Now)
 	if err != nil {
 		return err
 	}
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -65,10 +65,17 @@
 		Workspace: r.workspace.Name,
 		Operation: r.arrived.Operation,
 		Timeout:   r.deadline - n.now,
+		Until:     n.until(),
 	})
 	return true
 }
 
+// until returns the time up to which what this instance knows now is
+// confirmed.
+func (n *Node) until() time.Duration {
+	return n.now - n.member.Confirmed(n.now).Age + n.member.Settings().Fresh
+}
+
 func (n *Node) newAttempt(r *request, server platform.Instance) *attempt {
 	n.lastAttempt++
 	a := &attempt{
@@ -112,7 +119,9 @@
 	n.follow(a, e)
 }
 
-// follow carries out what package retry says.
+// follow carries out what package retry says. A retry looks again whether the
+// request may be sent at all: one with a long timeout could otherwise reach
+// backend servers long after its key was withdrawn.
 func (n *Node) follow(a *attempt, e AttemptEnded) {
 	r := a.request
 	r.figures.Detail = e.Detail
@@ -122,7 +131,11 @@
 		n.deliver(a, e)
 	case retry.Wait:
 	case retry.Retry:
-		if !n.allowed(r) || !n.send(r) {
+		if rule := n.reconsider(r); rule != "" {
+			n.refuse(r, rule, 0)
+			return
+		}
+		if !n.send(r) {
 			n.giveUp(r, e, retry.Decision{Outcome: outcomeAfter(r)})
 		}
 	default:
@@ -130,10 +143,6 @@
 	}
 }
 
-// allowed says whether the request may still be sent: one with a long timeout
-// could otherwise reach backend servers long after its key was withdrawn.
-func (n *Node) allowed(r *request) bool { return n.reconsider(r) == "" }
-
 func (n *Node) retryState(r *request, e AttemptEnded) retry.Attempt {
 	others, room := n.others(r)
 	if !e.Replayable {
@@ -252,7 +261,7 @@
 // held as a whole.
 func (n *Node) hedge(a *attempt) {
 	r := a.request
-	if n.attempts[a.id] != a || r.answered || r.gone || !r.idempotent || !r.arrived.Held || !n.allowed(r) {
+	if n.attempts[a.id] != a || r.answered || r.gone || !r.idempotent || !r.arrived.Held || n.reconsider(r) != "" {
 		return
 	}
 	state := n.retryState(r, AttemptEnded{Result: health.Late, Replayable: true})
--- a/node/event.go
+++ b/node/event.go
@@ -174,6 +174,9 @@
 	Operation string
 	// Timeout bounds the attempt.
 	Timeout time.Duration
+	// Until is the time on the node's clock after which the attempt must not
+	// begin any more, because the configuration isn't confirmed for longer.
+	Until   time.Duration
 	Forward bool
 }
 
--- a/node/operations.go
+++ b/node/operations.go
@@ -118,6 +118,7 @@
 		Workspace: r.workspace.Name,
 		Operation: r.arrived.Operation,
 		Timeout:   r.deadline - n.now,
+		Until:     n.until(),
 		Forward:   true,
 	})
 }
