--- a/node/attempts.go
+++ b/node/attempts.go
@@ -8,6 +8,7 @@
 	"foxtailspoke/claim"
 	"foxtailspoke/decision"
 	"foxtailspoke/health"
+	"foxtailspoke/membership"
 	"foxtailspoke/platform"
 	"foxtailspoke/retry"
 )
@@ -71,9 +72,13 @@
 }
 
 // until returns the time up to which what this instance knows now is
-// confirmed.
+// confirmed; a time that is past if it isn't confirmed at all.
 func (n *Node) until() time.Duration {
-	return n.now - n.member.Confirmed(n.now).Age + n.member.Settings().Fresh
+	c := n.member.Confirmed(n.now)
+	if c.State == membership.CutOff {
+		return n.now - 1
+	}
+	return n.now - c.Age + n.member.Settings().Fresh
 }
 
 func (n *Node) newAttempt(r *request, server platform.Instance) *attempt {
--- a/node/operations.go
+++ b/node/operations.go
@@ -6,7 +6,6 @@
 	"foxtailspoke/claim"
 	"foxtailspoke/decision"
 	"foxtailspoke/health"
-	"foxtailspoke/platform"
 )
 
 // operation is a non-idempotent request that this instance runs under an
@@ -103,11 +102,11 @@
 // forward passes a request on to the instance that minted its key. Nobody
 // else ever runs it: the minter may have run it a moment ago.
 func (n *Node) forward(r *request, key claim.OperationKey) {
-	minter, known := n.member.Live().Instance(key.Minter)
-	if r.arrived.Forwarded || !known || minter.State == platform.Ended {
+	if _, reachable := claim.Elsewhere(key, n.peerState(key.Minter)); !reachable || r.arrived.Forwarded {
 		n.refuse(r, decision.RuleOperationLost, 0)
 		return
 	}
+	minter, _ := n.member.Live().Instance(key.Minter)
 	r.forwards++
 	a := n.newAttempt(r, minter)
 	a.forwarded = true
