--- a/api/platform/convert/convert.go
+++ b/api/platform/convert/convert.go
@@ -4,11 +4,11 @@
 
 import (
 	"foxtailspoke/api/platform/oas"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // RowsToAPI returns rows as the API writes them.
-func RowsToAPI(rows []platform.Row) []oas.Row {
+func RowsToAPI(rows []storage.Row) []oas.Row {
 	out := make([]oas.Row, len(rows))
 	for i, r := range rows {
 		out[i] = oas.Row{
@@ -25,16 +25,16 @@
 }
 
 // RowsFromAPI returns rows read from the API.
-func RowsFromAPI(rows []oas.Row) []platform.Row {
+func RowsFromAPI(rows []oas.Row) []storage.Row {
 	if len(rows) == 0 {
 		return nil
 	}
-	out := make([]platform.Row, len(rows))
+	out := make([]storage.Row, len(rows))
 	for i, r := range rows {
-		out[i] = platform.Row{
+		out[i] = storage.Row{
 			Key:      r.Key,
 			Value:    r.Value,
-			Revision: platform.Revision(r.Revision),
+			Revision: storage.Revision(r.Revision),
 			Attempt:  r.Attempt,
 			Deleted:  r.Deleted.Or(false),
 		}
@@ -43,7 +43,7 @@
 }
 
 // ChangesToAPI returns a read's answer as the API writes it.
-func ChangesToAPI(c platform.Changes) *oas.Changes {
+func ChangesToAPI(c storage.Changes) *oas.Changes {
 	out := &oas.Changes{Revision: oas.Revision(c.Revision), Rows: RowsToAPI(c.Rows)}
 	if c.Full {
 		out.Full = oas.NewOptBool(true)
@@ -52,16 +52,16 @@
 }
 
 // ChangesFromAPI returns a read's answer.
-func ChangesFromAPI(c *oas.Changes) platform.Changes {
-	return platform.Changes{
-		Revision: platform.Revision(c.Revision),
+func ChangesFromAPI(c *oas.Changes) storage.Changes {
+	return storage.Changes{
+		Revision: storage.Revision(c.Revision),
 		Rows:     RowsFromAPI(c.Rows),
 		Full:     c.Full.Or(false),
 	}
 }
 
 // TxnToAPI returns a transaction as the API writes it.
-func TxnToAPI(t platform.Txn) *oas.Transaction {
+func TxnToAPI(t storage.Txn) *oas.Transaction {
 	out := &oas.Transaction{Attempt: oas.Attempt(t.Attempt)}
 	for _, c := range t.Conditions {
 		out.Conditions = append(out.Conditions, oas.Condition{
@@ -83,18 +83,18 @@
 }
 
 // TxnFromAPI returns a transaction read from the API.
-func TxnFromAPI(t *oas.Transaction) platform.Txn {
-	out := platform.Txn{Attempt: string(t.Attempt)}
+func TxnFromAPI(t *oas.Transaction) storage.Txn {
+	out := storage.Txn{Attempt: string(t.Attempt)}
 	for _, c := range t.Conditions {
-		out.Conditions = append(out.Conditions, platform.Condition{
-			Table:    platform.TableName(c.Table),
+		out.Conditions = append(out.Conditions, storage.Condition{
+			Table:    storage.TableName(c.Table),
 			Key:      string(c.Key),
-			Revision: platform.Revision(c.Revision),
+			Revision: storage.Revision(c.Revision),
 		})
 	}
 	for _, p := range t.Puts {
-		out.Puts = append(out.Puts, platform.Put{
-			Table:  platform.TableName(p.Table),
+		out.Puts = append(out.Puts, storage.Put{
+			Table:  storage.TableName(p.Table),
 			Key:    string(p.Key),
 			Value:  p.Value,
 			Delete: p.Delete.Or(false),
@@ -104,9 +104,9 @@
 }
 
 // RevisionsToAPI returns the revisions that a commit gave, by table name.
-func RevisionsToAPI(revisions map[platform.TableName]platform.Revision) []oas.TableRevision {
+func RevisionsToAPI(revisions map[storage.TableName]storage.Revision) []oas.TableRevision {
 	out := []oas.TableRevision{}
-	for _, t := range []platform.TableName{platform.Audit, platform.Claims, platform.Control} {
+	for _, t := range []storage.TableName{storage.Audit, storage.Claims, storage.Control} {
 		if r, ok := revisions[t]; ok {
 			out = append(out, oas.TableRevision{Table: oas.TableName(t), Revision: oas.Revision(r)})
 		}
@@ -115,10 +115,10 @@
 }
 
 // RevisionsFromAPI returns the revisions that a commit gave.
-func RevisionsFromAPI(revisions []oas.TableRevision) map[platform.TableName]platform.Revision {
-	out := make(map[platform.TableName]platform.Revision, len(revisions))
+func RevisionsFromAPI(revisions []oas.TableRevision) map[storage.TableName]storage.Revision {
+	out := make(map[storage.TableName]storage.Revision, len(revisions))
 	for _, r := range revisions {
-		out[platform.TableName(r.Table)] = platform.Revision(r.Revision)
+		out[storage.TableName(r.Table)] = storage.Revision(r.Revision)
 	}
 	return out
 }
--- a/api/platform/convert/instance.go
+++ b/api/platform/convert/instance.go
@@ -2,11 +2,11 @@
 
 import (
 	"foxtailspoke/api/platform/oas"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // InstanceToAPI returns an instance as the API writes it.
-func InstanceToAPI(i platform.Instance) *oas.Instance {
+func InstanceToAPI(i storage.Instance) *oas.Instance {
 	out := &oas.Instance{
 		ID:              i.ID,
 		Kind:            oas.Kind(i.Kind),
@@ -25,10 +25,10 @@
 }
 
 // InstanceFromAPI returns an instance read from the API.
-func InstanceFromAPI(i *oas.Instance) platform.Instance {
-	return platform.Instance{
+func InstanceFromAPI(i *oas.Instance) storage.Instance {
+	return storage.Instance{
 		ID:              i.ID,
-		Kind:            platform.Kind(i.Kind),
+		Kind:            storage.Kind(i.Kind),
 		Service:         i.Service.Or(""),
 		DataCentre:      i.DataCentre.Or(""),
 		Region:          i.Region.Or(""),
@@ -36,12 +36,12 @@
 		PeerAddress:     i.PeerAddress.Or(""),
 		OperatorAddress: i.OperatorAddress.Or(""),
 		Slots:           i.Slots.Or(0),
-		State:           platform.State(i.State),
+		State:           storage.State(i.State),
 	}
 }
 
 // InstanceChangesToAPI returns the list's changes as the API writes them.
-func InstanceChangesToAPI(c platform.InstanceChanges) *oas.InstanceChanges {
+func InstanceChangesToAPI(c storage.InstanceChanges) *oas.InstanceChanges {
 	out := &oas.InstanceChanges{Version: c.Version, Changed: make([]oas.Instance, len(c.Changed))}
 	for i, instance := range c.Changed {
 		out.Changed[i] = *InstanceToAPI(instance)
@@ -53,8 +53,8 @@
 }
 
 // InstanceChangesFromAPI returns the list's changes.
-func InstanceChangesFromAPI(c *oas.InstanceChanges) platform.InstanceChanges {
-	out := platform.InstanceChanges{Version: c.Version, Full: c.Full.Or(false)}
+func InstanceChangesFromAPI(c *oas.InstanceChanges) storage.InstanceChanges {
+	out := storage.InstanceChanges{Version: c.Version, Full: c.Full.Or(false)}
 	for i := range c.Changed {
 		out.Changed = append(out.Changed, InstanceFromAPI(&c.Changed[i]))
 	}
--- a/claim/abandon.go
+++ b/claim/abandon.go
@@ -1,6 +1,6 @@
 package claim
 
-import "foxtailspoke/platform"
+import "foxtailspoke/storage"
 
 // Abandoned returns up to limit keys of rows that may hold a claim which this
 // instance gave up, to be read once the table answers again, and then given
@@ -11,14 +11,14 @@
 // Sweep takes what a read of an abandoned key returned. If the row holds a
 // claim of this instance that never ran, the transaction deletes it. A claim
 // that arrives later still is taken over or stays unknown.
-func (c *Claimer) Sweep(key string, ch platform.Changes) (platform.Txn, bool) {
+func (c *Claimer) Sweep(key string, ch storage.Changes) (storage.Txn, bool) {
 	c.abandoned.remove(key)
 	row, ok := present(ch.Rows, key)
 	if !ok || c.byKey[key] != nil {
-		return platform.Txn{}, false
+		return storage.Txn{}, false
 	}
 	if _, free := c.notRun.get(row.Attempt); !free {
-		return platform.Txn{}, false
+		return storage.Txn{}, false
 	}
-	return c.txn(key, row.Revision, platform.Put{Delete: true}), true
+	return c.txn(key, row.Revision, storage.Put{Delete: true}), true
 }
--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // ClaimerSettings bound what an instance does and remembers for caller-made
@@ -46,11 +46,11 @@
 type Step struct {
 	Decision *Decision
 	// Write is to be sent once; its result goes to Written.
-	Write *platform.Txn
+	Write *storage.Txn
 	// After is how long to wait before Write is sent.
 	After time.Duration
 	// Read's result goes to Answered or Unanswered.
-	Read *platform.ReadRequest
+	Read *storage.ReadRequest
 }
 
 func decided(d Decision) Step { return Step{Decision: &d} }
@@ -90,11 +90,11 @@
 	phase  phase
 	// cancelled claims aren't run, even if their insertion succeeds.
 	cancelled bool
-	insert    platform.Txn
+	insert    storage.Txn
 	inserts   int
 	// revision of the row that this claim holds.
-	revision platform.Revision
-	finish   platform.Txn
+	revision storage.Revision
+	finish   storage.Txn
 	finishes int
 	end      finished
 }
--- a/claim/claimer_test.go
+++ b/claim/claimer_test.go
@@ -7,16 +7,16 @@
 
 	"github.com/shoenig/test/must"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // quietTable is a table whose answers a test loses at will.
 func quietTable() *world {
-	return &world{rng: rand.New(rand.NewPCG(1, 1)), table: map[string]platform.Row{}}
+	return &world{rng: rand.New(rand.NewPCG(1, 1)), table: map[string]storage.Row{}}
 }
 
-func (w *world) changes() platform.Changes {
-	ch := platform.Changes{Revision: w.revision, Full: true}
+func (w *world) changes() storage.Changes {
+	ch := storage.Changes{Revision: w.revision, Full: true}
 	for _, row := range w.table {
 		ch.Rows = append(ch.Rows, row)
 	}
@@ -29,7 +29,7 @@
 	return *s.Decision
 }
 
-var unanswered = platform.WriteResult{}
+var unanswered = storage.WriteResult{}
 
 // The table's answer is lost after the claim took effect. The claimer reads
 // before it decides, finds its own attempt, and runs the order.
@@ -42,7 +42,7 @@
 	must.NotNil(t, s.Read)
 	must.Eq(t, Run, verdict(t, c.Answered(id, w.changes())).Verdict)
 	end := c.Finish(id, Ran, &Answer{Status: 200})
-	must.Eq(t, platform.Committed, w.commit(*end.Write).Outcome)
+	must.Eq(t, storage.Committed, w.commit(*end.Write).Outcome)
 }
 
 // The claim's row isn't there after an unanswered write, which may still be
@@ -60,7 +60,7 @@
 			w.commit(*first.Write)
 		}
 		must.Eq(t, Run, verdict(t, c.Written(id, w.commit(*again.Write))).Verdict)
-		must.Eq(t, platform.Conflict, w.commit(*first.Write).Outcome)
+		must.Eq(t, storage.Conflict, w.commit(*first.Write).Outcome)
 	}
 }
 
@@ -97,7 +97,7 @@
 	must.Eq(t, []string{RowKey("w", "k")}, keys)
 	txn, ok := a.Sweep(keys[0], w.changes())
 	must.True(t, ok)
-	must.Eq(t, platform.Committed, w.commit(txn).Outcome)
+	must.Eq(t, storage.Committed, w.commit(txn).Outcome)
 	must.SliceEmpty(t, a.Abandoned(10))
 
 	id, s = b.Begin("w", "k", Digest{1})
@@ -173,9 +173,9 @@
 func TestPruneByHorizon(t *testing.T) {
 	h := NewHorizon(time.Hour)
 	for at := time.Duration(0); at <= 2*time.Hour; at += time.Minute {
-		h.Note(at, platform.Revision(at/time.Minute))
+		h.Note(at, storage.Revision(at/time.Minute))
 		must.LessEq(t, notesKept+1, len(h.notes))
-		must.LessEq(t, platform.Revision(max(0, at-time.Hour)/time.Minute), h.Old(at))
+		must.LessEq(t, storage.Revision(max(0, at-time.Hour)/time.Minute), h.Old(at))
 	}
 	must.GreaterEq(t, 58, h.Old(2*time.Hour))
 
@@ -187,8 +187,8 @@
 	txn, ok := c.Prune(w.changes().Rows, 2, 10)
 	must.True(t, ok)
 	must.Len(t, 2, txn.Puts)
-	must.Eq(t, platform.Committed, w.commit(txn).Outcome)
-	must.Eq(t, platform.Conflict, w.commit(txn).Outcome)
+	must.Eq(t, storage.Committed, w.commit(txn).Outcome)
+	must.Eq(t, storage.Conflict, w.commit(txn).Outcome)
 	must.MapLen(t, 1, w.table)
 	_, ok = c.Prune(w.changes().Rows, 2, 10)
 	must.False(t, ok)
--- a/claim/finish.go
+++ b/claim/finish.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Finish reports how the operation ended after Run. The row is released only
@@ -31,16 +31,16 @@
 }
 
 // lastPut is the write that ends a claim.
-func (cl *claim) lastPut(self string) platform.Put {
+func (cl *claim) lastPut(self string) storage.Put {
 	r := Record{Digest: cl.digest.String(), By: self, State: StateUnknown}
 	switch cl.end.outcome {
 	case NotRun:
-		return platform.Put{Delete: true}
+		return storage.Put{Delete: true}
 	case Ran:
 		r.State = StateRan
 		r.Answer = cl.end.answer
 	}
-	return platform.Put{Value: r.encode()}
+	return storage.Put{Value: r.encode()}
 }
 
 func (c *Claimer) sendFinish(cl *claim, after time.Duration) Step {
@@ -50,8 +50,8 @@
 
 // finishWritten repeats a write without answer. Its condition is the row's
 // revision, so it can't take effect twice, nor on another claim's row.
-func (c *Claimer) finishWritten(cl *claim, r platform.WriteResult) Step {
-	if r.Outcome != platform.Unknown {
+func (c *Claimer) finishWritten(cl *claim, r storage.WriteResult) Step {
+	if r.Outcome != storage.Unknown {
 		c.drop(cl)
 		return Step{}
 	}
--- a/claim/insert.go
+++ b/claim/insert.go
@@ -3,13 +3,13 @@
 import (
 	"strconv"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // sendInsert claims the row, provided that it has the revision: 0 if absent.
-func (c *Claimer) sendInsert(cl *claim, revision platform.Revision) Step {
+func (c *Claimer) sendInsert(cl *claim, revision storage.Revision) Step {
 	r := Record{Digest: cl.digest.String(), By: c.self, State: StateStarted}
-	cl.insert = c.txn(cl.key, revision, platform.Put{Value: r.encode()})
+	cl.insert = c.txn(cl.key, revision, storage.Put{Value: r.encode()})
 	return c.repeatInsert(cl)
 }
 
@@ -21,13 +21,13 @@
 	return Step{Write: &cl.insert}
 }
 
-func (c *Claimer) txn(key string, revision platform.Revision, p platform.Put) platform.Txn {
-	p.Table = platform.Claims
+func (c *Claimer) txn(key string, revision storage.Revision, p storage.Put) storage.Txn {
+	p.Table = storage.Claims
 	p.Key = key
-	return platform.Txn{
+	return storage.Txn{
 		Attempt:    c.attemptID(),
-		Conditions: []platform.Condition{{Table: platform.Claims, Key: key, Revision: revision}},
-		Puts:       []platform.Put{p},
+		Conditions: []storage.Condition{{Table: storage.Claims, Key: key, Revision: revision}},
+		Puts:       []storage.Put{p},
 	}
 }
 
@@ -38,7 +38,7 @@
 }
 
 // Written takes the result of a Step's Write.
-func (c *Claimer) Written(id ID, r platform.WriteResult) Step {
+func (c *Claimer) Written(id ID, r storage.WriteResult) Step {
 	cl := c.open[id]
 	switch {
 	case cl == nil:
@@ -49,9 +49,9 @@
 		return Step{}
 	}
 	switch r.Outcome {
-	case platform.Committed:
-		return c.claimed(cl, r.Revisions[platform.Claims])
-	case platform.Conflict:
+	case storage.Committed:
+		return c.claimed(cl, r.Revisions[storage.Claims])
+	case storage.Conflict:
 		return c.found(cl, r.Current)
 	default:
 		// The row may be ours or not. Running now could be the second run.
@@ -61,11 +61,11 @@
 }
 
 func (c *Claimer) read(cl *claim) Step {
-	return Step{Read: &platform.ReadRequest{Table: platform.Claims, Prefix: cl.key}}
+	return Step{Read: &storage.ReadRequest{Table: storage.Claims, Prefix: cl.key}}
 }
 
 // Answered takes the result of a Step's Read.
-func (c *Claimer) Answered(id ID, ch platform.Changes) Step {
+func (c *Claimer) Answered(id ID, ch storage.Changes) Step {
 	cl := c.open[id]
 	if cl == nil || cl.phase != resolving {
 		return Step{}
@@ -91,7 +91,7 @@
 }
 
 // found goes on with what is in the row.
-func (c *Claimer) found(cl *claim, rows []platform.Row) Step {
+func (c *Claimer) found(cl *claim, rows []storage.Row) Step {
 	row, ok := present(rows, cl.key)
 	if !ok {
 		// Absent, but an insertion without answer may still arrive.
@@ -117,7 +117,7 @@
 }
 
 // takeOver replaces the row of an attempt of this instance that never ran.
-func (c *Claimer) takeOver(cl *claim, row platform.Row) Step {
+func (c *Claimer) takeOver(cl *claim, row storage.Row) Step {
 	r, err := decode(row)
 	switch {
 	case err != nil || r.Digest != cl.digest.String():
@@ -131,17 +131,17 @@
 	}
 }
 
-func present(rows []platform.Row, key string) (platform.Row, bool) {
+func present(rows []storage.Row, key string) (storage.Row, bool) {
 	for _, row := range rows {
 		if row.Key == key && !row.Deleted {
 			return row, true
 		}
 	}
-	return platform.Row{}, false
+	return storage.Row{}, false
 }
 
 // claimed has the row. A cancelled claim gives it back unused.
-func (c *Claimer) claimed(cl *claim, revision platform.Revision) Step {
+func (c *Claimer) claimed(cl *claim, revision storage.Revision) Step {
 	cl.revision = revision
 	cl.phase = running
 	if cl.cancelled {
--- a/claim/prune.go
+++ b/claim/prune.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Horizon tells which claims are older than a retention, without comparing
@@ -16,12 +16,12 @@
 	every time.Duration
 	notes []note
 	// passed is the newest revision older than the retention.
-	passed platform.Revision
+	passed storage.Revision
 }
 
 type note struct {
 	at       time.Duration
-	revision platform.Revision
+	revision storage.Revision
 }
 
 // notesKept is how many notes cover the retention.
@@ -34,7 +34,7 @@
 }
 
 // Note takes the revision of the claims table that a read returned at a time.
-func (h *Horizon) Note(now time.Duration, r platform.Revision) {
+func (h *Horizon) Note(now time.Duration, r storage.Revision) {
 	n := len(h.notes)
 	if n == 0 || now-h.notes[n-1].at >= h.every {
 		h.notes = append(h.notes, note{at: now, revision: r})
@@ -43,7 +43,7 @@
 
 // Old returns the highest revision whose claims are older than the
 // retention, 0 if none is known.
-func (h *Horizon) Old(now time.Duration) platform.Revision {
+func (h *Horizon) Old(now time.Duration) storage.Revision {
 	for len(h.notes) > 0 && now-h.notes[0].at >= h.retention {
 		h.passed = max(h.passed, h.notes[0].revision)
 		h.notes = h.notes[1:]
@@ -54,16 +54,16 @@
 // Prune returns a transaction that deletes at most limit of the rows last
 // changed at or below a revision, or false if there are none. A row that
 // changes in between makes the transaction fail as a whole.
-func (c *Claimer) Prune(rows []platform.Row, old platform.Revision, limit int) (platform.Txn, bool) {
-	t := platform.Txn{Attempt: c.attemptID()}
+func (c *Claimer) Prune(rows []storage.Row, old storage.Revision, limit int) (storage.Txn, bool) {
+	t := storage.Txn{Attempt: c.attemptID()}
 	for _, row := range rows {
 		if row.Deleted || row.Revision > old || len(t.Puts) >= limit {
 			continue
 		}
-		t.Conditions = append(t.Conditions, platform.Condition{
-			Table: platform.Claims, Key: row.Key, Revision: row.Revision,
+		t.Conditions = append(t.Conditions, storage.Condition{
+			Table: storage.Claims, Key: row.Key, Revision: row.Revision,
 		})
-		t.Puts = append(t.Puts, platform.Put{Table: platform.Claims, Key: row.Key, Delete: true})
+		t.Puts = append(t.Puts, storage.Put{Table: storage.Claims, Key: row.Key, Delete: true})
 	}
 	return t, len(t.Puts) > 0
 }
--- a/claim/record.go
+++ b/claim/record.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // RowPrefix starts the keys of the claims table.
@@ -46,7 +46,7 @@
 
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
-func decode(row platform.Row) (Record, error) {
+func decode(row storage.Row) (Record, error) {
 	var r Record
 	if err := json.Unmarshal(row.Value, &r); err != nil {
 		return Record{}, errors.Wrapf(err, "claim row %s", row.Key)
@@ -64,7 +64,7 @@
 }
 
 // judge decides about a request whose key another attempt has claimed.
-func judge(row platform.Row, d Digest) Decision {
+func judge(row storage.Row, d Digest) Decision {
 	r, err := decode(row)
 	switch {
 	case err != nil:
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -3,19 +3,19 @@
 import (
 	"strings"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // write sends a transaction to the table. Its answer may be lost before or
 // after it takes effect, and it may take effect long after that, or twice.
-func (w *world) write(t platform.Txn, answer func(platform.WriteResult)) {
+func (w *world) write(t storage.Txn, answer func(storage.WriteResult)) {
 	w.writes++
 	switch kind := w.rng.IntN(20); {
 	case w.away || kind == 0:
-		answer(platform.WriteResult{})
+		answer(storage.WriteResult{})
 	case kind < 3:
 		w.add(nil, func() { w.commit(t) })
-		answer(platform.WriteResult{})
+		answer(storage.WriteResult{})
 	case kind == 3:
 		w.add(nil, func() { answer(w.commit(t)) })
 		w.add(nil, func() { w.commit(t) })
@@ -25,18 +25,18 @@
 }
 
 // commit is the table's transaction.
-func (w *world) commit(t platform.Txn) platform.WriteResult {
-	r := platform.WriteResult{Outcome: platform.Committed}
+func (w *world) commit(t storage.Txn) storage.WriteResult {
+	r := storage.WriteResult{Outcome: storage.Committed}
 	for _, c := range t.Conditions {
 		row, ok := w.table[c.Key]
 		if row.Revision != c.Revision {
-			r.Outcome = platform.Conflict
+			r.Outcome = storage.Conflict
 			if ok {
 				r.Current = append(r.Current, row)
 			}
 		}
 	}
-	if r.Outcome == platform.Conflict {
+	if r.Outcome == storage.Conflict {
 		return r
 	}
 	w.revision++
@@ -45,18 +45,18 @@
 			delete(w.table, p.Key)
 			continue
 		}
-		w.table[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Revision: w.revision, Attempt: t.Attempt}
+		w.table[p.Key] = storage.Row{Key: p.Key, Value: p.Value, Revision: w.revision, Attempt: t.Attempt}
 	}
-	r.Revisions = map[platform.TableName]platform.Revision{platform.Claims: w.revision}
+	r.Revisions = map[storage.TableName]storage.Revision{storage.Claims: w.revision}
 	return r
 }
 
-func (w *world) read(op *operationLog, n *node, id ID, q platform.ReadRequest, call int) {
+func (w *world) read(op *operationLog, n *node, id ID, q storage.ReadRequest, call int) {
 	if w.away || w.chance(5) {
 		w.add(n, func() { w.follow(op, n, id, n.claimer.Unanswered(id), call) })
 		return
 	}
-	ch := platform.Changes{Revision: w.revision, Full: true}
+	ch := storage.Changes{Revision: w.revision, Full: true}
 	for key, row := range w.table {
 		if strings.HasPrefix(key, q.Prefix) {
 			ch.Rows = append(ch.Rows, row)
--- a/claim/world_test.go
+++ b/claim/world_test.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // world runs callers, entry instances, the claims table and a backend server
@@ -19,8 +19,8 @@
 	pending  []action
 	nodes    []*node
 	started  int
-	table    map[string]platform.Row
-	revision platform.Revision
+	table    map[string]storage.Row
+	revision storage.Revision
 	away     bool
 	// writes counts the transactions that were sent to the table.
 	writes int
@@ -62,7 +62,7 @@
 }
 
 func newWorld(seed uint64, instances, operations, kills int) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 2)), table: map[string]platform.Row{}, kills: kills}
+	w := &world{rng: rand.New(rand.NewPCG(seed, 2)), table: map[string]storage.Row{}, kills: kills}
 	for range instances {
 		w.nodes = append(w.nodes, w.start())
 	}
@@ -141,7 +141,7 @@
 	if len(keys) == 0 || w.away || !w.chance(10) {
 		return
 	}
-	t, ok := n.claimer.Sweep(keys[0], platform.Changes{Rows: slices.Collect(maps.Values(w.table))})
+	t, ok := n.claimer.Sweep(keys[0], storage.Changes{Rows: slices.Collect(maps.Values(w.table))})
 	if ok {
 		w.add(nil, func() { w.commit(t) })
 	}
@@ -196,7 +196,7 @@
 			w.follow(op, n, id, n.claimer.Finish(id, o, a), -1)
 		})
 	case s.Write != nil:
-		w.write(*s.Write, func(r platform.WriteResult) {
+		w.write(*s.Write, func(r storage.WriteResult) {
 			w.add(n, func() { w.follow(op, n, id, n.claimer.Written(id, r), call) })
 		})
 	case s.Read != nil:
--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -8,24 +8,24 @@
 
 	"github.com/shoenig/test/must"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // sizes are the three sizes of the slopes in docs/CAPACITY.md; the last is
 // the target size.
 var sizes = []int{5_000, 20_000, 55_000}
 
-func workspaceRow(i int) platform.Row {
+func workspaceRow(i int) storage.Row {
 	return row(fmt.Sprintf("%sworkspace-%06d", WorkspacePrefix, i), Workspace{Plan: fmt.Sprintf("plan-%02d", i%40)}, i)
 }
 
-func keyRow(i int) platform.Row {
+func keyRow(i int) storage.Row {
 	h := HashKey(fmt.Sprint("fsk_", i))
 	return row(KeyPrefix+h.String(), Key{Workspace: fmt.Sprintf("workspace-%06d", i), Label: fmt.Sprintf("till-%d", i%5)}, i)
 }
 
 // serviceRow has 20 routes, near the 11,000 routes of 560 services.
-func serviceRow(i int) platform.Row {
+func serviceRow(i int) storage.Row {
 	s := Service{Floor: 20, Timeout: Duration(2e9)}
 	for n := range 20 {
 		s.Routes = append(s.Routes, Route{Prefix: fmt.Sprintf("/service-%03d/part-%02d/", i, n)})
@@ -33,13 +33,13 @@
 	return row(fmt.Sprintf("%sservice-%03d", ServicePrefix, i), s, i)
 }
 
-func row(key string, v any, i int) platform.Row {
+func row(key string, v any, i int) storage.Row {
 	value, _ := json.Marshal(v)
-	return platform.Row{Key: key, Value: value, Revision: platform.Revision(i + 1), Attempt: fmt.Sprintf("8c5e0d4a-0000-4000-8000-%012d", i)}
+	return storage.Row{Key: key, Value: value, Revision: storage.Revision(i + 1), Attempt: fmt.Sprintf("8c5e0d4a-0000-4000-8000-%012d", i)}
 }
 
-func rowsOf(n int, f func(int) platform.Row) platform.Changes {
-	c := platform.Changes{Revision: platform.Revision(n + 1), Full: true}
+func rowsOf(n int, f func(int) storage.Row) storage.Changes {
+	c := storage.Changes{Revision: storage.Revision(n + 1), Full: true}
 	for i := range n {
 		c.Rows = append(c.Rows, f(i))
 	}
@@ -59,7 +59,7 @@
 func BenchmarkReplicaBytes(b *testing.B) {
 	for _, kind := range []struct {
 		name  string
-		row   func(int) platform.Row
+		row   func(int) storage.Row
 		of    int
 		sizes []int
 	}{
@@ -86,7 +86,7 @@
 func targetReplica(tb testing.TB) *Replica {
 	tb.Helper()
 	r := NewReplica()
-	c := platform.Changes{Revision: 200_000, Full: true}
+	c := storage.Changes{Revision: 200_000, Full: true}
 	for i := range 55_000 {
 		c.Rows = append(c.Rows, workspaceRow(i), keyRow(i))
 	}
@@ -152,7 +152,7 @@
 			must.True(b, NewReplica().Apply(c))
 		}
 	})
-	revision := platform.Revision(200_000)
+	revision := storage.Revision(200_000)
 	b.Run("applyAllAgain", func(b *testing.B) {
 		c := r.Since(0)
 		for b.Loop() {
@@ -166,7 +166,7 @@
 			revision++
 			w := workspaceRow(i % 55_000)
 			w.Revision = revision
-			must.True(b, r.Apply(platform.Changes{Revision: revision, Rows: []platform.Row{w}}))
+			must.True(b, r.Apply(storage.Changes{Revision: revision, Rows: []storage.Row{w}}))
 		}
 	})
 	b.Run("applyServiceAndSince", func(b *testing.B) {
@@ -175,7 +175,7 @@
 			revision++
 			s := serviceRow(i % 560)
 			s.Revision = revision
-			must.True(b, r.Apply(platform.Changes{Revision: revision, Rows: []platform.Row{s}}))
+			must.True(b, r.Apply(storage.Changes{Revision: revision, Rows: []storage.Row{s}}))
 			must.Len(b, 1, r.Since(since).Rows)
 		}
 	})
--- a/config/example_test.go
+++ b/config/example_test.go
@@ -4,30 +4,30 @@
 	"fmt"
 
 	"foxtailspoke/config"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // A replica answers what a request needs from the rows of the control table,
 // and never goes back to an older revision.
 func ExampleReplica() {
 	key := config.HashKey("fsk_example")
-	given := platform.Row{Key: config.KeyPrefix + key.String(), Value: []byte(`{"workspace":"cebu-boatyard"}`), Revision: 1}
-	rows := []platform.Row{
+	given := storage.Row{Key: config.KeyPrefix + key.String(), Value: []byte(`{"workspace":"cebu-boatyard"}`), Revision: 1}
+	rows := []storage.Row{
 		given,
 		{Key: config.WorkspacePrefix + "cebu-boatyard", Value: []byte(`{"plan":"bench"}`), Revision: 1},
 		{Key: config.PlanPrefix + "bench", Value: []byte(`{"services":{"catalogue":{"rate":20,"burst":40}}}`), Revision: 1},
 		{Key: config.ServicePrefix + "catalogue", Value: []byte(`{"floor":2,"timeout":"2s","routes":[{"prefix":"/catalogue/"}]}`), Revision: 1},
 	}
 	r := config.NewReplica()
-	r.Apply(platform.Changes{Revision: 1, Rows: rows})
+	r.Apply(storage.Changes{Revision: 1, Rows: rows})
 	workspace, known := r.WorkspaceByKey(key)
 	service, _, routed := r.Route("/catalogue/narra")
 	limit, allowed := r.Limit(workspace.Name, service)
 	fmt.Println(workspace.Name, known, service, routed, limit.Rate, allowed)
 
-	withdrawn := platform.Row{Key: given.Key, Deleted: true, Revision: 2}
-	fmt.Println(r.Apply(platform.Changes{Revision: 2, Rows: []platform.Row{withdrawn}}))
-	fmt.Println(r.Apply(platform.Changes{Revision: 1, Rows: rows}))
+	withdrawn := storage.Row{Key: given.Key, Deleted: true, Revision: 2}
+	fmt.Println(r.Apply(storage.Changes{Revision: 2, Rows: []storage.Row{withdrawn}}))
+	fmt.Println(r.Apply(storage.Changes{Revision: 1, Rows: rows}))
 	_, known = r.WorkspaceByKey(key)
 	fmt.Println(known, r.Revision())
 	// Output:
--- a/config/lists/lists.go
+++ b/config/lists/lists.go
@@ -17,7 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"foxtailspoke/config"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Lists are both lists together. They are checked together, accepted together
@@ -88,7 +88,7 @@
 
 // FromRows rebuilds the lists from rows of the control table. Rows of other
 // kinds and tombstones are left out.
-func FromRows(rows []platform.Row) (Lists, error) {
+func FromRows(rows []storage.Row) (Lists, error) {
 	l := Empty()
 	for _, row := range rows {
 		if row.Deleted {
@@ -101,7 +101,7 @@
 	return l, nil
 }
 
-func (l Lists) add(row platform.Row) error {
+func (l Lists) add(row storage.Row) error {
 	if name, ok := strings.CutPrefix(row.Key, config.WorkspacePrefix); ok {
 		w := config.Workspace{Name: name}
 		err := json.Unmarshal(row.Value, &w)
--- a/config/lists/lists_test.go
+++ b/config/lists/lists_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"foxtailspoke/config"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 const (
@@ -121,9 +121,9 @@
 
 func roundTrip(t *testing.T, l Lists) Lists {
 	t.Helper()
-	var rows []platform.Row
+	var rows []storage.Row
 	for _, r := range l.Rows() {
-		rows = append(rows, platform.Row{Key: r.Key, Value: r.Value})
+		rows = append(rows, storage.Row{Key: r.Key, Value: r.Value})
 	}
 	back, err := FromRows(rows)
 	must.NoError(t, err)
@@ -177,9 +177,9 @@
 func accepted(t *testing.T, l Lists) {
 	t.Helper()
 	r := config.NewReplica()
-	c := platform.Changes{Revision: 1, Full: true}
+	c := storage.Changes{Revision: 1, Full: true}
 	for _, row := range l.Rows() {
-		c.Rows = append(c.Rows, platform.Row{Key: row.Key, Value: row.Value, Revision: 1})
+		c.Rows = append(c.Rows, storage.Row{Key: row.Key, Value: row.Value, Revision: 1})
 	}
 	must.True(t, r.Apply(c))
 	for name, s := range l.Services {
--- a/config/replica.go
+++ b/config/replica.go
@@ -7,7 +7,7 @@
 	"slices"
 	"strings"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Replica is one instance's copy of the control table with its indexes.
@@ -18,7 +18,7 @@
 // Workspaces and keys, of which there are many, are kept as their rows alone
 // with the one reference decoded that a request needs.
 type Replica struct {
-	revision platform.Revision
+	revision storage.Revision
 	rows     *rowStore
 
 	plans     map[string]Plan
@@ -45,15 +45,15 @@
 }
 
 // Revision returns the revision of the control table that the replica has.
-func (r *Replica) Revision() platform.Revision { return r.revision }
+func (r *Replica) Revision() storage.Revision { return r.revision }
 
 // Complete returns the revision from which on the replica knows every change.
 // Since returns the whole table for an older revision.
-func (r *Replica) Complete() platform.Revision { return r.rows.complete }
+func (r *Replica) Complete() storage.Revision { return r.rows.complete }
 
 // Apply takes changes that were read with Since at or below the replica's
 // revision. It returns false, and changes nothing, if they are not newer.
-func (r *Replica) Apply(c platform.Changes) bool {
+func (r *Replica) Apply(c storage.Changes) bool {
 	if c.Revision <= r.revision {
 		return false
 	}
@@ -86,9 +86,9 @@
 // dropAllBut deletes the rows that the whole table at a revision didn't have.
 // They were deleted some time up to then, so a tombstone at that revision
 // tells everybody who may still have them.
-func (r *Replica) dropAllBut(revision platform.Revision) (routesChanged bool) {
+func (r *Replica) dropAllBut(revision storage.Revision) (routesChanged bool) {
 	for _, rec := range r.rows.takeUnmarked() {
-		gone := platform.Row{Key: unpackKey(rec.key()), Revision: revision, Deleted: true}
+		gone := storage.Row{Key: unpackKey(rec.key()), Revision: revision, Deleted: true}
 		routesChanged = r.index(gone, false) || routesChanged
 	}
 	return routesChanged
@@ -100,8 +100,8 @@
 // the whole table if the revision is 0, or so old that a deletion since then
 // may have been forgotten: whoever would get only the rest of the changes
 // would keep, say, a withdrawn key for ever.
-func (r *Replica) Since(since platform.Revision) platform.Changes {
-	c := platform.Changes{Revision: r.revision, Full: since == 0}
+func (r *Replica) Since(since storage.Revision) storage.Changes {
+	c := storage.Changes{Revision: r.revision, Full: since == 0}
 	if since >= r.revision {
 		return c
 	}
@@ -119,10 +119,10 @@
 // row's Revision is 0 if it was never there, and for a deleted row the
 // condition to use is 0 as well. The rows of workspaces and keys come without
 // their attempt.
-func (r *Replica) Row(key string) (platform.Row, bool) {
+func (r *Replica) Row(key string) (storage.Row, bool) {
 	rec := r.rows.present(packKey(key))
 	if rec == nil {
-		return platform.Row{Key: key}, false
+		return storage.Row{Key: key}, false
 	}
 	return rec.row(), true
 }
@@ -207,7 +207,7 @@
 
 // index takes one row into the store and the indexes. It tells whether the
 // routes have to be indexed anew.
-func (r *Replica) index(row platform.Row, inWhole bool) (routesChanged bool) {
+func (r *Replica) index(row storage.Row, inWhole bool) (routesChanged bool) {
 	rec := newRecord(row)
 	rec.inWhole = inWhole
 	prefix, name, _ := strings.Cut(row.Key, "/")
@@ -239,7 +239,7 @@
 	return routesChanged
 }
 
-func newRecord(row platform.Row) *record {
+func newRecord(row storage.Row) *record {
 	key := packKey(row.Key)
 	rec := &record{revision: row.Revision, keyLen: uint32(len(key)), deleted: row.Deleted, note: row.Attempt}
 	rec.data = key
@@ -284,7 +284,7 @@
 
 // setRow puts a row's decoded value into an index. A row that can't be
 // decoded counts as absent.
-func setRow[K comparable, V any](m map[K]V, k K, row platform.Row, named func(*V)) {
+func setRow[K comparable, V any](m map[K]V, k K, row storage.Row, named func(*V)) {
 	delete(m, k)
 	if row.Deleted {
 		return
--- a/config/replica_test.go
+++ b/config/replica_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // A caller keeps using a key that was withdrawn at revision 5. An answer that
@@ -17,19 +17,19 @@
 // The replica must not bring the key back.
 func TestReplicaDropsOlderChanges(t *testing.T) {
 	h := HashKey("fsk_test")
-	given := platform.Row{Key: KeyPrefix + h.String(), Value: []byte(`{"workspace":"a"}`), Revision: 4}
-	withdrawn := platform.Row{Key: given.Key, Revision: 5, Deleted: true}
-	w := platform.Row{Key: WorkspacePrefix + "a", Value: []byte(`{"plan":"p"}`), Revision: 3}
+	given := storage.Row{Key: KeyPrefix + h.String(), Value: []byte(`{"workspace":"a"}`), Revision: 4}
+	withdrawn := storage.Row{Key: given.Key, Revision: 5, Deleted: true}
+	w := storage.Row{Key: WorkspacePrefix + "a", Value: []byte(`{"plan":"p"}`), Revision: 3}
 
 	r := NewReplica()
-	must.True(t, r.Apply(platform.Changes{Revision: 4, Rows: []platform.Row{w, given}}))
+	must.True(t, r.Apply(storage.Changes{Revision: 4, Rows: []storage.Row{w, given}}))
 	_, ok := r.WorkspaceByKey(h)
 	must.True(t, ok)
-	must.True(t, r.Apply(platform.Changes{Revision: 5, Rows: []platform.Row{withdrawn}}))
-	must.False(t, r.Apply(platform.Changes{Revision: 4, Rows: []platform.Row{w, given}}))
+	must.True(t, r.Apply(storage.Changes{Revision: 5, Rows: []storage.Row{withdrawn}}))
+	must.False(t, r.Apply(storage.Changes{Revision: 4, Rows: []storage.Row{w, given}}))
 	_, ok = r.WorkspaceByKey(h)
 	must.False(t, ok)
-	must.Eq(t, platform.Revision(5), r.Revision())
+	must.Eq(t, storage.Revision(5), r.Revision())
 }
 
 // The index must route as a search through all prefixes would.
@@ -66,7 +66,7 @@
 func TestUnreadableRowsGrantNothing(t *testing.T) {
 	h := HashKey("fsk_test")
 	r := NewReplica()
-	must.True(t, r.Apply(platform.Changes{Revision: 1, Rows: []platform.Row{
+	must.True(t, r.Apply(storage.Changes{Revision: 1, Rows: []storage.Row{
 		{Key: WorkspacePrefix + "a", Value: []byte(`{"plan":"p"}`), Revision: 1},
 		{Key: KeyPrefix + h.String(), Value: []byte(`{"workspace":"a"`), Revision: 1},
 		{Key: KeyPrefix + strings.ToUpper(h.String()), Value: []byte(`{"workspace":"a"}`), Revision: 1},
@@ -82,10 +82,10 @@
 func TestTombstonesAreBounded(t *testing.T) {
 	r := NewReplica()
 	for i := range 5 * maxTombstones {
-		revision := platform.Revision(i + 1)
+		revision := storage.Revision(i + 1)
 		key := keyRow(i)
 		key.Revision, key.Deleted = revision, true
-		must.True(t, r.Apply(platform.Changes{Revision: revision, Rows: []platform.Row{key}}))
+		must.True(t, r.Apply(storage.Changes{Revision: revision, Rows: []storage.Row{key}}))
 	}
 	must.LessEq(t, maxTombstones, len(r.rows.byKey))
 	must.LessEq(t, 2*maxTombstones, len(r.rows.log))
@@ -99,8 +99,8 @@
 	r := NewReplica()
 	for i := range 10_000 {
 		w := workspaceRow(1)
-		w.Revision = platform.Revision(i + 1)
-		must.True(t, r.Apply(platform.Changes{Revision: w.Revision, Rows: []platform.Row{w}}))
+		w.Revision = storage.Revision(i + 1)
+		must.True(t, r.Apply(storage.Changes{Revision: w.Revision, Rows: []storage.Row{w}}))
 	}
 	must.LessEq(t, 2*minSuperseded, len(r.rows.log))
 	must.Len(t, 1, r.Since(0).Rows)
@@ -110,13 +110,13 @@
 // miss some of them.
 func TestUnorderedRowsAreOrdered(t *testing.T) {
 	r := NewReplica()
-	c := platform.Changes{Revision: 9, Rows: []platform.Row{workspaceRow(8), workspaceRow(3), workspaceRow(5)}}
+	c := storage.Changes{Revision: 9, Rows: []storage.Row{workspaceRow(8), workspaceRow(3), workspaceRow(5)}}
 	must.True(t, r.Apply(c))
-	var got []platform.Revision
+	var got []storage.Revision
 	for _, row := range r.Since(4).Rows {
 		got = append(got, row.Revision)
 	}
-	must.Eq(t, []platform.Revision{6, 9}, got)
+	must.Eq(t, []storage.Revision{6, 9}, got)
 }
 
 // Two answers to overlapping questions arrive crossed. A row in the later one
@@ -125,11 +125,11 @@
 	r := NewReplica()
 	old, current := workspaceRow(1), workspaceRow(1)
 	old.Revision, current.Revision, current.Value = 2, 5, []byte(`{"plan":"new"}`)
-	must.True(t, r.Apply(platform.Changes{Revision: 5, Rows: []platform.Row{current}}))
-	must.True(t, r.Apply(platform.Changes{Revision: 6, Rows: []platform.Row{old}}))
+	must.True(t, r.Apply(storage.Changes{Revision: 5, Rows: []storage.Row{current}}))
+	must.True(t, r.Apply(storage.Changes{Revision: 6, Rows: []storage.Row{old}}))
 	row, ok := r.Row(old.Key)
 	must.True(t, ok)
-	must.Eq(t, platform.Revision(5), row.Revision)
+	must.Eq(t, storage.Revision(5), row.Revision)
 }
 
 // Whatever changes in a service's row, the routes in use are those of the row.
@@ -147,7 +147,7 @@
 	} {
 		change := row(ServicePrefix+"s", s, i)
 		change.Deleted = len(s.Routes) == 0
-		must.True(t, r.Apply(platform.Changes{Revision: change.Revision, Rows: []platform.Row{change}}))
+		must.True(t, r.Apply(storage.Changes{Revision: change.Revision, Rows: []storage.Row{change}}))
 		for _, path := range []string{"/a/", "/b/"} {
 			at := slices.IndexFunc(s.Routes, func(route Route) bool { return route.Prefix == path })
 			_, got, ok := r.Route(path)
--- a/config/rows.go
+++ b/config/rows.go
@@ -5,7 +5,7 @@
 	"sort"
 	"strings"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 const (
@@ -23,7 +23,7 @@
 	// note is what the row's kind needs kept beside it: the decoded plan of
 	// a workspace, the decoded workspace of a key, else the attempt.
 	note     string
-	revision platform.Revision
+	revision storage.Revision
 	keyLen   uint32
 	deleted  bool
 	// valid tells that note holds a decoded reference.
@@ -37,8 +37,8 @@
 func (r *record) key() string   { return r.data[:r.keyLen] }
 func (r *record) value() string { return r.data[r.keyLen:] }
 
-func (r *record) row() platform.Row {
-	row := platform.Row{Key: unpackKey(r.key()), Revision: r.revision, Deleted: r.deleted}
+func (r *record) row() storage.Row {
+	row := storage.Row{Key: unpackKey(r.key()), Revision: r.revision, Deleted: r.deleted}
 	if !r.valid {
 		row.Attempt = r.note
 	}
@@ -58,7 +58,7 @@
 	tombstones int
 	// complete is the revision from which on the store remembers every
 	// change, deletions included. What was deleted before left no trace.
-	complete platform.Revision
+	complete storage.Revision
 }
 
 func newRowStore() *rowStore {
@@ -108,7 +108,7 @@
 }
 
 // after returns the position of the first record above a revision.
-func (s *rowStore) after(r platform.Revision) int {
+func (s *rowStore) after(r storage.Revision) int {
 	return sort.Search(len(s.log), func(i int) bool { return s.log[i].revision > r })
 }
 
@@ -119,8 +119,8 @@
 
 // since returns the rows that changed after a revision, by ascending
 // revision. Without tombstones, it returns the whole table.
-func (s *rowStore) since(r platform.Revision, tombstones bool) []platform.Row {
-	var rows []platform.Row
+func (s *rowStore) since(r storage.Revision, tombstones bool) []storage.Row {
+	var rows []storage.Row
 	for _, rec := range s.log[s.after(r):] {
 		if rec.superseded || (rec.deleted && !tombstones) {
 			continue
--- a/config/spread_test.go
+++ b/config/spread_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"foxtailspoke/internal/standin/tables"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // TestMain fixes the seed and the number of the random histories; the flags
@@ -29,11 +29,11 @@
 func TestRelayThatReadTheWholeTablePassesOnWithdrawals(t *testing.T) {
 	store := tables.New()
 	h := HashKey("fsk_test")
-	write(t, store, platform.Put{Key: WorkspacePrefix + "a", Value: []byte(`{"plan":"p"}`)})
-	write(t, store, platform.Put{Key: KeyPrefix + h.String(), Value: []byte(`{"workspace":"a"}`)})
+	write(t, store, storage.Put{Key: WorkspacePrefix + "a", Value: []byte(`{"plan":"p"}`)})
+	write(t, store, storage.Put{Key: KeyPrefix + h.String(), Value: []byte(`{"workspace":"a"}`)})
 	instance, relay := NewReplica(), NewReplica()
 	must.True(t, instance.Apply(read(t, store, 0)))
-	write(t, store, platform.Put{Key: KeyPrefix + h.String(), Delete: true})
+	write(t, store, storage.Put{Key: KeyPrefix + h.String(), Delete: true})
 	must.True(t, relay.Apply(read(t, store, 0)))
 	must.True(t, instance.Apply(relay.Since(instance.Revision())))
 	must.Eq(t, relay.Revision(), instance.Revision())
@@ -47,7 +47,7 @@
 func TestSpreadIsExact(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := tables.New()
-		at := map[platform.Revision]map[string]string{0: {}}
+		at := map[storage.Revision]map[string]string{0: {}}
 		replicas := make([]*Replica, 4)
 		for i := range replicas {
 			replicas[i] = NewReplica()
@@ -55,10 +55,10 @@
 		some := func(t *rapid.T, what string) int { return rapid.IntRange(0, len(replicas)-1).Draw(t, what) }
 		t.Repeat(map[string]func(*rapid.T){
 			"write": func(t *rapid.T) {
-				var puts []platform.Put
+				var puts []storage.Put
 				for _, n := range rapid.SliceOfNDistinct(rapid.IntRange(0, 9), 1, 3, rapid.ID).Draw(t, "rows") {
 					value := fmt.Sprintf(`{"plan":"p%d"}`, rapid.IntRange(0, 9).Draw(t, "value"))
-					puts = append(puts, platform.Put{Key: fmt.Sprintf("%s%d", WorkspacePrefix, n), Value: []byte(value), Delete: rapid.Bool().Draw(t, "delete")})
+					puts = append(puts, storage.Put{Key: fmt.Sprintf("%s%d", WorkspacePrefix, n), Value: []byte(value), Delete: rapid.Bool().Draw(t, "delete")})
 				}
 				write(t, store, puts...)
 				c := read(t, store, 0)
@@ -98,7 +98,7 @@
 	})
 }
 
-func contents(rows []platform.Row) map[string]string {
+func contents(rows []storage.Row) map[string]string {
 	m := map[string]string{}
 	for _, row := range rows {
 		if !row.Deleted {
@@ -108,17 +108,17 @@
 	return m
 }
 
-func write(t must.T, store *tables.Store, puts ...platform.Put) {
+func write(t must.T, store *tables.Store, puts ...storage.Put) {
 	for i := range puts {
-		puts[i].Table = platform.Control
+		puts[i].Table = storage.Control
 	}
-	result, err := store.Write(platform.Txn{Attempt: "a", Puts: puts})
+	result, err := store.Write(storage.Txn{Attempt: "a", Puts: puts})
 	must.NoError(t, err)
-	must.Eq(t, platform.Committed, result.Outcome)
+	must.Eq(t, storage.Committed, result.Outcome)
 }
 
-func read(t must.T, store *tables.Store, since platform.Revision) platform.Changes {
-	c, err := store.Read(platform.ReadRequest{Table: platform.Control, Since: since})
+func read(t must.T, store *tables.Store, since storage.Revision) storage.Changes {
+	c, err := store.Read(storage.ReadRequest{Table: storage.Control, Since: since})
 	must.NoError(t, err)
 	return c
 }
--- a/effect/effect.go
+++ b/effect/effect.go
@@ -3,7 +3,7 @@
 // answer comes back later as a call with the effect's id.
 package effect
 
-import "foxtailspoke/platform"
+import "foxtailspoke/storage"
 
 // Effect is one of Call, ReadTable, WriteTable and ReadInstances.
 type Effect interface{ effect() }
@@ -22,14 +22,14 @@
 // ReadTable reads the platform's table.
 type ReadTable struct {
 	ID   uint64
-	Read platform.ReadRequest
+	Read storage.ReadRequest
 }
 
 // WriteTable sends one transaction to the platform's table, once. Sending
 // it again after an unknown outcome is a decision, not the driver's habit.
 type WriteTable struct {
 	ID  uint64
-	Txn platform.Txn
+	Txn storage.Txn
 }
 
 // ReadInstances reads the platform's list of instances.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,8 +36,8 @@
 	"foxtailspoke/event"
 	"foxtailspoke/node"
 	"foxtailspoke/peer"
-	"foxtailspoke/platform"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage"
+	"foxtailspoke/storage/client"
 )
 
 const (
@@ -61,7 +61,7 @@
 type Entry struct {
 	settings settings.Settings
 	log      *slog.Logger
-	self     platform.Instance
+	self     storage.Instance
 
 	client  *client.Client
 	peers   *peer.Client
@@ -105,7 +105,7 @@
 }
 
 // Addresses returns where the instance listens, for scripts and tests.
-func (e *Entry) Addresses() platform.Instance { return e.self }
+func (e *Entry) Addresses() storage.Instance { return e.self }
 
 func (e *Entry) bind() error {
 	var err error
@@ -121,16 +121,16 @@
 	return nil
 }
 
-func (e *Entry) describe() platform.Instance {
-	return platform.Instance{
+func (e *Entry) describe() storage.Instance {
+	return storage.Instance{
 		ID:              uuid.NewString(),
-		Kind:            platform.Entry,
+		Kind:            storage.Entry,
 		DataCentre:      e.settings.DataCentre,
 		Region:          e.settings.Region,
 		Address:         advertised(e.settings.Callers.Advertise, e.ports.callers),
 		PeerAddress:     advertised(e.settings.Peers.Advertise, e.ports.peers),
 		OperatorAddress: advertised(e.settings.Operators.Advertise, e.ports.operators),
-		State:           platform.Live,
+		State:           storage.Live,
 	}
 }
 
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -27,8 +27,8 @@
 	"foxtailspoke/entry/settings"
 	"foxtailspoke/internal/standin"
 	"foxtailspoke/operator"
-	"foxtailspoke/platform"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage"
+	"foxtailspoke/storage/client"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -161,9 +161,9 @@
 func (w *world) serveOwn(h http.HandlerFunc) {
 	server := httptest.NewServer(h)
 	w.t.Cleanup(server.Close)
-	must.NoError(w.t, w.client.Announce(context.Background(), platform.Instance{
-		ID: uuid.NewString(), Kind: platform.BackendServer, Service: "own", DataCentre: "dc1",
-		Address: server.Listener.Addr().String(), Slots: 8, State: platform.Live,
+	must.NoError(w.t, w.client.Announce(context.Background(), storage.Instance{
+		ID: uuid.NewString(), Kind: storage.BackendServer, Service: "own", DataCentre: "dc1",
+		Address: server.Listener.Addr().String(), Slots: 8, State: storage.Live,
 	}))
 }
 
--- a/entry/gone_test.go
+++ b/entry/gone_test.go
@@ -19,7 +19,7 @@
 	"foxtailspoke/entry"
 	"foxtailspoke/entry/settings"
 	"foxtailspoke/internal/standin"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 	"foxtailspoke/wire"
 )
 
@@ -209,7 +209,7 @@
 	self := w.entries[0].Addresses()
 	w.stops[0]()
 	eventually(t, "it stops", func() bool { return strings.Contains(w.log.text(), "planned stop begun") })
-	self.State = platform.Ended
+	self.State = storage.Ended
 	must.NoError(t, w.client.Announce(context.Background(), self))
 	select {
 	case <-w.ends[0]:
--- a/entry/operators/operators.go
+++ b/entry/operators/operators.go
@@ -16,7 +16,7 @@
 	"foxtailspoke/entry/records"
 	"foxtailspoke/membership"
 	"foxtailspoke/node"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // ErrStopped reports that the instance doesn't answer any more.
@@ -77,7 +77,7 @@
 // GetInForce implements oas.Handler. It starts finding out, and says what is
 // known by now; operators ask again.
 func (s *Service) GetInForce(_ context.Context, p oas.GetInForceParams) (*oas.InForce, error) {
-	revision := platform.Revision(p.Revision)
+	revision := storage.Revision(p.Revision)
 	out := &oas.InForce{Revision: p.Revision, KnownBy: []string{}, Missing: []string{}}
 	ok := s.loop.Effects(func(n *node.Node, now time.Duration) []node.Effect {
 		effects := n.Require(now, revision)
--- a/entry/path_bench_test.go
+++ b/entry/path_bench_test.go
@@ -17,7 +17,7 @@
 	"foxtailspoke/entry/settings"
 	"foxtailspoke/internal/standin"
 	"foxtailspoke/operator"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage/client"
 )
 
 // BenchmarkPath sends lookups through an entry instance in this process, to a
--- a/entry/records/records.go
+++ b/entry/records/records.go
@@ -10,12 +10,12 @@
 
 	"foxtailspoke/decision"
 	"foxtailspoke/event"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Keeper is the instance's buffer of records with its way to the store.
 type Keeper struct {
-	objects platform.Objects
+	objects storage.Objects
 	every   time.Duration
 	log     *slog.Logger
 
@@ -25,7 +25,7 @@
 }
 
 // New returns a Keeper that writes a batch at most as often as every.
-func New(b *decision.Buffer, o platform.Objects, every time.Duration, log *slog.Logger) *Keeper {
+func New(b *decision.Buffer, o storage.Objects, every time.Duration, log *slog.Logger) *Keeper {
 	return &Keeper{objects: o, every: every, log: log, buffer: b}
 }
 
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -7,7 +7,7 @@
 
 	"foxtailspoke/event"
 	"foxtailspoke/node"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 const (
@@ -25,7 +25,7 @@
 func (e *Entry) stop(ended <-chan struct{}) {
 	event.Stopping.Log(e.log, slog.String("instance", e.self.ID))
 	e.leaving.Store(true)
-	e.tell(platform.Leaving)
+	e.tell(storage.Leaving)
 	e.loop.Submit(node.LeaveRequested{})
 	select {
 	case <-time.After(time.Duration(e.settings.Fleet.LocateTTL)):
@@ -37,13 +37,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
 	defer cancel()
 	e.records.Flush(ctx)
-	e.tell(platform.Ended)
+	e.tell(storage.Ended)
 	event.Stopped.Log(e.log, slog.String("instance", e.self.ID), slog.Int("cut", cut))
 }
 
 // tell announces a state once. A lost announcement is made good by the
 // announcer, or by the platform noticing that the instance is silent.
-func (e *Entry) tell(state platform.State) {
+func (e *Entry) tell(state storage.State) {
 	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
 	defer cancel()
 	self := e.self
--- a/entry/store/store.go
+++ b/entry/store/store.go
@@ -12,7 +12,7 @@
 	"foxtailspoke/effect"
 	"foxtailspoke/event"
 	"foxtailspoke/node"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Submitter takes events for the node.
@@ -20,8 +20,8 @@
 
 // Store is an instance's access to the platform.
 type Store struct {
-	table     platform.Table
-	instances platform.Instances
+	table     storage.Table
+	instances storage.Instances
 	loop      Submitter
 	log       *slog.Logger
 	timeout   time.Duration
@@ -33,7 +33,7 @@
 }
 
 // New returns a Store whose calls end after the timeout.
-func New(t platform.Table, i platform.Instances, loop Submitter, log *slog.Logger, timeout time.Duration) *Store {
+func New(t storage.Table, i storage.Instances, loop Submitter, log *slog.Logger, timeout time.Duration) *Store {
 	return &Store{table: t, instances: i, loop: loop, log: log, timeout: timeout}
 }
 
@@ -60,7 +60,7 @@
 		result, err := s.table.Write(ctx, e.Txn)
 		if err != nil {
 			// A transaction that the table finds malformed took no effect.
-			result = platform.WriteResult{Outcome: platform.Conflict}
+			result = storage.WriteResult{Outcome: storage.Conflict}
 		}
 		s.loop.Submit(node.TableWritten{ID: e.ID, Result: result})
 	})
--- a/entry/tree.go
+++ b/entry/tree.go
@@ -15,8 +15,8 @@
 	"foxtailspoke/event"
 	"foxtailspoke/node"
 	"foxtailspoke/peer"
-	"foxtailspoke/platform"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage"
+	"foxtailspoke/storage/client"
 )
 
 const (
@@ -128,10 +128,10 @@
 // ended.
 const announceRetry = time.Second
 
-func (e *Entry) announced() platform.Instance {
+func (e *Entry) announced() storage.Instance {
 	self := e.self
 	if e.leaving.Load() {
-		self.State = platform.Leaving
+		self.State = storage.Leaving
 	}
 	return self
 }
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -11,7 +11,7 @@
 
 	"foxtailspoke/config/lists"
 	"foxtailspoke/operator"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 const applyHelp = `Checks both lists, shows how they differ from those in force, asks, and puts
@@ -201,7 +201,7 @@
 
 // waitInForce waits until a revision is in force everywhere and says so, or
 // what is missing.
-func (a *app) waitInForce(conn connection, r platform.Revision, wait time.Duration) (*operator.InForce, error) {
+func (a *app) waitInForce(conn connection, r storage.Revision, wait time.Duration) (*operator.InForce, error) {
 	if wait <= 0 {
 		return nil, nil
 	}
--- a/internal/cli/bench_test.go
+++ b/internal/cli/bench_test.go
@@ -15,8 +15,8 @@
 	"foxtailspoke/api/operator/oas"
 	"foxtailspoke/decision"
 	"foxtailspoke/internal/standin"
-	"foxtailspoke/platform"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage"
+	"foxtailspoke/storage/client"
 )
 
 const testToken = "test-token"
@@ -83,16 +83,16 @@
 	must.NoError(t, os.WriteFile(token, []byte(testToken+"\n"), 0o600))
 	b.env = map[string]string{envPlatform: p.URL(), envTokenFile: token, envUser: "maria"}
 	b.entryAddress = strings.TrimPrefix(listener.URL, "http://")
-	b.announce(platform.Instance{ID: "0f8fad5b-entry", Kind: platform.Entry, State: platform.Live, DataCentre: "a", OperatorAddress: b.entryAddress})
+	b.announce(storage.Instance{ID: "0f8fad5b-entry", Kind: storage.Entry, State: storage.Live, DataCentre: "a", OperatorAddress: b.entryAddress})
 	for service, n := range map[string]int{"catalogue": 10, "diagnosis": 10, "ordering": 15, "billing": 15} {
 		for i := range n {
-			b.announce(platform.Instance{ID: service + string(rune('a'+i)), Kind: platform.BackendServer, Service: service, State: platform.Live, Slots: 2})
+			b.announce(storage.Instance{ID: service + string(rune('a'+i)), Kind: storage.BackendServer, Service: service, State: storage.Live, Slots: 2})
 		}
 	}
 	return b
 }
 
-func (b *bench) announce(i platform.Instance) {
+func (b *bench) announce(i storage.Instance) {
 	c, err := client.New(b.platform.URL(), client.Settings{})
 	must.NoError(b.t, err)
 	defer c.Close()
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"foxtailspoke/config/lists"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 const checkHelp = `Checks both lists and prints every fault with its file, line and field.
@@ -81,14 +81,14 @@
 }
 
 // capacityOf counts the live backend servers of each service.
-func capacityOf(ctx context.Context, p platform.Instances) (lists.Capacity, error) {
+func capacityOf(ctx context.Context, p storage.Instances) (lists.Capacity, error) {
 	all, err := p.List(ctx, 0)
 	if err != nil {
 		return nil, errors.Wrap(err, "list backend servers")
 	}
 	capacity := lists.Capacity{}
 	for _, i := range all.Changed {
-		if i.Kind == platform.BackendServer && i.State == platform.Live {
+		if i.Kind == storage.BackendServer && i.State == storage.Live {
 			capacity[i.Service]++
 		}
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -12,7 +12,7 @@
 
 	"foxtailspoke/config/jsonc"
 	"foxtailspoke/operator"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Exit codes, for shells.
@@ -140,7 +140,7 @@
 		return coded.code
 	case errors.As(err, &faults):
 		return exitFaults
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		return exitUnavailable
 	case errors.Is(err, operator.ErrUnknownWorkspace), errors.Is(err, operator.ErrUnknownKey):
 		return exitNotFound
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -17,8 +17,8 @@
 	"foxtailspoke/decision"
 	"foxtailspoke/internal/standin"
 	"foxtailspoke/operator"
-	"foxtailspoke/platform"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage"
+	"foxtailspoke/storage/client"
 )
 
 // A newcomer's first session: check, apply, give a key, see it, explain a
@@ -206,7 +206,7 @@
 	b := newBench(t)
 	b.must(exitDone, append([]string{"apply", "--yes"}, exampleLists()...)...)
 	for i := range 6 {
-		b.announce(platform.Instance{ID: "catalogue" + string(rune('a'+i)), Kind: platform.BackendServer, Service: "catalogue", State: platform.Leaving, Slots: 2})
+		b.announce(storage.Instance{ID: "catalogue" + string(rune('a'+i)), Kind: storage.BackendServer, Service: "catalogue", State: storage.Leaving, Slots: 2})
 	}
 	out := b.must(exitDone, append([]string{"apply", "--yes"}, b.edited(`"rate": 20`, `"rate": 21`)...)...)
 	must.StrContains(t, out, "Service catalogue has 4 live backend servers, fewer than its floor 6 in force.")
--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -14,8 +14,8 @@
 	"foxtailspoke/config/jsonc"
 	"foxtailspoke/operator"
 	"foxtailspoke/operator/fleet"
-	"foxtailspoke/platform"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage"
+	"foxtailspoke/storage/client"
 )
 
 const (
@@ -126,7 +126,7 @@
 }
 
 // instances returns where the entry instances are looked up.
-func (a *app) instances(p *client.Client) platform.Instances {
+func (a *app) instances(p *client.Client) storage.Instances {
 	if len(a.global.Entries) > 0 {
 		return fleet.Addresses(a.global.Entries)
 	}
--- a/internal/harness/harness_test.go
+++ b/internal/harness/harness_test.go
@@ -15,8 +15,8 @@
 	"github.com/shoenig/test/wait"
 
 	"foxtailspoke/internal/harness"
-	"foxtailspoke/platform"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage"
+	"foxtailspoke/storage/client"
 )
 
 const patience = 20 * time.Second
@@ -53,17 +53,17 @@
 	c, err := client.New("http://"+address(t, p, "platform"), client.Settings{Timeout: 200 * time.Millisecond})
 	must.NoError(t, err)
 	defer c.Close()
-	read := func() (platform.Changes, error) {
-		return c.Read(t.Context(), platform.ReadRequest{Table: platform.Control})
+	read := func() (storage.Changes, error) {
+		return c.Read(t.Context(), storage.ReadRequest{Table: storage.Control})
 	}
-	put := []platform.Put{{Table: platform.Control, Key: "k"}}
-	w, err := c.Write(t.Context(), platform.Txn{Attempt: "a", Puts: put})
+	put := []storage.Put{{Table: storage.Control, Key: "k"}}
+	w, err := c.Write(t.Context(), storage.Txn{Attempt: "a", Puts: put})
 	must.NoError(t, err)
-	must.Eq(t, platform.Committed, w.Outcome)
+	must.Eq(t, storage.Committed, w.Outcome)
 
 	must.NoError(t, p.Freeze())
 	_, err = read()
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, storage.ErrUnavailable)
 	must.NoError(t, p.Thaw())
 	within(t, "it answers again", func() bool { _, err := read(); return err == nil })
 	changes, err := read()
@@ -74,7 +74,7 @@
 	must.Zero(t, p.Stop(patience), must.Sprint("a frozen process is thawed to stop"))
 	must.Error(t, p.Thaw(), must.Sprint("no signal goes to an ended process"))
 	_, err = read()
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, storage.ErrUnavailable)
 }
 
 // Threads of this process end; the system takes the end of the one that
--- a/internal/proofs/spread_test.go
+++ b/internal/proofs/spread_test.go
@@ -19,7 +19,7 @@
 	"foxtailspoke/internal/standin"
 	"foxtailspoke/internal/trial"
 	"foxtailspoke/operator"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 const (
@@ -91,7 +91,7 @@
 }
 
 // awaitFleet waits until every instance serves and knows all others.
-func (w *world) awaitFleet(n int) []platform.Instance {
+func (w *world) awaitFleet(n int) []storage.Instance {
 	w.t.Helper()
 	start := time.Now()
 	for {
@@ -113,7 +113,7 @@
 
 // measure returns how long each instance took to act on a change of a key,
 // and how long until an instance knew that it is in force everywhere.
-func (w *world) measure(entries []platform.Instance, key string, works bool, r platform.Revision) (all []reached, force time.Duration) {
+func (w *world) measure(entries []storage.Instance, key string, works bool, r storage.Revision) (all []reached, force time.Duration) {
 	start := time.Now()
 	all = make([]reached, len(entries))
 	var asking sync.WaitGroup
@@ -168,7 +168,7 @@
 	rss       []int
 }
 
-func (w *world) costs(entries []platform.Instance) cost {
+func (w *world) costs(entries []storage.Instance) cost {
 	counts := w.platform.Counts()
 	c := cost{at: time.Now(), reads: counts.Reads, writes: counts.Writes}
 	for _, e := range w.running() {
--- a/internal/proofs/world_test.go
+++ b/internal/proofs/world_test.go
@@ -21,7 +21,7 @@
 	"foxtailspoke/internal/standin"
 	"foxtailspoke/operator"
 	"foxtailspoke/operator/fleet"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage/client"
 )
 
 const (
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
-	"foxtailspoke/platform"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage"
+	"foxtailspoke/storage/client"
 )
 
 // reportTimeout bounds one announcement.
@@ -18,7 +18,7 @@
 
 // announcer repeats a backend server's announcement to the platform.
 type announcer struct {
-	list   platform.Instances
+	list   storage.Instances
 	every  time.Duration
 	log    *slog.Logger
 	cancel context.CancelFunc
@@ -27,10 +27,10 @@
 	// sending orders the announcements.
 	sending sync.Mutex
 	mu      sync.Mutex
-	self    platform.Instance
+	self    storage.Instance
 }
 
-func startAnnouncer(list platform.Instances, self platform.Instance, every time.Duration, log *slog.Logger) *announcer {
+func startAnnouncer(list storage.Instances, self storage.Instance, every time.Duration, log *slog.Logger) *announcer {
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &announcer{
 		list:   list,
@@ -44,14 +44,14 @@
 	return a
 }
 
-func (a *announcer) current() platform.Instance {
+func (a *announcer) current() storage.Instance {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.self
 }
 
 // report announces a new state at once.
-func (a *announcer) report(s platform.State) {
+func (a *announcer) report(s storage.State) {
 	a.mu.Lock()
 	a.self.State = s
 	a.mu.Unlock()
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Defaults of BackendOptions.
@@ -44,7 +44,7 @@
 	ColdRequests int
 	ColdFactor   float64
 	// Instances is where the server announces itself; nil if nowhere.
-	Instances     platform.Instances
+	Instances     storage.Instances
 	AnnounceEvery time.Duration
 	// Faults from the start.
 	Faults BackendFaults
@@ -164,7 +164,7 @@
 	b.drainedAt = b.now()
 	b.mu.Unlock()
 	if b.announcer != nil {
-		b.announcer.report(platform.Leaving)
+		b.announcer.report(storage.Leaving)
 	}
 }
 
@@ -174,7 +174,7 @@
 	b.Drain()
 	b.work.shutdown(ctx)
 	if b.announcer != nil {
-		b.announcer.report(platform.Ended)
+		b.announcer.report(storage.Ended)
 	}
 	b.Close()
 }
@@ -202,20 +202,20 @@
 	return b.rand.Float64()
 }
 
-func (b *Backend) instance() platform.Instance {
+func (b *Backend) instance() storage.Instance {
 	address := b.o.Advertise
 	if address == "" {
 		address = b.Address()
 	}
-	return platform.Instance{
+	return storage.Instance{
 		ID:         uuid.NewString(),
-		Kind:       platform.BackendServer,
+		Kind:       storage.BackendServer,
 		Service:    b.o.Service,
 		DataCentre: b.o.DataCentre,
 		Region:     b.o.Region,
 		Address:    address,
 		Slots:      b.o.Slots,
-		State:      platform.Live,
+		State:      storage.Live,
 	}
 }
 
--- a/internal/standin/command/backend.go
+++ b/internal/standin/command/backend.go
@@ -6,7 +6,7 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/internal/standin"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage/client"
 )
 
 const backendHelp = `Serves requests as a backend server of a service, and announces itself in
--- a/internal/standin/instances/instances.go
+++ b/internal/standin/instances/instances.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // ErrEnded reports an announcement by an instance that was declared ended.
@@ -30,14 +30,14 @@
 }
 
 type entry struct {
-	instance platform.Instance
+	instance storage.Instance
 	// announced is when the instance last announced itself.
 	announced time.Duration
 }
 
 type event struct {
 	at       time.Duration
-	instance platform.Instance
+	instance storage.Instance
 }
 
 // New returns an empty list. An instance that was silent for endAfter is
@@ -49,7 +49,7 @@
 // Announce takes down an instance's state. A state never goes back: an
 // announcement that was overtaken by a later state counts as a sign of life
 // only.
-func (l *List) Announce(now time.Duration, i platform.Instance) error {
+func (l *List) Announce(now time.Duration, i storage.Instance) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.endSilent(now)
@@ -59,8 +59,8 @@
 		l.log = append(l.log, event{now, i})
 		return nil
 	}
-	if e.instance.State == platform.Ended {
-		if i.State == platform.Ended {
+	if e.instance.State == storage.Ended {
+		if i.State == storage.Ended {
 			return nil
 		}
 		return errors.Wrapf(ErrEnded, "%q", i.ID)
@@ -75,14 +75,14 @@
 
 // Show returns what changed after version since, as the list showed it lag
 // ago. While frozen it shows nothing new.
-func (l *List) Show(now time.Duration, since uint64, lag time.Duration, frozen bool) platform.InstanceChanges {
+func (l *List) Show(now time.Duration, since uint64, lag time.Duration, frozen bool) storage.InstanceChanges {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.endSilent(now)
 	if !frozen {
 		l.shown = max(l.shown, l.visible(now-lag))
 	}
-	c := platform.InstanceChanges{Version: l.shown, Full: since == 0}
+	c := storage.InstanceChanges{Version: l.shown, Full: since == 0}
 	newest := map[string]int{}
 	for n := since; n < l.shown; n++ {
 		newest[l.log[n].instance.ID] = int(n)
@@ -98,7 +98,7 @@
 	return c
 }
 
-func (l *List) change(now time.Duration, e *entry, i platform.Instance) {
+func (l *List) change(now time.Duration, e *entry, i storage.Instance) {
 	if e.instance == i {
 		return
 	}
@@ -113,7 +113,7 @@
 	}
 	var silent []string
 	for id, e := range l.entries {
-		if e.instance.State != platform.Ended && now-e.announced >= l.endAfter {
+		if e.instance.State != storage.Ended && now-e.announced >= l.endAfter {
 			silent = append(silent, id)
 		}
 	}
@@ -121,7 +121,7 @@
 	for _, id := range silent {
 		e := l.entries[id]
 		ended := e.instance
-		ended.State = platform.Ended
+		ended.State = storage.Ended
 		l.change(now, e, ended)
 	}
 }
@@ -137,11 +137,11 @@
 	return uint64(n)
 }
 
-func rank(s platform.State) int {
+func rank(s storage.State) int {
 	switch s {
-	case platform.Ended:
+	case storage.Ended:
 		return 2
-	case platform.Leaving:
+	case storage.Leaving:
 		return 1
 	default:
 		return 0
--- a/internal/standin/instances/instances_test.go
+++ b/internal/standin/instances/instances_test.go
@@ -7,17 +7,17 @@
 	"github.com/shoenig/test/must"
 
 	"foxtailspoke/internal/standin/instances"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 const second = time.Second
 
-func in(id string, s platform.State) platform.Instance {
-	return platform.Instance{ID: id, Kind: platform.Entry, State: s}
+func in(id string, s storage.State) storage.Instance {
+	return storage.Instance{ID: id, Kind: storage.Entry, State: s}
 }
 
 // states returns the list as id:state, in the order shown.
-func states(c platform.InstanceChanges) []string {
+func states(c storage.InstanceChanges) []string {
 	out := []string{}
 	for _, i := range c.Changed {
 		out = append(out, i.ID+":"+string(i.State))
@@ -29,33 +29,33 @@
 // passed; while the list is frozen they see nothing new, however late it is.
 func TestListLagsAndFreezes(t *testing.T) {
 	l := instances.New(0)
-	must.NoError(t, l.Announce(0, in("a", platform.Live)))
-	must.NoError(t, l.Announce(1*second, in("b", platform.Live)))
-	must.NoError(t, l.Announce(5*second, in("a", platform.Leaving)))
+	must.NoError(t, l.Announce(0, in("a", storage.Live)))
+	must.NoError(t, l.Announce(1*second, in("b", storage.Live)))
+	must.NoError(t, l.Announce(5*second, in("a", storage.Leaving)))
 	lag := 2 * second
 
-	must.Eq(t, platform.InstanceChanges{Full: true}, l.Show(1999*time.Millisecond, 0, lag, false))
+	must.Eq(t, storage.InstanceChanges{Full: true}, l.Show(1999*time.Millisecond, 0, lag, false))
 	c := l.Show(3*second, 0, lag, false)
 	must.Eq(t, []string{"a:live", "b:live"}, states(c))
 	must.Eq(t, 2, c.Version)
-	must.Eq(t, platform.InstanceChanges{Version: 2}, l.Show(7*second, 2, lag, true))
+	must.Eq(t, storage.InstanceChanges{Version: 2}, l.Show(7*second, 2, lag, true))
 	must.Eq(t, []string{"a:leaving"}, states(l.Show(7*second, 2, lag, false)))
 	must.Eq(t, []string{"b:live", "a:leaving"}, states(l.Show(7*second, 0, lag, false)))
 	must.Eq(t, 3, l.Show(7*second, 0, time.Hour, false).Version, must.Sprint("a longer lag takes nothing back"))
-	must.Eq(t, platform.InstanceChanges{Version: 3}, l.Show(7*second, 99, lag, false))
+	must.Eq(t, storage.InstanceChanges{Version: 3}, l.Show(7*second, 99, lag, false))
 }
 
 // An instance is frozen and wakes after the platform has declared it ended.
 // Others have acted on its end, so its old id must not come back to life.
 func TestSilentInstanceEndsForGood(t *testing.T) {
 	l := instances.New(10 * second)
-	must.NoError(t, l.Announce(0, in("frozen", platform.Live)))
-	must.NoError(t, l.Announce(0, in("well", platform.Live)))
-	must.NoError(t, l.Announce(9*second, in("well", platform.Live)))
+	must.NoError(t, l.Announce(0, in("frozen", storage.Live)))
+	must.NoError(t, l.Announce(0, in("well", storage.Live)))
+	must.NoError(t, l.Announce(9*second, in("well", storage.Live)))
 	must.Eq(t, []string{"frozen:live", "well:live"}, states(l.Show(9*second, 0, 0, false)))
 	must.Eq(t, []string{"frozen:ended"}, states(l.Show(10*second, 2, 0, false)))
-	must.ErrorIs(t, l.Announce(11*second, in("frozen", platform.Live)), instances.ErrEnded)
-	must.NoError(t, l.Announce(11*second, in("frozen", platform.Ended)))
+	must.ErrorIs(t, l.Announce(11*second, in("frozen", storage.Live)), instances.ErrEnded)
+	must.NoError(t, l.Announce(11*second, in("frozen", storage.Ended)))
 	must.Eq(t, []string{"well:live", "frozen:ended"}, states(l.Show(11*second, 0, 0, false)))
 }
 
@@ -63,11 +63,11 @@
 // must not show it as live again, or it would get new work.
 func TestStateNeverGoesBack(t *testing.T) {
 	l := instances.New(0)
-	for _, s := range []platform.State{platform.Live, platform.Leaving, platform.Live} {
+	for _, s := range []storage.State{storage.Live, storage.Leaving, storage.Live} {
 		must.NoError(t, l.Announce(0, in("a", s)))
 	}
 	must.Eq(t, []string{"a:leaving"}, states(l.Show(0, 0, 0, false)))
-	moved := in("a", platform.Live)
+	moved := in("a", storage.Live)
 	moved.Address = "127.0.0.1:1"
 	must.NoError(t, l.Announce(0, moved))
 	c := l.Show(0, 2, 0, false)
--- a/internal/standin/platform_handler.go
+++ b/internal/standin/platform_handler.go
@@ -13,7 +13,7 @@
 	"foxtailspoke/api/platform/oas"
 	"foxtailspoke/internal/standin/instances"
 	"foxtailspoke/internal/standin/tables"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // platformHandler implements the platform's API on the stand-in's stores.
@@ -24,9 +24,9 @@
 var errPathMismatch = errors.New("the id in the path differs from the body's")
 
 func (h platformHandler) ReadRows(_ context.Context, params oas.ReadRowsParams) (*oas.Changes, error) {
-	c, err := h.p.readable().Read(platform.ReadRequest{
-		Table:  platform.TableName(params.Table),
-		Since:  platform.Revision(params.Since.Or(0)),
+	c, err := h.p.readable().Read(storage.ReadRequest{
+		Table:  storage.TableName(params.Table),
+		Since:  storage.Revision(params.Since.Or(0)),
 		Prefix: params.Prefix.Or(""),
 	})
 	if err != nil {
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if result.Outcome == platform.Conflict {
+	if result.Outcome == storage.Conflict {
 		return &oas.Conflict{Current: convert.RowsToAPI(result.Current)}, nil
 	}
 	return &oas.Committed{Revisions: convert.RevisionsToAPI(result.Revisions)}, nil
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -8,8 +8,8 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/internal/standin"
-	"foxtailspoke/platform"
-	platformclient "foxtailspoke/platform/client"
+	"foxtailspoke/storage"
+	platformclient "foxtailspoke/storage/client"
 )
 
 func startPlatform(t *testing.T, o standin.PlatformOptions) (*standin.Platform, *platformclient.Client) {
@@ -52,12 +52,12 @@
 func TestOldCopyIsFromTheSwitch(t *testing.T) {
 	p, c := startPlatform(t, standin.PlatformOptions{})
 	write := func(key string) {
-		r, err := c.Write(t.Context(), platform.Txn{Attempt: key, Puts: []platform.Put{{Table: platform.Control, Key: key}}})
+		r, err := c.Write(t.Context(), storage.Txn{Attempt: key, Puts: []storage.Put{{Table: storage.Control, Key: key}}})
 		must.NoError(t, err)
-		must.Eq(t, platform.Committed, r.Outcome)
+		must.Eq(t, storage.Committed, r.Outcome)
 	}
-	revision := func() platform.Revision {
-		changes, err := c.Read(t.Context(), platform.ReadRequest{Table: platform.Control})
+	revision := func() storage.Revision {
+		changes, err := c.Read(t.Context(), storage.ReadRequest{Table: storage.Control})
 		must.NoError(t, err)
 		return changes.Revision
 	}
@@ -77,10 +77,10 @@
 	p, c := startPlatform(t, standin.PlatformOptions{})
 	for i, f := range []standin.ServiceFaults{{LoseWrites: 1}, {LoseAnswers: 1}, {LoseAnswersRatio: 1}} {
 		must.NoError(t, p.SetFaults(standin.PlatformFaults{Table: standin.TableFaults{ServiceFaults: f}}))
-		r, err := c.Write(t.Context(), platform.Txn{Attempt: "a", Puts: []platform.Put{{Table: platform.Control, Key: "k"}}})
+		r, err := c.Write(t.Context(), storage.Txn{Attempt: "a", Puts: []storage.Put{{Table: storage.Control, Key: "k"}}})
 		must.NoError(t, err)
-		must.Eq(t, platform.Unknown, r.Outcome)
-		must.Eq(t, platform.Revision(i), p.Tables().Revisions()[platform.Control])
+		must.Eq(t, storage.Unknown, r.Outcome)
+		must.Eq(t, storage.Revision(i), p.Tables().Revisions()[storage.Control])
 	}
 	must.Eq(t, standin.PlatformCounts{Writes: 3, LostAnswers: 2, LostWrites: 1}, p.Counts())
 }
@@ -94,11 +94,11 @@
 	t.Cleanup(c.Close)
 	slow := standin.ServiceFaults{Delay: config.Duration(2 * glance)}
 	must.NoError(t, p.SetFaults(standin.PlatformFaults{Table: standin.TableFaults{ServiceFaults: slow}}))
-	r, err := c.Write(t.Context(), platform.Txn{Attempt: "a", Puts: []platform.Put{{Table: platform.Control, Key: "k"}}})
+	r, err := c.Write(t.Context(), storage.Txn{Attempt: "a", Puts: []storage.Put{{Table: storage.Control, Key: "k"}}})
 	must.NoError(t, err)
-	must.Eq(t, platform.Unknown, r.Outcome)
-	must.Zero(t, p.Tables().Revisions()[platform.Control])
-	eventually(t, "takes effect", func() bool { return p.Tables().Revisions()[platform.Control] == 1 })
+	must.Eq(t, storage.Unknown, r.Outcome)
+	must.Zero(t, p.Tables().Revisions()[storage.Control])
+	eventually(t, "takes effect", func() bool { return p.Tables().Revisions()[storage.Control] == 1 })
 }
 
 // The store is asked more than it gives. Those above the limit have no
@@ -107,20 +107,20 @@
 	p, c := startPlatform(t, standin.PlatformOptions{})
 	limited := standin.ServiceFaults{MaxReads: 1, MaxWrites: 1}
 	must.NoError(t, p.SetFaults(standin.PlatformFaults{Table: standin.TableFaults{ServiceFaults: limited}, Objects: limited}))
-	outcomes := map[platform.WriteOutcome]int{}
+	outcomes := map[storage.WriteOutcome]int{}
 	unavailable := 0
-	for unavailable == 0 || outcomes[platform.Unknown] == 0 {
-		r, err := c.Write(t.Context(), platform.Txn{Attempt: "a", Puts: []platform.Put{{Table: platform.Control, Key: "k"}}})
+	for unavailable == 0 || outcomes[storage.Unknown] == 0 {
+		r, err := c.Write(t.Context(), storage.Txn{Attempt: "a", Puts: []storage.Put{{Table: storage.Control, Key: "k"}}})
 		must.NoError(t, err)
 		outcomes[r.Outcome]++
-		_, err = c.Read(t.Context(), platform.ReadRequest{Table: platform.Control})
+		_, err = c.Read(t.Context(), storage.ReadRequest{Table: storage.Control})
 		if err != nil {
-			must.ErrorIs(t, err, platform.ErrUnavailable)
+			must.ErrorIs(t, err, storage.ErrUnavailable)
 			unavailable++
 		}
 	}
-	must.Positive(t, outcomes[platform.Committed])
-	must.Eq(t, platform.Revision(outcomes[platform.Committed]), p.Tables().Revisions()[platform.Control])
+	must.Positive(t, outcomes[storage.Committed])
+	must.Eq(t, storage.Revision(outcomes[storage.Committed]), p.Tables().Revisions()[storage.Control])
 	must.NoError(t, c.Objects().Put(t.Context(), "o", nil), must.Sprint("each service has its own limit"))
 }
 
@@ -137,18 +137,18 @@
 		c, err := platformclient.New("http://"+l.Address(), platformclient.Settings{Timeout: 2 * glance})
 		must.NoError(t, err)
 		t.Cleanup(c.Close)
-		read := platform.ReadRequest{Table: platform.Control}
+		read := storage.ReadRequest{Table: storage.Control}
 		_, err = c.Read(t.Context(), read)
 		must.NoError(t, err)
 
 		must.NoError(t, l.Set(cut))
-		r, err := c.Write(t.Context(), platform.Txn{Attempt: "mine", Puts: []platform.Put{{Table: platform.Control, Key: "k"}}})
+		r, err := c.Write(t.Context(), storage.Txn{Attempt: "mine", Puts: []storage.Put{{Table: storage.Control, Key: "k"}}})
 		must.NoError(t, err)
-		must.Eq(t, platform.Unknown, r.Outcome)
+		must.Eq(t, storage.Unknown, r.Outcome)
 		_, err = c.Read(t.Context(), read)
-		must.ErrorIs(t, err, platform.ErrUnavailable)
+		must.ErrorIs(t, err, storage.ErrUnavailable)
 		if cut.Forward == standin.Cut {
-			must.Zero(t, p.Tables().Revisions()[platform.Control])
+			must.Zero(t, p.Tables().Revisions()[storage.Control])
 			continue
 		}
 		must.NoError(t, l.Set(standin.LinkState{}))
--- a/internal/standin/tables/tables.go
+++ b/internal/standin/tables/tables.go
@@ -15,7 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // ErrMalformed reports a transaction that no state of the tables would take.
@@ -24,40 +24,40 @@
 // Store is a set of tables. It is safe for concurrent use.
 type Store struct {
 	mu     sync.Mutex
-	tables map[platform.TableName]*table
+	tables map[storage.TableName]*table
 }
 
 type table struct {
-	revision platform.Revision
-	rows     map[string]platform.Row
+	revision storage.Revision
+	rows     map[string]storage.Row
 	// log has an entry per change, by ascending revision. An entry counts
 	// only while its row has the entry's revision.
 	log []change
 }
 
 type change struct {
-	revision platform.Revision
+	revision storage.Revision
 	key      string
 }
 
 // New returns empty tables.
 func New() *Store {
-	s := &Store{tables: map[platform.TableName]*table{}}
-	for _, name := range []platform.TableName{platform.Control, platform.Audit, platform.Claims} {
-		s.tables[name] = &table{rows: map[string]platform.Row{}}
+	s := &Store{tables: map[storage.TableName]*table{}}
+	for _, name := range []storage.TableName{storage.Control, storage.Audit, storage.Claims} {
+		s.tables[name] = &table{rows: map[string]storage.Row{}}
 	}
 	return s
 }
 
 // Read returns the newest state, as far as it differs from r.Since.
-func (s *Store) Read(r platform.ReadRequest) (platform.Changes, error) {
+func (s *Store) Read(r storage.ReadRequest) (storage.Changes, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, ok := s.tables[r.Table]
 	if !ok {
-		return platform.Changes{}, errors.Wrapf(ErrMalformed, "no table %q", r.Table)
+		return storage.Changes{}, errors.Wrapf(ErrMalformed, "no table %q", r.Table)
 	}
-	c := platform.Changes{Revision: t.revision, Full: r.Since == 0}
+	c := storage.Changes{Revision: t.revision, Full: r.Since == 0}
 	for _, entry := range t.log[t.after(r.Since):] {
 		row := t.rows[entry.key]
 		if row.Revision != entry.revision || !strings.HasPrefix(row.Key, r.Prefix) {
@@ -72,18 +72,18 @@
 }
 
 // Write commits the transaction if all its conditions hold.
-func (s *Store) Write(txn platform.Txn) (platform.WriteResult, error) {
+func (s *Store) Write(txn storage.Txn) (storage.WriteResult, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.check(txn); err != nil {
-		return platform.WriteResult{}, err
+		return storage.WriteResult{}, err
 	}
 	if current, ok := s.conditionsHold(txn.Conditions); !ok {
-		return platform.WriteResult{Outcome: platform.Conflict, Current: current}, nil
+		return storage.WriteResult{Outcome: storage.Conflict, Current: current}, nil
 	}
-	result := platform.WriteResult{
-		Outcome:   platform.Committed,
-		Revisions: map[platform.TableName]platform.Revision{},
+	result := storage.WriteResult{
+		Outcome:   storage.Committed,
+		Revisions: map[storage.TableName]storage.Revision{},
 	}
 	for _, p := range txn.Puts {
 		if _, ok := result.Revisions[p.Table]; !ok {
@@ -107,17 +107,17 @@
 }
 
 // Revisions returns each table's revision.
-func (s *Store) Revisions() map[platform.TableName]platform.Revision {
+func (s *Store) Revisions() map[storage.TableName]storage.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := map[platform.TableName]platform.Revision{}
+	out := map[storage.TableName]storage.Revision{}
 	for name, t := range s.tables {
 		out[name] = t.revision
 	}
 	return out
 }
 
-func (s *Store) check(txn platform.Txn) error {
+func (s *Store) check(txn storage.Txn) error {
 	if txn.Attempt == "" {
 		return errors.Wrap(ErrMalformed, "no attempt id")
 	}
@@ -130,7 +130,7 @@
 		}
 	}
 	type rowID struct {
-		table platform.TableName
+		table storage.TableName
 		key   string
 	}
 	seen := map[rowID]bool{}
@@ -145,8 +145,8 @@
 }
 
 // conditionsHold returns the present rows of the conditions that don't.
-func (s *Store) conditionsHold(conditions []platform.Condition) ([]platform.Row, bool) {
-	var current []platform.Row
+func (s *Store) conditionsHold(conditions []storage.Condition) ([]storage.Row, bool) {
+	var current []storage.Row
 	ok := true
 	for _, c := range conditions {
 		row, present := s.tables[c.Table].present(c.Key)
@@ -162,16 +162,16 @@
 }
 
 // present returns a row; its zero value if it is absent or deleted.
-func (t *table) present(key string) (platform.Row, bool) {
+func (t *table) present(key string) (storage.Row, bool) {
 	row, ok := t.rows[key]
 	if !ok || row.Deleted {
-		return platform.Row{}, false
+		return storage.Row{}, false
 	}
 	return row, true
 }
 
-func (t *table) put(p platform.Put, attempt string) {
-	row := platform.Row{Key: p.Key, Revision: t.revision, Attempt: attempt, Deleted: p.Delete}
+func (t *table) put(p storage.Put, attempt string) {
+	row := storage.Row{Key: p.Key, Revision: t.revision, Attempt: attempt, Deleted: p.Delete}
 	if !p.Delete {
 		row.Value = slices.Clone(p.Value)
 	}
@@ -183,8 +183,8 @@
 }
 
 // after returns the index of the first log entry above a revision.
-func (t *table) after(since platform.Revision) int {
-	i, _ := slices.BinarySearchFunc(t.log, since, func(c change, since platform.Revision) int {
+func (t *table) after(since storage.Revision) int {
+	i, _ := slices.BinarySearchFunc(t.log, since, func(c change, since storage.Revision) int {
 		if c.revision <= since {
 			return -1
 		}
@@ -201,7 +201,7 @@
 }
 
 func (t *table) copy() *table {
-	out := &table{revision: t.revision, rows: map[string]platform.Row{}, log: slices.Clone(t.log)}
+	out := &table{revision: t.revision, rows: map[string]storage.Row{}, log: slices.Clone(t.log)}
 	for key, row := range t.rows {
 		out.rows[key] = row
 	}
--- a/internal/standin/tables/tables_test.go
+++ b/internal/standin/tables/tables_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"foxtailspoke/internal/standin/tables"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 func TestMain(m *testing.M) {
@@ -23,21 +23,21 @@
 	os.Exit(m.Run())
 }
 
-var names = []platform.TableName{platform.Control, platform.Audit, platform.Claims}
+var names = []storage.TableName{storage.Control, storage.Audit, storage.Claims}
 
 // model is the plainest description of the service: a row list per table
 // that is searched from end to end.
-type model map[platform.TableName][]platform.Row
+type model map[storage.TableName][]storage.Row
 
-func (m model) revision(t platform.TableName) platform.Revision {
-	var r platform.Revision
+func (m model) revision(t storage.TableName) storage.Revision {
+	var r storage.Revision
 	for _, row := range m[t] {
 		r = max(r, row.Revision)
 	}
 	return r
 }
 
-func (m model) present(t platform.TableName, key string) platform.Revision {
+func (m model) present(t storage.TableName, key string) storage.Revision {
 	for _, row := range m[t] {
 		if row.Key == key && !row.Deleted {
 			return row.Revision
@@ -46,27 +46,27 @@
 	return 0
 }
 
-func (m model) write(txn platform.Txn) bool {
+func (m model) write(txn storage.Txn) bool {
 	for _, c := range txn.Conditions {
 		if m.present(c.Table, c.Key) != c.Revision {
 			return false
 		}
 	}
-	next := map[platform.TableName]platform.Revision{}
+	next := map[storage.TableName]storage.Revision{}
 	for _, t := range names {
 		next[t] = m.revision(t) + 1
 	}
 	for _, p := range txn.Puts {
-		m[p.Table] = slices.DeleteFunc(m[p.Table], func(r platform.Row) bool { return r.Key == p.Key })
-		m[p.Table] = append(m[p.Table], platform.Row{
+		m[p.Table] = slices.DeleteFunc(m[p.Table], func(r storage.Row) bool { return r.Key == p.Key })
+		m[p.Table] = append(m[p.Table], storage.Row{
 			Key: p.Key, Value: p.Value, Revision: next[p.Table], Attempt: txn.Attempt, Deleted: p.Delete,
 		})
 	}
 	return true
 }
 
-func (m model) read(r platform.ReadRequest) platform.Changes {
-	c := platform.Changes{Revision: m.revision(r.Table), Full: r.Since == 0}
+func (m model) read(r storage.ReadRequest) storage.Changes {
+	c := storage.Changes{Revision: m.revision(r.Table), Full: r.Since == 0}
 	for _, row := range m[r.Table] {
 		if row.Revision > r.Since && strings.HasPrefix(row.Key, r.Prefix) && (!c.Full || !row.Deleted) {
 			c.Rows = append(c.Rows, row)
@@ -75,21 +75,21 @@
 	return c
 }
 
-func drawTxn(t *rapid.T, m model, n int) platform.Txn {
+func drawTxn(t *rapid.T, m model, n int) storage.Txn {
 	table := rapid.SampledFrom(names)
 	key := rapid.SampledFrom([]string{"a/1", "a/2", "b/1", "b"})
-	txn := platform.Txn{Attempt: fmt.Sprint(n)}
+	txn := storage.Txn{Attempt: fmt.Sprint(n)}
 	for range rapid.IntRange(0, 2).Draw(t, "conditions") {
-		c := platform.Condition{Table: table.Draw(t, "table"), Key: key.Draw(t, "key")}
+		c := storage.Condition{Table: table.Draw(t, "table"), Key: key.Draw(t, "key")}
 		c.Revision = m.present(c.Table, c.Key)
 		if rapid.IntRange(0, 3).Draw(t, "wrong") == 0 {
-			c.Revision += platform.Revision(rapid.IntRange(0, 2).Draw(t, "off"))
+			c.Revision += storage.Revision(rapid.IntRange(0, 2).Draw(t, "off"))
 		}
 		txn.Conditions = append(txn.Conditions, c)
 	}
 	seen := map[string]bool{}
 	for range rapid.IntRange(1, 3).Draw(t, "puts") {
-		p := platform.Put{Table: table.Draw(t, "table"), Key: key.Draw(t, "key")}
+		p := storage.Put{Table: table.Draw(t, "table"), Key: key.Draw(t, "key")}
 		if p.Delete = rapid.Bool().Draw(t, "delete"); !p.Delete {
 			p.Value = []byte{byte(n)}
 		}
@@ -109,20 +109,20 @@
 			txn := drawTxn(t, m, n)
 			result, err := s.Write(txn)
 			must.NoError(t, err)
-			must.Eq(t, m.write(txn), result.Outcome == platform.Committed)
-			touched := map[platform.TableName]platform.Revision{}
+			must.Eq(t, m.write(txn), result.Outcome == storage.Committed)
+			touched := map[storage.TableName]storage.Revision{}
 			for _, p := range txn.Puts {
 				touched[p.Table] = before[p.Table] + 1
 			}
-			if result.Outcome == platform.Committed {
+			if result.Outcome == storage.Committed {
 				must.Eq(t, touched, result.Revisions)
 			}
 			for _, name := range names {
 				must.Eq(t, m.revision(name), s.Revisions()[name])
 			}
-			r := platform.ReadRequest{
+			r := storage.ReadRequest{
 				Table:  rapid.SampledFrom(names).Draw(t, "table"),
-				Since:  platform.Revision(rapid.IntRange(0, n+1).Draw(t, "since")),
+				Since:  storage.Revision(rapid.IntRange(0, n+1).Draw(t, "since")),
 				Prefix: rapid.SampledFrom([]string{"", "a/", "b", "c"}).Draw(t, "prefix"),
 			}
 			c, err := s.Read(r)
@@ -134,9 +134,9 @@
 
 // sameChanges compares rows without the order of those of one revision, and
 // checks that revisions ascend.
-func sameChanges(t *rapid.T, want, got platform.Changes) {
-	must.True(t, slices.IsSortedFunc(got.Rows, func(a, b platform.Row) int { return int(a.Revision) - int(b.Revision) }))
-	byKey := func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) }
+func sameChanges(t *rapid.T, want, got storage.Changes) {
+	must.True(t, slices.IsSortedFunc(got.Rows, func(a, b storage.Row) int { return int(a.Revision) - int(b.Revision) }))
+	byKey := func(a, b storage.Row) int { return strings.Compare(a.Key, b.Key) }
 	slices.SortFunc(want.Rows, byKey)
 	slices.SortFunc(got.Rows, byKey)
 	must.Eq(t, want, got)
@@ -147,47 +147,47 @@
 // only, and nothing may take effect in any table.
 func TestConflictReturnsCurrentRows(t *testing.T) {
 	s := tables.New()
-	puts := []platform.Put{
-		{Table: platform.Control, Key: "changed", Value: []byte("v")},
-		{Table: platform.Control, Key: "gone"},
-		{Table: platform.Claims, Key: "holds"},
+	puts := []storage.Put{
+		{Table: storage.Control, Key: "changed", Value: []byte("v")},
+		{Table: storage.Control, Key: "gone"},
+		{Table: storage.Claims, Key: "holds"},
 	}
-	_, err := s.Write(platform.Txn{Attempt: "1", Puts: puts})
+	_, err := s.Write(storage.Txn{Attempt: "1", Puts: puts})
 	must.NoError(t, err)
-	_, err = s.Write(platform.Txn{Attempt: "2", Puts: []platform.Put{{Table: platform.Control, Key: "gone", Delete: true}}})
+	_, err = s.Write(storage.Txn{Attempt: "2", Puts: []storage.Put{{Table: storage.Control, Key: "gone", Delete: true}}})
 	must.NoError(t, err)
 
-	result, err := s.Write(platform.Txn{
+	result, err := s.Write(storage.Txn{
 		Attempt: "3",
-		Conditions: []platform.Condition{
-			{Table: platform.Control, Key: "changed", Revision: 2},
-			{Table: platform.Control, Key: "gone", Revision: 1},
-			{Table: platform.Claims, Key: "holds", Revision: 1},
+		Conditions: []storage.Condition{
+			{Table: storage.Control, Key: "changed", Revision: 2},
+			{Table: storage.Control, Key: "gone", Revision: 1},
+			{Table: storage.Claims, Key: "holds", Revision: 1},
 		},
-		Puts: []platform.Put{{Table: platform.Audit, Key: "a"}, {Table: platform.Control, Key: "changed"}},
+		Puts: []storage.Put{{Table: storage.Audit, Key: "a"}, {Table: storage.Control, Key: "changed"}},
 	})
 	must.NoError(t, err)
-	row := platform.Row{Key: "changed", Value: []byte("v"), Revision: 1, Attempt: "1"}
-	must.Eq(t, platform.WriteResult{Outcome: platform.Conflict, Current: []platform.Row{row}}, result)
-	want := map[platform.TableName]platform.Revision{platform.Control: 2, platform.Audit: 0, platform.Claims: 1}
+	row := storage.Row{Key: "changed", Value: []byte("v"), Revision: 1, Attempt: "1"}
+	must.Eq(t, storage.WriteResult{Outcome: storage.Conflict, Current: []storage.Row{row}}, result)
+	want := map[storage.TableName]storage.Revision{storage.Control: 2, storage.Audit: 0, storage.Claims: 1}
 	must.Eq(t, want, s.Revisions())
 }
 
 func TestMalformedTransactions(t *testing.T) {
-	ok := platform.Put{Table: platform.Control, Key: "k"}
-	for name, txn := range map[string]platform.Txn{
-		"no attempt":         {Puts: []platform.Put{ok}},
+	ok := storage.Put{Table: storage.Control, Key: "k"}
+	for name, txn := range map[string]storage.Txn{
+		"no attempt":         {Puts: []storage.Put{ok}},
 		"no puts":            {Attempt: "a"},
-		"no key":             {Attempt: "a", Puts: []platform.Put{{Table: platform.Control}}},
-		"same row twice":     {Attempt: "a", Puts: []platform.Put{ok, ok}},
-		"no such table":      {Attempt: "a", Puts: []platform.Put{{Table: "x", Key: "k"}}},
-		"no condition table": {Attempt: "a", Puts: []platform.Put{ok}, Conditions: []platform.Condition{{Table: "x"}}},
+		"no key":             {Attempt: "a", Puts: []storage.Put{{Table: storage.Control}}},
+		"same row twice":     {Attempt: "a", Puts: []storage.Put{ok, ok}},
+		"no such table":      {Attempt: "a", Puts: []storage.Put{{Table: "x", Key: "k"}}},
+		"no condition table": {Attempt: "a", Puts: []storage.Put{ok}, Conditions: []storage.Condition{{Table: "x"}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := tables.New().Write(txn)
 			must.ErrorIs(t, err, tables.ErrMalformed)
 		})
 	}
-	_, err := tables.New().Read(platform.ReadRequest{Table: "x"})
+	_, err := tables.New().Read(storage.ReadRequest{Table: "x"})
 	must.ErrorIs(t, err, tables.ErrMalformed)
 }
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -11,7 +11,7 @@
 	"foxtailspoke/internal/measure"
 	"foxtailspoke/operator"
 	"foxtailspoke/operator/fleet"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage/client"
 )
 
 // LoadOptions of a measurement of the time that an entry instance adds.
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -11,7 +11,7 @@
 
 	"foxtailspoke/operator"
 	"foxtailspoke/operator/fleet"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage/client"
 )
 
 // Options of a walk.
--- a/membership/call.go
+++ b/membership/call.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"foxtailspoke/effect"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // callKind says what a call is for.
@@ -115,7 +115,7 @@
 // hurryGap bounds how often word of a newer revision makes an instance read.
 const hurryGap = 100 * time.Millisecond
 
-func (m *Member) offer(since platform.Revision) *platform.Changes {
+func (m *Member) offer(since storage.Revision) *storage.Changes {
 	c := m.changesSince(since)
 	return &c
 }
--- a/membership/cost_test.go
+++ b/membership/cost_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // budget is the most that one instance may send and receive for the fleet's
@@ -67,8 +67,8 @@
 // instances, as every instance of the fleet takes it.
 func BenchmarkListChange(b *testing.B) {
 	d := newDirectory(Settings{Self: "i0000"}.withDefaults())
-	d.apply(platform.InstanceChanges{Version: 1, Full: true, Changed: fleet(2000, 17)})
+	d.apply(storage.InstanceChanges{Version: 1, Full: true, Changed: fleet(2000, 17)})
 	for b.Loop() {
-		d.apply(platform.InstanceChanges{Version: d.version + 1, Changed: []platform.Instance{entryInstance("x", "dc1")}})
+		d.apply(storage.InstanceChanges{Version: d.version + 1, Changed: []storage.Instance{entryInstance("x", "dc1")}})
 	}
 }
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Directory is the platform's list of instances as far as it was heard,
@@ -20,9 +20,9 @@
 	base      uint64
 	instances map[string]listed
 
-	entries     []platform.Instance
+	entries     []storage.Instance
 	entryIDs    []string
-	byService   map[string][]platform.Instance
+	byService   map[string][]storage.Instance
 	dataCentres []string
 	byCentre    map[string][]string
 	watchers    map[string][]string
@@ -35,7 +35,7 @@
 }
 
 type listed struct {
-	platform.Instance
+	storage.Instance
 	// changed is the version of the changes that brought it.
 	changed uint64
 }
@@ -51,24 +51,24 @@
 func (d *Directory) Version() uint64 { return d.version }
 
 // Instance returns an instance by id, in whatever state.
-func (d *Directory) Instance(id string) (platform.Instance, bool) {
+func (d *Directory) Instance(id string) (storage.Instance, bool) {
 	i, ok := d.instances[id]
 	return i.Instance, ok
 }
 
 // Entries returns the live entry instances, by id.
-func (d *Directory) Entries() []platform.Instance { return d.entries }
+func (d *Directory) Entries() []storage.Instance { return d.entries }
 
 // Servers returns the backend servers of a service that haven't ended, by
 // id. Those with State Leaving take no new work.
-func (d *Directory) Servers(service string) []platform.Instance { return d.byService[service] }
+func (d *Directory) Servers(service string) []storage.Instance { return d.byService[service] }
 
 // DataCentres returns the data centres with live entry instances, sorted.
 func (d *Directory) DataCentres() []string { return d.dataCentres }
 
 // apply takes changes that were read since the directory's version or an
 // earlier one. It returns false for changes that aren't newer.
-func (d *Directory) apply(c platform.InstanceChanges) bool {
+func (d *Directory) apply(c storage.InstanceChanges) bool {
 	if c.Version <= d.version {
 		return false
 	}
@@ -104,7 +104,7 @@
 func (d *Directory) forgetEnded() {
 	var ended []listed
 	for _, i := range d.instances {
-		if i.State == platform.Ended {
+		if i.State == storage.Ended {
 			ended = append(ended, i)
 		}
 	}
@@ -121,8 +121,8 @@
 }
 
 // since returns what changed after a version, for another instance.
-func (d *Directory) since(version uint64) platform.InstanceChanges {
-	c := platform.InstanceChanges{Version: d.version}
+func (d *Directory) since(version uint64) storage.InstanceChanges {
+	c := storage.InstanceChanges{Version: d.version}
 	if version >= d.version {
 		return c
 	}
@@ -145,9 +145,9 @@
 // shared returns the instance with those of its strings that many instances
 // have in common held once. Decoding makes a copy of each for every instance;
 // at 26,000 instances these take megabytes.
-func (d *Directory) shared(i platform.Instance) platform.Instance {
-	i.Kind = platform.Kind(d.intern(string(i.Kind)))
-	i.State = platform.State(d.intern(string(i.State)))
+func (d *Directory) shared(i storage.Instance) storage.Instance {
+	i.Kind = storage.Kind(d.intern(string(i.Kind)))
+	i.State = storage.State(d.intern(string(i.State)))
 	i.Service = d.intern(i.Service)
 	i.DataCentre = d.intern(i.DataCentre)
 	i.Region = d.intern(i.Region)
@@ -166,7 +166,7 @@
 func (d *Directory) index() {
 	d.entries = nil
 	d.entryIDs = nil
-	d.byService = map[string][]platform.Instance{}
+	d.byService = map[string][]storage.Instance{}
 	d.byCentre = map[string][]string{}
 	for _, id := range sortedKeys(d.instances) {
 		d.indexInstance(d.instances[id].Instance)
@@ -185,7 +185,7 @@
 // addToIndex puts one instance where indexInstance would. Making the index
 // from nothing takes 16 ms with 26,000 instances, in which a node does nothing
 // else. Lists that were handed out stay as they are.
-func (d *Directory) addToIndex(i platform.Instance) {
+func (d *Directory) addToIndex(i storage.Instance) {
 	switch {
 	case isLiveEntry(i):
 		at, _ := slices.BinarySearchFunc(d.entries, i, compareInstances)
@@ -201,8 +201,8 @@
 	}
 }
 
-func (d *Directory) removeFromIndex(i platform.Instance) {
-	same := func(o platform.Instance) bool { return o.ID == i.ID }
+func (d *Directory) removeFromIndex(i storage.Instance) {
+	same := func(o storage.Instance) bool { return o.ID == i.ID }
 	switch {
 	case isLiveEntry(i):
 		d.entries = slices.DeleteFunc(slices.Clone(d.entries), same)
@@ -216,17 +216,17 @@
 	}
 }
 
-func compareInstances(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) }
+func compareInstances(a, b storage.Instance) int { return cmp.Compare(a.ID, b.ID) }
 
-func isLiveEntry(i platform.Instance) bool {
-	return i.Kind == platform.Entry && i.State == platform.Live
+func isLiveEntry(i storage.Instance) bool {
+	return i.Kind == storage.Entry && i.State == storage.Live
 }
 
-func isServer(i platform.Instance) bool {
-	return i.Kind == platform.BackendServer && i.State != platform.Ended
+func isServer(i storage.Instance) bool {
+	return i.Kind == storage.BackendServer && i.State != storage.Ended
 }
 
-func (d *Directory) indexInstance(i platform.Instance) {
+func (d *Directory) indexInstance(i storage.Instance) {
 	switch {
 	case isLiveEntry(i):
 		d.entries = append(d.entries, i)
--- a/membership/example_test.go
+++ b/membership/example_test.go
@@ -8,7 +8,7 @@
 	"foxtailspoke/config"
 	"foxtailspoke/effect"
 	"foxtailspoke/membership"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // A member says whether its configuration is still the newest. It reads the
@@ -22,7 +22,7 @@
 	for _, e := range m.Tick(start) {
 		if read, ok := e.(effect.ReadTable); ok {
 			// The driver reads the table; its answer takes 300 ms.
-			m.ReadDone(start+300*time.Millisecond, read.ID, platform.Changes{Revision: 7}, true)
+			m.ReadDone(start+300*time.Millisecond, read.ID, storage.Changes{Revision: 7}, true)
 		}
 	}
 	c := m.Confirmed(start + 300*time.Millisecond)
--- a/membership/force.go
+++ b/membership/force.go
@@ -5,20 +5,20 @@
 	"time"
 
 	"foxtailspoke/effect"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // force is what the Member knows of which revisions are in force.
 type force struct {
 	// target is the highest revision that somebody waits for.
-	target platform.Revision
+	target storage.Revision
 	// known is the highest revision that each witness said it knows. A
 	// witness never forgets, so neither does this.
-	known map[string]platform.Revision
+	known map[string]storage.Revision
 	// takings are the revisions that a majority knew, ascending.
 	takings []taking
 	// reached is the highest revision in force.
-	reached platform.Revision
+	reached storage.Revision
 	// next is when to inform again the witnesses that don't know.
 	next time.Duration
 }
@@ -27,20 +27,20 @@
 // end counts for this revision and lower ones, never for a later one: an
 // instance that gets a part, loses it and gets it again waits again.
 type taking struct {
-	revision platform.Revision
+	revision storage.Revision
 	at       time.Duration
 }
 
 func newForce() force {
-	return force{known: map[string]platform.Revision{}}
+	return force{known: map[string]storage.Revision{}}
 }
 
-func (f *force) learn(id string, r platform.Revision) {
+func (f *force) learn(id string, r storage.Revision) {
 	f.known[id] = max(f.known[id], r)
 }
 
 // covered is the highest revision that a majority is known to know.
-func (f *force) covered() platform.Revision {
+func (f *force) covered() storage.Revision {
 	if n := len(f.takings); n > 0 {
 		return f.takings[n-1].revision
 	}
@@ -50,7 +50,7 @@
 // Require starts finding out whether a majority of the witnesses knows a
 // revision, and tells them if they don't. For a revision that the replica
 // lacks, say the outcome of an own write, it reads the table first.
-func (m *Member) Require(now time.Duration, rev platform.Revision) []effect.Effect {
+func (m *Member) Require(now time.Duration, rev storage.Revision) []effect.Effect {
 	if rev <= m.force.target {
 		return nil
 	}
@@ -62,7 +62,7 @@
 
 // InForce says whether nobody acts on anything older than a revision any
 // more. It becomes true only after Require, or a later one's.
-func (m *Member) InForce(now time.Duration, rev platform.Revision) bool {
+func (m *Member) InForce(now time.Duration, rev storage.Revision) bool {
 	m.settleForce(now)
 	return m.rules.covers(m.force.reached, rev)
 }
@@ -70,7 +70,7 @@
 // Missing returns the witnesses that a revision waits for: those that
 // haven't said that they know it and haven't ended. It is empty if a
 // majority knows it.
-func (m *Member) Missing(rev platform.Revision) []string {
+func (m *Member) Missing(rev storage.Revision) []string {
 	if rev <= m.force.covered() {
 		return nil
 	}
@@ -92,7 +92,7 @@
 
 // knows says whether an instance can't answer any more that it knows nothing
 // as new as a revision.
-func (m *Member) knows(id string, rev platform.Revision) bool {
+func (m *Member) knows(id string, rev storage.Revision) bool {
 	if id == m.set.Self {
 		return m.log.Revision() >= rev
 	}
@@ -121,8 +121,8 @@
 
 // candidates returns the revisions at which the count of witnesses that
 // know can change, up to the replica's own, highest first.
-func (m *Member) candidates(own platform.Revision) []platform.Revision {
-	revisions := []platform.Revision{own}
+func (m *Member) candidates(own storage.Revision) []storage.Revision {
+	revisions := []storage.Revision{own}
 	for _, id := range witnessIDs(m.log.Witnesses()) {
 		revisions = append(revisions, min(own, m.force.known[id]))
 	}
@@ -173,5 +173,5 @@
 // ended says that an instance will never answer again.
 func (m *Member) ended(id string) bool {
 	i, ok := m.dir.Instance(id)
-	return ok && i.State == platform.Ended
+	return ok && i.State == storage.Ended
 }
--- a/membership/force_bench_test.go
+++ b/membership/force_bench_test.go
@@ -7,7 +7,7 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/effect"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // BenchmarkInForce reports, in simulated time, how long after its write a
@@ -34,8 +34,8 @@
 // change withdraws a key at an instance, and returns when that is in force
 // and when every instance has it.
 func (s *sim) change(writer *simNode) (inForce, last time.Duration) {
-	r := s.commit(platform.Txn{Puts: []platform.Put{{Table: platform.Control, Key: config.KeyPrefix + "x"}}})
-	rev := r.Revisions[platform.Control]
+	r := s.commit(storage.Txn{Puts: []storage.Put{{Table: storage.Control, Key: config.KeyPrefix + "x"}}})
+	rev := r.Revisions[storage.Control]
 	written := s.now
 	s.step(writer, func(now time.Duration) []effect.Effect { return writer.m.Require(now, rev) })
 	for inForce == 0 || last == 0 {
@@ -50,7 +50,7 @@
 	return inForce, last
 }
 
-func (s *sim) allHave(rev platform.Revision) bool {
+func (s *sim) allHave(rev storage.Revision) bool {
 	for _, n := range s.nodes {
 		if !n.dead && n.log.Revision() < rev {
 			return false
--- a/membership/list_test.go
+++ b/membership/list_test.go
@@ -12,7 +12,7 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/effect"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // An operator's change isn't in force after half a minute. An instance read
@@ -23,17 +23,17 @@
 func TestWitnessWithoutListReadsItAgain(t *testing.T) {
 	replica := config.NewReplica()
 	m := New(Settings{Self: "b", DataCentre: "y"}, replica, rand.New(rand.NewPCG(1, 1)))
-	witnesses := platform.Row{Key: config.WitnessesKey, Value: []byte(`{"members":["a","b"]}`), Revision: 1}
+	witnesses := storage.Row{Key: config.WitnessesKey, Value: []byte(`{"members":["a","b"]}`), Revision: 1}
 	lists := 0
 	var answer func(now time.Duration, effects []effect.Effect)
 	answer = func(now time.Duration, effects []effect.Effect) {
 		for _, e := range effects {
 			switch e := e.(type) {
 			case effect.ReadTable:
-				answer(now, m.ReadDone(now, e.ID, platform.Changes{Revision: 1, Rows: []platform.Row{witnesses}}, true))
+				answer(now, m.ReadDone(now, e.ID, storage.Changes{Revision: 1, Rows: []storage.Row{witnesses}}, true))
 			case effect.ReadInstances:
 				lists++
-				answer(now, m.InstancesDone(now, e.ID, platform.InstanceChanges{}, true))
+				answer(now, m.InstancesDone(now, e.ID, storage.InstanceChanges{}, true))
 			}
 		}
 	}
@@ -50,22 +50,22 @@
 func TestDirectoryFollowsTheList(t *testing.T) {
 	rng := rand.New(rand.NewPCG(7, 7))
 	kept := newDirectory(Settings{}.withDefaults())
-	all := map[string]platform.Instance{}
-	states := []platform.State{platform.Live, platform.Live, platform.Leaving, platform.Ended}
+	all := map[string]storage.Instance{}
+	states := []storage.State{storage.Live, storage.Live, storage.Leaving, storage.Ended}
 	for version := uint64(1); version < 400; version++ {
-		i := platform.Instance{
+		i := storage.Instance{
 			ID:         strconv.Itoa(rng.IntN(40)),
-			Kind:       platform.Entry,
+			Kind:       storage.Entry,
 			DataCentre: strconv.Itoa(rng.IntN(3)),
 			State:      states[rng.IntN(len(states))],
 		}
 		if rng.IntN(2) == 0 {
-			i.Kind, i.Service = platform.BackendServer, strconv.Itoa(rng.IntN(3))
+			i.Kind, i.Service = storage.BackendServer, strconv.Itoa(rng.IntN(3))
 		}
 		all[i.ID] = i
-		kept.apply(platform.InstanceChanges{Version: version, Changed: []platform.Instance{i}})
+		kept.apply(storage.InstanceChanges{Version: version, Changed: []storage.Instance{i}})
 		fresh := newDirectory(Settings{}.withDefaults())
-		fresh.apply(platform.InstanceChanges{Version: version, Full: true, Changed: slices.Collect(maps.Values(all))})
+		fresh.apply(storage.InstanceChanges{Version: version, Full: true, Changed: slices.Collect(maps.Values(all))})
 		must.SliceEqFunc(t, fresh.Entries(), kept.Entries(), sameInstance)
 		must.Eq(t, fresh.DataCentres(), kept.DataCentres())
 		for s := range 20 {
@@ -77,4 +77,4 @@
 	}
 }
 
-func sameInstance(a, b platform.Instance) bool { return a == b }
+func sameInstance(a, b storage.Instance) bool { return a == b }
--- a/membership/live_test.go
+++ b/membership/live_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"foxtailspoke/effect"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // boot starts a healthy fleet and lets it choose its witnesses.
@@ -154,8 +154,8 @@
 	var worst, spread time.Duration
 	for i := range 20 {
 		writer := s.nodes[i]
-		r := s.commit(platform.Txn{Puts: []platform.Put{{Table: platform.Control, Key: "key/x"}}})
-		rev := r.Revisions[platform.Control]
+		r := s.commit(storage.Txn{Puts: []storage.Put{{Table: storage.Control, Key: "key/x"}}})
+		rev := r.Revisions[storage.Control]
 		written := s.now
 		s.step(writer, func(now time.Duration) []effect.Effect { return writer.m.Require(now, rev) })
 		lags := func(n *simNode) bool { return n.log.Revision() < rev }
@@ -187,7 +187,7 @@
 	for _, n := range first[1:6] {
 		n.dead = true
 		ended, _ := s.list.Instance(n.id)
-		ended.State = platform.Ended
+		ended.State = storage.Ended
 		s.announce(ended)
 	}
 	s.run(s.now + 15*time.Second)
@@ -227,12 +227,12 @@
 	for slot, n := range s.nodes {
 		n.dead = true
 		ended, _ := s.list.Instance(n.id)
-		ended.State = platform.Ended
+		ended.State = storage.Ended
 		s.announce(ended, entryInstance(nodeID(slot, 1), ended.DataCentre))
 		s.start(slot, 1, 3)
 	}
 	replaced, n := s.now, s.nodes[0]
-	rev := s.commit(platform.Txn{}).Revisions[platform.Control]
+	rev := s.commit(storage.Txn{}).Revisions[storage.Control]
 	s.step(n, func(now time.Duration) []effect.Effect { return n.m.Require(now, rev) })
 	for !n.m.InForce(n.clock(s.now), rev) && s.now < replaced+time.Minute {
 		s.run(s.now + 10*time.Millisecond)
@@ -254,7 +254,7 @@
 	for _, n := range s.nodes[3:] {
 		n.dead = true
 		ended, _ := s.list.Instance(n.id)
-		ended.State = platform.Ended
+		ended.State = storage.Ended
 		s.announce(ended)
 	}
 	s.run(s.now + 30*time.Second)
--- a/membership/member.go
+++ b/membership/member.go
@@ -6,18 +6,18 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/effect"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Log is the instance's replica of the control table. *config.Replica
 // implements it. Every change must reach it through the Member.
 type Log interface {
-	Revision() platform.Revision
+	Revision() storage.Revision
 	// Apply returns false, and changes nothing, for changes that aren't newer.
-	Apply(platform.Changes) bool
-	Since(platform.Revision) platform.Changes
+	Apply(storage.Changes) bool
+	Since(storage.Revision) storage.Changes
 	Witnesses() config.Witnesses
-	Row(key string) (platform.Row, bool)
+	Row(key string) (storage.Row, bool)
 }
 
 // Counters of what a Member saw, for metrics. They only rise.
@@ -53,7 +53,7 @@
 	byTable, byWitnesses proof
 	// base is the revision of the last full changes. The replica doesn't
 	// know what was deleted before.
-	base platform.Revision
+	base storage.Revision
 
 	lastID uint64
 	calls  map[uint64]call
@@ -135,7 +135,7 @@
 }
 
 // apply takes changes of the table from anywhere.
-func (m *Member) apply(now time.Duration, c platform.Changes) {
+func (m *Member) apply(now time.Duration, c storage.Changes) {
 	if c.Revision < m.log.Revision() {
 		m.count.Lower++
 	}
@@ -153,7 +153,7 @@
 // with a full read at base has no trace of what was deleted earlier: to a
 // caller below base a delta would leave a withdrawn key in place. The whole
 // table takes it away.
-func (m *Member) changesSince(since platform.Revision) platform.Changes {
+func (m *Member) changesSince(since storage.Revision) storage.Changes {
 	if since < m.base {
 		since = 0
 	}
--- a/membership/member_test.go
+++ b/membership/member_test.go
@@ -11,18 +11,18 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/effect"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 const ms = time.Millisecond
 
-func row(key string, rev platform.Revision, value any) platform.Row {
+func row(key string, rev storage.Revision, value any) storage.Row {
 	v, _ := json.Marshal(value)
-	return platform.Row{Key: key, Value: v, Revision: rev}
+	return storage.Row{Key: key, Value: v, Revision: rev}
 }
 
-func full(rev platform.Revision, rows ...platform.Row) platform.Changes {
-	return platform.Changes{Revision: rev, Full: true, Rows: rows}
+func full(rev storage.Revision, rows ...storage.Row) storage.Changes {
+	return storage.Changes{Revision: rev, Full: true, Rows: rows}
 }
 
 func members(ids ...string) config.Witnesses { return config.Witnesses{Members: ids} }
@@ -33,11 +33,11 @@
 	log := config.NewReplica()
 	m := New(Settings{Self: "a", DataCentre: "dc", SeatStagger: time.Hour, WitnessCount: 1}, log, rand.New(rand.NewPCG(1, 1)))
 	m.apply(0, full(10, row(config.WitnessesKey, 10, w)))
-	var list []platform.Instance
+	var list []storage.Instance
 	for _, id := range []string{"a", "b", "c", "d", "e"} {
 		list = append(list, entryInstance(id, "dc"))
 	}
-	m.applyList(0, platform.InstanceChanges{Version: 1, Full: true, Changed: list})
+	m.applyList(0, storage.InstanceChanges{Version: 1, Full: true, Changed: list})
 	return m, log
 }
 
@@ -52,7 +52,7 @@
 	return ids
 }
 
-func witnessed(rev platform.Revision, seated bool) Reply {
+func witnessed(rev storage.Revision, seated bool) Reply {
 	return Reply{Witness: &Witnessed{Revision: rev, Seated: seated}}
 }
 
@@ -66,7 +66,7 @@
 	log.Apply(full(5, row("plan/p", 5, config.Plan{})))
 	reply := relay.Handle(0, "a", Request{Pull: &Pull{Since: 5}})
 	m.pulled(0, call{}, *reply.Pull)
-	must.Eq(t, platform.Revision(10), log.Revision())
+	must.Eq(t, storage.Revision(10), log.Revision())
 	_, found := log.Row("plan/p")
 	must.False(t, found)
 }
@@ -74,15 +74,15 @@
 // What a proof is worth: its age counts from the start of its exchange, and
 // the relay's age comes on top.
 func TestProofs(t *testing.T) {
-	read := func(m *Member, sent, answered time.Duration, rev platform.Revision) {
+	read := func(m *Member, sent, answered time.Duration, rev storage.Revision) {
 		m.table.id, m.table.sent = 99, sent
-		m.ReadDone(answered, 99, platform.Changes{Revision: rev}, true)
+		m.ReadDone(answered, 99, storage.Changes{Revision: rev}, true)
 	}
 	pull := func(m *Member, sent, answered time.Duration, p Pulled) {
 		m.calls[99] = call{to: "b", sent: sent}
 		m.CallDone(answered, 99, Reply{Pull: &p}, true)
 	}
-	same := platform.Changes{Revision: 10}
+	same := storage.Changes{Revision: 10}
 	for _, c := range []struct {
 		name string
 		do   func(*Member)
@@ -92,19 +92,19 @@
 		{"newer read", func(m *Member) { read(m, 100*ms, 300*ms, 11) }, Confirmation{State: ByTable, Age: 900 * ms, Revision: 11}},
 		{"read of a table that went back", func(m *Member) { read(m, 100*ms, 300*ms, 9) }, Confirmation{}},
 		{"late read", func(m *Member) {
-			m.ReadDone(300*ms, 98, platform.Changes{Revision: 11}, true)
+			m.ReadDone(300*ms, 98, storage.Changes{Revision: 11}, true)
 		}, Confirmation{Revision: 11}},
 		{"relayed", func(m *Member) {
 			pull(m, 100*ms, 300*ms, Pulled{Changes: same, TableAge: 500 * ms})
 		}, Confirmation{State: ByTable, Age: 1400 * ms}},
 		{"relayed by a lower replica", func(m *Member) {
-			pull(m, 100*ms, 300*ms, Pulled{Changes: platform.Changes{Revision: 9}, WitnessAge: 500 * ms})
+			pull(m, 100*ms, 300*ms, Pulled{Changes: storage.Changes{Revision: 9}, WitnessAge: 500 * ms})
 		}, Confirmation{State: ByWitnesses, Age: 1400 * ms}},
 		{"relayed too old", func(m *Member) {
 			pull(m, 100*ms, 300*ms, Pulled{Changes: same, TableAge: 1200 * ms})
 		}, Confirmation{}},
 		{"relay without a proof", func(m *Member) {
-			pull(m, 100*ms, 300*ms, Pulled{Changes: platform.Changes{Revision: 11}})
+			pull(m, 100*ms, 300*ms, Pulled{Changes: storage.Changes{Revision: 11}})
 		}, Confirmation{Revision: 11}},
 		{"younger by witnesses", func(m *Member) {
 			read(m, 100*ms, 300*ms, 10)
@@ -168,8 +168,8 @@
 	m.CallDone(110*ms, ids["c"], witnessed(10, true), true)
 	fetched := callsTo(m.CallDone(120*ms, ids["b"], witnessed(11, true), true), true)
 	must.Eq(t, CutOff, m.Confirmed(130*ms).State)
-	m.CallDone(130*ms, fetched["b"], Reply{Pull: &Pulled{Changes: platform.Changes{Revision: 11}}}, true)
-	must.Eq(t, platform.Revision(11), log.Revision())
+	m.CallDone(130*ms, fetched["b"], Reply{Pull: &Pulled{Changes: storage.Changes{Revision: 11}}}, true)
+	must.Eq(t, storage.Revision(11), log.Revision())
 	must.Eq(t, Confirmation{State: ByWitnesses, Age: 900 * ms, Revision: 11}, m.Confirmed(time.Second))
 }
 
@@ -184,14 +184,14 @@
 	m.CallDone(110*ms, ids["b"], witnessed(10, true), true)
 	must.False(t, m.InForce(time.Hour, 10))
 
-	m.applyList(200*ms, platform.InstanceChanges{Version: 2, Changed: []platform.Instance{
-		{ID: "c", Kind: platform.Entry, State: platform.Ended},
+	m.applyList(200*ms, storage.InstanceChanges{Version: 2, Changed: []storage.Instance{
+		{ID: "c", Kind: storage.Entry, State: storage.Ended},
 	}})
 	must.SliceEmpty(t, m.Missing(10))
 	must.False(t, m.InForce(200*ms+wait-1, 10))
 	must.True(t, m.InForce(200*ms+wait, 10))
 
-	m.apply(5*time.Second, platform.Changes{Revision: 12})
+	m.apply(5*time.Second, storage.Changes{Revision: 12})
 	m.Require(5*time.Second, 12)
 	must.False(t, m.InForce(time.Hour, 12))
 	must.True(t, m.InForce(time.Hour, 10))
@@ -211,7 +211,7 @@
 			read = r
 		}
 	}
-	must.Eq(t, platform.Revision(10), read.Read.Since)
-	effects = m.ReadDone(400*ms, read.ID, platform.Changes{Revision: 11}, true)
+	must.Eq(t, storage.Revision(10), read.Read.Since)
+	effects = m.ReadDone(400*ms, read.ID, storage.Changes{Revision: 11}, true)
 	must.MapContainsKeys(t, callsTo(effects, false), []string{"b", "c", "d"})
 }
--- a/membership/message.go
+++ b/membership/message.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Request is a call from one Member to another; one field is set. A struct
@@ -23,15 +23,15 @@
 // Pull asks for what changed, and for the proof that nothing else did.
 type Pull struct {
 	// Since is the revision that the caller has.
-	Since platform.Revision
+	Since storage.Revision
 	// ListSince is the version of the instance list that the caller has.
 	ListSince uint64
 }
 
 // Pulled answers a Pull.
 type Pulled struct {
-	Changes platform.Changes
-	List    platform.InstanceChanges
+	Changes storage.Changes
+	List    storage.InstanceChanges
 	// TableAge is the age of the answering side's proof by the table at the
 	// time of the answer; 0 if it has none within Fresh.
 	TableAge time.Duration
@@ -42,17 +42,17 @@
 // Witness asks a witness which revision it knows.
 type Witness struct {
 	// Revision that the caller has.
-	Revision platform.Revision
+	Revision storage.Revision
 	// Offer holds the changes after Since that the witness was found to
 	// lack; nil if there is nothing to offer.
-	Offer *platform.Changes
-	Since platform.Revision
+	Offer *storage.Changes
+	Since storage.Revision
 }
 
 // Witnessed answers a Witness.
 type Witnessed struct {
 	// Revision that the answering side knows, which is what its replica has.
-	Revision platform.Revision
+	Revision storage.Revision
 	// Seated says that its replica names it as a witness. The answer of an
 	// instance that doesn't know of its seat isn't counted.
 	Seated bool
--- a/membership/model_test.go
+++ b/membership/model_test.go
@@ -10,7 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"foxtailspoke/effect"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 const (
@@ -197,7 +197,7 @@
 	started := h.start(n.slot, h.incarnation, modelCentres)
 	h.after(h.between(100, 3000)(), func() {
 		ended, _ := h.list.Instance(n.id)
-		ended.State = platform.Ended
+		ended.State = storage.Ended
 		h.announce(ended, entryInstance(started.id, ended.DataCentre))
 	})
 }
@@ -205,10 +205,10 @@
 // leave is a planned stop: the list shows it, the node goes on for a while.
 func (h *history) leave(n *simNode) {
 	leaving, ok := h.list.Instance(n.id)
-	if !ok || leaving.State != platform.Live {
+	if !ok || leaving.State != storage.Live {
 		return
 	}
-	leaving.State = platform.Leaving
+	leaving.State = storage.Leaving
 	h.announce(leaving)
 	h.step(n, n.m.Leave)
 	h.after(h.between(2000, 12000)(), func() { h.replace(n) })
@@ -234,7 +234,7 @@
 	for lane := range uint64(lanes) {
 		t.Run(fmt.Sprintf("lane %d", lane), func(t *testing.T) {
 			t.Parallel()
-			states, acted, revisions, inForce := map[State]int{}, 0, platform.Revision(0), platform.Revision(0)
+			states, acted, revisions, inForce := map[State]int{}, 0, storage.Revision(0), storage.Revision(0)
 			for seed := lane; seed < *modelSeeds; seed += lanes {
 				h := runHistory(seed, func(*sim) {})
 				must.SliceEmpty(t, h.failures, must.Sprintf("seed %d", seed))
--- a/membership/mutant_test.go
+++ b/membership/mutant_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"foxtailspoke/config"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Each rule that confirmed age rests on is needed: without it, the model
@@ -42,10 +42,10 @@
 			r.answered, r.known = onlyMembers, onlyMembers
 		})},
 		{"list before dropped at once", withRules(func(r *rules) {
-			r.mayDrop = func(_, _ platform.Revision) bool { return true }
+			r.mayDrop = func(_, _ storage.Revision) bool { return true }
 		})},
 		{"earlier taking counted for a later one", withRules(func(r *rules) {
-			r.covers = func(inForce, _ platform.Revision) bool { return inForce > 0 }
+			r.covers = func(inForce, _ storage.Revision) bool { return inForce > 0 }
 		})},
 		{"old copy of the table accepted as a read", func(s *sim) { s.oldCopies = true }},
 	} {
--- a/membership/proof.go
+++ b/membership/proof.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // State is how an instance's revision is confirmed.
@@ -38,7 +38,7 @@
 	// Age of the youngest proof; meaningless when cut off.
 	Age time.Duration
 	// Revision that the instance acts on.
-	Revision platform.Revision
+	Revision storage.Revision
 }
 
 // proof says that no revision newer than the replica's was in force at
--- a/membership/rank_test.go
+++ b/membership/rank_test.go
@@ -8,7 +8,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // A role must not move when somebody else comes or goes: an id that is
@@ -25,12 +25,12 @@
 	})
 }
 
-func entryInstance(id, centre string) platform.Instance {
-	return platform.Instance{ID: id, Kind: platform.Entry, DataCentre: centre, State: platform.Live}
+func entryInstance(id, centre string) storage.Instance {
+	return storage.Instance{ID: id, Kind: storage.Entry, DataCentre: centre, State: storage.Live}
 }
 
-func fleet(n, centres int) []platform.Instance {
-	var all []platform.Instance
+func fleet(n, centres int) []storage.Instance {
+	var all []storage.Instance
 	for i := range n {
 		all = append(all, entryInstance(fmt.Sprintf("i%04d", i), fmt.Sprintf("dc%d", i%centres)))
 	}
@@ -39,7 +39,7 @@
 
 func TestDirectoryRoles(t *testing.T) {
 	d := newDirectory(Settings{}.withDefaults())
-	must.True(t, d.apply(platform.InstanceChanges{Version: 1, Full: true, Changed: fleet(400, 4)}))
+	must.True(t, d.apply(storage.InstanceChanges{Version: 1, Full: true, Changed: fleet(400, 4)}))
 	must.Len(t, 3, d.Watchers("dc0"))
 	must.Eq(t, Rank(collectorKey+"s", d.entryIDs)[0], d.Collector("s"))
 	centres := map[string]bool{}
@@ -51,11 +51,11 @@
 	must.Len(t, 400, d.HolderCandidates("shard", 1000))
 
 	// A caller that is older than the last full list gets a full one.
-	must.True(t, d.apply(platform.InstanceChanges{Version: 2, Changed: []platform.Instance{
-		{ID: "i0000", Kind: platform.Entry, DataCentre: "dc0", State: platform.Leaving},
-		{ID: "b", Kind: platform.BackendServer, Service: "s", State: platform.Leaving},
+	must.True(t, d.apply(storage.InstanceChanges{Version: 2, Changed: []storage.Instance{
+		{ID: "i0000", Kind: storage.Entry, DataCentre: "dc0", State: storage.Leaving},
+		{ID: "b", Kind: storage.BackendServer, Service: "s", State: storage.Leaving},
 	}}))
-	must.False(t, d.apply(platform.InstanceChanges{Version: 2}))
+	must.False(t, d.apply(storage.InstanceChanges{Version: 2}))
 	must.Len(t, 399, d.Entries())
 	must.Len(t, 1, d.Servers("s"))
 	must.Len(t, 2, d.since(1).Changed)
@@ -66,9 +66,9 @@
 	for version, n := range []int{3: 600, 4: 500} {
 		ended := fleet(n, 1)
 		for i := range ended {
-			ended[i].ID, ended[i].State = fmt.Sprintf("%d-%d", version, i), platform.Ended
+			ended[i].ID, ended[i].State = fmt.Sprintf("%d-%d", version, i), storage.Ended
 		}
-		d.apply(platform.InstanceChanges{Version: uint64(version), Changed: ended})
+		d.apply(storage.InstanceChanges{Version: uint64(version), Changed: ended})
 	}
 	must.Len(t, 401+keptEnded/2, d.since(0).Changed)
 	must.True(t, d.since(2).Full)
--- a/membership/read.go
+++ b/membership/read.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"foxtailspoke/effect"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // never is later than any time that a clock shows.
@@ -51,7 +51,7 @@
 		return nil
 	}
 	m.begin(now, &m.table, m.set.PollEvery)
-	read := platform.ReadRequest{Table: platform.Control, Since: m.log.Revision()}
+	read := storage.ReadRequest{Table: storage.Control, Since: m.log.Revision()}
 	return []effect.Effect{effect.ReadTable{ID: m.table.id, Read: read}}
 }
 
@@ -151,7 +151,7 @@
 
 // ReadDone takes the end of a ReadTable effect; ok is false if there was no
 // answer.
-func (m *Member) ReadDone(now time.Duration, id uint64, c platform.Changes, ok bool) []effect.Effect {
+func (m *Member) ReadDone(now time.Duration, id uint64, c storage.Changes, ok bool) []effect.Effect {
 	if id != m.table.id {
 		return m.lateRead(now, c, ok)
 	}
@@ -177,7 +177,7 @@
 // lateRead takes the rows of a read that was given up. They are as good as
 // any, but the time at which the read started isn't known any more, so that
 // it proves nothing.
-func (m *Member) lateRead(now time.Duration, c platform.Changes, ok bool) []effect.Effect {
+func (m *Member) lateRead(now time.Duration, c storage.Changes, ok bool) []effect.Effect {
 	if ok {
 		m.apply(now, c)
 	}
@@ -185,7 +185,7 @@
 }
 
 // InstancesDone takes the end of a ReadInstances effect.
-func (m *Member) InstancesDone(now time.Duration, id uint64, c platform.InstanceChanges, ok bool) []effect.Effect {
+func (m *Member) InstancesDone(now time.Duration, id uint64, c storage.InstanceChanges, ok bool) []effect.Effect {
 	if id == m.list.id {
 		m.list.id = 0
 		m.list.failures++
@@ -199,7 +199,7 @@
 	return m.Tick(now)
 }
 
-func (m *Member) applyList(now time.Duration, c platform.InstanceChanges) {
+func (m *Member) applyList(now time.Duration, c storage.InstanceChanges) {
 	if m.dir.apply(c) {
 		m.countKnown(now)
 	}
--- a/membership/round.go
+++ b/membership/round.go
@@ -6,7 +6,7 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/effect"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // round is the last round to the witnesses.
@@ -64,7 +64,7 @@
 	return out
 }
 
-func (m *Member) ask(now time.Duration, to string, round uint64, offer *platform.Changes, since platform.Revision) effect.Effect {
+func (m *Member) ask(now time.Duration, to string, round uint64, offer *storage.Changes, since storage.Revision) effect.Effect {
 	w := &Witness{Revision: m.log.Revision(), Offer: offer, Since: since}
 	return m.send(now, call{kind: witnessCall, to: to, round: round}, Request{Witness: w})
 }
--- a/membership/rules.go
+++ b/membership/rules.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"foxtailspoke/config"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // rules are the decisions that the safety of confirmed age rests on. They
@@ -22,9 +22,9 @@
 	known func(config.Witnesses, func(id string) bool) bool
 	// mayDrop says whether the list before may go, when a majority knows
 	// revision known and the row that changed the list is at revision row.
-	mayDrop func(known, row platform.Revision) bool
+	mayDrop func(known, row storage.Revision) bool
 	// covers says whether a revision being in force puts another in force.
-	covers func(inForce, revision platform.Revision) bool
+	covers func(inForce, revision storage.Revision) bool
 }
 
 func defaultRules(s Settings) rules {
@@ -33,8 +33,8 @@
 		wait:       s.Wait(),
 		answered:   jointMajority,
 		known:      jointMajority,
-		mayDrop:    func(known, row platform.Revision) bool { return known >= row },
-		covers:     func(inForce, revision platform.Revision) bool { return revision <= inForce },
+		mayDrop:    func(known, row storage.Revision) bool { return known >= row },
+		covers:     func(inForce, revision storage.Revision) bool { return revision <= inForce },
 	}
 }
 
--- a/membership/seats.go
+++ b/membership/seats.go
@@ -8,7 +8,7 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/effect"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // seats is the state of the instance's care for the list of witnesses.
@@ -20,7 +20,7 @@
 	// needed says that row needs a change; since is when that was first seen.
 	needed bool
 	since  time.Duration
-	row    platform.Revision
+	row    storage.Revision
 	// next is when to look again.
 	next     time.Duration
 	attempts uint64
@@ -78,7 +78,7 @@
 
 // seatTurn says whether the need for a change has stood for so long that
 // it is this instance's turn. An instance that leaves gives its seat at once.
-func (m *Member) seatTurn(now time.Duration, row platform.Revision) bool {
+func (m *Member) seatTurn(now time.Duration, row storage.Revision) bool {
 	if m.seats.row != row || !m.seats.needed {
 		m.seats.needed, m.seats.row, m.seats.since = true, row, now
 	}
@@ -97,7 +97,7 @@
 
 // planSeats returns the next list, if one is needed. With inform it isn't
 // time yet: the witnesses must know the present row first.
-func (m *Member) planSeats(row platform.Revision) (next config.Witnesses, inform, needed bool) {
+func (m *Member) planSeats(row storage.Revision) (next config.Witnesses, inform, needed bool) {
 	w := m.log.Witnesses()
 	if len(w.Members) == 0 {
 		chosen := m.chooseWitnesses(nil, m.set.WitnessCount)
@@ -156,7 +156,7 @@
 		return true
 	}
 	i, ok := m.dir.Instance(id)
-	return !ok || i.State != platform.Live
+	return !ok || i.State != storage.Live
 }
 
 // chooseWitnesses adds live instances to kept until there are count or no
@@ -193,7 +193,7 @@
 	return seats
 }
 
-func (m *Member) writeSeats(now time.Duration, row platform.Revision, w config.Witnesses) []effect.Effect {
+func (m *Member) writeSeats(now time.Duration, row storage.Revision, w config.Witnesses) []effect.Effect {
 	value, err := json.Marshal(w)
 	if err != nil {
 		return nil
@@ -203,19 +203,19 @@
 	m.seats.sent = now
 	m.seats.needed = false
 	m.count.SeatWrites++
-	txn := platform.Txn{
+	txn := storage.Txn{
 		Attempt: fmt.Sprintf("%s/%s/%d", m.set.Self, config.WitnessesKey, m.seats.attempts),
-		Conditions: []platform.Condition{{
-			Table: platform.Control, Key: config.WitnessesKey, Revision: row,
+		Conditions: []storage.Condition{{
+			Table: storage.Control, Key: config.WitnessesKey, Revision: row,
 		}},
-		Puts: []platform.Put{{Table: platform.Control, Key: config.WitnessesKey, Value: value}},
+		Puts: []storage.Put{{Table: storage.Control, Key: config.WitnessesKey, Value: value}},
 	}
 	return []effect.Effect{effect.WriteTable{ID: m.seats.id, Txn: txn}}
 }
 
 // WriteDone takes the end of a WriteTable effect. Whatever the outcome, the
 // next read of the table shows the list as it stands.
-func (m *Member) WriteDone(now time.Duration, id uint64, _ platform.WriteResult) []effect.Effect {
+func (m *Member) WriteDone(now time.Duration, id uint64, _ storage.WriteResult) []effect.Effect {
 	if id == m.seats.id {
 		m.seats.id, m.seats.ended = 0, now
 		m.table.wanted = true
--- a/membership/sim_holder_test.go
+++ b/membership/sim_holder_test.go
@@ -7,7 +7,7 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/effect"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 const shardRow = config.ShardPrefix + "s"
@@ -17,21 +17,21 @@
 	s.step(n, func(time.Duration) []effect.Effect {
 		row, _ := n.log.Row(shardRow)
 		value, _ := json.Marshal(config.Shard{Holders: []config.Holder{{Instance: n.id, Parts: config.PartsPerShard}}})
-		s.write(n, platform.Txn{
-			Conditions: []platform.Condition{{Table: platform.Control, Key: shardRow, Revision: row.Revision}},
-			Puts:       []platform.Put{{Table: platform.Control, Key: shardRow, Value: value}},
-		}, func(now time.Duration, r platform.WriteResult) []effect.Effect {
-			if r.Outcome != platform.Committed {
+		s.write(n, storage.Txn{
+			Conditions: []storage.Condition{{Table: storage.Control, Key: shardRow, Revision: row.Revision}},
+			Puts:       []storage.Put{{Table: storage.Control, Key: shardRow, Value: value}},
+		}, func(now time.Duration, r storage.WriteResult) []effect.Effect {
+			if r.Outcome != storage.Committed {
 				return nil
 			}
-			return n.m.Require(now, r.Revisions[platform.Control])
+			return n.m.Require(now, r.Revisions[storage.Control])
 		})
 		return nil
 	})
 }
 
 // holds says whether the node's replica names it, and with which revision.
-func (n *simNode) holds() (platform.Revision, bool) {
+func (n *simNode) holds() (storage.Revision, bool) {
 	row, ok := n.log.Row(shardRow)
 	holders := n.log.Shard("s").Holders
 	return row.Revision, ok && len(holders) == 1 && holders[0].Instance == n.id
--- a/membership/sim_platform_test.go
+++ b/membership/sim_platform_test.go
@@ -5,7 +5,7 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/effect"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 func (s *sim) lost(n *simNode) bool { return s.away || s.unseen[n.slot] }
@@ -14,7 +14,7 @@
 	s.reads++
 	fail := func() {
 		s.step(n, func(now time.Duration) []effect.Effect {
-			return n.m.ReadDone(now, r.ID, platform.Changes{}, false)
+			return n.m.ReadDone(now, r.ID, storage.Changes{}, false)
 		})
 	}
 	if s.lost(n) && !s.oldCopies {
@@ -48,14 +48,14 @@
 
 // write commits a transaction if its conditions hold. It may arrive late,
 // and its answer may be lost.
-func (s *sim) write(n *simNode, t platform.Txn, done func(time.Duration, platform.WriteResult) []effect.Effect) {
-	answer := func(d time.Duration, r platform.WriteResult) {
+func (s *sim) write(n *simNode, t storage.Txn, done func(time.Duration, storage.WriteResult) []effect.Effect) {
+	answer := func(d time.Duration, r storage.WriteResult) {
 		s.after(d, func() {
 			s.step(n, func(now time.Duration) []effect.Effect { return done(now, r) })
 		})
 	}
 	if s.lost(n) {
-		answer(900*time.Millisecond, platform.WriteResult{})
+		answer(900*time.Millisecond, storage.WriteResult{})
 		return
 	}
 	delay := s.latency()
@@ -65,28 +65,28 @@
 	s.after(delay, func() {
 		r := s.commit(t)
 		if s.deaf[n.slot] || s.rng.IntN(5) == 0 {
-			answer(900*time.Millisecond, platform.WriteResult{})
+			answer(900*time.Millisecond, storage.WriteResult{})
 			return
 		}
 		answer(s.latency(), r)
 	})
 }
 
-func (s *sim) commit(t platform.Txn) platform.WriteResult {
+func (s *sim) commit(t storage.Txn) storage.WriteResult {
 	for _, c := range t.Conditions {
 		if row, _ := s.table.Row(c.Key); row.Revision != c.Revision {
-			return platform.WriteResult{Outcome: platform.Conflict}
+			return storage.WriteResult{Outcome: storage.Conflict}
 		}
 	}
 	next := s.table.Revision() + 1
-	c := platform.Changes{Revision: next}
+	c := storage.Changes{Revision: next}
 	for _, p := range t.Puts {
-		c.Rows = append(c.Rows, platform.Row{Key: p.Key, Value: p.Value, Revision: next, Attempt: t.Attempt})
+		c.Rows = append(c.Rows, storage.Row{Key: p.Key, Value: p.Value, Revision: next, Attempt: t.Attempt})
 	}
 	s.table.Apply(c)
-	return platform.WriteResult{
-		Outcome:   platform.Committed,
-		Revisions: map[platform.TableName]platform.Revision{platform.Control: next},
+	return storage.WriteResult{
+		Outcome:   storage.Committed,
+		Revisions: map[storage.TableName]storage.Revision{storage.Control: next},
 	}
 }
 
--- a/membership/sim_test.go
+++ b/membership/sim_test.go
@@ -10,7 +10,7 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/effect"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // sim drives real Members over fakes of the table, of the instance list and
@@ -35,9 +35,9 @@
 	old       *config.Replica
 
 	table    *config.Replica
-	writes   map[string]platform.Revision
+	writes   map[string]storage.Revision
 	list     *Directory
-	inForce  platform.Revision
+	inForce  storage.Revision
 	reads    int
 	calls    int
 	sent     map[string]int // bytes sent and received, by instance
@@ -59,7 +59,7 @@
 	freezeNext time.Duration
 	wakeAt     time.Duration
 	dead       bool
-	revision   platform.Revision
+	revision   storage.Revision
 }
 
 type event struct {
@@ -87,7 +87,7 @@
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 1)), set: set, rules: func(*rules) {},
 		cut: map[[2]int]bool{}, unseen: map[int]bool{}, deaf: map[int]bool{},
-		table: config.NewReplica(), writes: map[string]platform.Revision{}, sent: map[string]int{}, states: map[State]int{},
+		table: config.NewReplica(), writes: map[string]storage.Revision{}, sent: map[string]int{}, states: map[State]int{},
 		list: newDirectory(set.withDefaults()), nodes: make([]*simNode, nodes), now: time.Second,
 	}
 	s.encoder = gob.NewEncoder(s)
@@ -101,7 +101,7 @@
 	return len(p), nil
 }
 
-func fleetOf(n, centres int) []platform.Instance {
+func fleetOf(n, centres int) []storage.Instance {
 	all := fleet(n, centres)
 	for i := range all {
 		all[i].ID = nodeID(i, 0)
@@ -115,8 +115,8 @@
 	return fmt.Sprintf("%08x-0000-4000-8000-%012x", slot, incarnation)
 }
 
-func (s *sim) announce(changed ...platform.Instance) {
-	s.list.apply(platform.InstanceChanges{Version: s.list.version + 1, Full: s.list.version == 0, Changed: changed})
+func (s *sim) announce(changed ...storage.Instance) {
+	s.list.apply(storage.InstanceChanges{Version: s.list.version + 1, Full: s.list.version == 0, Changed: changed})
 }
 
 func (s *sim) start(slot, incarnation, centres int) *simNode {
@@ -209,7 +209,7 @@
 		case effect.ReadTable:
 			s.readTable(n, e)
 		case effect.WriteTable:
-			s.write(n, e.Txn, func(now time.Duration, r platform.WriteResult) []effect.Effect {
+			s.write(n, e.Txn, func(now time.Duration, r storage.WriteResult) []effect.Effect {
 				return n.m.WriteDone(now, e.ID, r)
 			})
 		case effect.ReadInstances:
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -9,15 +9,15 @@
 	"foxtailspoke/decision"
 	"foxtailspoke/health"
 	"foxtailspoke/membership"
-	"foxtailspoke/platform"
 	"foxtailspoke/retry"
+	"foxtailspoke/storage"
 )
 
 // attempt is one sending of a request.
 type attempt struct {
 	id      string
 	request *request
-	server  platform.Instance
+	server  storage.Instance
 	started time.Duration
 	// forwarded attempts go to the entry instance that minted the key.
 	forwarded bool
@@ -81,7 +81,7 @@
 	return n.now - c.Age + n.member.Settings().Fresh
 }
 
-func (n *Node) newAttempt(r *request, server platform.Instance) *attempt {
+func (n *Node) newAttempt(r *request, server storage.Instance) *attempt {
 	n.lastAttempt++
 	a := &attempt{
 		id:      n.settings.Self.ID + "." + itoa(n.lastAttempt),
--- a/node/claims.go
+++ b/node/claims.go
@@ -8,7 +8,7 @@
 	"foxtailspoke/claim"
 	"foxtailspoke/effect"
 	"foxtailspoke/membership"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 const (
@@ -68,7 +68,7 @@
 
 func (n *Node) peerState(id string) claim.PeerState {
 	i, ok := n.member.Live().Instance(id)
-	if !ok || i.State == platform.Ended {
+	if !ok || i.State == storage.Ended {
 		return claim.PeerEnded
 	}
 	return claim.PeerLive
@@ -90,7 +90,7 @@
 	}
 }
 
-func (n *Node) claimWritten(p pending, r platform.WriteResult) {
+func (n *Node) claimWritten(p pending, r storage.WriteResult) {
 	if p.subject != pruneSubject {
 		n.claimStep(claim.ID(p.id), p.subject, n.claimer.Written(claim.ID(p.id), r))
 	}
@@ -108,7 +108,7 @@
 	}
 	prefix := fmt.Sprintf("%s%02x", claim.RowPrefix, n.pruning.slice)
 	n.pruning.slice = (n.pruning.slice + 1) % pruneSlices
-	read := platform.ReadRequest{Table: platform.Claims, Prefix: prefix}
+	read := storage.ReadRequest{Table: storage.Claims, Prefix: prefix}
 	n.emit(n.own(pending{owner: ownerClaim, subject: pruneSubject}, effect.ReadTable{Read: read}))
 }
 
@@ -130,7 +130,7 @@
 	}
 	n.pruning.sweepAt = n.now + sweepEvery
 	for _, key := range n.claimer.Abandoned(sweepLimit) {
-		read := platform.ReadRequest{Table: platform.Claims, Prefix: key}
+		read := storage.ReadRequest{Table: storage.Claims, Prefix: key}
 		n.emit(n.own(pending{owner: ownerClaim, subject: key}, effect.ReadTable{Read: read}))
 	}
 }
@@ -145,6 +145,6 @@
 }
 
 // tidy deletes rows that nobody needs. If it fails, a later look repeats it.
-func (n *Node) tidy(txn platform.Txn) {
+func (n *Node) tidy(txn storage.Txn) {
 	n.emit(n.own(pending{owner: ownerClaim, subject: pruneSubject}, effect.WriteTable{Txn: txn}))
 }
--- a/node/detection.go
+++ b/node/detection.go
@@ -6,7 +6,7 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/health"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // doubtMemory is how long after its last bad attempt a server is in doubt. A
@@ -54,10 +54,10 @@
 }
 
 // permitsWritten takes the end of a write of a permits row.
-func (n *Node) permitsWritten(service string, r platform.WriteResult) {
+func (n *Node) permitsWritten(service string, r storage.WriteResult) {
 	ejected := n.permitting[service]
 	delete(n.permitting, service)
-	if r.Outcome != platform.Committed {
+	if r.Outcome != storage.Committed {
 		return
 	}
 	for _, server := range ejected {
--- a/node/event.go
+++ b/node/event.go
@@ -7,7 +7,7 @@
 	"foxtailspoke/config"
 	"foxtailspoke/decision"
 	"foxtailspoke/health"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Event is something that happened outside of the node.
@@ -98,20 +98,20 @@
 // TableRead is the end of an effect.ReadTable.
 type TableRead struct {
 	ID      uint64
-	Changes platform.Changes
+	Changes storage.Changes
 	OK      bool
 }
 
 // TableWritten is the end of an effect.WriteTable.
 type TableWritten struct {
 	ID     uint64
-	Result platform.WriteResult
+	Result storage.WriteResult
 }
 
 // InstancesRead is the end of an effect.ReadInstances.
 type InstancesRead struct {
 	ID      uint64
-	Changes platform.InstanceChanges
+	Changes storage.InstanceChanges
 	OK      bool
 }
 
@@ -169,7 +169,7 @@
 type StartAttempt struct {
 	Request   string
 	Attempt   string
-	Server    platform.Instance
+	Server    storage.Instance
 	Workspace string
 	Operation string
 	// Timeout bounds the attempt.
@@ -186,7 +186,7 @@
 // StartProbe sends a request that no caller waits for.
 type StartProbe struct {
 	Probe  health.Probe
-	Server platform.Instance
+	Server storage.Instance
 	// Path is what the probe asks for by GET.
 	Path    string
 	Timeout time.Duration
--- a/node/example_test.go
+++ b/node/example_test.go
@@ -7,7 +7,7 @@
 	"foxtailspoke/config"
 	"foxtailspoke/effect"
 	"foxtailspoke/node"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // A node is driven by events and answers with effects; the same events give
@@ -15,7 +15,7 @@
 // refuses a request without a key.
 func Example() {
 	s := node.DefaultSettings()
-	s.Self = platform.Instance{ID: "a", Kind: platform.Entry, DataCentre: "luzon-1", State: platform.Live}
+	s.Self = storage.Instance{ID: "a", Kind: storage.Entry, DataCentre: "luzon-1", State: storage.Live}
 	s.Secret = []byte("a secret of this start, kept in memory")
 	s.Seed = 1
 	n := node.New(s)
@@ -29,11 +29,11 @@
 	}
 	for _, e := range n.Step(now, node.Wake{}) {
 		if read, ok := e.(effect.ReadTable); ok {
-			rows := []platform.Row{{
+			rows := []storage.Row{{
 				Key: config.ServicePrefix + "catalogue", Revision: 1,
 				Value: []byte(`{"floor":1,"timeout":"2s","routes":[{"prefix":"/catalogue/"}]}`),
 			}}
-			n.Step(now, node.TableRead{ID: read.ID, Changes: platform.Changes{Revision: 1, Rows: rows}, OK: true})
+			n.Step(now, node.TableRead{ID: read.ID, Changes: storage.Changes{Revision: 1, Rows: rows}, OK: true})
 		}
 	}
 	request.Request = "r2"
--- a/node/fake_platform_test.go
+++ b/node/fake_platform_test.go
@@ -6,13 +6,13 @@
 	"slices"
 	"strings"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // table is one of the platform's tables.
 type table struct {
-	rows     map[string]platform.Row
-	revision platform.Revision
+	rows     map[string]storage.Row
+	revision storage.Revision
 }
 
 // write commits a row of the control table at once, as operators do.
@@ -21,28 +21,28 @@
 	if err != nil {
 		panic(err)
 	}
-	f.commit(platform.Txn{Puts: []platform.Put{{Table: platform.Control, Key: key, Value: data}}})
+	f.commit(storage.Txn{Puts: []storage.Put{{Table: storage.Control, Key: key, Value: data}}})
 }
 
 func (f *fleet) drop(key string) {
-	f.commit(platform.Txn{Puts: []platform.Put{{Table: platform.Control, Key: key, Delete: true}}})
+	f.commit(storage.Txn{Puts: []storage.Put{{Table: storage.Control, Key: key, Delete: true}}})
 }
 
-func (f *fleet) commit(t platform.Txn) platform.WriteResult {
-	result := platform.WriteResult{Outcome: platform.Committed, Revisions: map[platform.TableName]platform.Revision{}}
+func (f *fleet) commit(t storage.Txn) storage.WriteResult {
+	result := storage.WriteResult{Outcome: storage.Committed, Revisions: map[storage.TableName]storage.Revision{}}
 	for _, c := range t.Conditions {
 		row := f.tables[c.Table].rows[c.Key]
 		if row.Deleted {
 			row.Revision = 0
 		}
 		if row.Revision != c.Revision {
-			result.Outcome = platform.Conflict
+			result.Outcome = storage.Conflict
 		}
 		if row.Revision > 0 {
 			result.Current = append(result.Current, row)
 		}
 	}
-	if result.Outcome == platform.Conflict {
+	if result.Outcome == storage.Conflict {
 		return result
 	}
 	result.Current = nil
@@ -52,20 +52,20 @@
 			to.revision++
 			result.Revisions[p.Table] = to.revision
 		}
-		to.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Revision: to.revision, Attempt: t.Attempt, Deleted: p.Delete}
+		to.rows[p.Key] = storage.Row{Key: p.Key, Value: p.Value, Revision: to.revision, Attempt: t.Attempt, Deleted: p.Delete}
 	}
 	return result
 }
 
-func (f *fleet) read(r platform.ReadRequest) platform.Changes {
+func (f *fleet) read(r storage.ReadRequest) storage.Changes {
 	from := f.tables[r.Table]
-	c := platform.Changes{Revision: from.revision, Full: r.Since == 0}
+	c := storage.Changes{Revision: from.revision, Full: r.Since == 0}
 	for _, row := range from.rows {
 		if row.Revision > r.Since && strings.HasPrefix(row.Key, r.Prefix) {
 			c.Rows = append(c.Rows, row)
 		}
 	}
-	slices.SortFunc(c.Rows, func(a, b platform.Row) int {
+	slices.SortFunc(c.Rows, func(a, b storage.Row) int {
 		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
 	})
 	return c
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -9,7 +9,7 @@
 	"foxtailspoke/config"
 	"foxtailspoke/effect"
 	"foxtailspoke/health"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // fleet drives a handful of real nodes over fakes of the table, the links and
@@ -20,9 +20,9 @@
 	seq   int
 	queue jobs
 
-	tables    map[platform.TableName]*table
+	tables    map[storage.TableName]*table
 	tableAway bool
-	list      []platform.Instance
+	list      []storage.Instance
 	version   uint64
 
 	nodes   map[string]*instance
@@ -91,9 +91,9 @@
 func newFleet(seed uint64, entries, servers int) *fleet {
 	f := &fleet{
 		rng: rand.New(rand.NewPCG(seed, 1)),
-		tables: map[platform.TableName]*table{
-			platform.Control: {rows: map[string]platform.Row{}},
-			platform.Claims:  {rows: map[string]platform.Row{}},
+		tables: map[storage.TableName]*table{
+			storage.Control: {rows: map[string]storage.Row{}},
+			storage.Claims:  {rows: map[string]storage.Row{}},
 		},
 		nodes:     map[string]*instance{},
 		servers:   map[string]*server{},
@@ -114,17 +114,17 @@
 
 func (f *fleet) addServer(id string) {
 	f.servers[id] = &server{mode: "ok", latency: 10 * time.Millisecond}
-	f.announce(platform.Instance{ID: id, Kind: platform.BackendServer, Service: "orders", DataCentre: "a", Address: id, Slots: 2, State: platform.Live})
+	f.announce(storage.Instance{ID: id, Kind: storage.BackendServer, Service: "orders", DataCentre: "a", Address: id, Slots: 2, State: storage.Live})
 }
 
-func (f *fleet) announce(i platform.Instance) {
+func (f *fleet) announce(i storage.Instance) {
 	f.version++
-	f.list = slices.DeleteFunc(f.list, func(o platform.Instance) bool { return o.ID == i.ID })
+	f.list = slices.DeleteFunc(f.list, func(o storage.Instance) bool { return o.ID == i.ID })
 	f.list = append(f.list, i)
 }
 
 func (f *fleet) start(name string, place int) *instance {
-	self := platform.Instance{ID: name, Kind: platform.Entry, DataCentre: "dc" + strconv.Itoa(place%3), Address: name, PeerAddress: name, State: platform.Live}
+	self := storage.Instance{ID: name, Kind: storage.Entry, DataCentre: "dc" + strconv.Itoa(place%3), Address: name, PeerAddress: name, State: storage.Live}
 	f.announce(self)
 	s := DefaultSettings()
 	s.Self = self
@@ -189,7 +189,7 @@
 	f.nodes[name].dead = true
 	f.at(3*time.Second, func() {
 		self := f.nodes[name].node.settings.Self
-		self.State = platform.Ended
+		self.State = storage.Ended
 		f.announce(self)
 	})
 }
@@ -223,7 +223,7 @@
 		f.platform(i, func() Event { return TableWritten{ID: e.ID, Result: f.commit(e.Txn)} }, TableWritten{ID: e.ID})
 	case effect.ReadInstances:
 		f.platform(i, func() Event {
-			return InstancesRead{ID: e.ID, OK: true, Changes: platform.InstanceChanges{Version: f.version, Changed: slices.Clone(f.list), Full: true}}
+			return InstancesRead{ID: e.ID, OK: true, Changes: storage.InstanceChanges{Version: f.version, Changed: slices.Clone(f.list), Full: true}}
 		}, InstancesRead{ID: e.ID})
 	}
 }
--- a/node/flood_test.go
+++ b/node/flood_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // disturb makes one fault at random, and undoes it later.
@@ -50,7 +50,7 @@
 	}
 	f.split(name, true, true, 20*time.Second)
 	self := f.nodes[name].node.settings.Self
-	self.State = platform.Ended
+	self.State = storage.Ended
 	f.announce(self)
 	f.at(20*time.Second, func() { f.nodes[name].dead = true })
 	f.start(fmt.Sprintf("n%d", len(f.names)), f.rng.IntN(3))
--- a/node/lost_bench_test.go
+++ b/node/lost_bench_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"foxtailspoke/config"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // BenchmarkDataCentreLost reports the writes after one of 17 data centres is
@@ -48,7 +48,7 @@
 func (f *fleet) startWide(i int) {
 	name := fmt.Sprintf("n%03d", i)
 	s := DefaultSettings()
-	s.Self = platform.Instance{ID: name, Kind: platform.Entry, DataCentre: "dc" + strconv.Itoa(i%wideCentres), Address: name, PeerAddress: name, State: platform.Live}
+	s.Self = storage.Instance{ID: name, Kind: storage.Entry, DataCentre: "dc" + strconv.Itoa(i%wideCentres), Address: name, PeerAddress: name, State: storage.Live}
 	s.Secret = []byte("secret of " + name)
 	s.Seed = uint64(i)
 	f.announce(s.Self)
@@ -83,4 +83,4 @@
 }
 
 // controlWrites counts the writes of the control table so far.
-func (f *fleet) controlWrites() int { return int(f.tables[platform.Control].revision) }
+func (f *fleet) controlWrites() int { return int(f.tables[storage.Control].revision) }
--- a/node/node.go
+++ b/node/node.go
@@ -9,9 +9,9 @@
 	"foxtailspoke/config"
 	"foxtailspoke/health"
 	"foxtailspoke/membership"
-	"foxtailspoke/platform"
 	"foxtailspoke/quota"
 	"foxtailspoke/retry"
+	"foxtailspoke/storage"
 )
 
 // Node is one entry instance's decisions. It isn't safe for use by several
@@ -47,7 +47,7 @@
 	shards shards
 	// seen and seenList are the table's revision and the list's version that
 	// the node has followed.
-	seen     platform.Revision
+	seen     storage.Revision
 	seenList uint64
 	// state is the confirmation as operators heard of it last.
 	state membership.State
--- a/node/scale_bench_test.go
+++ b/node/scale_bench_test.go
@@ -14,7 +14,7 @@
 	"foxtailspoke/effect"
 	"foxtailspoke/health"
 	"foxtailspoke/membership"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // scale is a size of the whole deployment. The last one is the target size.
@@ -39,28 +39,28 @@
 type lone struct {
 	node     *Node
 	now      time.Duration
-	revision platform.Revision
+	revision storage.Revision
 	version  uint64
-	rows     []platform.Row
-	changed  []platform.Instance
+	rows     []storage.Row
+	changed  []storage.Instance
 }
 
 func instanceID(kind string, i int) string {
 	return fmt.Sprintf("%s-%04d-0000-4000-8000-%012d", kind, i, i)
 }
 
-func (s scale) entry(i int) platform.Instance {
-	return platform.Instance{
-		ID: instanceID("entry", i), Kind: platform.Entry, DataCentre: fmt.Sprintf("dc-%02d", i%s.centres), Region: fmt.Sprintf("region-%d", i%6),
+func (s scale) entry(i int) storage.Instance {
+	return storage.Instance{
+		ID: instanceID("entry", i), Kind: storage.Entry, DataCentre: fmt.Sprintf("dc-%02d", i%s.centres), Region: fmt.Sprintf("region-%d", i%6),
 		Address: fmt.Sprintf("10.1.%d.%d:8010", i/250, i%250), PeerAddress: fmt.Sprintf("10.1.%d.%d:8011", i/250, i%250),
-		OperatorAddress: fmt.Sprintf("10.1.%d.%d:8012", i/250, i%250), State: platform.Live,
+		OperatorAddress: fmt.Sprintf("10.1.%d.%d:8012", i/250, i%250), State: storage.Live,
 	}
 }
 
-func (s scale) target(i int) platform.Instance {
-	return platform.Instance{
-		ID: instanceID("target", i), Kind: platform.BackendServer, Service: serviceName(i % s.services), DataCentre: fmt.Sprintf("dc-%02d", i%s.centres),
-		Region: fmt.Sprintf("region-%d", i%6), Address: fmt.Sprintf("10.2.%d.%d:9000", i/250, i%250), Slots: 4, State: platform.Live,
+func (s scale) target(i int) storage.Instance {
+	return storage.Instance{
+		ID: instanceID("target", i), Kind: storage.BackendServer, Service: serviceName(i % s.services), DataCentre: fmt.Sprintf("dc-%02d", i%s.centres),
+		Region: fmt.Sprintf("region-%d", i%6), Address: fmt.Sprintf("10.2.%d.%d:9000", i/250, i%250), Slots: 4, State: storage.Live,
 	}
 }
 
@@ -73,7 +73,7 @@
 		panic(err)
 	}
 	l.revision++
-	l.rows = append(l.rows, platform.Row{Key: key, Value: data, Revision: l.revision, Attempt: "8c5e0d4a-0000-4000-8000-000000000000"})
+	l.rows = append(l.rows, storage.Row{Key: key, Value: data, Revision: l.revision, Attempt: "8c5e0d4a-0000-4000-8000-000000000000"})
 }
 
 // newLone returns a node that has the whole table and list, holds all parts
@@ -161,7 +161,7 @@
 	case effect.ReadInstances:
 		return InstancesRead{ID: e.ID, Changes: l.listChanges(e.Since), OK: true}
 	case effect.WriteTable:
-		return TableWritten{ID: e.ID, Result: platform.WriteResult{Outcome: platform.Conflict}}
+		return TableWritten{ID: e.ID, Result: storage.WriteResult{Outcome: storage.Conflict}}
 	case effect.Call:
 		request, _ := e.Request.(PeerRequest)
 		if request.Member == nil || request.Member.Pull == nil {
@@ -173,8 +173,8 @@
 	return nil
 }
 
-func (l *lone) changes(since platform.Revision) platform.Changes {
-	c := platform.Changes{Revision: l.revision, Full: since == 0}
+func (l *lone) changes(since storage.Revision) storage.Changes {
+	c := storage.Changes{Revision: l.revision, Full: since == 0}
 	if since < l.revision {
 		c.Rows = l.rows
 		l.rows = nil
@@ -182,8 +182,8 @@
 	return c
 }
 
-func (l *lone) listChanges(since uint64) platform.InstanceChanges {
-	c := platform.InstanceChanges{Version: l.version, Full: since == 0}
+func (l *lone) listChanges(since uint64) storage.InstanceChanges {
+	c := storage.InstanceChanges{Version: l.version, Full: since == 0}
 	if since < l.version {
 		c.Changed = l.changed
 		l.changed = nil
--- a/node/servers.go
+++ b/node/servers.go
@@ -9,7 +9,7 @@
 	"foxtailspoke/config"
 	"foxtailspoke/effect"
 	"foxtailspoke/membership"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // servers returns this instance's view of a service for one request: its
@@ -32,7 +32,7 @@
 			ID:         id,
 			DataCentre: s.DataCentre,
 			Slots:      s.Slots,
-			Leaving:    s.State != platform.Live || n.now < n.leavers[id],
+			Leaving:    s.State != storage.Live || n.now < n.leavers[id],
 			Ejected:    isEjected(permits, id),
 		}
 		view = append(view, b)
@@ -100,7 +100,7 @@
 		var all, inUse []string
 		for _, s := range n.member.Live().Servers(service) {
 			all = append(all, s.ID)
-			if s.State == platform.Live && !isEjected(permits, s.ID) {
+			if s.State == storage.Live && !isEjected(permits, s.ID) {
 				inUse = append(inUse, s.ID)
 			}
 		}
@@ -148,7 +148,7 @@
 	}
 	var live []string
 	for _, s := range n.member.Live().Servers(service) {
-		if s.State == platform.Live {
+		if s.State == storage.Live {
 			live = append(live, s.ID)
 		}
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -7,16 +7,16 @@
 	"foxtailspoke/claim"
 	"foxtailspoke/health"
 	"foxtailspoke/membership"
-	"foxtailspoke/platform"
 	"foxtailspoke/quota"
 	"foxtailspoke/retry"
+	"foxtailspoke/storage"
 )
 
 // Settings of a node. DefaultSettings fills in all but Self and Secret.
 type Settings struct {
 	// Self is the instance as the platform lists it. Its ID is new with
 	// every start.
-	Self platform.Instance
+	Self storage.Instance
 	// Secret signs operation keys. It is random and new with every start.
 	Secret []byte
 	// Seed of the node's random choices.
--- a/node/shards.go
+++ b/node/shards.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"foxtailspoke/config"
-	"foxtailspoke/platform"
 	"foxtailspoke/quota"
+	"foxtailspoke/storage"
 )
 
 const never = time.Duration(math.MaxInt64)
@@ -42,7 +42,7 @@
 
 // seenRow is a shard's row as this instance knows it.
 type seenRow struct {
-	revision platform.Revision
+	revision storage.Revision
 	row      config.Shard
 	// former is the row before, whose holders may still use their parts
 	// until formerUntil.
@@ -52,7 +52,7 @@
 
 // heldShard is a shard whose row names this instance.
 type heldShard struct {
-	revision platform.Revision
+	revision storage.Revision
 	// granted has the entries that came in force, by their Since.
 	granted map[uint64]bool
 	waiting bool
--- a/node/shardwriter.go
+++ b/node/shardwriter.go
@@ -7,8 +7,8 @@
 	"foxtailspoke/config"
 	"foxtailspoke/effect"
 	"foxtailspoke/membership"
-	"foxtailspoke/platform"
 	"foxtailspoke/quota"
+	"foxtailspoke/storage"
 )
 
 // rankShards finds the shards that this instance is in line for.
@@ -25,7 +25,7 @@
 
 // place counts the live instances before this one by rendezvous hash, and
 // stops as soon as there are enough of them.
-func (n *Node) place(name string, entries []platform.Instance) (int, bool) {
+func (n *Node) place(name string, entries []storage.Instance) (int, bool) {
 	key := "shard-writer/" + name
 	before := 0
 	listed := false
@@ -69,7 +69,7 @@
 // right isn't planned again on the same basis: ranking 2,000 candidates for
 // it four times a second would take half a percent of a core.
 type basis struct {
-	row     platform.Revision
+	row     storage.Revision
 	list    uint64
 	lists   uint64
 	leaving bool
@@ -109,17 +109,17 @@
 
 // shardWritten takes the end of a write. Whatever it was, the row is what the
 // replica says when it comes by; a write whose answer was lost shows there.
-func (n *Node) shardWritten(name string, r platform.WriteResult) {
+func (n *Node) shardWritten(name string, r storage.WriteResult) {
 	n.shards.writing = false
 	n.shards.writeAt = n.now + n.settings.ShardWriteGap
-	if r.Outcome != platform.Committed {
+	if r.Outcome != storage.Committed {
 		n.shards.writeAt = n.now + n.member.Settings().PollEvery
 		return
 	}
 	n.shards.more = true
 	delete(n.shards.wantedAt, name)
 	n.emit(Noted{Note: NoteShardWritten, Subject: name})
-	n.memberEffects(n.member.Require(n.now, r.Revisions[platform.Control]))
+	n.memberEffects(n.member.Require(n.now, r.Revisions[storage.Control]))
 }
 
 // candidates lists the instances that may hold parts.
--- a/node/status.go
+++ b/node/status.go
@@ -9,13 +9,13 @@
 	"foxtailspoke/config"
 	"foxtailspoke/decision"
 	"foxtailspoke/membership"
-	"foxtailspoke/platform"
 	"foxtailspoke/quota"
+	"foxtailspoke/storage"
 )
 
 // Status is what operators see of an instance.
 type Status struct {
-	Instance     platform.Instance
+	Instance     storage.Instance
 	Confirmation membership.Confirmation
 	// Fresh is the age beyond which the instance refuses requests.
 	Fresh    time.Duration
@@ -23,7 +23,7 @@
 	Services []ServiceStatus
 	// Refusals for the rate, the most first.
 	Refusals []Refusals
-	Entries  []platform.Instance
+	Entries  []storage.Instance
 	Leaving  bool
 	Counters membership.Counters
 	Buckets  int
@@ -140,7 +140,7 @@
 }
 
 // Require starts finding out whether a revision is in force everywhere.
-func (n *Node) Require(now time.Duration, revision platform.Revision) []Effect {
+func (n *Node) Require(now time.Duration, revision storage.Revision) []Effect {
 	n.now = max(n.now, now)
 	n.effects = n.effects[:0]
 	n.memberEffects(n.member.Require(n.now, revision))
@@ -149,7 +149,7 @@
 
 // InForce says whether a revision is in force everywhere, and which witnesses
 // know it and which are missing.
-func (n *Node) InForce(now time.Duration, revision platform.Revision) (inForce bool, known, missing []string) {
+func (n *Node) InForce(now time.Duration, revision storage.Revision) (inForce bool, known, missing []string) {
 	n.now = max(n.now, now)
 	missing = n.member.Missing(revision)
 	for _, id := range n.replica.Witnesses().Members {
@@ -167,7 +167,7 @@
 		return address
 	}
 	i, ok := n.member.Live().Instance(id)
-	if !ok || i.State == platform.Ended {
+	if !ok || i.State == storage.Ended {
 		return ""
 	}
 	return i.PeerAddress
--- a/node/tokens.go
+++ b/node/tokens.go
@@ -7,8 +7,8 @@
 	"foxtailspoke/decision"
 	"foxtailspoke/effect"
 	"foxtailspoke/membership"
-	"foxtailspoke/platform"
 	"foxtailspoke/quota"
+	"foxtailspoke/storage"
 )
 
 // takeTokens counts the request against its workspace's limit, out of this
@@ -130,13 +130,13 @@
 
 // txn returns a transaction on one row of the control table, conditional on
 // the row as the replica has it.
-func (n *Node) txn(key string, value []byte) platform.Txn {
+func (n *Node) txn(key string, value []byte) storage.Txn {
 	n.lastTxn++
 	row, _ := n.replica.Row(key)
-	return platform.Txn{
+	return storage.Txn{
 		Attempt:    n.settings.Self.ID + "/" + itoa(n.lastTxn),
-		Conditions: []platform.Condition{{Table: platform.Control, Key: key, Revision: row.Revision}},
-		Puts:       []platform.Put{{Table: platform.Control, Key: key, Value: value}},
+		Conditions: []storage.Condition{{Table: storage.Control, Key: key, Revision: row.Revision}},
+		Puts:       []storage.Put{{Table: storage.Control, Key: key, Value: value}},
 	}
 }
 
--- a/node/wire_bench_test.go
+++ b/node/wire_bench_test.go
@@ -13,8 +13,8 @@
 	"foxtailspoke/health"
 	"foxtailspoke/membership"
 	"foxtailspoke/peer"
-	"foxtailspoke/platform"
 	"foxtailspoke/quota"
+	"foxtailspoke/storage"
 )
 
 // BenchmarkWireBytes reports what a call and its reply take on an established
@@ -22,13 +22,13 @@
 // descriptions of the types, aren't counted, nor is the handshake.
 func BenchmarkWireBytes(b *testing.B) {
 	s := scales[len(scales)-1]
-	row := platform.Row{
+	row := storage.Row{
 		Key: config.WorkspacePrefix + workspaceName(54_321), Value: []byte(`{"plan":"plan-17"}`),
 		Revision: 200_001, Attempt: "8c5e0d4a-0000-4000-8000-000000000000",
 	}
 	pulled := func(rows, changed int) PeerReply {
 		p := membership.Pulled{
-			Changes: platform.Changes{Revision: 200_001}, List: platform.InstanceChanges{Version: 70_001},
+			Changes: storage.Changes{Revision: 200_001}, List: storage.InstanceChanges{Version: 70_001},
 			TableAge: 123 * time.Millisecond, WitnessAge: 987 * time.Millisecond,
 		}
 		for range rows {
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -11,7 +11,7 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/config/lists"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Proposal is a change of the lists that isn't sent yet.
@@ -35,7 +35,7 @@
 	// version that stands now.
 	Version uint64 `json:"version"`
 	// Revision of the control table to wait for; 0 if it isn't known.
-	Revision platform.Revision `json:"revision"`
+	Revision storage.Revision `json:"revision"`
 	// Attempt identifies the change in the audit trail.
 	Attempt string `json:"attempt,omitempty"`
 	// Stages tell how a proposal fared that took several versions.
@@ -133,7 +133,7 @@
 }
 
 // lostRevision is no row's revision, so that a condition on it fails.
-const lostRevision = ^platform.Revision(0)
+const lostRevision = ^storage.Revision(0)
 
 func (o *Operator) commitStage(ctx context.Context, p Proposal, base Snapshot, s stage) (Applied, error) {
 	c, err := o.listsChange(base, s)
@@ -162,8 +162,8 @@
 	return change{
 		entry: e,
 		conditions: append(s.conditions,
-			platform.Condition{Table: platform.Control, Key: config.ListsKey, Revision: base.Revision}),
-		puts: append(s.puts, platform.Put{Table: platform.Control, Key: config.ListsKey, Value: row}),
+			storage.Condition{Table: storage.Control, Key: config.ListsKey, Revision: base.Revision}),
+		puts: append(s.puts, storage.Put{Table: storage.Control, Key: config.ListsKey, Value: row}),
 	}, nil
 }
 
--- a/operator/audit.go
+++ b/operator/audit.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Action is what an operator did.
@@ -102,7 +102,7 @@
 }
 
 func (o *Operator) auditPrefix(ctx context.Context, prefix string) ([]AuditEntry, error) {
-	c, err := o.table.Read(ctx, platform.ReadRequest{Table: platform.Audit, Prefix: prefix})
+	c, err := o.table.Read(ctx, storage.ReadRequest{Table: storage.Audit, Prefix: prefix})
 	if err != nil {
 		return nil, errors.Wrap(err, "read audit trail")
 	}
--- a/operator/change.go
+++ b/operator/change.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Outcome is how an operator's change ended.
@@ -29,8 +29,8 @@
 
 // change is a transaction with its audit entry.
 type change struct {
-	conditions []platform.Condition
-	puts       []platform.Put
+	conditions []storage.Condition
+	puts       []storage.Put
 	entry      AuditEntry
 }
 
@@ -43,7 +43,7 @@
 // copy was refused for its conditions, none that is still on its way can
 // succeed. Whether an earlier copy did is then told by the audit entry, which
 // is there if and only if the transaction took effect.
-func (o *Operator) commit(ctx context.Context, c change) (Outcome, platform.Revision, error) {
+func (o *Operator) commit(ctx context.Context, c change) (Outcome, storage.Revision, error) {
 	txn, err := o.transaction(c)
 	if err != nil {
 		return "", 0, err
@@ -54,11 +54,11 @@
 			return "", 0, errors.Wrap(err, "write")
 		}
 		switch result.Outcome {
-		case platform.Committed:
-			return Accepted, result.Revisions[platform.Control], nil
-		case platform.Conflict:
+		case storage.Committed:
+			return Accepted, result.Revisions[storage.Control], nil
+		case storage.Conflict:
 			return o.afterConflict(ctx, c.entry)
-		case platform.Unknown:
+		case storage.Unknown:
 		}
 		if o.settings.Pause(ctx, o.backoff(n)) != nil {
 			return Unresolved, 0, nil
@@ -68,23 +68,23 @@
 
 // transaction adds the audit entry, on the condition that it isn't there yet:
 // so every change has a condition on a row that it writes itself.
-func (o *Operator) transaction(c change) (platform.Txn, error) {
+func (o *Operator) transaction(c change) (storage.Txn, error) {
 	value, err := json.Marshal(c.entry)
 	if err != nil {
-		return platform.Txn{}, errors.Wrap(err, "encode audit entry")
+		return storage.Txn{}, errors.Wrap(err, "encode audit entry")
 	}
 	key := c.entry.key()
-	return platform.Txn{
+	return storage.Txn{
 		Attempt:    c.entry.Attempt,
-		Conditions: append(c.conditions, platform.Condition{Table: platform.Audit, Key: key}),
-		Puts:       append(c.puts, platform.Put{Table: platform.Audit, Key: key, Value: value}),
+		Conditions: append(c.conditions, storage.Condition{Table: storage.Audit, Key: key}),
+		Puts:       append(c.puts, storage.Put{Table: storage.Audit, Key: key, Value: value}),
 	}, nil
 }
 
 // afterConflict tells an own earlier success from another's.
-func (o *Operator) afterConflict(ctx context.Context, e AuditEntry) (Outcome, platform.Revision, error) {
+func (o *Operator) afterConflict(ctx context.Context, e AuditEntry) (Outcome, storage.Revision, error) {
 	for n := 0; ; n++ {
-		c, err := o.table.Read(ctx, platform.ReadRequest{Table: platform.Audit, Prefix: e.key()})
+		c, err := o.table.Read(ctx, storage.ReadRequest{Table: storage.Audit, Prefix: e.key()})
 		if err == nil {
 			return o.ownOrRaced(ctx, c, e)
 		}
@@ -97,7 +97,7 @@
 // ownOrRaced returns, for an own success, a revision at which the change is
 // certainly in the control table. The revision of the write itself was lost
 // with its answer; any later one serves to wait for.
-func (o *Operator) ownOrRaced(ctx context.Context, c platform.Changes, e AuditEntry) (Outcome, platform.Revision, error) {
+func (o *Operator) ownOrRaced(ctx context.Context, c storage.Changes, e AuditEntry) (Outcome, storage.Revision, error) {
 	for _, row := range c.Rows {
 		if row.Key == e.key() && !row.Deleted && row.Attempt == e.Attempt {
 			return Accepted, o.newestRevision(ctx), nil
@@ -108,8 +108,8 @@
 
 // newestRevision returns the control table's revision, or 0 if the platform
 // doesn't answer.
-func (o *Operator) newestRevision(ctx context.Context) platform.Revision {
-	c, err := o.table.Read(ctx, platform.ReadRequest{Table: platform.Control, Prefix: listsPrefix})
+func (o *Operator) newestRevision(ctx context.Context) storage.Revision {
+	c, err := o.table.Read(ctx, storage.ReadRequest{Table: storage.Control, Prefix: listsPrefix})
 	if err != nil {
 		return 0
 	}
--- a/operator/example_test.go
+++ b/operator/example_test.go
@@ -8,17 +8,17 @@
 	"foxtailspoke/config/lists"
 	"foxtailspoke/internal/standin/tables"
 	"foxtailspoke/operator"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
-// table makes the stand-in's tables a platform.Table.
+// table makes the stand-in's tables a storage.Table.
 type table struct{ *tables.Store }
 
-func (t table) Read(_ context.Context, r platform.ReadRequest) (platform.Changes, error) {
+func (t table) Read(_ context.Context, r storage.ReadRequest) (storage.Changes, error) {
 	return t.Store.Read(r)
 }
 
-func (t table) Write(_ context.Context, txn platform.Txn) (platform.WriteResult, error) {
+func (t table) Write(_ context.Context, txn storage.Txn) (storage.WriteResult, error) {
 	return t.Store.Write(txn)
 }
 
--- a/operator/explain.go
+++ b/operator/explain.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"foxtailspoke/decision"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // ErrNoQuestion reports an explanation asked for without a request or a
@@ -47,7 +47,7 @@
 // newest, and in the object store, which has those of instances that are
 // gone. Either may be missing: what couldn't be read is told. The fleet or
 // the object store may be nil.
-func (o *Operator) Explain(ctx context.Context, f Fleet, objects platform.Objects, q decision.Query) (Explanation, error) {
+func (o *Operator) Explain(ctx context.Context, f Fleet, objects storage.Objects, q decision.Query) (Explanation, error) {
 	if q.Request == "" && q.Workspace == "" {
 		return Explanation{}, ErrNoQuestion
 	}
@@ -90,7 +90,7 @@
 		s.found.Asked, s.found.Silent = 1, 1
 		return
 	}
-	entries = slices.DeleteFunc(entries, func(i platform.Instance) bool {
+	entries = slices.DeleteFunc(entries, func(i storage.Instance) bool {
 		return !strings.HasPrefix(i.ID, instancePrefix)
 	})
 	s.found.Asked = len(entries)
@@ -106,7 +106,7 @@
 	})
 }
 
-func (s *search) readStore(ctx context.Context, objects platform.Objects, prefixes []string) {
+func (s *search) readStore(ctx context.Context, objects storage.Objects, prefixes []string) {
 	var names []string
 	for _, prefix := range prefixes {
 		found, err := objects.List(ctx, prefix)
@@ -122,7 +122,7 @@
 	inParallel(len(names), func(i int) { s.readBatch(ctx, objects, names[i]) })
 }
 
-func (s *search) readBatch(ctx context.Context, objects platform.Objects, name string) {
+func (s *search) readBatch(ctx context.Context, objects storage.Objects, name string) {
 	data, err := objects.Get(ctx, name)
 	var c decision.Contents
 	if err == nil {
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -9,7 +9,7 @@
 
 	"foxtailspoke/api/operator/oas"
 	"foxtailspoke/decision"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Fleet asks entry instances over their operator API. Package operator/fleet
@@ -17,10 +17,10 @@
 type Fleet interface {
 	// Entries returns the entry instances that the platform lists as live
 	// or leaving.
-	Entries(ctx context.Context) ([]platform.Instance, error)
-	Status(ctx context.Context, entry platform.Instance) (*oas.Status, error)
-	InForce(ctx context.Context, entry platform.Instance, r platform.Revision) (*oas.InForce, error)
-	Decisions(ctx context.Context, entry platform.Instance, q decision.Query) (Decisions, error)
+	Entries(ctx context.Context) ([]storage.Instance, error)
+	Status(ctx context.Context, entry storage.Instance) (*oas.Status, error)
+	InForce(ctx context.Context, entry storage.Instance, r storage.Revision) (*oas.InForce, error)
+	Decisions(ctx context.Context, entry storage.Instance, q decision.Query) (Decisions, error)
 }
 
 // Decisions are one instance's answer.
@@ -36,8 +36,8 @@
 // InForce is what is known of a change's spread.
 type InForce struct {
 	// InForce means that nobody acts on an older revision any more.
-	InForce  bool              `json:"inForce"`
-	Revision platform.Revision `json:"revision"`
+	InForce  bool             `json:"inForce"`
+	Revision storage.Revision `json:"revision"`
 	// Entry is the instance that told.
 	Entry string `json:"entry,omitempty"`
 	// KnownBy and Missing are witnesses.
@@ -51,7 +51,7 @@
 // WaitInForce asks entry instances until one says that the revision is in
 // force everywhere, or ctx ends. Then it returns the last answer that it got
 // and ErrNoEntry if it got none.
-func (o *Operator) WaitInForce(ctx context.Context, f Fleet, r platform.Revision) (InForce, error) {
+func (o *Operator) WaitInForce(ctx context.Context, f Fleet, r storage.Revision) (InForce, error) {
 	last := InForce{Revision: r}
 	answered := false
 	for {
@@ -77,7 +77,7 @@
 
 // askInForce asks one instance after the other until one answers. Any of
 // them can tell: it counts the witnesses, not itself.
-func askInForce(ctx context.Context, f Fleet, entries []platform.Instance, r platform.Revision) (InForce, bool) {
+func askInForce(ctx context.Context, f Fleet, entries []storage.Instance, r storage.Revision) (InForce, bool) {
 	for _, e := range liveFirst(entries) {
 		a, err := f.InForce(ctx, e, r)
 		if err != nil {
@@ -88,16 +88,16 @@
 	return InForce{}, false
 }
 
-func liveFirst(entries []platform.Instance) []platform.Instance {
+func liveFirst(entries []storage.Instance) []storage.Instance {
 	entries = slices.Clone(entries)
-	slices.SortStableFunc(entries, func(a, b platform.Instance) int {
+	slices.SortStableFunc(entries, func(a, b storage.Instance) int {
 		return leavingRank(a) - leavingRank(b)
 	})
 	return entries
 }
 
-func leavingRank(i platform.Instance) int {
-	if i.State == platform.Live {
+func leavingRank(i storage.Instance) int {
+	if i.State == storage.Live {
 		return 0
 	}
 	return 1
--- a/operator/fleet/addresses.go
+++ b/operator/fleet/addresses.go
@@ -3,26 +3,26 @@
 import (
 	"context"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Addresses lists entry instances by their operator addresses, "ip:port", for
-// when the platform's list can't be read. It implements platform.Instances.
+// when the platform's list can't be read. It implements storage.Instances.
 type Addresses []string
 
-// List implements platform.Instances.
-func (a Addresses) List(context.Context, uint64) (platform.InstanceChanges, error) {
-	c := platform.InstanceChanges{Version: 1, Full: true}
+// List implements storage.Instances.
+func (a Addresses) List(context.Context, uint64) (storage.InstanceChanges, error) {
+	c := storage.InstanceChanges{Version: 1, Full: true}
 	for _, address := range a {
-		c.Changed = append(c.Changed, platform.Instance{
+		c.Changed = append(c.Changed, storage.Instance{
 			ID:              address,
-			Kind:            platform.Entry,
+			Kind:            storage.Entry,
 			OperatorAddress: address,
-			State:           platform.Live,
+			State:           storage.Live,
 		})
 	}
 	return c, nil
 }
 
-// Announce implements platform.Instances. Nobody is told.
-func (Addresses) Announce(context.Context, platform.Instance) error { return nil }
+// Announce implements storage.Instances. Nobody is told.
+func (Addresses) Announce(context.Context, storage.Instance) error { return nil }
--- a/operator/fleet/fleet.go
+++ b/operator/fleet/fleet.go
@@ -16,7 +16,7 @@
 	"foxtailspoke/api/operator/oas"
 	"foxtailspoke/decision"
 	"foxtailspoke/operator"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // DefaultTimeout bounds one question to one instance.
@@ -31,7 +31,7 @@
 // Fleet reaches the instances that the platform lists. It is safe for
 // concurrent use.
 type Fleet struct {
-	instances platform.Instances
+	instances storage.Instances
 	token     string
 	client    *http.Client
 
@@ -43,7 +43,7 @@
 
 // New returns a fleet with the operators' token. A timeout of 0 means
 // DefaultTimeout.
-func New(instances platform.Instances, token string, timeout time.Duration) *Fleet {
+func New(instances storage.Instances, token string, timeout time.Duration) *Fleet {
 	if timeout <= 0 {
 		timeout = DefaultTimeout
 	}
@@ -69,14 +69,14 @@
 }
 
 // Entries implements operator.Fleet.
-func (f *Fleet) Entries(ctx context.Context) ([]platform.Instance, error) {
+func (f *Fleet) Entries(ctx context.Context) ([]storage.Instance, error) {
 	all, err := f.instances.List(ctx, 0)
 	if err != nil {
 		return nil, errors.Wrap(err, "list instances")
 	}
-	var entries []platform.Instance
+	var entries []storage.Instance
 	for _, i := range all.Changed {
-		if i.Kind == platform.Entry && i.State != platform.Ended {
+		if i.Kind == storage.Entry && i.State != storage.Ended {
 			entries = append(entries, i)
 		}
 	}
@@ -84,7 +84,7 @@
 }
 
 // Status implements operator.Fleet.
-func (f *Fleet) Status(ctx context.Context, entry platform.Instance) (*oas.Status, error) {
+func (f *Fleet) Status(ctx context.Context, entry storage.Instance) (*oas.Status, error) {
 	c, err := f.to(entry)
 	if err != nil {
 		return nil, err
@@ -93,7 +93,7 @@
 }
 
 // InForce implements operator.Fleet.
-func (f *Fleet) InForce(ctx context.Context, entry platform.Instance, r platform.Revision) (*oas.InForce, error) {
+func (f *Fleet) InForce(ctx context.Context, entry storage.Instance, r storage.Revision) (*oas.InForce, error) {
 	c, err := f.to(entry)
 	if err != nil {
 		return nil, err
@@ -102,7 +102,7 @@
 }
 
 // Decisions implements operator.Fleet.
-func (f *Fleet) Decisions(ctx context.Context, entry platform.Instance, q decision.Query) (operator.Decisions, error) {
+func (f *Fleet) Decisions(ctx context.Context, entry storage.Instance, q decision.Query) (operator.Decisions, error) {
 	c, err := f.to(entry)
 	if err != nil {
 		return operator.Decisions{}, err
@@ -131,7 +131,7 @@
 	return p
 }
 
-func (f *Fleet) to(entry platform.Instance) (*oas.Client, error) {
+func (f *Fleet) to(entry storage.Instance) (*oas.Client, error) {
 	if entry.OperatorAddress == "" {
 		return nil, ErrNoAddress
 	}
--- a/operator/history_test.go
+++ b/operator/history_test.go
@@ -15,7 +15,7 @@
 	"foxtailspoke/config"
 	"foxtailspoke/config/lists"
 	"foxtailspoke/internal/standin/tables"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // TestMain fixes the seed and the number of the random histories; the flags
@@ -36,7 +36,7 @@
 	// lose draws what happens to a write's answer.
 	lose func() loss
 	// late writes are still on their way.
-	late []platform.Txn
+	late []storage.Txn
 }
 
 type loss int
@@ -48,25 +48,25 @@
 	lostLate
 )
 
-func (f *faultyTable) Read(_ context.Context, r platform.ReadRequest) (platform.Changes, error) {
+func (f *faultyTable) Read(_ context.Context, r storage.ReadRequest) (storage.Changes, error) {
 	f.between()
 	if f.lose() == lostBefore {
-		return platform.Changes{}, platform.ErrUnavailable
+		return storage.Changes{}, storage.ErrUnavailable
 	}
 	return f.store.Read(r)
 }
 
-func (f *faultyTable) Write(_ context.Context, t platform.Txn) (platform.WriteResult, error) {
+func (f *faultyTable) Write(_ context.Context, t storage.Txn) (storage.WriteResult, error) {
 	f.between()
 	switch f.lose() {
 	case lostBefore:
-		return platform.WriteResult{}, nil
+		return storage.WriteResult{}, nil
 	case lostAfter:
 		_, err := f.store.Write(t)
-		return platform.WriteResult{}, err
+		return storage.WriteResult{}, err
 	case lostLate:
 		f.late = append(f.late, t)
-		return platform.WriteResult{}, nil
+		return storage.WriteResult{}, nil
 	default:
 		return f.store.Write(t)
 	}
--- a/operator/keys.go
+++ b/operator/keys.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"foxtailspoke/config"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 const (
@@ -45,7 +45,7 @@
 	Workspace string `json:"workspace"`
 	Label     string `json:"label,omitempty"`
 	hash      string
-	revision  platform.Revision
+	revision  storage.Revision
 }
 
 func (k KeyInfo) row() string { return config.KeyPrefix + k.hash }
@@ -55,10 +55,10 @@
 
 // KeyChange is the end of giving or withdrawing a key.
 type KeyChange struct {
-	Outcome  Outcome           `json:"outcome"`
-	Info     KeyInfo           `json:"key"`
-	Revision platform.Revision `json:"revision"`
-	Attempt  string            `json:"attempt,omitempty"`
+	Outcome  Outcome          `json:"outcome"`
+	Info     KeyInfo          `json:"key"`
+	Revision storage.Revision `json:"revision"`
+	Attempt  string           `json:"attempt,omitempty"`
 	// Secret is the key itself after giving it, and this once only. It is
 	// left out of every encoding.
 	Secret Secret `json:"-"`
@@ -117,15 +117,15 @@
 	k := KeyChange{Info: info, Attempt: e.Attempt}
 	k.Outcome, k.Revision, err = o.commit(ctx, change{
 		entry: e,
-		conditions: []platform.Condition{
-			{Table: platform.Control, Key: row.Key, Revision: row.Revision},
-			{Table: platform.Control, Key: info.row()},
+		conditions: []storage.Condition{
+			{Table: storage.Control, Key: row.Key, Revision: row.Revision},
+			{Table: storage.Control, Key: info.row()},
 		},
-		puts: []platform.Put{
+		puts: []storage.Put{
 			// Rewriting the workspace's row makes a removal of the
 			// workspace that doesn't know this key lose the race.
-			{Table: platform.Control, Key: row.Key, Value: row.Value},
-			{Table: platform.Control, Key: info.row(), Value: value},
+			{Table: storage.Control, Key: row.Key, Value: row.Value},
+			{Table: storage.Control, Key: info.row(), Value: value},
 		},
 	})
 	return k, err
@@ -138,22 +138,22 @@
 	return e
 }
 
-func (o *Operator) workspaceRow(ctx context.Context, name string) (platform.Row, uint64, error) {
+func (o *Operator) workspaceRow(ctx context.Context, name string) (storage.Row, uint64, error) {
 	s, err := o.listsRow(ctx)
 	if err != nil {
-		return platform.Row{}, 0, err
+		return storage.Row{}, 0, err
 	}
 	key := config.WorkspacePrefix + name
-	c, err := o.table.Read(ctx, platform.ReadRequest{Table: platform.Control, Prefix: key})
+	c, err := o.table.Read(ctx, storage.ReadRequest{Table: storage.Control, Prefix: key})
 	if err != nil {
-		return platform.Row{}, 0, errors.Wrap(err, "read workspace")
+		return storage.Row{}, 0, errors.Wrap(err, "read workspace")
 	}
 	for _, row := range c.Rows {
 		if row.Key == key && !row.Deleted {
 			return row, s.Version, nil
 		}
 	}
-	return platform.Row{}, 0, errors.Wrapf(ErrUnknownWorkspace, "%q", name)
+	return storage.Row{}, 0, errors.Wrapf(ErrUnknownWorkspace, "%q", name)
 }
 
 func newKey(random io.Reader) (Secret, error) {
@@ -176,7 +176,7 @@
 }
 
 func (o *Operator) keys(ctx context.Context, hashPrefix string, match func(KeyInfo) bool) ([]KeyInfo, error) {
-	c, err := o.table.Read(ctx, platform.ReadRequest{Table: platform.Control, Prefix: config.KeyPrefix + hashPrefix})
+	c, err := o.table.Read(ctx, storage.ReadRequest{Table: storage.Control, Prefix: config.KeyPrefix + hashPrefix})
 	if err != nil {
 		return nil, errors.Wrap(err, "read keys")
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -14,7 +14,7 @@
 
 	"github.com/google/uuid"
 
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Settings of an Operator. A zero field takes its default.
@@ -41,14 +41,14 @@
 // Operator carries out one operator's actions. It is safe for concurrent use
 // if the table is.
 type Operator struct {
-	table    platform.Table
+	table    storage.Table
 	settings Settings
 	// stageRows is maxStageRows but in tests.
 	stageRows int
 }
 
 // New returns an operator that acts on the platform's table.
-func New(table platform.Table, s Settings) *Operator {
+func New(table storage.Table, s Settings) *Operator {
 	if s.Now == nil {
 		s.Now = time.Now
 	}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -17,7 +17,7 @@
 	"foxtailspoke/config"
 	"foxtailspoke/config/lists"
 	"foxtailspoke/internal/standin/tables"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // A change of many rows is cut into several versions. Instances serve by each
@@ -28,14 +28,14 @@
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		from, to := namedLists(rng), namedLists(rng)
 		p := Proposal{Base: Snapshot{Lists: from}, Changes: lists.Diff(from, to)}
-		rows := map[string]platform.Row{}
+		rows := map[string]storage.Row{}
 		for _, r := range from.Rows() {
-			rows[r.Key] = platform.Row{Key: r.Key, Value: r.Value}
+			rows[r.Key] = storage.Row{Key: r.Key, Value: r.Value}
 		}
 		digest := from.Digest()
 		for _, s := range p.stages(1 + rng.IntN(3)) {
 			for _, put := range s.puts {
-				rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Deleted: put.Delete}
+				rows[put.Key] = storage.Row{Key: put.Key, Value: put.Value, Deleted: put.Delete}
 			}
 			l, err := lists.FromRows(slices.Collect(maps.Values(rows)))
 			must.NoError(t, err)
@@ -119,8 +119,8 @@
 	encoded, err := json.Marshal(k)
 	must.NoError(t, err)
 	dump := string(encoded) + fmt.Sprintf("%v %+v %#v", k, k, k)
-	for _, name := range []platform.TableName{platform.Control, platform.Audit} {
-		c, err := store.Read(platform.ReadRequest{Table: name})
+	for _, name := range []storage.TableName{storage.Control, storage.Audit} {
+		c, err := store.Read(storage.ReadRequest{Table: name})
 		must.NoError(t, err)
 		for _, row := range c.Rows {
 			dump += row.Key + string(row.Value)
--- a/operator/snapshot.go
+++ b/operator/snapshot.go
@@ -8,7 +8,7 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/config/lists"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // listsPrefix selects the row under config.ListsKey; no other row of the
@@ -31,11 +31,11 @@
 	Version uint64
 	Digest  string
 	// Revision of the lists row; 0 if it is absent.
-	Revision platform.Revision
+	Revision storage.Revision
 	// attempt that wrote the lists row.
 	attempt string
 	// rows has the revision of each row of the lists.
-	rows map[string]platform.Revision
+	rows map[string]storage.Revision
 }
 
 // Current reads the accepted lists. The rows are read prefix by prefix, and
@@ -62,7 +62,7 @@
 }
 
 func (o *Operator) listsRow(ctx context.Context) (Snapshot, error) {
-	c, err := o.table.Read(ctx, platform.ReadRequest{Table: platform.Control, Prefix: listsPrefix})
+	c, err := o.table.Read(ctx, storage.ReadRequest{Table: storage.Control, Prefix: listsPrefix})
 	if err != nil {
 		return Snapshot{}, errors.Wrap(err, "read lists")
 	}
@@ -80,15 +80,15 @@
 }
 
 func (o *Operator) readRows(ctx context.Context, s *Snapshot) error {
-	var rows []platform.Row
+	var rows []storage.Row
 	for _, prefix := range []string{config.WorkspacePrefix, config.PlanPrefix, config.ServicePrefix} {
-		c, err := o.table.Read(ctx, platform.ReadRequest{Table: platform.Control, Prefix: prefix})
+		c, err := o.table.Read(ctx, storage.ReadRequest{Table: storage.Control, Prefix: prefix})
 		if err != nil {
 			return errors.Wrapf(err, "read %s", prefix)
 		}
 		rows = append(rows, c.Rows...)
 	}
-	s.rows = make(map[string]platform.Revision, len(rows))
+	s.rows = make(map[string]storage.Revision, len(rows))
 	for _, row := range rows {
 		if !row.Deleted {
 			s.rows[row.Key] = row.Revision
--- a/operator/stage.go
+++ b/operator/stage.go
@@ -6,7 +6,7 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/config/lists"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // maxStageRows bounds the rows that one transaction changes. The platform
@@ -15,8 +15,8 @@
 
 // stage is the part of a proposal that goes into one transaction.
 type stage struct {
-	puts       []platform.Put
-	conditions []platform.Condition
+	puts       []storage.Put
+	conditions []storage.Condition
 	// lines are the changes for the audit trail.
 	lines []string
 	// digest of the lists after the stage.
@@ -59,8 +59,8 @@
 
 // step is one row of a proposal.
 type step struct {
-	put       platform.Put
-	condition *platform.Condition
+	put       storage.Put
+	condition *storage.Condition
 	line      string
 }
 
@@ -83,7 +83,7 @@
 	for _, k := range p.Withdrawn {
 		if k.Workspace == workspace {
 			steps = append(steps, step{
-				put:  platform.Put{Table: platform.Control, Key: k.row(), Delete: true},
+				put:  storage.Put{Table: storage.Control, Key: k.row(), Delete: true},
 				line: "- key " + k.ID + " of workspace " + workspace,
 			})
 		}
@@ -97,11 +97,11 @@
 func (p Proposal) stepOf(c lists.Change) step {
 	removed := c.Kind == lists.Removed
 	s := step{
-		put:  platform.Put{Table: platform.Control, Key: c.Row.Key, Value: c.Row.Value, Delete: removed},
+		put:  storage.Put{Table: storage.Control, Key: c.Row.Key, Value: c.Row.Value, Delete: removed},
 		line: c.String(),
 	}
 	if removed && c.Row.Key == config.WorkspacePrefix+c.Name {
-		s.condition = &platform.Condition{Table: platform.Control, Key: c.Row.Key, Revision: p.Base.rows[c.Row.Key]}
+		s.condition = &storage.Condition{Table: storage.Control, Key: c.Row.Key, Revision: p.Base.rows[c.Row.Key]}
 	}
 	return s
 }
--- a/operator/status.go
+++ b/operator/status.go
@@ -9,17 +9,17 @@
 
 	"foxtailspoke/api/operator/oas"
 	"foxtailspoke/config"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Status is the fleet as the table and the entry instances show it.
 type Status struct {
-	ListsVersion uint64            `json:"listsVersion"`
-	Revision     platform.Revision `json:"revision"`
-	Workspaces   int               `json:"workspaces"`
-	Plans        int               `json:"plans"`
-	Services     int               `json:"services"`
-	Keys         int               `json:"keys"`
+	ListsVersion uint64           `json:"listsVersion"`
+	Revision     storage.Revision `json:"revision"`
+	Workspaces   int              `json:"workspaces"`
+	Plans        int              `json:"plans"`
+	Services     int              `json:"services"`
+	Keys         int              `json:"keys"`
 	// Ejected are the backend servers out of use, by service.
 	Ejected map[string][]config.Ejection `json:"ejected"`
 	// TableError tells why the table couldn't be read; the fields above are
@@ -33,9 +33,9 @@
 
 // EntryStatus is one instance's own status, or why there is none.
 type EntryStatus struct {
-	Instance platform.Instance `json:"instance"`
-	Status   *oas.Status       `json:"status,omitempty"`
-	Error    string            `json:"error,omitempty"`
+	Instance storage.Instance `json:"instance"`
+	Status   *oas.Status      `json:"status,omitempty"`
+	Error    string           `json:"error,omitempty"`
 }
 
 // parallelAsks bounds the questions to instances at one time.
@@ -100,7 +100,7 @@
 		Keys:         len(keys),
 		Ejected:      map[string][]config.Ejection{},
 	}
-	c, err := o.table.Read(ctx, platform.ReadRequest{Table: platform.Control, Prefix: config.PermitPrefix})
+	c, err := o.table.Read(ctx, storage.ReadRequest{Table: storage.Control, Prefix: config.PermitPrefix})
 	if err != nil {
 		return Status{}, errors.Wrap(err, "read permits")
 	}
--- a/operator/withdraw.go
+++ b/operator/withdraw.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"foxtailspoke/config"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // KeySelector names one key: by its id (or more of its hash), by workspace
@@ -58,8 +58,8 @@
 	end := KeyChange{Info: k, Attempt: e.Attempt}
 	end.Outcome, end.Revision, err = o.commit(ctx, change{
 		entry:      e,
-		conditions: []platform.Condition{{Table: platform.Control, Key: k.row(), Revision: k.revision}},
-		puts:       []platform.Put{{Table: platform.Control, Key: k.row(), Delete: true}},
+		conditions: []storage.Condition{{Table: storage.Control, Key: k.row(), Revision: k.revision}},
+		puts:       []storage.Put{{Table: storage.Control, Key: k.row(), Delete: true}},
 	})
 	return end, err
 }
--- a/platform/client/answer_test.go
+++ b/storage/client/answer_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"foxtailspoke/api/platform/oas"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // cannedAnswer answers every request alike.
@@ -54,15 +54,15 @@
 		must.NoError(t, err)
 		c := &Client{api: api, timeout: DefaultTimeout}
 
-		txn := platform.Txn{Attempt: "a", Puts: []platform.Put{{Table: platform.Control, Key: "k"}}}
+		txn := storage.Txn{Attempt: "a", Puts: []storage.Put{{Table: storage.Control, Key: "k"}}}
 		w, err := c.Write(t.Context(), txn)
-		must.True(t, w.Outcome != platform.Committed || a.status == http.StatusOK && w.Revisions[platform.Control] > 0)
-		must.True(t, w.Outcome != platform.Conflict || a.status == http.StatusConflict)
+		must.True(t, w.Outcome != storage.Committed || a.status == http.StatusOK && w.Revisions[storage.Control] > 0)
+		must.True(t, w.Outcome != storage.Conflict || a.status == http.StatusConflict)
 		if err != nil {
-			must.Eq(t, platform.Unknown, w.Outcome)
+			must.Eq(t, storage.Unknown, w.Outcome)
 			must.Between(t, 400, a.status, 499)
 		}
-		changes, err := c.Read(t.Context(), platform.ReadRequest{Table: platform.Control, Since: 2, Prefix: "k"})
+		changes, err := c.Read(t.Context(), storage.ReadRequest{Table: storage.Control, Since: 2, Prefix: "k"})
 		must.True(t, err != nil || a.status == http.StatusOK)
 		must.True(t, err == nil || changes.Revision == 0)
 		for _, row := range changes.Rows {
--- a/platform/client/bench_test.go
+++ b/storage/client/bench_test.go
@@ -10,8 +10,8 @@
 	"github.com/shoenig/test/must"
 
 	"foxtailspoke/internal/standin"
-	"foxtailspoke/platform"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage"
+	"foxtailspoke/storage/client"
 )
 
 // countedConn counts the bytes of a connection, both ways.
@@ -42,8 +42,8 @@
 	var bytes atomic.Int64
 	c.WrapConns(func(conn net.Conn) net.Conn { return countedConn{conn, &bytes} })
 	for i := range 500 {
-		row := []platform.Put{{Table: platform.Control, Key: fmt.Sprintf("key/%064d", i), Value: []byte(`{"workspace":"cebu"}`)}}
-		_, err := p.Tables().Write(platform.Txn{Attempt: fmt.Sprint("row", i), Puts: row})
+		row := []storage.Put{{Table: storage.Control, Key: fmt.Sprintf("key/%064d", i), Value: []byte(`{"workspace":"cebu"}`)}}
+		_, err := p.Tables().Write(storage.Txn{Attempt: fmt.Sprint("row", i), Puts: row})
 		must.NoError(b, err)
 	}
 	i := 0
@@ -56,22 +56,22 @@
 
 func BenchmarkReadUnchanged(b *testing.B) {
 	benchmark(b, func(ctx context.Context, c *client.Client, _ int) error {
-		_, err := c.Read(ctx, platform.ReadRequest{Table: platform.Control, Since: 500})
+		_, err := c.Read(ctx, storage.ReadRequest{Table: storage.Control, Since: 500})
 		return err
 	})
 }
 
 func BenchmarkReadWhole(b *testing.B) {
 	benchmark(b, func(ctx context.Context, c *client.Client, _ int) error {
-		_, err := c.Read(ctx, platform.ReadRequest{Table: platform.Control})
+		_, err := c.Read(ctx, storage.ReadRequest{Table: storage.Control})
 		return err
 	})
 }
 
 func BenchmarkWrite(b *testing.B) {
 	benchmark(b, func(ctx context.Context, c *client.Client, i int) error {
-		put := []platform.Put{{Table: platform.Audit, Key: fmt.Sprint(i), Value: []byte("{}")}}
-		_, err := c.Write(ctx, platform.Txn{Attempt: fmt.Sprint(i), Puts: put})
+		put := []storage.Put{{Table: storage.Audit, Key: fmt.Sprint(i), Value: []byte("{}")}}
+		_, err := c.Write(ctx, storage.Txn{Attempt: fmt.Sprint(i), Puts: put})
 		return err
 	})
 }
--- a/platform/client/client.go
+++ b/storage/client/client.go
@@ -14,7 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"foxtailspoke/api/platform/oas"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 // Defaults of Settings.
@@ -53,9 +53,9 @@
 }
 
 var (
-	_ platform.Table     = (*Client)(nil)
-	_ platform.Objects   = objects{}
-	_ platform.Instances = (*Client)(nil)
+	_ storage.Table     = (*Client)(nil)
+	_ storage.Objects   = objects{}
+	_ storage.Instances = (*Client)(nil)
 )
 
 // New returns a client of the platform at baseURL, for instance
