--- a/platform/client/client_test.go
+++ b/storage/client/client_test.go
@@ -15,8 +15,8 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/internal/standin"
-	"foxtailspoke/platform"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage"
+	"foxtailspoke/storage/client"
 )
 
 func start(t *testing.T, o standin.PlatformOptions, s client.Settings) (*standin.Platform, *client.Client) {
@@ -30,41 +30,41 @@
 	return p, c
 }
 
-func put(attempt, key, value string, conditions ...platform.Condition) platform.Txn {
-	return platform.Txn{
+func put(attempt, key, value string, conditions ...storage.Condition) storage.Txn {
+	return storage.Txn{
 		Attempt:    attempt,
 		Conditions: conditions,
-		Puts:       []platform.Put{{Table: platform.Control, Key: key, Value: []byte(value)}},
+		Puts:       []storage.Put{{Table: storage.Control, Key: key, Value: []byte(value)}},
 	}
 }
 
-func readControl(t *testing.T, c *client.Client, since platform.Revision) platform.Changes {
+func readControl(t *testing.T, c *client.Client, since storage.Revision) storage.Changes {
 	t.Helper()
-	changes, err := c.Read(t.Context(), platform.ReadRequest{Table: platform.Control, Since: since})
+	changes, err := c.Read(t.Context(), storage.ReadRequest{Table: storage.Control, Since: since})
 	must.NoError(t, err)
 	return changes
 }
 
 func TestTableOverHTTP(t *testing.T) {
 	_, c := start(t, standin.PlatformOptions{}, client.Settings{})
-	first := put("t1", "plan/ä b/%2F", "\x00\xff", platform.Condition{Table: platform.Control, Key: "plan/ä b/%2F"})
-	first.Puts = append(first.Puts, platform.Put{Table: platform.Audit, Key: "1", Value: []byte{}})
+	first := put("t1", "plan/ä b/%2F", "\x00\xff", storage.Condition{Table: storage.Control, Key: "plan/ä b/%2F"})
+	first.Puts = append(first.Puts, storage.Put{Table: storage.Audit, Key: "1", Value: []byte{}})
 
 	result, err := c.Write(t.Context(), first)
 	must.NoError(t, err)
-	must.Eq(t, platform.Committed, result.Outcome)
-	must.Eq(t, map[platform.TableName]platform.Revision{platform.Control: 1, platform.Audit: 1}, result.Revisions)
+	must.Eq(t, storage.Committed, result.Outcome)
+	must.Eq(t, map[storage.TableName]storage.Revision{storage.Control: 1, storage.Audit: 1}, result.Revisions)
 
-	row := platform.Row{Key: "plan/ä b/%2F", Value: []byte("\x00\xff"), Revision: 1, Attempt: "t1"}
+	row := storage.Row{Key: "plan/ä b/%2F", Value: []byte("\x00\xff"), Revision: 1, Attempt: "t1"}
 	again, err := c.Write(t.Context(), first)
 	must.NoError(t, err)
-	must.Eq(t, platform.WriteResult{Outcome: platform.Conflict, Current: []platform.Row{row}}, again)
+	must.Eq(t, storage.WriteResult{Outcome: storage.Conflict, Current: []storage.Row{row}}, again)
 
-	must.Eq(t, platform.Changes{Revision: 1, Rows: []platform.Row{row}, Full: true}, readControl(t, c, 0))
-	must.Eq(t, platform.Changes{Revision: 1}, readControl(t, c, 1))
-	none, err := c.Read(t.Context(), platform.ReadRequest{Table: platform.Control, Prefix: "key/"})
+	must.Eq(t, storage.Changes{Revision: 1, Rows: []storage.Row{row}, Full: true}, readControl(t, c, 0))
+	must.Eq(t, storage.Changes{Revision: 1}, readControl(t, c, 1))
+	none, err := c.Read(t.Context(), storage.ReadRequest{Table: storage.Control, Prefix: "key/"})
 	must.NoError(t, err)
-	must.Eq(t, platform.Changes{Revision: 1, Full: true}, none)
+	must.Eq(t, storage.Changes{Revision: 1, Full: true}, none)
 }
 
 // An operator's write commits but its answer is lost. The client must say
@@ -76,17 +76,17 @@
 	must.NoError(t, p.SetFaults(standin.PlatformFaults{
 		Table: standin.TableFaults{ServiceFaults: standin.ServiceFaults{LoseAnswers: 1}},
 	}))
-	txn := put("mine", "lists", "v1", platform.Condition{Table: platform.Control, Key: "lists"})
+	txn := put("mine", "lists", "v1", storage.Condition{Table: storage.Control, Key: "lists"})
 
 	result, err := c.Write(t.Context(), txn)
 	must.NoError(t, err)
-	must.Eq(t, platform.Unknown, result.Outcome)
+	must.Eq(t, storage.Unknown, result.Outcome)
 	must.Eq(t, 1, p.Counts().Writes)
 	must.Eq(t, "mine", readControl(t, c, 0).Rows[0].Attempt)
 
 	result, err = c.Write(t.Context(), txn)
 	must.NoError(t, err)
-	must.Eq(t, platform.Conflict, result.Outcome)
+	must.Eq(t, storage.Conflict, result.Outcome)
 	must.Eq(t, 1, readControl(t, c, 0).Revision)
 }
 
@@ -109,16 +109,16 @@
 			}))
 			result, err := c.Write(t.Context(), put("a", "k", "v"))
 			must.NoError(t, err)
-			must.Eq(t, platform.Unknown, result.Outcome)
+			must.Eq(t, storage.Unknown, result.Outcome)
 			for _, err := range readAll(t.Context(), c) {
-				must.True(t, errors.Is(err, platform.ErrUnavailable), must.Sprint(err))
+				must.True(t, errors.Is(err, storage.ErrUnavailable), must.Sprint(err))
 			}
 		})
 	}
 }
 
 func readAll(ctx context.Context, c *client.Client) []error {
-	_, err1 := c.Read(ctx, platform.ReadRequest{Table: platform.Control})
+	_, err1 := c.Read(ctx, storage.ReadRequest{Table: storage.Control})
 	_, err2 := c.Objects().Get(ctx, "o")
 	_, err3 := c.Objects().List(ctx, "")
 	_, err4 := c.List(ctx, 0)
@@ -157,9 +157,9 @@
 
 			result, err := c.Write(t.Context(), put("a", "k", "v"))
 			must.NoError(t, err)
-			must.Eq(t, platform.WriteResult{}, result)
-			must.ErrorIs(t, c.Objects().Put(t.Context(), "o", nil), platform.ErrUnavailable)
-			must.ErrorIs(t, c.Announce(t.Context(), platform.Instance{ID: "i", Kind: platform.Entry, State: platform.Live}), platform.ErrUnavailable)
+			must.Eq(t, storage.WriteResult{}, result)
+			must.ErrorIs(t, c.Objects().Put(t.Context(), "o", nil), storage.ErrUnavailable)
+			must.ErrorIs(t, c.Announce(t.Context(), storage.Instance{ID: "i", Kind: storage.Entry, State: storage.Live}), storage.ErrUnavailable)
 			must.Eq(t, 3, writes.Load())
 		})
 	}
@@ -167,22 +167,22 @@
 
 func TestInstancesOverHTTP(t *testing.T) {
 	p, c := start(t, standin.PlatformOptions{EndAfter: time.Nanosecond}, client.Settings{})
-	full := platform.Instance{
-		ID: "i 1/x", Kind: platform.BackendServer, Service: "s", DataCentre: "a", Region: "r", Address: "1:1",
-		PeerAddress: "1:2", OperatorAddress: "1:3", Slots: 6, State: platform.Live,
+	full := storage.Instance{
+		ID: "i 1/x", Kind: storage.BackendServer, Service: "s", DataCentre: "a", Region: "r", Address: "1:1",
+		PeerAddress: "1:2", OperatorAddress: "1:3", Slots: 6, State: storage.Live,
 	}
 	must.NoError(t, c.Announce(t.Context(), full))
-	full.State = platform.Ended
+	full.State = storage.Ended
 	list, err := c.List(t.Context(), 0)
 	must.NoError(t, err)
-	must.Eq(t, platform.InstanceChanges{Version: 2, Changed: []platform.Instance{full}, Full: true}, list)
-	full.State = platform.Live
+	must.Eq(t, storage.InstanceChanges{Version: 2, Changed: []storage.Instance{full}, Full: true}, list)
+	full.State = storage.Live
 	must.ErrorIs(t, c.Announce(t.Context(), full), client.ErrEnded)
 	must.NoError(t, p.SetFaults(standin.PlatformFaults{Instances: standin.InstanceFaults{Frozen: true}}))
-	must.NoError(t, c.Announce(t.Context(), platform.Instance{ID: "new", Kind: platform.Entry, State: platform.Live}))
+	must.NoError(t, c.Announce(t.Context(), storage.Instance{ID: "new", Kind: storage.Entry, State: storage.Live}))
 	list, err = c.List(t.Context(), 2)
 	must.NoError(t, err)
-	must.Eq(t, platform.InstanceChanges{Version: 2}, list)
+	must.Eq(t, storage.InstanceChanges{Version: 2}, list)
 }
 
 func TestNobodyListens(t *testing.T) {
@@ -191,22 +191,22 @@
 	must.NoError(t, l.Close())
 	c, err := client.New("http://"+l.Addr().String(), client.Settings{})
 	must.NoError(t, err)
-	_, err = c.Read(t.Context(), platform.ReadRequest{Table: platform.Control})
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = c.Read(t.Context(), storage.ReadRequest{Table: storage.Control})
+	must.ErrorIs(t, err, storage.ErrUnavailable)
 	result, err := c.Write(t.Context(), put("a", "k", "v"))
 	must.NoError(t, err)
-	must.Eq(t, platform.Unknown, result.Outcome)
+	must.Eq(t, storage.Unknown, result.Outcome)
 }
 
 func TestMalformedWriteIsAnError(t *testing.T) {
 	p, c := start(t, standin.PlatformOptions{}, client.Settings{})
 	twice := put("a", "k", "1")
 	twice.Puts = append(twice.Puts, twice.Puts[0])
-	for _, txn := range []platform.Txn{put("", "k", "v"), put("a", "", "v"), {Attempt: "a"}, twice} {
+	for _, txn := range []storage.Txn{put("", "k", "v"), put("a", "", "v"), {Attempt: "a"}, twice} {
 		_, err := c.Write(t.Context(), txn)
 		must.ErrorIs(t, err, client.ErrMalformed)
 	}
-	_, err := c.Read(t.Context(), platform.ReadRequest{Table: "nosuch"})
+	_, err := c.Read(t.Context(), storage.ReadRequest{Table: "nosuch"})
 	must.ErrorIs(t, err, client.ErrMalformed)
 	must.Eq(t, 1, p.Counts().Writes)
 }
@@ -226,5 +226,5 @@
 	must.NoError(t, err)
 	must.Eq(t, []string{"trace/1", "trace/ä%2f?"}, names)
 	_, err = o.Get(t.Context(), "big")
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, storage.ErrUnavailable)
 }
--- a/platform/client/errors.go
+++ b/storage/client/errors.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"foxtailspoke/api/platform/oas"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
 var (
@@ -49,5 +49,5 @@
 	if refused := refusal(err); refused != nil {
 		return refused
 	}
-	return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	return fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 }
--- a/platform/client/history_test.go
+++ b/storage/client/history_test.go
@@ -12,8 +12,8 @@
 
 	"foxtailspoke/config"
 	"foxtailspoke/internal/standin"
-	"foxtailspoke/platform"
-	"foxtailspoke/platform/client"
+	"foxtailspoke/storage"
+	"foxtailspoke/storage/client"
 )
 
 const (
@@ -24,19 +24,19 @@
 
 // register is the state of the one row that the history is about.
 type register struct {
-	revision platform.Revision
+	revision storage.Revision
 	attempt  string
 }
 
 // access is a read, or a write that expects a revision.
 type access struct {
 	write    bool
-	expected platform.Revision
+	expected storage.Revision
 	attempt  string
 }
 
 type result struct {
-	outcome platform.WriteOutcome
+	outcome storage.WriteOutcome
 	// seen is what a read or a conflict showed.
 	seen register
 }
@@ -50,11 +50,11 @@
 		next := register{revision: s.revision + 1, attempt: a.attempt}
 		holds := s.revision == a.expected
 		switch {
-		case !a.write || r.outcome == platform.Conflict:
+		case !a.write || r.outcome == storage.Conflict:
 			if r.seen == s && !(a.write && holds) {
 				return []any{s}
 			}
-		case r.outcome == platform.Committed:
+		case r.outcome == storage.Committed:
 			if holds && r.seen == next {
 				return []any{next}
 			}
@@ -83,7 +83,7 @@
 	if !ok {
 		return out, false
 	}
-	if a.write && out.outcome == platform.Unknown {
+	if a.write && out.outcome == storage.Unknown {
 		ended = time.Hour
 	}
 	r.mu.Lock()
@@ -96,17 +96,17 @@
 
 // hasOutcomes reports whether writes ended in every way that the faults allow.
 func (r *recorder) hasOutcomes(f standin.PlatformFaults) bool {
-	found := map[platform.WriteOutcome]bool{}
+	found := map[storage.WriteOutcome]bool{}
 	for _, op := range r.ops {
 		if op.Input.(access).write {
 			found[op.Output.(result).outcome] = true
 		}
 	}
 	lossless := f.Table.LoseAnswersRatio == 0
-	return found[platform.Committed] && found[platform.Conflict] && (lossless || found[platform.Unknown])
+	return found[storage.Committed] && found[storage.Conflict] && (lossless || found[storage.Unknown])
 }
 
-func seen(rows []platform.Row) register {
+func seen(rows []storage.Row) register {
 	if len(rows) == 0 {
 		return register{}
 	}
@@ -114,18 +114,18 @@
 }
 
 func readRegister(t *testing.T, c *client.Client) (result, bool) {
-	changes, err := c.Read(t.Context(), platform.ReadRequest{Table: platform.Control, Prefix: historyKey})
+	changes, err := c.Read(t.Context(), storage.ReadRequest{Table: storage.Control, Prefix: historyKey})
 	return result{seen: seen(changes.Rows)}, err == nil
 }
 
 func writeRegister(t *testing.T, c *client.Client, a access) (result, bool) {
-	txn := put(a.attempt, historyKey, "v", platform.Condition{
-		Table: platform.Control, Key: historyKey, Revision: a.expected,
+	txn := put(a.attempt, historyKey, "v", storage.Condition{
+		Table: storage.Control, Key: historyKey, Revision: a.expected,
 	})
 	w, err := c.Write(t.Context(), txn)
 	out := result{outcome: w.Outcome, seen: seen(w.Current)}
-	if w.Outcome == platform.Committed {
-		out.seen = register{revision: w.Revisions[platform.Control], attempt: a.attempt}
+	if w.Outcome == storage.Committed {
+		out.seen = register{revision: w.Revisions[storage.Control], attempt: a.attempt}
 	}
 	return out, err == nil
 }
@@ -141,7 +141,7 @@
 		a := access{write: true, expected: known.seen.revision, attempt: fmt.Sprintf("%d-%d", worker, step)}
 		for {
 			out, _ := r.record(worker, a, func() (result, bool) { return writeRegister(t, c, a) })
-			if out.outcome != platform.Unknown || rng.IntN(2) == 0 {
+			if out.outcome != storage.Unknown || rng.IntN(2) == 0 {
 				break
 			}
 		}
--- a/platform/client/instances.go
+++ b/storage/client/instances.go
@@ -5,23 +5,23 @@
 
 	"foxtailspoke/api/platform/convert"
 	"foxtailspoke/api/platform/oas"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
-// List implements platform.Instances.
-func (c *Client) List(ctx context.Context, since uint64) (platform.InstanceChanges, error) {
+// List implements storage.Instances.
+func (c *Client) List(ctx context.Context, since uint64) (storage.InstanceChanges, error) {
 	ctx, cancel := c.bounded(ctx)
 	defer cancel()
 	res, err := c.api.ListInstances(ctx, oas.ListInstancesParams{Since: oas.NewOptUint64(since)})
 	if err != nil {
-		return platform.InstanceChanges{}, failed(err)
+		return storage.InstanceChanges{}, failed(err)
 	}
 	return convert.InstanceChangesFromAPI(res), nil
 }
 
-// Announce implements platform.Instances. It fails with ErrEnded if the
+// Announce implements storage.Instances. It fails with ErrEnded if the
 // platform has declared the instance ended.
-func (c *Client) Announce(ctx context.Context, i platform.Instance) error {
+func (c *Client) Announce(ctx context.Context, i storage.Instance) error {
 	ctx, cancel := c.bounded(ctx)
 	defer cancel()
 	params := oas.AnnounceInstanceParams{ID: i.ID}
--- a/platform/client/objects.go
+++ b/storage/client/objects.go
@@ -5,17 +5,17 @@
 	"fmt"
 
 	"foxtailspoke/api/platform/oas"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
-// objects has the methods of platform.Objects, whose List differs from that
-// of platform.Instances.
+// objects has the methods of storage.Objects, whose List differs from that
+// of storage.Instances.
 type objects struct{ c *Client }
 
 // Objects returns the object store.
-func (c *Client) Objects() platform.Objects { return objects{c} }
+func (c *Client) Objects() storage.Objects { return objects{c} }
 
-// Put implements platform.Objects. After ErrUnavailable the object may have
+// Put implements storage.Objects. After ErrUnavailable the object may have
 // been written.
 func (o objects) Put(ctx context.Context, name string, data []byte) error {
 	ctx, cancel := o.c.bounded(ctx)
@@ -30,7 +30,7 @@
 	return nil
 }
 
-// Get implements platform.Objects. It fails with ErrNotFound if there is no
+// Get implements storage.Objects. It fails with ErrNotFound if there is no
 // such object.
 func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
 	ctx, cancel := o.c.bounded(ctx)
@@ -46,7 +46,7 @@
 	return object.Data, nil
 }
 
-// List implements platform.Objects.
+// List implements storage.Objects.
 func (o objects) List(ctx context.Context, prefix string) ([]string, error) {
 	ctx, cancel := o.c.bounded(ctx)
 	defer cancel()
--- a/platform/client/table.go
+++ b/storage/client/table.go
@@ -9,11 +9,11 @@
 
 	"foxtailspoke/api/platform/convert"
 	"foxtailspoke/api/platform/oas"
-	"foxtailspoke/platform"
+	"foxtailspoke/storage"
 )
 
-// Read implements platform.Table.
-func (c *Client) Read(ctx context.Context, r platform.ReadRequest) (platform.Changes, error) {
+// Read implements storage.Table.
+func (c *Client) Read(ctx context.Context, r storage.ReadRequest) (storage.Changes, error) {
 	ctx, cancel := c.bounded(ctx)
 	defer cancel()
 	params := oas.ReadRowsParams{
@@ -25,53 +25,53 @@
 	}
 	res, err := c.api.ReadRows(ctx, params)
 	if err != nil {
-		return platform.Changes{}, failed(err)
+		return storage.Changes{}, failed(err)
 	}
 	changes := convert.ChangesFromAPI(res)
 	if err := checkChanges(r, changes); err != nil {
-		return platform.Changes{}, failed(err)
+		return storage.Changes{}, failed(err)
 	}
 	return changes, nil
 }
 
-// Write implements platform.Table.
+// Write implements storage.Table.
 //
-// Every failure after the request may have left ends as platform.Unknown:
+// Every failure after the request may have left ends as storage.Unknown:
 // an answer that is lost, late, cut short or not understood says nothing
 // about whether the transaction committed, and calling it a failure would
 // let its writer repeat what has already taken effect.
-func (c *Client) Write(ctx context.Context, t platform.Txn) (platform.WriteResult, error) {
+func (c *Client) Write(ctx context.Context, t storage.Txn) (storage.WriteResult, error) {
 	ctx, cancel := c.bounded(ctx)
 	defer cancel()
 	request := convert.TxnToAPI(t)
 	if err := request.Validate(); err != nil {
-		return platform.WriteResult{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+		return storage.WriteResult{}, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	res, err := c.api.WriteTransaction(ctx, request)
 	if err != nil {
-		return platform.WriteResult{}, refusal(err)
+		return storage.WriteResult{}, refusal(err)
 	}
 	switch res := res.(type) {
 	case *oas.Committed:
 		revisions := convert.RevisionsFromAPI(res.Revisions)
 		if !namesTables(revisions, t.Puts) {
-			return platform.WriteResult{}, nil
+			return storage.WriteResult{}, nil
 		}
-		return platform.WriteResult{Outcome: platform.Committed, Revisions: revisions}, nil
+		return storage.WriteResult{Outcome: storage.Committed, Revisions: revisions}, nil
 	case *oas.Conflict:
-		return platform.WriteResult{
-			Outcome: platform.Conflict,
+		return storage.WriteResult{
+			Outcome: storage.Conflict,
 			Current: convert.RowsFromAPI(res.Current),
 		}, nil
 	default:
-		return platform.WriteResult{}, nil
+		return storage.WriteResult{}, nil
 	}
 }
 
 // checkChanges refuses an answer that can't be one to the request. A row
 // from beyond the answer's revision would make a replica drop the row's later
 // changes as old, and a withdrawn key could stay in force.
-func checkChanges(r platform.ReadRequest, c platform.Changes) error {
+func checkChanges(r storage.ReadRequest, c storage.Changes) error {
 	for _, row := range c.Rows {
 		if row.Revision <= r.Since || row.Revision > c.Revision {
 			return errors.Newf("row %q of revision %d in an answer from %d to %d", row.Key, row.Revision, r.Since, c.Revision)
@@ -85,7 +85,7 @@
 
 // namesTables reports whether a commit's answer has the new revision of each
 // table that was written. One that hasn't answers something else.
-func namesTables(revisions map[platform.TableName]platform.Revision, puts []platform.Put) bool {
+func namesTables(revisions map[storage.TableName]storage.Revision, puts []storage.Put) bool {
 	for _, p := range puts {
 		if revisions[p.Table] == 0 {
 			return false
--- a/platform/instance.go
+++ b/storage/instance.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import "context"
 
--- a/platform/platform.go
+++ b/storage/storage.go
@@ -1,10 +1,10 @@
-// Package platform describes the services that the platform offers to
+// Package storage describes the services that the platform offers to
 // foxtailspoke: a transactional table, an object store and a lagging list of
 // instances. Everything that has to be agreed on or kept goes through them.
 //
 // The interfaces are small so that tests can replace them by fakes. The
-// client in platform/client implements them over HTTP.
-package platform
+// client in storage/client implements them over HTTP.
+package storage
 
 import (
 	"context"
