--- /dev/null
+++ b/edge/attempts.go
@@ -0,0 +1,386 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"foxtailspoke/event"
+	"foxtailspoke/evidence"
+	"foxtailspoke/health"
+	"foxtailspoke/placement"
+	"foxtailspoke/platform"
+	"foxtailspoke/retry"
+	"foxtailspoke/upstream"
+)
+
+const (
+	// lateAfter is how many usual times an attempt may take before it counts
+	// as late; a request's work rarely takes longer, a hanging server always.
+	lateAfter = 3.0
+	// lateLeast keeps very short requests from being late by mere chance.
+	lateLeast = 150 * time.Millisecond
+)
+
+// attempt is one try of a call at one server.
+type attempt struct {
+	choice placement.Choice
+	answer upstream.Answer
+	result health.Result
+	took   time.Duration
+	number int
+	cancel context.CancelFunc
+	// late says that it was told to be late already.
+	late bool
+	ends bool
+}
+
+// run sends the call to servers until one has answered or nothing more may be
+// tried.
+func (e *Edge) run(ctx context.Context, c *call) (*attempt, *verdict) {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(c.deadline-e.now()))
+	defer cancel()
+	r := &runner{e: e, c: c, ctx: ctx, done: make(chan *attempt, maxRunning)}
+	defer r.settle()
+	return r.run()
+}
+
+// maxRunning bounds the attempts of one call.
+const maxRunning = 8
+
+// runner drives the attempts of one call.
+type runner struct {
+	e       *Edge
+	c       *call
+	ctx     context.Context
+	done    chan *attempt
+	running []*attempt
+	tried   []string
+	// mayHaveRun says that an attempt ended without proof that it didn't run.
+	mayHaveRun bool
+	// last is the newest whole answer that wasn't delivered at once.
+	last *attempt
+}
+
+func (r *runner) run() (*attempt, *verdict) {
+	if v := r.begin(); v != nil {
+		return nil, v
+	}
+	late := time.NewTimer(r.e.patience(r.c))
+	defer late.Stop()
+	for {
+		select {
+		case a := <-r.done:
+			r.remove(a)
+			if done, v := r.ended(a); done != nil || v != nil {
+				return done, v
+			}
+		case <-late.C:
+			r.hedge()
+		case <-r.ctx.Done():
+			return r.last, r.timedOut()
+		}
+	}
+}
+
+// begin starts an attempt at the best server.
+func (r *runner) begin() *verdict {
+	choice, v := r.e.place(r.c, r.tried)
+	if v != nil {
+		return v
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	a := &attempt{choice: choice, number: len(r.tried) + 1, cancel: cancel}
+	r.tried = append(r.tried, choice.Server.ID)
+	r.running = append(r.running, a)
+	r.e.tellStart(r.c, a)
+	go func() {
+		start := r.e.now()
+		a.answer = r.e.pool.Do(ctx, choice.Server.Address, r.e.upstreamRequest(r.c, choice))
+		a.took = r.e.now() - start
+		a.result = classify(a.answer)
+		cancel()
+		r.done <- a
+	}()
+	return nil
+}
+
+func (r *runner) remove(a *attempt) {
+	for i, x := range r.running {
+		if x == a {
+			r.running = append(r.running[:i], r.running[i+1:]...)
+			return
+		}
+	}
+}
+
+// ended decides what follows an attempt's end: an answer for the caller, a
+// refusal, or neither while it goes on.
+func (r *runner) ended(a *attempt) (*attempt, *verdict) {
+	if a.result == health.OK {
+		r.e.tellEnd(r.c, a, evidence.Served)
+		return a, nil
+	}
+	mayHaveRun := r.mayHaveRun
+	r.mayHaveRun = r.mayHaveRun || !a.result.ProvedNotRun()
+	if a.answer.Outcome == upstream.Answered && !platform.NotRun(a.answer.Status, a.answer.Header) {
+		r.last = a
+	}
+	d := r.e.decide(r.c, a, len(r.tried), len(r.running), mayHaveRun)
+	switch d.Action {
+	case retry.Wait:
+		r.e.tellEnd(r.c, a, evidence.NotFinal)
+		return nil, nil
+	case retry.Retry:
+		r.e.tellEnd(r.c, a, evidence.NotFinal)
+		if v := r.begin(); v == nil {
+			return nil, nil
+		}
+	case retry.Deliver, retry.GiveUp, retry.Hedge:
+		r.e.tellEnd(r.c, a, evidence.Unserved)
+	}
+	if r.last != nil {
+		return r.last, nil
+	}
+	return nil, r.refusal(d)
+}
+
+// refusal is the truth about a call without an answer.
+func (r *runner) refusal(d retry.Decision) *verdict {
+	if r.mayHaveRun {
+		return &verdict{status: http.StatusBadGateway, rule: RuleServerFailed}
+	}
+	return &verdict{http.StatusServiceUnavailable, RuleNotRun, max(d.RetryAfter, comeBackSoon)}
+}
+
+func (r *runner) timedOut() *verdict {
+	if r.last != nil {
+		return nil
+	}
+	return &verdict{status: http.StatusGatewayTimeout, rule: RuleTimeout}
+}
+
+// hedge tells that the attempt is late, and asks a second server if the
+// request may run twice.
+func (r *runner) hedge() {
+	if len(r.running) != 1 {
+		return
+	}
+	a := r.running[0]
+	r.e.tellLate(a)
+	if r.e.mayHedge(r.c, len(r.tried), r.mayHaveRun) {
+		// No room for a second attempt: the first goes on alone.
+		_ = r.begin()
+	}
+}
+
+// settle ends the attempts that nobody waits for any more and takes in how
+// they ended. A caller that left, or was answered, must not keep servers busy.
+func (r *runner) settle() {
+	running := r.running
+	for _, a := range running {
+		a.cancel()
+	}
+	if len(running) == 0 {
+		return
+	}
+	timedOut := r.ctx.Err() == context.DeadlineExceeded
+	go func() {
+		for range running {
+			a := <-r.done
+			if a.result != health.OK && !timedOut {
+				a.result = health.Cancelled
+			}
+			r.e.tellEnd(r.c, a, evidence.NotFinal)
+		}
+	}()
+}
+
+// decide asks the rules of retries.
+func (e *Edge) decide(c *call, a *attempt, number, running int, mayHaveRun bool) retry.Decision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return retry.Decide(e.now(), e.retryState(c, a.result, number, running, mayHaveRun), e.retryBudget(c.service))
+}
+
+func (e *Edge) mayHedge(c *call, number int, mayHaveRun bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !c.route.Kind.Repeatable() {
+		return false
+	}
+	a := e.retryState(c, health.Late, number, 1, mayHaveRun)
+	return retry.DecideHedge(e.now(), a, e.retryBudget(c.service)).Action == retry.Hedge
+}
+
+func (e *Edge) retryState(c *call, result health.Result, number, running int, mayHaveRun bool) retry.Attempt {
+	others := c.route.MaxAttempts - number
+	return retry.Attempt{
+		Result:     result,
+		Idempotent: c.route.Kind.Repeatable(),
+		Number:     number,
+		MayHaveRun: mayHaveRun,
+		Running:    running,
+		Deadline:   c.deadline,
+		Others:     max(others, 0),
+		Room:       true,
+	}
+}
+
+// retryBudget is what this instance may repeat at a service, whatever the
+// other instances do: a share of its own requests, and its part of the slack.
+func (e *Edge) retryBudget(service string) *retry.Budget {
+	b, ok := e.state.budgets[service]
+	if !ok {
+		s := retry.DefaultSettings()
+		s.Share = e.settings.Bounds.RetryRatio * retryShare
+		s.Reserve = max(1, retryReserve*e.settings.Bounds.RetrySlack/float64(e.fleetSize()))
+		s.MaxAttempts = maxRunning
+		s.RetryAfter = comeBackSoon
+		b = retry.NewBudget(s, rand.New(rand.NewPCG(rand.Uint64(), uint64(e.self))))
+		e.state.budgets[service] = b
+	}
+	return b
+}
+
+// patience is how long an attempt may take before it counts as late.
+func (e *Edge) patience(c *call) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(time.Duration(lateAfter*float64(e.statsOf(c.route).work)), lateLeast)
+}
+
+// classify says what an attempt's end tells of the server.
+func classify(a upstream.Answer) health.Result {
+	switch a.Outcome {
+	case upstream.NotSent:
+		return health.ConnectFailed
+	case upstream.Broken:
+		return health.Incomplete
+	case upstream.TimedOut:
+		return health.Timeout
+	case upstream.Cancelled:
+		return health.Cancelled
+	case upstream.Answered:
+	}
+	switch {
+	case a.Status == http.StatusMisdirectedRequest:
+		return health.NotRun
+	case platform.NotRun(a.Status, a.Header) && a.Status == http.StatusServiceUnavailable:
+		return health.Shed
+	case platform.NotRun(a.Status, a.Header):
+		return health.NotRun
+	case a.Status >= http.StatusInternalServerError:
+		return health.ServerError
+	case a.Status < http.StatusMultipleChoices && a.Header.Get(platform.HeaderProof) == "":
+		// A success that no server has signed is no server's answer.
+		return health.Mismatch
+	}
+	return health.OK
+}
+
+// upstreamRequest is what a server gets.
+func (e *Edge) upstreamRequest(c *call, choice placement.Choice) upstream.Request {
+	h := c.header.Clone()
+	h.Set(platform.HeaderExpect, choice.Server.ID)
+	h.Set(platform.HeaderDeadline, platform.FormatDeadline(c.deadline-e.now()))
+	if c.workspace != nil {
+		h.Set(platform.HeaderWorkspace, c.workspace.Name)
+	}
+	return upstream.Request{
+		Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body,
+		IDHeader: platform.HeaderAttempt, ID: c.id,
+	}
+}
+
+// tellStart takes in and tells that an attempt has begun.
+func (e *Edge) tellStart(c *call, a *attempt) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.number == 1 {
+		e.retryBudget(c.service).Request()
+	}
+	m := evidence.Message{Attempts: []evidence.Attempt{e.outstanding(a, 1)}}
+	if c.workspace != nil {
+		h := workspaceHash(c.workspace.Name)
+		m.Usage = []evidence.Usage{{Workspace: h, Count: e.state.usage.Own(h)}}
+	}
+	e.say(m, 1)
+}
+
+// outstanding changes the own count of work at a server.
+func (e *Edge) outstanding(a *attempt, change int) evidence.Attempt {
+	s := &e.state
+	h := placement.Hash(a.choice.Server.ID)
+	n := uint16(max(int(s.own[h])+change, 0))
+	if n == 0 {
+		delete(s.own, h)
+	} else {
+		s.own[h] = n
+	}
+	s.placer.Outstanding(h, 0, int(n), e.now())
+	return evidence.Attempt{Server: h, Outstanding: n}
+}
+
+// tellEnd takes in and tells how an attempt ended.
+func (e *Edge) tellEnd(c *call, a *attempt, final evidence.Final) {
+	if a.ends {
+		return
+	}
+	a.ends = true
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	told := e.outstanding(a, -1)
+	told.Ended, told.Result, told.Final = true, a.result, final
+	work := e.statsOf(c.route).work
+	var took time.Duration
+	if a.result == health.OK {
+		took = a.took
+		told.TookMS, told.WorkMS = wireMilliseconds(took), wireMilliseconds(work)
+		e.learnRoute(c, took, len(c.body)+len(a.answer.Body))
+	}
+	e.state.placer.Learn(told.Server, a.result, took, work, now)
+	if final != evidence.NotFinal {
+		e.state.placer.Served(c.service, final == evidence.Served, now)
+	}
+	delegates := 1
+	if a.result.Failed() {
+		// The first failure of a spell must reach everybody: each request
+		// sent there for want of it may be lost.
+		delegates = surely
+	}
+	e.say(evidence.Message{Attempts: []evidence.Attempt{told}}, delegates)
+	e.metrics.attempts.WithLabelValues(a.result.String()).Inc()
+	e.logAttempt(c, a, now)
+}
+
+func (e *Edge) tellLate(a *attempt) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	told := e.outstanding(a, 0)
+	told.Result = health.Late
+	e.state.placer.Learn(told.Server, health.Late, 0, 0, e.now())
+	e.say(evidence.Message{Attempts: []evidence.Attempt{told}}, 1)
+}
+
+// logAttempt writes what was expected of a server and what came of it. Good
+// answers are told by the line of their request.
+func (e *Edge) logAttempt(c *call, a *attempt, now time.Duration) {
+	if a.result == health.OK || !e.budget.Take(now, 1) {
+		return
+	}
+	attrs := []slog.Attr{
+		slog.String("request", c.id), slog.Int("attempt", a.number),
+		slog.String("server", a.choice.Server.ID), slog.String("service", c.service),
+		slog.String("result", a.result.String()), slog.Int64("took_ms", a.took.Milliseconds()),
+		slog.Int("outstanding", a.choice.Outstanding), slog.Float64("risk", round(a.choice.Risk)),
+		slog.Int64("expected_ms", a.choice.Expected.Milliseconds()),
+	}
+	if a.answer.Err != nil {
+		attrs = append(attrs, slog.String("error", a.answer.Err.Error()))
+	}
+	event.AttemptEnded.Log(e.log, attrs...)
+}
--- /dev/null
+++ b/edge/call.go
@@ -0,0 +1,253 @@
+package edge
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"foxtailspoke/placement"
+	"foxtailspoke/platform"
+	"foxtailspoke/routing"
+)
+
+// Rule is the reason for which a request was answered as it was.
+type Rule string
+
+// The rules.
+const (
+	RuleServed       Rule = "served"
+	RuleNoConfig     Rule = "no-configuration"
+	RuleNoRoute      Rule = "no-route"
+	RuleNoKey        Rule = "unknown-key"
+	RuleStale        Rule = "configuration-too-old"
+	RuleTooLarge     Rule = "body-too-large"
+	RuleBody         Rule = "body-unreadable"
+	RuleOverRate     Rule = "over-rate"
+	RuleNoServer     Rule = "no-server"
+	RuleNoRoom       Rule = "no-room"
+	RuleServerFailed Rule = "server-failed"
+	RuleNotRun       Rule = "not-run"
+	RuleTimeout      Rule = "timeout"
+	RuleLeft         Rule = "caller-left"
+)
+
+const (
+	// callerMargin is kept back of the time that a caller will wait, for the
+	// answer's way to it.
+	callerMargin = 30 * time.Millisecond
+	// deadlineDefault holds for callers that don't say how long they wait.
+	deadlineDefault = 30 * time.Second
+	// comeBackSoon is told where the cause passes within moments.
+	comeBackSoon = 500 * time.Millisecond
+	// firstWork is the share of the aim that a request is taken to need
+	// before any was measured.
+	firstWork = 0.3
+	// firstKB is the size of request and answer taken before any was measured.
+	firstKB = 5.0
+	// retryReserve is the part of the fleet's slack for repeats that the
+	// instances share out as their reserves. A fleet whose processes were all
+	// killed begins with new reserves while the old ones are still counted.
+	retryReserve = 0.4
+	// retryShare is the part of the fleet's ratio of repeats that is used.
+	retryShare = 0.75
+)
+
+// call is a caller's request in progress.
+type call struct {
+	id        string
+	method    string
+	target    string
+	host      string
+	header    http.Header
+	body      []byte
+	start     time.Duration
+	deadline  time.Duration
+	route     *routing.Route
+	workspace *routing.Workspace
+	service   string
+	version   uint32
+	keyAge    time.Duration
+	// charged says that the workspace's rate has paid for it.
+	charged bool
+}
+
+// verdict is a refusal before any backend server was asked.
+type verdict struct {
+	status     int
+	rule       Rule
+	retryAfter time.Duration
+}
+
+// open reads what a request asks for and whether it may.
+func (e *Edge) open(r *http.Request) (*call, *verdict) {
+	c := &call{
+		id:     r.Header.Get(platform.HeaderAttempt),
+		method: r.Method,
+		target: target(r),
+		host:   r.Host,
+		start:  e.now(),
+	}
+	path, _, _ := strings.Cut(c.target, "?")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := &e.state
+	if s.table == nil {
+		return c, &verdict{http.StatusServiceUnavailable, RuleNoConfig, comeBackSoon}
+	}
+	c.version = s.table.Version
+	c.keyAge = e.keyAge(c.start)
+	c.route = s.table.Route(r.Host, path)
+	if c.route == nil {
+		return c, &verdict{status: http.StatusNotFound, rule: RuleNoRoute}
+	}
+	c.deadline = c.start + timeLeft(r.Header, c.route)
+	if v := e.checkKey(c, r.Header); v != nil {
+		return c, v
+	}
+	if limit := s.table.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
+		return c, &verdict{status: http.StatusRequestEntityTooLarge, rule: RuleTooLarge}
+	}
+	c.service = s.split.Pick(c.route)
+	return c, nil
+}
+
+// target is the path and query as the caller sent them. A caller may send the
+// whole URL.
+func target(r *http.Request) string {
+	t := r.RequestURI
+	if strings.HasPrefix(t, "/") {
+		return t
+	}
+	if _, rest, ok := strings.Cut(t, "://"); ok {
+		if i := strings.IndexByte(rest, '/'); i >= 0 {
+			return rest[i:]
+		}
+	}
+	return "/"
+}
+
+func timeLeft(h http.Header, r *routing.Route) time.Duration {
+	left := platform.Deadline(h)
+	if left == 0 {
+		left = deadlineDefault
+	}
+	left -= callerMargin
+	if r.Timeout > 0 {
+		left = min(left, r.Timeout)
+	}
+	return left
+}
+
+// checkKey finds the workspace. A key that was taken away must not work any
+// longer than its bound, so that nothing with a key is admitted on a
+// configuration whose age isn't proved; nothing of it has run then.
+func (e *Edge) checkKey(c *call, h http.Header) *verdict {
+	s := &e.state
+	if !s.table.Keyed || c.route.Public {
+		return nil
+	}
+	if c.keyAge > s.bounds.Keys {
+		return &verdict{http.StatusServiceUnavailable, RuleStale, comeBackSoon}
+	}
+	c.workspace = s.table.Workspace(platform.Key(h.Get(platform.HeaderKey)))
+	if c.workspace == nil {
+		return &verdict{status: http.StatusUnauthorized, rule: RuleNoKey}
+	}
+	return nil
+}
+
+// readBody holds the whole body, so that it can go to a second server if the
+// first didn't run it, and a slow sender holds no server's slot.
+func (e *Edge) readBody(c *call, w http.ResponseWriter, r *http.Request) *verdict {
+	if r.ContentLength == 0 {
+		return nil
+	}
+	body := r.Body
+	e.mu.Lock()
+	if limit := e.state.table.Limits.BodyBytes; limit > 0 {
+		body = http.MaxBytesReader(w, body, limit)
+	}
+	e.mu.Unlock()
+	b, err := io.ReadAll(body)
+	if _, tooLarge := err.(*http.MaxBytesError); tooLarge { //nolint:errorlint // the reader returns it bare
+		return &verdict{status: http.StatusRequestEntityTooLarge, rule: RuleTooLarge}
+	}
+	if err != nil {
+		return &verdict{status: http.StatusBadRequest, rule: RuleBody}
+	}
+	c.body = b
+	return nil
+}
+
+// place chooses a server for the next attempt. Charging the workspace comes
+// last: only a request that is going to be sent uses up its rate.
+func (e *Edge) place(c *call, tried []string) (placement.Choice, *verdict) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := &e.state
+	now := e.now()
+	r := e.wanted(c, tried, now)
+	choice, ok := s.placer.Choose(r, now, rand.Float64)
+	if !ok {
+		return choice, &verdict{http.StatusServiceUnavailable, RuleNoServer, comeBackSoon}
+	}
+	rank := routing.Rank(c.route, c.workspace)
+	if ok, wait := placement.Admit(choice, r, rank, rand.Float64()); !ok {
+		return choice, &verdict{http.StatusServiceUnavailable, RuleNoRoom, wait}
+	}
+	if v := e.charge(c, now); v != nil {
+		return choice, v
+	}
+	return choice, nil
+}
+
+func (e *Edge) wanted(c *call, tried []string, now time.Duration) placement.Request {
+	stats := e.statsOf(c.route)
+	return placement.Request{
+		Service:    c.service,
+		Repeatable: c.route.Kind.Repeatable(),
+		Aim:        c.route.Aim - (now - c.start),
+		Left:       c.deadline - now,
+		Work:       stats.work,
+		KB:         stats.kb,
+		DataCentre: e.settings.DataCentre,
+		Tried:      tried,
+	}
+}
+
+func (e *Edge) charge(c *call, now time.Duration) *verdict {
+	if c.workspace == nil || c.charged {
+		return nil
+	}
+	ok, wait := e.state.usage.Take(workspaceHash(c.workspace.Name), now)
+	if !ok {
+		// Spread, so that callers refused together don't return together.
+		wait += time.Duration(rand.Float64() * float64(comeBackSoon))
+		return &verdict{http.StatusTooManyRequests, RuleOverRate, wait}
+	}
+	c.charged = true
+	return nil
+}
+
+func (e *Edge) statsOf(r *routing.Route) *routeStats {
+	st, ok := e.state.routes[r.Name]
+	if !ok {
+		st = &routeStats{work: time.Duration(firstWork * float64(r.Aim)), kb: firstKB}
+		e.state.routes[r.Name] = st
+	}
+	return st
+}
+
+// learnRoute takes in the time and size of an answered request.
+func (e *Edge) learnRoute(c *call, took time.Duration, bytes int) {
+	st := e.statsOf(c.route)
+	st.work += time.Duration(routeSmoothing * float64(took-st.work))
+	st.kb += routeSmoothing * (float64(bytes)/1024 - st.kb)
+}
+
+// routeSmoothing is the weight of one request among those of its route.
+const routeSmoothing = 0.08
+
+func workspaceHash(name string) uint32 { return placement.Hash(name) }
--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,273 @@
+// Package edge is one instance of the fleet on the users' platform: it takes
+// callers' requests, chooses backend servers for them, and shares what it
+// learns with the other instances.
+//
+// The decisions are made by packages without input or output: routing,
+// discovery, placement, usage, retry, freshness. This package feeds them and
+// does what they say. All of their state is behind one lock: a decision takes
+// some microseconds, and an instance has one core and some tens of requests a
+// second.
+package edge
+
+import (
+	"context"
+	"encoding/binary"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/thejerf/suture/v4"
+
+	"foxtailspoke/discovery"
+	"foxtailspoke/edge/settings"
+	"foxtailspoke/entry/clock"
+	"foxtailspoke/event"
+	"foxtailspoke/freshness"
+	"foxtailspoke/logging"
+	"foxtailspoke/placement"
+	"foxtailspoke/platform"
+	"foxtailspoke/replica"
+	"foxtailspoke/retry"
+	"foxtailspoke/routing"
+	"foxtailspoke/upstream"
+	"foxtailspoke/usage"
+)
+
+// Edge is one instance.
+type Edge struct {
+	settings settings.Settings
+	file     string
+	log      *slog.Logger
+	lines    *logging.Writer
+	budget   *logging.Budget
+	clock    clock.Clock
+	store    *platform.Store
+	pool     *upstream.Pool
+	metrics  *metrics
+	socket   *net.UDPConn
+	ports    ports
+	tree     *suture.Supervisor
+
+	self       uint32
+	epoch      uint32
+	peerPort   uint16
+	callerPort uint16
+
+	// stopping is set by the signal to stop.
+	stopping atomic.Bool
+	inFlight atomic.Int64
+	conns    *connections
+	// kicked wakes the poller.
+	kicked chan struct{}
+	// fetches wakes the fetcher of the configuration.
+	fetches chan struct{}
+
+	mu    sync.Mutex
+	state state
+}
+
+// state is all that decisions are made on, guarded by Edge.mu.
+type state struct {
+	bounds freshness.Bounds
+
+	table *routing.Table
+	// misread says that the newest configuration in the store couldn't be
+	// understood: what is in force is older, and its age can't be proved.
+	misread bool
+	split   routing.Splitter
+
+	clock     freshness.Clock
+	poll      freshness.Poll
+	config    *replica.Table
+	servers   *replica.Table
+	instances *replica.Table
+	// configProof is the store's stamp up to which the configuration in force
+	// is proved to be the newest.
+	configProof time.Duration
+	proved      bool
+	// serversProof is when the list of servers was last known to be complete.
+	serversProof time.Duration
+	// outageEnd is when the store last came back after an outage.
+	outageEnd time.Duration
+	// gap says that changes of the servers were missed.
+	gap        bool
+	storeLost  bool
+	nextListed time.Duration
+
+	list    *discovery.List
+	placer  *placement.Placer
+	usage   *usage.Counters
+	budgets map[string]*retry.Budget
+	routes  map[string]*routeStats
+
+	members  map[uint32]*member
+	own      map[uint32]uint16
+	sequence uint32
+	spoke    time.Duration
+	beat     time.Duration
+	relay    [][]byte
+}
+
+// routeStats is what an instance knows of one route's requests.
+type routeStats struct {
+	// work is the usual time of a request.
+	work time.Duration
+	// kb is the usual size of request and answer.
+	kb float64
+}
+
+// New returns an instance that listens on its addresses and serves once Run
+// is called.
+func New(file string, s settings.Settings, lines *logging.Writer) (*Edge, error) {
+	self, err := addressNumber(s.IP)
+	if err != nil {
+		return nil, err
+	}
+	e := &Edge{
+		settings: s,
+		file:     file,
+		lines:    lines,
+		log:      slog.New(slog.NewJSONHandler(lines, nil)).With(slog.String("instance", s.Name)),
+		budget:   logging.NewBudget(s.Log.LinesPerSecond),
+		clock:    clock.New(),
+		store:    platform.NewStore(s.Store.Address),
+		pool:     upstream.NewPool(),
+		conns:    newConnections(),
+		self:     self,
+		epoch:    uint32(time.Now().Unix()),
+		kicked:   make(chan struct{}, 1),
+		fetches:  make(chan struct{}, 1),
+	}
+	e.metrics = newMetrics(e)
+	e.state = state{
+		bounds:    freshness.NewBounds(settings.Seconds(s.Bounds.RevokeS)),
+		split:     routing.Splitter{Offset: rand.Float64()},
+		config:    replica.NewTable(),
+		servers:   replica.NewTable(),
+		instances: replica.NewTable(),
+		list:      discovery.NewList(),
+		placer:    placement.New(),
+		usage:     usage.NewCounters(),
+		budgets:   make(map[string]*retry.Budget),
+		routes:    make(map[string]*routeStats),
+		members:   make(map[uint32]*member),
+		own:       make(map[uint32]uint16),
+	}
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	e.plant()
+	return e, nil
+}
+
+// Run serves until the context ends, which begins a planned stop.
+func (e *Edge) Run(ctx context.Context) error {
+	run, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := e.tree.ServeBackground(run)
+	event.EdgeStarted.Log(e.log, slog.String("callers", e.settings.Listen.Callers),
+		slog.String("data_centre", e.settings.DataCentre), slog.String("store", e.settings.Store.Address))
+	select {
+	case <-ctx.Done():
+	case err := <-done:
+		return err
+	}
+	e.stop()
+	cancel()
+	<-done
+	e.lines.Flush()
+	return nil
+}
+
+// now reads the instance's clock, which goes on while the machine sleeps.
+func (e *Edge) now() time.Duration { return e.clock.Now() }
+
+// ports are the listeners of an instance.
+type ports struct {
+	callers, readiness, directory, metrics, snapshots net.Listener
+}
+
+func (e *Edge) listen() error {
+	l := e.settings.Listen
+	for _, p := range []struct {
+		into    *net.Listener
+		address string
+	}{
+		{&e.ports.callers, l.Callers},
+		{&e.ports.readiness, l.Readiness},
+		{&e.ports.directory, l.Directory},
+		{&e.ports.metrics, l.Metrics},
+		{&e.ports.snapshots, l.Peers},
+	} {
+		listener, err := net.Listen("tcp4", p.address)
+		if err != nil {
+			return errors.Wrapf(err, "listening on %s", p.address)
+		}
+		*p.into = listener
+	}
+	peers := netip.MustParseAddrPort(e.ports.snapshots.Addr().String())
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(peers))
+	if err != nil {
+		return errors.Wrapf(err, "listening on %s", peers)
+	}
+	e.socket = socket
+	e.peerPort = peers.Port()
+	e.callerPort = netip.MustParseAddrPort(e.ports.callers.Addr().String()).Port()
+	return nil
+}
+
+// plant puts the parts into the supervisor tree.
+func (e *Edge) plant() {
+	e.tree = suture.New("edge", suture.Spec{
+		EventHook: func(ev suture.Event) {
+			event.ChildFailed.Log(e.log, slog.String("error", ev.String()))
+		},
+		Timeout: time.Second,
+	})
+	e.tree.Add(part{"log", e.lines.Serve})
+	e.tree.Add(part{"receiver", e.receive})
+	e.tree.Add(part{"heart", e.heart})
+	e.tree.Add(part{"poller", e.pollStore})
+	e.tree.Add(part{"fetcher", e.fetchConfig})
+	e.tree.Add(part{"snapshots", e.serveSnapshots})
+	e.tree.Add(part{"settings", e.watchSettings})
+	e.tree.Add(part{"callers", e.serveCallers})
+	e.tree.Add(part{"readiness", e.serveHTTP(e.ports.readiness, http.HandlerFunc(e.answerReady))})
+	e.tree.Add(part{"directory", e.serveHTTP(e.ports.directory, http.HandlerFunc(e.answerDirectory))})
+	e.tree.Add(part{"metrics", e.serveHTTP(e.ports.metrics, e.metrics.handler())})
+}
+
+// part is a named part of the tree.
+type part struct {
+	name  string
+	serve func(context.Context) error
+}
+
+// Serve implements suture.Service.
+func (p part) Serve(ctx context.Context) error { return p.serve(ctx) }
+
+// String names the part in logs.
+func (p part) String() string { return p.name }
+
+// addressNumber is the short form of an IPv4 address in messages.
+func addressNumber(ip string) (uint32, error) {
+	a, err := netip.ParseAddr(ip)
+	if err != nil || !a.Is4() {
+		return 0, errors.Newf("%q isn't an IPv4 address", ip)
+	}
+	b := a.As4()
+	return binary.BigEndian.Uint32(b[:]), nil
+}
+
+// address is the opposite of addressNumber, with a port.
+func address(n uint32, port uint16) netip.AddrPort {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], n)
+	return netip.AddrPortFrom(netip.AddrFrom4(b), port)
+}
--- /dev/null
+++ b/edge/metrics.go
@@ -0,0 +1,142 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"os"
+	"reflect"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"foxtailspoke/edge/settings"
+	"foxtailspoke/event"
+	"foxtailspoke/freshness"
+)
+
+const namespace = "foxtailspoke_edge"
+
+// metrics of one instance. No label is a workspace or a server: thousands of
+// them would be as many series. How single ones fare is in the logs.
+type metrics struct {
+	registry  *prometheus.Registry
+	requests  *prometheus.CounterVec
+	took      *prometheus.HistogramVec
+	attempts  *prometheus.CounterVec
+	datagrams prometheus.Counter
+}
+
+func newMetrics(e *Edge) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "requests_total", Help: "Callers' requests by the rule that ended them.",
+		}, []string{"rule"}),
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's headers to its answer, by rule.",
+			Buckets: prometheus.ExponentialBuckets(1e-3, 2, 14),
+		}, []string{"rule"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "attempts_total", Help: "Attempts at backend servers by result.",
+		}, []string{"result"}),
+		datagrams: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "datagrams_total", Help: "Datagrams written to other instances.",
+		}),
+	}
+	m.registry.MustRegister(m.requests, m.took, m.attempts, m.datagrams)
+	m.gauge("store_calls_total", "Calls of the platform's store.", func() float64 { return float64(e.store.Calls()) })
+	m.gauge("server_connections_total", "Connections opened to backend servers.", func() float64 { return float64(e.pool.Opened()) })
+	m.gauge("log_lines_left_out_total", "Log lines that the bound or a full buffer kept back.", func() float64 {
+		return float64(e.budget.LeftOut() + e.lines.Dropped())
+	})
+	m.gauge("configuration_age_seconds", "Age of the proof that the configuration in force is the newest.", e.locked(func() float64 {
+		return e.keyAge(e.now()).Seconds()
+	}))
+	m.gauge("configuration_version", "Version of the configuration in force.", e.locked(func() float64 {
+		if e.state.table == nil {
+			return 0
+		}
+		return float64(e.state.table.Version)
+	}))
+	m.gauge("rate_share", "Part of the workspaces' rates that this instance may count on.", e.locked(func() float64 {
+		return e.state.usage.Share
+	}))
+	m.gauge("servers", "Backend servers in the list.", e.locked(func() float64 { return float64(e.state.list.Len()) }))
+	m.gauge("suspect_servers", "Backend servers that more likely fail than not.", e.locked(func() float64 {
+		n := 0
+		for _, v := range e.state.placer.Views(e.now()) {
+			if v.Failing > 0.5 {
+				n++
+			}
+		}
+		return float64(n)
+	}))
+	m.gauge("instances_alive", "Other instances that are heard.", e.locked(func() float64 {
+		n := 0
+		for _, p := range e.state.members {
+			if p.alive {
+				n++
+			}
+		}
+		return float64(n)
+	}))
+	return m
+}
+
+func (m *metrics) gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// locked wraps a reader of the state.
+func (e *Edge) locked(read func() float64) func() float64 {
+	return func() float64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return read()
+	}
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+func (m *metrics) ended(rule Rule, took time.Duration) {
+	m.requests.WithLabelValues(string(rule)).Inc()
+	m.took.WithLabelValues(string(rule)).Observe(took.Seconds())
+}
+
+// settingsEvery is how often the settings file is looked at: it may change
+// without a signal.
+const settingsEvery = 2 * time.Second
+
+// watchSettings takes in changes of the settings file that can take effect
+// while the process runs: the store's address and the bounds.
+func (e *Edge) watchSettings(ctx context.Context) error {
+	current := e.settings
+	var seen os.FileInfo
+	for pause(ctx, settingsEvery) {
+		info, err := os.Stat(e.file)
+		if err != nil || (seen != nil && info.ModTime().Equal(seen.ModTime()) && info.Size() == seen.Size()) {
+			continue
+		}
+		seen = info
+		s, err := settings.Load(e.file)
+		if err != nil {
+			event.SettingsRejected.Log(e.log, slog.Any("error", err))
+			continue
+		}
+		if reflect.DeepEqual(s, current) {
+			continue
+		}
+		current = s
+		e.store.SetAddress(s.Store.Address)
+		e.mu.Lock()
+		e.state.bounds = freshness.NewBounds(settings.Seconds(s.Bounds.RevokeS))
+		e.mu.Unlock()
+		event.SettingsReloaded.Log(e.log, slog.String("store", s.Store.Address))
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/edge/serve.go
@@ -0,0 +1,212 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/edge/settings"
+	"foxtailspoke/event"
+	"foxtailspoke/platform"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's headers until the
+	// configuration has said otherwise; the platform's usual value.
+	headerTimeout = 5 * time.Second
+	// idleTimeoutFirst closes idle connections of callers until the
+	// configuration has said otherwise.
+	idleTimeoutFirst = 60 * time.Second
+	// maxHeaderBytes bounds a request's headers; the platform's usual value.
+	maxHeaderBytes = 64 << 10
+	// addressTTL is how long callers keep an answer of the directory. A dead
+	// instance is left out of the answers after about a second, and callers
+	// have the new answer as much later.
+	addressTTL = 2 * time.Second
+	// maxAddresses is the most that callers take from an answer.
+	maxAddresses = 64
+	// fewAddresses is how many instances of the caller's data centre are
+	// enough not to name others beside them.
+	fewAddresses = 2
+	// stopMargin is kept back of the time until the end by force.
+	stopMargin = 500 * time.Millisecond
+	// lingerMost is how long a stopping instance waits for callers that still
+	// hold an old answer, three times addressTTL for the slowest of them.
+	lingerMost = 3 * addressTTL
+	// lingerStep is how often a stopping instance looks whether it is idle.
+	lingerStep = 100 * time.Millisecond
+)
+
+// serveHTTP serves a handler until the context ends.
+func (e *Edge) serveHTTP(l net.Listener, h http.Handler) func(context.Context) error {
+	return func(ctx context.Context) error {
+		return serve(ctx, l, &http.Server{
+			Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeoutFirst,
+			ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+		})
+	}
+}
+
+// serveCallers serves callers' requests.
+func (e *Edge) serveCallers(ctx context.Context) error {
+	return serve(ctx, e.ports.callers, &http.Server{
+		Handler:           http.HandlerFunc(e.answerCaller),
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         e.conns.changed,
+		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	})
+}
+
+func serve(ctx context.Context, l net.Listener, s *http.Server) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return ctx.Err()
+	}
+	return errors.Wrap(err, "server")
+}
+
+// connections closes callers' connections that stay idle for too long. The
+// bound comes with the configuration and may change while they are open, which
+// net/http's own setting can't.
+type connections struct {
+	mu    sync.Mutex
+	idle  map[net.Conn]*time.Timer
+	open  int
+	bound time.Duration
+}
+
+func newConnections() *connections {
+	return &connections{idle: make(map[net.Conn]*time.Timer), bound: idleTimeoutFirst}
+}
+
+func (c *connections) setIdle(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bound = d
+}
+
+// changed is net/http's hook.
+func (c *connections) changed(nc net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t, ok := c.idle[nc]; ok {
+		t.Stop()
+		delete(c.idle, nc)
+	}
+	switch state {
+	case http.StateNew:
+		c.open++
+	case http.StateIdle:
+		c.idle[nc] = time.AfterFunc(c.bound, func() { _ = nc.Close() })
+	case http.StateClosed, http.StateHijacked:
+		c.open--
+	case http.StateActive:
+	}
+}
+
+func (c *connections) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open
+}
+
+// readyLocked reports whether callers should be sent here. The lock must be
+// held.
+func (e *Edge) readyLocked() bool {
+	s := &e.state
+	return !e.stopping.Load() && s.table != nil && !s.misread && e.keyAge(e.now()) < s.bounds.Keys
+}
+
+// answerReady answers the platform.
+func (e *Edge) answerReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.PathReady {
+		http.NotFound(w, r)
+		return
+	}
+	e.mu.Lock()
+	ready := e.readyLocked()
+	e.mu.Unlock()
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// answerDirectory tells a caller which addresses to use.
+func (e *Edge) answerDirectory(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.PathResolve {
+		http.NotFound(w, r)
+		return
+	}
+	q := platform.DecodeQuestion(r)
+	e.mu.Lock()
+	addresses := e.addressesFor(q.DataCentre)
+	e.mu.Unlock()
+	if len(addresses) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	ttl := min(addressTTL, settings.Seconds(e.settings.Bounds.AddressTTLS))
+	if err := platform.WriteAddresses(w, addresses, ttl); err != nil {
+		event.PeerMessageFailed.Log(e.log, slog.Any("error", err))
+	}
+}
+
+// addressesFor names the ready instances of the caller's data centre. Others
+// are named only if there are too few: what crosses data centres is slower,
+// and dear.
+func (e *Edge) addressesFor(dataCentre string) []string {
+	var near, far []string
+	add := func(id uint32, dc string) {
+		a := address(id, e.callerPort).String()
+		if dc == dataCentre {
+			near = append(near, a)
+		} else {
+			far = append(far, a)
+		}
+	}
+	if e.readyLocked() {
+		add(e.self, e.settings.DataCentre)
+	}
+	for id, m := range e.state.members {
+		if m.alive && !m.leaving {
+			add(id, m.dataCentre)
+		}
+	}
+	if len(near) < fewAddresses {
+		near = append(near, far...)
+	}
+	return near[:min(len(near), maxAddresses)]
+}
+
+// stop ends the instance as planned: it is named to nobody any more, asks
+// callers to go elsewhere with each answer, and goes on serving until they
+// have, or until just before the end by force.
+func (e *Edge) stop() {
+	e.stopping.Store(true)
+	event.EdgeStopping.Log(e.log, slog.Int("connections", e.conns.count()))
+	start := e.now()
+	end := settings.Seconds(e.settings.Bounds.GraceS) - stopMargin
+	e.mu.Lock()
+	e.say(e.introduce(), surely)
+	e.mu.Unlock()
+	for {
+		time.Sleep(lingerStep)
+		passed := e.now() - start
+		busy := e.inFlight.Load() > 0 || e.conns.count() > 0
+		if passed >= end || (!busy && passed >= addressTTL) || (passed >= lingerMost && e.inFlight.Load() == 0) {
+			break
+		}
+	}
+	event.EdgeStopped.Log(e.log, slog.Int64("cut", e.inFlight.Load()))
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -3,7 +3,7 @@
 import "log/slog"
 
 // The catalogue. 1xx is the process, 2xx the configuration and membership,
-// 3xx requests and backend servers, 4xx the platform.
+// 3xx requests and backend servers, 4xx the platform, 5xx the edge instances.
 var (
 	Started = Event{
 		101, slog.LevelInfo, "instance started",
@@ -62,6 +62,71 @@
 		403, slog.LevelWarn, "decision records dropped",
 		"Decision records didn't fit in memory before the object store took them.", "Check the object store; `explain` misses `count` requests.",
 	}
+
+	EdgeStarted = Event{
+		501, slog.LevelInfo, "edge instance started",
+		"The process listens on its addresses; it serves once it knows a configuration.", "Nothing.",
+	}
+	EdgeStopping = Event{
+		502, slog.LevelInfo, "edge instance stops",
+		"A planned stop: the instance isn't named to callers any more and finishes what it has.", "Nothing.",
+	}
+	EdgeStopped = Event{
+		503, slog.LevelInfo, "edge instance stopped",
+		"The planned stop is done; `cut` requests were still in progress.", "If `cut` isn't 0, see which servers were slow.",
+	}
+	SettingsReloaded = Event{
+		504, slog.LevelInfo, "settings reloaded",
+		"The settings file has changed and the new settings are in force.", "Nothing.",
+	}
+	SettingsRejected = Event{
+		505, slog.LevelError, "settings rejected",
+		"The changed settings file has a fault; the former settings stay in force.", "Mend the field that `error` names.",
+	}
+	ConfigInForce = Event{
+		511, slog.LevelInfo, "configuration in force",
+		"This instance acts on a new configuration from now on.", "Nothing.",
+	}
+	ConfigRejected = Event{
+		512, slog.LevelError, "configuration not understood",
+		"The newest configuration in the store can't be read; requests with keys are refused once its age can't be proved.", "Mend the configuration that the operator wrote.",
+	}
+	ServerChanged = Event{
+		513, slog.LevelInfo, "backend server's entry changed",
+		"A backend server has come, drains, or is gone.", "Nothing.",
+	}
+	EntryIgnored = Event{
+		514, slog.LevelWarn, "entry ignored",
+		"An entry in the store names no server or instance that could be used.", "Find out who wrote it.",
+	}
+	StoreCallFailed = Event{
+		515, slog.LevelWarn, "call of the store failed",
+		"This instance asked the store and got no useful answer. Others go on asking.", "If only one instance logs this, check its network.",
+	}
+	PeerHeard = Event{
+		521, slog.LevelInfo, "instance heard",
+		"Another instance speaks, for the first time or again.", "Nothing.",
+	}
+	PeerSilent = Event{
+		522, slog.LevelWarn, "instance silent",
+		"Another instance hasn't spoken for `silence`; it isn't named to callers, and its part of the rates isn't counted on.", "Check it, if it wasn't stopped.",
+	}
+	PeerMessageFailed = Event{
+		523, slog.LevelWarn, "message between instances failed",
+		"A message couldn't be read or made.", "Check whether all instances run the same version.",
+	}
+	RequestEnded = Event{
+		531, slog.LevelInfo, "request ended",
+		"A caller's request was answered: `outcome` and `reason` say how, `rule` by which figures.", "See OPERATIONS.md.",
+	}
+	AttemptEnded = Event{
+		532, slog.LevelInfo, "attempt ended",
+		"One attempt at a backend server ended: what was expected of the server, and what came of it.", "See OPERATIONS.md.",
+	}
+	LinesLeftOut = Event{
+		533, slog.LevelWarn, "log lines left out",
+		"More lines came than the bound allows; `count` since the start were left out.", "Raise log.linesPerSecond if they are needed.",
+	}
 )
 
 // All returns the catalogue in the order of the numbers.
@@ -71,5 +136,9 @@
 		ConfirmationChanged, HandshakeFailed,
 		ServerEjected, ServerReturned, ShardWritten,
 		PlatformUnavailable, PlatformReturned, RecordsDropped,
+		EdgeStarted, EdgeStopping, EdgeStopped, SettingsReloaded, SettingsRejected,
+		ConfigInForce, ConfigRejected, ServerChanged, EntryIgnored, StoreCallFailed,
+		PeerHeard, PeerSilent, PeerMessageFailed,
+		RequestEnded, AttemptEnded, LinesLeftOut,
 	}
 }
--- /dev/null
+++ b/evidence/evidence.go
@@ -0,0 +1,158 @@
+// Package evidence is what instances tell each other by datagram: that they
+// live, what became of their attempts, what they admitted, and what the store
+// has said.
+//
+// A datagram holds one or more messages. Inside a data centre each instance
+// writes to all others. Into every other data centre it writes to one
+// instance there, which hands the messages on, several in one datagram: bytes
+// between data centres are dear, and most messages would cross as many times
+// as there are instances. Every message carries totals or absolute figures,
+// so that a lost one is made good by the next.
+package evidence
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"foxtailspoke/health"
+)
+
+// MaxDatagram is the most bytes of a datagram that links carry in one piece.
+const MaxDatagram = 1400
+
+// Message is what one instance says at one moment.
+type Message struct {
+	_ struct{} `cbor:",toarray"`
+	// Source is the IPv4 address of the instance that speaks.
+	Source uint32
+	// Epoch is when it started, in Unix seconds. Totals begin anew with it.
+	Epoch uint32
+	// Sequence counts its messages since its start.
+	Sequence uint32
+	// DataCentre is set in heartbeats.
+	DataCentre string
+	// Leaving says that callers must not be sent to it any more.
+	Leaving  bool
+	Attempts []Attempt
+	Usage    []Usage
+	Notices  []Notice
+}
+
+// Attempt is the state of a source's work at a backend server.
+type Attempt struct {
+	_ struct{} `cbor:",toarray"`
+	// Server is the hash of the server's id.
+	Server uint32
+	// Outstanding is how many requests the source has there now.
+	Outstanding uint16
+	// Ended says that Result is how the attempt went; else it has begun.
+	Ended  bool
+	Result health.Result
+	// TookMS of an answer, and WorkMS that is usual for its kind of request.
+	TookMS uint16
+	WorkMS uint16
+	// Final is the outcome of the request that the attempt belonged to.
+	Final Final
+}
+
+// Final is how a request ended for its caller.
+type Final uint8
+
+// The ends of a request. NotFinal: it goes on.
+const (
+	NotFinal Final = iota
+	Served
+	Unserved
+)
+
+// Usage is what a source has admitted for a workspace since its start.
+type Usage struct {
+	_ struct{} `cbor:",toarray"`
+	// Workspace is the hash of its name.
+	Workspace uint32
+	Count     uint64
+}
+
+// Notice hands on what the store has said of a table.
+type Notice struct {
+	_     struct{} `cbor:",toarray"`
+	Table Table
+	// Since and Version span the changes that are told.
+	Since   uint64
+	Version uint64
+	// StampUS is the store's steady clock at its answer, in microseconds. 0
+	// says that the store is being asked, or didn't answer.
+	StampUS int64
+	// Fetch says that something has changed that is too large for a message.
+	Fetch bool
+	Rows  []Row
+}
+
+// Table is a short name of a table.
+type Table uint8
+
+// The tables that notices speak of.
+const (
+	Config Table = iota
+	Servers
+	Instances
+)
+
+// Row is a changed row.
+type Row struct {
+	_     struct{} `cbor:",toarray"`
+	Key   string
+	Value []byte
+	Gone  bool
+}
+
+// Stamp returns the store's clock at its answer.
+func (n Notice) Stamp() time.Duration { return time.Duration(n.StampUS) * time.Microsecond }
+
+// Errors of Decode.
+var ErrNoMessage = errors.New("datagram without a message")
+
+// The first byte of a datagram says whether the receiver hands it on.
+const (
+	plain = 0
+	relay = 1
+)
+
+// Encode returns a message's bytes for Datagram.
+func Encode(m Message) ([]byte, error) {
+	b, err := cbor.Marshal(m)
+	return b, errors.Wrap(err, "message")
+}
+
+// Datagram starts a datagram. With handOn set, its receiver hands the
+// messages on inside its data centre.
+func Datagram(handOn bool, messages ...[]byte) []byte {
+	d := []byte{plain}
+	if handOn {
+		d[0] = relay
+	}
+	for _, m := range messages {
+		d = append(d, m...)
+	}
+	return d
+}
+
+// Decode returns a datagram's messages and whether they are to be handed on.
+func Decode(d []byte) (messages []Message, handOn bool, err error) {
+	if len(d) < 2 {
+		return nil, false, ErrNoMessage
+	}
+	handOn = d[0] == relay
+	rest := d[1:]
+	for len(rest) > 0 {
+		var m Message
+		rest, err = cbor.UnmarshalFirst(rest, &m)
+		if err != nil {
+			return nil, false, errors.Wrap(err, "message")
+		}
+		messages = append(messages, m)
+	}
+	return messages, handOn, nil
+}
--- /dev/null
+++ b/internal/edgecommand/command.go
@@ -0,0 +1,76 @@
+// Package edgecommand is the command line of the edge daemon.
+package edgecommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"foxtailspoke/edge"
+	"foxtailspoke/edge/settings"
+	"foxtailspoke/logging"
+)
+
+// Exit statuses.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// settingsVariable names the settings file where the option doesn't.
+const settingsVariable = "FOXTAILSPOKE_SETTINGS"
+
+const help = `Runs one edge instance until SIGTERM, which begins a planned stop.
+
+Example:
+  foxtailspoke-edge --settings edge.jsonc
+  foxtailspoke-edge --settings edge.jsonc --check`
+
+type options struct {
+	Settings string `long:"settings" description:"settings file, JSON with comments; default: the file named by FOXTAILSPOKE_SETTINGS"`
+	Check    bool   `long:"check" description:"check the settings and end"`
+}
+
+// Run runs the daemon and returns its exit status.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var o options
+	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "foxtailspoke-edge"
+	parser.LongDescription = help
+	if _, err := parser.ParseArgs(args); err != nil {
+		var flagsErr *flags.Error
+		if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
+			_, _ = fmt.Fprintln(stdout, err)
+			return exitDone
+		}
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	if o.Settings == "" {
+		o.Settings = os.Getenv(settingsVariable)
+	}
+	s, err := settings.Load(o.Settings)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	if o.Check {
+		_, _ = fmt.Fprintln(stdout, "settings are in order")
+		return exitDone
+	}
+	e, err := edge.New(o.Settings, s, logging.NewWriter(stdout))
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	if err := e.Run(ctx); err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	return exitDone
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,399 @@
+// Package placement chooses the backend server for a request.
+//
+// Load pattern: many small instances share few servers with two to six slots
+// each, so that an instance alone sends a server less than one request a
+// second and can know neither its load nor its health. About a third of the
+// servers fail most requests for some seconds at a time while their health
+// reports are good, and a non-idempotent request that failed is lost.
+//
+// Idea: all instances tell each other each start and end of an attempt. From
+// that everyone keeps, per server, the work outstanding, how slow it is, and
+// the probability that it fails (belief). A request goes to the server that
+// costs it least: the risk of failing, weighted by whether it may be repeated,
+// the time until its answer against its aim, and the bytes that would cross
+// data centres. Servers that answered a moment ago carry the least risk, so
+// that load stays on few known good ones and spills to others only when their
+// slots are taken; each spell of failures then costs few requests.
+//
+// Trade-off: servers out of use are known least. Requests that may be repeated
+// bear little risk and find out first; newcomers get an early request; and
+// once more than widenAbove of a service's requests go unserved, requests are
+// spread over all servers that didn't just fail, so that healthy capacity
+// isn't left idle.
+//
+// Decisions are pure: time and randomness are passed in.
+package placement
+
+import (
+	"math"
+	"time"
+
+	"foxtailspoke/discovery"
+	"foxtailspoke/health"
+)
+
+// Costs weigh the parts of a choice against each other, in units of a lost
+// request that can't be repeated.
+const (
+	// riskRepeatable is the cost of failing for a request that can be sent
+	// again: a second attempt from a scarce budget, and its time.
+	riskRepeatable = 0.25
+	// timeCost is the cost of an expected time as long as the aim.
+	timeCost = 0.3
+	// lateCost is added in full at one and a half times the aim: a late
+	// answer earns its caller little.
+	lateCost = 0.35
+	// crowding is the cost of the last free slot: some servers slow down when
+	// nearly full, and another instance may be taking it at this moment.
+	crowding = 0.04
+	// crossing is the cost of leaving the data centre for a few bytes, and
+	// crossingPerKB for each kilobyte of request and answer, at most
+	// crossingMost: a caller's answer is worth more than any link.
+	crossing      = 0.02
+	crossingPerKB = 0.008
+	crossingMost  = 0.2
+	// jitter spreads instances that decide at the same moment over servers
+	// that are as good as each other.
+	jitter = 0.03
+	// newcomer draws an early request to a server that never got one.
+	newcomer = 0.3
+	// spread draws requests to servers out of use while many go unserved.
+	spread = 0.5
+)
+
+const (
+	// newcomerAfter leaves a server's entry time to reach all instances.
+	newcomerAfter = 500 * time.Millisecond
+	// widenAbove is the share of unserved requests from which a service's
+	// requests are spread over all its servers. It stays below the tenth at
+	// which idle healthy servers would be at fault for it.
+	widenAbove = 0.07
+	// outOfUse is the time without a request after which spread applies, and
+	// justFailed the time after a failure during which it doesn't.
+	outOfUse   = 1200 * time.Millisecond
+	justFailed = 1800 * time.Millisecond
+	// stale is the age at which another instance's count of outstanding work
+	// is no longer believed: its end may have been told in a lost message.
+	stale = 6 * time.Second
+	// coldSlowness is how much slower than usual a server is while warming.
+	coldSlowness = 2.0
+	// smoothing is the weight of a new measurement of a server's speed.
+	smoothing = 0.25
+	// slowest bounds a server's slowness against the mean of its service.
+	slowest = 12.0
+)
+
+// Request is what a choice depends on.
+type Request struct {
+	Service    string
+	Repeatable bool
+	// Aim is the time within which the answer is in time, from now.
+	Aim time.Duration
+	// Left is the time until the caller gives up or the route's timeout.
+	Left time.Duration
+	// Work is the usual time of such a request at a server of mean speed.
+	Work time.Duration
+	// KB is the expected size of request and answer in kilobytes.
+	KB float64
+	// DataCentre of the instance that asks.
+	DataCentre string
+	// Tried holds the servers that this request was sent to already.
+	Tried []string
+}
+
+// Choice is a server and what was expected of it.
+type Choice struct {
+	Server discovery.Server
+	// Expected is the time until the answer.
+	Expected time.Duration
+	// Outstanding is the server's work before this request, over all instances.
+	Outstanding int
+	// Risk is the probability that the request fails.
+	Risk float64
+	// Cost is the figure that made this server the choice.
+	Cost float64
+}
+
+// Server is what is known of a backend server beside its entry.
+type server struct {
+	entry discovery.Server
+	belief
+	// slowness is its time for a request against the mean of the service.
+	slowness float64
+	since    time.Duration
+	warmTill time.Duration
+	lastUse  time.Duration
+	lastFail time.Duration
+	used     bool
+	// outstanding per instance; 0 is this instance.
+	outstanding map[uint32]count
+	sum         int
+}
+
+type count struct {
+	n  int
+	at time.Duration
+}
+
+// Placer knows the servers of all services. It isn't safe for concurrent use.
+type Placer struct {
+	services map[string]*service
+	byID     map[string]*server
+	byHash   map[uint32]*server
+}
+
+type service struct {
+	servers []*server
+	// unserved is the smoothed share of requests that failed for good.
+	unserved float64
+	at       time.Duration
+}
+
+// New returns a placer without servers.
+func New() *Placer {
+	return &Placer{
+		services: make(map[string]*service),
+		byID:     make(map[string]*server),
+		byHash:   make(map[uint32]*server),
+	}
+}
+
+// Apply takes in a change of the list of servers.
+func (p *Placer) Apply(c discovery.Change, now time.Duration) {
+	old := p.byID[c.Server.ID]
+	if old != nil && (c.Gone || c.New || old.entry.Service != c.Server.Service) {
+		p.remove(old)
+		old = nil
+	}
+	if c.Gone {
+		return
+	}
+	if old == nil {
+		old = &server{
+			belief:      belief{usuallyFailing, now},
+			slowness:    1,
+			since:       now,
+			outstanding: make(map[uint32]count),
+		}
+		p.byID[c.Server.ID] = old
+		p.byHash[Hash(c.Server.ID)] = old
+		s := p.service(c.Server.Service)
+		s.servers = append(s.servers, old)
+	}
+	old.entry = c.Server
+	old.warmTill = now + c.Server.WarmUp
+}
+
+func (p *Placer) remove(s *server) {
+	delete(p.byID, s.entry.ID)
+	delete(p.byHash, Hash(s.entry.ID))
+	g := p.service(s.entry.Service)
+	for i, o := range g.servers {
+		if o == s {
+			g.servers = append(g.servers[:i], g.servers[i+1:]...)
+			return
+		}
+	}
+}
+
+func (p *Placer) service(name string) *service {
+	s, ok := p.services[name]
+	if !ok {
+		s = &service{}
+		p.services[name] = s
+	}
+	return s
+}
+
+// Choose returns the server that costs the request least, or false if there
+// is none that it may be sent to.
+func (p *Placer) Choose(r Request, now time.Duration, random func() float64) (Choice, bool) {
+	g := p.service(r.Service)
+	wide := g.share(now) > widenAbove
+	best, found := Choice{Cost: math.Inf(1)}, false
+	for _, s := range g.servers {
+		if s.entry.Draining || contains(r.Tried, s.entry.ID) {
+			continue
+		}
+		c := s.weigh(r, now, wide)
+		c.Cost += jitter * random()
+		if c.Cost < best.Cost {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// weigh returns what it would cost to send the request to this server.
+func (s *server) weigh(r Request, now time.Duration, wide bool) Choice {
+	out := s.count(now)
+	risk := s.fails(now)
+	expected := s.expected(r.Work, out, now)
+	cost := risk
+	if r.Repeatable {
+		cost *= riskRepeatable
+	}
+	late := float64(expected) / float64(max(r.Aim, time.Millisecond))
+	cost += timeCost*late + lateCost*clamp((late-0.8)/0.7)
+	if out+1 >= s.entry.Slots {
+		cost += crowding
+	}
+	if s.entry.DataCentre != r.DataCentre {
+		cost += math.Min(crossing+crossingPerKB*r.KB, crossingMost)
+	}
+	if !s.used && now-s.since > newcomerAfter && out == 0 {
+		cost -= newcomer
+	}
+	if wide && now-s.lastUse > outOfUse && now-s.lastFail > justFailed {
+		cost -= spread
+	}
+	return Choice{Server: s.entry, Expected: expected, Outstanding: out, Risk: risk, Cost: cost}
+}
+
+// expected is the time until an answer: the wait for a slot, then the work.
+func (s *server) expected(work time.Duration, out int, now time.Duration) time.Duration {
+	slow := s.slowness
+	if now < s.warmTill {
+		slow = math.Max(slow, coldSlowness)
+	}
+	one := float64(work) * slow
+	ahead := float64(max(0, out+1-s.entry.Slots)) / float64(s.entry.Slots)
+	return time.Duration(one * (1 + ahead))
+}
+
+// count is the work outstanding at the server. Counts that weren't renewed
+// for long are dropped.
+func (s *server) count(now time.Duration) int {
+	if s.sum == 0 {
+		return 0
+	}
+	sum := 0
+	for instance, c := range s.outstanding {
+		if c.n == 0 || (instance != 0 && now-c.at > stale) {
+			delete(s.outstanding, instance)
+			continue
+		}
+		sum += c.n
+	}
+	s.sum = sum
+	return sum
+}
+
+// Outstanding takes in how many requests an instance has at a server; 0 is
+// this instance.
+func (p *Placer) Outstanding(hash, instance uint32, n int, now time.Duration) {
+	s, ok := p.byHash[hash]
+	if !ok {
+		return
+	}
+	s.sum += n - s.outstanding[instance].n
+	s.outstanding[instance] = count{n, now}
+	if n > 0 {
+		s.lastUse = now
+		s.used = true
+	}
+}
+
+// Forget drops the work of an instance that has fallen silent.
+func (p *Placer) Forget(instance uint32) {
+	for _, s := range p.byID {
+		s.sum -= s.outstanding[instance].n
+		delete(s.outstanding, instance)
+	}
+}
+
+// Learn takes in the result of an attempt. Took is the time of an answer and
+// work what a server of mean speed would have taken, both 0 if unknown.
+func (p *Placer) Learn(hash uint32, r health.Result, took, work, now time.Duration) {
+	s, ok := p.byHash[hash]
+	if !ok {
+		return
+	}
+	switch r {
+	case health.OK:
+		s.learn(now, 1-failsInSpell, 1-failsOtherwise)
+		s.measure(took, work)
+	case health.ServerError, health.Incomplete, health.Mismatch, health.ConnectFailed:
+		s.learn(now, failsInSpell, failsOtherwise)
+		s.lastFail = now
+	case health.Late, health.Timeout:
+		s.learn(now, lateInSpell, lateOtherwise)
+	case health.Shed, health.NotRun, health.Cancelled:
+		// A refusal tells of load, which the outstanding work shows already.
+	}
+}
+
+// measure takes in how long a request took against the usual time.
+func (s *server) measure(took, work time.Duration) {
+	if took <= 0 || work <= 0 {
+		return
+	}
+	x := math.Min(float64(took)/float64(work), slowest)
+	s.slowness += smoothing * (x - s.slowness)
+}
+
+// Served takes in the final outcome of a request to a service.
+func (p *Placer) Served(serviceName string, ok bool, now time.Duration) {
+	g := p.service(serviceName)
+	x := 1.0
+	if ok {
+		x = 0
+	}
+	g.unserved = g.share(now)
+	g.at = now
+	g.unserved += unservedWeight * (x - g.unserved)
+}
+
+// ServedAt is Served for the service of a server.
+func (p *Placer) ServedAt(hash uint32, ok bool, now time.Duration) {
+	if s, known := p.byHash[hash]; known {
+		p.Served(s.entry.Service, ok, now)
+	}
+}
+
+// unservedWeight of one outcome: about the last 40 requests count.
+const unservedWeight = 0.025
+
+// unservedMemory fades the share while no request comes.
+const unservedMemory = 5 * time.Second
+
+func (g *service) share(now time.Duration) float64 {
+	return g.unserved * math.Exp(-float64(now-g.at)/float64(unservedMemory))
+}
+
+// View is what a status page shows of a server.
+type View struct {
+	Server      discovery.Server
+	Outstanding int
+	Failing     float64
+	Slowness    float64
+}
+
+// Views returns all servers.
+func (p *Placer) Views(now time.Duration) []View {
+	views := make([]View, 0, len(p.byID))
+	for _, s := range p.byID {
+		views = append(views, View{s.entry, s.count(now), s.belief.now(now), s.slowness})
+	}
+	return views
+}
+
+// Hash is the short form of a name in messages between instances (FNV-1a).
+func Hash(name string) uint32 {
+	h := uint32(2166136261)
+	for i := range len(name) {
+		h = (h ^ uint32(name[i])) * 16777619
+	}
+	return h
+}
+
+func clamp(x float64) float64 { return math.Min(math.Max(x, 0), 1) }
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/usage/usage.go
@@ -0,0 +1,187 @@
+// Package usage keeps workspaces within their rate and burst over all
+// instances together, without a call to the store.
+//
+// Idea: each instance counts what it admitted for a workspace since it
+// started, and tells the total with every message to the others. Each replica
+// of the bucket takes off what all of them admitted. Because totals are told,
+// not increments, a lost message is made good by the next one. The bucket may
+// go below zero: what two instances admit at the same moment, before they hear
+// of each other, is paid back by both before anything more is admitted, so the
+// long run keeps to the rate exactly.
+//
+// Trade-off: an instance that doesn't hear some of the others can't know what
+// they admit. It then uses only the part of the rate that belongs to those it
+// hears, itself included (Share). Two groups that are cut from each other add
+// up to the whole rate at most. What belongs to dead instances lies idle until
+// they are taken off the list of instances.
+package usage
+
+import (
+	"math"
+	"time"
+)
+
+// startBurst is the share of the burst that a fresh bucket holds. A fleet
+// whose processes were all killed has forgotten what it admitted; with a full
+// burst at each start a workspace would get it twice within one window.
+const startBurst = 0.25
+
+// maxDebt is how far below zero a bucket may go, in time at its rate. Messages
+// between instances arrive within some tens of milliseconds, so an honest debt
+// is a few requests.
+const maxDebt = time.Second
+
+// Limit of one workspace over all instances.
+type Limit struct {
+	// Rate in requests per second.
+	Rate float64
+	// Burst in requests.
+	Burst float64
+}
+
+// Bucket is this instance's replica of one workspace's bucket.
+type Bucket struct {
+	limit  Limit
+	tokens float64
+	at     time.Duration
+	// own is the total admitted here since the start.
+	own uint64
+	// seen holds the last total heard of each other instance.
+	seen map[uint32]total
+}
+
+type total struct {
+	epoch uint32
+	count uint64
+}
+
+// Counters holds the buckets of all workspaces. It isn't safe for concurrent
+// use.
+type Counters struct {
+	buckets map[uint32]*Bucket
+	// Share is the part of each rate that this instance may count on, from 0
+	// to 1: the instances heard, itself included, among all that are listed.
+	Share float64
+}
+
+// NewCounters returns counters without workspaces.
+func NewCounters() *Counters {
+	return &Counters{buckets: make(map[uint32]*Bucket), Share: 1}
+}
+
+// SetLimit sets the limit of a workspace. A lower limit holds at once; a
+// raised burst isn't filled up by the change itself.
+func (c *Counters) SetLimit(workspace uint32, l Limit, now time.Duration) {
+	b := c.bucket(workspace)
+	if b.limit == l {
+		return
+	}
+	fresh := b.limit == Limit{}
+	b.refill(now, c.Share)
+	b.limit = l
+	b.at = now
+	if fresh {
+		b.tokens += l.Burst * startBurst
+	}
+	b.tokens = math.Min(b.tokens, l.Burst)
+}
+
+func (c *Counters) bucket(workspace uint32) *Bucket {
+	b, ok := c.buckets[workspace]
+	if !ok {
+		b = &Bucket{seen: make(map[uint32]total)}
+		c.buckets[workspace] = b
+	}
+	return b
+}
+
+// Take admits one request if a token is there. Otherwise it returns how long
+// the bucket takes to hold one.
+func (c *Counters) Take(workspace uint32, now time.Duration) (bool, time.Duration) {
+	b := c.bucket(workspace)
+	if b.limit.Rate <= 0 {
+		b.own++
+		return true, 0
+	}
+	b.refill(now, c.Share)
+	if b.tokens < 1 {
+		return false, b.wait(c.Share)
+	}
+	b.tokens--
+	b.own++
+	return true, 0
+}
+
+// Return gives a token back for a request that was admitted and never sent.
+func (c *Counters) Return(workspace uint32) {
+	if b := c.bucket(workspace); b.own > 0 {
+		b.tokens++
+		b.own--
+	}
+}
+
+// Own is the total admitted here since the start.
+func (c *Counters) Own(workspace uint32) uint64 { return c.bucket(workspace).own }
+
+// Heard takes in the total that another instance has admitted in its epoch,
+// which is the time of its start. The first word of an instance sets where
+// counting begins: what it admitted before this instance listened lies in the
+// past.
+func (c *Counters) Heard(instance, epoch, workspace uint32, count uint64, now time.Duration) {
+	b := c.bucket(workspace)
+	last, known := b.seen[instance]
+	switch {
+	case known && last.epoch == epoch && count > last.count:
+		b.refill(now, c.Share)
+		b.charge(count - last.count)
+	case known && last.epoch != epoch:
+		b.refill(now, c.Share)
+		b.charge(count)
+	case known && count <= last.count:
+		return
+	}
+	b.seen[instance] = total{epoch: epoch, count: count}
+}
+
+// Forget drops what was heard of an instance that has fallen silent. Share no
+// longer counts its part, so that what it admits meanwhile must not be charged
+// a second time once it is heard again.
+func (c *Counters) Forget(instance uint32) {
+	for _, b := range c.buckets {
+		delete(b.seen, instance)
+	}
+}
+
+// refill adds what the time since the last look is worth.
+func (b *Bucket) refill(now time.Duration, share float64) {
+	passed := (now - b.at).Seconds()
+	b.at = now
+	if passed <= 0 {
+		return
+	}
+	most := math.Max(b.limit.Burst*share, 1)
+	b.tokens = math.Min(b.tokens+passed*b.limit.Rate*share, most)
+}
+
+// charge takes off what others admitted. The debt is bounded: after a burst
+// of late messages a workspace would otherwise be refused for longer than any
+// window in which its rate is counted.
+func (b *Bucket) charge(count uint64) {
+	b.tokens = math.Max(b.tokens-float64(count), -maxDebt.Seconds()*b.limit.Rate-1)
+}
+
+// wait is the time until a token is there.
+func (b *Bucket) wait(share float64) time.Duration {
+	rate := b.limit.Rate * share
+	if rate <= 0 {
+		return time.Second
+	}
+	return time.Duration((1 - b.tokens) / rate * float64(time.Second))
+}
+
+// Tokens returns what a workspace's bucket holds now.
+func (c *Counters) Tokens(workspace uint32, now time.Duration) float64 {
+	b := c.bucket(workspace)
+	b.refill(now, c.Share)
+	return b.tokens
+}
