--- a/edge/answer.go
+++ b/edge/answer.go
@@ -139,6 +139,7 @@
 		tokens, share := e.state.usage.Tokens(workspaceHash(c.workspace.Name), now), e.state.usage.Share
 		e.mu.Unlock()
 		attrs = append(attrs, slog.String("workspace", c.workspace.Name),
+			slog.Float64("rate", c.workspace.Rate), slog.Float64("burst", c.workspace.Burst),
 			slog.Float64("tokens", round(tokens)), slog.Float64("share", round(share)))
 	}
 	if a != nil {
--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -229,22 +228,6 @@
 	}
 }
 
-// retryBudget is what this instance may repeat at a service, whatever the
-// other instances do: a share of its own requests, and its part of the slack.
-func (e *Edge) retryBudget(service string) *retry.Budget {
-	b, ok := e.state.budgets[service]
-	if !ok {
-		s := retry.DefaultSettings()
-		s.Share = e.settings.Bounds.RetryRatio * retryShare
-		s.Reserve = max(1, retryReserve*e.settings.Bounds.RetrySlack/float64(e.fleetSize()))
-		s.MaxAttempts = maxRunning
-		s.RetryAfter = comeBackSoon
-		b = retry.NewBudget(s, rand.New(rand.NewPCG(rand.Uint64(), uint64(e.self))))
-		e.state.budgets[service] = b
-	}
-	return b
-}
-
 // patience is how long an attempt may take before it counts as late.
 func (e *Edge) patience(c *call) time.Duration {
 	e.mu.Lock()
@@ -299,10 +282,10 @@
 func (e *Edge) tellStart(c *call, a *attempt) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if a.number == 1 {
-		e.retryBudget(c.service).Request()
-	}
-	m := evidence.Message{Attempts: []evidence.Attempt{e.outstanding(a, 1)}}
+	told := e.outstanding(a, 1)
+	told.Number = uint8(a.number)
+	e.state.repeatsOf(c.service).window.Count(a.number > 1, e.now())
+	m := evidence.Message{Attempts: []evidence.Attempt{told}}
 	if c.workspace != nil {
 		h := workspaceHash(c.workspace.Name)
 		m.Usage = []evidence.Usage{{Workspace: h, Count: e.state.usage.Own(h)}}
--- a/edge/call.go
+++ b/edge/call.go
@@ -46,12 +46,6 @@
 	firstWork = 0.3
 	// firstKB is the size of request and answer taken before any was measured.
 	firstKB = 5.0
-	// retryReserve is the part of the fleet's slack for repeats that the
-	// instances share out as their reserves. A fleet whose processes were all
-	// killed begins with new reserves while the old ones are still counted.
-	retryReserve = 0.4
-	// retryShare is the part of the fleet's ratio of repeats that is used.
-	retryShare = 0.75
 )
 
 // call is a caller's request in progress.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -28,12 +28,12 @@
 	"foxtailspoke/edge/settings"
 	"foxtailspoke/entry/clock"
 	"foxtailspoke/event"
+	"foxtailspoke/evidence"
 	"foxtailspoke/freshness"
 	"foxtailspoke/logging"
 	"foxtailspoke/placement"
 	"foxtailspoke/platform"
 	"foxtailspoke/replica"
-	"foxtailspoke/retry"
 	"foxtailspoke/routing"
 	"foxtailspoke/upstream"
 	"foxtailspoke/usage"
@@ -87,6 +87,9 @@
 	config    *replica.Table
 	servers   *replica.Table
 	instances *replica.Table
+	recent    [evidence.Tables]replica.Recent
+	// configRow is the version of the configuration's row.
+	configRow uint64
 	// configProof is the store's stamp up to which the configuration in force
 	// is proved to be the newest.
 	configProof time.Duration
@@ -103,7 +106,7 @@
 	list    *discovery.List
 	placer  *placement.Placer
 	usage   *usage.Counters
-	budgets map[string]*retry.Budget
+	budgets map[string]*repeats
 	routes  map[string]*routeStats
 
 	members  map[uint32]*member
@@ -154,7 +157,7 @@
 		list:      discovery.NewList(),
 		placer:    placement.New(),
 		usage:     usage.NewCounters(),
-		budgets:   make(map[string]*retry.Budget),
+		budgets:   make(map[string]*repeats),
 		routes:    make(map[string]*routeStats),
 		members:   make(map[uint32]*member),
 		own:       make(map[uint32]uint16),
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -164,18 +164,31 @@
 // notice is what the others are told of an answer: the rows that changed
 // anything, not those that only renewed themselves.
 func (e *Edge) notice(p polled, changed []replica.Row) evidence.Notice {
-	n := evidence.Notice{
-		Table: p.table, Since: p.since, Version: p.answer.Version,
-		StampUS: p.answer.Stamp.Microseconds(),
-	}
+	s := &e.state
+	n := evidence.Notice{Table: p.table, Version: p.answer.Version, StampUS: p.answer.Stamp.Microseconds()}
+	if p.table == evidence.Config {
+		n.Changed = s.configRow
+		return n
+	}
+	recent := &s.recent[p.table]
+	if p.answer.Whole {
+		// What was removed before isn't in it.
+		recent.Reset()
+		n.Since = p.answer.Version
+		return n
+	}
+	recent.Add(p.since, changed)
+	rows, since := recent.Rows()
+	n.Since = since
 	size := 0
-	for _, r := range changed {
+	for _, r := range rows {
 		size += len(r.Key) + len(r.Value)
 		n.Rows = append(n.Rows, evidence.Row{Key: r.Key, Value: r.Value, Gone: r.Gone})
 	}
-	if size > maxNoticeRows || (p.table == evidence.Config && len(changed) > 0) {
-		n.Rows = nil
-		n.Fetch = true
+	if size > maxNoticeRows {
+		// The others notice that they lack something, and read it.
+		n.Rows, n.Since = nil, p.answer.Version
+		recent.Reset()
 	}
 	return n
 }
@@ -189,7 +202,11 @@
 	}
 	s.clock.Observe(n.Stamp(), now)
 	version, known := e.copyOf(n.Table).Version()
-	complete := known && version >= n.Since && (!n.Fetch || version >= n.Version)
+	complete := known && version >= n.Since
+	if n.Table == evidence.Config {
+		complete = known && s.configRow >= n.Changed
+		n.Since = version
+	}
 	if !complete {
 		e.missed(n.Table)
 		return
@@ -279,6 +296,7 @@
 	if r.Key != platform.KeyConfig || r.Gone {
 		return
 	}
+	s.configRow = max(s.configRow, r.Version)
 	c, err := platform.DecodeConfig(r.Value)
 	if err != nil {
 		s.misread = true
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -22,6 +22,9 @@
 	tick = 200 * time.Millisecond
 	// surely sends a message to two delegates of each data centre.
 	surely = 2
+	// knownEach is how many other instances an introduction names. They are
+	// picked at random, so that a few introductions name all of a data centre.
+	knownEach = 12
 	// maxDatagramIn is the largest datagram taken in.
 	maxDatagramIn = 4 << 10
 )
@@ -52,7 +55,13 @@
 
 // introduce is a beat that tells the data centre.
 func (e *Edge) introduce() evidence.Message {
-	return evidence.Message{DataCentre: e.settings.DataCentre}
+	m := evidence.Message{DataCentre: e.settings.DataCentre}
+	for id, other := range e.state.members {
+		if other.alive && len(m.Known) < knownEach {
+			m.Known = append(m.Known, id)
+		}
+	}
+	return m
 }
 
 // heart sends beats, and looks at what time alone changes.
@@ -190,6 +199,11 @@
 	if m.DataCentre != "" {
 		p.dataCentre = m.DataCentre
 	}
+	for _, id := range m.Known {
+		if id != e.self {
+			e.meet(id)
+		}
+	}
 	if restarted {
 		// It knows nothing of this instance yet; a beat makes it known there
 		// at once instead of within a beat's time.
@@ -228,6 +242,9 @@
 	if latest {
 		s.placer.Outstanding(a.Server, from, int(a.Outstanding), now)
 	}
+	if a.Number > 0 {
+		s.repeatsAt(a.Server, a.Number, now)
+	}
 	if a.Ended || a.Result == health.Late {
 		s.placer.Learn(a.Server, a.Result, milliseconds(a.TookMS), milliseconds(a.WorkMS), now)
 	}
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -34,7 +34,10 @@
 	// DataCentre is set in heartbeats.
 	DataCentre string
 	// Leaving says that callers must not be sent to it any more.
-	Leaving  bool
+	Leaving bool
+	// Known are some instances that the source hears, so that two that have
+	// missed each other's introduction meet.
+	Known    []uint32
 	Attempts []Attempt
 	Usage    []Usage
 	Notices  []Notice
@@ -50,6 +53,8 @@
 	// Ended says that Result is how the attempt went; else it has begun.
 	Ended  bool
 	Result health.Result
+	// Number of the attempt within its request, set when it begins.
+	Number uint8
 	// TookMS of an answer, and WorkMS that is usual for its kind of request.
 	TookMS uint16
 	WorkMS uint16
@@ -79,15 +84,17 @@
 type Notice struct {
 	_     struct{} `cbor:",toarray"`
 	Table Table
-	// Since and Version span the changes that are told.
+	// Since and Version span the changes that are told. They span several
+	// answers of the store, so that one lost message isn't missed.
 	Since   uint64
 	Version uint64
+	// Changed is the version of the newest row of a table whose rows are too
+	// large for a message: whoever has an older one reads the store.
+	Changed uint64
 	// StampUS is the store's steady clock at its answer, in microseconds. 0
 	// says that the store is being asked, or didn't answer.
 	StampUS int64
-	// Fetch says that something has changed that is too large for a message.
-	Fetch bool
-	Rows  []Row
+	Rows    []Row
 }
 
 // Table is a short name of a table.
@@ -98,6 +105,8 @@
 	Config Table = iota
 	Servers
 	Instances
+	// Tables is the number of tables.
+	Tables
 )
 
 // Row is a changed row.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -37,7 +37,7 @@
 const (
 	// riskRepeatable is the cost of failing for a request that can be sent
 	// again: a second attempt from a scarce budget, and its time.
-	riskRepeatable = 0.25
+	riskRepeatable = 0.5
 	// timeCost is the cost of an expected time as long as the aim.
 	timeCost = 0.3
 	// lateCost is added in full at one and a half times the aim: a late
@@ -351,6 +351,15 @@
 	}
 }
 
+// ServiceOf returns the service of a server.
+func (p *Placer) ServiceOf(hash uint32) (string, bool) {
+	s, ok := p.byHash[hash]
+	if !ok {
+		return "", false
+	}
+	return s.entry.Service, true
+}
+
 // unservedWeight of one outcome: about the last 40 requests count.
 const unservedWeight = 0.025
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -27,6 +27,8 @@
 	Key   string
 	Value []byte
 	Gone  bool
+	// Version of the row; 0 if it isn't known.
+	Version uint64
 }
 
 // Answer is what the store said about a table at one moment.
