--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -65,6 +65,7 @@
 
 func (r *runner) run() (*attempt, *verdict) {
 	if v := r.begin(); v != nil {
+		r.e.tellRefused(r.c)
 		return nil, v
 	}
 	late := time.NewTimer(r.e.patience(r.c))
@@ -322,8 +323,12 @@
 	var took time.Duration
 	if a.result == health.OK {
 		took = a.took
-		told.TookMS, told.WorkMS = wireMilliseconds(took), wireMilliseconds(work)
+		if a.choice.Outstanding >= a.choice.Server.Slots {
+			// It had to wait; its time says nothing of the server's speed.
+			took = 0
+		}
 		e.learnRoute(c, took, len(c.body)+len(a.answer.Body))
+		told.TookMS, told.WorkMS = wireMilliseconds(took), wireMilliseconds(work)
 	}
 	e.state.placer.Learn(told.Server, a.result, took, work, now)
 	if final != evidence.NotFinal {
@@ -340,6 +345,14 @@
 	e.logAttempt(c, a, now)
 }
 
+// tellRefused takes in and tells that a request got no attempt.
+func (e *Edge) tellRefused(c *call) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.placer.Served(c.service, false, e.now())
+	e.say(evidence.Message{Refused: []uint32{placement.Hash(c.service)}}, 1)
+}
+
 func (e *Edge) tellLate(a *attempt) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/edge/call.go
+++ b/edge/call.go
@@ -234,10 +234,13 @@
 	return st
 }
 
-// learnRoute takes in the time and size of an answered request.
+// learnRoute takes in the time and size of an answered request. A request that
+// had to wait for a slot tells nothing of its work.
 func (e *Edge) learnRoute(c *call, took time.Duration, bytes int) {
 	st := e.statsOf(c.route)
-	st.work += time.Duration(routeSmoothing * float64(took-st.work))
+	if took > 0 {
+		st.work += time.Duration(routeSmoothing * float64(took-st.work))
+	}
 	st.kb += routeSmoothing * (float64(bytes)/1024 - st.kb)
 }
 
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"foxtailspoke/discovery"
+	"foxtailspoke/edge/settings"
 	"foxtailspoke/event"
 	"foxtailspoke/evidence"
 	"foxtailspoke/platform"
@@ -309,13 +310,20 @@
 	}
 	s.table = routing.NewTable(c)
 	for _, w := range s.table.Workspaces() {
-		s.usage.SetLimit(workspaceHash(w.Name), usage.Limit{Rate: w.Rate, Burst: w.Burst}, now)
+		s.usage.SetLimit(workspaceHash(w.Name), e.limitOf(w), now)
 	}
 	e.conns.setIdle(c.Limits.IdleTimeout)
 	event.ConfigInForce.Log(e.log, slog.Uint64("version", uint64(c.Version)),
 		slog.Int("routes", len(c.Routes)), slog.Int("workspaces", len(c.Workspaces)))
 }
 
+// limitOf is the limit that a workspace is held to.
+func (e *Edge) limitOf(w routing.Workspace) usage.Limit {
+	b := e.settings.Bounds
+	t := usage.Tolerance{Overshoot: b.RateOvershoot, Slack: b.RateSlack, Window: settings.Seconds(b.RateWindowS)}
+	return t.Loosen(usage.Limit{Rate: w.Rate, Burst: w.Burst})
+}
+
 // takeServers takes in changed entries of backend servers.
 func (e *Edge) takeServers(rows []replica.Row, now time.Duration) []replica.Row {
 	s := &e.state
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -219,6 +219,9 @@
 	for _, a := range m.Attempts {
 		e.hearAttempt(m.Source, a, p.latest(m.Sequence), now)
 	}
+	for _, service := range m.Refused {
+		s.placer.RefusedAt(service, now)
+	}
 	for _, n := range m.Notices {
 		e.hearNotice(n, now)
 	}
--- a/edge/settings/settings.go
+++ b/edge/settings/settings.go
@@ -62,6 +62,12 @@
 	// instances, as a share of its requests and a number beside it.
 	RetryRatio float64 `json:"retryRatio"`
 	RetrySlack float64 `json:"retrySlack"`
+	// RateOvershoot and RateSlack are the platform's tolerance on workspaces'
+	// rates: a share of the rate and burst, and a number of requests beside
+	// it, in each RateWindowS.
+	RateOvershoot float64 `json:"rateOvershoot"`
+	RateSlack     float64 `json:"rateSlack"`
+	RateWindowS   float64 `json:"rateWindowS"`
 }
 
 // Log is what is logged.
@@ -73,7 +79,7 @@
 // defaults stand for what the file leaves out.
 func defaults() Settings {
 	return Settings{
-		Bounds: Bounds{RevokeS: 5, GraceS: 6, AddressTTLS: 5, RetryRatio: 0.2, RetrySlack: 0},
+		Bounds: Bounds{RevokeS: 5, GraceS: 6, AddressTTLS: 5, RetryRatio: 0.2, RateWindowS: 5},
 		Log:    Log{LinesPerSecond: 150},
 	}
 }
@@ -120,8 +126,9 @@
 		}
 	}
 	b := s.Bounds
-	if b.RevokeS <= 0 || b.GraceS <= 0 || b.AddressTTLS <= 0 || b.RetryRatio < 0 || b.RetrySlack < 0 {
-		return errors.New("settings: bounds must be above 0")
+	if b.RevokeS <= 0 || b.GraceS <= 0 || b.AddressTTLS <= 0 || b.RetryRatio < 0 || b.RetrySlack < 0 ||
+		b.RateOvershoot < 0 || b.RateSlack < 0 || b.RateWindowS <= 0 {
+		return errors.New("settings: bounds must not be negative, and times must be above 0")
 	}
 	if s.DataCentre == "" {
 		return errors.New("settings: dataCentre is missing")
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -41,6 +41,9 @@
 	Attempts []Attempt
 	Usage    []Usage
 	Notices  []Notice
+	// Refused holds the hash of a service for each request to it that was
+	// refused without an attempt.
+	Refused []uint32
 }
 
 // Attempt is the state of a source's work at a backend server.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -67,11 +67,11 @@
 	// widenAbove is the share of unserved requests from which a service's
 	// requests are spread over all its servers. It stays below the tenth at
 	// which idle healthy servers would be at fault for it.
-	widenAbove = 0.07
+	widenAbove = 0.06
 	// outOfUse is the time without a request after which spread applies, and
 	// justFailed the time after a failure during which it doesn't.
-	outOfUse   = 1200 * time.Millisecond
-	justFailed = 1800 * time.Millisecond
+	outOfUse   = 900 * time.Millisecond
+	justFailed = 1700 * time.Millisecond
 	// stale is the age at which another instance's count of outstanding work
 	// is no longer believed: its end may have been told in a lost message.
 	stale = 6 * time.Second
@@ -79,6 +79,8 @@
 	coldSlowness = 2.0
 	// smoothing is the weight of a new measurement of a server's speed.
 	smoothing = 0.25
+	// workSmoothing is the weight of a request in its service's usual time.
+	workSmoothing = 0.05
 	// slowest bounds a server's slowness against the mean of its service.
 	slowest = 12.0
 )
@@ -144,9 +146,9 @@
 
 type service struct {
 	servers []*server
-	// unserved is the smoothed share of requests that failed for good.
-	unserved float64
-	at       time.Duration
+	// work is the usual time of the service's requests, all kinds together.
+	work time.Duration
+	outcomes outcomes
 }
 
 // New returns a placer without servers.
@@ -209,13 +211,13 @@
 // is none that it may be sent to.
 func (p *Placer) Choose(r Request, now time.Duration, random func() float64) (Choice, bool) {
 	g := p.service(r.Service)
-	wide := g.share(now) > widenAbove
+	wide := g.outcomes.unserved(now) > widenAbove
 	best, found := Choice{Cost: math.Inf(1)}, false
 	for _, s := range g.servers {
 		if s.entry.Draining || contains(r.Tried, s.entry.ID) {
 			continue
 		}
-		c := s.weigh(r, now, wide)
+		c := s.weigh(r, g.work, now, wide)
 		c.Cost += jitter * random()
 		if c.Cost < best.Cost {
 			best, found = c, true
@@ -225,10 +227,11 @@
 }
 
 // weigh returns what it would cost to send the request to this server.
-func (s *server) weigh(r Request, now time.Duration, wide bool) Choice {
+// The requests before it take as long as is usual at its service (queued).
+func (s *server) weigh(r Request, queued, now time.Duration, wide bool) Choice {
 	out := s.count(now)
 	risk := s.fails(now)
-	expected := s.expected(r.Work, out, now)
+	expected := s.expected(r.Work, queued, out, now)
 	cost := risk
 	if r.Repeatable {
 		cost *= riskRepeatable
@@ -250,15 +253,15 @@
 	return Choice{Server: s.entry, Expected: expected, Outstanding: out, Risk: risk, Cost: cost}
 }
 
-// expected is the time until an answer: the wait for a slot, then the work.
-func (s *server) expected(work time.Duration, out int, now time.Duration) time.Duration {
+// expected is the time until an answer: the wait for a slot, during which the
+// requests before it are worked off, then its own work.
+func (s *server) expected(work, queued time.Duration, out int, now time.Duration) time.Duration {
 	slow := s.slowness
 	if now < s.warmTill {
 		slow = math.Max(slow, coldSlowness)
 	}
-	one := float64(work) * slow
 	ahead := float64(max(0, out+1-s.entry.Slots)) / float64(s.entry.Slots)
-	return time.Duration(one * (1 + ahead))
+	return time.Duration(slow * (float64(work) + ahead*float64(queued)))
 }
 
 // count is the work outstanding at the server. Counts that weren't renewed
@@ -302,8 +305,9 @@
 	}
 }
 
-// Learn takes in the result of an attempt. Took is the time of an answer and
-// work what a server of mean speed would have taken, both 0 if unknown.
+// Learn takes in the result of an attempt. Took is the time of an answer, 0 if
+// it is unknown or the request had to wait for a slot; work is what a server
+// of mean speed takes for such a request.
 func (p *Placer) Learn(hash uint32, r health.Result, took, work, now time.Duration) {
 	s, ok := p.byHash[hash]
 	if !ok {
@@ -313,6 +317,8 @@
 	case health.OK:
 		s.learn(now, 1-failsInSpell, 1-failsOtherwise)
 		s.measure(took, work)
+		g := p.service(s.entry.Service)
+		g.work += time.Duration(workSmoothing * float64(work-g.work))
 	case health.ServerError, health.Incomplete, health.Mismatch, health.ConnectFailed:
 		s.learn(now, failsInSpell, failsOtherwise)
 		s.lastFail = now
@@ -332,16 +338,10 @@
 	s.slowness += smoothing * (x - s.slowness)
 }
 
-// Served takes in the final outcome of a request to a service.
+// Served takes in the final outcome of a request to a service, whatever the
+// reason of a refusal.
 func (p *Placer) Served(serviceName string, ok bool, now time.Duration) {
-	g := p.service(serviceName)
-	x := 1.0
-	if ok {
-		x = 0
-	}
-	g.unserved = g.share(now)
-	g.at = now
-	g.unserved += unservedWeight * (x - g.unserved)
+	p.service(serviceName).outcomes.count(ok, now)
 }
 
 // ServedAt is Served for the service of a server.
@@ -351,6 +351,16 @@
 	}
 }
 
+// RefusedAt is Served for a request that was refused, by the hash of its
+// service's name.
+func (p *Placer) RefusedAt(hash uint32, now time.Duration) {
+	for name, g := range p.services {
+		if Hash(name) == hash {
+			g.outcomes.count(false, now)
+		}
+	}
+}
+
 // ServiceOf returns the service of a server.
 func (p *Placer) ServiceOf(hash uint32) (string, bool) {
 	s, ok := p.byHash[hash]
@@ -360,16 +370,6 @@
 	return s.entry.Service, true
 }
 
-// unservedWeight of one outcome: about the last 40 requests count.
-const unservedWeight = 0.025
-
-// unservedMemory fades the share while no request comes.
-const unservedMemory = 5 * time.Second
-
-func (g *service) share(now time.Duration) float64 {
-	return g.unserved * math.Exp(-float64(now-g.at)/float64(unservedMemory))
-}
-
 // View is what a status page shows of a server.
 type View struct {
 	Server      discovery.Server
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -39,6 +39,35 @@
 	Burst float64
 }
 
+// Tolerance is by how much the platform lets the sum over all instances exceed
+// a limit in any window.
+type Tolerance struct {
+	// Overshoot is a share of the rate and the burst.
+	Overshoot float64
+	// Slack is a number of requests in each Window.
+	Slack  float64
+	Window time.Duration
+}
+
+// toleranceUse is the part of the tolerance that workspaces get. Counting over
+// many instances errs to both sides, and the platform holds a refusal below
+// the tolerated sum against the fleet just as an admission above it. The other
+// half covers what instances admit before they hear of each other: at 15 ms
+// and a workspace at eight times its usual 15 requests a second, two requests.
+const toleranceUse = 0.5
+
+// Loosen returns the limit with the part of the tolerance that workspaces get.
+func (t Tolerance) Loosen(l Limit) Limit {
+	if l.Rate <= 0 {
+		return l
+	}
+	l.Rate *= 1 + toleranceUse*t.Overshoot
+	if t.Window > 0 {
+		l.Rate += toleranceUse * t.Slack / t.Window.Seconds()
+	}
+	return l
+}
+
 // Bucket is this instance's replica of one workspace's bucket.
 type Bucket struct {
 	limit  Limit
