edge: a stopping instance takes requests for half its grace; low ranks are admitted later; graded spread

Change: from half of the grace on, callers are told to come back elsewhere at once; admission allows 0.9 of the time left, 0.08 less per rank; servers out of use get requests from 3.5% unserved on, ill ones from 6%.

--- a/edge/answer.go
+++ b/edge/answer.go
@@ -32,6 +32,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	c, v := e.open(r)
+	if e.closing.Load() {
+		v = &verdict{http.StatusServiceUnavailable, RuleStopping, comeBackElsewhere}
+	}
 	if v == nil {
 		v = e.readBody(c, w, r)
 	}
--- a/edge/call.go
+++ b/edge/call.go
@@ -31,6 +31,7 @@
 	RuleNotRun       Rule = "not-run"
 	RuleTimeout      Rule = "timeout"
 	RuleLeft         Rule = "caller-left"
+	RuleStopping     Rule = "stopping"
 )
 
 const (
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -61,6 +61,8 @@
 
 	// stopping is set by the signal to stop.
 	stopping atomic.Bool
+	// closing is set when a stopping instance takes no more requests.
+	closing  atomic.Bool
 	inFlight atomic.Int64
 	conns    *connections
 	// kicked wakes the poller.
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -35,9 +35,15 @@
 	fewAddresses = 2
 	// stopMargin is kept back of the time until the end by force.
 	stopMargin = 500 * time.Millisecond
-	// lingerMost is how long a stopping instance waits for callers that still
-	// hold an old answer, three times addressTTL for the slowest of them.
-	lingerMost = 3 * addressTTL
+	// acceptPart is the part of the time until the end by force during which a
+	// stopping instance still takes requests. By then callers have a newer
+	// answer of the directory, but for those that keep an old one for longer;
+	// what was taken has the other half to end in. Requests that were taken
+	// until the end were cut off with their servers at work.
+	acceptPart = 0.5
+	// comeBackElsewhere is told to callers that still come after that: another
+	// instance can serve them at once.
+	comeBackElsewhere = 50 * time.Millisecond
 	// lingerStep is how often a stopping instance looks whether it is idle.
 	lingerStep = 100 * time.Millisecond
 )
@@ -115,6 +121,15 @@
 	}
 }
 
+// closeIdle closes the connections without a request.
+func (c *connections) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for nc := range c.idle {
+		_ = nc.Close()
+	}
+}
+
 func (c *connections) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -189,24 +204,24 @@
 	return near[:min(len(near), maxAddresses)]
 }
 
-// stop ends the instance as planned: it is named to nobody any more, asks
-// callers to go elsewhere with each answer, and goes on serving until they
-// have, or until just before the end by force.
+// stop ends the instance as planned: it is named to nobody any more and asks
+// callers to go elsewhere with each answer; after a while it takes no more
+// requests, and ends once it has finished those that it has.
 func (e *Edge) stop() {
 	e.stopping.Store(true)
 	event.EdgeStopping.Log(e.log, slog.Int("connections", e.conns.count()))
 	start := e.now()
-	end := settings.Seconds(e.settings.Bounds.GraceS) - stopMargin
+	grace := settings.Seconds(e.settings.Bounds.GraceS)
 	e.mu.Lock()
 	e.say(e.introduce(), surely)
 	e.mu.Unlock()
-	for {
+	for e.now()-start < time.Duration(acceptPart*float64(grace)) {
+		time.Sleep(lingerStep)
+	}
+	e.closing.Store(true)
+	e.conns.closeIdle()
+	for e.inFlight.Load() > 0 && e.now()-start < grace-stopMargin {
 		time.Sleep(lingerStep)
-		passed := e.now() - start
-		busy := e.inFlight.Load() > 0 || e.conns.count() > 0
-		if passed >= end || (!busy && passed >= addressTTL) || (passed >= lingerMost && e.inFlight.Load() == 0) {
-			break
-		}
 	}
 	event.EdgeStopped.Log(e.log, slog.Int64("cut", e.inFlight.Load()))
 }
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -13,11 +13,11 @@
 	// waitMost is the part of the time left that an urgent request may
 	// expect to need. The rest covers what the estimate can't know: the
 	// spread of the work, and what other instances send at the same moment.
-	waitMost = 0.8
+	waitMost = 0.9
 	// waitStep is taken off for each rank of priority below the most urgent,
 	// down to waitLeast.
-	waitStep  = 0.12
-	waitLeast = 0.4
+	waitStep  = 0.08
+	waitLeast = 0.6
 	// soonest and latest bound the time after which a caller is asked back.
 	soonest = 200 * time.Millisecond
 	latest  = 3 * time.Second
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -17,7 +17,7 @@
 //
 // Trade-off: servers out of use are known least. Requests that may be repeated
 // bear little risk and find out first; newcomers get an early request; and
-// once more than widenAbove of a service's requests go unserved, requests are
+// once a few in a hundred of a service's requests go unserved, requests are
 // spread over all servers that didn't just fail, so that healthy capacity
 // isn't left idle.
 //
@@ -64,10 +64,15 @@
 const (
 	// newcomerAfter leaves a server's entry time to reach all instances.
 	newcomerAfter = 500 * time.Millisecond
-	// widenAbove is the share of unserved requests from which a service's
-	// requests are spread over all its servers. It stays below the tenth at
-	// which idle healthy servers would be at fault for it.
-	widenAbove = 0.06
+	// widenFrom is the share of unserved requests from which a service's
+	// requests are spread over servers out of use that don't look ill, and
+	// widenAll that from which those that failed a moment ago get one as well.
+	// Both stay below the tenth at which idle healthy servers would be at
+	// fault for it; a burst of failures fills the rest within a second.
+	widenFrom = 0.035
+	widenAll  = 0.06
+	// looksIll is the risk above which widenFrom leaves a server alone.
+	looksIll = 0.35
 	// outOfUse is the time without a request after which spread applies, and
 	// justFailed the time after a failure during which it doesn't.
 	outOfUse   = 900 * time.Millisecond
@@ -211,13 +216,13 @@
 // is none that it may be sent to.
 func (p *Placer) Choose(r Request, now time.Duration, random func() float64) (Choice, bool) {
 	g := p.service(r.Service)
-	wide := g.outcomes.unserved(now) > widenAbove
+	width := g.outcomes.unserved(now)
 	best, found := Choice{Cost: math.Inf(1)}, false
 	for _, s := range g.servers {
 		if s.entry.Draining || contains(r.Tried, s.entry.ID) {
 			continue
 		}
-		c := s.weigh(r, g.work, now, wide)
+		c := s.weigh(r, g.work, now, width)
 		c.Cost += jitter * random()
 		if c.Cost < best.Cost {
 			best, found = c, true
@@ -228,7 +233,7 @@
 
 // weigh returns what it would cost to send the request to this server.
 // The requests before it take as long as is usual at its service (queued).
-func (s *server) weigh(r Request, queued, now time.Duration, wide bool) Choice {
+func (s *server) weigh(r Request, queued, now time.Duration, unserved float64) Choice {
 	out := s.count(now)
 	risk := s.fails(now)
 	expected := s.expected(r.Work, queued, out, now)
@@ -247,12 +252,21 @@
 	if !s.used && now-s.since > newcomerAfter && out == 0 {
 		cost -= newcomer
 	}
-	if wide && now-s.lastUse > outOfUse && now-s.lastFail > justFailed {
+	if s.spreadTo(unserved, risk, now) {
 		cost -= spread
 	}
 	return Choice{Server: s.entry, Expected: expected, Outstanding: out, Risk: risk, Cost: cost}
 }
 
+// spreadTo reports whether the server, out of use, should get a request because
+// too many go unserved.
+func (s *server) spreadTo(unserved, risk float64, now time.Duration) bool {
+	if now-s.lastUse <= outOfUse || now-s.lastFail <= justFailed {
+		return false
+	}
+	return unserved > widenAll || (unserved > widenFrom && risk < looksIll)
+}
+
 // expected is the time until an answer: the wait for a slot, during which the
 // requests before it are worked off, then its own work.
 func (s *server) expected(work, queued time.Duration, out int, now time.Duration) time.Duration {
