--- /dev/null
+++ b/discovery/discovery_test.go
@@ -0,0 +1,77 @@
+package discovery_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/discovery"
+)
+
+func server(id string, born int64) discovery.Server {
+	return discovery.Server{ID: id, Service: "s", Address: "10.0.0.1:80", Slots: 2, Born: born}
+}
+
+func TestPutTellsWhatChanged(t *testing.T) {
+	l := discovery.NewList()
+	c, ok := l.Put(server("a", 1))
+	must.True(t, ok && c.New)
+	_, ok = l.Put(server("a", 1))
+	must.False(t, ok)
+	warming := server("a", 1)
+	warming.WarmUp = time.Second
+	_, ok = l.Put(warming)
+	must.False(t, ok)
+	draining := server("a", 1)
+	draining.Draining = true
+	c, ok = l.Put(draining)
+	must.True(t, ok && !c.New)
+}
+
+// A server restarts under its id. A write of its former process arrives after
+// the first one of the new, and says that it drains. Believing it would keep a
+// healthy server out of use.
+func TestLateWordOfAFormerStartIsIgnored(t *testing.T) {
+	l := discovery.NewList()
+	l.Put(server("a", 1))
+	c, ok := l.Put(server("a", 2))
+	must.True(t, ok && c.New)
+	late := server("a", 1)
+	late.Draining = true
+	_, ok = l.Put(late)
+	must.False(t, ok)
+	s, _ := l.Get("a")
+	must.False(t, s.Draining)
+}
+
+func TestGoneServerLeavesAtOnce(t *testing.T) {
+	l := discovery.NewList()
+	l.Put(server("a", 1))
+	c, ok := l.Remove("a", time.Second, false)
+	must.True(t, ok && c.Gone)
+	must.Zero(t, l.Len())
+	_, ok = l.Remove("a", time.Second, false)
+	must.False(t, ok)
+}
+
+// The store was away for so long that the entries ran out. It comes back, the
+// list is empty, and the servers write again within two seconds. A caller that
+// asks meanwhile must be served by the servers that were there before.
+func TestEntriesThatRanOutWithTheStoreAreWaitedFor(t *testing.T) {
+	l := discovery.NewList()
+	l.Put(server("back", 1))
+	l.Put(server("lost", 1))
+	now := 10 * time.Second
+	for _, id := range l.IDs() {
+		_, ok := l.Remove(id, now, true)
+		must.False(t, ok)
+	}
+	must.Eq(t, 2, l.Len())
+	l.Put(server("back", 1))
+	must.Len(t, 0, l.Expire(now+discovery.Grace-1))
+	gone := l.Expire(now + discovery.Grace)
+	must.Len(t, 1, gone)
+	must.Eq(t, "lost", gone[0].Server.ID)
+	must.Eq(t, 1, l.Len())
+}
--- a/placement/belief.go
+++ b/placement/belief.go
@@ -15,14 +15,19 @@
 }
 
 // Spells of failures as they were observed: about 30% of the servers of a
-// service are in one at any time, a spell lasts some seconds, and of the
-// requests sent meanwhile about four fifths fail.
+// service are in one at any time, a spell lasts about nine seconds, rarely
+// twice that, and of the requests sent meanwhile about four fifths fail. A
+// server that is well stays so for about half a minute.
 const (
 	// usuallyFailing is the share of servers that fail when nothing is known.
 	usuallyFailing = 0.3
-	// memory is the time after which what was learnt of a server has faded to
-	// a third: the mean of how long spells and the times between last.
-	memory = 2500 * time.Millisecond
+	// trustFades and suspicionFades are the times after which good and bad
+	// experience has faded to a third. Trust in a server that isn't used must
+	// outlast the pauses between requests, or all load stays on few servers;
+	// suspicion has to outlast most of a spell, since each early try is
+	// probably lost.
+	trustFades     = 9 * time.Second
+	suspicionFades = 6 * time.Second
 	// failsInSpell is the share of requests that fail in a spell.
 	failsInSpell = 0.8
 	// failsOtherwise is the share that fails at a server that is well.
@@ -42,7 +47,11 @@
 	if passed <= 0 {
 		return b.failing
 	}
-	kept := math.Exp(-float64(passed) / float64(memory))
+	fades := trustFades
+	if b.failing > usuallyFailing {
+		fades = suspicionFades
+	}
+	kept := math.Exp(-float64(passed) / float64(fades))
 	return usuallyFailing + (b.failing-usuallyFailing)*kept
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -58,7 +58,7 @@
 	// newcomer draws an early request to a server that never got one.
 	newcomer = 0.3
 	// spread draws requests to servers out of use while many go unserved.
-	spread = 0.5
+	spread = 0.8
 )
 
 const (
@@ -152,7 +152,7 @@
 type service struct {
 	servers []*server
 	// work is the usual time of the service's requests, all kinds together.
-	work time.Duration
+	work     time.Duration
 	outcomes outcomes
 }
 
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,269 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/discovery"
+	"foxtailspoke/health"
+	"foxtailspoke/placement"
+)
+
+const (
+	work = 200 * time.Millisecond
+	peer = 9
+)
+
+func noJitter() float64 { return 0 }
+
+func placer(ids ...string) *placement.Placer {
+	p := placement.New()
+	for _, id := range ids {
+		p.Apply(discovery.Change{Server: server(id), New: true}, 0)
+	}
+	return p
+}
+
+func server(id string) discovery.Server {
+	return discovery.Server{ID: id, Service: "s", Address: "10.0.0.1:80", DataCentre: "dc", Slots: 2}
+}
+
+func order() placement.Request {
+	return placement.Request{
+		Service: "s", Aim: 800 * time.Millisecond, Left: 2 * time.Second, Work: work, KB: 5, DataCentre: "dc",
+	}
+}
+
+func lookup() placement.Request {
+	r := order()
+	r.Repeatable = true
+	return r
+}
+
+func use(p *placement.Placer, id string, r health.Result, now time.Duration) {
+	h := placement.Hash(id)
+	p.Outstanding(h, 0, 1, now)
+	p.Outstanding(h, 0, 0, now)
+	p.Learn(h, r, work, work, now)
+}
+
+func choose(t *testing.T, p *placement.Placer, r placement.Request, now time.Duration) placement.Choice {
+	t.Helper()
+	c, ok := p.Choose(r, now, noJitter)
+	must.True(t, ok)
+	return c
+}
+
+// One order was reset; the server's health report is good. Each further order
+// that is sent there may be lost, so the very next one must go elsewhere, also
+// at the instances that only heard of it.
+func TestServerThatFailedOnceIsAvoided(t *testing.T) {
+	p := placer("a", "b")
+	now := time.Second
+	use(p, "a", health.OK, now)
+	use(p, "b", health.OK, now)
+	p.Learn(placement.Hash("a"), health.Incomplete, 0, work, now)
+	for range 5 {
+		must.Eq(t, "b", choose(t, p, order(), now).Server.ID)
+	}
+	must.Greater(t, 0.6, choose(t, p, withTried(order(), "b"), now).Risk)
+}
+
+func withTried(r placement.Request, ids ...string) placement.Request {
+	r.Tried = ids
+	return r
+}
+
+// A spell of failures ends by itself and nobody says so. A server must not stay
+// out of use for ever.
+func TestSuspicionFades(t *testing.T) {
+	p := placer("a")
+	use(p, "a", health.Incomplete, time.Second)
+	must.Greater(t, 0.7, choose(t, p, order(), time.Second).Risk)
+	must.Less(t, 0.3, choose(t, p, order(), 15*time.Second).Risk)
+}
+
+// Load stays on servers that answered a moment ago, each with a free slot,
+// before it goes to one of which nothing has been heard for long: there an
+// order in four is lost.
+func TestOrdersGoWhereAnswersJustCameFrom(t *testing.T) {
+	p := placer("known", "unknown")
+	use(p, "unknown", health.OK, 0)
+	now := 10 * time.Second
+	use(p, "known", health.OK, now)
+	use(p, "known", health.OK, now)
+	p.Outstanding(placement.Hash("known"), peer, 1, now)
+	must.Eq(t, "known", choose(t, p, order(), now).Server.ID)
+}
+
+// Slots are few and shared by all instances. What others have outstanding
+// counts as much as the own work.
+func TestWorkOfOtherInstancesCounts(t *testing.T) {
+	p := placer("a", "b")
+	now := time.Second
+	for range 3 {
+		use(p, "a", health.OK, now)
+		use(p, "b", health.OK, now)
+	}
+	p.Outstanding(placement.Hash("a"), peer, 6, now)
+	must.Eq(t, "b", choose(t, p, order(), now).Server.ID)
+	p.Forget(peer)
+	p.Outstanding(placement.Hash("b"), peer, 6, now)
+	must.Eq(t, "a", choose(t, p, order(), now).Server.ID)
+}
+
+// The last word of an instance about its work got lost. Its count must not
+// keep the server out of use for ever.
+func TestOldCountsOfOthersAreDropped(t *testing.T) {
+	p := placer("a")
+	p.Outstanding(placement.Hash("a"), peer, 5, time.Second)
+	must.Eq(t, 5, choose(t, p, order(), 2*time.Second).Outstanding)
+	must.Eq(t, 0, choose(t, p, order(), 8*time.Second).Outstanding)
+}
+
+// A short request stands behind long ones. Taking the wait for that of its own
+// kind sent ten short requests behind the same lookups.
+func TestWaitIsThatOfTheRequestsBefore(t *testing.T) {
+	p := placer("a")
+	now := time.Second
+	for range 200 {
+		use(p, "a", health.OK, now)
+	}
+	p.Outstanding(placement.Hash("a"), peer, 9, now)
+	short := order()
+	short.Work = 3 * time.Millisecond
+	must.Between(t, 3*work, choose(t, p, short, now).Expected, 5*work)
+}
+
+func TestDrainingAndGoneServersGetNothing(t *testing.T) {
+	p := placer("a")
+	draining := server("a")
+	draining.Draining = true
+	p.Apply(discovery.Change{Server: draining}, 0)
+	_, ok := p.Choose(order(), 0, noJitter)
+	must.False(t, ok)
+	p.Apply(discovery.Change{Server: server("a"), New: true}, 0)
+	choose(t, p, order(), 0)
+	p.Apply(discovery.Change{Server: server("a"), Gone: true}, 0)
+	_, ok = p.Choose(order(), 0, noJitter)
+	must.False(t, ok)
+}
+
+func TestServerThatWasTriedIsLeftOut(t *testing.T) {
+	p := placer("a")
+	_, ok := p.Choose(withTried(order(), "a"), 0, noJitter)
+	must.False(t, ok)
+}
+
+// A server that restarts under its id has nothing to do with the failures of
+// its former process.
+func TestRestartedServerBeginsAnew(t *testing.T) {
+	p := placer("a")
+	use(p, "a", health.Incomplete, time.Second)
+	p.Apply(discovery.Change{Server: server("a"), New: true}, time.Second)
+	must.Less(t, 0.3, choose(t, p, order(), time.Second).Risk)
+}
+
+// The own data centre comes first, but not at the price of failing or waiting.
+func TestOwnDataCentreFirst(t *testing.T) {
+	p := placement.New()
+	far := server("far")
+	far.DataCentre = "other"
+	p.Apply(discovery.Change{Server: far, New: true}, 0)
+	p.Apply(discovery.Change{Server: server("near"), New: true}, 0)
+	now := time.Second
+	use(p, "far", health.OK, now)
+	use(p, "near", health.OK, now)
+	must.Eq(t, "near", choose(t, p, order(), now).Server.ID)
+	p.Outstanding(placement.Hash("near"), peer, 8, now)
+	must.Eq(t, "far", choose(t, p, order(), now).Server.ID)
+	p.Outstanding(placement.Hash("near"), peer, 0, now)
+	p.Learn(placement.Hash("near"), health.Incomplete, 0, work, now)
+	must.Eq(t, "far", choose(t, p, order(), now).Server.ID)
+}
+
+// Servers were added. They answer nobody yet, so nothing speaks for them; with
+// the load on known servers they would stay idle for good.
+func TestNewcomerGetsARequestSoon(t *testing.T) {
+	p := placer("old")
+	for range 5 {
+		use(p, "old", health.OK, 10*time.Second)
+	}
+	p.Apply(discovery.Change{Server: server("new"), New: true}, 10*time.Second)
+	must.Eq(t, "old", choose(t, p, order(), 10*time.Second).Server.ID)
+	now := 11 * time.Second
+	use(p, "old", health.OK, now)
+	must.Eq(t, "new", choose(t, p, order(), now).Server.ID)
+	use(p, "new", health.Incomplete, now)
+	must.Eq(t, "old", choose(t, p, order(), now).Server.ID)
+}
+
+// More than a tenth of a service's requests goes unserved while healthy servers
+// are out of use. They must get requests within a second or two; one that has
+// just failed must not.
+func TestUnservedRequestsBringIdleServersIntoUse(t *testing.T) {
+	p := placer("hot", "idle", "failed")
+	now := 10 * time.Second
+	use(p, "idle", health.OK, now-3*time.Second)
+	use(p, "failed", health.Incomplete, now-time.Second)
+	for i := range 20 {
+		use(p, "hot", health.OK, now)
+		p.Served("s", i >= 3, now)
+	}
+	must.Eq(t, "idle", choose(t, p, order(), now).Server.ID)
+	use(p, "idle", health.OK, now)
+	must.Eq(t, "hot", choose(t, p, order(), now).Server.ID)
+	now += time.Second
+	use(p, "hot", health.OK, now)
+	use(p, "idle", health.OK, now)
+	must.Eq(t, "failed", choose(t, p, order(), now).Server.ID)
+}
+
+func TestWarmingServerIsTakenForSlow(t *testing.T) {
+	p := placement.New()
+	warm := server("warm")
+	warm.WarmUp = 3 * time.Second
+	p.Apply(discovery.Change{Server: warm, New: true}, 0)
+	must.Eq(t, 2*work, choose(t, p, order(), time.Second).Expected)
+	must.Eq(t, work, choose(t, p, order(), 4*time.Second).Expected)
+}
+
+func TestSlowServerIsExpectedToBeSlow(t *testing.T) {
+	p := placer("slow", "fast")
+	now := time.Second
+	for range 10 {
+		use(p, "fast", health.OK, now)
+		use(p, "slow", health.OK, now)
+		p.Learn(placement.Hash("slow"), health.OK, 6*work, work, now)
+	}
+	must.Eq(t, "fast", choose(t, p, lookup(), now).Server.ID)
+	must.Greater(t, 3*work, choose(t, p, withTried(lookup(), "fast"), now).Expected)
+}
+
+func TestAdmitTurnsAwayWhatCantBeServedInTime(t *testing.T) {
+	r := order()
+	r.Left = time.Second
+	soon := placement.Choice{Expected: 300 * time.Millisecond}
+	late := placement.Choice{Expected: 800 * time.Millisecond}
+	ok, _ := placement.Admit(soon, r, 0, 0)
+	must.True(t, ok)
+	ok, _ = placement.Admit(late, r, 0, 0)
+	must.True(t, ok)
+	ok, wait := placement.Admit(late, r, 3, 0)
+	must.False(t, ok)
+	must.Between(t, 100*time.Millisecond, wait, 3*time.Second)
+	ok, wait = placement.Admit(placement.Choice{Expected: time.Minute}, r, 0, 1)
+	must.False(t, ok)
+	must.LessEq(t, 3*time.Second, wait)
+}
+
+func TestHashesOfIDsDiffer(t *testing.T) {
+	seen := make(map[uint32]bool)
+	for i := range 24000 {
+		seen[placement.Hash(fmt.Sprintf("i-%08x", i*2654435761))] = true
+	}
+	must.Greater(t, 23990, len(seen))
+}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,78 @@
+package routing_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/routing"
+)
+
+func table() *routing.Table {
+	share := []routing.Share{{Service: "s", Weight: 1}}
+	return routing.NewTable(routing.Config{
+		Version: 7,
+		Keyed:   true,
+		Routes: []routing.Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Shares: share},
+			{Name: "deep", Host: "a.example", Prefix: "/x/y/", Shares: share},
+			{Name: "flat", Host: "a.example", Prefix: "/x/", Shares: share},
+			{Name: "other", Host: "b.example", Prefix: "/x/", Shares: share},
+		},
+		Workspaces: []routing.Workspace{{Name: "w"}},
+		Keys:       map[routing.Key]int{routing.HashKey("secret"): 0},
+	})
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "deep"},
+		{"a.example", "/x/y/", "deep"},
+		{"a.example", "/x/y", "flat"},
+		{"a.example", "/x//y/", "flat"},
+		{"a.example", "/", "all"},
+		{"A.Example:8080", "/x/1", "flat"},
+		{"b.example", "/x/1", "other"},
+		{"b.example", "/y/1", ""},
+		{"c.example", "/x/1", ""},
+		{"a.example", "*", ""},
+		{"a.example", "", ""},
+	}
+	for _, tt := range tests {
+		got := ""
+		if r := table().Route(tt.host, tt.path); r != nil {
+			got = r.Name
+		}
+		must.Eq(t, tt.want, got, must.Sprintf("%s %s", tt.host, tt.path))
+	}
+}
+
+func TestKeyNamesItsWorkspace(t *testing.T) {
+	must.Eq(t, "w", table().Workspace("secret").Name)
+	must.Nil(t, table().Workspace("Secret"))
+	must.Nil(t, table().Workspace(""))
+}
+
+func TestWorkspacesRankReplacesTheRoutes(t *testing.T) {
+	r := &routing.Route{Priority: 2}
+	must.Eq(t, 2, routing.Rank(r, nil))
+	must.Eq(t, 2, routing.Rank(r, &routing.Workspace{}))
+	must.Eq(t, 0, routing.Rank(r, &routing.Workspace{HasPriority: true}))
+}
+
+// The shares of a split must show after few requests already: an operator who
+// gives a new service a tenth looks for one request in ten, not for a chance of
+// a tenth.
+func TestSplitKeepsItsSharesAfterEveryFewRequests(t *testing.T) {
+	r := &routing.Route{Name: "r", Shares: []routing.Share{{Service: "old", Weight: 90}, {Service: "new", Weight: 10}}}
+	for _, offset := range []float64{0, 0.3, 0.9} {
+		s := routing.Splitter{Offset: offset}
+		fresh := 0
+		for i := 1; i <= 200; i++ {
+			if s.Pick(r) == "new" {
+				fresh++
+			}
+			must.Between(t, float64(i)/10-1.6, float64(fresh), float64(i)/10+1.6)
+		}
+	}
+}
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -153,9 +153,9 @@
 func (c *Counters) Own(workspace uint32) uint64 { return c.bucket(workspace).own }
 
 // Heard takes in the total that another instance has admitted in its epoch,
-// which is the time of its start. The first word of an instance sets where
-// counting begins: what it admitted before this instance listened lies in the
-// past.
+// which is the time of its start. The first word of an instance is charged as
+// one request, the one it speaks of: what it admitted before this instance
+// listened lies in the past.
 func (c *Counters) Heard(instance, epoch, workspace uint32, count uint64, now time.Duration) {
 	b := c.bucket(workspace)
 	last, known := b.seen[instance]
@@ -168,6 +168,9 @@
 		b.charge(count)
 	case known && count <= last.count:
 		return
+	case !known:
+		b.refill(now, c.Share)
+		b.charge(1)
 	}
 	b.seen[instance] = total{epoch: epoch, count: count}
 }
--- /dev/null
+++ b/usage/usage_test.go
@@ -0,0 +1,243 @@
+package usage_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/usage"
+)
+
+const workspace = 1
+
+// fleet replays requests of one workspace at several instances that tell each
+// other what they admitted, some time later, some messages never.
+type fleet struct {
+	counters []*usage.Counters
+	epochs   []uint32
+	rng      *rand.Rand
+	delay    time.Duration
+	lost     float64
+	cut      func(from, to int, now time.Duration) bool
+	queue    []word
+	admitted []time.Duration
+	refused  int
+}
+
+type word struct {
+	at       time.Duration
+	from, to int
+	epoch    uint32
+	count    uint64
+}
+
+func newFleet(n int, l usage.Limit, seed uint64) *fleet {
+	f := &fleet{
+		rng: rand.New(rand.NewPCG(seed, 1)), delay: 15 * time.Millisecond,
+		cut: func(int, int, time.Duration) bool { return false },
+	}
+	for range n {
+		c := usage.NewCounters()
+		c.SetLimit(workspace, l, 0)
+		f.counters = append(f.counters, c)
+		f.epochs = append(f.epochs, 1)
+	}
+	return f
+}
+
+// request arrives at an instance.
+func (f *fleet) request(i int, now time.Duration) {
+	f.deliver(now)
+	ok, _ := f.counters[i].Take(workspace, now)
+	if !ok {
+		f.refused++
+		return
+	}
+	f.admitted = append(f.admitted, now)
+	f.tell(i, now)
+}
+
+func (f *fleet) tell(i int, now time.Duration) {
+	for j := range f.counters {
+		if j != i && !f.cut(i, j, now) && f.rng.Float64() >= f.lost {
+			f.queue = append(f.queue, word{now + f.delay, i, j, f.epochs[i], f.counters[i].Own(workspace)})
+		}
+	}
+}
+
+func (f *fleet) deliver(now time.Duration) {
+	rest := f.queue[:0]
+	for _, w := range f.queue {
+		if w.at > now {
+			rest = append(rest, w)
+			continue
+		}
+		f.counters[w.to].Heard(uint32(w.from+1), w.epoch, workspace, w.count, w.at)
+	}
+	f.queue = rest
+}
+
+// most is the largest number admitted in any window of the given length.
+func (f *fleet) most(window time.Duration) int {
+	most, first := 0, 0
+	for last := range f.admitted {
+		for f.admitted[last]-f.admitted[first] > window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// run sends requests at a rate to random instances.
+func (f *fleet) run(from, to time.Duration, perSecond float64) {
+	for now := from; now < to; now += time.Duration(f.rng.ExpFloat64() / perSecond * float64(time.Second)) {
+		f.request(f.rng.IntN(len(f.counters)), now)
+	}
+}
+
+const (
+	window    = 5 * time.Second
+	overshoot = 0.1
+	slack     = 20
+)
+
+func tolerated(l usage.Limit) float64 {
+	return (l.Rate*window.Seconds()+l.Burst)*(1+overshoot) + slack
+}
+
+// A workspace sends eight times its rate to 36 instances. Each hears of the
+// others' admissions 15 ms late, and one message in fifty never. The sum over
+// any five seconds must stay within what the platform tolerates.
+func TestHotWorkspaceGetsItsRateAndNoMore(t *testing.T) {
+	l := usage.Limit{Rate: 20, Burst: 20}
+	for seed := range uint64(10) {
+		f := newFleet(36, l, seed)
+		f.lost = 0.02
+		f.run(0, 30*time.Second, 160)
+		must.LessEq(t, l.Rate*window.Seconds()+l.Burst+4, float64(f.most(window)))
+		must.GreaterEq(t, 0.95*l.Rate*30, float64(len(f.admitted)))
+	}
+}
+
+// A workspace stays inside its rate. A caller refused here would be refused
+// although its plan allows it.
+func TestNobodyInsideTheRateIsRefused(t *testing.T) {
+	l := usage.Limit{Rate: 36, Burst: 36}
+	refused, all := 0, 0
+	for seed := range uint64(10) {
+		f := newFleet(36, l, seed)
+		f.run(5*time.Second, 35*time.Second, 24)
+		refused += f.refused
+		all += f.refused + len(f.admitted)
+	}
+	must.LessEq(t, 0.002, float64(refused)/float64(all))
+}
+
+// A third of the instances is cut off from the rest, and the workspace goes on
+// sending too much to all. Neither side knows what the other admits; each must
+// keep to the part of the rate that belongs to those it hears.
+func TestTwoSidesOfACutShareTheRate(t *testing.T) {
+	l := usage.Limit{Rate: 30, Burst: 30}
+	f := newFleet(36, l, 3)
+	side := func(i int) bool { return i < 12 }
+	f.cut = func(from, to int, _ time.Duration) bool { return side(from) != side(to) }
+	for i, c := range f.counters {
+		c.Share = 24.0 / 36
+		if side(i) {
+			c.Share = 12.0 / 36
+		}
+	}
+	f.run(0, 30*time.Second, 200)
+	must.LessEq(t, tolerated(l), float64(f.most(window)))
+}
+
+// All processes are killed and start again at once, having forgotten what they
+// admitted. A full burst for the fresh start would be a second one within the
+// same window.
+func TestKillOfAllGivesNoSecondBurst(t *testing.T) {
+	l := usage.Limit{Rate: 20, Burst: 60}
+	f := newFleet(36, l, 5)
+	f.run(0, 10*time.Second, 200)
+	before := f.admitted
+	f = newFleet(36, l, 6)
+	for _, c := range f.counters {
+		c.SetLimit(workspace, l, 10500*time.Millisecond)
+	}
+	f.admitted = before
+	f.run(10500*time.Millisecond, 20*time.Second, 200)
+	must.LessEq(t, tolerated(l), float64(f.most(window)))
+}
+
+// An instance falls silent, its part is no longer counted on, and it speaks
+// again. What it admitted meanwhile came from its own part; charging it now
+// would refuse callers that are inside the rate.
+func TestForgottenInstanceIsntChargedTwice(t *testing.T) {
+	c := usage.NewCounters()
+	c.SetLimit(workspace, usage.Limit{Rate: 10, Burst: 10}, 0)
+	c.Heard(2, 1, workspace, 5, 10*time.Second)
+	c.Forget(2)
+	c.Heard(2, 1, workspace, 500, 20*time.Second)
+	must.Eq(t, 9, c.Tokens(workspace, 20*time.Second))
+	c.Heard(2, 1, workspace, 503, 20*time.Second)
+	must.Eq(t, 6, c.Tokens(workspace, 20*time.Second))
+}
+
+// A restarted instance counts from zero; its first admissions must be charged
+// all the same, and a late word of its former start must not.
+func TestRestartedInstanceIsChargedFromZero(t *testing.T) {
+	c := usage.NewCounters()
+	c.SetLimit(workspace, usage.Limit{Rate: 10, Burst: 10}, 0)
+	c.Heard(2, 1, workspace, 100, 10*time.Second)
+	c.Heard(2, 2, workspace, 4, 10*time.Second)
+	must.Eq(t, 5, c.Tokens(workspace, 10*time.Second))
+}
+
+func TestLateTotalsBuildNoLongDebt(t *testing.T) {
+	c := usage.NewCounters()
+	c.SetLimit(workspace, usage.Limit{Rate: 10, Burst: 10}, 0)
+	c.Heard(2, 1, workspace, 1, 10*time.Second)
+	c.Heard(2, 1, workspace, 1000, 10*time.Second)
+	ok, _ := c.Take(workspace, 12500*time.Millisecond)
+	must.True(t, ok)
+}
+
+func TestLowerLimitHoldsAtOnce(t *testing.T) {
+	c := usage.NewCounters()
+	c.SetLimit(workspace, usage.Limit{Rate: 100, Burst: 100}, 0)
+	c.Tokens(workspace, 10*time.Second)
+	c.SetLimit(workspace, usage.Limit{Rate: 5, Burst: 5}, 10*time.Second)
+	must.Eq(t, 5, c.Tokens(workspace, 10*time.Second))
+}
+
+func TestNoLimitAdmitsAll(t *testing.T) {
+	c := usage.NewCounters()
+	for range 1000 {
+		ok, _ := c.Take(workspace, 0)
+		must.True(t, ok)
+	}
+}
+
+func TestRefusalSaysWhenTheNextTokenIsThere(t *testing.T) {
+	c := usage.NewCounters()
+	c.SetLimit(workspace, usage.Limit{Rate: 2, Burst: 1}, 0)
+	ok, _ := c.Take(workspace, 10*time.Second)
+	must.True(t, ok)
+	ok, wait := c.Take(workspace, 10*time.Second)
+	must.False(t, ok)
+	must.Eq(t, 500*time.Millisecond, wait)
+	ok, _ = c.Take(workspace, 10*time.Second+wait)
+	must.True(t, ok)
+}
+
+func TestLoosenStaysInsideTheTolerance(t *testing.T) {
+	tol := usage.Tolerance{Overshoot: overshoot, Slack: slack, Window: window}
+	for _, l := range []usage.Limit{{Rate: 7, Burst: 7}, {Rate: 100, Burst: 0}, {Rate: 1, Burst: 50}} {
+		loose := tol.Loosen(l)
+		must.Greater(t, l.Rate, loose.Rate)
+		must.LessEq(t, tolerated(l)-8, loose.Rate*window.Seconds()+loose.Burst)
+	}
+	must.Eq(t, usage.Limit{}, tol.Loosen(usage.Limit{}))
+}
