placement: servers that just failed are tried again only above 8.5% unserved

Cause: with refusals for the rate counted, 6% was exceeded all the time, and the tries at servers in a spell kept it so.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -69,8 +69,8 @@
 	// widenAll that from which those that failed a moment ago get one as well.
 	// Both stay below the tenth at which idle healthy servers would be at
 	// fault for it; a burst of failures fills the rest within a second.
-	widenFrom = 0.035
-	widenAll  = 0.06
+	widenFrom = 0.03
+	widenAll  = 0.085
 	// looksIll is the risk above which widenFrom leaves a server alone.
 	looksIll = 0.35
 	// outOfUse is the time without a request after which spread applies, and
