edge: tests of the adapter, the connections and whole instances, and what they found

Found by the tests: a success without a server's proof was delivered (now 502); entries that ran out while the store was away were dropped at its first answer, before the outage was noted; the end of a short write could stay unnoticed and cost its connection. Now an instance spreads its requests in the first 5 s; test TestAfterAStartAllServersGetRequests.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -31,8 +31,7 @@
 	took   time.Duration
 	number int
 	cancel context.CancelFunc
-	// late says that it was told to be late already.
-	late bool
+	// ends says that its end was told.
 	ends bool
 }
 
@@ -59,7 +58,7 @@
 	tried   []string
 	// mayHaveRun says that an attempt ended without proof that it didn't run.
 	mayHaveRun bool
-	// last is the newest whole answer that wasn't delivered at once.
+	// last is the newest whole answer with a server's own failure.
 	last *attempt
 }
 
@@ -125,7 +124,7 @@
 	}
 	mayHaveRun := r.mayHaveRun
 	r.mayHaveRun = r.mayHaveRun || !a.result.ProvedNotRun()
-	if a.answer.Outcome == upstream.Answered && !platform.NotRun(a.answer.Status, a.answer.Header) {
+	if a.result == health.ServerError {
 		r.last = a
 	}
 	d := r.e.decide(r.c, a, len(r.tried), len(r.running), mayHaveRun)
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -144,6 +144,7 @@
 			continue
 		}
 		s.clock.Observe(p.answer.Stamp, now)
+		e.noteReturn(p.table, p.answer.Stamp, now)
 		changed, _ := e.copyOf(p.table).Apply(p.answer, p.since)
 		notices = append(notices, e.notice(p, e.takeRows(p.table, changed, now)))
 		e.prove(p.table, p.answer.Stamp, now)
@@ -216,6 +217,7 @@
 	for _, r := range n.Rows {
 		a.Rows = append(a.Rows, replica.Row{Key: r.Key, Value: r.Value, Gone: r.Gone})
 	}
+	e.noteReturn(n.Table, n.Stamp(), now)
 	changed, _ := e.copyOf(n.Table).Apply(a, n.Since)
 	e.takeRows(n.Table, changed, now)
 	e.prove(n.Table, n.Stamp(), now)
@@ -244,6 +246,16 @@
 	}
 }
 
+// noteReturn notes that the store is back after an outage. It comes before the
+// rows of its first answer: entries that ran out meanwhile are missing there.
+func (e *Edge) noteReturn(t evidence.Table, stamp, now time.Duration) {
+	s := &e.state
+	at := now - s.clock.Age(stamp, now)
+	if t == evidence.Servers && s.serversProof > 0 && at-s.serversProof > discovery.Outage {
+		s.outageEnd = now
+	}
+}
+
 // prove notes that the copy of a table was complete at a moment of the
 // store's clock.
 func (e *Edge) prove(t evidence.Table, stamp, now time.Duration) {
@@ -256,9 +268,6 @@
 			s.proved = true
 		}
 	case evidence.Servers:
-		if s.serversProof > 0 && at-s.serversProof > discovery.Outage {
-			s.outageEnd = now
-		}
 		s.serversProof = max(s.serversProof, at)
 		s.poll.Proved(now-at, now)
 	case evidence.Instances:
--- a/edge/members.go
+++ b/edge/members.go
@@ -119,9 +119,6 @@
 	return rank
 }
 
-// fleetSize is the number of known instances.
-func (e *Edge) fleetSize() int { return len(e.state.members) + 1 }
-
 // neighbours are all known instances of the own data centre, silent ones as
 // well: they must hear of this one to hear it again.
 func (e *Edge) neighbours() []uint32 {
--- /dev/null
+++ b/freshness/freshness_test.go
@@ -0,0 +1,108 @@
+package freshness_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/freshness"
+)
+
+const ms = time.Millisecond
+
+// A process stands still for eight seconds with an answer in its buffer, wakes
+// and reads it. Counted from its arrival the answer would be fresh, and a key
+// that was taken away meanwhile would still open.
+func TestAnswerThatWaitedInABufferIsOld(t *testing.T) {
+	var c freshness.Clock
+	c.Observe(100*time.Second, 10*time.Second)
+	c.Observe(101*time.Second, 11*time.Second)
+	c.Observe(102*time.Second, 20*time.Second)
+	must.Between(t, 7900*ms, c.Age(102*time.Second, 20*time.Second), 8100*ms)
+}
+
+func TestAgeOfAFreshAnswerIsItsWay(t *testing.T) {
+	var c freshness.Clock
+	c.Observe(100*time.Second, 10*time.Second+2*ms)
+	c.Observe(101*time.Second, 11*time.Second+30*ms)
+	must.Between(t, 20*ms, c.Age(101*time.Second, 11*time.Second+30*ms), 30*ms)
+}
+
+func TestUnknownClockMeansUnknownAge(t *testing.T) {
+	var c freshness.Clock
+	must.Greater(t, time.Hour, c.Age(time.Second, time.Second))
+	c.Observe(time.Second, time.Second)
+	c.Restart()
+	must.Greater(t, time.Hour, c.Age(time.Second, time.Second))
+}
+
+func TestKeysBoundLeavesAMargin(t *testing.T) {
+	b := freshness.NewBounds(5 * time.Second)
+	must.Between(t, 4*time.Second, b.Keys, 4500*ms)
+}
+
+// The first in rank asks for all; nobody else reaches its threshold as long as
+// it tells what it learns.
+func TestFirstInRankAsksForAll(t *testing.T) {
+	var first, third freshness.Poll
+	calls := 0
+	for now := time.Duration(0); now < 10*time.Second; now += 10 * ms {
+		if first.Next(0, 0.5, now) <= now {
+			calls++
+			first.Proved(5*ms, now)
+			third.Proved(7*ms, now)
+		}
+		must.Greater(t, now, third.Next(2, 0, now))
+	}
+	must.Between(t, 18, calls, 24)
+}
+
+// The first in rank is killed. The next must ask before anybody acts on
+// something too old: well within the two seconds in which a change is in force.
+func TestNextInRankTakesOver(t *testing.T) {
+	var second, last freshness.Poll
+	second.Proved(0, 0)
+	last.Proved(0, 0)
+	must.LessEq(t, 700*ms, second.Next(1, 1, 0))
+	must.LessEq(t, 1200*ms, last.Next(30, 1, 0))
+	must.Greater(t, second.Next(1, 1, 0), last.Next(30, 0, 0))
+}
+
+// The store is away. All instances would ask it at once and again; each call
+// is refused and paid for all the same.
+func TestAttemptsKeepApartWhileTheStoreIsAway(t *testing.T) {
+	var p freshness.Poll
+	p.Proved(0, 0)
+	now := 10 * time.Second
+	must.LessEq(t, now, p.Next(3, 0, now))
+	p.Attempted(now)
+	must.GreaterEq(t, now+120*ms, p.Next(3, 0, now))
+	p.Failed(now)
+	must.GreaterEq(t, now+250*ms, p.Next(3, 0, now))
+	for range 10 {
+		p.Failed(now)
+	}
+	must.Between(t, now+900*ms, p.Next(3, 0, now), now+1100*ms)
+	must.True(t, p.Troubled(now))
+}
+
+// The store refuses just this instance, which is first in rank. It must leave
+// the asking to others for a while instead of failing first each time.
+func TestRefusedInstanceComesLast(t *testing.T) {
+	var p freshness.Poll
+	p.Proved(0, 10*time.Second)
+	p.Failed(10 * time.Second)
+	p.Succeeded()
+	now := 11 * time.Second
+	p.Proved(0, now)
+	must.GreaterEq(t, now+900*ms, p.Next(0, 0, now))
+	now = 20 * time.Second
+	p.Proved(0, now)
+	must.LessEq(t, now+500*ms, p.Next(0, 0, now))
+}
+
+func TestInstanceThatKnowsNothingAsksAtOnce(t *testing.T) {
+	var p freshness.Poll
+	must.Eq(t, time.Second, p.Next(30, 0.9, time.Second))
+}
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -143,6 +144,11 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// Read first: net/http tells that a caller has left only after that.
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
 	fault, delay := s.arrival(r)
 	select {
 	case <-time.After(delay):
@@ -163,7 +169,7 @@
 		return
 	case None, Lost:
 	}
-	status, answer := s.answer(r)
+	status, answer := s.answer(r, body)
 	if fault == Lost {
 		panic(http.ErrAbortHandler)
 	}
@@ -194,7 +200,7 @@
 	NowS    float64 `json:"now_s"`
 }
 
-func (s *Store) answer(r *http.Request) (int, answerDocument) {
+func (s *Store) answer(r *http.Request, body []byte) (int, answerDocument) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q := r.URL.Query()
@@ -204,7 +210,7 @@
 	case "/api/rows-feed":
 		return s.changes(q.Get("table"), q.Get("after"))
 	case "/api/rows-tx":
-		return s.transact(r)
+		return s.transact(body)
 	default:
 		return http.StatusNotFound, answerDocument{}
 	}
@@ -256,9 +262,9 @@
 	Remove   []Row `json:"remove"`
 }
 
-func (s *Store) transact(r *http.Request) (int, answerDocument) {
+func (s *Store) transact(body []byte) (int, answerDocument) {
 	var t transaction
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+	if err := json.Unmarshal(body, &t); err != nil {
 		return http.StatusBadRequest, s.now()
 	}
 	for _, row := range append(append([]Row{}, t.Put...), t.Remove...) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -73,6 +73,10 @@
 	// a rule, are tried only if there are more of them.
 	widenAbove = 0.04
 	coverage   = 0.78
+	// justStarted is the time after the start of an instance during which it
+	// takes as given that many went unserved: the whole fleet may have been
+	// down, and nobody remembers. The first servers to answer would get all.
+	justStarted = 5 * time.Second
 	// outOfUse is the time without a request after which spread applies, and
 	// justFailed the time after a failure during which it doesn't.
 	outOfUse   = 1300 * time.Millisecond
@@ -151,6 +155,8 @@
 
 type service struct {
 	servers []*server
+	// since is when the first of them became known.
+	since time.Duration
 	// work is the usual time of the service's requests, all kinds together.
 	work     time.Duration
 	outcomes outcomes
@@ -185,6 +191,9 @@
 		p.byID[c.Server.ID] = old
 		p.byHash[Hash(c.Server.ID)] = old
 		s := p.service(c.Server.Service)
+		if len(s.servers) == 0 {
+			s.since = now
+		}
 		s.servers = append(s.servers, old)
 	}
 	old.entry = c.Server
@@ -216,7 +225,7 @@
 // is none that it may be sent to.
 func (p *Placer) Choose(r Request, now time.Duration, random func() float64) (Choice, bool) {
 	g := p.service(r.Service)
-	wide := g.outcomes.unserved(now) > widenAbove && g.inUse(now) < coverage
+	wide := (g.outcomes.unserved(now) > widenAbove || now-g.since < justStarted) && g.inUse(now) < coverage
 	best, found := Choice{Cost: math.Inf(1)}, false
 	for _, s := range g.servers {
 		if s.entry.Draining || contains(r.Tried, s.entry.ID) {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -167,6 +167,21 @@
 	must.Less(t, 0.3, choose(t, p, order(), time.Second).Risk)
 }
 
+// All instances were down and have just started. Nothing is known of any
+// server, and what went unserved meanwhile isn't remembered. Without the spread
+// the first server to answer would get all requests.
+func TestAfterAStartAllServersGetRequests(t *testing.T) {
+	p := placer("a", "b", "c", "d")
+	seen := make(map[string]bool)
+	for i := range 4 {
+		now := time.Second + time.Duration(i)*100*time.Millisecond
+		id := choose(t, p, order(), now).Server.ID
+		seen[id] = true
+		use(p, id, health.OK, now)
+	}
+	must.MapLen(t, 4, seen)
+}
+
 // The own data centre comes first, but not at the price of failing or waiting.
 func TestOwnDataCentreFirst(t *testing.T) {
 	p := placement.New()
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -56,6 +57,12 @@
 const (
 	// maxStrayAnswers is how many answers to earlier requests are read past.
 	maxStrayAnswers = 2
+	// writtenAtOnce is the length of a body that connections take without the
+	// server reading.
+	writtenAtOnce = 8 << 10
+	// writeGrace is how long the end of a write may stay unnoticed after the
+	// answer, before it counts as unfinished.
+	writeGrace = 5 * time.Millisecond
 	// maxAnswerBytes bounds an answer that is held in memory. Answers are
 	// held whole, so that one that breaks off can't look complete.
 	maxAnswerBytes = 16 << 20
@@ -70,8 +77,7 @@
 	w := &countingConn{Conn: c.Conn}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
-	written := make(chan error, 1)
-	go func() { written <- r.write(w) }()
+	written := r.start(w)
 	a, reusable := c.read(r)
 	if a.Outcome != Answered {
 		_ = c.Close()
@@ -81,7 +87,7 @@
 	select {
 	case err := <-written:
 		reusable = reusable && err == nil
-	default:
+	case <-time.After(writeGrace):
 		// The server answered before it took the whole body. What is left of
 		// the body must not be followed by another request.
 		reusable = false
@@ -107,6 +113,18 @@
 	}
 }
 
+// start writes the request. A short one is written at once; a long one beside
+// the reading, because the server may answer before it has taken the body.
+func (r Request) start(w io.Writer) <-chan error {
+	written := make(chan error, 1)
+	if len(r.Body) <= writtenAtOnce {
+		written <- r.write(w)
+	} else {
+		go func() { written <- r.write(w) }()
+	}
+	return written
+}
+
 // countingConn counts the bytes that were handed to the kernel.
 type countingConn struct {
 	net.Conn
