--- a/edge/edge.go
+++ b/edge/edge.go
@@ -100,8 +100,9 @@
 	serversProof time.Duration
 	// outageEnd is when the store last came back after an outage.
 	outageEnd time.Duration
-	// gap says that changes of the servers were missed.
-	gap        bool
+	// gapEnds is when to read the changes of the servers that were missed; 0
+	// if none were.
+	gapEnds    time.Duration
 	storeLost  bool
 	nextListed time.Duration
 
--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -23,6 +23,8 @@
 const (
 	// fetchSpread spreads the reads of a new configuration by all instances.
 	fetchSpread = 60 * time.Millisecond
+	// fetchRetry is the least pause after a read that failed.
+	fetchRetry = 500 * time.Millisecond
 	// snapshotTimeout bounds a question to another instance.
 	snapshotTimeout = 500 * time.Millisecond
 	// registerRetry is the pause after the row of this instance couldn't be
@@ -49,6 +51,7 @@
 		if p.err != nil {
 			e.logStoreError(p, e.now())
 			e.askPeer(ctx)
+			pause(ctx, fetchRetry)
 			continue
 		}
 		e.mu.Lock()
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -25,8 +25,16 @@
 	// of the list of instances. Instances introduce themselves to each other;
 	// the list only finds those that were out of reach then.
 	listedEvery = 5 * time.Second
-	// maxNoticeRows is the bytes of changed rows that a message may carry.
-	maxNoticeRows = 1000
+	// maxNoticeRows is the bytes of changed rows that a message may carry, and
+	// maxNoticeParts how many messages one answer may take. Above that, some
+	// eighty servers changing at once, everybody reads the store.
+	maxNoticeRows  = 1000
+	maxNoticeParts = 12
+	// gapWait is how long an instance that lacks changes waits for the notice
+	// that brings them, each of which spans several answers, and gapSpread
+	// spreads those that then read the store.
+	gapWait   = 550 * time.Millisecond
+	gapSpread = 400 * time.Millisecond
 	// lostAfter is the age of the newest proof from which the store counts as
 	// lost in logs.
 	lostAfter = 2 * time.Second
@@ -71,10 +79,11 @@
 
 func (e *Edge) untilPoll(now time.Duration) time.Duration {
 	s := &e.state
-	if s.gap {
-		return 0
+	due := s.poll.Next(e.rank(), rand.Float64(), now)
+	if s.gapEnds > 0 {
+		due = min(due, s.gapEnds)
 	}
-	return s.poll.Next(e.rank(), rand.Float64(), now) - now
+	return due - now
 }
 
 // pollOnce asks for the changes of all tables that are due, at the same time.
@@ -82,7 +91,7 @@
 	e.mu.Lock()
 	now := e.now()
 	s := &e.state
-	s.gap = false
+	s.gapEnds = 0
 	s.poll.Attempted(now)
 	tables := []evidence.Table{evidence.Config, evidence.Servers}
 	if now >= s.nextListed {
@@ -146,7 +155,7 @@
 		s.clock.Observe(p.answer.Stamp, now)
 		e.noteReturn(p.table, p.answer.Stamp, now)
 		changed, _ := e.copyOf(p.table).Apply(p.answer, p.since)
-		notices = append(notices, e.notice(p, e.takeRows(p.table, changed, now)))
+		notices = append(notices, e.notices(p, e.takeRows(p.table, changed, now))...)
 		e.prove(p.table, p.answer.Stamp, now)
 		if p.table == evidence.Instances {
 			s.nextListed = now + listedEvery
@@ -158,41 +167,57 @@
 		s.poll.Failed(now)
 		notices = append(notices, evidence.Notice{})
 	}
-	if len(notices) > 0 {
-		e.say(evidence.Message{Notices: notices}, 1)
+	e.tellNotices(notices)
+}
+
+// tellNotices tells notices with rows in a message each, the others together.
+func (e *Edge) tellNotices(notices []evidence.Notice) {
+	var together []evidence.Notice
+	for _, n := range notices {
+		if len(n.Rows) > 0 {
+			e.say(evidence.Message{Notices: []evidence.Notice{n}}, 1)
+		} else {
+			together = append(together, n)
+		}
+	}
+	if len(together) > 0 {
+		e.say(evidence.Message{Notices: together}, 1)
 	}
 }
 
-// notice is what the others are told of an answer: the rows that changed
+// notices are what the others are told of an answer: the rows that changed
 // anything, not those that only renewed themselves.
-func (e *Edge) notice(p polled, changed []replica.Row) evidence.Notice {
+func (e *Edge) notices(p polled, changed []replica.Row) []evidence.Notice {
 	s := &e.state
 	n := evidence.Notice{Table: p.table, Version: p.answer.Version, StampUS: p.answer.Stamp.Microseconds()}
 	if p.table == evidence.Config {
 		n.Changed = s.configRow
-		return n
+		return []evidence.Notice{n}
 	}
 	recent := &s.recent[p.table]
 	if p.answer.Whole {
 		// What was removed before isn't in it.
 		recent.Reset()
 		n.Since = p.answer.Version
-		return n
+		return []evidence.Notice{n}
 	}
 	recent.Add(p.since, changed)
-	rows, since := recent.Rows()
-	n.Since = since
-	size := 0
-	for _, r := range rows {
-		size += len(r.Key) + len(r.Value)
-		n.Rows = append(n.Rows, evidence.Row{Key: r.Key, Value: r.Value, Gone: r.Gone})
-	}
-	if size > maxNoticeRows {
+	parts := recent.Parts(p.answer.Version, maxNoticeRows)
+	if len(parts) > maxNoticeParts {
 		// The others notice that they lack something, and read it.
-		n.Rows, n.Since = nil, p.answer.Version
 		recent.Reset()
+		n.Since = p.answer.Version
+		return []evidence.Notice{n}
 	}
-	return n
+	var all []evidence.Notice
+	for i, part := range parts {
+		n.Since, n.Version, n.Rows, n.More = part.Since, part.Version, nil, i < len(parts)-1
+		for _, r := range part.Rows {
+			n.Rows = append(n.Rows, evidence.Row{Key: r.Key, Value: r.Value, Gone: r.Gone, Version: r.Version})
+		}
+		all = append(all, n)
+	}
+	return all
 }
 
 // hearNotice takes in what another instance read from the store.
@@ -210,30 +235,38 @@
 		n.Since = version
 	}
 	if !complete {
-		e.missed(n.Table)
+		e.missed(n.Table, now)
 		return
 	}
 	a := replica.Answer{Version: n.Version, Stamp: n.Stamp()}
 	for _, r := range n.Rows {
-		a.Rows = append(a.Rows, replica.Row{Key: r.Key, Value: r.Value, Gone: r.Gone})
+		a.Rows = append(a.Rows, replica.Row{Key: r.Key, Value: r.Value, Gone: r.Gone, Version: r.Version})
 	}
 	e.noteReturn(n.Table, n.Stamp(), now)
 	changed, _ := e.copyOf(n.Table).Apply(a, n.Since)
 	e.takeRows(n.Table, changed, now)
+	if n.More {
+		return
+	}
 	e.prove(n.Table, n.Stamp(), now)
-	if n.Table == evidence.Instances {
+	switch n.Table {
+	case evidence.Servers:
+		s.gapEnds = 0
+	case evidence.Instances:
 		s.nextListed = now + listedEvery
 	}
 }
 
 // missed has what a notice couldn't bring read from the store.
-func (e *Edge) missed(t evidence.Table) {
+func (e *Edge) missed(t evidence.Table, now time.Duration) {
 	switch t {
 	case evidence.Config:
 		wake(e.fetches)
 	case evidence.Servers:
-		e.state.gap = true
-		wake(e.kicked)
+		if e.state.gapEnds == 0 {
+			e.state.gapEnds = now + gapWait + time.Duration(rand.Float64()*float64(gapSpread))
+			wake(e.kicked)
+		}
 	case evidence.Instances:
 		e.state.nextListed = 0
 	}
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -98,6 +98,9 @@
 	// says that the store is being asked, or didn't answer.
 	StampUS int64
 	Rows    []Row
+	// More says that further notices of the same answer follow; only the last
+	// proves that nothing else has changed.
+	More bool
 }
 
 // Table is a short name of a table.
@@ -118,6 +121,8 @@
 	Key   string
 	Value []byte
 	Gone  bool
+	// Version of the row.
+	Version uint64
 }
 
 // Stamp returns the store's clock at its answer.
--- a/replica/recent.go
+++ b/replica/recent.go
@@ -1,5 +1,7 @@
 package replica
 
+import "sort"
+
 // Recent gathers the rows that changed in the last few answers about a table,
 // to be told together. A receiver that missed a message is then brought up to
 // date by the next one, without a call of the store.
@@ -12,6 +14,13 @@
 	rows  []Row
 }
 
+// Part is a run of changes: the newest state of each row that changed after
+// version Since and up to Version.
+type Part struct {
+	Since, Version uint64
+	Rows           []Row
+}
+
 // recentSpans is how many answers are told together: with two answers a
 // second, a receiver may miss three messages in a row.
 const recentSpans = 4
@@ -27,22 +36,45 @@
 // Reset forgets everything: the changes before the next answer aren't known.
 func (r *Recent) Reset() { r.spans = nil }
 
-// Rows returns the newest state of each row that has changed, and the version
-// since which that is complete.
-func (r *Recent) Rows() (rows []Row, since uint64) {
+// Parts returns what changed up to a version, in runs that follow each other,
+// each of at most so many bytes of keys and values. All rows of one version
+// stay together: a receiver that has a part has all of its versions.
+func (r *Recent) Parts(version uint64, most int) []Part {
+	rows, since := r.rows()
+	parts := []Part{{Since: since, Version: version}}
+	size := 0
+	for i, row := range rows {
+		last := &parts[len(parts)-1]
+		bytes := len(row.Key) + len(row.Value)
+		if len(last.Rows) > 0 && size+bytes > most && row.Version > rows[i-1].Version {
+			last.Version = rows[i-1].Version
+			parts = append(parts, Part{Since: last.Version, Version: version})
+			last, size = &parts[len(parts)-1], 0
+		}
+		last.Rows = append(last.Rows, row)
+		size += bytes
+	}
+	return parts
+}
+
+// rows returns the newest state of each row that has changed, in the order of
+// their versions, and the version since which that is complete.
+func (r *Recent) rows() (rows []Row, since uint64) {
 	if len(r.spans) == 0 {
 		return nil, 0
 	}
-	at := make(map[string]int)
+	newest := make(map[string]Row)
 	for _, s := range r.spans {
 		for _, row := range s.rows {
-			if i, ok := at[row.Key]; ok {
-				rows[i] = row
-				continue
-			}
-			at[row.Key] = len(rows)
-			rows = append(rows, row)
+			newest[row.Key] = row
 		}
 	}
+	for _, row := range newest {
+		rows = append(rows, row)
+	}
+	sort.Slice(rows, func(i, j int) bool {
+		a, b := rows[i], rows[j]
+		return a.Version < b.Version || (a.Version == b.Version && a.Key < b.Key)
+	})
 	return rows, r.spans[0].since
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -56,11 +56,11 @@
 type Table struct {
 	version uint64
 	known   bool
-	rows    map[string][]byte
+	rows    map[string]Row
 }
 
 // NewTable returns a copy that knows nothing yet.
-func NewTable() *Table { return &Table{rows: make(map[string][]byte)} }
+func NewTable() *Table { return &Table{rows: make(map[string]Row)} }
 
 // Version up to which the copy is complete, and whether it ever was.
 func (t *Table) Version() (uint64, bool) { return t.version, t.known }
@@ -68,8 +68,8 @@
 // Rows returns all rows.
 func (t *Table) Rows() []Row {
 	rows := make([]Row, 0, len(t.rows))
-	for k, v := range t.rows {
-		rows = append(rows, Row{Key: k, Value: v})
+	for _, r := range t.rows {
+		rows = append(rows, r)
 	}
 	return rows
 }
@@ -123,9 +123,6 @@
 		delete(t.rows, r.Key)
 		return had
 	}
-	if had && string(old) == string(r.Value) {
-		return false
-	}
-	t.rows[r.Key] = r.Value
-	return true
+	t.rows[r.Key] = r
+	return !had || string(old.Value) != string(r.Value)
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -63,20 +63,50 @@
 	must.Eq(t, []replica.Row{put("a", "new")}, c.Rows())
 }
 
+func versioned(key, value string, version uint64) replica.Row {
+	return replica.Row{Key: key, Value: []byte(value), Version: version}
+}
+
 func TestRecentTellsSeveralAnswersTogether(t *testing.T) {
 	var r replica.Recent
-	r.Add(1, []replica.Row{put("a", "1")})
-	r.Add(2, []replica.Row{put("b", "1")})
-	r.Add(3, []replica.Row{put("a", "2")})
-	rows, since := r.Rows()
-	must.Eq(t, 1, since)
-	must.Eq(t, []replica.Row{put("a", "2"), put("b", "1")}, rows)
-	r.Add(4, nil)
-	r.Add(5, nil)
-	rows, since = r.Rows()
-	must.Eq(t, 2, since)
-	must.Eq(t, []replica.Row{put("b", "1"), put("a", "2")}, rows)
+	a1, b1, a2 := versioned("a", "1", 2), versioned("b", "1", 3), versioned("a", "2", 4)
+	r.Add(1, []replica.Row{a1})
+	r.Add(2, []replica.Row{b1})
+	r.Add(3, []replica.Row{a2})
+	must.Eq(t, []replica.Part{{Since: 1, Version: 9, Rows: []replica.Row{b1, a2}}}, r.Parts(9, 1000))
+	r.Add(9, nil)
+	r.Add(10, nil)
+	must.Eq(t, []replica.Part{{Since: 2, Version: 11, Rows: []replica.Row{b1, a2}}}, r.Parts(11, 1000))
 	r.Reset()
-	rows, _ = r.Rows()
-	must.Len(t, 0, rows)
+	r.Add(11, nil)
+	must.Eq(t, []replica.Part{{Since: 11, Version: 12}}, r.Parts(12, 1000))
+}
+
+// Many servers change at once, too many for one message. Each part must be
+// whole in itself: a receiver that gets only the first must notice at the
+// next that something is missing.
+func TestManyChangesAreToldInPartsThatFollowEachOther(t *testing.T) {
+	var r replica.Recent
+	var rows []replica.Row
+	for v := range uint64(40) {
+		rows = append(rows, versioned(string(rune('A'+v)), "0123456789", 10+v/2))
+	}
+	r.Add(9, rows)
+	parts := r.Parts(50, 100)
+	must.Greater(t, 3, len(parts))
+	c := replica.NewTable()
+	c.Apply(whole(9), 0)
+	since := uint64(9)
+	for _, p := range parts {
+		must.Eq(t, since, p.Since)
+		_, ok := c.Apply(replica.Answer{Rows: p.Rows, Version: p.Version}, p.Since)
+		must.True(t, ok)
+		since = p.Version
+	}
+	must.Eq(t, 50, since)
+	must.Len(t, 40, c.Rows())
+	missed := replica.NewTable()
+	missed.Apply(whole(9), 0)
+	_, ok := missed.Apply(replica.Answer{Rows: parts[1].Rows, Version: parts[1].Version}, parts[1].Since)
+	must.False(t, ok)
 }
