--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -329,7 +329,7 @@
 		e.learnRoute(c, took, len(c.body)+len(a.answer.Body))
 		told.TookMS, told.WorkMS = wireMilliseconds(took), wireMilliseconds(work)
 	}
-	e.state.placer.Learn(told.Server, a.result, took, work, now)
+	e.state.placer.Learn(told.Server, a.result, true, took, work, now)
 	if final != evidence.NotFinal {
 		e.state.placer.Served(c.service, final == evidence.Served, now)
 	}
@@ -357,7 +357,7 @@
 	defer e.mu.Unlock()
 	told := e.outstanding(a, 0)
 	told.Result = health.Late
-	e.state.placer.Learn(told.Server, health.Late, 0, 0, e.now())
+	e.state.placer.Learn(told.Server, health.Late, true, 0, 0, e.now())
 	e.say(evidence.Message{Attempts: []evidence.Attempt{told}}, 1)
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -67,7 +67,7 @@
 	m.gauge("suspect_servers", "Backend servers that more likely fail than not.", e.locked(func() float64 {
 		n := 0
 		for _, v := range e.state.placer.Views(e.now()) {
-			if v.Failing > 0.5 {
+			if v.Risk > 0.5 {
 				n++
 			}
 		}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -249,7 +249,7 @@
 		s.repeatsAt(a.Server, a.Number, now)
 	}
 	if a.Ended || a.Result == health.Late {
-		s.placer.Learn(a.Server, a.Result, milliseconds(a.TookMS), milliseconds(a.WorkMS), now)
+		s.placer.Learn(a.Server, a.Result, false, milliseconds(a.TookMS), milliseconds(a.WorkMS), now)
 	}
 	if a.Final != evidence.NotFinal {
 		s.placer.ServedAt(a.Server, a.Final == evidence.Served, now)
--- a/placement/belief.go
+++ b/placement/belief.go
@@ -3,69 +3,111 @@
 import (
 	"math"
 	"time"
+
+	"foxtailspoke/health"
 )
 
-// belief is the probability that a server is in a spell of failures, kept as
-// a two-state model: servers go from well to failing and back by themselves,
-// at rates that are known roughly, and every result of a request says which
-// of both is likelier.
+// belief is the probability that something is in a bad state, kept as a
+// two-state model: it turns bad and well again by itself, at rates that are
+// known roughly, and every result of a request says which of both is likelier.
 type belief struct {
-	failing float64
-	at      time.Duration
+	bad float64
+	at  time.Duration
+}
+
+// model is what is known of such states in general.
+type model struct {
+	// usually is the share that is bad when nothing is known.
+	usually float64
+	// trust and suspicion are the times after which good and bad experience
+	// has faded to a third.
+	trust, suspicion time.Duration
 }
 
-// Spells of failures as they were observed: about 30% of the servers of a
-// service are in one at any time, a spell lasts about nine seconds, rarely
-// twice that, and of the requests sent meanwhile about four fifths fail. A
-// server that is well stays so for about half a minute.
+// spells are the states of a server: in a spell of failures, or well.
+//
+// As observed, about 30% of the servers of a service are in a spell at any
+// time, a spell lasts about nine seconds, rarely twice that, and a server that
+// is well stays so for about half a minute. Trust in a server that isn't used
+// must outlast the pauses between requests, or all load stays on few servers;
+// suspicion has to outlast most of a spell, since each early try is probably
+// lost.
+var spells = model{usually: 0.3, trust: 9 * time.Second, suspicion: 6 * time.Second}
+
+// paths are the states of the network between this instance and a server. A
+// path that is cut loses everything that this instance sends, while others
+// reach the server as before; cuts last some seconds.
+var paths = model{usually: 0.01, trust: 9 * time.Second, suspicion: 6 * time.Second}
+
+// likelihood of a result in the bad state and in the good one.
+type likelihood struct{ bad, well float64 }
+
+// Of the requests sent in a spell about four fifths fail, and one in eighty
+// otherwise. A request that gets no answer, or no connection, tells more of
+// the path than of the server, if it was this instance's own.
+var (
+	failedIs       = likelihood{failsInSpell, failsOtherwise}
+	answeredIs     = likelihood{1 - failsInSpell, 1 - failsOtherwise}
+	silentServerIs = likelihood{0.3, 0.06}
+	silentPathIs   = likelihood{0.9, 0.03}
+	goodPathIs     = likelihood{0.1, 0.97}
+)
+
 const (
-	// usuallyFailing is the share of servers that fail when nothing is known.
-	usuallyFailing = 0.3
-	// trustFades and suspicionFades are the times after which good and bad
-	// experience has faded to a third. Trust in a server that isn't used must
-	// outlast the pauses between requests, or all load stays on few servers;
-	// suspicion has to outlast most of a spell, since each early try is
-	// probably lost.
-	trustFades     = 9 * time.Second
-	suspicionFades = 6 * time.Second
-	// failsInSpell is the share of requests that fail in a spell.
-	failsInSpell = 0.8
-	// failsOtherwise is the share that fails at a server that is well.
+	failsInSpell   = 0.8
 	failsOtherwise = 0.012
-	// lateInSpell and lateOtherwise are how often a request is late so far
-	// that it is taken for hanging.
-	lateInSpell   = 0.3
-	lateOtherwise = 0.03
 	// bounds keep a belief from becoming a certainty that no result moves.
-	leastBelief = 0.004
+	leastBelief = 0.002
 	mostBelief  = 0.995
 )
 
 // now returns the probability faded to the given time.
-func (b belief) now(t time.Duration) float64 {
+func (b belief) now(m model, t time.Duration) float64 {
 	passed := t - b.at
 	if passed <= 0 {
-		return b.failing
+		return b.bad
 	}
-	fades := trustFades
-	if b.failing > usuallyFailing {
-		fades = suspicionFades
+	fades := m.trust
+	if b.bad > m.usually {
+		fades = m.suspicion
 	}
 	kept := math.Exp(-float64(passed) / float64(fades))
-	return usuallyFailing + (b.failing-usuallyFailing)*kept
+	return m.usually + (b.bad-m.usually)*kept
 }
 
-// learn takes in a result that has the given probabilities in a spell and
-// otherwise.
-func (b *belief) learn(t time.Duration, inSpell, otherwise float64) {
-	p := b.now(t)
-	p = p * inSpell / (p*inSpell + (1-p)*otherwise)
-	b.failing = math.Min(math.Max(p, leastBelief), mostBelief)
+// learn takes in a result.
+func (b *belief) learn(m model, t time.Duration, l likelihood) {
+	p := b.now(m, t)
+	p = p * l.bad / (p*l.bad + (1-p)*l.well)
+	b.bad = math.Min(math.Max(p, leastBelief), mostBelief)
 	b.at = t
 }
 
-// fails is the probability that a request sent now fails.
-func (b belief) fails(t time.Duration) float64 {
-	p := b.now(t)
-	return p*failsInSpell + (1-p)*failsOtherwise
+// risk is the probability that a request sent now fails.
+func (s *server) risk(t time.Duration) float64 {
+	spell := s.spell.now(spells, t)
+	fails := spell*failsInSpell + (1-spell)*failsOtherwise
+	return 1 - (1-fails)*(1-s.path.now(paths, t))
+}
+
+// learn takes in the result of an attempt, of this instance or another.
+func (s *server) learn(r health.Result, own bool, t time.Duration) {
+	switch r {
+	case health.OK:
+		s.spell.learn(spells, t, answeredIs)
+		if own {
+			s.path.learn(paths, t, goodPathIs)
+		}
+	case health.ServerError, health.Incomplete, health.Mismatch:
+		s.spell.learn(spells, t, failedIs)
+		s.lastFail = t
+	case health.ConnectFailed, health.Late, health.Timeout:
+		s.spell.learn(spells, t, silentServerIs)
+		if own {
+			s.path.learn(paths, t, silentPathIs)
+			s.lastFail = t
+		}
+	case health.Shed, health.NotRun, health.Cancelled:
+		// A refusal tells of load, which the outstanding work shows already.
+	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -36,10 +36,14 @@
 // request that can't be repeated.
 const (
 	// riskRepeatable is the cost of failing for a request that can be sent
-	// again: a second attempt from a scarce budget, and its time.
-	riskRepeatable = 0.5
+	// again. It then has to wait all the same, has lost time, and has taken from
+	// a scarce budget; so it is hardly less than for one that can't.
+	riskRepeatable = 0.8
 	// timeCost is the cost of an expected time as long as the aim.
 	timeCost = 0.3
+	// mostLate is the expected time, in aims, above which waiting longer costs
+	// no more: with short aims it would outweigh any risk.
+	mostLate = 1.5
 	// lateCost is added in full at one and a half times the aim: a late
 	// answer earns its caller little.
 	lateCost = 0.35
@@ -128,7 +132,8 @@
 // Server is what is known of a backend server beside its entry.
 type server struct {
 	entry discovery.Server
-	belief
+	// spell is known to all instances, path only to this one.
+	spell, path belief
 	// slowness is its time for a request against the mean of the service.
 	slowness float64
 	since    time.Duration
@@ -183,7 +188,8 @@
 	}
 	if old == nil {
 		old = &server{
-			belief:      belief{usuallyFailing, now},
+			spell:       belief{spells.usually, now},
+			path:        belief{paths.usually, now},
 			slowness:    1,
 			since:       now,
 			outstanding: make(map[uint32]count),
@@ -244,14 +250,14 @@
 // The requests before it take as long as is usual at its service (queued).
 func (s *server) weigh(r Request, queued, now time.Duration, wide bool) Choice {
 	out := s.count(now)
-	risk := s.fails(now)
+	risk := s.risk(now)
 	expected := s.expected(r.Work, queued, out, now)
 	cost := risk
 	if r.Repeatable {
 		cost *= riskRepeatable
 	}
 	late := float64(expected) / float64(max(r.Aim, time.Millisecond))
-	cost += timeCost*late + lateCost*clamp((late-0.8)/0.7)
+	cost += timeCost*math.Min(late, mostLate) + lateCost*clamp((late-0.8)/0.7)
 	if out+1 >= s.entry.Slots {
 		cost += crowding
 	}
@@ -340,24 +346,17 @@
 // Learn takes in the result of an attempt. Took is the time of an answer, 0 if
 // it is unknown or the request had to wait for a slot; work is what a server
 // of mean speed takes for such a request.
-func (p *Placer) Learn(hash uint32, r health.Result, took, work, now time.Duration) {
+// Own says that the attempt was this instance's.
+func (p *Placer) Learn(hash uint32, r health.Result, own bool, took, work, now time.Duration) {
 	s, ok := p.byHash[hash]
 	if !ok {
 		return
 	}
-	switch r {
-	case health.OK:
-		s.learn(now, 1-failsInSpell, 1-failsOtherwise)
+	s.learn(r, own, now)
+	if r == health.OK {
 		s.measure(took, work)
 		g := p.service(s.entry.Service)
 		g.work += time.Duration(workSmoothing * float64(work-g.work))
-	case health.ServerError, health.Incomplete, health.Mismatch, health.ConnectFailed:
-		s.learn(now, failsInSpell, failsOtherwise)
-		s.lastFail = now
-	case health.Late, health.Timeout:
-		s.learn(now, lateInSpell, lateOtherwise)
-	case health.Shed, health.NotRun, health.Cancelled:
-		// A refusal tells of load, which the outstanding work shows already.
 	}
 }
 
@@ -406,15 +405,16 @@
 type View struct {
 	Server      discovery.Server
 	Outstanding int
-	Failing     float64
-	Slowness    float64
+	// Risk is the probability that a request sent there now fails.
+	Risk     float64
+	Slowness float64
 }
 
 // Views returns all servers.
 func (p *Placer) Views(now time.Duration) []View {
 	views := make([]View, 0, len(p.byID))
 	for _, s := range p.byID {
-		views = append(views, View{s.entry, s.count(now), s.belief.now(now), s.slowness})
+		views = append(views, View{s.entry, s.count(now), s.risk(now), s.slowness})
 	}
 	return views
 }
