--- a/edge/answer.go
+++ b/edge/answer.go
@@ -152,6 +152,20 @@
 	event.RequestEnded.Log(e.log, attrs...)
 }
 
+// leftOutEvery is how often the number of lines that were left out is logged.
+const leftOutEvery = 10 * time.Second
+
+// noteLeftOut logs how many lines were left out, if any were.
+func (e *Edge) noteLeftOut(now time.Duration) {
+	s := &e.state
+	count := e.budget.LeftOut() + e.lines.Dropped()
+	if count == s.leftOut || now-s.leftOutAt < leftOutEvery {
+		return
+	}
+	s.leftOut, s.leftOutAt = count, now
+	event.LinesLeftOut.Log(e.log, slog.Uint64("count", count))
+}
+
 // milli is whole milliseconds; -1 for an age that isn't known.
 func milli(d time.Duration) int64 {
 	if d > time.Hour {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -69,6 +69,8 @@
 	kicked chan struct{}
 	// fetches wakes the fetcher of the configuration.
 	fetches chan struct{}
+	// unlisted tells that this instance's row in the store is gone.
+	unlisted chan struct{}
 
 	mu    sync.Mutex
 	state state
@@ -105,6 +107,9 @@
 	gapEnds    time.Duration
 	storeLost  bool
 	nextListed time.Duration
+	// leftOut is the number of log lines left out that was logged last.
+	leftOut   uint64
+	leftOutAt time.Duration
 
 	list    *discovery.List
 	placer  *placement.Placer
@@ -149,6 +154,7 @@
 		epoch:    uint32(time.Now().Unix()),
 		kicked:   make(chan struct{}, 1),
 		fetches:  make(chan struct{}, 1),
+		unlisted: make(chan struct{}, 1),
 	}
 	e.metrics = newMetrics(e)
 	e.state = state{
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -111,8 +111,11 @@
 	wg.Wait()
 
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.takePolled(answers)
+	e.mu.Unlock()
+	if len(tables) > 2 {
+		e.removeGone(ctx)
+	}
 }
 
 // polled is the store's answer about one table.
@@ -422,6 +425,9 @@
 
 func (e *Edge) takeInstance(r replica.Row) {
 	id, err := addressNumber(r.Key)
+	if id == e.self && r.Gone {
+		wake(e.unlisted)
+	}
 	if err != nil || id == e.self {
 		return
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -110,7 +110,7 @@
 
 // settingsEvery is how often the settings file is looked at: it may change
 // without a signal.
-const settingsEvery = 2 * time.Second
+const settingsEvery = time.Second
 
 // watchSettings takes in changes of the settings file that can take effect
 // while the process runs: the store's address and the bounds.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -88,6 +88,7 @@
 	e.checkMembers(now)
 	e.expireServers(now)
 	e.noteStore(now)
+	e.noteLeftOut(now)
 	switch {
 	case now-s.beat >= introduceEvery:
 		s.beat = now
