soak: real instances under random faults

Cause: the promises were tested under faults within one process only. No proxy between instances and servers yet.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SHELL := /bin/bash
 BIN := bin
 
-.PHONY: build test check run latency idle soak generate fmt
+.PHONY: build test check run latency idle soak soak-edge generate fmt
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -19,10 +19,10 @@
 # The tests in PROCESSES build the programs and start them. The test cache knows
 # nothing of that and would repeat the verdict on former programs, so that they
 # are always run.
-PROCESSES := ./internal/harness ./internal/proofs ./internal/trial
+PROCESSES := ./internal/harness ./internal/proofs ./internal/soak ./internal/trial
 
 test: check
-	go test -race -timeout 20m $$(go list ./... | grep -vE '/internal/(harness|proofs|trial)$$')
+	go test -race -timeout 20m $$(go list ./... | grep -vE '/internal/(harness|proofs|soak|trial)$$')
 	go test -race -count=1 -timeout 20m $(PROCESSES)
 
 fmt:
@@ -50,6 +50,13 @@
 soak:
 	SOAK=$(SOAK) go test ./internal/proofs -run '^TestPromisesHoldUnderFaults$$' -v -count=1 -timeout 0
 
+# soak-edge runs the instances of the users' platform as processes under random
+# faults, SEEDS seeds from SEED on.
+SEED ?= 1
+SEEDS ?= 50
+soak-edge:
+	go test ./internal/soak -v -count=1 -timeout 0 -soak.seed $(SEED) -soak.seeds $(SEEDS)
+
 generate:
 	go generate ./...
 	go test ./event -update
--- /dev/null
+++ b/internal/soak/faults_test.go
@@ -0,0 +1,130 @@
+package soak_test
+
+import (
+	"syscall"
+	"time"
+
+	"foxtailspoke/internal/standin/rowstore"
+)
+
+// underFaults injects faults for a while, one or two at a time.
+func (w *world) underFaults(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		w.fault()
+		time.Sleep(w.between(100*time.Millisecond, 900*time.Millisecond))
+	}
+	w.store.SetFault(nil)
+	w.store.SetDelay(0)
+	for _, p := range w.procs {
+		p.signal(syscall.SIGCONT)
+	}
+	for _, b := range w.backs {
+		b.spell(0)
+		b.list("ready")
+	}
+}
+
+func (w *world) between(least, most time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return least + time.Duration(w.rng.Int64N(int64(most-least)))
+}
+
+func (w *world) pick(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.IntN(n)
+}
+
+func (w *world) fault() {
+	p := w.procs[w.pick(len(w.procs))]
+	b := w.backs[w.pick(len(w.backs))]
+	switch w.pick(11) {
+	case 0:
+		w.disturb()
+		w.restart(p, syscall.SIGKILL, w.between(0, time.Second))
+	case 1:
+		w.restart(p, syscall.SIGTERM, 0)
+	case 2:
+		w.disturb()
+		w.pause(p, w.between(200*time.Millisecond, 4*time.Second))
+	case 3:
+		w.disturb()
+		for _, p := range w.procs {
+			w.restart(p, syscall.SIGKILL, w.between(0, 500*time.Millisecond))
+		}
+	case 4:
+		w.disturb()
+		w.breakStore(w.between(300*time.Millisecond, 5*time.Second))
+	case 5:
+		w.disturb()
+		w.store.SetDelay(w.between(100*time.Millisecond, 600*time.Millisecond))
+		time.AfterFunc(2*time.Second, func() { w.store.SetDelay(0) })
+	case 6:
+		w.store.Forget()
+	case 7:
+		w.configure()
+	case 8:
+		b.list("draining")
+		time.AfterFunc(4*time.Second, func() { b.list("ready") })
+	default:
+		b.spell(w.between(time.Second, 5*time.Second))
+	}
+}
+
+// disturb notes a fault that excuses knowledge being late.
+func (w *world) disturb() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.disturbed = time.Now()
+}
+
+// restart ends a process and starts it again. A second signal for one that is
+// on its way already does nothing.
+func (w *world) restart(p *process, s syscall.Signal, after time.Duration) {
+	if p.still {
+		return
+	}
+	p.still = true
+	p.signal(s)
+	w.wg.Go(func() {
+		<-p.done
+		time.Sleep(after)
+		select {
+		case <-w.stop:
+			return
+		default:
+		}
+		w.launch(p)
+		w.mu.Lock()
+		p.still = false
+		w.mu.Unlock()
+	})
+}
+
+func (w *world) pause(p *process, d time.Duration) {
+	p.signal(syscall.SIGSTOP)
+	time.AfterFunc(d, func() {
+		w.disturb()
+		p.signal(syscall.SIGCONT)
+	})
+}
+
+// breakStore fails the store for all instances or some. All of them connect
+// from addresses of their own network, but by the kernel's choice from any of
+// the loopback network: a fault for some is drawn for each call.
+func (w *world) breakStore(d time.Duration) {
+	faults := []rowstore.Fault{rowstore.Busy, rowstore.TooMany, rowstore.Reset, rowstore.Silent, rowstore.Lost}
+	f := faults[w.pick(len(faults))]
+	some := w.pick(2) == 0
+	w.store.SetFault(func(string) rowstore.Fault {
+		if some && w.pick(2) == 0 {
+			return rowstore.None
+		}
+		return f
+	})
+	time.AfterFunc(d, func() {
+		w.disturb()
+		w.store.SetFault(nil)
+	})
+}
