replica: runs of changes with a hole between aren't told as one

Change: a hole drops what was gathered; what is heard is gathered as well, so that there seldom is one. TestRunsWithAHoleBetweenArentJoined fails without.

--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -204,7 +204,7 @@
 		n.Since = p.answer.Version
 		return []evidence.Notice{n}
 	}
-	recent.Add(p.since, changed)
+	recent.Add(p.since, p.answer.Version, changed)
 	parts := recent.Parts(p.answer.Version, maxNoticeRows)
 	if len(parts) > maxNoticeParts {
 		// The others notice that they lack something, and read it.
@@ -247,7 +247,10 @@
 	}
 	e.noteReturn(n.Table, n.Stamp(), now)
 	changed, _ := e.copyOf(n.Table).Apply(a, n.Since)
-	e.takeRows(n.Table, changed, now)
+	told := e.takeRows(n.Table, changed, now)
+	if n.Version > version && n.Table != evidence.Config {
+		s.recent[n.Table].Add(version, n.Version, told)
+	}
 	if n.More {
 		return
 	}
--- a/replica/recent.go
+++ b/replica/recent.go
@@ -10,8 +10,8 @@
 }
 
 type span struct {
-	since uint64
-	rows  []Row
+	since, version uint64
+	rows           []Row
 }
 
 // Part is a run of changes: the newest state of each row that changed after
@@ -25,9 +25,15 @@
 // second, a receiver may miss three messages in a row.
 const recentSpans = 4
 
-// Add takes in the changed rows of an answer about the changes since a version.
-func (r *Recent) Add(since uint64, rows []Row) {
-	r.spans = append(r.spans, span{since, rows})
+// Add takes in the rows that changed after one version and up to another,
+// whether the store or another instance told them. If something before that is
+// missing, what was gathered is dropped: told together, the two sides of a hole
+// would pass for all changes, and receivers would never learn those in between.
+func (r *Recent) Add(since, version uint64, rows []Row) {
+	if n := len(r.spans); n > 0 && r.spans[n-1].version < since {
+		r.spans = nil
+	}
+	r.spans = append(r.spans, span{since, version, rows})
 	if len(r.spans) > recentSpans {
 		r.spans = r.spans[1:]
 	}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -70,15 +70,15 @@
 func TestRecentTellsSeveralAnswersTogether(t *testing.T) {
 	var r replica.Recent
 	a1, b1, a2 := versioned("a", "1", 2), versioned("b", "1", 3), versioned("a", "2", 4)
-	r.Add(1, []replica.Row{a1})
-	r.Add(2, []replica.Row{b1})
-	r.Add(3, []replica.Row{a2})
+	r.Add(1, 2, []replica.Row{a1})
+	r.Add(2, 3, []replica.Row{b1})
+	r.Add(3, 9, []replica.Row{a2})
 	must.Eq(t, []replica.Part{{Since: 1, Version: 9, Rows: []replica.Row{b1, a2}}}, r.Parts(9, 1000))
-	r.Add(9, nil)
-	r.Add(10, nil)
+	r.Add(9, 10, nil)
+	r.Add(10, 11, nil)
 	must.Eq(t, []replica.Part{{Since: 2, Version: 11, Rows: []replica.Row{b1, a2}}}, r.Parts(11, 1000))
 	r.Reset()
-	r.Add(11, nil)
+	r.Add(11, 12, nil)
 	must.Eq(t, []replica.Part{{Since: 11, Version: 12}}, r.Parts(12, 1000))
 }
 
@@ -91,7 +91,7 @@
 	for v := range uint64(40) {
 		rows = append(rows, versioned(string(rune('A'+v)), "0123456789", 10+v/2))
 	}
-	r.Add(9, rows)
+	r.Add(9, 50, rows)
 	parts := r.Parts(50, 100)
 	must.Greater(t, 3, len(parts))
 	c := replica.NewTable()
@@ -110,3 +110,16 @@
 	_, ok := missed.Apply(replica.Answer{Rows: parts[1].Rows, Version: parts[1].Version}, parts[1].Since)
 	must.False(t, ok)
 }
+
+// Two instances take turns in asking the store. What the second asked before the
+// first one's turn and after it doesn't join up; told as one run, a receiver
+// that missed the first one's notice would go on using a server that has left.
+func TestRunsWithAHoleBetweenArentJoined(t *testing.T) {
+	var r replica.Recent
+	r.Add(80, 90, []replica.Row{versioned("a", "1", 85)})
+	r.Add(110, 120, []replica.Row{versioned("b", "1", 115)})
+	parts := r.Parts(120, 1000)
+	must.Len(t, 1, parts)
+	must.Eq(t, 110, parts[0].Since)
+	must.Len(t, 1, parts[0].Rows)
+}
