--- a/edge/repeats.go
+++ b/edge/repeats.go
@@ -42,6 +42,7 @@
 func (e *Edge) retryBudget(service string) *retry.Budget {
 	r := e.state.repeatsOf(service)
 	b := e.settings.Bounds
-	r.budget.Grant(r.window.Left(b.RetryRatio, b.RetrySlack, e.now()) * repeatsUse * e.state.usage.Share)
+	use := repeatsUse * e.state.usage.Share
+	r.budget.Grant(r.window.Left(b.RetryRatio*use, b.RetrySlack*use, e.now()))
 	return r.budget
 }
