--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -91,6 +91,7 @@
 	e.mu.Lock()
 	now := e.now()
 	s := &e.state
+	missed := s.gapEnds > 0
 	s.gapEnds = 0
 	s.poll.Attempted(now)
 	tables := []evidence.Table{evidence.Config, evidence.Servers}
@@ -111,8 +112,12 @@
 	wg.Wait()
 
 	e.mu.Lock()
-	e.takePolled(answers)
+	well := e.takePolled(answers)
 	e.mu.Unlock()
+	if !well && missed {
+		// The store turns this instance away; the others have what it lacks.
+		e.askPeer(ctx)
+	}
 	if len(tables) > 2 {
 		e.removeGone(ctx)
 	}
@@ -143,12 +148,13 @@
 	return p
 }
 
-// takePolled takes in the answers to one poll and tells the others.
-func (e *Edge) takePolled(answers []polled) {
+// takePolled takes in the answers to one poll and tells the others. It reports
+// whether all tables were answered.
+func (e *Edge) takePolled(answers []polled) (well bool) {
 	s := &e.state
 	now := e.now()
 	var notices []evidence.Notice
-	well := true
+	well = true
 	for _, p := range answers {
 		if p.err != nil {
 			well = false
@@ -171,6 +177,7 @@
 		notices = append(notices, evidence.Notice{})
 	}
 	e.tellNotices(notices)
+	return well
 }
 
 // tellNotices tells notices with rows in a message each, the others together.
@@ -258,6 +265,7 @@
 	switch n.Table {
 	case evidence.Servers:
 		s.gapEnds = 0
+		s.poll.Yield()
 	case evidence.Instances:
 		s.nextListed = now + listedEvery
 	}
--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -94,6 +94,7 @@
 	p.Proved(0, 10*time.Second)
 	p.Failed(10 * time.Second)
 	p.Succeeded()
+	p.Yield()
 	now := 11 * time.Second
 	p.Proved(0, now)
 	must.GreaterEq(t, now+900*ms, p.Next(0, 0, now))
@@ -102,6 +103,23 @@
 	must.LessEq(t, now+500*ms, p.Next(0, 0, now))
 }
 
+// The first in rank are all refused, and one far behind has got an answer. It
+// must go on asking without waiting for its own long threshold each time, until
+// somebody else brings a newer answer.
+func TestWhoGotTheAnswerGoesOnAsking(t *testing.T) {
+	var p freshness.Poll
+	now := 10 * time.Second
+	p.Proved(0, now)
+	must.GreaterEq(t, now+900*ms, p.Next(40, 0, now))
+	p.Succeeded()
+	must.Eq(t, now+450*ms, p.Next(40, 0, now))
+	p.Yield()
+	must.GreaterEq(t, now+900*ms, p.Next(40, 0, now))
+	p.Succeeded()
+	p.Failed(now)
+	must.GreaterEq(t, now+900*ms, p.Next(40, 0, now))
+}
+
 func TestInstanceThatKnowsNothingAsksAtOnce(t *testing.T) {
 	var p freshness.Poll
 	must.Eq(t, time.Second, p.Next(30, 0.9, time.Second))
--- a/freshness/poll.go
+++ b/freshness/poll.go
@@ -16,6 +16,8 @@
 	proved  bool
 	attempt time.Duration
 	tried   bool
+	// asking says that the newest proof is this instance's own.
+	asking bool
 	// failures in a row of this instance's own calls.
 	failures int
 	failed   time.Duration
@@ -56,13 +58,22 @@
 	p.tried = true
 }
 
-// Succeeded and Failed take in how an own call ended.
-func (p *Poll) Succeeded() { p.failures = 0 }
+// Succeeded takes in that an own call brought the newest proof. This instance
+// goes on asking as if it were first in rank: where the first in rank are all
+// refused, everybody would else wait for the longest threshold each time.
+func (p *Poll) Succeeded() {
+	p.failures = 0
+	p.asking = true
+}
+
+// Yield takes in that another instance brought the newest proof.
+func (p *Poll) Yield() { p.asking = false }
 
 // Failed takes in that an own call had no useful answer.
 func (p *Poll) Failed(now time.Duration) {
 	p.failures++
 	p.failed = now
+	p.asking = false
 }
 
 // Age of the newest proof.
@@ -76,7 +87,10 @@
 // Next returns when this instance should ask, given its rank among those
 // alive and a random number from 0 to 1.
 func (p *Poll) Next(rank int, random float64, now time.Duration) time.Duration {
-	if p.failures > 0 || (p.failed > 0 && now-p.failed < demotion) {
+	switch {
+	case p.asking:
+		rank = 0
+	case p.failures > 0 || (p.failed > 0 && now-p.failed < demotion):
 		rank = mostSteps
 	}
 	due := now
