evidence: rows of notices are packed; slow links leave asking the store to others

Cause: 27 servers began to drain at once; what told it, six datagrams to each of 36 receivers, filled a 10 Mbit/s link, and the last ones were lost each time (debug log of edge-luz-c-24: parts one and two of six arrived from four instances in turn, the rest from none for 0.8 s). Ruled out: starved processors (3% of a core of 16), a slow store.

--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -25,11 +25,12 @@
 	// of the list of instances. Instances introduce themselves to each other;
 	// the list only finds those that were out of reach then.
 	listedEvery = 5 * time.Second
-	// maxNoticeRows is the bytes of changed rows that a message may carry, and
-	// maxNoticeParts how many messages one answer may take. Above that, some
-	// eighty servers changing at once, everybody reads the store.
-	maxNoticeRows  = 1000
-	maxNoticeParts = 12
+	// maxNoticeRows is the bytes of changed rows that a message may carry; they
+	// are packed to about a third. maxNoticeParts is how many messages one
+	// answer may take. Above that, some hundred servers changing at once,
+	// everybody reads the store.
+	maxNoticeRows  = 3000
+	maxNoticeParts = 6
 	// gapWait is how long an instance that lacks changes waits for the notice
 	// that brings them, each of which spans several answers, and gapSpread
 	// spreads those that then read the store.
@@ -184,7 +185,7 @@
 func (e *Edge) tellNotices(notices []evidence.Notice) {
 	var together []evidence.Notice
 	for _, n := range notices {
-		if len(n.Rows) > 0 {
+		if len(n.Packed) > 0 {
 			e.say(evidence.Message{Notices: []evidence.Notice{n}}, 1)
 		} else {
 			together = append(together, n)
@@ -213,21 +214,32 @@
 	}
 	recent.Add(p.since, p.answer.Version, changed)
 	parts := recent.Parts(p.answer.Version, maxNoticeRows)
-	if len(parts) > maxNoticeParts {
+	all, err := packed(n, parts)
+	if err != nil || len(parts) > maxNoticeParts {
 		// The others notice that they lack something, and read it.
 		recent.Reset()
 		n.Since = p.answer.Version
 		return []evidence.Notice{n}
 	}
+	return all
+}
+
+// packed returns a notice for each part.
+func packed(n evidence.Notice, parts []replica.Part) ([]evidence.Notice, error) {
 	var all []evidence.Notice
 	for i, part := range parts {
-		n.Since, n.Version, n.Rows, n.More = part.Since, part.Version, nil, i < len(parts)-1
+		n.Since, n.Version, n.More = part.Since, part.Version, i < len(parts)-1
+		rows := make([]evidence.Row, 0, len(part.Rows))
 		for _, r := range part.Rows {
-			n.Rows = append(n.Rows, evidence.Row{Key: r.Key, Value: r.Value, Gone: r.Gone, Version: r.Version})
+			rows = append(rows, evidence.Row{Key: r.Key, Value: r.Value, Gone: r.Gone, Version: r.Version})
+		}
+		var err error
+		if n.Packed, err = evidence.Pack(rows); err != nil {
+			return nil, err
 		}
 		all = append(all, n)
 	}
-	return all
+	return all, nil
 }
 
 // hearNotice takes in what another instance read from the store.
@@ -248,8 +260,14 @@
 		e.missed(n.Table, now)
 		return
 	}
+	rows, err := evidence.Unpack(n.Packed)
+	if err != nil {
+		event.PeerMessageFailed.Log(e.log, slog.Any("error", err))
+		e.missed(n.Table, now)
+		return
+	}
 	a := replica.Answer{Version: n.Version, Stamp: n.Stamp()}
-	for _, r := range n.Rows {
+	for _, r := range rows {
 		a.Rows = append(a.Rows, replica.Row{Key: r.Key, Value: r.Value, Gone: r.Gone, Version: r.Version})
 	}
 	e.noteReturn(n.Table, n.Stamp(), now)
--- a/edge/members.go
+++ b/edge/members.go
@@ -108,8 +108,19 @@
 	e.state.usage.Share = float64(heard) / float64(all)
 }
 
+// slowLink is the bandwidth in Mbit/s below which an instance leaves asking the
+// store to others: what it tells them goes out once for each, and a burst of
+// changes fills its link for so long that the end is lost.
+const slowLink = 50
+
+// slowRank is the rank of instances with a slow link.
+const slowRank = 100
+
 // rank is the place of this instance among the living ones, 0 the first.
 func (e *Edge) rank() int {
+	if e.settings.LinkMbps > 0 && e.settings.LinkMbps < slowLink {
+		return slowRank
+	}
 	own, rank := mix(e.self), 0
 	for id, m := range e.state.members {
 		if m.alive && !m.leaving && mix(id) < own {
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -94,10 +94,11 @@
 	// Changed is the version of the newest row of a table whose rows are too
 	// large for a message: whoever has an older one reads the store.
 	Changed uint64
+	// Packed holds the changed rows; see Pack.
+	Packed []byte
 	// StampUS is the store's steady clock at its answer, in microseconds. 0
 	// says that the store is being asked, or didn't answer.
 	StampUS int64
-	Rows    []Row
 	// More says that further notices of the same answer follow; only the last
 	// proves that nothing else has changed.
 	More bool
@@ -115,16 +116,6 @@
 	Tables
 )
 
-// Row is a changed row.
-type Row struct {
-	_     struct{} `cbor:",toarray"`
-	Key   string
-	Value []byte
-	Gone  bool
-	// Version of the row.
-	Version uint64
-}
-
 // Stamp returns the store's clock at its answer.
 func (n Notice) Stamp() time.Duration { return time.Duration(n.StampUS) * time.Microsecond }
 
--- a/evidence/evidence_test.go
+++ b/evidence/evidence_test.go
@@ -1,6 +1,7 @@
 package evidence_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -16,7 +17,7 @@
 		Usage:    []evidence.Usage{{Workspace: 4, Count: 1 << 40}},
 		Notices: []evidence.Notice{{
 			Table: evidence.Servers, Since: 1, Version: 2, StampUS: 3,
-			Rows: []evidence.Row{{Key: "k", Value: []byte("v"), Gone: true}},
+			Packed: []byte("rows"), More: true,
 		}},
 		Refused: []uint32{5},
 	}
@@ -70,3 +71,35 @@
 		}
 	})
 }
+
+// Many servers begin to drain at once. What tells it must fit into a datagram or
+// two: of a longer burst a slow link loses the end.
+func TestRowsOfManyServersFitIntoADatagram(t *testing.T) {
+	var rows []evidence.Row
+	for i := range 20 {
+		id := fmt.Sprintf("i-%010x", uint64(i+1)*0x9e3779b97f4a7c15>>24)
+		rows = append(rows, evidence.Row{
+			Key: id, Version: uint64(1000 + i),
+			Value: fmt.Appendf(nil, `{"service":"tiwu9b","address":"10.%d.64.%d:8709","zone":"luz-%c","version":"v1","slots":2,"state":"draining","warmup_left_s":0,"seq":%d,"born":17900%08d}`,
+				i%4+1, i*7, 'a'+rune(i%4), i+3, i*7919),
+		})
+	}
+	packed, err := evidence.Pack(rows)
+	must.NoError(t, err)
+	must.Less(t, 1200, len(packed))
+	got, err := evidence.Unpack(packed)
+	must.NoError(t, err)
+	must.Eq(t, rows, got)
+}
+
+func TestBrokenRowsAreRefused(t *testing.T) {
+	packed, err := evidence.Pack([]evidence.Row{{Key: "k"}})
+	must.NoError(t, err)
+	for _, b := range [][]byte{{1}, packed[:len(packed)/2], []byte("not packed")} {
+		_, err := evidence.Unpack(b)
+		must.Error(t, err)
+	}
+	rows, err := evidence.Unpack(nil)
+	must.NoError(t, err)
+	must.Len(t, 0, rows)
+}
