usage: lost first words are made good; nearly all servers get requests right after a start

Change: first words are charged whole from an instance heard since its start; 40% of the tolerance is given; 95% of the servers right after a start.

--- a/edge/members.go
+++ b/edge/members.go
@@ -19,6 +19,9 @@
 	// introduceEvery is how often a beat tells the data centre, for those who
 	// missed the first.
 	introduceEvery = 2 * time.Second
+	// earlySequence is the number of a message up to which an instance has only
+	// just started: it speaks some five times before callers come.
+	earlySequence = 20
 	// rememberFor is how long an instance counts that has no row in the
 	// store: one that has just started, or whose row was removed.
 	rememberFor = 10 * time.Second
@@ -35,6 +38,8 @@
 	heard   time.Duration
 	alive   bool
 	leaving bool
+	// fromStart says that it has been heard since its start without a pause.
+	fromStart bool
 	// listed in the store.
 	listed bool
 }
@@ -44,6 +49,7 @@
 func (m *member) fresh(epoch, sequence uint32) bool {
 	if epoch != m.epoch {
 		m.epoch, m.sequence, m.window = epoch, sequence, 1
+		m.fromStart = sequence <= earlySequence
 		return true
 	}
 	if ahead := int64(sequence) - int64(m.sequence); ahead > 0 {
@@ -83,6 +89,7 @@
 	for id, m := range e.state.members {
 		if m.alive && now-m.heard > aliveFor {
 			m.alive = false
+			m.fromStart = false
 			e.state.usage.Forget(id)
 			e.state.placer.Forget(id)
 			event.PeerSilent.Log(e.log, slog.String("peer", address(id, 0).Addr().String()),
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -12,6 +12,7 @@
 	"foxtailspoke/event"
 	"foxtailspoke/evidence"
 	"foxtailspoke/health"
+	"foxtailspoke/usage"
 )
 
 const (
@@ -215,7 +216,9 @@
 		p.leaving = m.Leaving
 	}
 	for _, u := range m.Usage {
-		s.usage.Heard(m.Source, m.Epoch, u.Workspace, u.Count, now)
+		s.usage.Heard(usage.Word{
+			Instance: m.Source, Epoch: m.Epoch, Workspace: u.Workspace, Count: u.Count, FromStart: p.fromStart,
+		}, now)
 	}
 	for _, a := range m.Attempts {
 		e.hearAttempt(m.Source, a, p.latest(m.Sequence), now)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -77,6 +77,9 @@
 	// a rule, are tried only if there are more of them.
 	widenAbove = 0.04
 	coverage   = 0.78
+	// coverageAtStart is higher: right after a fleet-wide start most servers may
+	// not count as healthy yet, and of the few that do as many must be in use.
+	coverageAtStart = 0.95
 	// justStarted is the time after the start of an instance during which it
 	// takes as given that many went unserved: the whole fleet may have been
 	// down, and nobody remembers. The first servers to answer would get all.
@@ -231,7 +234,7 @@
 // is none that it may be sent to.
 func (p *Placer) Choose(r Request, now time.Duration, random func() float64) (Choice, bool) {
 	g := p.service(r.Service)
-	wide := (g.outcomes.unserved(now) > widenAbove || now-g.since < justStarted) && g.inUse(now) < coverage
+	wide := g.wide(now)
 	best, found := Choice{Cost: math.Inf(1)}, false
 	for _, s := range g.servers {
 		if s.entry.Draining || contains(r.Tried, s.entry.ID) {
@@ -273,6 +276,14 @@
 	return Choice{Server: s.entry, Expected: expected, Outstanding: out, Risk: risk, Cost: cost}
 }
 
+// wide reports whether more of the servers should be in use.
+func (g *service) wide(now time.Duration) bool {
+	if now-g.since < justStarted {
+		return g.inUse(now) < coverageAtStart
+	}
+	return g.outcomes.unserved(now) > widenAbove && g.inUse(now) < coverage
+}
+
 // inUse is the share of the servers that had a request in the last moments.
 func (g *service) inUse(now time.Duration) float64 {
 	used, all := 0, 0
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -51,10 +51,10 @@
 
 // toleranceUse is the part of the tolerance that workspaces get. Counting over
 // many instances errs to both sides, and the platform holds a refusal below
-// the tolerated sum against the fleet just as an admission above it. The other
-// half covers what instances admit before they hear of each other: at 15 ms
+// the tolerated sum against the fleet just as an admission above it. The rest
+// covers what instances admit before they hear of each other: at 15 ms
 // and a workspace at eight times its usual 15 requests a second, two requests.
-const toleranceUse = 0.5
+const toleranceUse = 0.4
 
 // Loosen returns the limit with the part of the tolerance that workspaces get.
 func (t Tolerance) Loosen(l Limit) Limit {
@@ -153,26 +153,35 @@
 func (c *Counters) Own(workspace uint32) uint64 { return c.bucket(workspace).own }
 
 // Heard takes in the total that another instance has admitted in its epoch,
-// which is the time of its start. The first word of an instance is charged as
-// one request, the one it speaks of: what it admitted before this instance
-// listened lies in the past.
-func (c *Counters) Heard(instance, epoch, workspace uint32, count uint64, now time.Duration) {
-	b := c.bucket(workspace)
-	last, known := b.seen[instance]
+// which is the time of its start. The first word of an instance on a workspace
+// is charged whole if all of its words since its start could be heard: earlier
+// ones were lost then. Otherwise it is charged as one request, the one it
+// speaks of; what it admitted before this instance listened lies in the past.
+func (c *Counters) Heard(w Word, now time.Duration) {
+	b := c.bucket(w.Workspace)
+	last, known := b.seen[w.Instance]
+	charge := uint64(1)
 	switch {
-	case known && last.epoch == epoch && count > last.count:
-		b.refill(now, c.Share)
-		b.charge(count - last.count)
-	case known && last.epoch != epoch:
-		b.refill(now, c.Share)
-		b.charge(count)
-	case known && count <= last.count:
+	case known && last.epoch == w.Epoch && w.Count <= last.count:
 		return
-	case !known:
-		b.refill(now, c.Share)
-		b.charge(1)
+	case known && last.epoch == w.Epoch:
+		charge = w.Count - last.count
+	case known || w.FromStart:
+		charge = w.Count
 	}
-	b.seen[instance] = total{epoch: epoch, count: count}
+	b.refill(now, c.Share)
+	b.charge(charge)
+	b.seen[w.Instance] = total{epoch: w.Epoch, count: w.Count}
+}
+
+// Word is what an instance says of a workspace.
+type Word struct {
+	Instance  uint32
+	Epoch     uint32
+	Workspace uint32
+	Count     uint64
+	// FromStart: the instance has been listened to since its start.
+	FromStart bool
 }
 
 // Forget drops what was heard of an instance that has fallen silent. Share no
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -74,7 +74,9 @@
 			rest = append(rest, w)
 			continue
 		}
-		f.counters[w.to].Heard(uint32(w.from+1), w.epoch, workspace, w.count, w.at)
+		f.counters[w.to].Heard(usage.Word{
+			Instance: uint32(w.from + 1), Epoch: w.epoch, Workspace: workspace, Count: w.count, FromStart: true,
+		}, w.at)
 	}
 	f.queue = rest
 }
@@ -171,17 +173,33 @@
 	must.LessEq(t, tolerated(l), float64(f.most(window)))
 }
 
+// said is what instance 2 says, to somebody who hasn't heard it from its start.
+func said(epoch uint32, count uint64) usage.Word {
+	return usage.Word{Instance: 2, Epoch: epoch, Workspace: workspace, Count: count}
+}
+
+// Words are lost when links are full, the first ones as well. What they told
+// must not go uncharged: over 133 instances that was half of the tolerance.
+func TestLostFirstWordsAreMadeGood(t *testing.T) {
+	c := usage.NewCounters()
+	c.SetLimit(workspace, usage.Limit{Rate: 10, Burst: 10}, 0)
+	w := said(1, 4)
+	w.FromStart = true
+	c.Heard(w, 10*time.Second)
+	must.Eq(t, 6, c.Tokens(workspace, 10*time.Second))
+}
+
 // An instance falls silent, its part is no longer counted on, and it speaks
 // again. What it admitted meanwhile came from its own part; charging it now
 // would refuse callers that are inside the rate.
 func TestForgottenInstanceIsntChargedTwice(t *testing.T) {
 	c := usage.NewCounters()
 	c.SetLimit(workspace, usage.Limit{Rate: 10, Burst: 10}, 0)
-	c.Heard(2, 1, workspace, 5, 10*time.Second)
+	c.Heard(said(1, 5), 10*time.Second)
 	c.Forget(2)
-	c.Heard(2, 1, workspace, 500, 20*time.Second)
+	c.Heard(said(1, 500), 20*time.Second)
 	must.Eq(t, 9, c.Tokens(workspace, 20*time.Second))
-	c.Heard(2, 1, workspace, 503, 20*time.Second)
+	c.Heard(said(1, 503), 20*time.Second)
 	must.Eq(t, 6, c.Tokens(workspace, 20*time.Second))
 }
 
@@ -190,16 +208,16 @@
 func TestRestartedInstanceIsChargedFromZero(t *testing.T) {
 	c := usage.NewCounters()
 	c.SetLimit(workspace, usage.Limit{Rate: 10, Burst: 10}, 0)
-	c.Heard(2, 1, workspace, 100, 10*time.Second)
-	c.Heard(2, 2, workspace, 4, 10*time.Second)
+	c.Heard(said(1, 100), 10*time.Second)
+	c.Heard(said(2, 4), 10*time.Second)
 	must.Eq(t, 5, c.Tokens(workspace, 10*time.Second))
 }
 
 func TestLateTotalsBuildNoLongDebt(t *testing.T) {
 	c := usage.NewCounters()
 	c.SetLimit(workspace, usage.Limit{Rate: 10, Burst: 10}, 0)
-	c.Heard(2, 1, workspace, 1, 10*time.Second)
-	c.Heard(2, 1, workspace, 1000, 10*time.Second)
+	c.Heard(said(1, 1), 10*time.Second)
+	c.Heard(said(1, 1000), 10*time.Second)
 	ok, _ := c.Take(workspace, 12500*time.Millisecond)
 	must.True(t, ok)
 }
