--- a/edge/edge.go
+++ b/edge/edge.go
@@ -192,7 +192,10 @@
 	}
 	e.stop()
 	cancel()
-	<-done
+	select {
+	case <-done:
+	case <-time.After(endWait):
+	}
 	e.lines.Flush()
 	return nil
 }
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -433,6 +433,40 @@
 	}
 }
 
+// A server hangs on a request, and the store hangs on a call, when the instance
+// is told to stop. It must end before it is ended by force.
+func TestPlannedStopEndsInTime(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.backend("i-1", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	f.configure(1000, key)
+	f.up(1)
+	f.store.SetFault(func(string) rowstore.Fault { return rowstore.Silent })
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+				f.lookup(0)
+			}
+		}
+	})
+	time.Sleep(200 * time.Millisecond)
+	start := time.Now()
+	f.instances[0].cancel()
+	select {
+	case err := <-f.instances[0].done:
+		f.instances[0].done <- err
+	case <-time.After(5 * time.Second):
+	}
+	close(stop)
+	wg.Wait()
+	must.Less(t, 2900*time.Millisecond, time.Since(start))
+}
+
 // A workspace sends far more than its rate to three instances. The sum that
 // runs keeps to rate and burst; who is refused is told when to come back.
 func TestRateHoldsOverAllInstances(t *testing.T) {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -34,7 +34,11 @@
 	// enough not to name others beside them.
 	fewAddresses = 2
 	// stopMargin is kept back of the time until the end by force.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = time.Second
+	// endWait is how long the end waits for the parts of the process. Nothing
+	// that they still do matters, and waiting for a call of the store once took
+	// longer than the stop may.
+	endWait = 200 * time.Millisecond
 	// acceptPart is the part of the time until the end by force during which a
 	// stopping instance still takes requests. By then callers have a newer
 	// answer of the directory, but for those that keep an old one for longer;
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -148,6 +148,10 @@
 	outcomes outcomes
 }
 
+// never is the time of what hasn't happened. With 0, an instance that has just
+// started would take all servers for used and failed a moment ago.
+const never = -time.Hour
+
 // New returns a placer without servers.
 func New() *Placer {
 	return &Placer{
@@ -172,6 +176,8 @@
 			spell:       belief{spells.usually, now},
 			path:        belief{paths.usually, now},
 			slowness:    1,
+			lastUse:     never,
+			lastFail:    never,
 			since:       now,
 			outstanding: make(map[uint32]count),
 		}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -174,7 +174,7 @@
 	p := placer("a", "b", "c", "d")
 	seen := make(map[string]bool)
 	for i := range 4 {
-		now := time.Second + time.Duration(i)*100*time.Millisecond
+		now := time.Duration(i+1) * 20 * time.Millisecond
 		id := choose(t, p, order(), now).Server.ID
 		seen[id] = true
 		use(p, id, health.OK, now)
