placement: silent instances count as requests that go unserved

Change: more than 5% falling silent at a moment spreads requests for 5 s; TestSilentInstancesBringIdleServersIntoUse.

--- a/edge/members.go
+++ b/edge/members.go
@@ -22,6 +22,10 @@
 	// earlySequence is the number of a message up to which an instance has only
 	// just started: it speaks some five times before callers come.
 	earlySequence = 20
+	// manySilent is the share of instances whose silence at one moment means
+	// that callers' requests go unserved unheard. One instance that is stopped
+	// or killed is less at any size.
+	manySilent = 0.05
 	// rememberFor is how long an instance counts that has no row in the
 	// store: one that has just started, or whose row was removed.
 	rememberFor = 10 * time.Second
@@ -88,10 +92,12 @@
 
 // checkMembers finds out who has fallen silent.
 func (e *Edge) checkMembers(now time.Duration) {
+	fell := 0
 	for id, m := range e.state.members {
 		if m.alive && now-m.heard > aliveFor {
 			m.alive = false
 			m.fromStart = false
+			fell++
 			e.state.usage.Forget(id)
 			e.state.placer.Forget(id)
 			event.PeerSilent.Log(e.log, slog.String("peer", address(id, 0).Addr().String()),
@@ -101,6 +107,9 @@
 			delete(e.state.members, id)
 		}
 	}
+	if float64(fell) > manySilent*float64(len(e.state.members)) {
+		e.state.placer.Disturbed(now)
+	}
 	e.reckonShare()
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -137,6 +137,8 @@
 	services map[string]*service
 	byID     map[string]*server
 	byHash   map[uint32]*server
+	// disturbedUntil is how long requests are taken to go unserved unheard.
+	disturbedUntil time.Duration
 }
 
 type service struct {
@@ -218,7 +220,7 @@
 // is none that it may be sent to.
 func (p *Placer) Choose(r Request, now time.Duration, random func() float64) (Choice, bool) {
 	g := p.service(r.Service)
-	wide := g.wide(now)
+	wide := p.wide(g, now)
 	best, found := Choice{Cost: math.Inf(1)}, false
 	for _, s := range g.servers {
 		if s.entry.Draining || contains(r.Tried, s.entry.ID) {
@@ -234,8 +236,8 @@
 }
 
 // wide reports whether more of the servers should be in use.
-func (g *service) wide(now time.Duration) bool {
-	if now-g.since < justStarted {
+func (p *Placer) wide(g *service, now time.Duration) bool {
+	if now-g.since < justStarted || now < p.disturbedUntil {
 		return g.inUse(now) < coverageAtStart
 	}
 	return g.outcomes.unserved(now) > widenAbove && g.inUse(now) < coverage
@@ -259,6 +261,13 @@
 	return float64(used) / float64(all)
 }
 
+// Disturbed takes in that many instances have fallen silent. What goes unserved
+// there is told by nobody; for a while it is taken to be too much.
+func (p *Placer) Disturbed(now time.Duration) { p.disturbedUntil = now + disturbance }
+
+// disturbance is how long that is: callers have left a silent instance by then.
+const disturbance = 5 * time.Second
+
 // Outstanding takes in how many requests an instance has at a server; 0 is
 // this instance.
 func (p *Placer) Outstanding(hash, instance uint32, n int, now time.Duration) {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -200,6 +200,22 @@
 	must.Less(t, 0.05, choose(t, there, withTried(order(), "b"), now).Risk)
 }
 
+// A fifth of the instances stands still. Their callers' requests go unserved and
+// nobody tells; healthy servers must not stay idle meanwhile, nor for ever.
+func TestSilentInstancesBringIdleServersIntoUse(t *testing.T) {
+	p := placer("hot", "idle")
+	now := 20 * time.Second
+	use(p, "idle", health.OK, now-3*time.Second)
+	use(p, "hot", health.OK, now)
+	use(p, "hot", health.OK, now)
+	must.Eq(t, "hot", choose(t, p, order(), now).Server.ID)
+	p.Disturbed(now)
+	must.Eq(t, "idle", choose(t, p, order(), now).Server.ID)
+	now += 6 * time.Second
+	use(p, "hot", health.OK, now)
+	must.Eq(t, "hot", choose(t, p, order(), now).Server.ID)
+}
+
 // The own data centre comes first, but not at the price of failing or waiting.
 func TestOwnDataCentreFirst(t *testing.T) {
 	p := placement.New()
