edge: an instance without the list of servers isn't ready

Ruled out: load (the same lines come from the order of answers alone: TestInstanceWithoutServersIsntReady fails without the change). Change: ready needs the servers; without any, they are read at once instead of after the wait for the next notice.

--- a/edge/internal_test.go
+++ b/edge/internal_test.go
@@ -5,6 +5,11 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"foxtailspoke/entry/clock"
+	"foxtailspoke/freshness"
+	"foxtailspoke/replica"
+	"foxtailspoke/routing"
 )
 
 // A machine is gone for good and another has taken its place. As long as the
@@ -68,3 +73,18 @@
 	e.settings.LinkMbps = 10
 	must.Eq(t, 3, e.rank())
 }
+
+// The store is back and has answered the call for the configuration, but not
+// yet that for the servers. Callers sent here now would all be refused.
+func TestInstanceWithoutServersIsntReady(t *testing.T) {
+	e := &Edge{self: 1, clock: clock.New()}
+	s := &e.state
+	s.bounds = freshness.NewBounds(5 * time.Second)
+	s.servers = replica.NewTable()
+	s.table = routing.NewTable(routing.Config{})
+	s.clock.Observe(time.Second, e.now())
+	s.configProof, s.proved = time.Second, true
+	must.False(t, e.readyLocked())
+	s.servers.Apply(replica.Answer{Whole: true, Version: 1}, 0)
+	must.True(t, e.readyLocked())
+}
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -138,10 +138,16 @@
 	case evidence.Config:
 		wake(e.fetches)
 	case evidence.Servers:
-		if e.state.gapEnds == 0 {
-			e.state.gapEnds = now + gapWait + time.Duration(rand.Float64()*float64(gapSpread))
-			wake(e.kicked)
+		if e.state.gapEnds > 0 {
+			return
 		}
+		e.state.gapEnds = now + time.Duration(rand.Float64()*float64(gapSpread))
+		if _, known := e.state.servers.Version(); known {
+			// Notices to come may bring it; an instance without any server
+			// has nothing to wait for.
+			e.state.gapEnds += gapWait
+		}
+		wake(e.kicked)
 	case evidence.Instances:
 		e.state.nextListed = 0
 	}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -144,7 +144,10 @@
 // held.
 func (e *Edge) readyLocked() bool {
 	s := &e.state
-	return !e.stopping.Load() && s.table != nil && !s.misread && e.keyAge(e.now()) < s.bounds.Keys
+	// The store may have told the configuration and not yet the servers. An
+	// instance that took itself for ready then refused every request.
+	_, serversKnown := s.servers.Version()
+	return !e.stopping.Load() && s.table != nil && serversKnown && !s.misread && e.keyAge(e.now()) < s.bounds.Keys
 }
 
 // answerReady answers the platform.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,7 +16,9 @@
 )
 
 // regressions are the seeds that ever failed, each with its cause.
-var regressions = map[uint64]string{}
+var regressions = map[uint64]string{
+	118: "instances that knew the configuration and no servers took themselves for ready",
+}
 
 // Instances are killed, stopped, paused and restarted in overlapping series,
 // and the store fails, is slow, and forgets, while callers go on. What they and
