--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -73,20 +73,17 @@
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	f.storeAt = strings.TrimPrefix(server.URL, "http://")
+	// All are held until the last is drawn: one that was given back might be
+	// drawn a second time.
 	for i := range f.ports {
-		f.ports[i] = freePort(t)
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		must.NoError(t, err)
+		defer func() { _ = l.Close() }()
+		f.ports[i] = l.Addr().(*net.TCPAddr).Port
 	}
 	return f
 }
 
-func freePort(t *testing.T) int {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
 func (f *fleet) ip(n int) string { return fmt.Sprintf("127.%d.0.%d", f.net, n+1) }
 
 func (f *fleet) at(n, port int) string { return fmt.Sprintf("%s:%d", f.ip(n), f.ports[port]) }
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -99,8 +99,9 @@
 	for i := range w.ports {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		must.NoError(t, err)
+		// All are held until the last is drawn, so that none is drawn twice.
+		defer func() { _ = l.Close() }()
 		w.ports[i] = l.Addr().(*net.TCPAddr).Port
-		must.NoError(t, l.Close())
 	}
 	return w
 }
