discovery: the grace after an outage ends with the store's return

Absence is proof that a server is gone two seconds after the return, however late it was removed. Ruled out: the way of instances that the store refuses after a start; they learn of changes by notices within a second. Change: entries are kept until the return plus the grace, and looked at before each choice as well as at each beat. Before: TestGraceEndsWithTheStoresReturnNotWithEachRemoval fails (the server is kept 3.5 s). After: passes.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -84,18 +84,17 @@
 	return Change{Server: s, New: !known || s.Born != old.Born}, true
 }
 
-// Remove takes in that the store lists a server no longer. With lapsed set
-// the store was just away, and the server is dropped by Expire unless it
-// returns before.
-func (l *List) Remove(id string, now time.Duration, lapsed bool) (Change, bool) {
+// Remove takes in that the store lists a server no longer. Before keepUntil,
+// which is Grace after the store's return, its entry may have run out by the
+// store's fault: the server is then kept, and dropped by Expire at that time
+// unless it is listed again before.
+func (l *List) Remove(id string, now, keepUntil time.Duration) (Change, bool) {
 	s, known := l.servers[id]
 	if !known {
 		return Change{}, false
 	}
-	if lapsed {
-		if _, waiting := l.missing[id]; !waiting {
-			l.missing[id] = now + Grace
-		}
+	if now < keepUntil {
+		l.missing[id] = keepUntil
 		return Change{}, false
 	}
 	delete(l.servers, id)
@@ -110,7 +109,7 @@
 		if now < at {
 			continue
 		}
-		if c, ok := l.Remove(id, now, false); ok {
+		if c, ok := l.Remove(id, now, now); ok {
 			changes = append(changes, c)
 		}
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -48,10 +48,10 @@
 func TestGoneServerLeavesAtOnce(t *testing.T) {
 	l := discovery.NewList()
 	l.Put(server("a", 1))
-	c, ok := l.Remove("a", time.Second, false)
+	c, ok := l.Remove("a", time.Second, 0)
 	must.True(t, ok && c.Gone)
 	must.Zero(t, l.Len())
-	_, ok = l.Remove("a", time.Second, false)
+	_, ok = l.Remove("a", time.Second, 0)
 	must.False(t, ok)
 }
 
@@ -64,7 +64,7 @@
 	l.Put(server("lost", 1))
 	now := 10 * time.Second
 	for _, id := range l.IDs() {
-		_, ok := l.Remove(id, now, true)
+		_, ok := l.Remove(id, now, now+discovery.Grace)
 		must.False(t, ok)
 	}
 	must.Eq(t, 2, l.Len())
@@ -75,3 +75,18 @@
 	must.Eq(t, "lost", gone[0].Server.ID)
 	must.Eq(t, 1, l.Len())
 }
+
+// The store is back after an outage. A second and a half later it takes a
+// server off the list that is really leaving, and serves on for a moment only.
+// Waiting for the full grace from then on sent it requests for 3.5 s after the
+// store's return, when absence has long been proof that it is gone.
+func TestGraceEndsWithTheStoresReturnNotWithEachRemoval(t *testing.T) {
+	l := discovery.NewList()
+	l.Put(server("leaving", 1))
+	returned := 10 * time.Second
+	_, ok := l.Remove("leaving", returned+1500*time.Millisecond, returned+discovery.Grace)
+	must.False(t, ok)
+	gone := l.Expire(returned + discovery.Grace)
+	must.Len(t, 1, gone)
+	must.Zero(t, l.Len())
+}
--- a/edge/call.go
+++ b/edge/call.go
@@ -183,6 +183,9 @@
 	defer e.mu.Unlock()
 	s := &e.state
 	now := e.now()
+	// Between two beats of the heart a server may have run out of its grace;
+	// it would still get requests for up to a fifth of a second.
+	e.expireServers(now)
 	r := e.wanted(c, tried, now)
 	choice, ok := s.placer.Choose(r, now, rand.Float64)
 	if !ok {
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -69,10 +69,13 @@
 // takeServers takes in changed entries of backend servers.
 func (e *Edge) takeServers(rows []replica.Row, now time.Duration) []replica.Row {
 	s := &e.state
-	lapsed := s.outageEnd > 0 && now-s.outageEnd < discovery.Grace
+	var keepUntil time.Duration
+	if s.outageEnd > 0 {
+		keepUntil = s.outageEnd + discovery.Grace
+	}
 	var changed []replica.Row
 	for _, r := range rows {
-		c, ok := e.serverChange(r, now, lapsed)
+		c, ok := e.serverChange(r, now, keepUntil)
 		if ok {
 			e.applyServer(c, now)
 		}
@@ -83,10 +86,10 @@
 	return changed
 }
 
-func (e *Edge) serverChange(r replica.Row, now time.Duration, lapsed bool) (discovery.Change, bool) {
+func (e *Edge) serverChange(r replica.Row, now, keepUntil time.Duration) (discovery.Change, bool) {
 	s := &e.state
 	if r.Gone {
-		return s.list.Remove(r.Key, now, lapsed)
+		return s.list.Remove(r.Key, now, keepUntil)
 	}
 	entry, err := platform.DecodeServer(r.Key, r.Value)
 	if err != nil {
@@ -94,7 +97,7 @@
 		if e.budget.Take(now, quietShare) {
 			event.EntryIgnored.Log(e.log, slog.String("server", r.Key), slog.Any("error", err))
 		}
-		return s.list.Remove(r.Key, now, false)
+		return s.list.Remove(r.Key, now, now)
 	}
 	return s.list.Put(entry)
 }
