edge: an instance that is back within a second is heard at once

Cause, found by reading: the epoch that tells two starts of an instance apart was the time of the start in whole seconds. A process that is killed is back within the same second, and clocks are set back; the others then took its messages for repeats of those before its end, until it had sent as many. Change: the epoch is drawn at random. Before: TestRestartWithinASecondIsHeardAtOnce can't be met by seconds. After: passes.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -151,7 +151,7 @@
 		pool:     upstream.NewPool(),
 		conns:    newConnections(),
 		self:     self,
-		epoch:    uint32(time.Now().Unix()),
+		epoch:    newEpoch(),
 		kicked:   make(chan struct{}, 1),
 		fetches:  make(chan struct{}, 1),
 		unlisted: make(chan struct{}, 1),
@@ -178,6 +178,12 @@
 	return e, nil
 }
 
+// newEpoch draws the number that tells this start of the instance from others.
+// The time of the start isn't enough: a process that is killed is back within
+// the same second, and clocks jump back. The other instances would then take
+// its messages for repeats of those before its end, until it has sent as many.
+func newEpoch() uint32 { return rand.Uint32() }
+
 // Run serves until the context ends, which begins a planned stop.
 func (e *Edge) Run(ctx context.Context) error {
 	run, cancel := context.WithCancel(context.Background())
--- a/edge/internal_test.go
+++ b/edge/internal_test.go
@@ -88,3 +88,12 @@
 	s.servers.Apply(replica.Answer{Whole: true, Version: 1}, 0)
 	must.True(t, e.readyLocked())
 }
+
+// An instance is killed and back half a second later. The others had heard a
+// hundred messages of its former life, and ignored as many of its new one:
+// what it did at servers and admitted for workspaces, and whether it was ready.
+func TestRestartWithinASecondIsHeardAtOnce(t *testing.T) {
+	var m member
+	must.True(t, m.fresh(newEpoch(), 100))
+	must.True(t, m.fresh(newEpoch(), 1))
+}
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -27,7 +27,7 @@
 	_ struct{} `cbor:",toarray"`
 	// Source is the IPv4 address of the instance that speaks.
 	Source uint32
-	// Epoch is when it started, in Unix seconds. Totals begin anew with it.
+	// Epoch is drawn at its start. Sequence and totals begin anew with it.
 	Epoch uint32
 	// Sequence counts its messages since its start.
 	Sequence uint32
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -153,7 +153,7 @@
 func (c *Counters) Own(workspace uint32) uint64 { return c.bucket(workspace).own }
 
 // Heard takes in the total that another instance has admitted in its epoch,
-// which is the time of its start. The first word of an instance on a workspace
+// which is new with each start. The first word of an instance on a workspace
 // is charged whole if all of its words since its start could be heard: earlier
 // ones were lost then. Otherwise it is charged as one request, the one it
 // speaks of; what it admitted before this instance listened lies in the past.
