upstream: what can't be repeated isn't sent on a connection that has rested

Change: requests that can't be repeated take a kept connection only if it was used within 0.2 s; a full pool drops the connection that rested longest, not the newest. Before: TestOrderAfterAQuietSpellIsntSentOnARestedConnection fails (order 3 is reset). After: passes.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -274,7 +274,7 @@
 	}
 	return upstream.Request{
 		Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body,
-		IDHeader: platform.HeaderAttempt, ID: c.id,
+		IDHeader: platform.HeaderAttempt, ID: c.id, Once: !c.route.Kind.Repeatable(),
 	}
 }
 
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -25,6 +25,8 @@
 	// belongs, and ID is its value.
 	IDHeader string
 	ID       string
+	// Once says that it can't be sent again if its connection turns out dead.
+	Once bool
 }
 
 // Outcome says how an attempt ended.
@@ -70,7 +72,7 @@
 
 // Do sends the request to the address and reads the whole answer.
 func (p *Pool) Do(ctx context.Context, address string, r Request) Answer {
-	c, err := p.get(ctx, address)
+	c, err := p.get(ctx, address, r.Once)
 	if err != nil {
 		return Answer{Outcome: NotSent, Err: err}
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -34,6 +34,11 @@
 	unacknowledged = 2 * time.Second
 	// maxIdle bounds the connections kept to one server.
 	maxIdle = 4
+	// restMost is how long a connection may have rested when a request is sent
+	// on it that can't be repeated. Some servers forget idle connections without
+	// notice, as early as after 0.3 s, and reset whatever comes next on them; an
+	// order would be lost where a new connection costs a millisecond.
+	restMost = 200 * time.Millisecond
 )
 
 // Pool keeps connections to backend servers. It is safe for concurrent use.
@@ -56,14 +61,15 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// expires is when the server may close it.
+	// kept is when it was last used, and expires when the server may close it.
+	kept    time.Time
 	expires time.Time
 }
 
 // get returns a kept connection that is still good, or a new one.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) get(ctx context.Context, address string, once bool) (*conn, error) {
 	for {
-		c := p.take(address)
+		c := p.take(address, once)
 		if c == nil {
 			return p.dial(ctx, address)
 		}
@@ -74,7 +80,9 @@
 	}
 }
 
-func (p *Pool) take(address string) *conn {
+// take returns the connection that was used last. One that has rested for too
+// long is left for requests that can be repeated.
+func (p *Pool) take(address string, once bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
@@ -82,6 +90,9 @@
 		return nil
 	}
 	c := list[len(list)-1]
+	if once && time.Since(c.kept) > restMost {
+		return nil
+	}
 	p.idle[address] = list[:len(list)-1]
 	return c
 }
@@ -115,14 +126,17 @@
 
 // put keeps a connection for the next request.
 func (p *Pool) put(address string, c *conn, h http.Header) {
-	c.expires = time.Now().Add(keepFor(h))
+	c.kept = time.Now()
+	c.expires = c.kept.Add(keepFor(h))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[address]) >= maxIdle {
-		_ = c.Close()
-		return
+	list := append(p.idle[address], c)
+	if len(list) > maxIdle {
+		// The one that has rested longest is the likeliest to be dead.
+		_ = list[0].Close()
+		list = list[1:]
 	}
-	p.idle[address] = append(p.idle[address], c)
+	p.idle[address] = list
 }
 
 // Drop closes the kept connections to an address.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -96,6 +96,39 @@
 	must.Eq(t, 1, p.Opened())
 }
 
+// The server forgets connections that rested for 0.3 s and resets what comes on
+// them. An order after a quiet spell was lost that way; it must go on a new
+// connection. A request that can be repeated may try the old one.
+func TestOrderAfterAQuietSpellIsntSentOnARestedConnection(t *testing.T) {
+	s := serve(t, func(s *script, _ int, c net.Conn, r *bufio.Reader) {
+		for last := time.Now(); ; last = time.Now() {
+			id, ok := s.request(r)
+			if !ok {
+				return
+			}
+			if time.Since(last) > 300*time.Millisecond {
+				_ = c.(*net.TCPConn).SetLinger(0)
+				return
+			}
+			_, _ = io.WriteString(c, answer(id, "ok"))
+		}
+	})
+	p := upstream.NewPool()
+	once := func(id string) upstream.Request {
+		r := order(id)
+		r.Once = true
+		return r
+	}
+	must.Eq(t, upstream.Answered, s.do(t, p, once("1")).Outcome)
+	must.Eq(t, upstream.Answered, s.do(t, p, once("2")).Outcome)
+	must.Eq(t, 1, p.Opened())
+	time.Sleep(350 * time.Millisecond)
+	must.Eq(t, upstream.Answered, s.do(t, p, once("3")).Outcome)
+	must.Eq(t, 2, p.Opened())
+	time.Sleep(350 * time.Millisecond)
+	must.Eq(t, upstream.Broken, s.do(t, p, order("4")).Outcome)
+}
+
 func TestPathArrivesByteForByte(t *testing.T) {
 	got := make(chan string, 1)
 	s := serve(t, func(_ *script, _ int, c net.Conn, r *bufio.Reader) {
