edge: two instances of a data centre read a new configuration, the others ask them

Of 1,487 calls some 400 were first reads by all instances at the same moment, some 400 reads of each new configuration by all; the standing calls are 4.6 a second. Test fixture: the stand-in of the store saw all instances call from one address, so that TestInstanceThatTheStoreRefusesServesOn refused nobody. Each instance now has an address of its own to the store; the test still passes. Instances of a test are stopped together.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -69,6 +69,9 @@
 	kicked chan struct{}
 	// fetches wakes the fetcher of the configuration.
 	fetches chan struct{}
+	// joined is closed when the store may be read.
+	joined  chan struct{}
+	joining sync.Once
 	// unlisted tells that this instance's row in the store is gone.
 	unlisted chan struct{}
 
@@ -94,6 +97,9 @@
 	recent    [evidence.Tables]replica.Recent
 	// configRow is the version of the configuration's row.
 	configRow uint64
+	// configTold is the newest version of that row that another instance told
+	// of; its content comes by fetchConfig.
+	configTold uint64
 	// configProof is the store's stamp up to which the configuration in force
 	// is proved to be the newest.
 	configProof time.Duration
@@ -154,6 +160,7 @@
 		epoch:    newEpoch(),
 		kicked:   make(chan struct{}, 1),
 		fetches:  make(chan struct{}, 1),
+		joined:   make(chan struct{}),
 		unlisted: make(chan struct{}, 1),
 	}
 	e.metrics = newMetrics(e)
--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -1,47 +1,41 @@
 package edge
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"encoding/json"
-	"io"
-	"log/slog"
 	"math/rand/v2"
-	"net"
-	"net/rpc"
+	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"foxtailspoke/event"
 	"foxtailspoke/evidence"
-	"foxtailspoke/platform"
-	"foxtailspoke/replica"
 )
 
 const (
-	// fetchSpread spreads the reads of a new configuration by all instances.
+	// fetchSpread spreads the reads of a new configuration.
 	fetchSpread = 60 * time.Millisecond
 	// fetchRetry is the least pause after a read that failed.
 	fetchRetry = 500 * time.Millisecond
-	// snapshotTimeout bounds a question to another instance.
-	snapshotTimeout = 500 * time.Millisecond
-	// registerRetry is the pause after the row of this instance couldn't be
-	// written; others learn of it by its beats meanwhile.
-	registerRetry = time.Second
-	// goneAfter is the silence after which an instance is taken off the list:
-	// longer than any disturbance of the network that passes by itself.
-	goneAfter = 2 * time.Minute
-	// maxGoneRows bounds one removal; the store takes 100 entries a call.
-	maxGoneRows = 100
-	// maxSnapshotCalls bounds the connections of other instances.
-	maxSnapshotCalls = 32
+	// configReaders is how many instances of a data centre read a new
+	// configuration from the store. The others ask these: at 133 instances, all
+	// reading each change made two thirds of the calls to the store, and at
+	// 2,000 they would take all that it answers in a second.
+	configReaders = 2
+	// readersFirst leaves the readers time for their call: 4 ms as a rule.
+	readersFirst = 50 * time.Millisecond
+	// joinWithin bounds the wait of an instance, at the first start of the whole
+	// fleet, for others that have read the store. Callers come later than that.
+	joinWithin = time.Second
+	// joinStep is how often it looks for them.
+	joinStep = 100 * time.Millisecond
 )
 
-// fetchConfig makes the first read of all tables, and afterwards reads the
-// configuration when another instance says that there is a newer one.
+// fetchConfig reads the configuration when another instance says that there is
+// a newer one.
 func (e *Edge) fetchConfig(ctx context.Context) error {
+	select {
+	case <-e.joined:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	go e.register(ctx)
 	for {
 		select {
@@ -55,245 +49,119 @@
 		if !pause(ctx, time.Duration(rand.Float64()*float64(fetchSpread))) {
 			return ctx.Err()
 		}
-		p := e.ask(ctx, evidence.Config)
-		if p.err != nil {
-			e.logStoreError(p, e.now())
+		if e.hasToldConfig() || e.askReaders(ctx) {
+			continue
+		}
+		if !e.readConfig(ctx) {
 			e.askPeer(ctx)
 			pause(ctx, fetchRetry)
-			continue
 		}
-		e.mu.Lock()
-		now := e.now()
-		e.state.clock.Observe(p.answer.Stamp, now)
-		changed, _ := e.state.config.Apply(p.answer, p.since)
-		e.takeRows(evidence.Config, changed, now)
-		e.prove(evidence.Config, p.answer.Stamp, now)
-		e.mu.Unlock()
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
+// askReaders asks the instances of this data centre that read the store for
+// the configuration that was told of. It reports false if this instance is one
+// of them, or none of them has it.
+func (e *Edge) askReaders(ctx context.Context) bool {
+	e.mu.Lock()
+	readers := e.configReaders()
+	e.mu.Unlock()
+	if slices.Contains(readers, e.self) || !pause(ctx, readersFirst) {
 		return false
 	}
-}
-
-// register writes this instance's row, unless it stands there already from an
-// earlier start. While the store turns this instance away, the others are
-// asked for what they know.
-func (e *Edge) register(ctx context.Context) {
-	value, err := json.Marshal(instanceDocument{DataCentre: e.settings.DataCentre, SlowLink: e.slowLink()})
-	if err != nil {
-		event.StoreCallFailed.Log(e.log, slog.Any("error", err))
-		return
-	}
-	for pause(ctx, registerRetry) {
-		e.mu.Lock()
-		_, known := e.state.instances.Version()
-		rows := e.state.instances.Rows()
-		ready := e.state.table != nil
-		e.mu.Unlock()
-		if !ready {
-			e.askPeer(ctx)
-		}
-		if !known {
-			continue
+	for _, reader := range readers {
+		if e.hasToldConfig() {
+			return true
 		}
-		if hasRow(rows, e.settings.IP, value) {
-			return
-		}
-		row := replica.Row{Key: e.settings.IP, Value: value}
-		err := e.store.Write(ctx, platform.TableInstances, row)
-		if err == nil {
-			return
-		}
-		event.StoreCallFailed.Log(e.log, slog.String("table", platform.TableInstances), slog.Any("error", err))
+		e.askSnapshot(ctx, reader, methodConfig, configTimeout)
 	}
+	return e.hasToldConfig()
 }
 
-// removeGone takes instances off the list that are gone for good. Their part of
-// the workspaces' rates would lie idle for ever. One that was only cut off for
-// so long writes its row again when it finds it missing.
-func (e *Edge) removeGone(ctx context.Context) {
+func (e *Edge) hasToldConfig() bool {
 	e.mu.Lock()
-	rows := e.goneRows(e.now())
-	e.mu.Unlock()
-	if len(rows) == 0 {
-		return
-	}
-	if err := e.store.Write(ctx, platform.TableInstances, rows...); err != nil {
-		event.StoreCallFailed.Log(e.log, slog.String("table", platform.TableInstances), slog.Any("error", err))
-	}
+	defer e.mu.Unlock()
+	return e.state.table != nil && e.state.configRow >= e.state.configTold
 }
 
-func (e *Edge) goneRows(now time.Duration) []replica.Row {
-	var rows []replica.Row
+// configReaders are the instances of the own data centre that read the
+// configuration, the same for all of them: those with fast links first, in an
+// order that differs from the data centre's delegates.
+func (e *Edge) configReaders() []uint32 {
+	var ids []uint32
+	if !e.slowLink() {
+		ids = append(ids, e.self)
+	}
 	for id, m := range e.state.members {
-		if m.listed && !m.alive && now-m.heard > goneAfter && len(rows) < maxGoneRows {
-			rows = append(rows, replica.Row{Key: address(id, 0).Addr().String(), Gone: true})
+		if m.alive && !m.leaving && !m.slow && m.dataCentre == e.settings.DataCentre {
+			ids = append(ids, id)
 		}
 	}
-	return rows
+	slices.SortFunc(ids, func(a, b uint32) int { return int(int64(mix(a)) - int64(mix(b))) })
+	return ids[:min(len(ids), configReaders)]
 }
 
-func hasRow(rows []replica.Row, key string, value []byte) bool {
-	for _, r := range rows {
-		if r.Key == key {
-			return bytes.Equal(r.Value, value)
-		}
+// readConfig reads the configuration from the store.
+func (e *Edge) readConfig(ctx context.Context) bool {
+	p := e.ask(ctx, evidence.Config)
+	if p.err != nil {
+		e.logStoreError(p, e.now())
+		return false
 	}
-	return false
-}
-
-// Snapshot is everything an instance has read from the store.
-type Snapshot struct {
-	Tables []SnapshotTable
-}
-
-// SnapshotTable is one table of a snapshot.
-type SnapshotTable struct {
-	Table   evidence.Table
-	Version uint64
-	// Stamp is the store's clock up to which it is complete; 0 if unproved.
-	Stamp time.Duration
-	Rows  []replica.Row
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	e.state.clock.Observe(p.answer.Stamp, now)
+	changed, _ := e.state.config.Apply(p.answer, p.since)
+	e.takeRows(evidence.Config, changed, now)
+	e.prove(evidence.Config, p.answer.Stamp, now)
+	return true
 }
 
-// Nothing is the argument of calls that need none.
-type Nothing struct{}
-
-// Packed is a compressed Snapshot.
-type Packed struct{ Data []byte }
-
-// Snapshots is what instances may ask each other for, by net/rpc.
-type Snapshots struct{ edge *Edge }
-
-// Get returns what this instance knows.
-func (s *Snapshots) Get(_ Nothing, reply *Packed) error {
-	s.edge.mu.Lock()
-	snapshot := s.edge.snapshot(s.edge.now())
-	s.edge.mu.Unlock()
-	var b bytes.Buffer
-	z := gzip.NewWriter(&b)
-	if err := json.NewEncoder(z).Encode(snapshot); err != nil {
-		return errors.Wrap(err, "snapshot")
-	}
-	if err := z.Close(); err != nil {
-		return errors.Wrap(err, "snapshot")
+// join waits, at the first start of the whole fleet, until another instance has
+// read the store, and takes in what it knows. Otherwise all instances would
+// read three tables within the same third of a second.
+func (e *Edge) join(ctx context.Context) {
+	defer close(e.joined)
+	if !e.settings.FirstStart {
+		return
 	}
-	reply.Data = b.Bytes()
-	return nil
-}
-
-func (e *Edge) snapshot(now time.Duration) Snapshot {
-	s := &e.state
-	var all Snapshot
-	for _, t := range []evidence.Table{evidence.Config, evidence.Servers, evidence.Instances} {
-		version, known := e.copyOf(t).Version()
-		if !known {
-			continue
-		}
-		table := SnapshotTable{Table: t, Version: version, Rows: e.copyOf(t).Rows()}
-		switch t {
-		case evidence.Config:
-			table.Stamp = s.configProof
-		case evidence.Servers:
-			// The stamp of the list: its age, on the store's clock.
-			table.Stamp = s.configProof - max(0, (now-s.serversProof)-e.keyAge(now))
-		case evidence.Instances:
+	for end := e.now() + time.Duration(rand.Float64()*float64(joinWithin)); e.now() < end; {
+		if !pause(ctx, joinStep) {
+			return
 		}
-		all.Tables = append(all.Tables, table)
-	}
-	return all
-}
-
-// serveSnapshots answers other instances.
-func (e *Edge) serveSnapshots(ctx context.Context) error {
-	server := rpc.NewServer()
-	if err := server.Register(&Snapshots{e}); err != nil {
-		return errors.Wrap(err, "snapshots")
-	}
-	stop := context.AfterFunc(ctx, func() { _ = e.ports.snapshots.Close() })
-	defer stop()
-	slots := make(chan struct{}, maxSnapshotCalls)
-	for {
-		c, err := e.ports.snapshots.Accept()
-		if ctx.Err() != nil {
-			return ctx.Err()
+		if e.othersAreReady() {
+			e.askPeer(ctx)
 		}
-		if err != nil {
-			return errors.Wrap(err, "snapshots")
+		if e.knowsServers() {
+			return
 		}
-		slots <- struct{}{}
-		go func() {
-			defer func() { <-slots }()
-			_ = c.SetDeadline(time.Now().Add(2 * snapshotTimeout))
-			server.ServeConn(c)
-		}()
 	}
 }
 
-// askPeer takes in what one of the other instances knows.
-func (e *Edge) askPeer(ctx context.Context) {
+func (e *Edge) othersAreReady() bool {
 	e.mu.Lock()
-	var alive []uint32
-	for id, m := range e.state.members {
-		if m.alive {
-			alive = append(alive, id)
+	defer e.mu.Unlock()
+	for _, m := range e.state.members {
+		if m.alive && !m.leaving {
+			return true
 		}
 	}
-	e.mu.Unlock()
-	if len(alive) == 0 {
-		return
-	}
-	peer := alive[rand.IntN(len(alive))]
-	snapshot, err := getSnapshot(ctx, address(peer, e.peerPort).String())
-	if err != nil {
-		event.PeerMessageFailed.Log(e.log, slog.String("peer", address(peer, 0).Addr().String()), slog.Any("error", err))
-		return
-	}
+	return false
+}
+
+func (e *Edge) knowsServers() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := e.now()
-	for _, t := range snapshot.Tables {
-		a := replica.Answer{Rows: t.Rows, Version: t.Version, Stamp: t.Stamp, Whole: true}
-		changed, _ := e.copyOf(t.Table).Apply(a, 0)
-		e.takeRows(t.Table, changed, now)
-		if t.Stamp > 0 {
-			s := &e.state
-			s.clock.Observe(t.Stamp, now)
-			e.prove(t.Table, t.Stamp, now)
-		}
-	}
+	_, known := e.state.servers.Version()
+	return known && e.state.table != nil
 }
 
-func getSnapshot(ctx context.Context, address string) (Snapshot, error) {
-	d := net.Dialer{Timeout: snapshotTimeout}
-	c, err := d.DialContext(ctx, "tcp4", address)
-	if err != nil {
-		return Snapshot{}, errors.Wrap(err, "snapshot")
-	}
-	defer func() { _ = c.Close() }()
-	if err := c.SetDeadline(time.Now().Add(snapshotTimeout)); err != nil {
-		return Snapshot{}, errors.Wrap(err, "snapshot")
-	}
-	client := rpc.NewClient(c)
-	defer func() { _ = client.Close() }()
-	var packed Packed
-	if err := client.Call("Snapshots.Get", Nothing{}, &packed); err != nil {
-		return Snapshot{}, errors.Wrap(err, "snapshot")
-	}
-	z, err := gzip.NewReader(bytes.NewReader(packed.Data))
-	if err != nil {
-		return Snapshot{}, errors.Wrap(err, "snapshot")
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	var s Snapshot
-	err = json.NewDecoder(io.LimitReader(z, maxSnapshot)).Decode(&s)
-	return s, errors.Wrap(err, "snapshot")
 }
-
-// maxSnapshot bounds what is unpacked of a snapshot, in bytes.
-const maxSnapshot = 64 << 20
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -33,7 +33,6 @@
 type fleet struct {
 	t         *testing.T
 	store     *rowstore.Store
-	storeAt   string
 	ports     [5]int
 	net       byte
 	instances []*instance
@@ -70,9 +69,7 @@
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: rowstore.New("op", "servers"), net: byte(10 + networks.Add(1))}
-	server := httptest.NewServer(f.store)
-	t.Cleanup(server.Close)
-	f.storeAt = strings.TrimPrefix(server.URL, "http://")
+	t.Cleanup(f.end)
 	// All are held until the last is drawn: one that was given back might be
 	// drawn a second time.
 	for i := range f.ports {
@@ -88,6 +85,30 @@
 
 func (f *fleet) at(n, port int) string { return fmt.Sprintf("%s:%d", f.ip(n), f.ports[port]) }
 
+// end stops all instances, together: each takes a while for a planned stop.
+func (f *fleet) end() {
+	for _, i := range f.instances {
+		i.cancel()
+	}
+	for n, i := range f.instances {
+		<-i.done
+		if f.t.Failed() {
+			f.t.Logf("log of instance %d:\n%s", n, i.log)
+		}
+	}
+}
+
+// storeFor returns an address of the store for one instance. The kernel has
+// all of them call from the same address; this one tells the store who calls.
+func (f *fleet) storeFor(ip string) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.RemoteAddr = net.JoinHostPort(ip, "1")
+		f.store.ServeHTTP(w, r)
+	}))
+	f.t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
 // start starts an instance and returns its number.
 func (f *fleet) start(change func(*settings.Settings)) int {
 	f.t.Helper()
@@ -97,7 +118,7 @@
 		Listen: settings.Listen{
 			Callers: f.at(n, 0), Readiness: f.at(n, 1), Directory: f.at(n, 2), Peers: f.at(n, 3), Metrics: f.at(n, 4),
 		},
-		Store: settings.Store{Address: f.storeAt},
+		Store: settings.Store{Address: f.storeFor(f.ip(n))},
 		Bounds: settings.Bounds{
 			RevokeS: revokeS, GraceS: 3, AddressTTLS: 5, RetryRatio: 0.2, RetrySlack: 50, RateWindowS: 5,
 		},
@@ -116,13 +137,6 @@
 	ctx, i.cancel = context.WithCancel(context.Background())
 	go func() { i.done <- e.Run(ctx) }()
 	f.instances = append(f.instances, i)
-	f.t.Cleanup(func() {
-		i.cancel()
-		<-i.done
-		if f.t.Failed() {
-			f.t.Logf("log of instance %d:\n%s", n, i.log)
-		}
-	})
 	return n
 }
 
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -46,6 +46,7 @@
 
 // pollStore asks the store whenever this instance's turn comes.
 func (e *Edge) pollStore(ctx context.Context) error {
+	e.joining.Do(func() { e.join(ctx) })
 	for {
 		e.mu.Lock()
 		wait := e.untilPoll(e.now())
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -96,6 +96,7 @@
 	version, known := e.copyOf(n.Table).Version()
 	complete := known && version >= n.Since
 	if n.Table == evidence.Config {
+		s.configTold = max(s.configTold, n.Changed)
 		complete = known && s.configRow >= n.Changed
 		n.Since = version
 	}
--- a/edge/settings/settings.go
+++ b/edge/settings/settings.go
@@ -27,6 +27,9 @@
 	// Seeds are "ip:port" of instances that may run; only the ip is used. With
 	// one of them an instance starts while the store turns it away.
 	Seeds []string `json:"seeds"`
+	// FirstStart says that the whole fleet starts for the first time, and
+	// callers come some seconds later. Default false.
+	FirstStart bool `json:"firstStart"`
 	// LinkMbps is the machine's own link; 0 if it isn't known.
 	LinkMbps float64 `json:"linkMbps"`
 	Log      Log     `json:"log"`
--- /dev/null
+++ b/edge/snapshots.go
@@ -0,0 +1,232 @@
+package edge
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/event"
+	"foxtailspoke/evidence"
+	"foxtailspoke/replica"
+)
+
+const (
+	// snapshotTimeout bounds a question to another instance.
+	snapshotTimeout = 500 * time.Millisecond
+	// configTimeout bounds one for the configuration alone. Two of them and a
+	// call to the store must fit into what is left of the two seconds in which
+	// a change is in force, half a second after the change.
+	configTimeout = 200 * time.Millisecond
+	// maxSnapshotCalls bounds the connections of other instances.
+	maxSnapshotCalls = 32
+
+	methodGet    = "Snapshots.Get"
+	methodConfig = "Snapshots.Config"
+)
+
+// Snapshot is everything an instance has read from the store.
+type Snapshot struct {
+	Tables []SnapshotTable
+}
+
+// SnapshotTable is one table of a snapshot.
+type SnapshotTable struct {
+	Table   evidence.Table
+	Version uint64
+	// Stamp is the store's clock up to which it is complete; 0 if unproved.
+	Stamp time.Duration
+	Rows  []replica.Row
+}
+
+// Nothing is the argument of calls that need none.
+type Nothing struct{}
+
+// Packed is a compressed Snapshot.
+type Packed struct{ Data []byte }
+
+// Snapshots is what instances may ask each other for, by net/rpc.
+type Snapshots struct {
+	edge *Edge
+
+	mu sync.Mutex
+	// config is the packed configuration of row version configRow.
+	config    Packed
+	configRow uint64
+}
+
+// Get returns what this instance knows.
+func (s *Snapshots) Get(_ Nothing, reply *Packed) error {
+	s.edge.mu.Lock()
+	snapshot := s.edge.snapshot(s.edge.now())
+	s.edge.mu.Unlock()
+	var err error
+	*reply, err = pack(snapshot)
+	return err
+}
+
+// Config returns the configuration alone, without a proof of its age. It is
+// packed once, because all neighbours ask for it within moments.
+func (s *Snapshots) Config(_ Nothing, reply *Packed) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.edge.mu.Lock()
+	row := s.edge.state.configRow
+	version, _ := s.edge.state.config.Version()
+	rows := s.edge.state.config.Rows()
+	s.edge.mu.Unlock()
+	if row != s.configRow {
+		table := SnapshotTable{Table: evidence.Config, Version: version, Rows: rows}
+		packed, err := pack(Snapshot{Tables: []SnapshotTable{table}})
+		if err != nil {
+			return err
+		}
+		s.config, s.configRow = packed, row
+	}
+	*reply = s.config
+	return nil
+}
+
+func pack(snapshot Snapshot) (Packed, error) {
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	if err := json.NewEncoder(z).Encode(snapshot); err != nil {
+		return Packed{}, errors.Wrap(err, "snapshot")
+	}
+	if err := z.Close(); err != nil {
+		return Packed{}, errors.Wrap(err, "snapshot")
+	}
+	return Packed{Data: b.Bytes()}, nil
+}
+
+func (e *Edge) snapshot(now time.Duration) Snapshot {
+	s := &e.state
+	var all Snapshot
+	for _, t := range []evidence.Table{evidence.Config, evidence.Servers, evidence.Instances} {
+		version, known := e.copyOf(t).Version()
+		if !known {
+			continue
+		}
+		table := SnapshotTable{Table: t, Version: version, Rows: e.copyOf(t).Rows()}
+		switch t {
+		case evidence.Config:
+			table.Stamp = s.configProof
+		case evidence.Servers:
+			// The stamp of the list: its age, on the store's clock.
+			table.Stamp = s.configProof - max(0, (now-s.serversProof)-e.keyAge(now))
+		case evidence.Instances:
+		}
+		all.Tables = append(all.Tables, table)
+	}
+	return all
+}
+
+// serveSnapshots answers other instances.
+func (e *Edge) serveSnapshots(ctx context.Context) error {
+	server := rpc.NewServer()
+	if err := server.Register(&Snapshots{edge: e}); err != nil {
+		return errors.Wrap(err, "snapshots")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = e.ports.snapshots.Close() })
+	defer stop()
+	slots := make(chan struct{}, maxSnapshotCalls)
+	for {
+		c, err := e.ports.snapshots.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return errors.Wrap(err, "snapshots")
+		}
+		slots <- struct{}{}
+		go func() {
+			defer func() { <-slots }()
+			_ = c.SetDeadline(time.Now().Add(2 * snapshotTimeout))
+			server.ServeConn(c)
+		}()
+	}
+}
+
+// askPeer takes in what one of the other instances knows. Those that are ready
+// know all that there is to know.
+func (e *Edge) askPeer(ctx context.Context) {
+	e.mu.Lock()
+	var ready, alive []uint32
+	for id, m := range e.state.members {
+		switch {
+		case m.alive && !m.leaving:
+			ready = append(ready, id)
+		case m.alive:
+			alive = append(alive, id)
+		}
+	}
+	e.mu.Unlock()
+	if len(ready) == 0 {
+		ready = alive
+	}
+	if len(ready) > 0 {
+		e.askSnapshot(ctx, ready[rand.IntN(len(ready))], methodGet, snapshotTimeout)
+	}
+}
+
+// askSnapshot takes in what another instance answers to a method of Snapshots.
+func (e *Edge) askSnapshot(ctx context.Context, peer uint32, method string, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	snapshot, err := getSnapshot(ctx, address(peer, e.peerPort).String(), method)
+	if err != nil {
+		event.PeerMessageFailed.Log(e.log, slog.String("peer", address(peer, 0).Addr().String()), slog.Any("error", err))
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	for _, t := range snapshot.Tables {
+		a := replica.Answer{Rows: t.Rows, Version: t.Version, Stamp: t.Stamp, Whole: true}
+		changed, _ := e.copyOf(t.Table).Apply(a, 0)
+		e.takeRows(t.Table, changed, now)
+		if t.Stamp > 0 {
+			e.state.clock.Observe(t.Stamp, now)
+			e.prove(t.Table, t.Stamp, now)
+		}
+	}
+}
+
+func getSnapshot(ctx context.Context, address, method string) (Snapshot, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return Snapshot{}, errors.Wrap(err, "snapshot")
+	}
+	defer func() { _ = c.Close() }()
+	if end, ok := ctx.Deadline(); ok {
+		if err := c.SetDeadline(end); err != nil {
+			return Snapshot{}, errors.Wrap(err, "snapshot")
+		}
+	}
+	client := rpc.NewClient(c)
+	defer func() { _ = client.Close() }()
+	var packed Packed
+	if err := client.Call(method, Nothing{}, &packed); err != nil {
+		return Snapshot{}, errors.Wrap(err, "snapshot")
+	}
+	z, err := gzip.NewReader(bytes.NewReader(packed.Data))
+	if err != nil {
+		return Snapshot{}, errors.Wrap(err, "snapshot")
+	}
+	var s Snapshot
+	err = json.NewDecoder(io.LimitReader(z, maxSnapshot)).Decode(&s)
+	return s, errors.Wrap(err, "snapshot")
+}
+
+// maxSnapshot bounds what is unpacked of a snapshot, in bytes.
+const maxSnapshot = 64 << 20
