soak: links between instances, store, callers and servers; a workspace over its rate

The soak broke processes and the store, but nothing on the way between them. Now each instance's way to the store and from its callers, and the way to each backend server, is a link that is delayed, cut one way, silenced or reset at random; a workspace sends several times its rate, and what runs of it is checked against the limit in every window. Links can reset open connections (TestResetEndsOpenConnectionsOnBothSides).

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -7,11 +7,14 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"foxtailspoke/internal/standin"
 )
 
 // backend is a backend server. In a spell it resets four in five requests,
@@ -20,6 +23,8 @@
 	w    *world
 	id   string
 	http *httptest.Server
+	// link is the way to it.
+	link *standin.Link
 
 	mu       sync.Mutex
 	bad      time.Time
@@ -29,13 +34,14 @@
 func newBackend(w *world, id string) *backend {
 	b := &backend{w: w, id: id}
 	b.http = httptest.NewServer(b)
+	b.link = w.link(strings.TrimPrefix(b.http.URL, "http://"))
 	b.list("ready")
 	return b
 }
 
 func (b *backend) list(state string) {
 	v, err := json.Marshal(map[string]any{
-		"service": "s", "address": strings.TrimPrefix(b.http.URL, "http://"), "zone": "dc-0", "slots": 4,
+		"service": "s", "address": b.link.Address(), "zone": "dc-0", "slots": 4,
 		"state": state, "seq": 1, "born": 1790000000000,
 	})
 	must.NoError(b.w.t, err)
@@ -91,8 +97,11 @@
 	case !known:
 		w.faults = append(w.faults, "a request ran that nobody sent: "+id)
 		return
-	case r.Header.Get("Authorization") != "" || r.Header.Get("X-Tenant") != "w":
-		w.faults = append(w.faults, "a server saw a key, or no workspace: "+id)
+	case r.Header.Get("Authorization") != "" || r.Header.Get("X-Tenant") != workspaceOf(req.key):
+		w.faults = append(w.faults, "a server saw a key, or another workspace: "+id)
+	}
+	if req.key == limitedKey {
+		w.limited = append(w.limited, now)
 	}
 	if gone, ok := w.withdrawn[req.key]; ok && req.sent.After(gone.Add(revoke)) {
 		w.faults = append(w.faults, fmt.Sprintf("%s ran, sent %v after its key was taken away", id, req.sent.Sub(gone)))
@@ -103,6 +112,13 @@
 	}
 }
 
+func workspaceOf(key string) string {
+	if key == limitedKey {
+		return "limited"
+	}
+	return "w"
+}
+
 // call is one caller: it asks for addresses, keeps the answer, and sends orders
 // and lookups.
 func (w *world) call(caller int) {
@@ -120,11 +136,22 @@
 			}
 		}
 		if len(addresses) > 0 {
-			w.send(fmt.Sprintf("c%d-%d", caller, n), addresses[rand.IntN(len(addresses))], n%2 == 0)
+			w.send(fmt.Sprintf("c%d-%d", caller, n), addresses[rand.IntN(len(addresses))], n%2 == 0, w.keyOf(caller))
 		}
 	}
 }
 
+// keyOf returns a caller's key. Two callers share that of the limited workspace
+// and send several times what it may.
+func (w *world) keyOf(caller int) string {
+	if caller < 2 {
+		return limitedKey
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.key
+}
+
 func (w *world) resolve() []string {
 	resp, err := w.client.Get("http://" + w.at(rand.IntN(len(w.procs)), 2) + "/api/resolve?name=h&zone=dc-0")
 	if err != nil {
@@ -141,7 +168,7 @@
 }
 
 // send sends one request and checks what its caller sees.
-func (w *world) send(id, address string, order bool) bool {
+func (w *world) send(id, address string, order bool, key string) bool {
 	method, path := http.MethodGet, "/lookup/1"
 	if order {
 		method, path = http.MethodPost, "/order/1"
@@ -150,8 +177,8 @@
 	must.NoError(w.t, err)
 	// A body that can't be read again keeps the client from repeating.
 	req.GetBody = nil
+	sent := &request{key: key, order: order, sent: time.Now()}
 	w.mu.Lock()
-	sent := &request{key: w.key, order: order, sent: time.Now()}
 	w.requests[id] = sent
 	w.mu.Unlock()
 	req.Host = "h"
@@ -188,7 +215,7 @@
 	served := 0
 	const tries = 40
 	for i := range tries {
-		if w.send(fmt.Sprintf("last-%d", i), w.at(i%len(w.procs), 0), false) {
+		if w.send(fmt.Sprintf("last-%d", i), w.at(i%len(w.procs), 0), false, w.keyOf(callers)) {
 			served++
 		}
 	}
@@ -214,7 +241,22 @@
 			faults = append(faults, fmt.Sprintf("order %s was refused with %d and ran", id, r.status))
 		}
 	}
-	return faults
+	return append(faults, overRate(w.limited)...)
+}
+
+// overRate finds windows in which more ran than the limit and its tolerance.
+func overRate(ran []time.Time) (faults []string) {
+	most := (limitedRate*rateWindow.Seconds()+limitedBurst)*(1+overshoot) + slack
+	slices.SortFunc(ran, time.Time.Compare)
+	for first, last := 0, 0; last < len(ran); last++ {
+		for ran[last].Sub(ran[first]) > rateWindow {
+			first++
+		}
+		if n := last - first + 1; float64(n) > most {
+			return []string{fmt.Sprintf("%d requests of the limited workspace ran in one window, %.0f may", n, most)}
+		}
+	}
+	return nil
 }
 
 func (w *world) counts() (served, refused, failed int) {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -4,6 +4,8 @@
 	"syscall"
 	"time"
 
+	"foxtailspoke/config"
+	"foxtailspoke/internal/standin"
 	"foxtailspoke/internal/standin/rowstore"
 )
 
@@ -18,6 +20,9 @@
 	for _, p := range w.procs {
 		p.signal(syscall.SIGCONT)
 	}
+	for _, l := range w.links() {
+		w.set(l, standin.LinkState{})
+	}
 	for _, b := range w.backs {
 		b.spell(0)
 		b.list("ready")
@@ -39,7 +44,7 @@
 func (w *world) fault() {
 	p := w.procs[w.pick(len(w.procs))]
 	b := w.backs[w.pick(len(w.backs))]
-	switch w.pick(11) {
+	switch w.pick(16) {
 	case 0:
 		w.disturb()
 		w.restart(p, syscall.SIGKILL, w.between(0, time.Second))
@@ -67,6 +72,11 @@
 	case 8:
 		b.list("draining")
 		time.AfterFunc(4*time.Second, func() { b.list("ready") })
+	case 9, 10:
+		w.disturb()
+		w.breakLink(w.links()[w.pick(len(w.links()))])
+	case 11:
+		w.links()[w.pick(len(w.links()))].Reset()
 	default:
 		b.spell(w.between(time.Second, 5*time.Second))
 	}
@@ -110,9 +120,7 @@
 	})
 }
 
-// breakStore fails the store for all instances or some. All of them connect
-// from addresses of their own network, but by the kernel's choice from any of
-// the loopback network: a fault for some is drawn for each call.
+// breakStore fails the store for all instances, or for a call in two.
 func (w *world) breakStore(d time.Duration) {
 	faults := []rowstore.Fault{rowstore.Busy, rowstore.TooMany, rowstore.Reset, rowstore.Silent, rowstore.Lost}
 	f := faults[w.pick(len(faults))]
@@ -128,3 +136,25 @@
 		w.store.SetFault(nil)
 	})
 }
+
+// breakLink delays a link, cuts it one way, or silences it, for a while.
+func (w *world) breakLink(l *standin.Link) {
+	states := []standin.LinkState{
+		{Forward: standin.Cut},
+		{Backward: standin.Cut},
+		{Forward: standin.Cut, Backward: standin.Cut},
+		{ForwardDelay: config.Duration(w.between(20*time.Millisecond, 400*time.Millisecond))},
+		{BackwardDelay: config.Duration(w.between(20*time.Millisecond, 400*time.Millisecond))},
+	}
+	w.set(l, states[w.pick(len(states))])
+	time.AfterFunc(w.between(300*time.Millisecond, 4*time.Second), func() {
+		w.disturb()
+		w.set(l, standin.LinkState{})
+	})
+}
+
+func (w *world) set(l *standin.Link, s standin.LinkState) {
+	if err := l.Set(s); err != nil {
+		w.t.Error(err)
+	}
+}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -18,6 +19,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"foxtailspoke/internal/standin"
 	"foxtailspoke/internal/standin/rowstore"
 )
 
@@ -28,6 +30,15 @@
 	callers    = 8
 	recovery   = 8 * time.Second
 	keepsStill = 3 * time.Second
+
+	// A workspace that sends several times what it may: its limit, and the
+	// platform's tolerance in a window.
+	limitedKey   = "key-limited"
+	limitedRate  = 10
+	limitedBurst = 10
+	rateWindow   = 5 * time.Second
+	overshoot    = 0.1
+	slack        = 20
 )
 
 func build(t *testing.T) string {
@@ -41,17 +52,19 @@
 // world is a fleet of real processes, the stand-in of the store and backend
 // servers in this process, and callers.
 type world struct {
-	t       *testing.T
-	binary  string
-	dir     string
-	net     int
-	ports   [5]int
-	storeAt string
-	store   *rowstore.Store
-	http    *httptest.Server
-	client  *http.Client
-	backs   []*backend
-	procs   []*process
+	t      *testing.T
+	binary string
+	dir    string
+	net    int
+	ports  [5]int
+	store  *rowstore.Store
+	http   *httptest.Server
+	client *http.Client
+	backs  []*backend
+	procs  []*process
+	// toStore and toFront are the links of each instance to the store and of
+	// callers to it.
+	toStore, toFront []*standin.Link
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -64,8 +77,10 @@
 	// disturbed is when a fault last excused late knowledge.
 	disturbed time.Time
 	faults    []string
-	stop      chan struct{}
-	wg        sync.WaitGroup
+	// limited is when requests of the limited workspace ran.
+	limited []time.Time
+	stop    chan struct{}
+	wg      sync.WaitGroup
 }
 
 type request struct {
@@ -92,10 +107,11 @@
 		t: t, binary: binary, dir: t.TempDir(), net: 100 + worlds%100, store: rowstore.New("op", "servers"),
 		rng: rand.New(rand.NewPCG(seed, 1)), withdrawn: make(map[string]time.Time),
 		requests: make(map[string]*request), runs: make(map[string][]time.Time), stop: make(chan struct{}),
-		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: callers}},
 	}
 	w.http = httptest.NewServer(w.store)
-	w.storeAt = strings.TrimPrefix(w.http.URL, "http://")
+	w.client = &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{
+		MaxIdleConnsPerHost: callers, DialContext: w.dialThroughLinks,
+	}}
 	for i := range w.ports {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		must.NoError(t, err)
@@ -108,6 +124,32 @@
 
 func (w *world) ip(n int) string { return fmt.Sprintf("127.%d.0.%d", w.net, n+1) }
 
+func (w *world) link(to string) *standin.Link {
+	l, err := standin.StartLink(standin.LinkOptions{Name: to, To: to}, nil)
+	must.NoError(w.t, err)
+	return l
+}
+
+// dialThroughLinks has callers reach the instances over their links.
+func (w *world) dialThroughLinks(ctx context.Context, network, address string) (net.Conn, error) {
+	for n, l := range w.toFront {
+		if address == w.at(n, 0) {
+			address = l.Address()
+		}
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, network, address)
+}
+
+// links are all links, each a place where the network can fail.
+func (w *world) links() []*standin.Link {
+	all := append(append([]*standin.Link(nil), w.toStore...), w.toFront...)
+	for _, b := range w.backs {
+		all = append(all, b.link)
+	}
+	return all
+}
+
 func (w *world) at(n, port int) string { return fmt.Sprintf("%s:%d", w.ip(n), w.ports[port]) }
 
 func (w *world) start() {
@@ -117,6 +159,8 @@
 	w.configure()
 	for n := range *processes {
 		w.procs = append(w.procs, &process{n: n})
+		w.toStore = append(w.toStore, w.link(strings.TrimPrefix(w.http.URL, "http://")))
+		w.toFront = append(w.toFront, w.link(w.at(n, 0)))
 		w.launch(w.procs[n])
 	}
 	end := time.Now().Add(10 * time.Second)
@@ -150,7 +194,10 @@
 		"version":  fmt.Sprintf("%08x", version),
 		"routes":   []any{route("lookup", "/lookup/", "idempotent"), route("order", "/order/", "non_idempotent")},
 		"services": []any{map[string]any{"name": "s"}},
-		"tenants":  []any{map[string]any{"name": "w", "api_keys": []string{key}}},
+		"tenants": []any{
+			map[string]any{"name": "w", "api_keys": []string{key}},
+			map[string]any{"name": "limited", "api_keys": []string{limitedKey}, "rate_per_s": limitedRate, "burst": limitedBurst},
+		},
 	})
 	must.NoError(w.t, err)
 	w.store.Put("op", "config", b)
@@ -165,9 +212,10 @@
 		"listen": map[string]string{
 			"callers": w.at(n, 0), "readiness": w.at(n, 1), "directory": w.at(n, 2), "peers": w.at(n, 3), "metrics": w.at(n, 4),
 		},
-		"store": map[string]string{"address": w.storeAt},
+		"store": map[string]string{"address": w.toStore[n].Address()},
 		"bounds": map[string]any{
-			"revokeS": revoke.Seconds(), "graceS": 4, "addressTTLS": 1, "retryRatio": 0.2, "retrySlack": 30, "rateWindowS": 5,
+			"revokeS": revoke.Seconds(), "graceS": 4, "addressTTLS": 1, "retryRatio": 0.2, "retrySlack": 30, "rateWindowS": rateWindow.Seconds(),
+			"rateOvershoot": overshoot, "rateSlack": slack,
 		},
 		"seeds": []string{w.at(0, 3), w.at(1, 3)},
 	})
@@ -220,6 +268,9 @@
 	}
 	w.wg.Wait()
 	w.client.CloseIdleConnections()
+	for _, l := range w.links() {
+		l.Close()
+	}
 	for _, b := range w.backs {
 		b.http.CloseClientConnections()
 		b.http.Close()
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -78,6 +78,9 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
+
+	mu    sync.Mutex
+	pairs map[*pair]struct{}
 }
 
 // StartLink starts a link. Close ends it.
@@ -91,6 +94,7 @@
 		log:      logOr(log),
 		state:    newFaultSwitch(LinkState.validate, func(LinkState) {}),
 		listener: listener,
+		pairs:    make(map[*pair]struct{}),
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.running.Go(l.accept)
@@ -114,6 +118,16 @@
 	})
 }
 
+// Reset resets the connections that are open, on both sides. New ones can be
+// made at once.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		p.reset()
+	}
+}
+
 // Close ends the link and its connections.
 func (l *Link) Close() {
 	l.cancel()
@@ -150,7 +164,22 @@
 		_ = far.Close()
 	})
 	defer stop()
-	newPair(l, near, far).run()
+	p := newPair(l, near, far)
+	l.keep(p)
+	defer l.forget(p)
+	p.run()
+}
+
+func (l *Link) keep(p *pair) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pairs[p] = struct{}{}
+}
+
+func (l *Link) forget(p *pair) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.pairs, p)
 }
 
 // awaitState waits until the state is as wanted. It returns false if the
--- a/internal/standin/link_pump.go
+++ b/internal/standin/link_pump.go
@@ -22,6 +22,8 @@
 
 	mu    sync.Mutex
 	ended int
+	// wasReset keeps the usual end of one side from reaching the other.
+	wasReset bool
 }
 
 // chunk is what one read brought. The last one of a direction is the end.
@@ -35,6 +37,17 @@
 	return &pair{link: l, near: near, far: far, over: make(chan struct{})}
 }
 
+// reset ends the connection on both sides without its usual end.
+func (p *pair) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wasReset = true
+	for _, c := range []*net.TCPConn{p.near, p.far} {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+}
+
 // run relays until both directions have ended.
 func (p *pair) run() {
 	var directions sync.WaitGroup
@@ -108,12 +121,20 @@
 			return
 		}
 		if c.end {
-			_ = to.CloseWrite()
+			p.closeWrite(to)
 			return
 		}
 	}
 }
 
+func (p *pair) closeWrite(to *net.TCPConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.wasReset {
+		_ = to.CloseWrite()
+	}
+}
+
 func (p *pair) sleep(d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/standin/link_test.go
+++ b/internal/standin/link_test.go
@@ -238,3 +238,26 @@
 	_, err = standin.StartLinks("", []standin.LinkOptions{{Name: "x"}}, nil)
 	must.Error(t, err)
 }
+
+// Something on the way resets all connections. Both ends see it at once, and
+// the next connection works.
+func TestResetEndsOpenConnectionsOnBothSides(t *testing.T) {
+	address, conns := far(t)
+	l, err := standin.StartLink(standin.LinkOptions{Name: "l", To: address}, nil)
+	must.NoError(t, err)
+	t.Cleanup(l.Close)
+	near := dial(t, l.Address())
+	behind := accepted(t, conns)
+	send(t, near, "a")
+	_, err = io.ReadFull(behind, make([]byte, 1))
+	must.NoError(t, err)
+	l.Reset()
+	for _, conn := range []net.Conn{near, behind} {
+		must.NoError(t, conn.SetReadDeadline(time.Now().Add(patience)))
+		_, err := conn.Read(make([]byte, 1))
+		must.ErrorIs(t, err, syscall.ECONNRESET)
+	}
+	send(t, dial(t, l.Address()), "b")
+	_, err = io.ReadFull(accepted(t, conns), make([]byte, 1))
+	must.NoError(t, err)
+}
