edge: an operator can ask an instance what it knows of the fleet

Missing until now: who reads the store, how old an instance's knowledge is, which servers are suspects and why, which workspaces are near their rate, stood in log lines and metrics only. Change: the metrics address serves a status in JSON, and `foxtailspoke-edge status IP:PORT` prints it. Tests: TestStatusShowsWhatAnInstanceKnows with two instances, internal/edgecommand for the command.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -108,6 +108,8 @@
 	serversProof time.Duration
 	// outageEnd is when the store last came back after an outage.
 	outageEnd time.Duration
+	// reader is the instance that read the store last, as far as is known.
+	reader uint32
 	// gapEnds is when to read the changes of the servers that were missed; 0
 	// if none were.
 	gapEnds    time.Duration
@@ -268,7 +270,7 @@
 	e.tree.Add(part{"callers", e.serveCallers})
 	e.tree.Add(part{"readiness", e.serveHTTP(e.ports.readiness, http.HandlerFunc(e.answerReady))})
 	e.tree.Add(part{"directory", e.serveHTTP(e.ports.directory, http.HandlerFunc(e.answerDirectory))})
-	e.tree.Add(part{"metrics", e.serveHTTP(e.ports.metrics, e.metrics.handler())})
+	e.tree.Add(part{"metrics", e.serveHTTP(e.ports.metrics, e.metrics.handler(e.answerStatus))})
 }
 
 // part is a named part of the tree.
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -158,6 +158,7 @@
 		}
 	}
 	if well {
+		s.reader = e.self
 		s.poll.Succeeded()
 	} else {
 		s.poll.Failed(now)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -67,7 +67,7 @@
 	m.gauge("suspect_servers", "Backend servers that more likely fail than not.", e.locked(func() float64 {
 		n := 0
 		for _, v := range e.state.placer.Views(e.now()) {
-			if v.Risk > 0.5 {
+			if v.Risk > suspectRisk {
 				n++
 			}
 		}
@@ -99,8 +99,12 @@
 	}
 }
 
-func (m *metrics) handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+// handler serves the metrics under every path but that of the status.
+func (m *metrics) handler(status http.HandlerFunc) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathStatus, status)
+	mux.Handle("/", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	return mux
 }
 
 func (m *metrics) ended(rule Rule, took time.Duration) {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -228,6 +228,9 @@
 		s.placer.RefusedAt(service, now)
 	}
 	for _, n := range m.Notices {
+		if n.StampUS != 0 {
+			s.reader = m.Source
+		}
 		e.hearNotice(n, now)
 	}
 }
--- /dev/null
+++ b/edge/status_test.go
@@ -0,0 +1,55 @@
+package edge_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/edge"
+)
+
+func (f *fleet) status(n int) (s edge.Status) {
+	resp, err := http.Get("http://" + f.at(n, 4) + edge.PathStatus)
+	if err != nil {
+		return s
+	}
+	defer func() { _ = resp.Body.Close() }()
+	must.NoError(f.t, json.NewDecoder(resp.Body).Decode(&s))
+	return s
+}
+
+// A server resets everything and a workspace has spent its burst. An operator
+// who asks any instance must see both, who reads the store, and how old what
+// the instance knows is.
+func TestStatusShowsWhatAnInstanceKnows(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.backend("i-well", nil)
+	f.backend("i-failing", reset)
+	f.configure(20, key)
+	f.up(2)
+	var s edge.Status
+	eventually(t, 5*time.Second, "the suspect and the workspace are known at the other instance", func() bool {
+		for range 10 {
+			f.lookup(0)
+		}
+		s = f.status(1)
+		return len(s.Suspects) == 1 && len(s.Workspaces) == 1
+	})
+	must.True(t, s.Ready)
+	must.Eq(t, 3, s.Version)
+	must.Between(t, 0, s.ConfigAgeMS, 1500)
+	must.Between(t, 0, s.ServersAgeMS, 1500)
+	must.SliceContains(t, []string{f.ip(0), f.ip(1)}, s.Reader)
+	must.Len(t, 1, s.Instances)
+	must.Eq(t, f.ip(0), s.Instances[0].IP)
+	must.Len(t, 1, s.Services)
+	must.Eq(t, 2, s.Services[0].Servers)
+	must.Eq(t, 1, s.Services[0].Suspects)
+	must.Eq(t, "i-failing", s.Suspects[0].Server)
+	must.Eq(t, "incomplete", s.Suspects[0].LastFailure)
+	must.Eq(t, "w", s.Workspaces[0].Workspace)
+}
--- a/internal/edgecommand/command.go
+++ b/internal/edgecommand/command.go
@@ -29,11 +29,14 @@
 
 Example:
   foxtailspoke-edge --settings edge.jsonc
-  foxtailspoke-edge --settings edge.jsonc --check`
+  foxtailspoke-edge --settings edge.jsonc --check
+  foxtailspoke-edge status 10.1.0.30:7341`
 
 type options struct {
 	Settings string `long:"settings" description:"settings file, JSON with comments; default: the file named by FOXTAILSPOKE_SETTINGS"`
 	Check    bool   `long:"check" description:"check the settings and end"`
+
+	Status statusCommand `command:"status" description:"shows what a running instance knows of the fleet"`
 }
 
 // Run runs the daemon and returns its exit status.
@@ -42,6 +45,7 @@
 	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "foxtailspoke-edge"
 	parser.LongDescription = help
+	parser.SubcommandsOptional = true
 	if _, err := parser.ParseArgs(args); err != nil {
 		var flagsErr *flags.Error
 		if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
@@ -51,6 +55,13 @@
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
+	if parser.Active != nil {
+		if err := o.Status.run(stdout); err != nil {
+			_, _ = fmt.Fprintln(stderr, err)
+			return exitFailed
+		}
+		return exitDone
+	}
 	if o.Settings == "" {
 		o.Settings = os.Getenv(settingsVariable)
 	}
--- /dev/null
+++ b/internal/edgecommand/status.go
@@ -0,0 +1,124 @@
+package edgecommand
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/edge"
+)
+
+// statusTimeout bounds a question to an instance. It answers within
+// milliseconds; one that is asked from another region is some tens away.
+const statusTimeout = 3 * time.Second
+
+// statusCommand shows what an instance knows of the fleet.
+type statusCommand struct {
+	JSON bool `long:"json" description:"print JSON instead of tables"`
+	Args struct {
+		Address string `positional-arg-name:"ip:port" description:"metrics address of an instance"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func (c *statusCommand) run(stdout io.Writer) error {
+	if _, _, err := net.SplitHostPort(c.Args.Address); err != nil {
+		return errors.Wrapf(err, "%q isn't ip:port", c.Args.Address)
+	}
+	s, err := askStatus(c.Args.Address)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		out := json.NewEncoder(stdout)
+		out.SetIndent("", "  ")
+		return errors.Wrap(out.Encode(s), "status")
+	}
+	return printStatus(stdout, s)
+}
+
+func askStatus(address string) (edge.Status, error) {
+	var s edge.Status
+	client := http.Client{Timeout: statusTimeout}
+	resp, err := client.Get("http://" + address + edge.PathStatus)
+	if err != nil {
+		return s, errors.Wrap(err, "the instance doesn't answer")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return s, errors.Newf("status %d; is %s the metrics address of an instance?", resp.StatusCode, address)
+	}
+	return s, errors.Wrap(json.NewDecoder(resp.Body).Decode(&s), "status")
+}
+
+func printStatus(w io.Writer, s edge.Status) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	line := func(format string, args ...any) { _, _ = fmt.Fprintf(t, format+"\n", args...) }
+	line("%s in %s, %s", s.Instance, s.DataCentre, readiness(s.Ready))
+	line("configuration %d, proved %s ago; servers as of %s ago; read by %s", s.Version, ago(s.ConfigAgeMS), ago(s.ServersAgeMS), orNone(s.Reader))
+	line("may count on %.0f%% of each workspace's rate", 100*s.RateShare)
+	line("\nservice\tservers\tdraining\toutstanding\tsuspects")
+	for _, v := range s.Services {
+		line("%s\t%d\t%d\t%d\t%d", v.Service, v.Servers, v.Draining, v.Outstanding, v.Suspects)
+	}
+	if len(s.Suspects) > 0 {
+		line("\nsuspect\tservice\trisk\tlast failure")
+	}
+	for _, v := range s.Suspects {
+		line("%s\t%s\t%.2f\t%s %s ago", v.Server, v.Service, v.Risk, orNone(v.LastFailure), ago(v.LastFailureMS))
+	}
+	if len(s.Workspaces) > 0 {
+		line("\nworkspace near its rate\trate\tburst\ttokens")
+	}
+	for _, v := range s.Workspaces {
+		line("%s\t%g\t%g\t%.1f", v.Workspace, v.Rate, v.Burst, v.Tokens)
+	}
+	line("\ninstance\tdata centre\tstate\theard")
+	for _, v := range s.Instances {
+		line("%s\t%s\t%s\t%s ago", v.IP, orNone(v.DataCentre), instanceState(v), ago(v.HeardMS))
+	}
+	return errors.Wrap(t.Flush(), "status")
+}
+
+func readiness(ready bool) string {
+	if ready {
+		return "ready"
+	}
+	return "not ready: callers aren't sent there"
+}
+
+func instanceState(i edge.InstanceStatus) string {
+	var words []string
+	switch {
+	case !i.Alive:
+		words = append(words, "silent")
+	case i.Leaving:
+		words = append(words, "not ready")
+	default:
+		words = append(words, "ready")
+	}
+	if i.SlowLink {
+		words = append(words, "slow link")
+	}
+	return strings.Join(words, ", ")
+}
+
+func ago(ms int64) string {
+	if ms < 0 {
+		return "unknown"
+	}
+	return (time.Duration(ms) * time.Millisecond).Round(10 * time.Millisecond).String()
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- /dev/null
+++ b/internal/edgecommand/status_test.go
@@ -0,0 +1,74 @@
+package edgecommand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/edge"
+)
+
+func run(args ...string) (status int, stdout, stderr string) {
+	var out, err bytes.Buffer
+	status = Run(context.Background(), args, &out, &err)
+	return status, out.String(), err.String()
+}
+
+func TestStatusIsShown(t *testing.T) {
+	s := edge.Status{
+		Instance: "edge-1", DataCentre: "luz-a", Ready: true, Version: 12, ConfigAgeMS: 230, ServersAgeMS: -1,
+		Reader: "10.1.0.31", RateShare: 0.5,
+		Instances:  []edge.InstanceStatus{{IP: "10.1.0.31", DataCentre: "luz-a", Alive: true, Leaving: true, HeardMS: 120, SlowLink: true}},
+		Services:   []edge.ServiceStatus{{Service: "order-desk", Servers: 15, Draining: 1, Outstanding: 9, Suspects: 1}},
+		Suspects:   []edge.SuspectStatus{{Server: "i-7", Service: "order-desk", Risk: 0.81, LastFailure: "incomplete", LastFailureMS: 1500}},
+		Workspaces: []edge.WorkspaceStatus{{Workspace: "boatyard", Rate: 34, Burst: 34, Tokens: 0.4}},
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		must.Eq(t, edge.PathStatus, r.URL.Path)
+		must.NoError(t, json.NewEncoder(w).Encode(s))
+	}))
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	code, out, _ := run("status", address)
+	must.Eq(t, exitDone, code)
+	for _, part := range []string{
+		"edge-1 in luz-a, ready", "configuration 12, proved 230ms ago; servers as of unknown ago; read by 10.1.0.31",
+		"50% of each workspace's rate", "incomplete 1.5s ago", "boatyard", "not ready, slow link",
+	} {
+		must.StrContains(t, out, part)
+	}
+	code, out, _ = run("status", "--json", address)
+	must.Eq(t, exitDone, code)
+	var back edge.Status
+	must.NoError(t, json.Unmarshal([]byte(out), &back))
+	must.Eq(t, s, back)
+}
+
+func TestStatusOfWhatIsNoInstance(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	address := strings.TrimPrefix(server.URL, "http://")
+	code, _, stderr := run("status", address)
+	must.Eq(t, exitFailed, code)
+	must.StrContains(t, stderr, "is "+address+" the metrics address of an instance?")
+	server.Close()
+	code, _, stderr = run("status", address)
+	must.Eq(t, exitFailed, code)
+	must.StrContains(t, stderr, "the instance doesn't answer")
+	code, _, stderr = run("status", "nowhere")
+	must.Eq(t, exitFailed, code)
+	must.StrContains(t, stderr, `"nowhere" isn't ip:port`)
+	code, _, _ = run("status")
+	must.Eq(t, exitUsage, code)
+}
+
+func TestSettingsAreCheckedFirst(t *testing.T) {
+	code, _, stderr := run("--settings", "nosuch.jsonc", "--check")
+	must.Eq(t, exitUsage, code)
+	must.StrContains(t, stderr, "nosuch.jsonc")
+}
--- a/placement/belief.go
+++ b/placement/belief.go
@@ -103,7 +103,7 @@
 // learn takes in the result of an attempt, of this instance or another.
 func (s *server) learn(r health.Result, own bool, t time.Duration) {
 	if r.Failed() {
-		s.failsFast = r == health.Incomplete || r == health.Mismatch
+		s.failure, s.failedAt = r, t
 	}
 	switch r {
 	case health.OK:
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -381,13 +381,20 @@
 	// Risk is the probability that a request sent there now fails.
 	Risk     float64
 	Slowness float64
+	// LastFailure is how the last failed attempt went, SinceFailure ago; OK if
+	// none is known.
+	LastFailure  health.Result
+	SinceFailure time.Duration
 }
 
 // Views returns all servers.
 func (p *Placer) Views(now time.Duration) []View {
 	views := make([]View, 0, len(p.byID))
 	for _, s := range p.byID {
-		views = append(views, View{s.entry, s.count(now), s.risk(now), s.slowness})
+		views = append(views, View{
+			Server: s.entry, Outstanding: s.count(now), Risk: s.risk(now), Slowness: s.slowness,
+			LastFailure: s.failure, SinceFailure: now - s.failedAt,
+		})
 	}
 	return views
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"foxtailspoke/discovery"
+	"foxtailspoke/health"
 )
 
 // server is what is known of a backend server beside its entry.
@@ -19,8 +20,9 @@
 	lastUse  time.Duration
 	lastFail time.Duration
 	used     bool
-	// failsFast says that its last failure came at once.
-	failsFast bool
+	// failure is how the last failed attempt went, at failedAt; OK if none did.
+	failure  health.Result
+	failedAt time.Duration
 	// outstanding per instance; 0 is this instance.
 	outstanding map[uint32]count
 	sum         int
@@ -67,13 +69,19 @@
 		return newcomer
 	case s.used && risk < keepRisk && due(now-s.lastUse-keepAfter, random):
 		return keep
-	case r.Repeatable && r.RoomToRepeat && s.failsFast && due(now-s.lastUse-probeAfter, random):
+	case r.Repeatable && r.RoomToRepeat && s.failsFast() && due(now-s.lastUse-probeAfter, random):
 		return probe
 	default:
 		return 0
 	}
 }
 
+// failsFast reports whether its last failure was one that comes within
+// milliseconds.
+func (s *server) failsFast() bool {
+	return s.failure == health.Incomplete || s.failure == health.Mismatch
+}
+
 // due reports whether a request acts on something that has been due for so
 // long. All instances see it become due at the same moment, and hear of each
 // other's requests some ten milliseconds later: without chance, every request
