--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -15,9 +15,9 @@
 	// fetchRetry is the least pause after a read that failed.
 	fetchRetry = 500 * time.Millisecond
 	// configReaders is how many instances of a data centre read a new
-	// configuration from the store. The others ask these: at 133 instances, all
-	// reading each change made two thirds of the calls to the store, and at
-	// 2,000 they would take all that it answers in a second.
+	// configuration from the store; the others ask these. With join, it took
+	// the calls of 137 instances in 50 s with one change from 2,004 to 1,288. At
+	// 2,000, reads by all would take all that the store answers in a second.
 	configReaders = 2
 	// readersFirst leaves the readers time for their call: 4 ms as a rule.
 	readersFirst = 50 * time.Millisecond
