placement: paths that others have lost don't keep lookups from probing

Servers whose last failure was silence weren't probed, whoever met it. Ruled out: repeats used up (the bound was a tenth used), servers gone (their entries didn't change). Change: silence counts against probing only as a timeout, which is the server's, or if it is the instance's own connection that didn't come about; answers with a failure are probed too. Before: TestOthersCutPathsDontKeepLookupsFromProbing chooses the other server. After: passes.

--- a/placement/belief.go
+++ b/placement/belief.go
@@ -105,6 +105,7 @@
 	if r.Failed() {
 		s.failure, s.failedAt = r, t
 	}
+	s.hear(r, own)
 	switch r {
 	case health.OK:
 		s.spell.learn(spells, t, answeredIs)
@@ -127,3 +128,18 @@
 		// A refusal tells of load, which the outstanding work shows already.
 	}
 }
+
+// hear notes whether the server answers at all. That another instance gets no
+// connection says nothing of this one's path: with a path in five cut, all
+// servers had such a failure last, and were left out of use for seconds.
+func (s *server) hear(r health.Result, own bool) {
+	switch r {
+	case health.Timeout, health.Late:
+		s.silent = true
+	case health.ConnectFailed:
+		s.silent = s.silent || own
+	case health.OK, health.ServerError, health.Incomplete, health.Mismatch, health.Shed, health.NotRun:
+		s.silent = false
+	case health.Cancelled:
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -71,8 +71,8 @@
 	// keep draws requests to servers that are probably well, so that all of
 	// them stay in use.
 	keep = 0.3
-	// probe draws requests that can be repeated to servers that reset the last
-	// ones.
+	// probe draws requests that can be repeated to servers that failed the last
+	// ones, though not by silence.
 	probe = 0.8
 )
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -153,6 +153,23 @@
 	must.Eq(t, "hot", choose(t, p, r, now).Server.ID)
 }
 
+// A server resets a connection, and then another instance, whose path to it is
+// cut, gets none at all. Lookups here go on finding out whether it is well
+// again; if this instance's own path is cut, each would wait in vain.
+func TestOthersCutPathsDontKeepLookupsFromProbing(t *testing.T) {
+	r := lookup()
+	r.RoomToRepeat = true
+	for own, chosen := range map[bool]string{false: "failed", true: "hot"} {
+		p := placer("hot", "failed")
+		now := 10 * time.Second
+		use(p, "failed", health.Incomplete, now-2*time.Second)
+		p.Learn(placement.Hash("failed"), health.ConnectFailed, own, 0, 0, now-1500*time.Millisecond)
+		use(p, "hot", health.OK, now)
+		use(p, "hot", health.OK, now)
+		must.Eq(t, chosen, choose(t, p, r, now).Server.ID, must.Sprint("own ", own))
+	}
+}
+
 // A server that answered everything so far resets a connection. That is how
 // spells of failures begin, and the next orders would be lost as well; whole
 // answers that report a failure come from healthy servers too.
--- a/placement/server.go
+++ b/placement/server.go
@@ -23,6 +23,9 @@
 	// failure is how the last failed attempt went, at failedAt; OK if none did.
 	failure  health.Result
 	failedAt time.Duration
+	// silent says that the server, or this instance's path to it, gave no sign
+	// at the last attempt that tells of that.
+	silent bool
 	// outstanding per instance; 0 is this instance.
 	outstanding map[uint32]count
 	sum         int
@@ -69,19 +72,13 @@
 		return newcomer
 	case s.used && risk < keepRisk && due(now-s.lastUse-keepAfter, random):
 		return keep
-	case r.Repeatable && r.RoomToRepeat && s.failsFast() && due(now-s.lastUse-probeAfter, random):
+	case r.Repeatable && r.RoomToRepeat && !s.silent && due(now-s.lastUse-probeAfter, random):
 		return probe
 	default:
 		return 0
 	}
 }
 
-// failsFast reports whether its last failure was one that comes within
-// milliseconds.
-func (s *server) failsFast() bool {
-	return s.failure == health.Incomplete || s.failure == health.Mismatch
-}
-
 // due reports whether a request acts on something that has been due for so
 // long. All instances see it become due at the same moment, and hear of each
 // other's requests some ten milliseconds later: without chance, every request
