freshness: instances that the store refuses don't keep the others from asking

Each refused instance tells the others of its attempts, which pause for 0.12 to 0.24 s after each; sixteen of them, each trying once a second or more, left no pause that long, so that those that the store would have answered didn't ask until a random wait happened to fall between two attempts. Change: attempts of others hold an instance that wasn't refused itself back for 0.24 s at most, from the first attempt since the newest proof. Before: TestRefusedInstancesDontKeepOthersFromAsking isn't asked within 1.3 s. After: passes; TestAttemptsKeepApartWhileTheStoreIsAway passes as it was.

--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -89,6 +89,24 @@
 
 // The store refuses just this instance, which is first in rank. It must leave
 // the asking to others for a while instead of failing first each time.
+// The store refuses half of the instances, and those that asked it for all have
+// just been killed. The refused ones try again and again, each at its turn. The
+// others must not wait for a pause among them: a server left meanwhile, and got
+// requests 2.2 s later.
+func TestRefusedInstancesDontKeepOthersFromAsking(t *testing.T) {
+	var p freshness.Poll
+	p.Proved(0, 0)
+	for now := time.Duration(0); now < 1300*ms; now += 10 * ms {
+		if now >= time.Second && now%(60*ms) == 40*ms {
+			p.Attempted(now)
+		}
+		if p.Next(20, 0.5, now) <= now {
+			return
+		}
+	}
+	t.Fatal("not asked within 1.3 s")
+}
+
 func TestRefusedInstanceComesLast(t *testing.T) {
 	var p freshness.Poll
 	p.Proved(0, 10*time.Second)
--- a/freshness/poll.go
+++ b/freshness/poll.go
@@ -16,6 +16,9 @@
 	proved  bool
 	attempt time.Duration
 	tried   bool
+	// heldFrom is the first attempt of anybody since the newest proof; 0 if
+	// there was none.
+	heldFrom time.Duration
 	// asking says that the newest proof is this instance's own.
 	asking bool
 	// failures in a row of this instance's own calls.
@@ -36,6 +39,11 @@
 	// fleet whose store is away doesn't ask it all at once. It is stretched
 	// by up to twice at random.
 	apart = 120 * time.Millisecond
+	// mostHeld is how long attempts of others hold an instance back that the
+	// store hasn't refused. Without it, sixteen refused instances of 36 that
+	// tried again in turn kept the others from asking for two seconds, and
+	// requests went to a server that had left.
+	mostHeld = 2 * apart
 	// backOff after an own failed call, doubled up to maxBackOff.
 	backOff    = 250 * time.Millisecond
 	maxBackOff = time.Second
@@ -49,6 +57,7 @@
 	if at := now - age; !p.proved || at > p.proof {
 		p.proof = at
 		p.proved = true
+		p.heldFrom = 0
 	}
 }
 
@@ -56,6 +65,9 @@
 func (p *Poll) Attempted(now time.Duration) {
 	p.attempt = now
 	p.tried = true
+	if p.heldFrom == 0 {
+		p.heldFrom = now
+	}
 }
 
 // Succeeded takes in that an own call brought the newest proof. This instance
@@ -90,7 +102,7 @@
 	switch {
 	case p.asking:
 		rank = 0
-	case p.failures > 0 || (p.failed > 0 && now-p.failed < demotion):
+	case p.refused(now):
 		rank = mostSteps
 	}
 	due := now
@@ -101,7 +113,11 @@
 		}
 	}
 	if p.tried {
-		due = max(due, p.attempt+apart+time.Duration(random*float64(apart)))
+		held := p.attempt + apart + time.Duration(random*float64(apart))
+		if !p.refused(now) {
+			held = min(held, p.heldFrom+mostHeld)
+		}
+		due = max(due, held)
 	}
 	if p.failures > 0 {
 		wait := min(backOff<<min(p.failures-1, 4), maxBackOff)
@@ -110,6 +126,11 @@
 	return due
 }
 
+// refused reports whether the store failed this instance lately.
+func (p *Poll) refused(now time.Duration) bool {
+	return p.failures > 0 || (p.failed > 0 && now-p.failed < demotion)
+}
+
 // Troubled reports that the store hasn't answered anybody for longer than it
 // should, so that attempts are worth telling before they end.
 func (p *Poll) Troubled(now time.Duration) bool {
