--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -14,11 +14,11 @@
 	fetchSpread = 60 * time.Millisecond
 	// fetchRetry is the least pause after a read that failed.
 	fetchRetry = 500 * time.Millisecond
-	// configReaders is how many instances of a data centre read a new
+	// readersEach is how many instances of a data centre read a new
 	// configuration from the store; the others ask these. With join, it took
 	// the calls of 137 instances in 50 s with one change from 2,004 to 1,288. At
 	// 2,000, reads by all would take all that the store answers in a second.
-	configReaders = 2
+	readersEach = 2
 	// readersFirst leaves the readers time for their call: 4 ms as a rule.
 	readersFirst = 50 * time.Millisecond
 	// joinWithin bounds the wait of an instance, at the first start of the whole
@@ -98,7 +98,7 @@
 		}
 	}
 	slices.SortFunc(ids, func(a, b uint32) int { return int(int64(mix(a)) - int64(mix(b))) })
-	return ids[:min(len(ids), configReaders)]
+	return ids[:min(len(ids), readersEach)]
 }
 
 // readConfig reads the configuration from the store.
