--- a/freshness/poll.go
+++ b/freshness/poll.go
@@ -41,8 +41,8 @@
 	apart = 120 * time.Millisecond
 	// mostHeld is how long attempts of others hold an instance back that the
 	// store hasn't refused. Without it, sixteen refused instances of 36 that
-	// tried again in turn kept the others from asking for two seconds, and
-	// requests went to a server that had left.
+	// try again in turn leave no pause of that length for the others to ask
+	// in, and requests go to a server that has left.
 	mostHeld = 2 * apart
 	// backOff after an own failed call, doubled up to maxBackOff.
 	backOff    = 250 * time.Millisecond
