--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -381,23 +381,6 @@
 	must.Greater(t, 3*work, choose(t, p, withTried(lookup(), "fast"), now).Expected)
 }
 
-func TestAdmitTurnsAwayWhatCantBeServedInTime(t *testing.T) {
-	r := order()
-	r.Left = time.Second
-	soon := placement.Choice{Expected: 300 * time.Millisecond}
-	late := placement.Choice{Expected: 800 * time.Millisecond}
-	ok, _ := placement.Admit(soon, r, 0, 0)
-	must.True(t, ok)
-	ok, _ = placement.Admit(late, r, 0, 0)
-	must.True(t, ok)
-	ok, wait := placement.Admit(late, r, 3, 0)
-	must.False(t, ok)
-	must.Between(t, 100*time.Millisecond, wait, 3*time.Second)
-	ok, wait = placement.Admit(placement.Choice{Expected: time.Minute}, r, 0, 1)
-	must.False(t, ok)
-	must.LessEq(t, 3*time.Second, wait)
-}
-
 func TestHashesOfIDsDiffer(t *testing.T) {
 	seen := make(map[uint32]bool)
 	for i := range 24000 {
