edge: entries that came back after an outage are told to all instances

Cause: an entry that ran out while the store was away and came back unchanged within the grace was taken for a mere renewal by whoever read it and left out of its notices. Every other copy lacked the row, so a living server was dropped there; the instance that later read that it leaves had nothing to remove, told nobody, and instances that had started since sent it requests 2.1 to 2.4 s after the store's word (bound 2.0). Change: discovery.List says whether an entry was missing, takeServers tells such rows. TestEntryThatRanOutAndCameBackIsToldToAll fails before.

Also: TestPromisesHoldUnderFaults waits for the end of the goroutine that watches revisions before it reads what that wrote (data race, seen once beside load).

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -102,6 +102,13 @@
 	return Change{Server: s, Gone: true}, true
 }
 
+// Missing reports whether the store no longer lists a server whose return is
+// still waited for.
+func (l *List) Missing(id string) bool {
+	_, missing := l.missing[id]
+	return missing
+}
+
 // Expire drops the servers whose return was waited for in vain.
 func (l *List) Expire(now time.Duration) []Change {
 	var changes []Change
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -66,7 +66,12 @@
 	return t.Loosen(usage.Limit{Rate: w.Rate, Burst: w.Burst})
 }
 
-// takeServers takes in changed entries of backend servers.
+// takeServers takes in changed entries of backend servers, and returns those
+// that others must hear of: all but entries that only renewed themselves. An
+// entry that came back unchanged after it had run out with the store is news
+// to them. If it weren't told, their copies would lack it from then on: they
+// would drop a living server, and whoever of them read later that it leaves
+// would have nothing to remove and nothing to tell.
 func (e *Edge) takeServers(rows []replica.Row, now time.Duration) []replica.Row {
 	s := &e.state
 	var keepUntil time.Duration
@@ -75,11 +80,12 @@
 	}
 	var changed []replica.Row
 	for _, r := range rows {
+		returned := s.list.Missing(r.Key)
 		c, ok := e.serverChange(r, now, keepUntil)
 		if ok {
 			e.applyServer(c, now)
 		}
-		if ok || r.Gone {
+		if ok || r.Gone || returned {
 			changed = append(changed, r)
 		}
 	}
--- /dev/null
+++ b/edge/outage_test.go
@@ -0,0 +1,110 @@
+package edge
+
+import (
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/discovery"
+	"foxtailspoke/edge/settings"
+	"foxtailspoke/evidence"
+	"foxtailspoke/logging"
+	"foxtailspoke/placement"
+	"foxtailspoke/replica"
+)
+
+// newQuiet returns an instance that listens but isn't run: the test feeds it.
+func newQuiet(t *testing.T) *Edge {
+	t.Helper()
+	const any = "127.0.0.1:0"
+	e, err := New("", settings.Settings{
+		Name: "edge", DataCentre: "dc", IP: "127.0.0.1",
+		Listen: settings.Listen{Callers: any, Readiness: any, Directory: any, Peers: any, Metrics: any},
+		Store:  settings.Store{Address: any},
+		Bounds: settings.Bounds{RevokeS: 5, RetryRatio: 0.2, RetrySlack: 50, RateWindowS: 5},
+	}, logging.NewWriter(io.Discard))
+	must.NoError(t, err)
+	return e
+}
+
+// polls feeds a table's answer to the instance that asked, and the notices of
+// it to the other.
+func polls(asker, other *Edge, a replica.Answer, at time.Duration) {
+	asker.mu.Lock()
+	defer asker.mu.Unlock()
+	since, _ := asker.state.servers.Version()
+	p := polled{table: evidence.Servers, since: since, answer: a}
+	asker.state.clock.Observe(a.Stamp, at)
+	asker.noteReturn(p.table, a.Stamp, at)
+	changed, _ := asker.state.servers.Apply(a, since)
+	notices := asker.notices(p, asker.takeRows(p.table, changed, at))
+	asker.prove(p.table, a.Stamp, at)
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	for _, n := range notices {
+		other.hearNotice(n, at)
+	}
+}
+
+func entry(t *testing.T, id string, version uint64) replica.Row {
+	t.Helper()
+	b, err := json.Marshal(map[string]any{
+		"service": "s", "address": "10.0.0.9:80", "zone": "dc", "slots": 2, "state": "ready", "born": 1,
+	})
+	must.NoError(t, err)
+	return replica.Row{Key: id, Value: b, Version: version}
+}
+
+// The store is away for so long that a server's entry runs out, and comes back
+// unchanged within the time that it is waited for. Instances that hear of it
+// from another go on sending requests there; once the server leaves, none does.
+// The entry that came back was taken for old news by whoever read it and told
+// to nobody: all others dropped a living server. One of these later read that
+// the server leaves, had no entry to remove and told nobody either, so that the
+// rest sent it requests for as long as it answered.
+func TestEntryThatRanOutAndCameBackIsToldToAll(t *testing.T) {
+	one, two := newQuiet(t), newQuiet(t)
+	usable := func(e *Edge) bool {
+		e.expireServers(e.now())
+		_, known := e.state.list.Get("i-1")
+		return known
+	}
+	at := one.now()
+	stamp := 100 * time.Second
+	answer := func(version uint64, rows ...replica.Row) replica.Answer {
+		return replica.Answer{Version: version, Stamp: stamp, Rows: rows}
+	}
+	whole := answer(10, entry(t, "i-1", 10))
+	whole.Whole = true
+	polls(one, two, whole, at)
+	polls(two, one, whole, at)
+	must.True(t, usable(one) && usable(two))
+
+	// The store is back; the entry has run out meanwhile and returns.
+	at += 5 * time.Second
+	stamp += 5 * time.Second
+	polls(one, two, answer(11, replica.Row{Key: "i-1", Gone: true, Version: 11}), at)
+	at += 500 * time.Millisecond
+	stamp += 500 * time.Millisecond
+	polls(one, two, answer(12, entry(t, "i-1", 12)), at)
+	for _, e := range []*Edge{one, two} {
+		for _, c := range e.state.list.Expire(at + discovery.Grace) {
+			t.Errorf("%s is dropped although its entry is back", c.Server.ID)
+		}
+		must.Len(t, 1, e.state.servers.Rows())
+	}
+
+	// Now it leaves, and the other instance reads it.
+	at += 10 * time.Second
+	stamp += time.Second
+	polls(two, one, answer(13, replica.Row{Key: "i-1", Gone: true, Version: 13}), at)
+	for _, e := range []*Edge{one, two} {
+		_, known := e.state.list.Get("i-1")
+		must.False(t, known)
+		_, known = e.state.placer.Choose(placement.Request{Service: "s"}, at, func() float64 { return 0 })
+		must.False(t, known)
+	}
+}
--- a/internal/proofs/faults_test.go
+++ b/internal/proofs/faults_test.go
@@ -92,7 +92,11 @@
 	r.startLoad(seed)
 	watching, stopWatching := context.WithCancel(context.Background())
 	defer stopWatching()
-	go r.watchRevisions(watching)
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		r.watchRevisions(watching)
+	}()
 	r.begin = time.Now()
 	for _, step := range r.schedule() {
 		time.Sleep(time.Until(r.begin.Add(step.at)))
@@ -100,6 +104,7 @@
 	}
 	sends := r.load.end()
 	stopWatching()
+	<-watched
 	r.check(sends)
 }
 
