pipeline: lookups that callers send ahead run beside each other; a caller that leaves is noticed

Cause: net/http serves the requests of a connection one after the other. Ruled out: wrong order, smuggled bytes, orders that run behind a closing answer (tests of these were green before). Change: package pipeline reads a connection on while its requests are at work; lookups without a body run beside each other, at most six; anything else waits for what is before it. An answer closes the connection only when all that was started is answered.

--- a/edge/answer.go
+++ b/edge/answer.go
@@ -24,8 +24,6 @@
 
 // answerCaller serves one request of a caller.
 func (e *Edge) answerCaller(w http.ResponseWriter, r *http.Request) {
-	e.inFlight.Add(1)
-	defer e.inFlight.Add(-1)
 	if e.stopping.Load() {
 		// The caller opens its next connection elsewhere; what it sends on
 		// this one until then is still served.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -31,6 +31,7 @@
 	"foxtailspoke/evidence"
 	"foxtailspoke/freshness"
 	"foxtailspoke/logging"
+	"foxtailspoke/pipeline"
 	"foxtailspoke/placement"
 	"foxtailspoke/platform"
 	"foxtailspoke/replica"
@@ -62,9 +63,8 @@
 	// stopping is set by the signal to stop.
 	stopping atomic.Bool
 	// closing is set when a stopping instance takes no more requests.
-	closing  atomic.Bool
-	inFlight atomic.Int64
-	conns    *connections
+	closing atomic.Bool
+	callers *pipeline.Server
 	// kicked wakes the poller.
 	kicked chan struct{}
 	// fetches wakes the fetcher of the configuration.
@@ -157,7 +157,6 @@
 		clock:    clock.New(),
 		store:    platform.NewStore(s.Store.Address),
 		pool:     upstream.NewPool(),
-		conns:    newConnections(),
 		self:     self,
 		epoch:    newEpoch(),
 		kicked:   make(chan struct{}, 1),
@@ -165,6 +164,7 @@
 		joined:   make(chan struct{}),
 		unlisted: make(chan struct{}, 1),
 	}
+	e.callers = e.newCallers()
 	e.metrics = newMetrics(e)
 	e.state = state{
 		bounds:    freshness.NewBounds(settings.Seconds(s.Bounds.RevokeS)),
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -54,7 +54,9 @@
 	for _, w := range s.table.Workspaces() {
 		s.usage.SetLimit(workspaceHash(w.Name), e.limitOf(w), now)
 	}
-	e.conns.setIdle(c.Limits.IdleTimeout)
+	if c.Limits.IdleTimeout > 0 {
+		e.callers.SetIdle(c.Limits.IdleTimeout)
+	}
 	event.ConfigInForce.Log(e.log, slog.Uint64("version", uint64(c.Version)),
 		slog.Int("routes", len(c.Routes)), slog.Int("workspaces", len(c.Workspaces)))
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -5,13 +5,14 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"foxtailspoke/edge/settings"
 	"foxtailspoke/event"
+	"foxtailspoke/pipeline"
 	"foxtailspoke/platform"
 )
 
@@ -24,6 +25,10 @@
 	idleTimeoutFirst = 60 * time.Second
 	// maxHeaderBytes bounds a request's headers; the platform's usual value.
 	maxHeaderBytes = 64 << 10
+	// mostAhead is how many requests of one connection may be at work: enough
+	// for a page's worth of lookups, and less than a tenth of the servers'
+	// slots of a small deployment.
+	mostAhead = 6
 	// addressTTL is how long callers keep an answer of the directory. A dead
 	// instance is left out of the answers after about a second, and callers
 	// have the new answer as much later.
@@ -64,13 +69,29 @@
 
 // serveCallers serves callers' requests.
 func (e *Edge) serveCallers(ctx context.Context) error {
-	return serve(ctx, e.ports.callers, &http.Server{
-		Handler:           http.HandlerFunc(e.answerCaller),
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         e.conns.changed,
-		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
-	})
+	return e.callers.Serve(ctx, e.ports.callers)
+}
+
+// newCallers returns the server of callers' connections.
+func (e *Edge) newCallers() *pipeline.Server {
+	s := &pipeline.Server{
+		Handler: http.HandlerFunc(e.answerCaller), Beside: e.repeatable, MostAhead: mostAhead,
+		HeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	s.SetIdle(idleTimeoutFirst)
+	return s
+}
+
+// repeatable reports whether a caller's request may run more than once.
+func (e *Edge) repeatable(r *http.Request) bool {
+	path, _, _ := strings.Cut(target(r), "?")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state.table == nil {
+		return false
+	}
+	route := e.state.table.Route(r.Host, path)
+	return route != nil && route.Kind.Repeatable()
 }
 
 func serve(ctx context.Context, l net.Listener, s *http.Server) error {
@@ -83,63 +104,6 @@
 	return errors.Wrap(err, "server")
 }
 
-// connections closes callers' connections that stay idle for too long. The
-// bound comes with the configuration and may change while they are open, which
-// net/http's own setting can't.
-type connections struct {
-	mu    sync.Mutex
-	idle  map[net.Conn]*time.Timer
-	open  int
-	bound time.Duration
-}
-
-func newConnections() *connections {
-	return &connections{idle: make(map[net.Conn]*time.Timer), bound: idleTimeoutFirst}
-}
-
-func (c *connections) setIdle(d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.bound = d
-}
-
-// changed is net/http's hook.
-func (c *connections) changed(nc net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if t, ok := c.idle[nc]; ok {
-		t.Stop()
-		delete(c.idle, nc)
-	}
-	switch state {
-	case http.StateNew:
-		c.open++
-	case http.StateIdle:
-		c.idle[nc] = time.AfterFunc(c.bound, func() { _ = nc.Close() })
-	case http.StateClosed, http.StateHijacked:
-		c.open--
-	case http.StateActive:
-	}
-}
-
-// closeIdle closes the connections without a request.
-func (c *connections) closeIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for nc := range c.idle {
-		_ = nc.Close()
-	}
-}
-
-func (c *connections) count() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.open
-}
-
 // readyLocked reports whether callers should be sent here. The lock must be
 // held.
 func (e *Edge) readyLocked() bool {
@@ -216,7 +180,7 @@
 // requests, and ends once it has finished those that it has.
 func (e *Edge) stop() {
 	e.stopping.Store(true)
-	event.EdgeStopping.Log(e.log, slog.Int("connections", e.conns.count()))
+	event.EdgeStopping.Log(e.log, slog.Int("connections", e.callers.Open()))
 	start := e.now()
 	grace := settings.Seconds(e.settings.Bounds.GraceS)
 	e.mu.Lock()
@@ -226,9 +190,9 @@
 		time.Sleep(lingerStep)
 	}
 	e.closing.Store(true)
-	e.conns.closeIdle()
-	for e.inFlight.Load() > 0 && e.now()-start < grace-stopMargin {
+	e.callers.CloseIdle()
+	for e.callers.InFlight() > 0 && e.now()-start < grace-stopMargin {
 		time.Sleep(lingerStep)
 	}
-	event.EdgeStopped.Log(e.log, slog.Int64("cut", e.inFlight.Load()))
+	event.EdgeStopped.Log(e.log, slog.Int64("cut", e.callers.InFlight()))
 }
