foxtailspoke-edge explain: who was served, from the lines of any number of instances

Cause: which requests fail, when and why could only be found by hand from thousands of lines. Change: package logreport reads lines 531 and 532 and tells requests by route, workspace, service, server and second with their rules, spells with their cost and detection time, servers left out though well, refusals inside the rate, the worst-served workspace; as table and as JSON. Line 531 says the route's aim, so that late answers are seen. Proof: tests on lines with known content.

--- a/edge/answer.go
+++ b/edge/answer.go
@@ -133,7 +133,8 @@
 		slog.Uint64("version", uint64(c.version)), slog.Int64("age_ms", milli(c.keyAge)),
 	}
 	if c.route != nil {
-		attrs = append(attrs, slog.String("route", c.route.Name), slog.String("service", c.service))
+		attrs = append(attrs, slog.String("route", c.route.Name), slog.String("service", c.service),
+			slog.Int64("aim_ms", c.route.Aim.Milliseconds()))
 	}
 	if c.workspace != nil {
 		e.mu.Lock()
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -117,7 +117,7 @@
 	}
 	RequestEnded = Event{
 		531, slog.LevelInfo, "request ended",
-		"A caller's request was answered: `outcome` and `reason` say how, `rule` by which figures.", "See OPERATIONS.md.",
+		"A caller's request was answered: `status` and `rule` say how, the other fields by which figures.", "See OPERATIONS.md; `foxtailspoke-edge explain` sums these lines up.",
 	}
 	AttemptEnded = Event{
 		532, slog.LevelInfo, "attempt ended",
--- a/internal/edgecommand/command.go
+++ b/internal/edgecommand/command.go
@@ -30,13 +30,15 @@
 Example:
   foxtailspoke-edge --settings edge.jsonc
   foxtailspoke-edge --settings edge.jsonc --check
-  foxtailspoke-edge status 10.1.0.30:7341`
+  foxtailspoke-edge status 10.1.0.30:7341
+  foxtailspoke-edge explain edge-1.log edge-2.log`
 
 type options struct {
 	Settings string `long:"settings" description:"settings file, JSON with comments; default: the file named by FOXTAILSPOKE_SETTINGS"`
 	Check    bool   `long:"check" description:"check the settings and end"`
 
-	Status statusCommand `command:"status" description:"shows what a running instance knows of the fleet"`
+	Status  statusCommand  `command:"status" description:"shows what a running instance knows of the fleet"`
+	Explain explainCommand `command:"explain" description:"tells from log lines who was served, and why others weren't"`
 }
 
 // Run runs the daemon and returns its exit status.
@@ -56,7 +58,7 @@
 		return exitUsage
 	}
 	if parser.Active != nil {
-		if err := o.Status.run(stdout); err != nil {
+		if err := o.runCommand(parser.Active.Name, stdout); err != nil {
 			_, _ = fmt.Fprintln(stderr, err)
 			return exitFailed
 		}
@@ -85,3 +87,10 @@
 	}
 	return exitDone
 }
+
+func (o options) runCommand(name string, stdout io.Writer) error {
+	if name == "explain" {
+		return o.Explain.run(os.Stdin, stdout)
+	}
+	return o.Status.run(stdout)
+}
--- a/internal/edgecommand/status_test.go
+++ b/internal/edgecommand/status_test.go
@@ -6,12 +6,15 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
 	"foxtailspoke/edge"
+	"foxtailspoke/logreport"
 )
 
 func run(args ...string) (status int, stdout, stderr string) {
@@ -72,3 +75,30 @@
 	must.Eq(t, exitUsage, code)
 	must.StrContains(t, stderr, "nosuch.jsonc")
 }
+
+// Lines of two instances, one file each. Who was served, and what kept others
+// from it, is told of both together; a file without lines of requests is an
+// error, not an empty report.
+func TestExplainReadsManyLogs(t *testing.T) {
+	write := func(lines string) string {
+		name := filepath.Join(t.TempDir(), "log")
+		must.NoError(t, os.WriteFile(name, []byte(lines), 0o600))
+		return name
+	}
+	one := write(`{"event":531,"request":"a","status":200,"rule":"served","service":"s","workspace":"w"}` + "\n")
+	two := write(`edge-2: {"event":531,"request":"b","status":503,"rule":"no-room","service":"s","workspace":"w"}` + "\n")
+	status, out, _ := run("explain", "--json", one, two)
+	must.Zero(t, status)
+	var r logreport.Report
+	must.NoError(t, json.Unmarshal([]byte(out), &r))
+	must.Eq(t, logreport.Count{Served: 1, Refused: 1}, r.Workspaces["w"])
+	status, out, _ = run("explain", one, two)
+	must.Zero(t, status)
+	must.StrContains(t, out, "no-room 1")
+	status, _, errs := run("explain", write("nothing\n"))
+	must.Eq(t, exitFailed, status)
+	must.StrContains(t, errs, "no line")
+	status, _, errs = run("explain", one+"-missing")
+	must.Eq(t, exitFailed, status)
+	must.StrContains(t, errs, "no such file")
+}
--- /dev/null
+++ b/logreport/logreport_test.go
@@ -0,0 +1,106 @@
+package logreport_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/logreport"
+)
+
+var begin = time.Date(2026, 5, 1, 12, 0, 0, 0, time.UTC)
+
+// ended is the line of a request that ended at so many milliseconds.
+func ended(atMS int, id string, status int, rule, more string) string {
+	at := begin.Add(time.Duration(atMS) * time.Millisecond).Format(time.RFC3339Nano)
+	return fmt.Sprintf(`{"time":%q,"event":531,"request":%q,"status":%d,"rule":%q,"aim_ms":300,"route":"r","service":"s",%s}`,
+		at, id, status, rule, more) + "\n"
+}
+
+func tried(atMS int, id, server, result string, tookMS int) string {
+	at := begin.Add(time.Duration(atMS) * time.Millisecond).Format(time.RFC3339Nano)
+	return fmt.Sprintf(`edge-1 | {"time":%q,"event":532,"request":%q,"server":%q,"service":"s","result":%q,"took_ms":%d}`,
+		at, id, server, result, tookMS) + "\n"
+}
+
+func report(t *testing.T, lines ...string) logreport.Report {
+	t.Helper()
+	var l logreport.Lines
+	must.NoError(t, l.Read(strings.NewReader(strings.Join(lines, ""))))
+	return l.Report()
+}
+
+func TestRequestsAreCountedByHowTheyEnded(t *testing.T) {
+	r := report(t,
+		ended(1500, "late", 200, "served", `"took_ms":900,"workspace":"w","server":"a"`),
+		ended(0, "served", 200, "served", `"took_ms":100,"workspace":"v","server":"a"`),
+		ended(100, "refused", 503, "no-room", `"took_ms":0,"workspace":"w"`),
+		ended(1600, "failed", 502, "server-failed", `"took_ms":10,"workspace":"w"`),
+		ended(1700, "wrong", 404, "no-route", `"took_ms":0`),
+		"a line that is none\n", "{broken\n", `{"event":533,"instance":"e","count":7}`+"\n", `{"event":533,"instance":"e","count":9}`+"\n",
+	)
+	must.Eq(t, logreport.Count{Served: 1, Late: 1, Refused: 1, Failed: 1, NotOwed: 1}, r.All)
+	must.Eq(t, 0.5, r.All.Share())
+	must.Eq(t, logreport.Count{Late: 1, Refused: 1, Failed: 1}, r.Workspaces["w"])
+	must.Eq(t, logreport.Count{Served: 1, Late: 1}, r.Servers["a"])
+	must.Eq(t, map[string]int{"no-room": 1, "server-failed": 1}, r.Rules)
+	must.Len(t, 2, r.Seconds)
+	must.Eq(t, map[string]int{"server-failed": 1}, r.Seconds[1].Rules)
+	must.Eq(t, "w", r.Worst)
+	must.Eq(t, 9, r.LeftOut)
+	must.Eq(t, 1, r.Unread)
+	var text strings.Builder
+	must.NoError(t, r.WriteText(&text))
+	must.StrContains(t, text.String(), "no-room 1, server-failed 1")
+}
+
+// A server fails two requests, is sent one more by an instance that hasn't
+// heard, and is then left alone. A lookup that was served elsewhere in the end
+// isn't lost. Minutes later it fails again: another spell.
+func TestSpellsTellWhatTheyCostAndWhenTheyWereDetected(t *testing.T) {
+	r := report(t,
+		tried(1000, "order", "a", "incomplete", 5), ended(1001, "order", 502, "server-failed", `"took_ms":6`),
+		tried(1400, "lookup", "a", "timeout", 300), ended(1600, "lookup", 200, "served", `"took_ms":200,"server":"b"`),
+		ended(1900, "late-word", 200, "served", `"took_ms":100,"server":"a"`),
+		ended(4000, "later", 200, "served", `"took_ms":100,"server":"a"`),
+		tried(90_000, "other", "a", "server error", 5), ended(90_001, "other", 500, "server-failed", `"took_ms":6`),
+		tried(90_100, "own", "a", "connect failed", 5),
+	)
+	must.Len(t, 2, r.Spells)
+	s := r.Spells[0]
+	must.Eq(t, 2, s.Attempts)
+	must.Eq(t, 1, s.Lost)
+	must.Eq(t, 800, s.DetectionMS)
+	must.Eq(t, map[string]int{"incomplete": 1, "timeout": 1}, s.Results)
+	must.Eq(t, logreport.Detection{Spells: 2, Attempts: 3, Lost: 2, MedianMS: 800, MostMS: 800}, r.Detection)
+	must.Eq(t, 1, r.Results["connect failed"])
+}
+
+// One answer of a healthy server reports a failure of its own; the fleet leaves
+// the server out for seconds, and its next request is served. Of a server that
+// fails that one too, nobody says that it was well.
+func TestServersLeftOutThoughWell(t *testing.T) {
+	r := report(t,
+		tried(1000, "1", "well", "server error", 5), ended(4100, "2", 200, "served", `"took_ms":100,"server":"well"`),
+		tried(1000, "3", "soon", "server error", 5), ended(1500, "4", 200, "served", `"took_ms":100,"server":"soon"`),
+		tried(1000, "5", "sick", "server error", 5), tried(9000, "6", "sick", "incomplete", 5),
+	)
+	must.Len(t, 1, r.FalselyAvoided)
+	must.Eq(t, "well", r.FalselyAvoided[0].Server)
+	must.Eq(t, 3000, r.FalselyAvoided[0].ForMS)
+}
+
+// A workspace sends four requests at once with a rate of one a second and a
+// burst of two. Two instances refuse it; only the refusal of the second request
+// was inside what the fleet owed.
+func TestRefusalsInsideTheRate(t *testing.T) {
+	const plan = `"took_ms":0,"workspace":"w","rate":1,"burst":2`
+	r := report(t,
+		ended(0, "1", 200, "served", plan), ended(1, "2", 429, "over-rate", plan),
+		ended(2, "3", 429, "over-rate", plan), ended(3, "4", 429, "over-rate", plan),
+	)
+	must.Eq(t, map[string]int{"w": 1}, r.RefusedInside)
+}
--- /dev/null
+++ b/logreport/report.go
@@ -0,0 +1,193 @@
+package logreport
+
+import (
+	"sort"
+	"time"
+)
+
+// Report is what lines tell.
+type Report struct {
+	All        Count            `json:"all"`
+	Routes     map[string]Count `json:"routes"`
+	Workspaces map[string]Count `json:"workspaces"`
+	Services   map[string]Count `json:"services"`
+	// Servers counts requests by the server whose answer they got.
+	Servers map[string]Count `json:"servers"`
+	// Rules counts the requests that weren't served by the rule that ended them.
+	Rules map[string]int `json:"rules"`
+	// Results counts failed attempts by how they failed.
+	Results map[string]int `json:"results"`
+	Seconds []Second       `json:"seconds"`
+	Spells  []Spell        `json:"spells"`
+	// Detection is the usual and the longest time from a spell's first failure
+	// to the last request that any instance still sent into it.
+	Detection Detection `json:"detection"`
+	// FalselyAvoided are servers that were left out after a failure that stood
+	// alone.
+	FalselyAvoided []Avoided `json:"falsely_avoided"`
+	// RefusedInside counts, per workspace, the requests that were refused for
+	// the rate although one bucket for the whole fleet would have paid for them.
+	RefusedInside map[string]int `json:"refused_inside"`
+	// Worst is the workspace that was served least, those apart that asked for
+	// more than their rate.
+	Worst string `json:"worst_workspace"`
+	// LeftOut is the number of lines that instances didn't write, Unread of
+	// those that couldn't be read.
+	LeftOut uint64 `json:"lines_left_out"`
+	Unread  int    `json:"lines_unread"`
+}
+
+// Count of requests by how they ended.
+type Count struct {
+	Served  int `json:"served"`
+	Late    int `json:"late"`
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
+	NotOwed int `json:"not_owed"`
+}
+
+// Owed is the number of requests that should have been served.
+func (c Count) Owed() int { return c.Served + c.Late + c.Refused + c.Failed }
+
+// Share of the owed requests that were served, late ones included.
+func (c Count) Share() float64 {
+	if c.Owed() == 0 {
+		return 1
+	}
+	return float64(c.Served+c.Late) / float64(c.Owed())
+}
+
+func (c Count) with(o outcome) Count {
+	switch o {
+	case served:
+		c.Served++
+	case late:
+		c.Late++
+	case refused:
+		c.Refused++
+	case failed:
+		c.Failed++
+	case notOwed:
+		c.NotOwed++
+	}
+	return c
+}
+
+// Second is what ended in one second.
+type Second struct {
+	// At is the time since the first line, in whole seconds.
+	At int `json:"at_s"`
+	Count
+	Rules map[string]int `json:"rules"`
+}
+
+// Report makes the report.
+func (l *Lines) Report() Report {
+	l.sort()
+	r := Report{
+		Routes: map[string]Count{}, Workspaces: map[string]Count{}, Services: map[string]Count{},
+		Servers: map[string]Count{}, Rules: map[string]int{}, Results: map[string]int{},
+		RefusedInside: l.refusedInside(), Unread: l.unread,
+	}
+	for _, n := range l.leftOut {
+		r.LeftOut += n
+	}
+	seconds := make(map[int]*Second)
+	for _, q := range l.requests {
+		r.count(q)
+		r.countSecond(seconds, int(q.ended.Sub(l.requests[0].ended)/time.Second), q)
+	}
+	for _, s := range seconds {
+		r.Seconds = append(r.Seconds, *s)
+	}
+	sort.Slice(r.Seconds, func(i, j int) bool { return r.Seconds[i].At < r.Seconds[j].At })
+	for _, a := range l.attempts {
+		r.Results[a.result]++
+	}
+	r.Spells = l.spells()
+	r.Detection = detection(r.Spells)
+	r.FalselyAvoided = l.falselyAvoided(r.Spells)
+	r.Worst = r.worst()
+	return r
+}
+
+func (r *Report) count(q request) {
+	o := q.outcome()
+	r.All = r.All.with(o)
+	add := func(m map[string]Count, key string) {
+		if key != "" {
+			m[key] = m[key].with(o)
+		}
+	}
+	add(r.Routes, q.route)
+	add(r.Workspaces, q.workspace)
+	add(r.Services, q.service)
+	add(r.Servers, q.server)
+	if o == refused || o == failed {
+		r.Rules[q.rule]++
+	}
+}
+
+func (r *Report) countSecond(seconds map[int]*Second, at int, q request) {
+	s, ok := seconds[at]
+	if !ok {
+		s = &Second{At: at, Rules: map[string]int{}}
+		seconds[at] = s
+	}
+	o := q.outcome()
+	s.Count = s.Count.with(o)
+	if o == refused || o == failed {
+		s.Rules[q.rule]++
+	}
+}
+
+// worst is the workspace with the smallest share served. Refusals over the rate
+// that the rate explains aren't held against the fleet.
+func (r *Report) worst() string {
+	worst, least := "", 2.0
+	for name, c := range r.Workspaces {
+		if share := c.Share(); share < least || (share == least && name < worst) {
+			worst, least = name, share
+		}
+	}
+	return worst
+}
+
+// overRate is the rule of refusals for a workspace's rate.
+const overRate = "over-rate"
+
+// refusedInside replays, for each workspace, one bucket of its rate and burst
+// for the whole fleet.
+func (l *Lines) refusedInside() map[string]int {
+	type bucket struct {
+		tokens float64
+		at     time.Time
+	}
+	byStart := append([]request(nil), l.requests...)
+	sort.SliceStable(byStart, func(i, j int) bool {
+		return byStart[i].ended.Add(-byStart[i].took).Before(byStart[j].ended.Add(-byStart[j].took))
+	})
+	buckets := make(map[string]*bucket)
+	inside := make(map[string]int)
+	for _, q := range byStart {
+		if q.workspace == "" || q.rate == 0 {
+			continue
+		}
+		start := q.ended.Add(-q.took)
+		b, ok := buckets[q.workspace]
+		if !ok {
+			b = &bucket{q.burst, start}
+			buckets[q.workspace] = b
+		}
+		b.tokens = min(b.tokens+q.rate*start.Sub(b.at).Seconds(), q.burst)
+		b.at = start
+		switch {
+		case q.rule == overRate && b.tokens >= 1:
+			inside[q.workspace]++
+		case q.rule == overRate || q.outcome() == refused:
+			continue
+		}
+		b.tokens--
+	}
+	return inside
+}
--- /dev/null
+++ b/logreport/text.go
@@ -0,0 +1,95 @@
+package logreport
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+)
+
+// mostSpells is how many spells the text shows, those that cost most first.
+const mostSpells = 20
+
+// WriteText writes the report as tables.
+func (r Report) WriteText(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	// The writer keeps its first error until Flush.
+	line := func(format string, values ...any) { _, _ = fmt.Fprintf(t, format+"\n", values...) }
+	line("\tserved\tlate\trefused\tfailed\tnot owed\tshare")
+	row := func(name string, c Count) {
+		line("%s\t%d\t%d\t%d\t%d\t%d\t%.3f", name, c.Served, c.Late, c.Refused, c.Failed, c.NotOwed, c.Share())
+	}
+	row("all", r.All)
+	for _, part := range []struct {
+		name   string
+		counts map[string]Count
+	}{
+		{"service", r.Services},
+		{"route", r.Routes},
+		{"workspace", r.Workspaces},
+		{"server", r.Servers},
+	} {
+		for _, name := range worstFirst(part.counts) {
+			row(part.name+" "+name, part.counts[name])
+		}
+	}
+	for _, s := range r.Seconds {
+		row(fmt.Sprintf("second %d %s", s.At, counted(s.Rules)), s.Count)
+	}
+	line("")
+	line("not served, by rule:\t%s", counted(r.Rules))
+	line("failed attempts:\t%s", counted(r.Results))
+	line("refused inside the rate:\t%s", counted(r.RefusedInside))
+	line("worst-served workspace:\t%s", r.Worst)
+	line("spells:\t%d, with %d failed attempts and %d lost requests; detected after %d ms (median), %d ms (longest)",
+		r.Detection.Spells, r.Detection.Attempts, r.Detection.Lost, r.Detection.MedianMS, r.Detection.MostMS)
+	line("left out though well:\t%d", len(r.FalselyAvoided))
+	line("lines left out:\t%d", r.LeftOut)
+	line("lines unread:\t%d", r.Unread)
+	line("")
+	line("spell of\tfrom\tattempts\tlost\tdetected ms\tresults")
+	for _, s := range dearest(r.Spells) {
+		line("%s\t%s\t%d\t%d\t%d\t%s", s.Server, s.From.Format("15:04:05.000"), s.Attempts, s.Lost, s.DetectionMS, counted(s.Results))
+	}
+	return errors.Wrap(t.Flush(), "report")
+}
+
+func worstFirst(counts map[string]Count) []string {
+	names := make([]string, 0, len(counts))
+	for name := range counts {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(i, j int) bool {
+		a, b := counts[names[i]].Share(), counts[names[j]].Share()
+		return a < b || (a == b && names[i] < names[j])
+	})
+	return names
+}
+
+func dearest(spells []Spell) []Spell {
+	all := append([]Spell(nil), spells...)
+	sort.SliceStable(all, func(i, j int) bool {
+		return all[i].Lost > all[j].Lost || (all[i].Lost == all[j].Lost && all[i].Attempts > all[j].Attempts)
+	})
+	return all[:min(len(all), mostSpells)]
+}
+
+// counted is "12 of this, 3 of that", the most first.
+func counted(counts map[string]int) string {
+	names := make([]string, 0, len(counts))
+	for name := range counts {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(i, j int) bool {
+		a, b := counts[names[i]], counts[names[j]]
+		return a > b || (a == b && names[i] < names[j])
+	})
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		parts = append(parts, fmt.Sprintf("%s %d", name, counts[name]))
+	}
+	return strings.Join(parts, ", ")
+}
