foxtailspoke-lab: two policies on the same drawn fleets, in simulated time

Change: package lab plays deployments that are drawn from the ranges of lab/ranges.go. Its instances run the product's placement, retry and usage; messages are delayed, lost and cut; servers have slots, queues, speeds, spells of any share, length and mode, random refusals; callers have aims and come back when told to. Experiment prints the paired difference of nine measures with its interval, and plots it. Package mechanism names the mechanisms that can be switched off; the edge's settings take them under trial.without, for trials only. What edge kept of repeats and patience moved into retry, so that the model runs the same code.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -9,20 +9,13 @@
 	"foxtailspoke/event"
 	"foxtailspoke/evidence"
 	"foxtailspoke/health"
+	"foxtailspoke/mechanism"
 	"foxtailspoke/placement"
 	"foxtailspoke/platform"
 	"foxtailspoke/retry"
 	"foxtailspoke/upstream"
 )
 
-const (
-	// lateAfter is how many usual times an attempt may take before it counts
-	// as late; a request's work rarely takes longer, a hanging server always.
-	lateAfter = 3.0
-	// lateLeast keeps very short requests from being late by mere chance.
-	lateLeast = 150 * time.Millisecond
-)
-
 // attempt is one try of a call at one server.
 type attempt struct {
 	choice placement.Choice
@@ -207,7 +200,7 @@
 func (e *Edge) mayHedge(c *call, number int, mayHaveRun bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !c.route.Kind.Repeatable() {
+	if !c.route.Kind.Repeatable() || !e.off.On(mechanism.Hedge) {
 		return false
 	}
 	a := e.retryState(c, health.Late, number, 1, mayHaveRun)
@@ -232,7 +225,7 @@
 func (e *Edge) patience(c *call) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return max(time.Duration(lateAfter*float64(e.statsOf(c.route).work)), lateLeast)
+	return retry.Patience(e.statsOf(c.route).work)
 }
 
 // classify says what an attempt's end tells of the server.
@@ -274,7 +267,8 @@
 	}
 	return upstream.Request{
 		Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body,
-		IDHeader: platform.HeaderAttempt, ID: c.id, Once: !c.route.Kind.Repeatable(),
+		IDHeader: platform.HeaderAttempt, ID: c.id,
+		Once: !c.route.Kind.Repeatable() && e.off.On(mechanism.Fresh),
 	}
 }
 
@@ -284,7 +278,7 @@
 	defer e.mu.Unlock()
 	told := e.outstanding(a, 1)
 	told.Number = uint8(a.number)
-	e.state.repeatsOf(c.service).window.Count(a.number > 1, e.now())
+	e.state.repeatsOf(c.service).Count(a.number > 1, e.now())
 	m := evidence.Message{Attempts: []evidence.Attempt{told}}
 	if c.workspace != nil {
 		h := workspaceHash(c.workspace.Name)
--- a/edge/call.go
+++ b/edge/call.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"foxtailspoke/mechanism"
 	"foxtailspoke/placement"
 	"foxtailspoke/platform"
 	"foxtailspoke/routing"
@@ -192,6 +193,9 @@
 		return choice, &verdict{http.StatusServiceUnavailable, RuleNoServer, comeBackSoon}
 	}
 	rank := routing.Rank(c.route, c.workspace)
+	if !e.off.On(mechanism.Rank) {
+		rank = 0
+	}
 	if ok, wait := placement.Admit(choice, r, rank, rand.Float64()); !ok {
 		return choice, &verdict{http.StatusServiceUnavailable, RuleNoRoom, wait}
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -31,10 +31,12 @@
 	"foxtailspoke/evidence"
 	"foxtailspoke/freshness"
 	"foxtailspoke/logging"
+	"foxtailspoke/mechanism"
 	"foxtailspoke/pipeline"
 	"foxtailspoke/placement"
 	"foxtailspoke/platform"
 	"foxtailspoke/replica"
+	"foxtailspoke/retry"
 	"foxtailspoke/routing"
 	"foxtailspoke/upstream"
 	"foxtailspoke/usage"
@@ -59,6 +61,8 @@
 	epoch      uint32
 	peerPort   uint16
 	callerPort uint16
+	// off are the mechanisms that a trial has switched off.
+	off mechanism.Off
 
 	// stopping is set by the signal to stop.
 	stopping atomic.Bool
@@ -122,7 +126,7 @@
 	list    *discovery.List
 	placer  *placement.Placer
 	usage   *usage.Counters
-	budgets map[string]*repeats
+	budgets map[string]*retry.Shared
 	routes  map[string]*routeStats
 
 	members  map[uint32]*member
@@ -150,6 +154,7 @@
 	}
 	e := &Edge{
 		settings: s,
+		off:      s.Trial.Off(),
 		file:     file,
 		lines:    lines,
 		log:      slog.New(slog.NewJSONHandler(lines, nil)).With(slog.String("instance", s.Name)),
@@ -173,9 +178,9 @@
 		servers:   replica.NewTable(),
 		instances: replica.NewTable(),
 		list:      discovery.NewList(),
-		placer:    placement.New(),
+		placer:    placement.NewWithout(s.Trial.Off()),
 		usage:     usage.NewCounters(),
-		budgets:   make(map[string]*repeats),
+		budgets:   make(map[string]*retry.Shared),
 		routes:    make(map[string]*routeStats),
 		members:   make(map[uint32]*member),
 		own:       make(map[uint32]uint16),
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -9,6 +9,7 @@
 	"foxtailspoke/edge/settings"
 	"foxtailspoke/event"
 	"foxtailspoke/evidence"
+	"foxtailspoke/mechanism"
 	"foxtailspoke/platform"
 	"foxtailspoke/replica"
 	"foxtailspoke/routing"
@@ -63,6 +64,9 @@
 
 // limitOf is the limit that a workspace is held to.
 func (e *Edge) limitOf(w routing.Workspace) usage.Limit {
+	if !e.off.On(mechanism.Tolerance) {
+		return usage.Limit{Rate: w.Rate, Burst: w.Burst}
+	}
 	b := e.settings.Bounds
 	t := usage.Tolerance{Overshoot: b.RateOvershoot, Slack: b.RateSlack, Window: settings.Seconds(b.RateWindowS)}
 	return t.Loosen(usage.Limit{Rate: w.Rate, Burst: w.Burst})
--- a/edge/settings/settings.go
+++ b/edge/settings/settings.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/tailscale/hujson"
+
+	"foxtailspoke/mechanism"
 )
 
 // Settings of one edge instance.
@@ -33,6 +35,21 @@
 	// LinkMbps is the machine's own link; 0 if it isn't known.
 	LinkMbps float64 `json:"linkMbps"`
 	Log      Log     `json:"log"`
+	// Trial is for experiments only; nothing of it belongs on machines that
+	// serve users.
+	Trial Trial `json:"trial"`
+}
+
+// Trial switches mechanisms off, to measure what they are worth.
+type Trial struct {
+	// Without names the mechanisms.
+	Without []string `json:"without,omitempty"`
+}
+
+// Off returns the mechanisms that are switched off. Load has checked them.
+func (t Trial) Off() mechanism.Off {
+	off, _ := mechanism.Parse(t.Without)
+	return off
 }
 
 // Listen holds the addresses of an instance, each "ip:port".
@@ -115,6 +132,9 @@
 }
 
 func (s Settings) check() error {
+	if _, err := mechanism.Parse(s.Trial.Without); err != nil {
+		return errors.Wrap(err, "settings: trial.without")
+	}
 	if _, err := netip.ParseAddr(s.IP); err != nil {
 		return errors.Wrap(err, "settings: ip")
 	}
--- /dev/null
+++ b/lab/experiment.go
@@ -0,0 +1,110 @@
+package lab
+
+import (
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"foxtailspoke/mechanism"
+)
+
+// Experiment compares two policies on the same draws.
+type Experiment struct {
+	// Draws is how many deployments are played, Seed what they are drawn by.
+	Draws int
+	Seed  uint64
+	// A and B are the policies, by what is off.
+	A, B mechanism.Off
+	// Draw draws a deployment; Wide.Draw unless set.
+	Draw func(*rand.Rand) Deployment
+}
+
+// Outcome is what an experiment found.
+type Outcome struct {
+	Measures []Compared
+	// Differences of each draw, B less A, by measure.
+	Differences [][]float64
+}
+
+// Compared is one measure of both policies over all draws.
+type Compared struct {
+	Name string
+	// A and B are the means.
+	A, B float64
+	// Difference is the mean of B less A, Within the half-width of its
+	// interval of confidence at 95%.
+	Difference, Within float64
+	MoreIsBetter       bool
+}
+
+// Verdict tells which policy is better, as far as the interval tells.
+func (c Compared) Verdict() string {
+	switch {
+	case math.Abs(c.Difference) <= c.Within:
+		return "same"
+	case (c.Difference > 0) == c.MoreIsBetter:
+		return "B"
+	default:
+		return "A"
+	}
+}
+
+// Run plays all draws, as many at a time as there are processors. The same
+// settings give the same figures.
+func (x Experiment) Run() Outcome {
+	draw := x.Draw
+	if draw == nil {
+		draw = Wide.Draw
+	}
+	a, b := make([][]float64, x.Draws), make([][]float64, x.Draws)
+	next := make(chan int)
+	var workers sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		workers.Go(func() {
+			for n := range next {
+				d := draw(rand.New(rand.NewPCG(x.Seed, uint64(n))))
+				seed := x.Seed<<20 + uint64(n)
+				a[n] = Play(d, x.A, seed).Values()
+				b[n] = Play(d, x.B, seed).Values()
+			}
+		})
+	}
+	for n := range x.Draws {
+		next <- n
+	}
+	close(next)
+	workers.Wait()
+	return compare(a, b)
+}
+
+func compare(a, b [][]float64) Outcome {
+	var o Outcome
+	for m, name := range Names {
+		c := Compared{Name: name, MoreIsBetter: Better[m]}
+		var differences []float64
+		for n := range a {
+			c.A += a[n][m] / float64(len(a))
+			c.B += b[n][m] / float64(len(b))
+			differences = append(differences, b[n][m]-a[n][m])
+		}
+		c.Difference = stat.Mean(differences, nil)
+		c.Within = halfWidth(differences)
+		o.Measures = append(o.Measures, c)
+		o.Differences = append(o.Differences, differences)
+	}
+	return o
+}
+
+// halfWidth of the mean's interval of confidence at 95%.
+func halfWidth(x []float64) float64 {
+	n := float64(len(x))
+	if n < 2 {
+		return math.Inf(1)
+	}
+	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}
+	return t.Quantile(0.975) * stat.StdErr(stat.StdDev(x, nil), n)
+}
--- /dev/null
+++ b/lab/instance.go
@@ -0,0 +1,152 @@
+package lab
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"foxtailspoke/discovery"
+	"foxtailspoke/evidence"
+	"foxtailspoke/health"
+	"foxtailspoke/mechanism"
+	"foxtailspoke/placement"
+	"foxtailspoke/retry"
+	"foxtailspoke/usage"
+)
+
+const (
+	// repeatRatio and repeatSlack bound repeats as on the users' platform.
+	repeatRatio = 0.2
+	repeatSlack = 60
+	// comeBackSoon is the least time that callers are told.
+	comeBackSoon = 500 * time.Millisecond
+	// smoothing is the weight of a request in its kind's usual time, and
+	// firstWork the share of the aim taken before any was measured.
+	smoothing = 0.08
+	firstWork = 0.3
+)
+
+// instance is one instance: the product's decisions, and what it was told.
+type instance struct {
+	world      *world
+	number     uint32
+	dataCentre string
+	placer     *placement.Placer
+	usage      *usage.Counters
+	repeats    []*retry.Shared
+	work       map[Kind]time.Duration
+	own        map[uint32]int
+	cut        map[uint32]bool
+	rng        *rand.Rand
+}
+
+func newInstance(w *world, number int) *instance {
+	i := &instance{
+		world: w, number: uint32(number + 1), dataCentre: dataCentre(number % w.deployment.DataCentres),
+		placer: placement.NewWithout(w.off), usage: usage.NewCounters(),
+		work: make(map[Kind]time.Duration), own: make(map[uint32]int), cut: make(map[uint32]bool),
+		rng: rand.New(rand.NewPCG(w.decisions.Uint64(), uint64(number))),
+	}
+	paths := rand.New(rand.NewPCG(w.seed, uint64(50_000+number)))
+	for _, s := range w.services {
+		i.repeats = append(i.repeats, retry.NewShared(comeBackSoon, i.rng))
+		for _, v := range s.servers {
+			i.placer.Apply(discovery.Change{Server: v.entry, New: true}, w.now)
+			i.cut[v.hash] = paths.Float64() < w.deployment.CutShare
+		}
+	}
+	for n, ws := range w.deployment.Workspaces {
+		i.usage.SetLimit(uint32(n), usage.Limit{Rate: ws.Rate, Burst: ws.Burst}, w.now)
+	}
+	return i
+}
+
+// tell has the others hear of something, each unless the message is lost.
+func (i *instance) tell(hear func(other *instance)) {
+	w := i.world
+	heard := w.instances
+	w.after(w.deployment.MessageDelay, func() {
+		for _, other := range heard {
+			if other != i && i.rng.Float64() >= w.deployment.MessageLoss {
+				hear(other)
+			}
+		}
+	})
+}
+
+// outstanding changes the own work at a server and tells it.
+func (i *instance) outstanding(v *server, change int) {
+	i.own[v.hash] += change
+	i.placer.Outstanding(v.hash, 0, i.own[v.hash], i.world.now)
+}
+
+// started takes in and tells that an attempt has begun.
+func (i *instance) started(c *caller, v *server, number int) {
+	i.outstanding(v, 1)
+	i.repeats[c.service].Count(number > 1, i.world.now)
+	n, admitted := i.own[v.hash], i.usage.Own(uint32(c.workspace))
+	i.tell(func(o *instance) {
+		o.placer.Outstanding(v.hash, i.number, n, o.world.now)
+		o.repeats[c.service].Count(number > 1, o.world.now)
+		o.usage.Heard(usage.Word{Workspace: uint32(c.workspace), Instance: i.number, Epoch: 1, Count: admitted}, o.world.now)
+	})
+}
+
+// ended takes in and tells how an attempt ended.
+func (i *instance) ended(c *caller, a *attempt, r health.Result, final evidence.Final) {
+	i.outstanding(a.server, -1)
+	work := i.workOf(c.kind)
+	var took time.Duration
+	if r == health.OK {
+		took = i.world.now - a.start
+		if a.choice.Outstanding >= a.choice.Server.Slots {
+			took = 0
+		} else {
+			i.work[c.kind] = work + time.Duration(smoothing*float64(took-work))
+		}
+	}
+	learn := func(o *instance, own bool) {
+		o.placer.Learn(a.server.hash, r, own, took, work, o.world.now)
+		if final != evidence.NotFinal {
+			o.placer.ServedAt(a.server.hash, final == evidence.Served, o.world.now)
+		}
+	}
+	learn(i, true)
+	n := i.own[a.server.hash]
+	i.tell(func(o *instance) {
+		o.placer.Outstanding(a.server.hash, i.number, n, o.world.now)
+		learn(o, false)
+	})
+}
+
+// late takes in and tells that an attempt takes longer than it should.
+func (i *instance) late(a *attempt) {
+	i.placer.Learn(a.server.hash, health.Late, true, 0, 0, i.world.now)
+	i.tell(func(o *instance) { o.placer.Learn(a.server.hash, health.Late, false, 0, 0, o.world.now) })
+}
+
+func (i *instance) workOf(k Kind) time.Duration {
+	if w, ok := i.work[k]; ok {
+		return w
+	}
+	return time.Duration(firstWork * float64(k.Aim))
+}
+
+var bound = retry.Bound{Ratio: repeatRatio, Slack: repeatSlack, Heard: 1}
+
+// choose places a request.
+func (i *instance) choose(c *caller) (placement.Choice, bool) {
+	now := i.world.now
+	return i.placer.Choose(placement.Request{
+		Service: i.world.services[c.service].name, Repeatable: c.kind.Repeatable,
+		RoomToRepeat: c.kind.Repeatable && i.repeats[c.service].Room(bound, now),
+		Aim:          c.kind.Aim - (now - c.sent), Left: c.deadline - now, Work: i.workOf(c.kind),
+		KB: 5, DataCentre: i.dataCentre, Tried: c.tried,
+	}, now, i.rng.Float64)
+}
+
+func (i *instance) mayHedge(c *caller) bool {
+	if !c.kind.Repeatable || !i.world.off.On(mechanism.Hedge) {
+		return false
+	}
+	return retry.DecideHedge(i.world.now, c.state(health.Late, 1), i.repeats[c.service].Budget(bound, i.world.now)).Action == retry.Hedge
+}
--- a/placement/belief.go
+++ b/placement/belief.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"foxtailspoke/health"
+	"foxtailspoke/mechanism"
 )
 
 // belief is the probability that something is in a bad state, kept as a
@@ -94,7 +95,10 @@
 }
 
 // risk is the probability that a request sent now fails.
-func (s *server) risk(t time.Duration) float64 {
+func (s *server) risk(off mechanism.Off, t time.Duration) float64 {
+	if !off.On(mechanism.Spells) {
+		return failsOtherwise
+	}
 	spell := s.spell.now(spells, t)
 	fails := spell*failsInSpell + (1-spell)*failsOtherwise
 	return 1 - (1-fails)*(1-s.path.now(paths, t))
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,6 +31,7 @@
 
 	"foxtailspoke/discovery"
 	"foxtailspoke/health"
+	"foxtailspoke/mechanism"
 )
 
 // Request is what a choice depends on.
@@ -71,6 +72,7 @@
 	services map[string]*service
 	byID     map[string]*server
 	byHash   map[uint32]*server
+	off            mechanism.Off
 	// disturbedUntil is how long requests are taken to go unserved unheard.
 	disturbedUntil time.Duration
 }
@@ -89,8 +91,12 @@
 const never = -time.Hour
 
 // New returns a placer without servers.
-func New() *Placer {
+func New() *Placer { return NewWithout(mechanism.Off{}) }
+
+// NewWithout returns a placer without servers and without some mechanisms.
+func NewWithout(off mechanism.Off) *Placer {
 	return &Placer{
+		off:      off,
 		services: make(map[string]*service),
 		byID:     make(map[string]*server),
 		byHash:   make(map[uint32]*server),
@@ -160,7 +166,7 @@
 		if s.entry.Draining || contains(r.Tried, s.entry.ID) {
 			continue
 		}
-		c := s.weigh(r, g.work, now, wide, random)
+		c := s.weigh(p.off, r, g.work, now, wide, random)
 		c.Cost += jitter * random()
 		if c.Cost < best.Cost {
 			best, found = c, true
@@ -171,6 +177,9 @@
 
 // wide reports whether more of the servers should be in use.
 func (p *Placer) wide(g *service, now time.Duration) bool {
+	if !p.off.On(mechanism.Spread) {
+		return false
+	}
 	if now-g.since < justStarted || now < p.disturbedUntil {
 		return g.inUse(now) < coverageAtStart
 	}
@@ -234,9 +243,11 @@
 	if !ok {
 		return
 	}
-	s.learn(r, own, now)
+	s.learn(r, own && p.off.On(mechanism.Paths), now)
 	if r == health.OK {
-		s.measure(took, work)
+		if p.off.On(mechanism.Slowness) {
+			s.measure(took, work)
+		}
 		g := p.service(s.entry.Service)
 		g.work += time.Duration(workSmoothing * float64(work-g.work))
 	}
@@ -292,7 +303,7 @@
 	views := make([]View, 0, len(p.byID))
 	for _, s := range p.byID {
 		views = append(views, View{
-			Server: s.entry, Outstanding: s.count(now), Risk: s.risk(now), Slowness: s.slowness,
+			Server: s.entry, Outstanding: s.count(now), Risk: s.risk(p.off, now), Slowness: s.slowness,
 			LastFailure: s.failure, SinceFailure: now - s.failedAt,
 		})
 	}
--- a/placement/server.go
+++ b/placement/server.go
@@ -6,6 +6,7 @@
 
 	"foxtailspoke/discovery"
 	"foxtailspoke/health"
+	"foxtailspoke/mechanism"
 )
 
 // server is what is known of a backend server beside its entry.
@@ -38,9 +39,9 @@
 
 // weigh returns what it would cost to send the request to this server.
 // The requests before it take as long as is usual at its service (queued).
-func (s *server) weigh(r Request, queued, now time.Duration, wide bool, random func() float64) Choice {
+func (s *server) weigh(off mechanism.Off, r Request, queued, now time.Duration, wide bool, random func() float64) Choice {
 	out := s.count(now)
-	risk := s.risk(now)
+	risk := s.risk(off, now)
 	expected := s.expected(r.Work, queued, out, now)
 	cost := risk
 	if r.Repeatable {
@@ -48,15 +49,17 @@
 	}
 	late := float64(expected) / float64(max(r.Aim, time.Millisecond))
 	cost += timeCost*math.Min(late, mostLate) + lateCost*clamp((late-0.8)/0.7)
-	if out+1 >= s.entry.Slots {
+	if out+1 >= s.entry.Slots && off.On(mechanism.Crowding) {
 		cost += crowding
 	}
-	cost += waiting * s.ahead(out)
-	if s.entry.DataCentre != r.DataCentre {
+	if off.On(mechanism.Waiting) {
+		cost += waiting * s.ahead(out)
+	}
+	if s.entry.DataCentre != r.DataCentre && off.On(mechanism.Crossing) {
 		cost += math.Min(crossing+crossingPerKB*r.KB, crossingMost)
 	}
 	if len(r.Tried) == 0 {
-		cost -= s.pull(r, now, out, risk, wide, random)
+		cost -= s.pull(off, r, now, out, risk, wide, random)
 	}
 	return Choice{Server: s.entry, Expected: expected, Outstanding: out, Risk: risk, Cost: cost}
 }
@@ -64,15 +67,18 @@
 // pull is what speaks for sending a request to a server that got none for a
 // while, whatever it costs. A request that has failed once isn't used to find
 // out anything.
-func (s *server) pull(r Request, now time.Duration, out int, risk float64, wide bool, random func() float64) float64 {
+func (s *server) pull(off mechanism.Off, r Request, now time.Duration, out int, risk float64, wide bool, random func() float64) float64 {
+	if !off.On(mechanism.Chance) {
+		random = func() float64 { return 0 }
+	}
 	switch {
 	case wide && now-s.lastFail > justFailed && due(now-s.lastUse-outOfUse, random):
 		return spread
-	case !s.used && out == 0 && due(now-s.since-newcomerAfter, random):
+	case off.On(mechanism.Newcomer) && !s.used && out == 0 && due(now-s.since-newcomerAfter, random):
 		return newcomer
-	case s.used && risk < keepRisk && due(now-s.lastUse-keepAfter, random):
+	case off.On(mechanism.Keep) && s.used && risk < keepRisk && due(now-s.lastUse-keepAfter, random):
 		return keep
-	case r.Repeatable && r.RoomToRepeat && !s.silent && due(now-s.lastUse-probeAfter, random):
+	case off.On(mechanism.Probe) && r.Repeatable && r.RoomToRepeat && !s.silent && due(now-s.lastUse-probeAfter, random):
 		return probe
 	default:
 		return 0
