placement: the silence of an attempt is evidence while it grows; trial of a bound on the cost of delay

Cause: a hanging server was told as late once, after three usual times, and that weighed little; a 504 that a server gives at the deadline it was sent, or a time-out shorter than the work, weighed as much as any failure. Change: an attempt is told as late at 1.6, 2.4 and 4 expected times; each step weighs by how seldom such answers take longer at this service, which is measured. Time-outs and a server's 504 at its deadline weigh by the time that was given. An answer in the end makes what its silence told void. A lookup asks another server at the second step while there is ample room, and again when that is late too.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -23,6 +23,9 @@
 	result health.Result
 	took   time.Duration
 	number int
+	start  time.Duration
+	// steps counts how often it was told as late.
+	steps  int
 	cancel context.CancelFunc
 	// ends says that its end was told.
 	ends bool
@@ -60,9 +63,10 @@
 		r.e.tellRefused(r.c)
 		return nil, v
 	}
-	late := time.NewTimer(r.e.patience(r.c))
+	late := time.NewTimer(r.untilLate())
 	defer late.Stop()
 	for {
+		late.Reset(r.untilLate())
 		select {
 		case a := <-r.done:
 			r.remove(a)
@@ -70,7 +74,7 @@
 				return done, v
 			}
 		case <-late.C:
-			r.hedge()
+			r.checkLate()
 		case <-r.ctx.Done():
 			return r.last, r.timedOut()
 		}
@@ -84,14 +88,13 @@
 		return v
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
-	a := &attempt{choice: choice, number: len(r.tried) + 1, cancel: cancel}
+	a := &attempt{choice: choice, number: len(r.tried) + 1, start: r.e.now(), cancel: cancel}
 	r.tried = append(r.tried, choice.Server.ID)
 	r.running = append(r.running, a)
 	r.e.tellStart(r.c, a)
 	go func() {
-		start := r.e.now()
 		a.answer = r.e.pool.Do(ctx, choice.Server.Address, r.e.upstreamRequest(r.c, choice))
-		a.took = r.e.now() - start
+		a.took = r.e.now() - a.start
 		a.result = classify(a.answer)
 		cancel()
 		r.done <- a
@@ -154,16 +157,33 @@
 	return &verdict{status: http.StatusGatewayTimeout, rule: RuleTimeout}
 }
 
-// hedge tells that the attempt is late, and asks a second server if the
-// request may run twice.
-func (r *runner) hedge() {
-	if len(r.running) != 1 {
-		return
+// untilLate is the time until an attempt is to be told as late, or later than it
+// was told.
+func (r *runner) untilLate() time.Duration {
+	next := r.c.deadline
+	for _, a := range r.running {
+		if a.steps < len(placement.LateSteps) {
+			next = min(next, a.start+placement.LateAt(a.choice.Expected, a.steps))
+		}
+	}
+	return max(next-r.e.now(), 0)
+}
+
+// checkLate tells which attempts are late, and asks another server if all are
+// and the request may run twice.
+func (r *runner) checkLate() {
+	now, patient := r.e.now(), 0
+	for _, a := range r.running {
+		if a.steps < len(placement.LateSteps) && now-a.start >= placement.LateAt(a.choice.Expected, a.steps) {
+			a.steps++
+			r.e.tellLate(a, now-a.start)
+		}
+		if a.steps < r.e.hedgeStep(r.c) {
+			patient++
+		}
 	}
-	a := r.running[0]
-	r.e.tellLate(a)
-	if r.e.mayHedge(r.c, len(r.tried), r.mayHaveRun) {
-		// No room for a second attempt: the first goes on alone.
+	if patient == 0 && r.e.mayHedge(r.c, len(r.tried), r.mayHaveRun) {
+		// No room for another attempt: the others go on alone.
 		_ = r.begin()
 	}
 }
@@ -221,11 +241,12 @@
 	}
 }
 
-// patience is how long an attempt may take before it counts as late.
-func (e *Edge) patience(c *call) time.Duration {
+// hedgeStep is how often an attempt must have been told as late before a second
+// server is asked.
+func (e *Edge) hedgeStep(c *call) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return retry.Patience(e.statsOf(c.route).work)
+	return retry.HedgeStep(e.roomToRepeat(c.service))
 }
 
 // classify says what an attempt's end tells of the server.
@@ -311,9 +332,12 @@
 	defer e.mu.Unlock()
 	now := e.now()
 	told := e.outstanding(a, -1)
-	told.Ended, told.Result, told.Final = true, a.result, final
+	told.Ended, told.Result, told.Final = true, e.evidenceOf(c, a), final
 	work := e.statsOf(c.route).work
 	var took time.Duration
+	if told.Result == health.Timeout {
+		took, work = a.took, a.choice.Expected
+	}
 	if a.result == health.OK {
 		took = a.took
 		if a.choice.Outstanding >= a.choice.Server.Slots {
@@ -321,9 +345,9 @@
 			took = 0
 		}
 		e.learnRoute(c, took, len(c.body)+len(a.answer.Body))
-		told.TookMS, told.WorkMS = wireMilliseconds(took), wireMilliseconds(work)
 	}
-	e.state.placer.Learn(told.Server, a.result, true, took, work, now)
+	told.TookMS, told.WorkMS = wireMilliseconds(took), wireMilliseconds(work)
+	e.state.placer.Learn(told.Server, told.Result, true, took, work, now)
 	if final != evidence.NotFinal {
 		e.state.placer.Served(c.service, final == evidence.Served, now)
 	}
@@ -338,6 +362,21 @@
 	e.logAttempt(c, a, now)
 }
 
+// evidenceOf is what an attempt's end tells of its server. A failure that a
+// server reports when the time that it was given is up tells no more than its
+// silence until then: the request may just have needed longer.
+func (e *Edge) evidenceOf(c *call, a *attempt) health.Result {
+	given := c.deadline - a.start
+	if a.result == health.ServerError && e.off.On(mechanism.Silence) && a.took >= given-deadlineMargin {
+		return health.Timeout
+	}
+	return a.result
+}
+
+// deadlineMargin is how much before its deadline a server may report that its
+// time is up: the way there and back, and its rounding to milliseconds.
+const deadlineMargin = 15 * time.Millisecond
+
 // tellRefused takes in and tells that a request got no attempt.
 func (e *Edge) tellRefused(c *call) {
 	e.mu.Lock()
@@ -346,12 +385,14 @@
 	e.say(evidence.Message{Refused: []uint32{placement.Hash(c.service)}}, 1)
 }
 
-func (e *Edge) tellLate(a *attempt) {
+// tellLate takes in and tells that an attempt has no answer after a time.
+func (e *Edge) tellLate(a *attempt, age time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	told := e.outstanding(a, 0)
 	told.Result = health.Late
-	e.state.placer.Learn(told.Server, health.Late, true, 0, 0, e.now())
+	told.TookMS, told.WorkMS = wireMilliseconds(age), wireMilliseconds(a.choice.Expected)
+	e.state.placer.Learn(told.Server, health.Late, true, age, a.choice.Expected, e.now())
 	e.say(evidence.Message{Attempts: []evidence.Attempt{told}}, 1)
 }
 
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -38,6 +38,11 @@
 	// Waiting makes each round of requests before a request cost something
 	// beside its time.
 	Waiting Name = "waiting"
+	// Silence takes the time that an attempt has been without an answer, against
+	// what such answers take, as evidence while it grows.
+	Silence Name = "silence"
+	// Bounded lets no delay cost as much as a lost request.
+	Bounded Name = "bounded"
 	// Hedge asks a second server when a lookup's answer is late.
 	Hedge Name = "hedge"
 	// Rank lets less urgent requests wait for less of their time.
@@ -50,7 +55,7 @@
 
 // All are the names of all mechanisms.
 var All = []Name{
-	Spread, Newcomer, Keep, Probe, Chance, Spells, Paths, Slowness, Crossing, Crowding, Waiting, Hedge, Rank, Tolerance, Fresh,
+	Spread, Newcomer, Keep, Probe, Chance, Spells, Paths, Slowness, Crossing, Crowding, Waiting, Silence, Bounded, Hedge, Rank, Tolerance, Fresh,
 }
 
 // Off are the mechanisms that are switched off. The zero value is none.
--- a/placement/belief.go
+++ b/placement/belief.go
@@ -110,6 +110,13 @@
 		s.failure, s.failedAt = r, t
 	}
 	s.hear(r, own)
+	if r == health.OK && s.late {
+		// It was merely slow: what its silence seemed to tell is void.
+		s.spell = s.beforeLate
+	}
+	if r != health.Cancelled {
+		s.late = false
+	}
 	switch r {
 	case health.OK:
 		s.spell.learn(spells, t, answeredIs)
@@ -133,6 +140,37 @@
 	}
 }
 
+// learnSilence takes in that an attempt has been without an answer for a time,
+// or ended so. An attempt that was allowed less time than its work may need says
+// next to nothing of the server; one that hangs says more with each step, and is
+// known to all long before it times out.
+func (s *server) learnSilence(g *service, r health.Result, own bool, age, expected, t time.Duration) {
+	x := LateSteps[len(LateSteps)-1]
+	if age > 0 && expected > 0 {
+		x = float64(age) / float64(expected)
+	}
+	if x >= pathAfter {
+		s.hear(r, own)
+	}
+	if !s.late {
+		s.late, s.beforeLate = true, belief{s.spell.now(spells, t), t}
+	}
+	s.spell.learn(spells, t, g.spreading.silence(x, stepBefore(x)))
+	if own && x >= pathAfter {
+		s.path.learn(paths, t, silentPathIs)
+		s.lastFail = t
+	}
+	if r == health.Timeout {
+		s.late = false
+		s.failure, s.failedAt = r, t
+	}
+}
+
+// pathAfter is the age of an own attempt, in expected times, from which its
+// silence is also held against the path: a cut loses everything, so that there
+// is time to be sure.
+const pathAfter = 2.4
+
 // hear notes whether the server answers at all. That another instance gets no
 // connection says nothing of this one's path: with a path in five cut, all
 // servers had such a failure last, and were left out of use for seconds.
--- a/placement/costs.go
+++ b/placement/costs.go
@@ -24,6 +24,11 @@
 	// The time alone costs so little against the risk of an unknown server that
 	// load piled up at few known ones, and one answer in seven was late.
 	waiting = 0.2
+	// delayMost bounds the cost of any delay: a late answer is worth a third or
+	// so of one in time, a lost request nothing. Without the bound, while every
+	// other server had a queue, one that answered errors at once had none and
+	// got request after request at a risk of 0.8.
+	delayMost = 0.7
 	// crossing is the cost of leaving the data centre for a few bytes, and
 	// crossingPerKB for each kilobyte of request and answer, at most
 	// crossingMost: a caller's answer is worth more than any link.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -72,7 +72,7 @@
 	services map[string]*service
 	byID     map[string]*server
 	byHash   map[uint32]*server
-	off            mechanism.Off
+	off      mechanism.Off
 	// disturbedUntil is how long requests are taken to go unserved unheard.
 	disturbedUntil time.Duration
 }
@@ -82,8 +82,9 @@
 	// since is when the first of them became known.
 	since time.Duration
 	// work is the usual time of the service's requests, all kinds together.
-	work     time.Duration
-	outcomes outcomes
+	work      time.Duration
+	outcomes  outcomes
+	spreading spreading
 }
 
 // never is the time of what hasn't happened. With 0, an instance that has just
@@ -150,7 +151,7 @@
 func (p *Placer) service(name string) *service {
 	s, ok := p.services[name]
 	if !ok {
-		s = &service{}
+		s = &service{spreading: newSpreading()}
 		p.services[name] = s
 	}
 	return s
@@ -236,19 +237,32 @@
 
 // Learn takes in the result of an attempt. Took is the time of an answer, 0 if
 // it is unknown or the request had to wait for a slot; work is what a server
-// of mean speed takes for such a request.
+// of mean speed takes for such a request. Of an attempt without an answer, late
+// or timed out, took is how long it has been out and work what was expected; 0
+// if that isn't known.
 // Own says that the attempt was this instance's.
 func (p *Placer) Learn(hash uint32, r health.Result, own bool, took, work, now time.Duration) {
 	s, ok := p.byHash[hash]
 	if !ok {
 		return
 	}
-	s.learn(r, own && p.off.On(mechanism.Paths), now)
+	g := p.service(s.entry.Service)
+	own = own && p.off.On(mechanism.Paths)
+	if silent := r == health.Late || r == health.Timeout; silent && p.off.On(mechanism.Silence) {
+		s.learnSilence(g, r, own, took, work, now)
+		return
+	}
+	if r == health.Late && took < 3*work {
+		return
+	}
+	s.learn(r, own, now)
 	if r == health.OK {
 		if p.off.On(mechanism.Slowness) {
 			s.measure(took, work)
 		}
-		g := p.service(s.entry.Service)
+		if took > 0 && work > 0 {
+			g.spreading.measure(float64(took) / (float64(work) * s.slowness))
+		}
 		g.work += time.Duration(workSmoothing * float64(work-g.work))
 	}
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -24,6 +24,9 @@
 	// failure is how the last failed attempt went, at failedAt; OK if none did.
 	failure  health.Result
 	failedAt time.Duration
+	// late says that an attempt is late since beforeLate was what was believed.
+	late       bool
+	beforeLate belief
 	// silent says that the server, or this instance's path to it, gave no sign
 	// at the last attempt that tells of that.
 	silent bool
@@ -43,27 +46,40 @@
 	out := s.count(now)
 	risk := s.risk(off, now)
 	expected := s.expected(r.Work, queued, out, now)
-	cost := risk
+	cost := s.delayCost(off, r, expected, out)
+	if off.On(mechanism.Bounded) {
+		cost = (1 - risk) * bounded(cost)
+	}
 	if r.Repeatable {
-		cost *= riskRepeatable
+		cost += risk * riskRepeatable
+	} else {
+		cost += risk
+	}
+	if s.entry.DataCentre != r.DataCentre && off.On(mechanism.Crossing) {
+		cost += math.Min(crossing+crossingPerKB*r.KB, crossingMost)
 	}
+	if len(r.Tried) == 0 {
+		cost -= s.pull(off, r, now, out, risk, wide, random)
+	}
+	return Choice{Server: s.entry, Expected: max(expected, ExpectedLeast), Outstanding: out, Risk: risk, Cost: cost}
+}
+
+// delayCost is what the expected time costs a request that doesn't fail.
+func (s *server) delayCost(off mechanism.Off, r Request, expected time.Duration, out int) float64 {
 	late := float64(expected) / float64(max(r.Aim, time.Millisecond))
-	cost += timeCost*math.Min(late, mostLate) + lateCost*clamp((late-0.8)/0.7)
+	cost := timeCost*math.Min(late, mostLate) + lateCost*clamp((late-0.8)/0.7)
 	if out+1 >= s.entry.Slots && off.On(mechanism.Crowding) {
 		cost += crowding
 	}
 	if off.On(mechanism.Waiting) {
 		cost += waiting * s.ahead(out)
 	}
-	if s.entry.DataCentre != r.DataCentre && off.On(mechanism.Crossing) {
-		cost += math.Min(crossing+crossingPerKB*r.KB, crossingMost)
-	}
-	if len(r.Tried) == 0 {
-		cost -= s.pull(off, r, now, out, risk, wide, random)
-	}
-	return Choice{Server: s.entry, Expected: expected, Outstanding: out, Risk: risk, Cost: cost}
+	return cost
 }
 
+// bounded keeps the order of costs and lets none reach delayMost.
+func bounded(cost float64) float64 { return cost / math.Pow(1+math.Pow(cost/delayMost, 4), 0.25) }
+
 // pull is what speaks for sending a request to a server that got none for a
 // while, whatever it costs. A request that has failed once isn't used to find
 // out anything.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -134,7 +134,7 @@
 // DecideHedge says whether a late attempt gets a second one beside it.
 func DecideHedge(now time.Duration, a Attempt, b *Budget) Decision {
 	a.Result = health.Late
-	if a.Running > 1 || refusal(now, a, b.settings) != "" || !a.Room || !b.takeHedge() {
+	if refusal(now, a, b.settings) != "" || !a.Room || !b.takeHedge() {
 		return Decision{Action: Wait, Reason: ReasonRunning}
 	}
 	return Decision{Action: Hedge, Reason: ReasonHedge}
