--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -345,6 +345,10 @@
 			took = 0
 		}
 		e.learnRoute(c, took, len(c.body)+len(a.answer.Body))
+		if a.steps > 0 {
+			// It was told as late, which its answer makes void.
+			took, work = a.took, min(work, a.choice.Expected)
+		}
 	}
 	told.TookMS, told.WorkMS = wireMilliseconds(took), wireMilliseconds(work)
 	e.state.placer.Learn(told.Server, told.Result, true, took, work, now)
--- a/lab/instance.go
+++ b/lab/instance.go
@@ -101,11 +101,16 @@
 	}
 	if r == health.OK {
 		took = i.world.now - a.start
-		if a.choice.Outstanding >= a.choice.Server.Slots {
-			took = 0
-		} else {
+		waited := a.choice.Outstanding >= a.choice.Server.Slots
+		if !waited {
 			i.work[c.kind] = work + time.Duration(smoothing*float64(took-work))
 		}
+		switch {
+		case a.steps > 0:
+			work = min(work, a.choice.Expected)
+		case waited:
+			took = 0
+		}
 	}
 	learn := func(o *instance, own bool) {
 		o.placer.Learn(a.server.hash, r, own, took, work, o.world.now)
--- a/placement/belief.go
+++ b/placement/belief.go
@@ -110,27 +110,23 @@
 		s.failure, s.failedAt = r, t
 	}
 	s.hear(r, own)
-	if r == health.OK && s.late {
-		// It was merely slow: what its silence seemed to tell is void.
-		s.spell = s.beforeLate
-	}
-	if r != health.Cancelled {
-		s.late = false
+	if r == health.OK || r.Failed() {
+		s.failed = r.Failed()
 	}
 	switch r {
 	case health.OK:
-		s.spell.learn(spells, t, answeredIs)
+		s.learnSpell(t, answeredIs)
 		if own {
 			s.path.learn(paths, t, goodPathIs)
 		}
 	case health.Incomplete, health.Mismatch:
-		s.spell.learn(spells, t, resetIs)
+		s.learnSpell(t, resetIs)
 		s.lastFail = t
 	case health.ServerError:
-		s.spell.learn(spells, t, failedIs)
+		s.learnSpell(t, failedIs)
 		s.lastFail = t
 	case health.ConnectFailed, health.Late, health.Timeout:
-		s.spell.learn(spells, t, silentServerIs)
+		s.learnSpell(t, silentServerIs)
 		if own {
 			s.path.learn(paths, t, silentPathIs)
 			s.lastFail = t
@@ -140,6 +136,24 @@
 	}
 }
 
+// learnSpell takes in what a result tells of the server, also for what would be
+// believed without the silence of an attempt that is late.
+func (s *server) learnSpell(t time.Duration, l likelihood) {
+	s.spell.learn(spells, t, l)
+	if s.late {
+		s.beforeLate.learn(spells, t, l)
+	}
+}
+
+// voidSilence takes in that an attempt that had been told as late was answered:
+// what its silence seemed to tell is void. The answer of another attempt doesn't
+// do that; a server in a spell answers one request in five.
+func (s *server) voidSilence(r health.Result, took, work time.Duration) {
+	if r == health.OK && s.late && took >= LateAt(work, 0) {
+		s.spell, s.late = s.beforeLate, false
+	}
+}
+
 // learnSilence takes in that an attempt has been without an answer for a time,
 // or ended so. An attempt that was allowed less time than its work may need says
 // next to nothing of the server; one that hangs says more with each step, and is
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -85,6 +85,8 @@
 	work      time.Duration
 	outcomes  outcomes
 	spreading spreading
+	// lookups is the share of the requests that can be repeated.
+	lookups float64
 }
 
 // never is the time of what hasn't happened. With 0, an instance that has just
@@ -162,12 +164,13 @@
 func (p *Placer) Choose(r Request, now time.Duration, random func() float64) (Choice, bool) {
 	g := p.service(r.Service)
 	wide := p.wide(g, now)
+	g.count(r)
 	best, found := Choice{Cost: math.Inf(1)}, false
 	for _, s := range g.servers {
 		if s.entry.Draining || contains(r.Tried, s.entry.ID) {
 			continue
 		}
-		c := s.weigh(p.off, r, g.work, now, wide, random)
+		c := s.weigh(p.off, g, r, now, wide, random)
 		c.Cost += jitter * random()
 		if c.Cost < best.Cost {
 			best, found = c, true
@@ -176,6 +179,18 @@
 	return best, found
 }
 
+// count takes in a request that comes for the first time.
+func (g *service) count(r Request) {
+	if len(r.Tried) > 0 {
+		return
+	}
+	x := 0.0
+	if r.Repeatable {
+		x = 1
+	}
+	g.lookups += lookupsSmoothing * (x - g.lookups)
+}
+
 // wide reports whether more of the servers should be in use.
 func (p *Placer) wide(g *service, now time.Duration) bool {
 	if !p.off.On(mechanism.Spread) {
@@ -255,6 +270,7 @@
 	if r == health.Late && took < 3*work {
 		return
 	}
+	s.voidSilence(r, took, work)
 	s.learn(r, own, now)
 	if r == health.OK {
 		if p.off.On(mechanism.Slowness) {
--- a/placement/server.go
+++ b/placement/server.go
@@ -21,6 +21,8 @@
 	lastUse  time.Duration
 	lastFail time.Duration
 	used     bool
+	// failed says that the last that is known of it is a failure.
+	failed bool
 	// failure is how the last failed attempt went, at failedAt; OK if none did.
 	failure  health.Result
 	failedAt time.Duration
@@ -41,25 +43,27 @@
 }
 
 // weigh returns what it would cost to send the request to this server.
-// The requests before it take as long as is usual at its service (queued).
-func (s *server) weigh(off mechanism.Off, r Request, queued, now time.Duration, wide bool, random func() float64) Choice {
+func (s *server) weigh(off mechanism.Off, g *service, r Request, now time.Duration, wide bool, random func() float64) Choice {
 	out := s.count(now)
 	risk := s.risk(off, now)
-	expected := s.expected(r.Work, queued, out, now)
+	expected := s.expected(r.Work, g.work, out, now)
 	cost := s.delayCost(off, r, expected, out)
 	if off.On(mechanism.Bounded) {
 		cost = (1 - risk) * bounded(cost)
 	}
-	if r.Repeatable {
+	switch {
+	case r.Repeatable && r.RoomToRepeat && len(r.Tried) == 0 && off.On(mechanism.Scouts):
+		cost += risk * riskScout
+	case r.Repeatable:
 		cost += risk * riskRepeatable
-	} else {
+	default:
 		cost += risk
 	}
 	if s.entry.DataCentre != r.DataCentre && off.On(mechanism.Crossing) {
 		cost += math.Min(crossing+crossingPerKB*r.KB, crossingMost)
 	}
 	if len(r.Tried) == 0 {
-		cost -= s.pull(off, r, now, out, risk, wide, random)
+		cost -= s.pull(off, g, r, now, out, risk, wide, random)
 	}
 	return Choice{Server: s.entry, Expected: max(expected, ExpectedLeast), Outstanding: out, Risk: risk, Cost: cost}
 }
@@ -83,7 +87,7 @@
 // pull is what speaks for sending a request to a server that got none for a
 // while, whatever it costs. A request that has failed once isn't used to find
 // out anything.
-func (s *server) pull(off mechanism.Off, r Request, now time.Duration, out int, risk float64, wide bool, random func() float64) float64 {
+func (s *server) pull(off mechanism.Off, g *service, r Request, now time.Duration, out int, risk float64, wide bool, random func() float64) float64 {
 	if !off.On(mechanism.Chance) {
 		random = func() float64 { return 0 }
 	}
@@ -92,7 +96,7 @@
 		return spread
 	case off.On(mechanism.Newcomer) && !s.used && out == 0 && due(now-s.since-newcomerAfter, random):
 		return newcomer
-	case off.On(mechanism.Keep) && s.used && risk < keepRisk && due(now-s.lastUse-keepAfter, random):
+	case off.On(mechanism.Keep) && s.used && risk < keepRisk && !s.leftToLookups(off, g, r) && due(now-s.lastUse-keepAfter, random):
 		return keep
 	case off.On(mechanism.Probe) && r.Repeatable && r.RoomToRepeat && !s.silent && due(now-s.lastUse-probeAfter, random):
 		return probe
@@ -101,6 +105,12 @@
 	}
 }
 
+// leftToLookups reports whether a server that failed last is left to lookups to
+// find out about, because there are enough of them.
+func (s *server) leftToLookups(off mechanism.Off, g *service, r Request) bool {
+	return off.On(mechanism.Scouts) && !r.Repeatable && s.failed && g.lookups > lookupsEnough
+}
+
 // due reports whether a request acts on something that has been due for so
 // long. All instances see it become due at the same moment, and hear of each
 // other's requests some ten milliseconds later: without chance, every request
