Lines leave an age out that isn't known; a red test of entry tells what the instance knows

Cause: age at each start: the value that stands for never heard reached the lines. Change: freshness.Unknown has a name, and lines leave the field out.

--- a/edge/answer.go
+++ b/edge/answer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"foxtailspoke/event"
+	"foxtailspoke/freshness"
 	"foxtailspoke/platform"
 )
 
@@ -130,7 +131,7 @@
 	attrs := []slog.Attr{
 		slog.String("request", c.id), slog.Int("status", status), slog.String("rule", string(rule)),
 		slog.Int64("took_ms", (now - c.start).Milliseconds()),
-		slog.Uint64("version", uint64(c.version)), slog.Int64("age_ms", milli(c.keyAge)),
+		slog.Uint64("version", uint64(c.version)), ageOf(c.keyAge),
 	}
 	if c.route != nil {
 		attrs = append(attrs, slog.String("route", c.route.Name), slog.String("service", c.service),
@@ -165,6 +166,14 @@
 	event.LinesLeftOut.Log(e.log, slog.Uint64("count", count))
 }
 
+// ageOf is the attribute of an age, left out if it isn't known.
+func ageOf(d time.Duration) slog.Attr {
+	if d == freshness.Unknown {
+		return slog.Attr{}
+	}
+	return slog.Int64("age_ms", d.Milliseconds())
+}
+
 // milli is whole milliseconds; -1 for an age that isn't known.
 func milli(d time.Duration) int64 {
 	if d > time.Hour {
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -12,6 +12,7 @@
 	"foxtailspoke/discovery"
 	"foxtailspoke/event"
 	"foxtailspoke/evidence"
+	"foxtailspoke/freshness"
 	"foxtailspoke/platform"
 	"foxtailspoke/replica"
 )
@@ -199,7 +200,7 @@
 // keyAge is how old the proof of the configuration in force is.
 func (e *Edge) keyAge(now time.Duration) time.Duration {
 	if !e.state.proved {
-		return 1<<62 - 1
+		return freshness.Unknown
 	}
 	return e.state.clock.Age(e.state.configProof, now)
 }
@@ -211,9 +212,9 @@
 	if lost := age > lostAfter; lost != s.storeLost {
 		s.storeLost = lost
 		if lost {
-			event.PlatformUnavailable.Log(e.log, slog.Duration("age", age))
+			event.PlatformUnavailable.Log(e.log, ageOf(age))
 		} else {
-			event.PlatformReturned.Log(e.log, slog.Duration("age", age))
+			event.PlatformReturned.Log(e.log, ageOf(age))
 		}
 	}
 }
--- a/entry/probe_test.go
+++ b/entry/probe_test.go
@@ -34,7 +34,11 @@
 	eventually(t, "it is ejected", func() bool { load(); return ejected() })
 	from := len(w.executions("/catalogue/"))
 	eventually(t, "probes reach its own path", func() bool { load(); return len(w.executions("/catalogue/")) >= from+5 })
-	must.True(t, ejected())
+	if !ejected() {
+		status, err := w.operators(e).GetStatus(context.Background())
+		must.NoError(t, err)
+		t.Fatalf("not ejected any more; the instance says: %+v", status)
+	}
 	w.fault(standin.BackendFaults{})
 	eventually(t, "it returns", func() bool { load(); return !ejected() })
 }
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -60,7 +60,7 @@
 // Age is how long ago the store made the answer with this stamp.
 func (c *Clock) Age(stamp, now time.Duration) time.Duration {
 	if !c.known {
-		return 1<<62 - 1
+		return Unknown
 	}
 	return now - c.offset - stamp
 }
--- a/freshness/poll.go
+++ b/freshness/poll.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// Unknown is the age of what was never heard: older than any bound.
+const Unknown = time.Duration(1<<62 - 1)
+
 // Poll says when this instance asks the store itself.
 //
 // There are no elected readers: whoever finds that its knowledge is older than
@@ -91,7 +94,7 @@
 // Age of the newest proof.
 func (p *Poll) Age(now time.Duration) time.Duration {
 	if !p.proved {
-		return 1<<62 - 1
+		return Unknown
 	}
 	return now - p.proof
 }
