placement: silence weighs by what was told before; scouts and the bound on delay are reverted

Causes found in the lines: lookups probed hanging servers again, because the mark that a server is silent was set at 2.4 expected times and ages in whole milliseconds fell short of it; waits for a slot counted as slowness; the timer of an attempt went off at the deadline; answers of a few milliseconds widened the spread until no silence told anything; the first silence of a route that was never answered told nothing.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -160,21 +160,26 @@
 // untilLate is the time until an attempt is to be told as late, or later than it
 // was told.
 func (r *runner) untilLate() time.Duration {
-	next := r.c.deadline
+	next := r.c.deadline + neverLate
 	for _, a := range r.running {
 		if a.steps < len(placement.LateSteps) {
-			next = min(next, a.start+placement.LateAt(a.choice.Expected, a.steps))
+			next = min(next, a.start+a.choice.LateAt(a.steps))
 		}
 	}
 	return max(next-r.e.now(), 0)
 }
 
+// neverLate puts off the timer where nothing is to be told before the deadline.
+// If it went off at the deadline itself, its work would delay the last answer,
+// which some callers then didn't get in time.
+const neverLate = time.Hour
+
 // checkLate tells which attempts are late, and asks another server if all are
 // and the request may run twice.
 func (r *runner) checkLate() {
 	now, patient := r.e.now(), 0
 	for _, a := range r.running {
-		if a.steps < len(placement.LateSteps) && now-a.start >= placement.LateAt(a.choice.Expected, a.steps) {
+		if a.steps < len(placement.LateSteps) && now-a.start >= a.choice.LateAt(a.steps) {
 			a.steps++
 			r.e.tellLate(a, now-a.start)
 		}
@@ -336,19 +341,15 @@
 	work := e.statsOf(c.route).work
 	var took time.Duration
 	if told.Result == health.Timeout {
-		took, work = a.took, a.choice.Expected
+		took, work = a.took, e.patience(c, a)
 	}
 	if a.result == health.OK {
 		took = a.took
-		if a.choice.Outstanding >= a.choice.Server.Slots {
+		if a.choice.Waits() {
 			// It had to wait; its time says nothing of the server's speed.
 			took = 0
 		}
 		e.learnRoute(c, took, len(c.body)+len(a.answer.Body))
-		if a.steps > 0 {
-			// It was told as late, which its answer makes void.
-			took, work = a.took, min(work, a.choice.Expected)
-		}
 	}
 	told.TookMS, told.WorkMS = wireMilliseconds(took), wireMilliseconds(work)
 	e.state.placer.Learn(told.Server, told.Result, true, took, work, now)
@@ -377,6 +378,16 @@
 	return a.result
 }
 
+// patience is the time against which an attempt's silence is weighed.
+func (e *Edge) patience(c *call, a *attempt) time.Duration {
+	stats := e.statsOf(c.route)
+	if stats.answered {
+		return a.choice.Patience()
+	}
+	stats.silent++
+	return placement.PatienceUnproved(a.took, stats.silent)
+}
+
 // deadlineMargin is how much before its deadline a server may report that its
 // time is up: the way there and back, and its rounding to milliseconds.
 const deadlineMargin = 15 * time.Millisecond
@@ -395,8 +406,8 @@
 	defer e.mu.Unlock()
 	told := e.outstanding(a, 0)
 	told.Result = health.Late
-	told.TookMS, told.WorkMS = wireMilliseconds(age), wireMilliseconds(a.choice.Expected)
-	e.state.placer.Learn(told.Server, health.Late, true, age, a.choice.Expected, e.now())
+	told.TookMS, told.WorkMS = wireMilliseconds(age), wireMilliseconds(a.choice.Patience())
+	e.state.placer.Learn(told.Server, health.Late, true, age, a.choice.Patience(), e.now())
 	e.say(evidence.Message{Attempts: []evidence.Attempt{told}}, 1)
 }
 
--- a/lab/caller.go
+++ b/lab/caller.go
@@ -101,7 +101,7 @@
 	if a.steps >= len(placement.LateSteps) {
 		return
 	}
-	at := a.start + placement.LateAt(a.choice.Expected, a.steps)
+	at := a.start + a.choice.LateAt(a.steps)
 	c.world.after(at-c.world.now, func() {
 		if c.over || c.sent != sent || !slices.Contains(c.running, a) {
 			return
--- a/lab/instance.go
+++ b/lab/instance.go
@@ -97,19 +97,14 @@
 	work := i.workOf(c.kind)
 	var took time.Duration
 	if r == health.Timeout {
-		took, work = i.world.now-a.start, a.choice.Expected
+		took, work = i.world.now-a.start, a.choice.Patience()
 	}
 	if r == health.OK {
 		took = i.world.now - a.start
-		waited := a.choice.Outstanding >= a.choice.Server.Slots
-		if !waited {
-			i.work[c.kind] = work + time.Duration(smoothing*float64(took-work))
-		}
-		switch {
-		case a.steps > 0:
-			work = min(work, a.choice.Expected)
-		case waited:
+		if a.choice.Waits() {
 			took = 0
+		} else {
+			i.work[c.kind] = work + time.Duration(smoothing*float64(took-work))
 		}
 	}
 	learn := func(o *instance, own bool) {
@@ -128,7 +123,7 @@
 
 // late takes in and tells that an attempt takes longer than it should.
 func (i *instance) late(a *attempt) {
-	age, expected := i.world.now-a.start, a.choice.Expected
+	age, expected := i.world.now-a.start, a.choice.Patience()
 	i.placer.Learn(a.server.hash, health.Late, true, age, expected, i.world.now)
 	i.tell(func(o *instance) { o.placer.Learn(a.server.hash, health.Late, false, age, expected, o.world.now) })
 }
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -41,10 +41,6 @@
 	// Silence takes the time that an attempt has been without an answer, against
 	// what such answers take, as evidence while it grows.
 	Silence Name = "silence"
-	// Scouts send lookups where little is known, so that orders needn't go there.
-	Scouts Name = "scouts"
-	// Bounded lets no delay cost as much as a lost request.
-	Bounded Name = "bounded"
 	// Hedge asks a second server when a lookup's answer is late.
 	Hedge Name = "hedge"
 	// Rank lets less urgent requests wait for less of their time.
@@ -57,7 +53,7 @@
 
 // All are the names of all mechanisms.
 var All = []Name{
-	Spread, Newcomer, Keep, Probe, Chance, Spells, Paths, Slowness, Crossing, Crowding, Waiting, Silence, Scouts, Bounded, Hedge, Rank, Tolerance, Fresh,
+	Spread, Newcomer, Keep, Probe, Chance, Spells, Paths, Slowness, Crossing, Crowding, Waiting, Silence, Hedge, Rank, Tolerance, Fresh,
 }
 
 // Off are the mechanisms that are switched off. The zero value is none.
--- a/placement/belief.go
+++ b/placement/belief.go
@@ -110,9 +110,6 @@
 		s.failure, s.failedAt = r, t
 	}
 	s.hear(r, own)
-	if r == health.OK || r.Failed() {
-		s.failed = r.Failed()
-	}
 	switch r {
 	case health.OK:
 		s.learnSpell(t, answeredIs)
@@ -149,8 +146,11 @@
 // what its silence seemed to tell is void. The answer of another attempt doesn't
 // do that; a server in a spell answers one request in five.
 func (s *server) voidSilence(r health.Result, took, work time.Duration) {
-	if r == health.OK && s.late && took >= LateAt(work, 0) {
-		s.spell, s.late = s.beforeLate, false
+	if r == health.OK && s.late && took >= lateAt(work, 0) {
+		s.spell = s.beforeLate
+	}
+	if r != health.OK || took >= lateAt(work, 0) {
+		s.late = false
 	}
 }
 
@@ -163,14 +163,17 @@
 	if age > 0 && expected > 0 {
 		x = float64(age) / float64(expected)
 	}
-	if x >= pathAfter {
+	if x >= roughly*LateSteps[0] {
 		s.hear(r, own)
 	}
+	before := stepBefore(x)
 	if !s.late {
+		// Nothing was told of it before, or the message was lost.
+		before = 0
 		s.late, s.beforeLate = true, belief{s.spell.now(spells, t), t}
 	}
-	s.spell.learn(spells, t, g.spreading.silence(x, stepBefore(x)))
-	if own && x >= pathAfter {
+	s.spell.learn(spells, t, g.spreading.silence(x, before))
+	if own && x >= roughly*pathAfter {
 		s.path.learn(paths, t, silentPathIs)
 		s.lastFail = t
 	}
@@ -185,6 +188,9 @@
 // is time to be sure.
 const pathAfter = 2.4
 
+// roughly allows for ages that other instances tell in whole milliseconds.
+const roughly = 0.95
+
 // hear notes whether the server answers at all. That another instance gets no
 // connection says nothing of this one's path: with a path in five cut, all
 // servers had such a failure last, and were left out of use for seconds.
--- a/placement/costs.go
+++ b/placement/costs.go
@@ -9,9 +9,6 @@
 	// again. It then has to wait all the same, has lost time, and has taken from
 	// a scarce budget; so it is hardly less than for one that can't.
 	riskRepeatable = 0.8
-	// riskScout is the cost of failing for a lookup while there is ample room to
-	// repeat it.
-	riskScout = 0.4
 	// timeCost is the cost of an expected time as long as the aim.
 	timeCost = 0.3
 	// mostLate is the expected time, in aims, above which waiting longer costs
@@ -27,11 +24,6 @@
 	// The time alone costs so little against the risk of an unknown server that
 	// load piled up at few known ones, and one answer in seven was late.
 	waiting = 0.2
-	// delayMost bounds the cost of any delay: no delay is worse for a caller than
-	// a lost request. Without the bound, while every
-	// other server had a queue, one that answered errors at once had none and
-	// got request after request at a risk of 0.8.
-	delayMost = 1.0
 	// crossing is the cost of leaving the data centre for a few bytes, and
 	// crossingPerKB for each kilobyte of request and answer, at most
 	// crossingMost: a caller's answer is worth more than any link.
@@ -54,10 +46,6 @@
 )
 
 const (
-	// lookupsSmoothing is the weight of a request in the share of lookups, and
-	// lookupsEnough the share from which orders leave finding out to them.
-	lookupsSmoothing = 0.02
-	lookupsEnough    = 0.1
 	// newcomerAfter leaves a server's entry time to reach all instances.
 	newcomerAfter = 500 * time.Millisecond
 	// widenAbove is the share of unserved requests from which a service's
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -85,8 +85,6 @@
 	work      time.Duration
 	outcomes  outcomes
 	spreading spreading
-	// lookups is the share of the requests that can be repeated.
-	lookups float64
 }
 
 // never is the time of what hasn't happened. With 0, an instance that has just
@@ -164,7 +162,6 @@
 func (p *Placer) Choose(r Request, now time.Duration, random func() float64) (Choice, bool) {
 	g := p.service(r.Service)
 	wide := p.wide(g, now)
-	g.count(r)
 	best, found := Choice{Cost: math.Inf(1)}, false
 	for _, s := range g.servers {
 		if s.entry.Draining || contains(r.Tried, s.entry.ID) {
@@ -179,18 +176,6 @@
 	return best, found
 }
 
-// count takes in a request that comes for the first time.
-func (g *service) count(r Request) {
-	if len(r.Tried) > 0 {
-		return
-	}
-	x := 0.0
-	if r.Repeatable {
-		x = 1
-	}
-	g.lookups += lookupsSmoothing * (x - g.lookups)
-}
-
 // wide reports whether more of the servers should be in use.
 func (p *Placer) wide(g *service, now time.Duration) bool {
 	if !p.off.On(mechanism.Spread) {
@@ -276,9 +261,7 @@
 		if p.off.On(mechanism.Slowness) {
 			s.measure(took, work)
 		}
-		if took > 0 && work > 0 {
-			g.spreading.measure(float64(took) / (float64(work) * s.slowness))
-		}
+		g.spreading.measure(took, time.Duration(float64(work)*s.slowness))
 		g.work += time.Duration(workSmoothing * float64(work-g.work))
 	}
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -21,8 +21,6 @@
 	lastUse  time.Duration
 	lastFail time.Duration
 	used     bool
-	// failed says that the last that is known of it is a failure.
-	failed bool
 	// failure is how the last failed attempt went, at failedAt; OK if none did.
 	failure  health.Result
 	failedAt time.Duration
@@ -48,22 +46,16 @@
 	risk := s.risk(off, now)
 	expected := s.expected(r.Work, g.work, out, now)
 	cost := s.delayCost(off, r, expected, out)
-	if off.On(mechanism.Bounded) {
-		cost = (1 - risk) * bounded(cost)
-	}
-	switch {
-	case r.Repeatable && r.RoomToRepeat && len(r.Tried) == 0 && off.On(mechanism.Scouts):
-		cost += risk * riskScout
-	case r.Repeatable:
+	if r.Repeatable {
 		cost += risk * riskRepeatable
-	default:
+	} else {
 		cost += risk
 	}
 	if s.entry.DataCentre != r.DataCentre && off.On(mechanism.Crossing) {
 		cost += math.Min(crossing+crossingPerKB*r.KB, crossingMost)
 	}
 	if len(r.Tried) == 0 {
-		cost -= s.pull(off, g, r, now, out, risk, wide, random)
+		cost -= s.pull(off, r, now, out, risk, wide, random)
 	}
 	return Choice{Server: s.entry, Expected: max(expected, ExpectedLeast), Outstanding: out, Risk: risk, Cost: cost}
 }
@@ -81,13 +73,10 @@
 	return cost
 }
 
-// bounded keeps the order of costs and lets none reach delayMost.
-func bounded(cost float64) float64 { return cost / math.Pow(1+math.Pow(cost/delayMost, 4), 0.25) }
-
 // pull is what speaks for sending a request to a server that got none for a
 // while, whatever it costs. A request that has failed once isn't used to find
 // out anything.
-func (s *server) pull(off mechanism.Off, g *service, r Request, now time.Duration, out int, risk float64, wide bool, random func() float64) float64 {
+func (s *server) pull(off mechanism.Off, r Request, now time.Duration, out int, risk float64, wide bool, random func() float64) float64 {
 	if !off.On(mechanism.Chance) {
 		random = func() float64 { return 0 }
 	}
@@ -96,7 +85,7 @@
 		return spread
 	case off.On(mechanism.Newcomer) && !s.used && out == 0 && due(now-s.since-newcomerAfter, random):
 		return newcomer
-	case off.On(mechanism.Keep) && s.used && risk < keepRisk && !s.leftToLookups(off, g, r) && due(now-s.lastUse-keepAfter, random):
+	case off.On(mechanism.Keep) && s.used && risk < keepRisk && due(now-s.lastUse-keepAfter, random):
 		return keep
 	case off.On(mechanism.Probe) && r.Repeatable && r.RoomToRepeat && !s.silent && due(now-s.lastUse-probeAfter, random):
 		return probe
@@ -105,12 +94,6 @@
 	}
 }
 
-// leftToLookups reports whether a server that failed last is left to lookups to
-// find out about, because there are enough of them.
-func (s *server) leftToLookups(off mechanism.Off, g *service, r Request) bool {
-	return off.On(mechanism.Scouts) && !r.Repeatable && s.failed && g.lookups > lookupsEnough
-}
-
 // due reports whether a request acts on something that has been due for so
 // long. All instances see it become due at the same moment, and hear of each
 // other's requests some ten milliseconds later: without chance, every request
--- a/placement/silence.go
+++ b/placement/silence.go
@@ -11,11 +11,45 @@
 // first of them times out. More steps would cost messages and tell little more.
 var LateSteps = [...]float64{1.6, 2.4, 4}
 
-// LateAt is the age at which an attempt takes a step, given what was expected.
-func LateAt(expected time.Duration, step int) time.Duration {
-	return time.Duration(LateSteps[step] * float64(expected))
+// LateAt is the age at which an attempt at the chosen server takes a step.
+func (c Choice) LateAt(step int) time.Duration { return lateAt(c.Patience(), step) }
+
+func lateAt(patience time.Duration, step int) time.Duration {
+	return time.Duration(LateSteps[step] * float64(patience))
+}
+
+// Patience is the time from which the age of an attempt is counted in steps: what
+// was expected, and more if the request has to wait for a slot, since nobody
+// knows how far the requests before it have got.
+func (c Choice) Patience() time.Duration {
+	if c.Waits() {
+		return time.Duration(waitsLonger * float64(c.Expected))
+	}
+	return c.Expected
 }
 
+// PatienceUnproved is the patience for a request of a route that was never
+// answered, after so many silent ends, this one included. Nobody knows how long
+// its work takes. Of the first silence a sick server is as likely the cause as a
+// route whose time is too short for its work; a second one speaks for the route.
+func PatienceUnproved(took time.Duration, silent int) time.Duration {
+	if silent > 1 {
+		return took
+	}
+	return time.Duration(float64(took) / unprovedAges)
+}
+
+// unprovedAges is the age in expected times that weighs about as much: 20 times
+// likelier at a server in a spell.
+const unprovedAges = 3.5
+
+// Waits reports whether the request has to wait for a slot, as far as is known.
+func (c Choice) Waits() bool { return c.Outstanding >= c.Server.Slots }
+
+// waitsLonger is how much more patience a request that waits for a slot needs:
+// without it, in a burst nearly every queue made its server a suspect.
+const waitsLonger = 1.5
+
 // ExpectedLeast keeps very short requests from being late by mere chance: the
 // way there and back and a pause of a processor take as long.
 const ExpectedLeast = 40 * time.Millisecond
@@ -42,12 +76,15 @@
 
 func newSpreading() spreading { return spreading{firstDeviation * firstDeviation} }
 
-// measure takes in an answer that took x times what was expected.
-func (s *spreading) measure(x float64) {
-	if x <= 0 {
+// measure takes in how long an answer took against what was expected. Of short
+// requests nothing is learnt: their times lie around the way there and back and
+// the pauses of processors, many times wider than those of any work, and widened
+// the expectation of all until no silence told anything.
+func (s *spreading) measure(took, expected time.Duration) {
+	if took <= 0 || expected < ExpectedLeast {
 		return
 	}
-	l := math.Log(x)
+	l := math.Log(float64(took) / float64(expected))
 	// One outlier must not widen the expectation of all.
 	l = math.Min(math.Max(l, -1.5), 1.5)
 	s.variance += spreadSmoothing * (l*l - s.variance)
@@ -80,7 +117,7 @@
 func stepBefore(x float64) float64 {
 	before := 0.0
 	for _, step := range LateSteps {
-		if step < x*0.999 {
+		if step < x*roughly {
 			before = step
 		}
 	}
