edge: what instances are told of attempts stands in a file of its own

attempts.go had grown to 431 lines with two jobs: driving the attempts of a call, and taking in and telling what became of them. No change of behaviour; tests of edge green.

--- /dev/null
+++ b/edge/tell.go
@@ -0,0 +1,123 @@
+package edge
+
+import (
+	"time"
+
+	"foxtailspoke/evidence"
+	"foxtailspoke/health"
+	"foxtailspoke/mechanism"
+	"foxtailspoke/placement"
+)
+
+// tellStart takes in and tells that an attempt has begun.
+func (e *Edge) tellStart(c *call, a *attempt) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	told := e.outstanding(a, 1)
+	told.Number = uint8(a.number)
+	e.state.repeatsOf(c.service).Count(a.number > 1, e.now())
+	m := evidence.Message{Attempts: []evidence.Attempt{told}}
+	if c.workspace != nil {
+		h := workspaceHash(c.workspace.Name)
+		m.Usage = []evidence.Usage{{Workspace: h, Count: e.state.usage.Own(h)}}
+	}
+	e.say(m, 1)
+}
+
+// outstanding changes the own count of work at a server.
+func (e *Edge) outstanding(a *attempt, change int) evidence.Attempt {
+	s := &e.state
+	h := placement.Hash(a.choice.Server.ID)
+	n := uint16(max(int(s.own[h])+change, 0))
+	if n == 0 {
+		delete(s.own, h)
+	} else {
+		s.own[h] = n
+	}
+	s.placer.Outstanding(h, 0, int(n), e.now())
+	return evidence.Attempt{Server: h, Outstanding: n}
+}
+
+// tellEnd takes in and tells how an attempt ended.
+func (e *Edge) tellEnd(c *call, a *attempt, final evidence.Final) {
+	if a.ends {
+		return
+	}
+	a.ends = true
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	told := e.outstanding(a, -1)
+	told.Ended, told.Result, told.Final = true, e.evidenceOf(c, a), final
+	work := e.statsOf(c.route).work
+	var took time.Duration
+	if told.Result == health.Timeout {
+		took, work = a.took, e.patience(c, a)
+	}
+	if a.result == health.OK {
+		took = a.took
+		if a.choice.Waits() {
+			// It had to wait; its time says nothing of the server's speed.
+			took = 0
+		}
+		e.learnRoute(c, took, len(c.body)+len(a.answer.Body))
+	}
+	told.TookMS, told.WorkMS = wireMilliseconds(took), wireMilliseconds(work)
+	e.state.placer.Learn(told.Server, told.Result, true, took, work, now)
+	if final != evidence.NotFinal {
+		e.state.placer.Served(c.service, final == evidence.Served, now)
+	}
+	delegates := 1
+	if a.result.Failed() {
+		// The first failure of a spell must reach everybody: each request
+		// sent there for want of it may be lost.
+		delegates = surely
+	}
+	e.say(evidence.Message{Attempts: []evidence.Attempt{told}}, delegates)
+	e.metrics.attempts.WithLabelValues(a.result.String()).Inc()
+	e.logAttempt(c, a, now)
+}
+
+// evidenceOf is what an attempt's end tells of its server. A failure that a
+// server reports when the time that it was given is up tells no more than its
+// silence until then: the request may just have needed longer.
+func (e *Edge) evidenceOf(c *call, a *attempt) health.Result {
+	given := c.deadline - a.start
+	if a.result == health.ServerError && e.off.On(mechanism.Silence) && a.took >= given-deadlineMargin {
+		return health.Timeout
+	}
+	return a.result
+}
+
+// patience is the time against which an attempt's silence is weighed.
+func (e *Edge) patience(c *call, a *attempt) time.Duration {
+	stats := e.statsOf(c.route)
+	if stats.answered {
+		return a.choice.Patience()
+	}
+	stats.silent++
+	return placement.PatienceUnproved(a.took, stats.silent)
+}
+
+// deadlineMargin is how much before its deadline a server may report that its
+// time is up: the way there and back, and its rounding to milliseconds.
+const deadlineMargin = 15 * time.Millisecond
+
+// tellRefused takes in and tells that a request got no attempt.
+func (e *Edge) tellRefused(c *call) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.placer.Served(c.service, false, e.now())
+	e.say(evidence.Message{Refused: []uint32{placement.Hash(c.service)}}, 1)
+}
+
+// tellLate takes in and tells that an attempt has no answer after a time.
+func (e *Edge) tellLate(a *attempt, age time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	told := e.outstanding(a, 0)
+	told.Result = health.Late
+	told.TookMS, told.WorkMS = wireMilliseconds(age), wireMilliseconds(a.choice.Patience())
+	e.state.placer.Learn(told.Server, health.Late, true, age, a.choice.Patience(), e.now())
+	e.say(evidence.Message{Attempts: []evidence.Attempt{told}}, 1)
+}
