placement: no answer makes the silence of other attempts void

An answer that took 1.6 usual times restored what was believed before any silence, also that of attempts still out. Change: an answer weighs as any answer; nothing is restored. Tests: TestAnswersOfSomeDontMakeTheSilenceOfOthersVoid (fails before for a slow answer), TestOneLateAnswerLeavesAServerInUse in place of TestOwnAnswerMakesSilenceVoid, which asked for the restoring.

--- a/placement/belief.go
+++ b/placement/belief.go
@@ -112,18 +112,18 @@
 	s.hear(r, own)
 	switch r {
 	case health.OK:
-		s.learnSpell(t, answeredIs)
+		s.spell.learn(spells, t, answeredIs)
 		if own {
 			s.path.learn(paths, t, goodPathIs)
 		}
 	case health.Incomplete, health.Mismatch:
-		s.learnSpell(t, resetIs)
+		s.spell.learn(spells, t, resetIs)
 		s.lastFail = t
 	case health.ServerError:
-		s.learnSpell(t, failedIs)
+		s.spell.learn(spells, t, failedIs)
 		s.lastFail = t
 	case health.ConnectFailed, health.Late, health.Timeout:
-		s.learnSpell(t, silentServerIs)
+		s.spell.learn(spells, t, silentServerIs)
 		if own {
 			s.path.learn(paths, t, silentPathIs)
 			s.lastFail = t
@@ -133,27 +133,6 @@
 	}
 }
 
-// learnSpell takes in what a result tells of the server, also for what would be
-// believed without the silence of an attempt that is late.
-func (s *server) learnSpell(t time.Duration, l likelihood) {
-	s.spell.learn(spells, t, l)
-	if s.late {
-		s.beforeLate.learn(spells, t, l)
-	}
-}
-
-// voidSilence takes in that an attempt that had been told as late was answered:
-// what its silence seemed to tell is void. The answer of another attempt doesn't
-// do that; a server in a spell answers one request in five.
-func (s *server) voidSilence(r health.Result, took, work time.Duration) {
-	if r == health.OK && s.late && took >= lateAt(work, 0) {
-		s.spell = s.beforeLate
-	}
-	if r != health.OK || took >= lateAt(work, 0) {
-		s.late = false
-	}
-}
-
 // learnSilence takes in that an attempt has been without an answer for a time,
 // or ended so. An attempt that was allowed less time than its work may need says
 // next to nothing of the server; one that hangs says more with each step, and is
@@ -167,10 +146,12 @@
 		s.hear(r, own)
 	}
 	before := stepBefore(x)
-	if !s.late {
-		// Nothing was told of it before, or the message was lost.
+	if s.toldLate < t-age {
+		// Nothing was told while it was out, or the message was lost.
 		before = 0
-		s.late, s.beforeLate = true, belief{s.spell.now(spells, t), t}
+	}
+	if r == health.Late {
+		s.toldLate = t
 	}
 	s.spell.learn(spells, t, g.spreading.silence(x, before))
 	if own && x >= roughly*pathAfter {
@@ -178,7 +159,6 @@
 		s.lastFail = t
 	}
 	if r == health.Timeout {
-		s.late = false
 		s.failure, s.failedAt = r, t
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -121,6 +121,7 @@
 			slowness:    1,
 			lastUse:     never,
 			lastFail:    never,
+			toldLate:    never,
 			since:       now,
 			outstanding: make(map[uint32]count),
 		}
@@ -255,7 +256,6 @@
 	if r == health.Late && took < 3*work {
 		return
 	}
-	s.voidSilence(r, took, work)
 	s.learn(r, own, now)
 	if r == health.OK {
 		if p.off.On(mechanism.Slowness) {
--- a/placement/server.go
+++ b/placement/server.go
@@ -24,9 +24,8 @@
 	// failure is how the last failed attempt went, at failedAt; OK if none did.
 	failure  health.Result
 	failedAt time.Duration
-	// late says that an attempt is late since beforeLate was what was believed.
-	late       bool
-	beforeLate belief
+	// toldLate is when an attempt was last told as late.
+	toldLate time.Duration
 	// silent says that the server, or this instance's path to it, gave no sign
 	// at the last attempt that tells of that.
 	silent bool
--- a/placement/silence.go
+++ b/placement/silence.go
@@ -12,10 +12,8 @@
 var LateSteps = [...]float64{1.6, 2.4, 4}
 
 // LateAt is the age at which an attempt at the chosen server takes a step.
-func (c Choice) LateAt(step int) time.Duration { return lateAt(c.Patience(), step) }
-
-func lateAt(patience time.Duration, step int) time.Duration {
-	return time.Duration(LateSteps[step] * float64(patience))
+func (c Choice) LateAt(step int) time.Duration {
+	return time.Duration(LateSteps[step] * float64(c.Patience()))
 }
 
 // Patience is the time from which the age of an attempt is counted in steps: what
