--- a/retry/retry.go
+++ b/retry/retry.go
@@ -66,7 +66,8 @@
 	// MayHaveRun says that an earlier attempt of this request wasn't proved
 	// not run, so that the outcome can't be NotRun any more.
 	MayHaveRun bool
-	// Running counts other attempts of this request that are still out.
+	// Running counts other attempts of this request that are still out. One is
+	// told to DecideHedge for those that are all late together.
 	Running int
 	// Deadline is when the caller's time is up, on the clock of now.
 	Deadline time.Duration
@@ -134,7 +135,7 @@
 // DecideHedge says whether a late attempt gets a second one beside it.
 func DecideHedge(now time.Duration, a Attempt, b *Budget) Decision {
 	a.Result = health.Late
-	if refusal(now, a, b.settings) != "" || !a.Room || !b.takeHedge() {
+	if a.Running > 1 || refusal(now, a, b.settings) != "" || !a.Room || !b.takeHedge() {
 		return Decision{Action: Wait, Reason: ReasonRunning}
 	}
 	return Decision{Action: Hedge, Reason: ReasonHedge}
