--- a/edge/edge.go
+++ b/edge/edge.go
@@ -29,6 +29,7 @@
 	"foxtailspoke/entry/clock"
 	"foxtailspoke/event"
 	"foxtailspoke/evidence"
+	"foxtailspoke/fleet"
 	"foxtailspoke/freshness"
 	"foxtailspoke/logging"
 	"foxtailspoke/mechanism"
@@ -129,12 +130,12 @@
 	budgets map[string]*retry.Shared
 	routes  map[string]*routeStats
 
-	members  map[uint32]*member
+	messenger *fleet.Messenger
+	// rounds goes off when messenger has something to do, at roundsAt; 0 if it
+	// is stopped.
+	rounds   *time.Timer
+	roundsAt time.Duration
 	own      map[uint32]uint16
-	sequence uint32
-	spoke    time.Duration
-	beat     time.Duration
-	relay    [][]byte
 }
 
 // routeStats is what an instance knows of one route's requests.
@@ -186,9 +187,11 @@
 		usage:     usage.NewCounters(),
 		budgets:   make(map[string]*retry.Shared),
 		routes:    make(map[string]*routeStats),
-		members:   make(map[uint32]*member),
 		own:       make(map[uint32]uint16),
 	}
+	e.state.messenger = fleet.NewMessenger(fleet.Settings{
+		Self: e.member(), Epoch: e.epoch, Seeds: e.seeds(), Leaving: func() bool { return !e.readyLocked() }, Stopping: e.stopping.Load,
+	})
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -300,8 +303,13 @@
 	if err != nil || !a.Is4() {
 		return 0, errors.Newf("%q isn't an IPv4 address", ip)
 	}
-	b := a.As4()
-	return binary.BigEndian.Uint32(b[:]), nil
+	return number(a), nil
+}
+
+// number is addressNumber of an address that is known to be IPv4.
+func number(a netip.Addr) uint32 {
+	b := a.Unmap().As4()
+	return binary.BigEndian.Uint32(b[:])
 }
 
 // address is the opposite of addressNumber, with a port.
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -28,7 +28,7 @@
 		return e.takeServers(rows, now)
 	default:
 		for _, r := range rows {
-			e.takeInstance(r)
+			e.takeInstance(r, now)
 		}
 		return rows
 	}
@@ -136,7 +136,7 @@
 	SlowLink   bool   `json:"slowLink,omitempty"`
 }
 
-func (e *Edge) takeInstance(r replica.Row) {
+func (e *Edge) takeInstance(r replica.Row, now time.Duration) {
 	id, err := addressNumber(r.Key)
 	if id == e.self && r.Gone {
 		wake(e.unlisted)
@@ -145,9 +145,7 @@
 		return
 	}
 	if r.Gone {
-		if m, ok := e.state.members[id]; ok {
-			m.listed = false
-		}
+		e.state.messenger.Unlisted(id)
 		return
 	}
 	var d instanceDocument
@@ -155,11 +153,5 @@
 		event.EntryIgnored.Log(e.log, slog.String("instance", r.Key), slog.Any("error", err))
 		return
 	}
-	e.meet(id)
-	m := e.state.members[id]
-	m.listed = true
-	if m.dataCentre == "" {
-		m.dataCentre = d.DataCentre
-		m.slow = d.SlowLink
-	}
+	e.state.messenger.Listed(id, d.DataCentre, d.SlowLink, now)
 }
--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -1,12 +1,14 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"foxtailspoke/evidence"
+	"foxtailspoke/relay"
 )
 
 const (
@@ -85,19 +87,18 @@
 }
 
 // configReaders are the instances of the own data centre that read the
-// configuration, the same for all of them: those with fast links first, in an
-// order that differs from the data centre's delegates.
+// configuration, the same for all of them: those with fast links.
 func (e *Edge) configReaders() []uint32 {
 	var ids []uint32
 	if !e.slowLink() {
 		ids = append(ids, e.self)
 	}
-	for id, m := range e.state.members {
-		if m.alive && !m.leaving && !m.slow && m.dataCentre == e.settings.DataCentre {
+	for id, m := range e.state.messenger.Fleet().All() {
+		if m.Alive && !m.Leaving && !m.Slow && m.DataCentre == e.settings.DataCentre {
 			ids = append(ids, id)
 		}
 	}
-	slices.SortFunc(ids, func(a, b uint32) int { return int(int64(mix(a)) - int64(mix(b))) })
+	slices.SortFunc(ids, func(a, b uint32) int { return cmp.Compare(relay.Mix(a), relay.Mix(b)) })
 	return ids[:min(len(ids), readersEach)]
 }
 
@@ -142,8 +143,8 @@
 func (e *Edge) othersAreReady() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, m := range e.state.members {
-		if m.alive && !m.leaving {
+	for _, m := range e.state.messenger.Fleet().All() {
+		if m.Alive && !m.Leaving {
 			return true
 		}
 	}
--- a/edge/internal_test.go
+++ b/edge/internal_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"foxtailspoke/entry/clock"
+	"foxtailspoke/fleet"
 	"foxtailspoke/freshness"
 	"foxtailspoke/replica"
 	"foxtailspoke/routing"
@@ -17,11 +18,12 @@
 // row of the first stands, every workspace lacks its part of the rate.
 func TestInstancesThatAreGoneForGoodLeaveTheList(t *testing.T) {
 	e := &Edge{self: 1}
-	e.state.members = map[uint32]*member{
-		2: {id: 2, listed: true, heard: time.Second},
-		3: {id: 3, listed: true, heard: time.Second, alive: true},
-		4: {id: 4, heard: time.Second},
-	}
+	e.state.messenger = fleet.NewMessenger(fleet.Settings{Self: e.member()})
+	others := e.state.messenger.Fleet()
+	others.Meet(2, time.Second).Listed = true
+	alive, _ := others.Touch(3, time.Second)
+	alive.Listed = true
+	others.Meet(4, time.Second)
 	must.Len(t, 0, e.goneRows(time.Minute))
 	rows := e.goneRows(time.Second + goneAfter + 1)
 	must.Len(t, 1, rows)
@@ -29,52 +31,6 @@
 	must.True(t, rows[0].Gone)
 }
 
-// The same message arrives directly and from a delegate, in any order. Each
-// result must count once: a failure counted twice is a conviction.
-func TestEachMessageCountsOnce(t *testing.T) {
-	var m member
-	must.True(t, m.fresh(7, 10))
-	must.False(t, m.fresh(7, 10))
-	must.True(t, m.fresh(7, 12))
-	must.True(t, m.fresh(7, 11))
-	must.False(t, m.fresh(7, 11))
-	must.False(t, m.fresh(7, 12))
-	must.True(t, m.fresh(7, 200))
-	must.False(t, m.fresh(7, 100))
-	must.True(t, m.fresh(8, 1))
-	must.False(t, m.fresh(8, 1))
-}
-
-// Handing messages on takes thirty times the bandwidth of an instance's own
-// words. A delegate with a slow link lost two messages of five for a whole data
-// centre.
-func TestDelegatesHaveFastLinks(t *testing.T) {
-	e := &Edge{self: 1}
-	e.settings.DataCentre = "here"
-	e.state.members = make(map[uint32]*member)
-	for id := uint32(2); id < 22; id++ {
-		e.state.members[id] = &member{id: id, dataCentre: "there", alive: true, slow: id%4 != 0}
-	}
-	for _, id := range e.delegates(surely) {
-		must.False(t, e.state.members[id].slow)
-		e.state.members[id].alive = false
-	}
-	for _, id := range e.delegates(surely) {
-		must.True(t, e.state.members[id].alive && !e.state.members[id].slow)
-	}
-	must.Len(t, surely, e.delegates(surely))
-	must.Len(t, 1, e.delegates(1))
-}
-
-// An instance with a slow link asks the store only if nobody else does.
-func TestSlowLinkComesLast(t *testing.T) {
-	e := &Edge{self: 1}
-	e.state.members = map[uint32]*member{2: {id: 2, alive: true, slow: true}, 3: {id: 3, alive: true}, 4: {id: 4, alive: true}}
-	must.LessEq(t, 2, e.rank())
-	e.settings.LinkMbps = 10
-	must.Eq(t, 3, e.rank())
-}
-
 // The store is back and has answered the call for the configuration, but not
 // yet that for the servers. Callers sent here now would all be refused.
 func TestInstanceWithoutServersIsntReady(t *testing.T) {
@@ -94,9 +50,12 @@
 // hundred messages of its former life, and ignored as many of its new one:
 // what it did at servers and admitted for workspaces, and whether it was ready.
 func TestRestartWithinASecondIsHeardAtOnce(t *testing.T) {
-	var m member
-	must.True(t, m.fresh(newEpoch(), 100))
-	must.True(t, m.fresh(newEpoch(), 1))
+	var m fleet.Instance
+	for _, sequence := range []uint32{100, 1} {
+		fresh, restarted := m.Fresh(newEpoch(), sequence)
+		must.True(t, fresh)
+		must.True(t, restarted)
+	}
 }
 
 // An instance that has just started knows nothing yet. Its lines leave the age
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -67,7 +67,7 @@
 
 func (e *Edge) untilPoll(now time.Duration) time.Duration {
 	s := &e.state
-	due := s.poll.Next(e.rank(), rand.Float64(), now)
+	due := s.poll.Next(e.state.messenger.Rank(), rand.Float64(), now)
 	if s.gapEnds > 0 {
 		due = min(due, s.gapEnds)
 	}
@@ -88,7 +88,7 @@
 	}
 	if s.poll.Troubled(now) {
 		// Others wait a moment before they ask, instead of all at once.
-		e.say(evidence.Message{Notices: []evidence.Notice{{}}}, 1)
+		e.say(evidence.Message{Notices: []evidence.Notice{{}}}, false)
 	}
 	e.mu.Unlock()
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -21,11 +21,12 @@
 // metrics of one instance. No label is a workspace or a server: thousands of
 // them would be as many series. How single ones fare is in the logs.
 type metrics struct {
-	registry  *prometheus.Registry
-	requests  *prometheus.CounterVec
-	took      *prometheus.HistogramVec
-	attempts  *prometheus.CounterVec
-	datagrams prometheus.Counter
+	registry    *prometheus.Registry
+	requests    *prometheus.CounterVec
+	took        *prometheus.HistogramVec
+	attempts    *prometheus.CounterVec
+	datagrams   prometheus.Counter
+	datagramsIn prometheus.Counter
 }
 
 func newMetrics(e *Edge) *metrics {
@@ -44,8 +45,17 @@
 		datagrams: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "datagrams_total", Help: "Datagrams written to other instances.",
 		}),
+		datagramsIn: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "datagrams_received_total", Help: "Datagrams read from other instances.",
+		}),
 	}
-	m.registry.MustRegister(m.requests, m.took, m.attempts, m.datagrams)
+	m.registry.MustRegister(m.requests, m.took, m.attempts, m.datagrams, m.datagramsIn)
+	m.gauge("rounds_total", "Rounds sent to listeners and other relays.", e.locked(func() float64 {
+		return float64(e.state.messenger.Hub().Rounds())
+	}))
+	m.gauge("listeners", "Instances that this one sends rounds to.", e.locked(func() float64 {
+		return float64(e.state.messenger.Hub().Listeners())
+	}))
 	m.gauge("store_calls_total", "Calls of the platform's store.", func() float64 { return float64(e.store.Calls()) })
 	m.gauge("server_connections_total", "Connections opened to backend servers.", func() float64 { return float64(e.pool.Opened()) })
 	m.gauge("log_lines_left_out_total", "Log lines that the bound or a full buffer kept back.", func() float64 {
@@ -75,8 +85,8 @@
 	}))
 	m.gauge("instances_alive", "Other instances that are heard.", e.locked(func() float64 {
 		n := 0
-		for _, p := range e.state.members {
-			if p.alive {
+		for _, p := range e.state.messenger.Fleet().All() {
+			if p.Alive {
 				n++
 			}
 		}
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -29,13 +29,13 @@
 	var together []evidence.Notice
 	for _, n := range notices {
 		if len(n.Packed) > 0 {
-			e.say(evidence.Message{Notices: []evidence.Notice{n}}, 1)
+			e.say(evidence.Message{Notices: []evidence.Notice{n}}, false)
 		} else {
 			together = append(together, n)
 		}
 	}
 	if len(together) > 0 {
-		e.say(evidence.Message{Notices: together}, 1)
+		e.say(evidence.Message{Notices: together}, false)
 	}
 }
 
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -11,114 +11,112 @@
 
 	"foxtailspoke/event"
 	"foxtailspoke/evidence"
+	"foxtailspoke/fleet"
 	"foxtailspoke/health"
+	"foxtailspoke/relay"
 	"foxtailspoke/usage"
 )
 
-const (
-	// handOnAfter is how long a delegate gathers messages before it hands
-	// them on in one datagram.
-	handOnAfter = 8 * time.Millisecond
-	// tick is how often the heart looks at members, servers and age.
-	tick = 200 * time.Millisecond
-	// surely sends a message to two delegates of each data centre.
-	surely = 2
-	// knownEach is how many other instances an introduction names. They are
-	// picked at random, so that a few introductions name all of a data centre.
-	knownEach = 12
-	// maxDatagramIn is the largest datagram taken in.
-	maxDatagramIn = 4 << 10
-)
+// maxDatagramIn is the largest datagram taken in, in bytes.
+const maxDatagramIn = 4 << 10
 
-// say sends a message to everybody. The lock must be held.
-func (e *Edge) say(m evidence.Message, delegates int) {
-	e.state.sequence++
-	m.Source, m.Epoch, m.Sequence = e.self, e.epoch, e.state.sequence
-	m.Leaving = !e.readyLocked()
-	b, err := evidence.Encode(m)
-	if err != nil {
-		event.PeerMessageFailed.Log(e.log, slog.Any("error", err))
+// say tells a message to everybody; an urgent one waits for no round. The lock
+// must be held.
+func (e *Edge) say(m evidence.Message, urgent bool) {
+	now := e.now()
+	before := e.state.messenger.Hub().Relay()
+	e.sendAll(e.state.messenger.Say(m, urgent, now))
+	e.noteRelay(before, now)
+	e.keepRounds(now)
+}
+
+// introduce tells everybody at once whether this instance is ready.
+func (e *Edge) introduce() {
+	now := e.now()
+	e.sendAll(e.state.messenger.Introduce(true, now))
+	e.keepRounds(now)
+}
+
+// noteRelay logs that another instance is told from now on.
+func (e *Edge) noteRelay(before uint32, now time.Duration) {
+	if after := e.state.messenger.Hub().Relay(); after != before && e.budget.Take(now, quietShare) {
+		event.RelayChanged.Log(e.log, slog.String("before", address(before, 0).Addr().String()),
+			slog.String("relay", address(after, 0).Addr().String()))
+	}
+}
+
+// keepRounds does what is due for others, and sees to it that this happens again
+// when more is. The lock must be held.
+func (e *Edge) keepRounds(now time.Duration) {
+	s := &e.state
+	due := s.messenger.Due()
+	for ; due <= now; due = s.messenger.Due() {
+		e.send(s.messenger.Step(now))
+	}
+	if s.roundsAt != 0 && s.roundsAt <= due {
+		return
+	}
+	s.roundsAt = due
+	if s.rounds == nil {
+		s.rounds = time.AfterFunc(due-now, e.roundsDue)
 		return
 	}
-	e.state.spoke = e.now()
-	e.send(evidence.Datagram(false, b), e.neighbours())
-	e.send(evidence.Datagram(true, b), e.delegates(delegates))
+	s.rounds.Reset(due - now)
 }
 
-// send writes a datagram to some instances. One that can't be written is as
-// good as lost on the way, which every message allows for.
-func (e *Edge) send(d []byte, to []uint32) {
-	for _, id := range to {
-		_, _ = e.socket.WriteToUDPAddrPort(d, address(id, e.peerPort))
-		e.metrics.datagrams.Inc()
+func (e *Edge) roundsDue() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.roundsAt = 0
+	e.keepRounds(e.now())
+}
+
+// sendAll is send of what could be made, with the reason for the rest.
+func (e *Edge) sendAll(datagrams []relay.Datagram, err error) {
+	if err != nil {
+		event.PeerMessageFailed.Log(e.log, slog.Any("error", err))
 	}
+	e.send(datagrams)
 }
 
-// introduce is a beat that tells the data centre.
-func (e *Edge) introduce() evidence.Message {
-	m := evidence.Message{DataCentre: e.settings.DataCentre, SlowLink: e.slowLink()}
-	for id, other := range e.state.members {
-		if other.alive && len(m.Known) < knownEach {
-			m.Known = append(m.Known, id)
+// send writes datagrams. One that can't be written is as good as lost on the
+// way, which every message allows for.
+func (e *Edge) send(datagrams []relay.Datagram) {
+	for _, d := range datagrams {
+		b := d.Encode()
+		for _, id := range d.To {
+			_, _ = e.socket.WriteToUDPAddrPort(b, address(id, e.peerPort))
+			e.metrics.datagrams.Inc()
 		}
 	}
-	return m
 }
 
-// heart sends beats, and looks at what time alone changes.
+// heart sends heartbeats, and looks at what time alone changes.
 func (e *Edge) heart(ctx context.Context) error {
-	e.mu.Lock()
-	e.hello()
-	e.mu.Unlock()
-	ticker := time.NewTicker(tick)
+	ticker := time.NewTicker(fleet.PulseEvery)
 	defer ticker.Stop()
 	for {
+		e.mu.Lock()
+		e.pulse(e.now())
+		e.mu.Unlock()
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		e.mu.Lock()
-		e.pulse(e.now())
-		e.mu.Unlock()
 	}
 }
 
 func (e *Edge) pulse(now time.Duration) {
 	s := &e.state
-	e.checkMembers(now)
+	all := len(s.messenger.Fleet().All())
+	fell, out, err := s.messenger.Pulse(now)
+	e.lost(fell, all, now)
+	e.sendAll(out, err)
+	e.keepRounds(now)
 	e.expireServers(now)
 	e.noteStore(now)
 	e.noteLeftOut(now)
-	switch {
-	case now-s.beat >= introduceEvery:
-		s.beat = now
-		e.say(e.introduce(), 1)
-	case now-s.spoke >= beatEvery-tick/2:
-		e.say(evidence.Message{}, 1)
-	}
-}
-
-// hello introduces this instance to those it knows of and to the seeds.
-func (e *Edge) hello() {
-	for _, seed := range e.settings.Seeds {
-		a, err := netip.ParseAddrPort(seed)
-		if err != nil {
-			continue
-		}
-		if id, err := addressNumber(a.Addr().String()); err == nil && id != e.self {
-			e.meet(id)
-		}
-	}
-	e.state.beat = e.now()
-	e.say(e.introduce(), 1)
-}
-
-// meet makes an instance known of which only the address is known.
-func (e *Edge) meet(id uint32) {
-	if _, ok := e.state.members[id]; !ok {
-		e.state.members[id] = &member{id: id, heard: e.now()}
-	}
 }
 
 // receive takes in datagrams.
@@ -127,102 +125,48 @@
 	defer stop()
 	b := make([]byte, maxDatagramIn)
 	for {
-		n, _, err := e.socket.ReadFromUDPAddrPort(b)
+		n, from, err := e.socket.ReadFromUDPAddrPort(b)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 		if err != nil {
 			return errors.Wrap(err, "datagrams")
 		}
-		e.take(b[:n])
+		e.metrics.datagramsIn.Inc()
+		e.take(from, b[:n])
 	}
 }
 
-// take takes in one datagram and, as a delegate, keeps it for handing on.
-func (e *Edge) take(d []byte) {
-	messages, handOn, err := evidence.Decode(d)
-	if err != nil {
-		if e.budget.Take(e.now(), quietShare) {
-			event.PeerMessageFailed.Log(e.log, slog.Any("error", err))
-		}
-		return
-	}
+// take takes in one datagram.
+func (e *Edge) take(from netip.AddrPort, b []byte) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if handOn {
-		e.handOn(append([]byte(nil), d[1:]...))
-	}
 	now := e.now()
-	for i := range messages {
-		if messages[i].Source != e.self {
-			e.hear(&messages[i], now)
-		}
-	}
-}
-
-// handOn keeps messages for the neighbours until more have come, or a moment
-// has passed.
-func (e *Edge) handOn(messages []byte) {
-	s := &e.state
-	if len(s.relay) == 0 {
-		time.AfterFunc(handOnAfter, func() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			e.flushRelay()
-		})
+	t, err := e.state.messenger.Take(number(from.Addr()), b, now)
+	if err != nil && e.budget.Take(now, quietShare) {
+		event.PeerMessageFailed.Log(e.log, slog.String("peer", from.String()), slog.Any("error", err))
 	}
-	s.relay = append(s.relay, messages)
-}
-
-func (e *Edge) flushRelay() {
-	s := &e.state
-	waiting := s.relay
-	s.relay = nil
-	to := e.neighbours()
-	for len(waiting) > 0 {
-		size, n := 1, 0
-		for n < len(waiting) && (n == 0 || size+len(waiting[n]) <= evidence.MaxDatagram) {
-			size += len(waiting[n])
-			n++
-		}
-		e.send(evidence.Datagram(false, waiting[:n]...), to)
-		waiting = waiting[n:]
+	e.found(t.Returned)
+	for i := range t.Heard {
+		e.hear(&t.Heard[i], now)
 	}
+	e.send(t.Send)
+	e.keepRounds(now)
 }
 
 // hear takes in one message.
-func (e *Edge) hear(m *evidence.Message, now time.Duration) {
+func (e *Edge) hear(m *fleet.Heard, now time.Duration) {
 	s := &e.state
-	p := e.touch(m.Source, now)
-	restarted := p.epoch != m.Epoch
-	if !p.fresh(m.Epoch, m.Sequence) {
-		return
-	}
-	if m.DataCentre != "" {
-		p.dataCentre = m.DataCentre
-		p.slow = m.SlowLink
-	}
-	for _, id := range m.Known {
-		if id != e.self {
-			e.meet(id)
-		}
-	}
-	if restarted {
-		// It knows nothing of this instance yet; a beat makes it known there
-		// at once instead of within a beat's time.
-		e.answerHello(m.Source)
+	if m.Restarted {
 		s.placer.Forget(m.Source)
 	}
-	if p.latest(m.Sequence) {
-		p.leaving = m.Leaving
-	}
 	for _, u := range m.Usage {
 		s.usage.Heard(usage.Word{
-			Instance: m.Source, Epoch: m.Epoch, Workspace: u.Workspace, Count: u.Count, FromStart: p.fromStart,
+			Instance: m.Source, Epoch: m.Epoch, Workspace: u.Workspace, Count: u.Count, FromStart: m.From.FromStart,
 		}, now)
 	}
 	for _, a := range m.Attempts {
-		e.hearAttempt(m.Source, a, p.latest(m.Sequence), now)
+		e.hearAttempt(m.Source, a, m.Latest, now)
 	}
 	for _, service := range m.Refused {
 		s.placer.RefusedAt(service, now)
@@ -235,19 +179,6 @@
 	}
 }
 
-func (e *Edge) answerHello(to uint32) {
-	e.state.sequence++
-	m := e.introduce()
-	m.Source, m.Epoch, m.Sequence = e.self, e.epoch, e.state.sequence
-	m.Leaving = !e.readyLocked()
-	b, err := evidence.Encode(m)
-	if err != nil {
-		event.PeerMessageFailed.Log(e.log, slog.Any("error", err))
-		return
-	}
-	e.send(evidence.Datagram(false, b), []uint32{to})
-}
-
 func (e *Edge) hearAttempt(from uint32, a evidence.Attempt, latest bool, now time.Duration) {
 	s := &e.state
 	if latest {
--- a/edge/register.go
+++ b/edge/register.go
@@ -73,8 +73,8 @@
 
 func (e *Edge) goneRows(now time.Duration) []replica.Row {
 	var rows []replica.Row
-	for id, m := range e.state.members {
-		if m.listed && !m.alive && now-m.heard > goneAfter && len(rows) < maxGoneRows {
+	for id, m := range e.state.messenger.Fleet().All() {
+		if m.Listed && !m.Alive && now-m.Heard > goneAfter && len(rows) < maxGoneRows {
 			rows = append(rows, replica.Row{Key: address(id, 0).Addr().String(), Gone: true})
 		}
 	}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -164,9 +164,9 @@
 	if e.readyLocked() {
 		add(e.self, e.settings.DataCentre)
 	}
-	for id, m := range e.state.members {
-		if m.alive && !m.leaving {
-			add(id, m.dataCentre)
+	for id, m := range e.state.messenger.Fleet().All() {
+		if m.Alive && !m.Leaving {
+			add(id, m.DataCentre)
 		}
 	}
 	if len(near) < fewAddresses {
@@ -184,7 +184,7 @@
 	start := e.now()
 	grace := settings.Seconds(e.settings.Bounds.GraceS)
 	e.mu.Lock()
-	e.say(e.introduce(), surely)
+	e.introduce()
 	e.mu.Unlock()
 	for e.now()-start < time.Duration(acceptPart*float64(grace)) {
 		time.Sleep(lingerStep)
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -161,11 +161,11 @@
 func (e *Edge) askPeer(ctx context.Context) {
 	e.mu.Lock()
 	var ready, alive []uint32
-	for id, m := range e.state.members {
+	for id, m := range e.state.messenger.Fleet().All() {
 		switch {
-		case m.alive && !m.leaving:
+		case m.Alive && !m.Leaving:
 			ready = append(ready, id)
-		case m.alive:
+		case m.Alive:
 			alive = append(alive, id)
 		}
 	}
--- a/edge/status.go
+++ b/edge/status.go
@@ -40,6 +40,10 @@
 	ServersAgeMS int64 `json:"serversAgeMS"`
 	// Reader is the instance that read the store last.
 	Reader string `json:"reader"`
+	// Relay is the instance that this one tells what others must hear; itself
+	// if it is one. Listeners is how many it sends rounds to.
+	Relay     string `json:"relay"`
+	Listeners int    `json:"listeners"`
 	// RateShare is the part of each workspace's rate that this instance may
 	// count on.
 	RateShare  float64           `json:"rateShare"`
@@ -106,10 +110,12 @@
 	if s.reader != 0 {
 		st.Reader = address(s.reader, 0).Addr().String()
 	}
-	for id, m := range s.members {
+	st.Relay = address(s.messenger.Hub().Relay(), 0).Addr().String()
+	st.Listeners = s.messenger.Hub().Listeners()
+	for id, m := range s.messenger.Fleet().All() {
 		st.Instances = append(st.Instances, InstanceStatus{
-			IP: address(id, 0).Addr().String(), DataCentre: m.dataCentre, Alive: m.alive, Leaving: m.leaving,
-			HeardMS: milli(now - m.heard), SlowLink: m.slow,
+			IP: address(id, 0).Addr().String(), DataCentre: m.DataCentre, Alive: m.Alive, Leaving: m.Leaving,
+			HeardMS: milli(now - m.Heard), SlowLink: m.Slow,
 		})
 	}
 	slices.SortFunc(st.Instances, func(a, b InstanceStatus) int { return strings.Compare(a.IP, b.IP) })
--- a/edge/tell.go
+++ b/edge/tell.go
@@ -21,7 +21,7 @@
 		h := workspaceHash(c.workspace.Name)
 		m.Usage = []evidence.Usage{{Workspace: h, Count: e.state.usage.Own(h)}}
 	}
-	e.say(m, 1)
+	e.say(m, false)
 }
 
 // outstanding changes the own count of work at a server.
@@ -67,13 +67,9 @@
 	if final != evidence.NotFinal {
 		e.state.placer.Served(c.service, final == evidence.Served, now)
 	}
-	delegates := 1
-	if a.result.Failed() {
-		// The first failure of a spell must reach everybody: each request
-		// sent there for want of it may be lost.
-		delegates = surely
-	}
-	e.say(evidence.Message{Attempts: []evidence.Attempt{told}}, delegates)
+	// The first failure of a spell must reach everybody at once: each request
+	// sent there for want of it may be lost.
+	e.say(evidence.Message{Attempts: []evidence.Attempt{told}}, a.result.Failed() && a.choice.Risk < trusted)
 	e.metrics.attempts.WithLabelValues(a.result.String()).Inc()
 	e.logAttempt(c, a, now)
 }
@@ -99,6 +95,9 @@
 	return placement.PatienceUnproved(a.took, stats.silent)
 }
 
+// trusted is the risk below which a server's failure is news.
+const trusted = 0.3
+
 // deadlineMargin is how much before its deadline a server may report that its
 // time is up: the way there and back, and its rounding to milliseconds.
 const deadlineMargin = 15 * time.Millisecond
@@ -108,7 +107,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.state.placer.Served(c.service, false, e.now())
-	e.say(evidence.Message{Refused: []uint32{placement.Hash(c.service)}}, 1)
+	e.say(evidence.Message{Refused: []uint32{placement.Hash(c.service)}}, false)
 }
 
 // tellLate takes in and tells that an attempt has no answer after a time.
@@ -119,5 +118,5 @@
 	told.Result = health.Late
 	told.TookMS, told.WorkMS = wireMilliseconds(age), wireMilliseconds(a.choice.Patience())
 	e.state.placer.Learn(told.Server, health.Late, true, age, a.choice.Patience(), e.now())
-	e.say(evidence.Message{Attempts: []evidence.Attempt{told}}, 1)
+	e.say(evidence.Message{Attempts: []evidence.Attempt{told}}, false)
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -115,6 +115,10 @@
 		523, slog.LevelWarn, "message between instances failed",
 		"A message couldn't be read or made.", "Check whether all instances run the same version.",
 	}
+	RelayChanged = Event{
+		524, slog.LevelInfo, "relay changed",
+		"What this instance has to say goes to `relay` from now on, which sends it on to all others: its former relay `before` is silent, leaves, or didn't send a message back; or a better one is known.", "If it changes again and again, check the network between these instances.",
+	}
 	RequestEnded = Event{
 		531, slog.LevelInfo, "request ended",
 		"A caller's request was answered: `status` and `rule` say how, the other fields by which figures.", "See OPERATIONS.md; `foxtailspoke-edge explain` sums these lines up.",
@@ -138,7 +142,7 @@
 		PlatformUnavailable, PlatformReturned, RecordsDropped,
 		EdgeStarted, EdgeStopping, EdgeStopped, SettingsReloaded, SettingsRejected,
 		ConfigInForce, ConfigRejected, ServerChanged, EntryIgnored, StoreCallFailed,
-		PeerHeard, PeerSilent, PeerMessageFailed,
+		PeerHeard, PeerSilent, PeerMessageFailed, RelayChanged,
 		RequestEnded, AttemptEnded, LinesLeftOut,
 	}
 }
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -2,12 +2,9 @@
 // live, what became of their attempts, what they admitted, and what the store
 // has said.
 //
-// A datagram holds one or more messages. Inside a data centre each instance
-// writes to all others. Into every other data centre it writes to one
-// instance there, which hands the messages on, several in one datagram: bytes
-// between data centres are dear, and most messages would cross as many times
-// as there are instances. Every message carries totals or absolute figures,
-// so that a lost one is made good by the next.
+// A datagram holds one or more messages; package relay carries them. Every
+// message carries totals or absolute figures, so that a lost one is made good
+// by the next.
 package evidence
 
 import (
@@ -19,9 +16,6 @@
 	"foxtailspoke/health"
 )
 
-// MaxDatagram is the most bytes of a datagram that links carry in one piece.
-const MaxDatagram = 1400
-
 // Message is what one instance says at one moment.
 type Message struct {
 	_ struct{} `cbor:",toarray"`
@@ -29,18 +23,19 @@
 	Source uint32
 	// Epoch is drawn at its start. Sequence and totals begin anew with it.
 	Epoch uint32
-	// Sequence counts its messages since its start.
+	// Sequence counts its messages to all since its start. Uncounted ones go to
+	// a single instance and hold no more than a description and a roster.
 	Sequence uint32
 	// DataCentre is set in heartbeats.
 	DataCentre string
-	// SlowLink is set in introductions by an instance that shouldn't hand
-	// messages on.
+	// SlowLink is set in introductions by an instance that shouldn't be a relay.
 	SlowLink bool
-	// Leaving says that callers must not be sent to it any more.
+	// Leaving says that callers must not be sent to it: it isn't ready, or stops.
 	Leaving bool
-	// Known are some instances that the source hears, so that two that have
-	// missed each other's introduction meet.
-	Known    []uint32
+	// Stopping says that it will be gone soon.
+	Stopping bool
+	// Roster are instances that the source hears, for one that greets it.
+	Roster   []Resident
 	Attempts []Attempt
 	Usage    []Usage
 	Notices  []Notice
@@ -49,6 +44,16 @@
 	Refused []uint32
 }
 
+// Resident is an instance that another one hears.
+type Resident struct {
+	_          struct{} `cbor:",toarray"`
+	ID         uint32
+	DataCentre string
+	SlowLink   bool
+	Leaving    bool
+	Stopping   bool
+}
+
 // Attempt is the state of a source's work at a backend server.
 type Attempt struct {
 	_ struct{} `cbor:",toarray"`
@@ -122,48 +127,32 @@
 // Stamp returns the store's clock at its answer.
 func (n Notice) Stamp() time.Duration { return time.Duration(n.StampUS) * time.Microsecond }
 
+// Uncounted is the sequence number of messages that aren't for all.
+const Uncounted = 0
+
 // Errors of Decode.
 var ErrNoMessage = errors.New("datagram without a message")
 
-// The first byte of a datagram says whether the receiver hands it on.
-const (
-	plain = 0
-	relay = 1
-)
-
-// Encode returns a message's bytes for Datagram.
+// Encode returns a message's bytes, which may be put one after the other.
 func Encode(m Message) ([]byte, error) {
 	b, err := cbor.Marshal(m)
 	return b, errors.Wrap(err, "message")
 }
 
-// Datagram starts a datagram. With handOn set, its receiver hands the
-// messages on inside its data centre.
-func Datagram(handOn bool, messages ...[]byte) []byte {
-	d := []byte{plain}
-	if handOn {
-		d[0] = relay
-	}
-	for _, m := range messages {
-		d = append(d, m...)
-	}
-	return d
-}
-
-// Decode returns a datagram's messages and whether they are to be handed on.
-func Decode(d []byte) (messages []Message, handOn bool, err error) {
-	if len(d) < 2 {
-		return nil, false, ErrNoMessage
+// Decode returns the messages of a datagram, and the bytes of each.
+func Decode(b []byte) (messages []Message, parts [][]byte, err error) {
+	if len(b) == 0 {
+		return nil, nil, ErrNoMessage
 	}
-	handOn = d[0] == relay
-	rest := d[1:]
-	for len(rest) > 0 {
+	for len(b) > 0 {
 		var m Message
-		rest, err = cbor.UnmarshalFirst(rest, &m)
+		rest, err := cbor.UnmarshalFirst(b, &m)
 		if err != nil {
-			return nil, false, errors.Wrap(err, "message")
+			return nil, nil, errors.Wrap(err, "message")
 		}
 		messages = append(messages, m)
+		parts = append(parts, b[:len(b)-len(rest)])
+		b = rest
 	}
-	return messages, handOn, nil
+	return messages, parts, nil
 }
--- a/evidence/evidence_test.go
+++ b/evidence/evidence_test.go
@@ -12,7 +12,8 @@
 
 func message() evidence.Message {
 	return evidence.Message{
-		Source: 0x0a000001, Epoch: 7, Sequence: 9, DataCentre: "dc", Leaving: true, Known: []uint32{1},
+		Source: 0x0a000001, Epoch: 7, Sequence: 9, DataCentre: "dc", Leaving: true,
+		Roster:   []evidence.Resident{{ID: 1, DataCentre: "dc", SlowLink: true}},
 		Attempts: []evidence.Attempt{{Server: 3, Outstanding: 2, Ended: true, Result: health.Incomplete, Final: evidence.Unserved}},
 		Usage:    []evidence.Usage{{Workspace: 4, Count: 1 << 40}},
 		Notices: []evidence.Notice{{
@@ -32,16 +33,15 @@
 
 func TestDatagramCarriesSeveralMessages(t *testing.T) {
 	second := evidence.Message{Source: 2}
-	d := evidence.Datagram(true, encode(t, message()), encode(t, second))
-	got, handOn, err := evidence.Decode(d)
+	got, parts, err := evidence.Decode(append(encode(t, message()), encode(t, second)...))
 	must.NoError(t, err)
-	must.True(t, handOn)
+	must.Eq(t, [][]byte{encode(t, message()), encode(t, second)}, parts)
 	must.Eq(t, []evidence.Message{message(), second}, got)
 }
 
 func TestBrokenDatagramsAreRefusedWhole(t *testing.T) {
-	good := evidence.Datagram(false, encode(t, message()))
-	for _, d := range [][]byte{nil, {0}, {0, 0xff}, good[:len(good)-1], append(good[:len(good):len(good)], 0xff)} {
+	good := encode(t, message())
+	for _, d := range [][]byte{nil, {0}, {0xff}, good[:len(good)-1], append(good[:len(good):len(good)], 0xff)} {
 		got, _, err := evidence.Decode(d)
 		must.Error(t, err)
 		must.Len(t, 0, got)
@@ -63,7 +63,7 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.Add(evidence.Datagram(true, b))
+	f.Add(b)
 	f.Fuzz(func(t *testing.T, d []byte) {
 		messages, _, err := evidence.Decode(d)
 		if err == nil {
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,190 @@
+// Package fleet keeps which other instances there are, which of them live, and
+// which of their messages were taken in already.
+//
+// Idea: every message of an instance is a sign of life; it sends a heartbeat if
+// it has nothing else to say. Who is silent for some heartbeats is taken for
+// gone, and counts again with its next message. Instances introduce themselves
+// to each other; a newcomer gets the roster of whoever it greets, and the
+// platform's list only tells of those that were out of reach then.
+//
+// Decisions are pure: time is passed in.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"foxtailspoke/relay"
+)
+
+const (
+	// HeartbeatEvery is the longest silence of a living instance.
+	HeartbeatEvery = 400 * time.Millisecond
+	// aliveFor is the silence after which an instance is taken for gone: three
+	// heartbeats, so that two lost datagrams don't do it. It leaves callers'
+	// addresses well within the two seconds that they keep an answer.
+	aliveFor = 1300 * time.Millisecond
+	// earlySequence is the number of a message up to which an instance has only
+	// just started: it speaks some five times before callers come.
+	earlySequence = 20
+	// unheardFor is the time after its last message for which an instance is left
+	// alone: two heartbeats.
+	unheardFor = 2 * HeartbeatEvery
+	// rememberFor is how long an instance counts that isn't listed: one that has
+	// just started, or whose row was removed.
+	rememberFor = 10 * time.Second
+)
+
+// Instance is another instance.
+type Instance struct {
+	relay.Member
+	// Leaving says that callers must not be sent there.
+	Leaving bool
+	// Heard is when it last spoke; when it became known, if it never did.
+	Heard time.Duration
+	// FromStart says that it has been heard since its start without a pause.
+	FromStart bool
+	// Listed in the store.
+	Listed bool
+
+	// spoke is when its latest message was heard.
+	spoke    time.Duration
+	epoch    uint32
+	sequence uint32
+	// window marks which of the 64 messages before sequence were taken in.
+	window uint64
+}
+
+// Fresh reports whether a message is new, and marks it, and whether it is the
+// first since a start of the instance. The same message may arrive from two
+// relays, or late.
+func (m *Instance) Fresh(epoch, sequence uint32) (fresh, restarted bool) {
+	if epoch != m.epoch {
+		m.epoch, m.sequence, m.window = epoch, sequence, 1
+		m.FromStart = sequence <= earlySequence
+		return true, true
+	}
+	if ahead := int64(sequence) - int64(m.sequence); ahead > 0 {
+		m.window = m.window<<min(ahead, 64) | 1
+		m.sequence = sequence
+		return true, false
+	}
+	behind := m.sequence - sequence
+	if behind >= 64 || m.window&(1<<behind) != 0 {
+		return false, false
+	}
+	m.window |= 1 << behind
+	return true, false
+}
+
+// Latest reports whether no newer message of the instance was taken in.
+func (m *Instance) Latest(sequence uint32) bool { return sequence == m.sequence }
+
+// Fleet is all other instances that are known. It isn't safe for concurrent use.
+type Fleet struct {
+	all map[uint32]*Instance
+}
+
+// New returns a fleet without instances.
+func New() *Fleet { return &Fleet{all: make(map[uint32]*Instance)} }
+
+// All returns the instances by their numbers.
+func (f *Fleet) All() map[uint32]*Instance { return f.all }
+
+// Members returns the instances as relays see them.
+func (f *Fleet) Members() []relay.Member {
+	list := make([]relay.Member, 0, len(f.all))
+	for _, m := range f.all {
+		list = append(list, m.Member)
+	}
+	return list
+}
+
+// Meet makes an instance known of which only the address is known, and returns
+// it.
+func (f *Fleet) Meet(id uint32, now time.Duration) *Instance {
+	m, ok := f.all[id]
+	if !ok {
+		m = &Instance{Member: relay.Member{ID: id}, Heard: now, spoke: now - time.Hour}
+		f.all[id] = m
+	}
+	return m
+}
+
+// Touch takes in a sign of life, and reports whether there was none before.
+func (f *Fleet) Touch(id uint32, now time.Duration) (m *Instance, returned bool) {
+	m = f.Meet(id, now)
+	m.Heard = now
+	returned = !m.Alive
+	m.Alive = true
+	return m, returned
+}
+
+// Check finds out who has fallen silent, and drops those that are forgotten.
+func (f *Fleet) Check(now time.Duration) (fell []*Instance) {
+	for id, m := range f.all {
+		if m.Alive && now-m.Heard > aliveFor {
+			m.Alive = false
+			m.FromStart = false
+			fell = append(fell, m)
+		}
+		if !m.Alive && !m.Listed && now-m.Heard > rememberFor {
+			delete(f.all, id)
+		}
+	}
+	return fell
+}
+
+// Heard is the share of the instances that are heard, the own one included.
+func (f *Fleet) Heard() float64 {
+	all, heard := 1, 1
+	for _, m := range f.all {
+		all++
+		if m.Alive {
+			heard++
+		}
+	}
+	return float64(heard) / float64(all)
+}
+
+// unheard returns some instances from which no message of their own came lately,
+// whatever others say of them, or whose data centre isn't known; each turn names
+// others. They are worth greeting:
+// after a cut both sides take each other for gone and neither would write to the
+// other, and two newcomers may each know only a part of the fleet.
+func (f *Fleet) unheard(most int, turn uint32, now time.Duration) []uint32 {
+	var ids []uint32
+	for id, m := range f.all {
+		if !m.Alive || m.DataCentre == "" || now-m.spoke > unheardFor {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b uint32) int { return cmp.Compare(relay.Mix(a^turn), relay.Mix(b^turn)) })
+	return ids[:min(most, len(ids))]
+}
+
+// Alone reports that no other instance is heard.
+func (f *Fleet) Alone() bool {
+	for _, m := range f.all {
+		if m.Alive {
+			return false
+		}
+	}
+	return true
+}
+
+// Rank is the place of an instance among the living ones, 0 the first, in an
+// order that is the same for all. Those with a slow link come last.
+func (f *Fleet) Rank(self relay.Member) int {
+	if self.Slow {
+		return len(f.all)
+	}
+	own, rank := relay.Mix(self.ID), 0
+	for id, m := range f.all {
+		if m.Alive && !m.Leaving && !m.Slow && relay.Mix(id) < own {
+			rank++
+		}
+	}
+	return rank
+}
--- /dev/null
+++ b/fleet/take.go
@@ -0,0 +1,186 @@
+package fleet
+
+import (
+	"bytes"
+	"time"
+
+	"foxtailspoke/evidence"
+	"foxtailspoke/relay"
+)
+
+// Heard is a message that is new.
+type Heard struct {
+	evidence.Message
+	// From is the instance that says it.
+	From *Instance
+	// Restarted says that it is the first since a start of the instance.
+	Restarted bool
+	// Latest says that no newer message of the instance was heard.
+	Latest bool
+}
+
+// Taken is what a datagram brought.
+type Taken struct {
+	Heard []Heard
+	// Returned are instances that weren't heard before.
+	Returned []*Instance
+	// Send is what to answer or send on at once.
+	Send []relay.Datagram
+}
+
+// Take takes in one datagram. One that is damaged anywhere is dropped whole.
+func (m *Messenger) Take(sender uint32, b []byte, now time.Duration) (Taken, error) {
+	d, err := relay.Decode(b)
+	if err != nil {
+		return Taken{}, err
+	}
+	if d.Kind == relay.Confirm {
+		m.hub.Take(relay.Received{From: sender, Kind: d.Kind}, now)
+		return Taken{}, nil
+	}
+	// The bytes are the caller's buffer.
+	messages, parts, err := evidence.Decode(bytes.Clone(d.Messages))
+	if err != nil {
+		return Taken{}, err
+	}
+	alone := m.fleet.Alone()
+	if alone {
+		m.alone = now
+	}
+	var t Taken
+	r := relay.Received{From: sender, Kind: d.Kind, Urgent: d.Urgent}
+	for i := range messages {
+		switch m.hear(&t, sender, &messages[i], now) {
+		case fresh:
+			r.New = append(r.New, parts[i])
+		case known:
+			r.Known = append(r.Known, parts[i])
+		case notForAll:
+		}
+	}
+	var astray bool
+	t.Send, astray = m.hub.Take(r, now)
+	return t, m.answer(&t, sender, d.Kind, astray, alone, now)
+}
+
+// news says what a message is to this instance.
+type news int
+
+const (
+	// notForAll are messages to this instance alone, and its own.
+	notForAll news = iota
+	fresh
+	known
+)
+
+func (m *Messenger) hear(t *Taken, sender uint32, msg *evidence.Message, now time.Duration) news {
+	if msg.Source == m.Self.ID {
+		if msg.Epoch == m.Epoch {
+			m.hub.Returned(sender, msg.Sequence)
+		}
+		return notForAll
+	}
+	i := m.touch(t, msg.Source, now)
+	if msg.DataCentre != "" {
+		m.describe(i, msg.DataCentre, msg.SlowLink, i.Stopping)
+	}
+	if msg.Sequence == evidence.Uncounted {
+		i.Leaving = msg.Leaving
+		m.describe(i, i.DataCentre, i.Slow, msg.Stopping)
+		m.hearRoster(t, msg.Roster, now)
+		return notForAll
+	}
+	isFresh, restarted := i.Fresh(msg.Epoch, msg.Sequence)
+	if !isFresh {
+		return known
+	}
+	latest := i.Latest(msg.Sequence)
+	if latest {
+		i.spoke = now
+		i.Leaving = msg.Leaving
+		m.describe(i, i.DataCentre, i.Slow, msg.Stopping)
+	}
+	m.hearRoster(t, msg.Roster, now)
+	t.Heard = append(t.Heard, Heard{Message: *msg, From: i, Restarted: restarted, Latest: latest})
+	return fresh
+}
+
+// hearRoster takes in whom another instance hears. Those that never spoke here
+// count as heard for once: they were a moment ago, and will be again within a
+// heartbeat. One that fell silent must speak itself, unless this instance heard
+// nobody until now: if only others hear it, it is no use here as a relay. What an
+// instance says of itself goes before what others say of it.
+func (m *Messenger) hearRoster(t *Taken, roster []evidence.Resident, now time.Duration) {
+	for _, r := range roster {
+		if r.ID == m.Self.ID {
+			continue
+		}
+		i := m.fleet.Meet(r.ID, now)
+		if !i.Alive && (i.epoch == 0 || now-m.alone < HeartbeatEvery) {
+			m.touch(t, r.ID, now)
+		}
+		if now-i.spoke > unheardFor {
+			i.Leaving = r.Leaving
+			m.describe(i, r.DataCentre, r.SlowLink, r.Stopping)
+		}
+	}
+}
+
+// touch takes in a sign of life.
+func (m *Messenger) touch(t *Taken, id uint32, now time.Duration) *Instance {
+	i, returned := m.fleet.Touch(id, now)
+	if returned {
+		m.hub.Changed()
+		t.Returned = append(t.Returned, i)
+	}
+	return i
+}
+
+func (m *Messenger) describe(i *Instance, dataCentre string, slow, stopping bool) {
+	if i.DataCentre != dataCentre || i.Slow != slow || i.Stopping != stopping {
+		i.DataCentre, i.Slow, i.Stopping = dataCentre, slow, stopping
+		m.hub.Changed()
+	}
+}
+
+// answer answers a datagram: a greeting by the roster, and by telling the others
+// of a newcomer; one that went astray by the roster and a greeting, because
+// sender and receiver know different members. An instance that was alone
+// introduces itself.
+func (m *Messenger) answer(t *Taken, sender uint32, kind relay.Kind, astray, alone bool, now time.Duration) error {
+	correct := astray && m.mayCorrect(sender, now)
+	if kind == relay.Greet || correct {
+		if err := t.add(m.roster(sender, now)); err != nil {
+			return err
+		}
+	}
+	if correct {
+		if err := t.add(m.greet([]uint32{sender})); err != nil {
+			return err
+		}
+	}
+	if kind == relay.Greet && len(t.Returned) > 0 {
+		if err := t.add(m.Say(evidence.Message{Roster: residents(t.Returned)}, true, now)); err != nil {
+			return err
+		}
+	}
+	if alone && !m.fleet.Alone() {
+		return t.add(m.Introduce(true, now))
+	}
+	return nil
+}
+
+// mayCorrect reports whether an instance may be told once more that it knows too
+// little, and marks that it was.
+func (m *Messenger) mayCorrect(id uint32, now time.Duration) bool {
+	if at, ok := m.corrected[id]; ok && now-at <= rosterAgain {
+		return false
+	}
+	m.corrected[id] = now
+	return true
+}
+
+func (t *Taken) add(out []relay.Datagram, err error) error {
+	t.Send = append(t.Send, out...)
+	return err
+}
--- /dev/null
+++ b/relay/hub.go
@@ -0,0 +1,317 @@
+package relay
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// perListener is how much longer each listener makes a round. It bounds
+	// what a relay sends to some 2,000 datagrams a second.
+	perListener = 1300 * time.Microsecond
+	// leastRound and mostRound bound a round.
+	leastRound = 8 * time.Millisecond
+	mostRound  = 45 * time.Millisecond
+	// urgentPart is the part of a round after which urgent messages don't wait
+	// any longer.
+	urgentPart = 3
+	// listensFor is the time after its last message for which an instance is a
+	// listener: three heartbeats, so that two lost ones don't end it.
+	listensFor = 1300 * time.Millisecond
+	// never is when to look if there is nothing to look for.
+	never = time.Duration(math.MaxInt64)
+)
+
+// source says where waiting messages came from, and thereby who gets them.
+type source int
+
+const (
+	// told by listeners, or own messages.
+	told source = iota
+	// crossed from another data centre.
+	crossed
+	// aside came from another relay of the data centre, which gives it to the
+	// others itself.
+	aside
+
+	sources = iota
+)
+
+// Hub is one instance's part in telling. It isn't safe for concurrent use.
+type Hub struct {
+	self    Member
+	members func() []Member
+	view    view
+	// stale says that members have changed since the view was made.
+	stale bool
+
+	listeners map[uint32]time.Duration
+	// strays are instances that take themselves for relays and aren't expected
+	// to be. They get what listeners get.
+	strays map[uint32]time.Duration
+	// unconfirmed is what other relays haven't confirmed, and confirmations
+	// what they were confirmed.
+	unconfirmed   map[uint32]*unconfirmed
+	confirmations map[uint32]*confirmation
+	waiting       [sources][][]byte
+	// urgent says that something waiting is urgent. It is kept by source: if
+	// urgent messages from another data centre made those urgent that go there,
+	// the two would hurry each other for ever.
+	urgent [sources]bool
+	// sent is when the last round was, and rounds counts them.
+	sent   time.Duration
+	rounds uint64
+
+	words    []*word
+	suspects map[uint32]*suspicion
+	// relay is who was told last.
+	relay uint32
+}
+
+// NewHub returns the part of an instance. Members returns all others that it
+// knows; it is called again after Changed.
+func NewHub(self Member, members func() []Member) *Hub {
+	self.Alive = true
+	return &Hub{
+		self: self, members: members, stale: true, sent: -mostRound, relay: self.ID,
+		listeners:     make(map[uint32]time.Duration),
+		strays:        make(map[uint32]time.Duration),
+		unconfirmed:   make(map[uint32]*unconfirmed),
+		confirmations: make(map[uint32]*confirmation),
+		suspects:      make(map[uint32]*suspicion),
+	}
+}
+
+// Changed takes in that members have come, gone, or changed.
+func (h *Hub) Changed() { h.stale = true }
+
+func (h *Hub) seen() *view {
+	if h.stale {
+		h.view = newView(h.self, h.members())
+		h.stale = false
+	}
+	return &h.view
+}
+
+// Relay is the instance that was told last; it may be this one.
+func (h *Hub) Relay() uint32 { return h.relay }
+
+// Listeners is how many instances this one sends rounds to.
+func (h *Hub) Listeners() int { return len(h.listeners) }
+
+// Rounds is how many rounds this instance has sent.
+func (h *Hub) Rounds() uint64 { return h.rounds }
+
+// Say tells an own message, encoded, with its number.
+func (h *Hub) Say(sequence uint32, message []byte, urgent bool, now time.Duration) []Datagram {
+	return h.tell(&word{sequence: sequence, message: message, urgent: urgent}, now)
+}
+
+// tell gives a message to the relay.
+func (h *Hub) tell(w *word, now time.Duration) []Datagram {
+	choices := h.choose(now)
+	h.relay = choices[0]
+	if h.relay == h.self.ID {
+		h.wait(told, w.urgent, w.message)
+		return nil
+	}
+	w.to, w.at, w.looked = h.relay, now, false
+	w.tells++
+	h.words = append(h.words, w)
+	to := choices[:1]
+	if h.onProbation(h.relay) && len(choices) > 1 && choices[1] != h.self.ID {
+		to = choices[:2]
+	}
+	return []Datagram{{To: to, Kind: Tell, Urgent: w.urgent, Messages: w.message}}
+}
+
+// choose returns whom to tell, the best first: this instance itself if nobody
+// else is left.
+func (h *Hub) choose(now time.Duration) []uint32 {
+	good := slices.DeleteFunc(h.seen().choices(), func(id uint32) bool { return h.suspected(id, now) })
+	if len(good) == 0 {
+		return []uint32{h.self.ID}
+	}
+	return good
+}
+
+// Received is what a datagram brought.
+type Received struct {
+	From   uint32
+	Kind   Kind
+	Urgent bool
+	// New holds the messages that weren't taken in before, Known the others.
+	New, Known [][]byte
+}
+
+// Take keeps new messages for the next round, if they are to be sent on. It
+// returns what to send at once, and whether the datagram went astray: one of
+// sender and receiver takes the other, or itself, for a relay, and the other
+// doesn't. One of them then knows too few members.
+func (h *Hub) Take(r Received, now time.Duration) (out []Datagram, astray bool) {
+	switch r.Kind {
+	case Tell:
+		h.listeners[r.From] = now
+		h.wait(told, r.Urgent, r.New...)
+		// What came by another relay won't be in a round any more. The sender
+		// waits for it all the same.
+		return pack(Deliver, false, []uint32{r.From}, r.Known), false
+	case Cross:
+		h.wait(crossed, r.Urgent, r.New...)
+		if h.deadEnd(now) {
+			return nil, false
+		}
+		return h.confirm(r.From, now), false
+	case Confirm:
+		h.confirmed(r.From)
+	case Beside:
+		return h.confirm(r.From, now), h.takeBeside(r, now)
+	case Deliver:
+		// While relays change, one may get from another what its own listeners
+		// get from nobody.
+		if len(h.listeners) > 0 {
+			h.wait(aside, r.Urgent, r.New...)
+		}
+	case Greet:
+	}
+	return nil, false
+}
+
+// takeBeside takes in what another relay of the data centre sends. One that
+// isn't expected may know only this instance, and gets and gives everything as a
+// listener does.
+func (h *Hub) takeBeside(r Received, now time.Duration) (astray bool) {
+	switch {
+	case !h.isRelay(r.From):
+		h.strays[r.From] = now
+		h.wait(crossed, r.Urgent, r.New...)
+		return true
+	case !h.isRelay(h.self.ID) && len(h.listeners) == 0:
+		h.wait(crossed, r.Urgent, r.New...)
+		return true
+	default:
+		h.wait(aside, r.Urgent, r.New...)
+		return false
+	}
+}
+
+// isRelay reports whether an instance is expected to be a relay here.
+func (h *Hub) isRelay(id uint32) bool {
+	return slices.ContainsFunc(h.seen().relays(), func(m Member) bool { return m.ID == id })
+}
+
+func (h *Hub) wait(s source, urgent bool, messages ...[]byte) {
+	h.waiting[s] = append(h.waiting[s], messages...)
+	h.urgent[s] = h.urgent[s] || (urgent && len(messages) > 0)
+}
+
+// Due is when to call Step.
+func (h *Hub) Due() time.Duration {
+	due := never
+	for _, w := range h.words {
+		due = min(due, w.due())
+	}
+	for _, u := range h.unconfirmed {
+		due = min(due, u.due())
+	}
+	for _, c := range h.confirmations {
+		if c.owed {
+			due = min(due, c.at+confirmEvery)
+		}
+	}
+	for _, messages := range h.waiting {
+		if len(messages) > 0 {
+			due = min(due, h.sent+h.round())
+		}
+	}
+	return due
+}
+
+// round is the least time between the last round and the next.
+func (h *Hub) round() time.Duration {
+	round := min(max(time.Duration(len(h.listeners))*perListener, leastRound), mostRound)
+	if h.urgent != [sources]bool{} {
+		return round / urgentPart
+	}
+	return round
+}
+
+// Step does what has become due.
+func (h *Hub) Step(now time.Duration) []Datagram {
+	out := append(h.retell(now), h.resend(now)...)
+	out = append(out, h.confirmOwed(now)...)
+	for _, messages := range h.waiting {
+		if len(messages) > 0 && now >= h.sent+h.round() {
+			return append(out, h.send(now)...)
+		}
+	}
+	return out
+}
+
+// send sends a round.
+func (h *Hub) send(now time.Duration) []Datagram {
+	own, far, near := h.waiting[told], h.waiting[crossed], h.waiting[aside]
+	ownUrgent, farUrgent := h.urgent[told], h.urgent[crossed]
+	h.waiting, h.urgent = [sources][][]byte{}, [sources]bool{}
+	h.sent = now
+	h.rounds++
+	forget(h.listeners, now)
+	forget(h.strays, now)
+	out := h.cross(own, ownUrgent, now)
+	out = append(out, h.beside(ownUrgent || farUrgent, now, own, far)...)
+	return append(out, pack(Deliver, false, append(keys(h.listeners), keys(h.strays)...), own, far, near)...)
+}
+
+// siblings are the other relays of the data centre.
+func (h *Hub) siblings() []uint32 {
+	var list []uint32
+	for _, m := range h.seen().relays() {
+		if m.ID != h.self.ID {
+			list = append(list, m.ID)
+		}
+	}
+	return list
+}
+
+// pack puts messages into as few datagrams as possible.
+func pack(kind Kind, urgent bool, to []uint32, lists ...[][]byte) []Datagram {
+	if len(to) == 0 {
+		return nil
+	}
+	var out []Datagram
+	var b []byte
+	flush := func() {
+		if len(b) > 0 {
+			out = append(out, Datagram{To: to, Kind: kind, Urgent: urgent, Messages: b})
+		}
+		b = nil
+	}
+	for _, messages := range lists {
+		for _, m := range messages {
+			if len(b)+len(m) >= MaxDatagram {
+				flush()
+			}
+			b = append(b, m...)
+		}
+	}
+	flush()
+	return out
+}
+
+// forget drops those that haven't spoken for long.
+func forget(m map[uint32]time.Duration, now time.Duration) {
+	for id, at := range m {
+		if now-at > listensFor {
+			delete(m, id)
+		}
+	}
+}
+
+func keys(m map[uint32]time.Duration) []uint32 {
+	list := make([]uint32, 0, len(m))
+	for id := range m {
+		list = append(list, id)
+	}
+	return list
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,94 @@
+// Package relay decides which instance sends which datagram to whom, so that
+// what one instance says reaches all others.
+//
+// Load pattern: some hundred instances say a few messages a second each, and
+// every message concerns everybody. If each instance writes to all others, it
+// handles a datagram for each message of the whole fleet. Datagrams cost more
+// than the bytes in them, and they grow with the square of the fleet.
+//
+// Idea: an instance tells its relay, one of a few instances of its data centre.
+// A relay gathers what comes within a round and sends it on once: to its
+// listeners, which are the instances that told it something lately; to the
+// other relays of its data centre; and to one relay of every other data centre,
+// which does the same there. A round is longer the more listeners a relay has,
+// so that neither relays nor listeners handle more datagrams in a larger fleet.
+//
+// An instance sees its own messages come back in a round. If they don't, its
+// relay is dead, stands still, is cut off or slow, and the instance tells
+// another, what was missing included. Nobody is elected and nothing is agreed
+// on: whoever is told something acts as a relay, and who is told first follows
+// from the members that an instance knows, fast links first.
+//
+// Trade-off: a message waits for a round at up to three relays on its way;
+// urgent ones are sent on at once. Messages that were told twice arrive twice;
+// whoever takes them in knows which are new, and only those are sent on, so that
+// instances that disagree on who is a relay send nothing round in circles.
+//
+// Usage: give Say each own message and Take each datagram, send what they and
+// Step return, and call Step when Due says so. Decisions are pure: time is
+// passed in.
+package relay
+
+import "github.com/cockroachdb/errors"
+
+// MaxDatagram is the most bytes of a datagram that links carry in one piece.
+const MaxDatagram = 1400
+
+// Kind says what a receiver does with the messages of a datagram, beside taking
+// them in.
+type Kind byte
+
+// The kinds of datagrams.
+const (
+	// Deliver asks for nothing more.
+	Deliver Kind = iota
+	// Tell is written by an instance to its relay, which sends it on.
+	Tell
+	// Cross is written by a relay to one of another data centre, which sends it
+	// on there.
+	Cross
+	// Beside is written by a relay to another of the same data centre, which
+	// sends it on to its listeners.
+	Beside
+	// Confirm is written by a relay to another whose messages arrive. It has no
+	// messages.
+	Confirm
+	// Greet is written by an instance to one that it doesn't hear. The receiver
+	// answers with the members that it knows.
+	Greet
+
+	kinds = iota
+)
+
+// urgentBit of a datagram's first byte says that it doesn't wait for a round.
+const urgentBit = 0x80
+
+// Datagram is what to send.
+type Datagram struct {
+	To   []uint32
+	Kind Kind
+	// Urgent datagrams are sent on at once.
+	Urgent bool
+	// Messages in their encoded form, one after the other.
+	Messages []byte
+}
+
+// ErrHeader means that bytes aren't a datagram of this package.
+var ErrHeader = errors.New("datagram without a known kind")
+
+// Encode returns the bytes to write.
+func (d Datagram) Encode() []byte {
+	head := byte(d.Kind)
+	if d.Urgent {
+		head |= urgentBit
+	}
+	return append([]byte{head}, d.Messages...)
+}
+
+// Decode is the opposite of Encode; the result has no receivers.
+func Decode(b []byte) (Datagram, error) {
+	if len(b) == 0 || b[0]&^urgentBit >= kinds {
+		return Datagram{}, ErrHeader
+	}
+	return Datagram{Kind: Kind(b[0] &^ urgentBit), Urgent: b[0]&urgentBit != 0, Messages: b[1:]}, nil
+}
