placement: silence as evidence and the cost of a last free slot are removed

Change: what stood before: late once, at three usual times; one hedge then. A server's failure at the deadline that it was sent tells nothing of it (TestFailureAtTheDeadlineTellsNothingOfTheServer).

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -24,9 +24,7 @@
 	took   time.Duration
 	number int
 	// start is when it was sent.
-	start time.Duration
-	// steps counts how often it was told as late.
-	steps  int
+	start  time.Duration
 	cancel context.CancelFunc
 	// ends says that its end was told.
 	ends bool
@@ -64,10 +62,9 @@
 		r.e.tellRefused(r.c)
 		return nil, v
 	}
-	late := time.NewTimer(r.untilLate())
+	late := time.NewTimer(r.e.patience(r.c))
 	defer late.Stop()
 	for {
-		late.Reset(r.untilLate())
 		select {
 		case a := <-r.done:
 			r.remove(a)
@@ -75,7 +72,7 @@
 				return done, v
 			}
 		case <-late.C:
-			r.checkLate()
+			r.hedge()
 		case <-r.ctx.Done():
 			return r.last, r.timedOut()
 		}
@@ -158,38 +155,16 @@
 	return &verdict{status: http.StatusGatewayTimeout, rule: RuleTimeout}
 }
 
-// untilLate is the time until an attempt is to be told as late, or later than it
-// was told.
-func (r *runner) untilLate() time.Duration {
-	next := r.c.deadline + neverLate
-	for _, a := range r.running {
-		if a.steps < len(placement.LateSteps) {
-			next = min(next, a.start+a.choice.LateAt(a.steps))
-		}
-	}
-	return max(next-r.e.now(), 0)
-}
-
-// neverLate puts off the timer where nothing is to be told before the deadline.
-// If it went off at the deadline itself, its work would delay the last answer,
-// which some callers then didn't get in time.
-const neverLate = time.Hour
-
-// checkLate tells which attempts are late, and asks another server if all are
-// and the request may run twice.
-func (r *runner) checkLate() {
-	now, patient := r.e.now(), 0
-	for _, a := range r.running {
-		if a.steps < len(placement.LateSteps) && now-a.start >= a.choice.LateAt(a.steps) {
-			a.steps++
-			r.e.tellLate(a, now-a.start)
-		}
-		if a.steps < r.e.hedgeStep(r.c) {
-			patient++
-		}
+// hedge tells that the attempt is late, and asks a second server if the
+// request may run twice.
+func (r *runner) hedge() {
+	if len(r.running) != 1 {
+		return
 	}
-	if patient == 0 && r.e.mayHedge(r.c, len(r.tried), r.mayHaveRun) {
-		// No room for another attempt: the others go on alone.
+	a := r.running[0]
+	r.e.tellLate(a)
+	if r.e.mayHedge(r.c, len(r.tried), r.mayHaveRun) {
+		// No room for a second attempt: the first goes on alone.
 		_ = r.begin()
 	}
 }
@@ -247,12 +222,11 @@
 	}
 }
 
-// hedgeStep is how often an attempt must have been told as late before a second
-// server is asked.
-func (e *Edge) hedgeStep(c *call) int {
+// patience is how long an attempt may take before it counts as late.
+func (e *Edge) patience(c *call) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return retry.HedgeStep(e.roomToRepeat(c.service))
+	return retry.Patience(e.statsOf(c.route).work)
 }
 
 // classify says what an attempt's end tells of the server.
--- a/edge/call.go
+++ b/edge/call.go
@@ -248,7 +248,6 @@
 // had to wait for a slot tells nothing of its work.
 func (e *Edge) learnRoute(c *call, took time.Duration, bytes int) {
 	st := e.statsOf(c.route)
-	st.answered = true
 	if took > 0 {
 		st.work += time.Duration(routeSmoothing * float64(took-st.work))
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -144,10 +144,6 @@
 	work time.Duration
 	// kb is the usual size of request and answer.
 	kb float64
-	// answered says that a request was answered, silent counts those that
-	// weren't before the first answer.
-	answered bool
-	silent   int
 }
 
 // New returns an instance that listens on its addresses and serves once Run
--- a/edge/internal_test.go
+++ b/edge/internal_test.go
@@ -10,6 +10,7 @@
 	"foxtailspoke/entry/clock"
 	"foxtailspoke/fleet"
 	"foxtailspoke/freshness"
+	"foxtailspoke/health"
 	"foxtailspoke/replica"
 	"foxtailspoke/routing"
 )
@@ -64,3 +65,14 @@
 	must.True(t, ageOf((&freshness.Poll{}).Age(time.Minute)).Equal(slog.Attr{}))
 	must.True(t, ageOf(2*time.Second).Equal(slog.Int64("age_ms", 2000)))
 }
+
+// A route's time is shorter than its work. Servers work until the deadline that
+// they were sent and then report a failure. If that counted against them, a few
+// such requests would leave all healthy servers of the service out of use.
+func TestFailureAtTheDeadlineTellsNothingOfTheServer(t *testing.T) {
+	c := &call{deadline: 2 * time.Second}
+	a := &attempt{result: health.ServerError, start: time.Second, took: time.Second - deadlineMargin}
+	must.Eq(t, health.Cancelled, evidenceOf(c, a))
+	a.took = 500 * time.Millisecond
+	must.Eq(t, health.ServerError, evidenceOf(c, a))
+}
--- a/edge/tell.go
+++ b/edge/tell.go
@@ -5,7 +5,6 @@
 
 	"foxtailspoke/evidence"
 	"foxtailspoke/health"
-	"foxtailspoke/mechanism"
 	"foxtailspoke/placement"
 )
 
@@ -48,12 +47,9 @@
 	defer e.mu.Unlock()
 	now := e.now()
 	told := e.outstanding(a, -1)
-	told.Ended, told.Result, told.Final = true, e.evidenceOf(c, a), final
+	told.Ended, told.Result, told.Final = true, evidenceOf(c, a), final
 	work := e.statsOf(c.route).work
 	var took time.Duration
-	if told.Result == health.Timeout {
-		took, work = a.took, e.patience(c, a)
-	}
 	if a.result == health.OK {
 		took = a.took
 		if a.choice.Waits() {
@@ -75,26 +71,17 @@
 }
 
 // evidenceOf is what an attempt's end tells of its server. A failure that a
-// server reports when the time that it was given is up tells no more than its
-// silence until then: the request may just have needed longer.
-func (e *Edge) evidenceOf(c *call, a *attempt) health.Result {
+// server reports when the time that it was given is up tells nothing: the request
+// may just have needed longer. Taken for a failure, each request of a route
+// whose time is too short for its work made a healthy server a suspect.
+func evidenceOf(c *call, a *attempt) health.Result {
 	given := c.deadline - a.start
-	if a.result == health.ServerError && e.off.On(mechanism.Silence) && a.took >= given-deadlineMargin {
-		return health.Timeout
+	if a.result == health.ServerError && a.took >= given-deadlineMargin {
+		return health.Cancelled
 	}
 	return a.result
 }
 
-// patience is the time against which an attempt's silence is weighed.
-func (e *Edge) patience(c *call, a *attempt) time.Duration {
-	stats := e.statsOf(c.route)
-	if stats.answered {
-		return a.choice.Patience()
-	}
-	stats.silent++
-	return placement.PatienceUnproved(a.took, stats.silent)
-}
-
 // trusted is the risk below which a server's failure is news.
 const trusted = 0.3
 
@@ -110,13 +97,12 @@
 	e.say(evidence.Message{Refused: []uint32{placement.Hash(c.service)}}, false)
 }
 
-// tellLate takes in and tells that an attempt has no answer after a time.
-func (e *Edge) tellLate(a *attempt, age time.Duration) {
+// tellLate takes in and tells that an attempt takes longer than it should.
+func (e *Edge) tellLate(a *attempt) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	told := e.outstanding(a, 0)
 	told.Result = health.Late
-	told.TookMS, told.WorkMS = wireMilliseconds(age), wireMilliseconds(a.choice.Patience())
-	e.state.placer.Learn(told.Server, health.Late, true, age, a.choice.Patience(), e.now())
+	e.state.placer.Learn(told.Server, health.Late, true, 0, 0, e.now())
 	e.say(evidence.Message{Attempts: []evidence.Attempt{told}}, false)
 }
--- a/lab/caller.go
+++ b/lab/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"foxtailspoke/evidence"
@@ -46,9 +45,7 @@
 	choice placement.Choice
 	server *server
 	start  time.Duration
-	// steps counts how often it was told as late.
-	steps int
-	job   *job
+	job    *job
 }
 
 func newCaller(w *world, service int, k Kind, rng *rand.Rand, number uint64) *caller {
@@ -93,27 +90,16 @@
 	sent := c.sent
 	w.after(c.deadline-w.now, func() { c.timeout(sent) })
 	c.begin(choice)
+	c.watch(sent)
 }
 
-// watch tells an attempt as late at each step, and hedges the request when all
-// its attempts are.
-func (c *caller) watch(a *attempt, sent time.Duration) {
-	if a.steps >= len(placement.LateSteps) {
-		return
-	}
-	at := a.start + a.choice.LateAt(a.steps)
-	c.world.after(at-c.world.now, func() {
-		if c.over || c.sent != sent || !slices.Contains(c.running, a) {
+// watch hedges the request when its answer is late.
+func (c *caller) watch(sent time.Duration) {
+	c.world.after(retry.Patience(c.instance.workOf(c.kind)), func() {
+		if c.over || c.sent != sent || len(c.running) != 1 {
 			return
 		}
-		a.steps++
-		c.instance.late(a)
-		c.watch(a, sent)
-		for _, x := range c.running {
-			if x.steps < retry.HedgeStep(c.instance.room(c)) {
-				return
-			}
-		}
+		c.instance.late(c.running[0])
 		if c.instance.mayHedge(c) {
 			if choice, ok := c.instance.choose(c); ok {
 				c.begin(choice)
@@ -137,7 +123,6 @@
 	c.tried = append(c.tried, choice.Server.ID)
 	c.running = append(c.running, a)
 	c.instance.started(c, v, len(c.tried))
-	c.watch(a, sent)
 	if c.instance.cut[v.hash] && w.deployment.Cut.holds(w.now) {
 		v.finish(a.job, connectFor, health.ConnectFailed)
 		return
--- a/lab/instance.go
+++ b/lab/instance.go
@@ -96,12 +96,9 @@
 	i.outstanding(a.server, -1)
 	work := i.workOf(c.kind)
 	var took time.Duration
-	if r == health.Timeout {
-		took, work = i.world.now-a.start, a.choice.Patience()
-	}
 	if r == health.OK {
 		took = i.world.now - a.start
-		if a.choice.Waits() {
+		if a.choice.Outstanding >= a.choice.Server.Slots {
 			took = 0
 		} else {
 			i.work[c.kind] = work + time.Duration(smoothing*float64(took-work))
@@ -123,9 +120,8 @@
 
 // late takes in and tells that an attempt takes longer than it should.
 func (i *instance) late(a *attempt) {
-	age, expected := i.world.now-a.start, a.choice.Patience()
-	i.placer.Learn(a.server.hash, health.Late, true, age, expected, i.world.now)
-	i.tell(func(o *instance) { o.placer.Learn(a.server.hash, health.Late, false, age, expected, o.world.now) })
+	i.placer.Learn(a.server.hash, health.Late, true, 0, 0, i.world.now)
+	i.tell(func(o *instance) { o.placer.Learn(a.server.hash, health.Late, false, 0, 0, o.world.now) })
 }
 
 func (i *instance) workOf(k Kind) time.Duration {
@@ -142,15 +138,12 @@
 	now := i.world.now
 	return i.placer.Choose(placement.Request{
 		Service: i.world.services[c.service].name, Repeatable: c.kind.Repeatable,
-		RoomToRepeat: c.kind.Repeatable && i.room(c),
+		RoomToRepeat: c.kind.Repeatable && i.repeats[c.service].Room(bound, now),
 		Aim:          c.kind.Aim - (now - c.sent), Left: c.deadline - now, Work: i.workOf(c.kind),
 		KB: 5, DataCentre: i.dataCentre, Tried: c.tried,
 	}, now, i.rng.Float64)
 }
 
-// room reports whether there is ample room to repeat.
-func (i *instance) room(c *caller) bool { return i.repeats[c.service].Room(bound, i.world.now) }
-
 func (i *instance) mayHedge(c *caller) bool {
 	if !c.kind.Repeatable || !i.world.off.On(mechanism.Hedge) {
 		return false
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -33,14 +33,9 @@
 	Slowness Name = "slowness"
 	// Crossing prefers servers of the own data centre.
 	Crossing Name = "crossing"
-	// Crowding avoids the last free slot of a server.
-	Crowding Name = "crowding"
 	// Waiting makes each round of requests before a request cost something
 	// beside its time.
 	Waiting Name = "waiting"
-	// Silence takes the time that an attempt has been without an answer, against
-	// what such answers take, as evidence while it grows.
-	Silence Name = "silence"
 	// Hedge asks a second server when a lookup's answer is late.
 	Hedge Name = "hedge"
 	// Rank lets less urgent requests wait for less of their time.
@@ -53,7 +48,7 @@
 
 // All are the names of all mechanisms.
 var All = []Name{
-	Spread, Newcomer, Keep, Probe, Chance, Spells, Paths, Slowness, Crossing, Crowding, Waiting, Silence, Hedge, Rank, Tolerance, Fresh,
+	Spread, Newcomer, Keep, Probe, Chance, Spells, Paths, Slowness, Crossing, Waiting, Hedge, Rank, Tolerance, Fresh,
 }
 
 // Off are the mechanisms that are switched off. The zero value is none.
--- a/placement/belief.go
+++ b/placement/belief.go
@@ -133,44 +133,6 @@
 	}
 }
 
-// learnSilence takes in that an attempt has been without an answer for a time,
-// or ended so. An attempt that was allowed less time than its work may need says
-// next to nothing of the server; one that hangs says more with each step, and is
-// known to all long before it times out.
-func (s *server) learnSilence(g *service, r health.Result, own bool, age, expected, t time.Duration) {
-	x := LateSteps[len(LateSteps)-1]
-	if age > 0 && expected > 0 {
-		x = float64(age) / float64(expected)
-	}
-	if x >= roughly*LateSteps[0] {
-		s.hear(r, own)
-	}
-	before := stepBefore(x)
-	if s.toldLate < t-age {
-		// Nothing was told while it was out, or the message was lost.
-		before = 0
-	}
-	if r == health.Late {
-		s.toldLate = t
-	}
-	s.spell.learn(spells, t, g.spreading.silence(x, before))
-	if own && x >= roughly*pathAfter {
-		s.path.learn(paths, t, silentPathIs)
-		s.lastFail = t
-	}
-	if r == health.Timeout {
-		s.failure, s.failedAt = r, t
-	}
-}
-
-// pathAfter is the age of an own attempt, in expected times, from which its
-// silence is also held against the path: a cut loses everything, so that there
-// is time to be sure.
-const pathAfter = 2.4
-
-// roughly allows for ages that other instances tell in whole milliseconds.
-const roughly = 0.95
-
 // hear notes whether the server answers at all. That another instance gets no
 // connection says nothing of this one's path: with a path in five cut, all
 // servers had such a failure last, and were left out of use for seconds.
--- a/placement/costs.go
+++ b/placement/costs.go
@@ -17,9 +17,6 @@
 	// lateCost is added in full at one and a half times the aim: a late
 	// answer earns its caller little.
 	lateCost = 0.35
-	// crowding is the cost of the last free slot: some servers slow down when
-	// nearly full, and another instance may be taking it at this moment.
-	crowding = 0.04
 	// waiting is the cost of each round of requests that a slot works off first.
 	// The time alone costs so little against the risk of an unknown server that
 	// load piled up at few known ones, and one answer in seven was late.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -54,6 +54,9 @@
 	Tried []string
 }
 
+// Waits reports whether the request has to wait for a slot, as far as is known.
+func (c Choice) Waits() bool { return c.Outstanding >= c.Server.Slots }
+
 // Choice is a server and what was expected of it.
 type Choice struct {
 	Server discovery.Server
@@ -82,9 +85,8 @@
 	// since is when the first of them became known.
 	since time.Duration
 	// work is the usual time of the service's requests, all kinds together.
-	work      time.Duration
-	outcomes  outcomes
-	spreading spreading
+	work     time.Duration
+	outcomes outcomes
 }
 
 // never is the time of what hasn't happened. With 0, an instance that has just
@@ -121,7 +123,6 @@
 			slowness:    1,
 			lastUse:     never,
 			lastFail:    never,
-			toldLate:    never,
 			since:       now,
 			outstanding: make(map[uint32]count),
 		}
@@ -152,7 +153,7 @@
 func (p *Placer) service(name string) *service {
 	s, ok := p.services[name]
 	if !ok {
-		s = &service{spreading: newSpreading()}
+		s = &service{}
 		p.services[name] = s
 	}
 	return s
@@ -168,7 +169,7 @@
 		if s.entry.Draining || contains(r.Tried, s.entry.ID) {
 			continue
 		}
-		c := s.weigh(p.off, g, r, now, wide, random)
+		c := s.weigh(p.off, g.work, r, now, wide, random)
 		c.Cost += jitter * random()
 		if c.Cost < best.Cost {
 			best, found = c, true
@@ -238,30 +239,18 @@
 
 // Learn takes in the result of an attempt. Took is the time of an answer, 0 if
 // it is unknown or the request had to wait for a slot; work is what a server
-// of mean speed takes for such a request. Of an attempt without an answer, late
-// or timed out, took is how long it has been out and work what was expected; 0
-// if that isn't known.
-// Own says that the attempt was this instance's.
+// of mean speed takes for such a request. Own says that the attempt was this instance's.
 func (p *Placer) Learn(hash uint32, r health.Result, own bool, took, work, now time.Duration) {
 	s, ok := p.byHash[hash]
 	if !ok {
 		return
 	}
-	g := p.service(s.entry.Service)
-	own = own && p.off.On(mechanism.Paths)
-	if silent := r == health.Late || r == health.Timeout; silent && p.off.On(mechanism.Silence) {
-		s.learnSilence(g, r, own, took, work, now)
-		return
-	}
-	if r == health.Late && took < 3*work {
-		return
-	}
-	s.learn(r, own, now)
+	s.learn(r, own && p.off.On(mechanism.Paths), now)
 	if r == health.OK {
 		if p.off.On(mechanism.Slowness) {
 			s.measure(took, work)
 		}
-		g.spreading.measure(took, time.Duration(float64(work)*s.slowness))
+		g := p.service(s.entry.Service)
 		g.work += time.Duration(workSmoothing * float64(work-g.work))
 	}
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -24,8 +24,6 @@
 	// failure is how the last failed attempt went, at failedAt; OK if none did.
 	failure  health.Result
 	failedAt time.Duration
-	// toldLate is when an attempt was last told as late.
-	toldLate time.Duration
 	// silent says that the server, or this instance's path to it, gave no sign
 	// at the last attempt that tells of that.
 	silent bool
@@ -40,10 +38,11 @@
 }
 
 // weigh returns what it would cost to send the request to this server.
-func (s *server) weigh(off mechanism.Off, g *service, r Request, now time.Duration, wide bool, random func() float64) Choice {
+// The requests before it take as long as is usual at its service (queued).
+func (s *server) weigh(off mechanism.Off, queued time.Duration, r Request, now time.Duration, wide bool, random func() float64) Choice {
 	out := s.count(now)
 	risk := s.risk(off, now)
-	expected := s.expected(r.Work, g.work, out, now)
+	expected := s.expected(r.Work, queued, out, now)
 	cost := s.delayCost(off, r, expected, out)
 	if r.Repeatable {
 		cost += risk * riskRepeatable
@@ -56,16 +55,13 @@
 	if len(r.Tried) == 0 {
 		cost -= s.pull(off, r, now, out, risk, wide, random)
 	}
-	return Choice{Server: s.entry, Expected: max(expected, ExpectedLeast), Outstanding: out, Risk: risk, Cost: cost}
+	return Choice{Server: s.entry, Expected: expected, Outstanding: out, Risk: risk, Cost: cost}
 }
 
 // delayCost is what the expected time costs a request that doesn't fail.
 func (s *server) delayCost(off mechanism.Off, r Request, expected time.Duration, out int) float64 {
 	late := float64(expected) / float64(max(r.Aim, time.Millisecond))
 	cost := timeCost*math.Min(late, mostLate) + lateCost*clamp((late-0.8)/0.7)
-	if out+1 >= s.entry.Slots && off.On(mechanism.Crowding) {
-		cost += crowding
-	}
 	if off.On(mechanism.Waiting) {
 		cost += waiting * s.ahead(out)
 	}
--- a/retry/patience.go
+++ b/retry/patience.go
@@ -1,13 +1,17 @@
 package retry
 
-// HedgeStep is how often an attempt must have been told as late before a second
-// server is asked: twice while there is ample room to repeat, since a lookup
-// that is repeated early is still in time; later where repeats are scarce. Asking
-// at the first step already took five times the repeats, and orders that met
-// servers busy with them were lost.
-func HedgeStep(room bool) int {
-	if room {
-		return 2
-	}
-	return 3
+import "time"
+
+const (
+	// lateAfter is how many usual times an attempt may take before it counts
+	// as late; a request's work rarely takes longer, a hanging server always.
+	lateAfter = 3.0
+	// lateLeast keeps very short requests from being late by mere chance.
+	lateLeast = 150 * time.Millisecond
+)
+
+// Patience is how long an attempt may take before it counts as late, given the
+// usual time of such requests.
+func Patience(work time.Duration) time.Duration {
+	return max(time.Duration(lateAfter*float64(work)), lateLeast)
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -66,8 +66,7 @@
 	// MayHaveRun says that an earlier attempt of this request wasn't proved
 	// not run, so that the outcome can't be NotRun any more.
 	MayHaveRun bool
-	// Running counts other attempts of this request that are still out. One is
-	// told to DecideHedge for those that are all late together.
+	// Running counts other attempts of this request that are still out.
 	Running int
 	// Deadline is when the caller's time is up, on the clock of now.
 	Deadline time.Duration
