--- a/edge/peers.go
+++ b/edge/peers.go
@@ -82,7 +82,8 @@
 // send writes datagrams. One that can't be written is as good as lost on the
 // way, which every message allows for.
 func (e *Edge) send(datagrams []relay.Datagram) {
-	for _, d := range datagrams {
+	for i := range datagrams {
+		d := &datagrams[i]
 		b := d.Encode()
 		for _, id := range d.To {
 			_, _ = e.socket.WriteToUDPAddrPort(b, address(id, e.peerPort))
--- a/fleet/messenger_test.go
+++ b/fleet/messenger_test.go
@@ -20,6 +20,8 @@
 	// fails: half a second until its next heartbeat at most, and the wait for
 	// that to come back.
 	switched = 700 * time.Millisecond
+	// mostReported bounds the messages that a failing test names.
+	mostReported = 20
 	// forgotten is the time for which a relay keeps listeners that left it.
 	forgotten = 1300 * time.Millisecond
 )
@@ -64,7 +66,8 @@
 	must.SliceNotEmpty(w.t, times)
 	for id, at := range w.said {
 		for other, n := range w.nodes {
-			if _, ok := w.heard[id][other]; !ok && other != id.source && !n.down && at >= from && at < to && w.rng.IntN(40) == 0 {
+			if _, ok := w.heard[id][other]; !ok && other != id.source && !n.down && at >= from && at < to && w.reported < mostReported {
+				w.reported++
 				w.t.Logf("missing: from %x (told %x) at %v to %x (told %x)", id.source, w.nodes[id.source].m.Hub().Relay(), at, other, n.m.Hub().Relay())
 			}
 		}
@@ -309,7 +312,8 @@
 	must.SliceEmpty(t, good)
 	round := n.m.Step(n.m.Due())
 	must.SliceNotEmpty(t, round)
-	whole := relay.Datagram{Kind: relay.Tell, Messages: round[0].Messages}.Encode()
+	told := relay.Datagram{Kind: relay.Tell, Messages: round[0].Messages}
+	whole := told.Encode()
 	for _, b := range [][]byte{nil, {0x7f}, {byte(relay.Tell)}, {byte(relay.Cross), 0xff}, whole[:len(whole)-1], append(whole, 0xff)} {
 		taken, err := n.m.Take(0x0a010001, b, w.now)
 		must.Error(t, err)
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -31,6 +31,8 @@
 	heard map[word]map[uint32]time.Duration
 	// starting counts instances that are about to start.
 	starting int
+	// reported counts messages that were reported as missing.
+	reported int
 	// listed says that instances soon know from the store who is running.
 	listed bool
 	// rate of messages a second and instance; 0 for heartbeats alone.
@@ -243,7 +245,8 @@
 }
 
 func (w *world) send(n *node, out []relay.Datagram) {
-	for _, d := range out {
+	for i := range out {
+		d := &out[i]
 		b := d.Encode()
 		for _, id := range d.To {
 			n.out++
--- a/fleet/take.go
+++ b/fleet/take.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"bytes"
 	"time"
 
 	"foxtailspoke/evidence"
@@ -38,8 +37,7 @@
 		m.hub.Take(relay.Received{From: sender, Kind: d.Kind}, now)
 		return Taken{}, nil
 	}
-	// The bytes are the caller's buffer.
-	messages, parts, err := evidence.Decode(bytes.Clone(d.Messages))
+	messages, parts, err := evidence.Decode(d.Messages)
 	if err != nil {
 		return Taken{}, err
 	}
@@ -164,8 +162,11 @@
 			return err
 		}
 	}
-	if alone && !m.fleet.Alone() {
+	switch {
+	case alone && !m.fleet.Alone():
 		return t.add(m.Introduce(true, now))
+	case m.hub.Moved(now):
+		return t.add(m.Say(evidence.Message{}, false, now))
 	}
 	return nil
 }
--- a/relay/cross.go
+++ b/relay/cross.go
@@ -7,6 +7,9 @@
 	confirmEvery = 80 * time.Millisecond
 	// confirmWait is how long a relay may leave everything unconfirmed.
 	confirmWait = 200 * time.Millisecond
+	// secondLook follows when it has. If this process itself stood still, it
+	// finds the confirmation in its socket meanwhile.
+	secondLook = 25 * time.Millisecond
 )
 
 // unconfirmed is what was sent to another relay and isn't confirmed yet. Without
@@ -87,9 +90,9 @@
 
 // beside sends messages to the other relays of the data centre.
 func (h *Hub) beside(urgent bool, now time.Duration, lists ...[][]byte) []Datagram {
-	out := pack(Beside, urgent, h.siblings(), lists...)
+	out := pack(Beside, urgent, h.siblings(now), lists...)
 	if len(out) > 0 {
-		for _, id := range h.siblings() {
+		for _, id := range h.siblings(now) {
 			h.expect(id, now)
 		}
 	}
@@ -146,12 +149,12 @@
 	if len(h.listeners) > 0 {
 		return false
 	}
-	for _, id := range h.siblings() {
+	for _, id := range h.siblings(now) {
 		if !h.suspected(id, now) {
 			return false
 		}
 	}
-	return len(h.siblings()) > 0 || h.seen().silent
+	return len(h.siblings(now)) > 0 || h.seen().silent
 }
 
 // resend suspects relays that confirm nothing, and sends to others what they
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -43,8 +43,9 @@
 	self    Member
 	members func() []Member
 	view    view
-	// stale says that members have changed since the view was made.
-	stale bool
+	// stale says that members have changed since the view was made, renewed that
+	// it was made since Moved last looked.
+	stale, renewed bool
 
 	listeners map[uint32]time.Duration
 	// strays are instances that take themselves for relays and aren't expected
@@ -90,6 +91,7 @@
 	if h.stale {
 		h.view = newView(h.self, h.members())
 		h.stale = false
+		h.renewed = true
 	}
 	return &h.view
 }
@@ -116,14 +118,25 @@
 		h.wait(told, w.urgent, w.message)
 		return nil
 	}
-	w.to, w.at, w.looked = h.relay, now, false
+	w.to, w.at, w.again = h.relay, now, 0
 	w.tells++
 	h.words = append(h.words, w)
 	to := choices[:1]
 	if h.onProbation(h.relay) && len(choices) > 1 && choices[1] != h.self.ID {
 		to = choices[:2]
 	}
-	return []Datagram{{To: to, Kind: Tell, Urgent: w.urgent, Messages: w.message}}
+	return []Datagram{w.datagram(to)}
+}
+
+// Moved reports that another relay is the best since this instance last said
+// something. It is a listener there only once it says something again.
+func (h *Hub) Moved(now time.Duration) bool {
+	if !h.stale && !h.renewed {
+		return false
+	}
+	best := h.choose(now)[0]
+	h.renewed = false
+	return best != h.relay
 }
 
 // choose returns whom to tell, the best first: this instance itself if nobody
@@ -263,40 +276,17 @@
 	return append(out, pack(Deliver, false, append(keys(h.listeners), keys(h.strays)...), own, far, near)...)
 }
 
-// siblings are the other relays of the data centre.
-func (h *Hub) siblings() []uint32 {
-	var list []uint32
+// siblings are the other relays of the data centre, and the one that this
+// instance tells: while relays change, it may be a relay for others already and
+// know only dead ones.
+func (h *Hub) siblings(now time.Duration) []uint32 {
+	list := h.choose(now)[:1]
 	for _, m := range h.seen().relays() {
-		if m.ID != h.self.ID {
+		if !slices.Contains(list, m.ID) {
 			list = append(list, m.ID)
 		}
 	}
-	return list
-}
-
-// pack puts messages into as few datagrams as possible.
-func pack(kind Kind, urgent bool, to []uint32, lists ...[][]byte) []Datagram {
-	if len(to) == 0 {
-		return nil
-	}
-	var out []Datagram
-	var b []byte
-	flush := func() {
-		if len(b) > 0 {
-			out = append(out, Datagram{To: to, Kind: kind, Urgent: urgent, Messages: b})
-		}
-		b = nil
-	}
-	for _, messages := range lists {
-		for _, m := range messages {
-			if len(b)+len(m) >= MaxDatagram {
-				flush()
-			}
-			b = append(b, m...)
-		}
-	}
-	flush()
-	return out
+	return slices.DeleteFunc(list, func(id uint32) bool { return id == h.self.ID })
 }
 
 // forget drops those that haven't spoken for long.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,11 +29,6 @@
 // passed in.
 package relay
 
-import "github.com/cockroachdb/errors"
-
-// MaxDatagram is the most bytes of a datagram that links carry in one piece.
-const MaxDatagram = 1400
-
 // Kind says what a receiver does with the messages of a datagram, beside taking
 // them in.
 type Kind byte
@@ -59,36 +54,3 @@
 
 	kinds = iota
 )
-
-// urgentBit of a datagram's first byte says that it doesn't wait for a round.
-const urgentBit = 0x80
-
-// Datagram is what to send.
-type Datagram struct {
-	To   []uint32
-	Kind Kind
-	// Urgent datagrams are sent on at once.
-	Urgent bool
-	// Messages in their encoded form, one after the other.
-	Messages []byte
-}
-
-// ErrHeader means that bytes aren't a datagram of this package.
-var ErrHeader = errors.New("datagram without a known kind")
-
-// Encode returns the bytes to write.
-func (d Datagram) Encode() []byte {
-	head := byte(d.Kind)
-	if d.Urgent {
-		head |= urgentBit
-	}
-	return append([]byte{head}, d.Messages...)
-}
-
-// Decode is the opposite of Encode; the result has no receivers.
-func Decode(b []byte) (Datagram, error) {
-	if len(b) == 0 || b[0]&^urgentBit >= kinds {
-		return Datagram{}, ErrHeader
-	}
-	return Datagram{Kind: Kind(b[0] &^ urgentBit), Urgent: b[0]&urgentBit != 0, Messages: b[1:]}, nil
-}
--- a/relay/words.go
+++ b/relay/words.go
@@ -6,13 +6,12 @@
 )
 
 const (
-	// ackWait is how long an own message may take to come back: two rounds of
-	// the largest data centre, and the pauses of small machines.
-	ackWait = 150 * time.Millisecond
-	// secondLook follows when it hasn't come back. If this process itself stood
-	// still, it finds the answer in its socket meanwhile, instead of suspecting
-	// a relay that is well.
-	secondLook = 25 * time.Millisecond
+	// tellAgain is when an own message that hasn't come back is told to the same
+	// relay once more: two rounds of the largest data centre. It was lost on its
+	// way, or the relay or this process itself stood still for a moment.
+	tellAgain = 90 * time.Millisecond
+	// giveUpAfter is how much later the relay is suspected.
+	giveUpAfter = 85 * time.Millisecond
 	// mostTells bounds how often a message is told. Messages carry totals, so
 	// that a later one makes good what is lost then.
 	mostTells = 3
@@ -30,16 +29,16 @@
 	to       uint32
 	at       time.Duration
 	tells    int
-	// looked says that the first wait is over.
-	looked bool
+	// again is when it was told to the same relay once more; 0 if it wasn't.
+	again time.Duration
 }
 
-// due is when to look whether the message has come back.
+// due is when to do something about the message.
 func (w *word) due() time.Duration {
-	if w.looked {
-		return w.at + ackWait + secondLook
+	if w.again > 0 {
+		return w.again + giveUpAfter
 	}
-	return w.at + ackWait
+	return w.at + tellAgain
 }
 
 // suspicion is held against a relay that didn't send a message back.
@@ -83,25 +82,23 @@
 	}
 }
 
-// retell tells again what should have come back by now.
-func (h *Hub) retell(now time.Duration) []Datagram {
+// retell tells again what should have come back by now: to the same relay first,
+// then to another one.
+func (h *Hub) retell(now time.Duration) (out []Datagram) {
 	late := make(map[uint32]bool)
 	for _, w := range h.words {
 		switch {
 		case now < w.due():
-		case !w.looked:
-			w.looked = true
+		case w.again == 0:
+			w.again = now
+			out = append(out, w.datagram([]uint32{w.to}))
 		default:
 			late[w.to] = true
 		}
 	}
-	if len(late) == 0 {
-		return nil
-	}
 	for id := range late {
 		h.suspect(id, now)
 	}
-	var out []Datagram
 	words := h.words
 	h.words = nil
 	for _, w := range words {
@@ -114,3 +111,7 @@
 	}
 	return out
 }
+
+func (w *word) datagram(to []uint32) Datagram {
+	return Datagram{To: to, Kind: Tell, Urgent: w.urgent, Messages: w.message}
+}
