--- a/edge/edge.go
+++ b/edge/edge.go
@@ -77,8 +77,6 @@
 	// joined is closed when the store may be read.
 	joined  chan struct{}
 	joining sync.Once
-	// unlisted tells that this instance's row in the store is gone.
-	unlisted chan struct{}
 
 	mu    sync.Mutex
 	state state
@@ -105,6 +103,9 @@
 	// configTold is the newest version of that row that another instance told
 	// of; its content comes by fetchConfig.
 	configTold uint64
+	// serversTold is the newest version of the list of servers that another
+	// instance told of.
+	serversTold uint64
 	// configProof is the store's stamp up to which the configuration in force
 	// is proved to be the newest.
 	configProof time.Duration
@@ -168,7 +169,6 @@
 		kicked:   make(chan struct{}, 1),
 		fetches:  make(chan struct{}, 1),
 		joined:   make(chan struct{}),
-		unlisted: make(chan struct{}, 1),
 	}
 	e.callers = e.newCallers()
 	e.metrics = newMetrics(e)
@@ -273,6 +273,7 @@
 	e.tree.Add(part{"heart", e.heart})
 	e.tree.Add(part{"poller", e.pollStore})
 	e.tree.Add(part{"fetcher", e.fetchConfig})
+	e.tree.Add(part{"register", e.register})
 	e.tree.Add(part{"snapshots", e.serveSnapshots})
 	e.tree.Add(part{"settings", e.watchSettings})
 	e.tree.Add(part{"callers", e.serveCallers})
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -138,9 +138,6 @@
 
 func (e *Edge) takeInstance(r replica.Row, now time.Duration) {
 	id, err := addressNumber(r.Key)
-	if id == e.self && r.Gone {
-		wake(e.unlisted)
-	}
 	if err != nil || id == e.self {
 		return
 	}
--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -16,18 +16,12 @@
 	fetchSpread = 60 * time.Millisecond
 	// fetchRetry is the least pause after a read that failed.
 	fetchRetry = 500 * time.Millisecond
-	// readersEach is how many instances of a data centre read a new
-	// configuration from the store; the others ask these. With join, it took
-	// the calls of 137 instances in 50 s with one change from 2,004 to 1,288. At
-	// 2,000, reads by all would take all that the store answers in a second.
+	// readersEach is how many instances of a data centre read from the store
+	// what is too large to be told; the others ask these. If all of them did,
+	// the calls would grow with the fleet, up to all that the store answers.
 	readersEach = 2
 	// readersFirst leaves the readers time for their call: 4 ms as a rule.
 	readersFirst = 50 * time.Millisecond
-	// joinWithin bounds the wait of an instance, at the first start of the whole
-	// fleet, for others that have read the store. Callers come later than that.
-	joinWithin = time.Second
-	// joinStep is how often it looks for them.
-	joinStep = 100 * time.Millisecond
 )
 
 // fetchConfig reads the configuration when another instance says that there is
@@ -38,12 +32,8 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	go e.register(ctx)
 	for {
 		select {
-		case <-e.unlisted:
-			go e.register(ctx)
-			continue
 		case <-e.fetches:
 		case <-ctx.Done():
 			return ctx.Err()
@@ -51,7 +41,7 @@
 		if !pause(ctx, time.Duration(rand.Float64()*float64(fetchSpread))) {
 			return ctx.Err()
 		}
-		if e.hasToldConfig() || e.askReaders(ctx) {
+		if e.hasToldConfig() || e.askReaders(ctx, methodConfig, configTimeout, e.hasToldConfig) {
 			continue
 		}
 		if !e.readConfig(ctx) {
@@ -61,45 +51,72 @@
 	}
 }
 
-// askReaders asks the instances of this data centre that read the store for
-// the configuration that was told of. It reports false if this instance is one
-// of them, or none of them has it.
-func (e *Edge) askReaders(ctx context.Context) bool {
+// askReaders asks the readers of this data centre until one of them has brought
+// what is missing. It reports false if this instance is one of them, or none of
+// them has it.
+func (e *Edge) askReaders(ctx context.Context, method string, timeout time.Duration, has func() bool) bool {
 	e.mu.Lock()
-	readers := e.configReaders()
+	readers := e.readers()
 	e.mu.Unlock()
 	if slices.Contains(readers, e.self) || !pause(ctx, readersFirst) {
 		return false
 	}
 	for _, reader := range readers {
-		if e.hasToldConfig() {
+		if has() {
 			return true
 		}
-		e.askSnapshot(ctx, reader, methodConfig, configTimeout)
+		e.askSnapshot(ctx, reader, method, timeout)
 	}
-	return e.hasToldConfig()
+	return has()
 }
 
+// hasToldConfig reports whether the newest configuration that another instance
+// told of is here.
 func (e *Edge) hasToldConfig() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.state.table != nil && e.state.configRow >= e.state.configTold
+	_, known := e.state.config.Version()
+	return known && e.state.configRow >= e.state.configTold
 }
 
-// configReaders are the instances of the own data centre that read the
-// configuration, the same for all of them: those with fast links.
-func (e *Edge) configReaders() []uint32 {
-	var ids []uint32
-	if !e.slowLink() {
-		ids = append(ids, e.self)
+// hasToldServers is the same for the list of servers.
+func (e *Edge) hasToldServers() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	version, known := e.state.servers.Version()
+	return known && version >= e.state.serversTold
+}
+
+// readers are the instances of the own data centre that read the store for the
+// others, the same for all of them: those with fast links first.
+func (e *Edge) readers() []uint32 {
+	members := []relay.Member{e.member()}
+	for _, m := range e.state.messenger.Fleet().All() {
+		if m.Alive && !m.Stopping && m.DataCentre == e.settings.DataCentre {
+			members = append(members, m.Member)
+		}
 	}
-	for id, m := range e.state.messenger.Fleet().All() {
-		if m.Alive && !m.Leaving && !m.Slow && m.DataCentre == e.settings.DataCentre {
-			ids = append(ids, id)
+	slices.SortFunc(members, func(a, b relay.Member) int {
+		if a.Slow != b.Slow {
+			if b.Slow {
+				return -1
+			}
+			return 1
 		}
+		return cmp.Compare(relay.Mix(a.ID), relay.Mix(b.ID))
+	})
+	var ids []uint32
+	for _, m := range members[:min(len(members), readersEach)] {
+		ids = append(ids, m.ID)
 	}
-	slices.SortFunc(ids, func(a, b uint32) int { return cmp.Compare(relay.Mix(a), relay.Mix(b)) })
-	return ids[:min(len(ids), readersEach)]
+	return ids
+}
+
+// isReader reports whether this instance is one of them.
+func (e *Edge) isReader() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.readers(), e.self)
 }
 
 // readConfig reads the configuration from the store.
@@ -119,45 +136,6 @@
 	return true
 }
 
-// join waits, at the first start of the whole fleet, until another instance has
-// read the store, and takes in what it knows. Otherwise all instances would
-// read three tables within the same third of a second.
-func (e *Edge) join(ctx context.Context) {
-	defer close(e.joined)
-	if !e.settings.FirstStart {
-		return
-	}
-	for end := e.now() + time.Duration(rand.Float64()*float64(joinWithin)); e.now() < end; {
-		if !pause(ctx, joinStep) {
-			return
-		}
-		if e.othersAreReady() {
-			e.askPeer(ctx)
-		}
-		if e.knowsServers() {
-			return
-		}
-	}
-}
-
-func (e *Edge) othersAreReady() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, m := range e.state.messenger.Fleet().All() {
-		if m.Alive && !m.Leaving {
-			return true
-		}
-	}
-	return false
-}
-
-func (e *Edge) knowsServers() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	_, known := e.state.servers.Version()
-	return known && e.state.table != nil
-}
-
 func pause(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-time.After(d):
--- a/edge/fetch_test.go
+++ b/edge/fetch_test.go
@@ -52,8 +52,8 @@
 	for n := range fleetSize {
 		eventually(t, 5*time.Second, "ready", func() bool { return f.ready(n) })
 	}
-	// Three reads of each would be 42. Each also writes its row, unless it
-	// hasn't come to it yet.
+	// The rows of all instances are in them by then.
+	eventually(t, 8*time.Second, "listed", func() bool { return len(f.store.Rows("instances")) == fleetSize })
 	t.Logf("%d calls", f.store.Calls())
-	must.LessEq(t, 3*fleetSize/2+fleetSize, f.store.Calls())
+	must.LessEq(t, 3*fleetSize/2, f.store.Calls())
 }
--- /dev/null
+++ b/edge/join.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// joinStep is how often an instance that has just started looks whether
+	// others know already what it would read from the store.
+	joinStep = 100 * time.Millisecond
+	// joinFirst bounds that wait at the first start of the whole fleet, for
+	// instances that aren't readers: callers come later than that, and some
+	// hundred instances would read three tables within a second.
+	joinFirst = 4 * time.Second
+	// joinReaders leaves readers of a first start time to find each other.
+	joinReaders = 300 * time.Millisecond
+	// joinAgain bounds the wait of an instance with a slow link that starts
+	// later. After a kill of all, callers are waiting.
+	joinAgain = 150 * time.Millisecond
+	// joinSpread spreads those whose wait has ended.
+	joinSpread = 250 * time.Millisecond
+)
+
+// join waits until another instance has told what it knows, or until it is time
+// to read the store.
+func (e *Edge) join(ctx context.Context) {
+	defer close(e.joined)
+	start := e.now()
+	spread := time.Duration(rand.Float64() * float64(joinSpread))
+	for !e.knowsServers() && e.now()-start < e.joinWithin()+spread {
+		if !pause(ctx, joinStep) {
+			return
+		}
+		if !e.isReader() && e.othersAreReady() {
+			e.askReaders(ctx, methodGet, snapshotTimeout, e.knowsServers)
+		}
+	}
+}
+
+// joinWithin is how long to wait for others.
+func (e *Edge) joinWithin() time.Duration {
+	reader := e.isReader()
+	switch {
+	case e.settings.FirstStart && reader:
+		return joinReaders
+	case e.settings.FirstStart:
+		return joinFirst
+	case reader || !e.slowLink():
+		return 0
+	default:
+		return joinAgain
+	}
+}
+
+// othersAreReady reports whether another instance knows all that there is to
+// know.
+func (e *Edge) othersAreReady() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, m := range e.state.messenger.Fleet().All() {
+		if m.Alive && !m.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Edge) knowsServers() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, known := e.state.servers.Version()
+	return known && e.state.table != nil
+}
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -53,7 +53,9 @@
 		wait := e.untilPoll(e.now())
 		e.mu.Unlock()
 		if wait <= 0 {
-			e.pollOnce(ctx)
+			if !e.fillGap(ctx) {
+				e.pollOnce(ctx)
+			}
 			continue
 		}
 		select {
@@ -74,6 +76,21 @@
 	return due - now
 }
 
+// fillGap asks the readers for the changes of the servers that this instance
+// lacks, if it lacks any. It reports whether it has them now.
+func (e *Edge) fillGap(ctx context.Context) bool {
+	e.mu.Lock()
+	lacks := e.state.gapEnds > 0
+	e.mu.Unlock()
+	if !lacks || !e.askReaders(ctx, methodGet, snapshotTimeout, e.hasToldServers) {
+		return false
+	}
+	e.mu.Lock()
+	e.state.gapEnds = 0
+	e.mu.Unlock()
+	return true
+}
+
 // pollOnce asks for the changes of all tables that are due, at the same time.
 func (e *Edge) pollOnce(ctx context.Context) {
 	e.mu.Lock()
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -13,8 +13,8 @@
 const (
 	// maxNoticeRows is the bytes of changed rows that a message may carry; they
 	// are packed to about a third. maxNoticeParts is how many messages one
-	// answer may take. Above that, some hundred servers changing at once,
-	// everybody reads the store.
+	// answer may take. Above that, some hundred servers changing at once, the
+	// readers of each data centre read the store and the others ask them.
 	maxNoticeRows  = 3000
 	maxNoticeParts = 6
 	// gapWait is how long an instance that lacks changes waits for the notice
@@ -100,6 +100,9 @@
 		complete = known && s.configRow >= n.Changed
 		n.Since = version
 	}
+	if n.Table == evidence.Servers {
+		s.serversTold = max(s.serversTold, n.Version)
+	}
 	if !complete {
 		e.missed(n.Table, now)
 		return
@@ -133,7 +136,7 @@
 	}
 }
 
-// missed has what a notice couldn't bring read from the store.
+// missed has what a notice couldn't bring fetched from a reader or the store.
 func (e *Edge) missed(t evidence.Table, now time.Duration) {
 	switch t {
 	case evidence.Config:
--- a/edge/register.go
+++ b/edge/register.go
@@ -5,60 +5,121 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"time"
 
 	"foxtailspoke/event"
 	"foxtailspoke/platform"
+	"foxtailspoke/relay"
 	"foxtailspoke/replica"
 )
 
 const (
-	// registerRetry is the pause after the row of this instance couldn't be
-	// written; others learn of it by its beats meanwhile.
-	registerRetry = time.Second
+	// registerEvery is how often a reader looks whether instances of its data
+	// centre lack their rows.
+	registerEvery = 2 * time.Second
+	// registerLater is how long each reader leaves that to the one before it,
+	// and registerAlone how long all others do.
+	registerLater = 4 * time.Second
+	registerAlone = 20 * time.Second
 	// goneAfter is the silence after which an instance is taken off the list:
 	// longer than any disturbance of the network that passes by itself.
 	goneAfter = 2 * time.Minute
-	// maxGoneRows bounds one removal; the store takes 100 entries a call.
-	maxGoneRows = 100
+	// maxRows bounds the rows of one call; the store takes 100 entries.
+	maxRows = 100
 )
 
-// register writes this instance's row, unless it stands there already from an
-// earlier start. While the store turns this instance away, the others are
-// asked for what they know.
-func (e *Edge) register(ctx context.Context) {
-	value, err := json.Marshal(instanceDocument{DataCentre: e.settings.DataCentre, SlowLink: e.slowLink()})
-	if err != nil {
-		event.StoreCallFailed.Log(e.log, slog.Any("error", err))
-		return
+// register has the instances of this data centre listed in the store, so that
+// those of a later start find them, and a cut doesn't double any rate: what
+// belongs to a listed instance that isn't heard isn't counted on. One call
+// writes the rows of all that lack them.
+func (e *Edge) register(ctx context.Context) error {
+	select {
+	case <-e.joined:
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	for pause(ctx, registerRetry) {
+	lacking := time.Duration(0)
+	for pause(ctx, registerEvery) {
 		e.mu.Lock()
-		_, known := e.state.instances.Version()
-		rows := e.state.instances.Rows()
+		rows := e.unlistedRows()
+		patience := e.registerPatience()
 		ready := e.state.table != nil
 		e.mu.Unlock()
 		if !ready {
 			e.askPeer(ctx)
 		}
-		if !known {
+		if len(rows) == 0 {
+			lacking = 0
 			continue
 		}
-		if hasRow(rows, e.settings.IP, value) {
-			return
+		if lacking += registerEvery; lacking <= patience {
+			continue
 		}
-		row := replica.Row{Key: e.settings.IP, Value: value}
-		err := e.store.Write(ctx, platform.TableInstances, row)
-		if err == nil {
-			return
+		lacking = 0
+		if err := e.store.Write(ctx, platform.TableInstances, rows...); err != nil {
+			event.StoreCallFailed.Log(e.log, slog.String("table", platform.TableInstances), slog.Any("error", err))
+			continue
 		}
-		event.StoreCallFailed.Log(e.log, slog.String("table", platform.TableInstances), slog.Any("error", err))
+		e.mu.Lock()
+		e.noteListed(rows)
+		e.mu.Unlock()
+	}
+	return ctx.Err()
+}
+
+// registerPatience is how long this instance leaves the writing to others.
+func (e *Edge) registerPatience() time.Duration {
+	i := slices.Index(e.readers(), e.self)
+	if i < 0 {
+		return registerAlone
+	}
+	return time.Duration(i) * registerLater
+}
+
+// unlistedRows are the rows that instances of this data centre lack. As long as
+// the list isn't known, nobody does.
+func (e *Edge) unlistedRows() []replica.Row {
+	if _, known := e.state.instances.Version(); !known {
+		return nil
+	}
+	members := []relay.Member{e.member()}
+	for _, m := range e.state.messenger.Fleet().All() {
+		if m.Alive && !m.Stopping && m.DataCentre == e.settings.DataCentre {
+			members = append(members, m.Member)
+		}
+	}
+	listed := make(map[string][]byte)
+	for _, r := range e.state.instances.Rows() {
+		listed[r.Key] = r.Value
+	}
+	var rows []replica.Row
+	for _, m := range members {
+		key := address(m.ID, 0).Addr().String()
+		value, err := json.Marshal(instanceDocument{DataCentre: m.DataCentre, SlowLink: m.Slow})
+		if err != nil {
+			event.StoreCallFailed.Log(e.log, slog.Any("error", err))
+			continue
+		}
+		if !bytes.Equal(listed[key], value) && len(rows) < maxRows {
+			rows = append(rows, replica.Row{Key: key, Value: value})
+		}
+	}
+	return rows
+}
+
+// noteListed takes in rows that were just written, before the store tells of
+// them.
+func (e *Edge) noteListed(rows []replica.Row) {
+	for _, r := range rows {
+		e.state.instances.Note(r)
+		e.takeInstance(r, e.now())
 	}
 }
 
 // removeGone takes instances off the list that are gone for good. Their part of
 // the workspaces' rates would lie idle for ever. One that was only cut off for
-// so long writes its row again when it finds it missing.
+// so long gets its row again once it is heard.
 func (e *Edge) removeGone(ctx context.Context) {
 	e.mu.Lock()
 	rows := e.goneRows(e.now())
@@ -74,18 +135,9 @@
 func (e *Edge) goneRows(now time.Duration) []replica.Row {
 	var rows []replica.Row
 	for id, m := range e.state.messenger.Fleet().All() {
-		if m.Listed && !m.Alive && now-m.Heard > goneAfter && len(rows) < maxGoneRows {
+		if m.Listed && !m.Alive && now-m.Heard > goneAfter && len(rows) < maxRows {
 			rows = append(rows, replica.Row{Key: address(id, 0).Addr().String(), Gone: true})
 		}
 	}
 	return rows
 }
-
-func hasRow(rows []replica.Row, key string, value []byte) bool {
-	for _, r := range rows {
-		if r.Key == key {
-			return bytes.Equal(r.Value, value)
-		}
-	}
-	return false
-}
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -27,6 +27,8 @@
 	// call to the store must fit into what is left of the two seconds in which
 	// a change is in force, half a second after the change.
 	configTimeout = 200 * time.Millisecond
+	// packedFor is how long a packed snapshot is handed out.
+	packedFor = 100 * time.Millisecond
 	// maxSnapshotCalls bounds the connections of other instances.
 	maxSnapshotCalls = 32
 
@@ -62,16 +64,33 @@
 	// config is the packed configuration of row version configRow.
 	config    Packed
 	configRow uint64
+	// all is everything, packed at allAt.
+	all   Packed
+	allAt time.Duration
 }
 
-// Get returns what this instance knows.
+// Get returns what this instance knows. It is packed once for all that ask
+// within moments; its stamps say how old it is.
 func (s *Snapshots) Get(_ Nothing, reply *Packed) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.edge.mu.Lock()
-	snapshot := s.edge.snapshot(s.edge.now())
+	now := s.edge.now()
+	var snapshot Snapshot
+	fresh := len(s.all.Data) > 0 && now-s.allAt < packedFor
+	if !fresh {
+		snapshot = s.edge.snapshot(now)
+	}
 	s.edge.mu.Unlock()
-	var err error
-	*reply, err = pack(snapshot)
-	return err
+	if !fresh {
+		packed, err := pack(snapshot)
+		if err != nil {
+			return err
+		}
+		s.all, s.allAt = packed, now
+	}
+	*reply = s.all
+	return nil
 }
 
 // Config returns the configuration alone, without a proof of its age. It is
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,8 +31,7 @@
 	// unheardFor is the time after its last message for which an instance is left
 	// alone: two heartbeats.
 	unheardFor = 2 * HeartbeatEvery
-	// rememberFor is how long an instance counts that isn't listed: one that has
-	// just started, or whose row was removed.
+	// rememberFor is how long a silent instance counts that isn't listed.
 	rememberFor = 10 * time.Second
 )
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -97,6 +97,9 @@
 	return changed, true
 }
 
+// Note takes in a row that was just written, before any answer tells of it.
+func (t *Table) Note(r Row) { t.put(r) }
+
 func (t *Table) replace(a Answer) []Row {
 	var changed []Row
 	listed := make(map[string]bool, len(a.Rows))
