--- a/fleet/messenger.go
+++ b/fleet/messenger.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"foxtailspoke/evidence"
@@ -8,7 +10,7 @@
 )
 
 const (
-	// pulseEvery is how often Pulse should be called.
+	// PulseEvery is how often Pulse should be called.
 	PulseEvery = 200 * time.Millisecond
 	// introduceEvery is how often an instance says its data centre, for those
 	// who missed the first time.
@@ -193,7 +195,8 @@
 // roster tells an instance that has just come, or was cut off, who lives.
 func (m *Messenger) roster(to uint32, now time.Duration) (out []relay.Datagram, err error) {
 	var others []*Instance
-	for id, i := range m.fleet.all {
+	for _, id := range slices.Sorted(maps.Keys(m.fleet.all)) {
+		i := m.fleet.all[id]
 		// Only those that spoke themselves: what is hearsay here, and there again,
 		// would keep a dead instance alive for ever.
 		if now-i.spoke <= unheardFor && id != to {
--- a/relay/cross.go
+++ b/relay/cross.go
@@ -130,7 +130,8 @@
 
 // confirmOwed confirms what was put off.
 func (h *Hub) confirmOwed(now time.Duration) (out []Datagram) {
-	for id, c := range h.confirmations {
+	for _, id := range keys(h.confirmations) {
+		c := h.confirmations[id]
 		switch {
 		case c.owed && now-c.at >= confirmEvery:
 			out = append(out, h.confirm(id, now)...)
@@ -160,7 +161,8 @@
 // resend suspects relays that confirm nothing, and sends to others what they
 // held.
 func (h *Hub) resend(now time.Duration) (out []Datagram) {
-	for id, u := range h.unconfirmed {
+	for _, id := range keys(h.unconfirmed) {
+		u := h.unconfirmed[id]
 		switch {
 		case now < u.due():
 		case !u.looked:
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -298,10 +299,6 @@
 	}
 }
 
-func keys(m map[uint32]time.Duration) []uint32 {
-	list := make([]uint32, 0, len(m))
-	for id := range m {
-		list = append(list, id)
-	}
-	return list
-}
+// keys returns the keys in order, so that the same messages at the same times
+// give the same datagrams.
+func keys[V any](m map[uint32]V) []uint32 { return slices.Sorted(maps.Keys(m)) }
