relay: rounds wait only where a relay would send too much; edge: no wait before the first read after a kill

Change: each datagram of a round puts off the next round by 0.6 ms, and unused time may be caught up with; so messages wait where they are many, and hardly where they are few. An instance that isn't slow reads the store 40 ms after its start unless others serve.

--- a/edge/join.go
+++ b/edge/join.go
@@ -9,17 +9,20 @@
 const (
 	// joinStep is how often an instance that has just started looks whether
 	// others know already what it would read from the store.
-	joinStep = 100 * time.Millisecond
+	joinStep = 20 * time.Millisecond
 	// joinFirst bounds that wait at the first start of the whole fleet, for
 	// instances that aren't readers: callers come later than that, and some
 	// hundred instances would read three tables within a second.
 	joinFirst = 4 * time.Second
 	// joinReaders leaves readers of a first start time to find each other.
 	joinReaders = 300 * time.Millisecond
-	// joinAgain bounds the wait of an instance with a slow link that starts
-	// later. After a kill of all, callers are waiting.
-	joinAgain = 150 * time.Millisecond
-	// joinSpread spreads those whose wait has ended.
+	// joinAgain bounds the wait of an instance that starts later: a moment, in
+	// which others that serve answer its greeting, and more where the link is
+	// slow. After a kill of all nobody else knows anything, and callers are
+	// waiting.
+	joinAgain     = 40 * time.Millisecond
+	joinAgainSlow = 150 * time.Millisecond
+	// joinSpread spreads those with slow links whose wait has ended.
 	joinSpread = 250 * time.Millisecond
 )
 
@@ -28,27 +31,28 @@
 func (e *Edge) join(ctx context.Context) {
 	defer close(e.joined)
 	start := e.now()
-	spread := time.Duration(rand.Float64() * float64(joinSpread))
-	for !e.knowsServers() && e.now()-start < e.joinWithin()+spread {
+	spread := rand.Float64()
+	for !e.knowsServers() && e.now()-start < e.joinWithin(spread) {
 		if !pause(ctx, joinStep) {
 			return
 		}
-		if !e.isReader() && e.othersAreReady() {
-			e.askReaders(ctx, methodGet, snapshotTimeout, e.knowsServers)
+		if e.othersAreReady() && !e.askReaders(ctx, methodGet, snapshotTimeout, e.knowsServers) {
+			e.askPeer(ctx)
 		}
 	}
 }
 
-// joinWithin is how long to wait for others.
-func (e *Edge) joinWithin() time.Duration {
+// joinWithin is how long to wait for others, given a number from 0 to 1.
+func (e *Edge) joinWithin(spread float64) time.Duration {
 	reader := e.isReader()
+	late := time.Duration(spread * float64(joinSpread))
 	switch {
 	case e.settings.FirstStart && reader:
-		return joinReaders
+		return joinReaders + late
 	case e.settings.FirstStart:
-		return joinFirst
-	case reader || !e.slowLink():
-		return 0
+		return joinFirst + late
+	case e.slowLink() && !reader:
+		return joinAgainSlow + late
 	default:
 		return joinAgain
 	}
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -8,12 +8,14 @@
 )
 
 const (
-	// perListener is how much longer each listener makes a round. It bounds
-	// what a relay sends to some 2,000 datagrams a second.
-	perListener = 1300 * time.Microsecond
-	// leastRound and mostRound bound a round.
-	leastRound = 8 * time.Millisecond
-	mostRound  = 45 * time.Millisecond
+	// perDatagram is the time that each datagram of a round puts off the next
+	// one. It bounds what a relay sends to some 1,700 datagrams a second.
+	perDatagram = 600 * time.Microsecond
+	// mostRound bounds the time between two rounds.
+	mostRound = 45 * time.Millisecond
+	// burst is the unused time that may be caught up with. Where messages are
+	// few, none of them waits.
+	burst = 40 * time.Millisecond
 	// urgentPart is the part of a round after which urgent messages don't wait
 	// any longer.
 	urgentPart = 3
@@ -61,8 +63,10 @@
 	// urgent messages from another data centre made those urgent that go there,
 	// the two would hurry each other for ever.
 	urgent [sources]bool
-	// sent is when the last round was, and rounds counts them.
-	sent   time.Duration
+	// next is when the next round may be sent, round the time from the last one
+	// to it, and rounds counts them.
+	next   time.Duration
+	round  time.Duration
 	rounds uint64
 
 	words    []*word
@@ -76,7 +80,7 @@
 func NewHub(self Member, members func() []Member) *Hub {
 	self.Alive = true
 	return &Hub{
-		self: self, members: members, stale: true, sent: -mostRound, relay: self.ID,
+		self: self, members: members, stale: true, relay: self.ID,
 		listeners:     make(map[uint32]time.Duration),
 		strays:        make(map[uint32]time.Duration),
 		unconfirmed:   make(map[uint32]*unconfirmed),
@@ -236,19 +240,18 @@
 	}
 	for _, messages := range h.waiting {
 		if len(messages) > 0 {
-			due = min(due, h.sent+h.round())
+			due = min(due, h.roundDue())
 		}
 	}
 	return due
 }
 
-// round is the least time between the last round and the next.
-func (h *Hub) round() time.Duration {
-	round := min(max(time.Duration(len(h.listeners))*perListener, leastRound), mostRound)
+// roundDue is when what waits may be sent.
+func (h *Hub) roundDue() time.Duration {
 	if h.urgent != [sources]bool{} {
-		return round / urgentPart
+		return h.next - h.round + h.round/urgentPart
 	}
-	return round
+	return h.next
 }
 
 // Step does what has become due.
@@ -256,7 +259,7 @@
 	out := append(h.retell(now), h.resend(now)...)
 	out = append(out, h.confirmOwed(now)...)
 	for _, messages := range h.waiting {
-		if len(messages) > 0 && now >= h.sent+h.round() {
+		if len(messages) > 0 && now >= h.roundDue() {
 			return append(out, h.send(now)...)
 		}
 	}
@@ -268,13 +271,24 @@
 	own, far, near := h.waiting[told], h.waiting[crossed], h.waiting[aside]
 	ownUrgent, farUrgent := h.urgent[told], h.urgent[crossed]
 	h.waiting, h.urgent = [sources][][]byte{}, [sources]bool{}
-	h.sent = now
 	h.rounds++
 	forget(h.listeners, now)
 	forget(h.strays, now)
 	out := h.cross(own, ownUrgent, now)
 	out = append(out, h.beside(ownUrgent || farUrgent, now, own, far)...)
-	return append(out, pack(Deliver, false, append(keys(h.listeners), keys(h.strays)...), own, far, near)...)
+	out = append(out, pack(Deliver, false, append(keys(h.listeners), keys(h.strays)...), own, far, near)...)
+	h.putOff(out, now)
+	return out
+}
+
+// putOff sets when the next round may be sent after this one.
+func (h *Hub) putOff(round []Datagram, now time.Duration) {
+	datagrams := 0
+	for i := range round {
+		datagrams += len(round[i].To)
+	}
+	h.round = min(time.Duration(datagrams)*perDatagram, mostRound)
+	h.next = max(h.next, now-burst) + h.round
 }
 
 // siblings are the other relays of the data centre, and the one that this
