--- a/placement/costs.go
+++ b/placement/costs.go
@@ -19,7 +19,7 @@
 	lateCost = 0.35
 	// waiting is the cost of each round of requests that a slot works off first.
 	// The time alone costs so little against the risk of an unknown server that
-	// load piled up at few known ones, and one answer in seven was late.
+	// load would pile up at few known ones, and answers would be late.
 	waiting = 0.2
 	// crossing is the cost of leaving the data centre for a few bytes, and
 	// crossingPerKB for each kilobyte of request and answer, at most
@@ -47,12 +47,10 @@
 	newcomerAfter = 500 * time.Millisecond
 	// widenAbove is the share of unserved requests from which a service's
 	// requests are spread over more of its servers, and coverage the share of
-	// servers that is then in use. Idle healthy servers are held against the
-	// fleet if fewer than 70% are in use for two seconds while over a tenth goes
-	// unserved, so that there is time to act on 7%. A lower bound keeps itself
-	// alive: at 4%, tries at servers in spells were half of all lost orders.
-	// Servers that are likelier to be well come first, so that those in a spell,
-	// 30% as a rule, are tried only if there are more of them.
+	// servers that is then in use. It lies below the share at which idle healthy
+	// servers are held against the fleet, so that there is time to act. A much
+	// lower one keeps itself alive: what is lost at servers in spells for trying
+	// them counts as unserved. Servers that are likelier to be well come first.
 	widenAbove = 0.07
 	coverage   = 0.72
 	// coverageAtStart is higher: right after a fleet-wide start most servers may
@@ -69,22 +67,17 @@
 	justFailed = 1700 * time.Millisecond
 	// keepAfter is the time without a request after which keep applies, and
 	// keepRisk the risk up to which it does: what a server has five seconds
-	// after its last failure. A fleet may lose all its instances at any moment
-	// with a quarter of two seconds' requests in progress; 70% of the healthy
-	// servers must be in use then. Trust that is renewed so often costs next to
-	// nothing: in replays 1.9% of the orders are lost with 87% of the healthy
-	// servers in use, and 2.2% with 47% if load is left to itself.
+	// after its last failure. A fleet may lose all its instances at any moment,
+	// and most healthy servers must be in use then.
 	keepAfter = 800 * time.Millisecond
 	keepRisk  = 0.5
 	// probeAfter is the time without a request after which probe applies. A
 	// reset comes within milliseconds and the request is then served elsewhere,
 	// so that it costs its caller little and finds out what would cost others
-	// an order: with every second request a lookup, 0.9% of the orders are lost
-	// instead of 1.9%, and 98% of the healthy servers are in use.
+	// an order.
 	probeAfter = time.Second
 	// dueWithin is the time after which a request that is due is sent at the
-	// next chance. At 670 requests a second the first comes after some 50 ms,
-	// and a second one rarely within the 10 ms until the first is heard of.
+	// next chance: a second one rarely comes before the first is heard of.
 	dueWithin = 700 * time.Millisecond
 	// stale is the age at which another instance's count of outstanding work
 	// is no longer believed: its end may have been told in a lost message.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -19,7 +19,7 @@
 // Trade-off: servers that failed are known least. Requests that may be repeated
 // find out, as long as there is ample room to repeat them; where there are
 // only orders, one in fifty is spent on it. Newcomers get an early request; and
-// once 7% of a service's requests go unserved, requests are spread over all
+// once too many of a service's requests go unserved, they are spread over all
 // servers that didn't just fail, so that healthy capacity isn't left idle.
 //
 // Decisions are pure: time and randomness are passed in.
