--- a/edge/join.go
+++ b/edge/join.go
@@ -16,14 +16,12 @@
 	joinFirst = 4 * time.Second
 	// joinReaders leaves readers of a first start time to find each other.
 	joinReaders = 300 * time.Millisecond
-	// joinAgain bounds the wait of an instance that starts later: a moment, in
-	// which others that serve answer its greeting, and more where the link is
-	// slow. After a kill of all nobody else knows anything, and callers are
-	// waiting.
-	joinAgain     = 40 * time.Millisecond
-	joinAgainSlow = 150 * time.Millisecond
-	// joinSpread spreads those with slow links whose wait has ended.
+	// joinSpread spreads those whose wait has ended then.
 	joinSpread = 250 * time.Millisecond
+	// joinAgain bounds the wait of an instance that starts later: a moment, in
+	// which others that serve answer its greeting. After a kill of all nobody
+	// else knows anything, and callers are waiting.
+	joinAgain = 40 * time.Millisecond
 )
 
 // join waits until another instance has told what it knows, or until it is time
@@ -44,17 +42,14 @@
 
 // joinWithin is how long to wait for others, given a number from 0 to 1.
 func (e *Edge) joinWithin(spread float64) time.Duration {
-	reader := e.isReader()
 	late := time.Duration(spread * float64(joinSpread))
 	switch {
-	case e.settings.FirstStart && reader:
+	case !e.settings.FirstStart:
+		return joinAgain
+	case e.isReader():
 		return joinReaders + late
-	case e.settings.FirstStart:
-		return joinFirst + late
-	case e.slowLink() && !reader:
-		return joinAgainSlow + late
 	default:
-		return joinAgain
+		return joinFirst + late
 	}
 }
 
