fleet: after a loss of everything instances find each other within a fifth of a second, and say at once that they are ready

Instances that start together greeted four of 292 at random each fifth of a second, and told that they were ready with their next heartbeat; callers got the addresses of the few that were known to be ready, and were late there. Change: an instance that hears nobody greets those first that are relays of its data centre if they live, at once when the store has told who is listed; one that becomes ready says so at once.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -136,7 +136,9 @@
 	// is stopped.
 	rounds   *time.Timer
 	roundsAt time.Duration
-	own      map[uint32]uint16
+	// saidReady says that the others were told that this instance is ready.
+	saidReady bool
+	own       map[uint32]uint16
 }
 
 // routeStats is what an instance knows of one route's requests.
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -118,6 +118,7 @@
 
 	e.mu.Lock()
 	well := e.takePolled(answers)
+	e.noteKnown(e.now())
 	e.mu.Unlock()
 	if !well && missed {
 		// The store turns this instance away; the others have what it lacks.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -37,6 +37,19 @@
 	e.keepRounds(now)
 }
 
+// noteKnown tells the others that this instance has become ready, and greets them
+// if it hears nobody, as soon as it knows what it needs. If it waited for its
+// next heartbeat after a kill of all, callers would be sent to the few instances
+// that are known to be ready, and be late there.
+func (e *Edge) noteKnown(now time.Duration) {
+	s := &e.state
+	e.sendAll(s.messenger.Greet(now))
+	if ready := e.readyLocked(); ready != s.saidReady {
+		s.saidReady = ready
+		e.introduce()
+	}
+}
+
 // noteRelay logs that another instance is told from now on.
 func (e *Edge) noteRelay(before uint32, now time.Duration) {
 	if after := e.state.messenger.Hub().Relay(); after != before && e.budget.Take(now, quietShare) {
@@ -115,6 +128,7 @@
 	e.lost(fell, all, now)
 	e.sendAll(out, err)
 	e.keepRounds(now)
+	e.noteKnown(now)
 	e.expireServers(now)
 	e.noteStore(now)
 	e.noteLeftOut(now)
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -218,6 +218,7 @@
 			e.prove(t.Table, t.Stamp, now)
 		}
 	}
+	e.noteKnown(now)
 }
 
 func getSnapshot(ctx context.Context, address, method string) (Snapshot, error) {
--- a/fleet/messenger.go
+++ b/fleet/messenger.go
@@ -19,9 +19,11 @@
 	// heartbeat: whoever is about to start as well misses some.
 	startFor = 2 * time.Second
 	// greetUsually is how many instances that aren't heard are greeted at each
-	// pulse, greetAlone how many by one that hears nobody.
+	// pulse, greetAlone how many by one that hears nobody, beside greetRelays
+	// that are likely to be relays.
 	greetUsually = 1
 	greetAlone   = 4
+	greetRelays  = 3
 	// rosterEach is how many instances fit into one message of a roster.
 	rosterEach = 60
 	// rosterAgain is the least time between two rosters for one instance that
@@ -147,15 +149,33 @@
 	return fell, append(out, greetings...), err
 }
 
-// worthGreeting are the instances to greet now.
+// worthGreeting are the instances to greet now. One that hears nobody greets
+// those first that are relays of its data centre if they live: all that start
+// with it do the same, and have each other's addresses from there.
 func (m *Messenger) worthGreeting(now time.Duration) []uint32 {
 	m.turn++
-	most := greetUsually
-	if m.fleet.Alone() {
-		most = greetAlone
-		m.meetSeeds(now)
+	turn := m.turn ^ relay.Mix(m.Self.ID)
+	if !m.fleet.Alone() {
+		return m.fleet.unheard(greetUsually, turn, now)
 	}
-	return m.fleet.unheard(most, m.turn^relay.Mix(m.Self.ID), now)
+	m.meetSeeds(now)
+	to := m.hub.Likely(greetRelays)
+	for _, id := range m.fleet.unheard(greetAlone, turn, now) {
+		if !slices.Contains(to, id) {
+			to = append(to, id)
+		}
+	}
+	return to
+}
+
+// Greet greets others at once, if none is heard. It is for the moment at which
+// the store has told who is listed: after a loss of everything callers come
+// before the next pulse.
+func (m *Messenger) Greet(now time.Duration) ([]relay.Datagram, error) {
+	if !m.fleet.Alone() {
+		return nil, nil
+	}
+	return m.greet(m.worthGreeting(now))
 }
 
 // introductions is how often this instance introduces itself.
--- a/fleet/messenger_test.go
+++ b/fleet/messenger_test.go
@@ -257,7 +257,9 @@
 	w.untilKnown(time.Second)
 }
 
-// All processes are killed at once and start again.
+// All processes are killed at once and start again. Callers have waited, and are
+// sent to those that are known to be there: all of them soon, or they are late at
+// the few that are.
 func TestAllAreKilled(t *testing.T) {
 	w := started(t, 1, 4, 9, 9, 3)
 	for _, n := range w.nodes {
@@ -265,7 +267,7 @@
 	}
 	w.run(w.now + time.Second)
 	w.startAll()
-	w.untilKnown(startSpread + time.Second)
+	t.Logf("all hear each other after %v", w.untilKnown(startSpread+300*time.Millisecond))
 	at := w.now
 	w.run(at + time.Second)
 	w.mustReach(at, w.now-nearlyAll, 0)
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -85,7 +85,7 @@
 	// notReadyFor is how long an instance isn't ready after its start.
 	notReadyFor = 250 * time.Millisecond
 	// storeAnswers is when it has read who is listed.
-	storeAnswers = 400 * time.Millisecond
+	storeAnswers = 60 * time.Millisecond
 )
 
 func newSim(t *testing.T, seed uint64, centres, each, fast int) *world {
@@ -150,6 +150,9 @@
 			n.m.Listed(id, other.dataCentre, other.slow, w.now)
 		}
 	}
+	out, err := n.m.Greet(w.now)
+	must.NoError(w.t, err)
+	w.send(n, out)
 }
 
 // startAll starts all within a third of a second, in any order.
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -154,6 +154,14 @@
 	return good
 }
 
+// Likely returns the first members of the data centre in the order of relays,
+// whether or not they are heard.
+func (h *Hub) Likely(most int) []uint32 {
+	here := slices.DeleteFunc(h.members(), func(m Member) bool { return m.DataCentre != h.self.DataCentre })
+	order(here)
+	return ids(here[:min(most, len(here))])
+}
+
 // Received is what a datagram brought.
 type Received struct {
 	From   uint32
