--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -94,7 +94,7 @@
 }
 
 // Config returns the configuration alone, without a proof of its age. It is
-// packed once, because all neighbours ask for it within moments.
+// packed once, because all that lack it ask within moments.
 func (s *Snapshots) Config(_ Nothing, reply *Packed) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/evidence/rows.go
+++ b/evidence/rows.go
@@ -22,9 +22,8 @@
 // maxUnpacked bounds what Unpack makes of a datagram.
 const maxUnpacked = 64 << 10
 
-// Pack compresses rows. Entries of servers are much alike: twenty-seven of them
-// take 1 KB in place of 4, which a slow link sends to all neighbours at once
-// without losing the last ones.
+// Pack compresses rows. Entries of servers are much alike, and a slow link loses
+// the last datagrams of a long burst.
 func Pack(rows []Row) ([]byte, error) {
 	if len(rows) == 0 {
 		return nil, nil
