Evacuations are obeyed, cold servers get shares of what they bear, requests stay in their regions

Cause: nothing read the operators' evacuations, the warm-up of services, or the regions of routes and workspaces.

Change: - Evacuations (discovery.Evacuations) come with every answer and notice of the configuration's table as a whole set with its version, also to instances that lack the configuration of that version. placement gives evacuated servers nothing, whatever draws requests to them. - Cold servers: package warmup. As many instances as a server bears requests a second hold a share of it, by rendezvous hashing over all known instances; each sends at most one a second. A server is cold by its entry (one that turns cold again is a change of the list now), when its data centre is taken back, and when it answers after nobody could connect to it for a second. - Regions: routes and workspaces, both binding, for servers and the directory. - Events 516 and 517, rules servers-evacuated, servers-cold and no-server-in-allowed-regions, columns in `status`.

Ruled out: a count divided by the fleet, which after a kill of all gives nobody anything until instances hear each other.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -23,6 +23,11 @@
 // shorter silence can't make a living server's entry run out.
 const Outage = 2 * time.Second
 
+// warmUpJitter is how far the ends of one warm-up may lie apart by what two
+// writes of an entry say, since each arrives with another delay. A later end
+// means that the server has turned cold again.
+const warmUpJitter = time.Second
+
 // Server is one backend server.
 type Server struct {
 	ID      string
@@ -62,28 +67,43 @@
 	servers map[string]Server
 	// missing holds when a server that the store no longer lists is dropped.
 	missing map[string]time.Duration
+	// warm holds when each server that reported a warm-up is warm.
+	warm map[string]time.Duration
 }
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{servers: make(map[string]Server), missing: make(map[string]time.Duration)}
+	return &List{servers: make(map[string]Server), missing: make(map[string]time.Duration), warm: make(map[string]time.Duration)}
 }
 
-// Put takes in an entry. An entry of an earlier start is ignored: a late write
+// Put takes in an entry. Time alone shortens a warm-up; an entry that differs
+// only by that is no change. An entry of an earlier start is ignored: a late write
 // of a process that is gone must not hide its successor.
-func (l *List) Put(s Server) (Change, bool) {
+func (l *List) Put(s Server, now time.Duration) (Change, bool) {
 	old, known := l.servers[s.ID]
 	if known && s.Born < old.Born {
 		return Change{}, false
 	}
 	delete(l.missing, s.ID)
-	if known && old.Same(s) {
+	colder := l.turnsCold(s, now)
+	if known && old.Same(s) && !colder {
 		return Change{}, false
 	}
 	l.servers[s.ID] = s
 	return Change{Server: s, New: !known || s.Born != old.Born}, true
 }
 
+// turnsCold notes the warm-up that an entry reports, and reports whether it is
+// another one than was known.
+func (l *List) turnsCold(s Server, now time.Duration) bool {
+	if s.WarmUp <= 0 {
+		return false
+	}
+	known, end := l.warm[s.ID], now+s.WarmUp
+	l.warm[s.ID] = max(known, end)
+	return end > known+warmUpJitter
+}
+
 // Remove takes in that the store lists a server no longer. Before keepUntil,
 // which is Grace after the store's return, its entry may have run out by the
 // store's fault: the server is then kept, and dropped by Expire at that time
@@ -99,6 +119,7 @@
 	}
 	delete(l.servers, id)
 	delete(l.missing, id)
+	delete(l.warm, id)
 	return Change{Server: s, Gone: true}, true
 }
 
--- a/edge/call.go
+++ b/edge/call.go
@@ -27,6 +27,9 @@
 	RuleBody         Rule = "body-unreadable"
 	RuleOverRate     Rule = "over-rate"
 	RuleNoServer     Rule = "no-server"
+	RuleOutside      Rule = "no-server-in-allowed-regions"
+	RuleEvacuated    Rule = "servers-evacuated"
+	RuleCold         Rule = "servers-cold"
 	RuleNoRoom       Rule = "no-room"
 	RuleServerFailed Rule = "server-failed"
 	RuleNotRun       Rule = "not-run"
@@ -190,7 +193,7 @@
 	r := e.wanted(c, tried, now)
 	choice, ok := s.placer.Choose(r, now, rand.Float64)
 	if !ok {
-		return choice, &verdict{http.StatusServiceUnavailable, RuleNoServer, comeBackSoon}
+		return choice, e.unplaceable(r, now)
 	}
 	rank := routing.Rank(c.route, c.workspace)
 	if !e.off.On(mechanism.Rank) {
@@ -202,12 +205,32 @@
 	if v := e.charge(c, now); v != nil {
 		return choice, v
 	}
+	s.placer.Sent(choice.Server.ID, now)
 	return choice, nil
 }
 
+// unplaceable is the refusal of a request that no server may get.
+func (e *Edge) unplaceable(r placement.Request, now time.Duration) *verdict {
+	v := &verdict{http.StatusServiceUnavailable, RuleNoServer, comeBackSoon}
+	obstacle, wait := e.state.placer.Obstacle(r, now)
+	switch obstacle {
+	case placement.Outside:
+		v.rule = RuleOutside
+	case placement.Evacuated:
+		v.rule = RuleEvacuated
+	case placement.Cold:
+		// Another instance may hold a share that is free at once.
+		v.rule = RuleCold
+		v.retryAfter = min(max(wait, comeBackElsewhere), comeBackSoon)
+	case placement.NoObstacle, placement.Draining:
+	}
+	return v
+}
+
 func (e *Edge) wanted(c *call, tried []string, now time.Duration) placement.Request {
 	stats := e.statsOf(c.route)
 	repeatable := c.route.Kind.Repeatable()
+	allowed, _ := e.topology.Allowed(c.route, c.workspace)
 	return placement.Request{
 		Service:      c.service,
 		Repeatable:   repeatable,
@@ -218,6 +241,7 @@
 		KB:           stats.kb,
 		DataCentre:   e.settings.DataCentre,
 		Tried:        tried,
+		Allowed:      allowed,
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -41,6 +41,7 @@
 	"foxtailspoke/routing"
 	"foxtailspoke/upstream"
 	"foxtailspoke/usage"
+	"foxtailspoke/warmup"
 )
 
 // Edge is one instance.
@@ -62,6 +63,8 @@
 	epoch      uint32
 	peerPort   uint16
 	callerPort uint16
+	// topology is the region of each data centre.
+	topology routing.Topology
 	// off are the mechanisms that a trial has switched off.
 	off mechanism.Off
 
@@ -139,6 +142,11 @@
 	// saidReady says that the others were told that this instance is ready.
 	saidReady bool
 	own       map[uint32]uint16
+
+	evacuations discovery.Evacuations
+	// limiter bounds what cold servers get; its instances are shareholders.
+	limiter      *warmup.Limiter
+	shareholders []uint32
 }
 
 // routeStats is what an instance knows of one route's requests.
@@ -167,6 +175,7 @@
 		store:    platform.NewStore(s.Store.Address),
 		pool:     upstream.NewPool(),
 		self:     self,
+		topology: s.Regions,
 		epoch:    newEpoch(),
 		kicked:   make(chan struct{}, 1),
 		fetches:  make(chan struct{}, 1),
@@ -186,7 +195,9 @@
 		budgets:   make(map[string]*retry.Shared),
 		routes:    make(map[string]*routeStats),
 		own:       make(map[uint32]uint16),
+		limiter:   warmup.NewLimiter(self),
 	}
+	e.state.placer.SetLimiter(e.state.limiter)
 	e.state.messenger = fleet.NewMessenger(fleet.Settings{
 		Self: e.member(), Epoch: e.epoch, Seeds: e.seeds(), Leaving: func() bool { return !e.readyLocked() }, Stopping: e.stopping.Load,
 	})
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -10,6 +10,7 @@
 	"foxtailspoke/event"
 	"foxtailspoke/evidence"
 	"foxtailspoke/mechanism"
+	"foxtailspoke/placement"
 	"foxtailspoke/platform"
 	"foxtailspoke/replica"
 	"foxtailspoke/routing"
@@ -23,6 +24,7 @@
 		for _, r := range rows {
 			e.takeConfig(r, now)
 		}
+		e.takeEvacuations(now)
 		return rows
 	case evidence.Servers:
 		return e.takeServers(rows, now)
@@ -55,6 +57,9 @@
 	for _, w := range s.table.Workspaces() {
 		s.usage.SetLimit(workspaceHash(w.Name), e.limitOf(w), now)
 	}
+	for _, service := range c.Services {
+		s.placer.SetWarmUp(service.Name, placement.WarmUp{Time: service.WarmUp, Rate: service.WarmUpRate})
+	}
 	if c.Limits.IdleTimeout > 0 {
 		e.callers.SetIdle(c.Limits.IdleTimeout)
 	}
@@ -111,7 +116,7 @@
 		}
 		return s.list.Remove(r.Key, now, now)
 	}
-	return s.list.Put(entry)
+	return s.list.Put(entry, now)
 }
 
 func (e *Edge) applyServer(c discovery.Change, now time.Duration) {
@@ -120,7 +125,8 @@
 		e.pool.Drop(c.Server.Address)
 	}
 	event.ServerChanged.Log(e.log, slog.String("server", c.Server.ID), slog.String("service", c.Server.Service),
-		slog.String("address", c.Server.Address), slog.Bool("draining", c.Server.Draining), slog.Bool("gone", c.Gone))
+		slog.String("address", c.Server.Address), slog.Bool("draining", c.Server.Draining), slog.Bool("gone", c.Gone),
+		slog.Int64("warm_up_ms", c.Server.WarmUp.Milliseconds()))
 }
 
 // expireServers drops servers that didn't come back after an outage.
--- /dev/null
+++ b/edge/evacuations.go
@@ -0,0 +1,97 @@
+package edge
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"foxtailspoke/event"
+	"foxtailspoke/evidence"
+	"foxtailspoke/platform"
+	"foxtailspoke/replica"
+)
+
+// evacuationRows are the rows of the configuration's table that evacuate data
+// centres. They are few and small enough to be told in every notice.
+func (e *Edge) evacuationRows() []replica.Row {
+	var rows []replica.Row
+	for _, r := range e.state.config.Rows() {
+		if _, ok := platform.EvacuatedDataCentre(r.Key); ok {
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
+
+// takeEvacuations acts on the evacuations that the copy of the table holds.
+func (e *Edge) takeEvacuations(now time.Duration) {
+	version, known := e.state.config.Version()
+	if known {
+		e.evacuate(version, dataCentresOf(e.evacuationRows()), now)
+	}
+}
+
+// hearEvacuations acts on the evacuations that a notice tells, whether or not
+// this instance has the configuration of that version. It returns the rows that
+// bring its copy to the same state.
+func (e *Edge) hearEvacuations(n evidence.Notice, told []evidence.Row, now time.Duration) []evidence.Row {
+	listed := make(map[string]bool, len(told))
+	var dataCentres []string
+	for _, r := range told {
+		if dc, ok := platform.EvacuatedDataCentre(r.Key); ok {
+			dataCentres = append(dataCentres, dc)
+			listed[r.Key] = true
+		}
+	}
+	e.evacuate(n.Version, dataCentres, now)
+	for _, r := range e.evacuationRows() {
+		if !listed[r.Key] {
+			told = append(told, evidence.Row{Key: r.Key, Gone: true})
+		}
+	}
+	return told
+}
+
+func (e *Edge) evacuate(version uint64, dataCentres []string, now time.Duration) {
+	s := &e.state
+	begun, ended := s.evacuations.Replace(version, dataCentres)
+	if len(begun) == 0 && len(ended) == 0 {
+		return
+	}
+	s.placer.Evacuate(begun, ended, now)
+	for _, dc := range begun {
+		event.EvacuationBegan.Log(e.log, slog.String("evacuated", dc), slog.Uint64("table_version", version))
+	}
+	for _, dc := range ended {
+		event.EvacuationEnded.Log(e.log, slog.String("evacuated", dc), slog.Uint64("table_version", version))
+	}
+}
+
+func dataCentresOf(rows []replica.Row) []string {
+	var dataCentres []string
+	for _, r := range rows {
+		if dc, ok := platform.EvacuatedDataCentre(r.Key); ok {
+			dataCentres = append(dataCentres, dc)
+		}
+	}
+	return dataCentres
+}
+
+// keepShareholders tells the limiter of cold servers which instances there are,
+// heard or not. It knows nothing until the store's list is known: an instance
+// that has just started would otherwise take the shares of all others.
+func (e *Edge) keepShareholders() {
+	s := &e.state
+	if _, known := s.instances.Version(); !known {
+		return
+	}
+	ids := make([]uint32, 0, len(s.messenger.Fleet().All()))
+	for id := range s.messenger.Fleet().All() {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	if s.shareholders == nil || !slices.Equal(ids, s.shareholders) {
+		s.shareholders = ids
+		s.limiter.SetInstances(ids)
+	}
+}
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -141,7 +141,10 @@
 }
 
 // configure puts a configuration in force. The keys belong to workspace w.
-func (f *fleet) configure(rate float64, keys ...string) {
+func (f *fleet) configure(rate float64, keys ...string) { f.configureWith(nil, rate, keys...) }
+
+// configureWith changes the configuration before it puts it in force.
+func (f *fleet) configureWith(change func(config map[string]any), rate float64, keys ...string) {
 	f.version += 3
 	route := func(name, prefix, kind string, public bool) map[string]any {
 		return map[string]any{
@@ -149,7 +152,7 @@
 			"service": "s", "max_attempts": 2, "public": public,
 		}
 	}
-	b, err := json.Marshal(map[string]any{
+	config := map[string]any{
 		"version": fmt.Sprintf("%08x", f.version),
 		"routes": []any{
 			route("lookup", "/lookup/", "idempotent", false),
@@ -159,7 +162,11 @@
 		"services": []any{map[string]any{"name": "s", "health_path": "/healthz", "max_conns": 100}},
 		"limits":   map[string]any{"max_body_bytes": 100000, "idle_timeout_s": 15},
 		"tenants":  []any{map[string]any{"name": "w", "api_keys": keys, "rate_per_s": rate, "burst": rate}},
-	})
+	}
+	if change != nil {
+		change(config)
+	}
+	b, err := json.Marshal(config)
 	must.NoError(f.t, err)
 	f.store.Put("op", "config", b)
 }
@@ -167,6 +174,7 @@
 // backend is a backend server.
 type backend struct {
 	id      string
+	zone    string
 	server  *httptest.Server
 	mu      sync.Mutex
 	ran     map[string]int
@@ -178,17 +186,26 @@
 // backend starts a server of service s; answer replaces its usual answer.
 func (f *fleet) backend(id string, answer func(w http.ResponseWriter, r *http.Request)) *backend {
 	f.t.Helper()
-	b := &backend{id: id, ran: make(map[string]int), answer: answer}
+	return f.backendIn("dc", id, answer)
+}
+
+// backendIn starts a server in a data centre.
+func (f *fleet) backendIn(zone, id string, answer func(w http.ResponseWriter, r *http.Request)) *backend {
+	f.t.Helper()
+	b := &backend{id: id, zone: zone, ran: make(map[string]int), answer: answer}
 	b.server = httptest.NewServer(b)
 	f.t.Cleanup(b.server.Close)
 	f.list(b, "ready")
 	return b
 }
 
-func (f *fleet) list(b *backend, state string) {
+func (f *fleet) list(b *backend, state string) { f.listCold(b, state, 0) }
+
+// listCold writes the entry of a server that is cold for some seconds yet.
+func (f *fleet) listCold(b *backend, state string, coldS float64) {
 	v, err := json.Marshal(map[string]any{
-		"service": "s", "address": strings.TrimPrefix(b.server.URL, "http://"), "zone": "dc", "version": "v1",
-		"slots": 4, "state": state, "warmup_left_s": 0, "seq": 1, "born": 1790000000000,
+		"service": "s", "address": strings.TrimPrefix(b.server.URL, "http://"), "zone": b.zone, "version": "v1",
+		"slots": 4, "state": state, "warmup_left_s": coldS, "seq": 1, "born": 1790000000000,
 	})
 	must.NoError(f.t, err)
 	f.store.Put("servers", b.id, v)
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -170,7 +170,8 @@
 		s.clock.Observe(p.answer.Stamp, now)
 		e.noteReturn(p.table, p.answer.Stamp, now)
 		changed, _ := e.copyOf(p.table).Apply(p.answer, p.since)
-		notices = append(notices, e.notices(p, e.takeRows(p.table, changed, now))...)
+		told := e.takeRows(p.table, changed, now)
+		notices = append(notices, e.notices(p, told)...)
 		e.prove(p.table, p.answer.Stamp, now)
 		if p.table == evidence.Instances {
 			s.nextListed = now + listedEvery
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -46,7 +46,7 @@
 	n := evidence.Notice{Table: p.table, Version: p.answer.Version, StampUS: p.answer.Stamp.Microseconds()}
 	if p.table == evidence.Config {
 		n.Changed = s.configRow
-		return []evidence.Notice{n}
+		return e.withEvacuations(n)
 	}
 	recent := &s.recent[p.table]
 	if p.answer.Whole {
@@ -67,6 +67,18 @@
 	return all
 }
 
+// withEvacuations adds the rows that evacuate data centres to a notice of the
+// configuration's table.
+func (e *Edge) withEvacuations(n evidence.Notice) []evidence.Notice {
+	parts := []replica.Part{{Since: n.Since, Version: n.Version, Rows: e.evacuationRows()}}
+	all, err := packed(n, parts)
+	if err != nil {
+		event.PeerMessageFailed.Log(e.log, slog.Any("error", err))
+		return nil
+	}
+	return all
+}
+
 // packed returns a notice for each part.
 func packed(n evidence.Notice, parts []replica.Part) ([]evidence.Notice, error) {
 	var all []evidence.Notice
@@ -95,10 +107,14 @@
 	s.clock.Observe(n.Stamp(), now)
 	version, known := e.copyOf(n.Table).Version()
 	complete := known && version >= n.Since
+	rows, err := evidence.Unpack(n.Packed)
 	if n.Table == evidence.Config {
 		s.configTold = max(s.configTold, n.Changed)
 		complete = known && s.configRow >= n.Changed
 		n.Since = version
+		if err == nil {
+			rows = e.hearEvacuations(n, rows, now)
+		}
 	}
 	if n.Table == evidence.Servers {
 		s.serversTold = max(s.serversTold, n.Version)
@@ -107,7 +123,6 @@
 		e.missed(n.Table, now)
 		return
 	}
-	rows, err := evidence.Unpack(n.Packed)
 	if err != nil {
 		event.PeerMessageFailed.Log(e.log, slog.Any("error", err))
 		e.missed(n.Table, now)
--- /dev/null
+++ b/edge/places_test.go
@@ -0,0 +1,189 @@
+package edge_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/edge/settings"
+	"foxtailspoke/internal/standin/rowstore"
+)
+
+// evacuated is how long instances may take to obey an evacuation.
+const evacuated = 2 * time.Second
+
+// Operators evacuate a data centre while the store refuses one of the instances.
+// Its servers would go on getting requests from those that don't hear of it.
+func TestEvacuatedServersGetNothing(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	away := f.backendIn("away", "i-away", nil)
+	stays := f.backend("i-stays", nil)
+	f.configure(1000, key)
+	f.up(3)
+	f.store.SetFault(func(ip string) rowstore.Fault {
+		if ip == f.ip(1) {
+			return rowstore.Busy
+		}
+		return rowstore.None
+	})
+	f.store.Put("op", "evacuate/away", []byte("{}"))
+	time.Sleep(evacuated)
+	before := away.total()
+	for range 20 {
+		for i := range 3 {
+			r, _ := f.lookup(i)
+			must.Eq(t, http.StatusOK, r.status)
+		}
+	}
+	must.Eq(t, before, away.total())
+	must.Positive(t, stays.total())
+
+	s := f.status(1)
+	must.Eq(t, []string{"away"}, s.Evacuated)
+	must.Eq(t, 1, s.Services[0].Evacuated)
+
+	f.store.Remove("op", "evacuate/away")
+	eventually(t, 2*evacuated, "the data centre is used again", func() bool {
+		for i := range 3 {
+			f.lookup(i)
+		}
+		return away.total() > before
+	})
+}
+
+// All processes are killed during an evacuation: what they read at their start
+// has to hold it.
+func TestInstanceThatStartsObeysAnEvacuation(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	away := f.backendIn("away", "i-away", nil)
+	f.configure(1000, key)
+	f.store.Put("op", "evacuate/away", []byte("{}"))
+	f.up(2)
+	for i := range 2 {
+		r, _ := f.lookup(i)
+		must.Eq(t, http.StatusServiceUnavailable, r.status)
+		must.Eq(t, "servers-evacuated\n", r.body)
+		must.NotEq(t, "", r.header.Get("Retry-After"))
+	}
+	must.Zero(t, away.total())
+}
+
+// A newer configuration is told together with an evacuation. An instance that
+// has yet to fetch the configuration must not put the evacuation off.
+func TestEvacuationWithANewConfiguration(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	away := f.backendIn("away", "i-away", nil)
+	f.backend("i-stays", nil)
+	f.configure(1000, key)
+	f.up(3)
+	f.store.Put("op", "evacuate/away", []byte("{}"))
+	f.configure(1000, "other")
+	f.configure(1000, key)
+	time.Sleep(evacuated)
+	before := away.total()
+	for range 20 {
+		for i := range 3 {
+			f.lookup(i)
+		}
+	}
+	must.Eq(t, before, away.total())
+}
+
+func regions(s *settings.Settings) { s.Regions = map[string]string{"dc": "here", "away": "there"} }
+
+// A route is restricted to a region, and the workspace to another one or to the
+// same: data that must not leave a region would be sent to servers outside.
+func TestRequestsStayInTheirRegions(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name             string
+		route, workspace []string
+		served           string
+		status           int
+	}{
+		{"route", []string{"there"}, nil, "i-away:", http.StatusOK},
+		{"workspace", nil, []string{"here"}, "i-here:", http.StatusOK},
+		{"both", []string{"here", "there"}, []string{"there"}, "i-away:", http.StatusOK},
+		{"disjoint", []string{"here"}, []string{"there"}, "no-server-in-allowed-regions\n", http.StatusServiceUnavailable},
+		{"unknown region", []string{"elsewhere"}, nil, "no-server-in-allowed-regions\n", http.StatusServiceUnavailable},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.backend("i-here", nil)
+			f.backendIn("away", "i-away", nil)
+			f.configureWith(func(config map[string]any) {
+				for _, r := range config["routes"].([]any) {
+					r.(map[string]any)["allowed_regions"] = tc.route
+				}
+				config["tenants"].([]any)[0].(map[string]any)["allowed_regions"] = tc.workspace
+			}, 1000, key)
+			f.start(regions)
+			eventually(t, 3*time.Second, "ready", func() bool { return f.ready(0) })
+			for range 10 {
+				r, _ := f.lookup(0)
+				must.Eq(t, tc.status, r.status)
+				must.Eq(t, tc.served, r.body)
+			}
+		})
+	}
+}
+
+// A server starts during traffic and is cold. Every instance finds it idle; if
+// each sent it a request at once, it would break down.
+func TestColdServerGetsWhatItBears(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configureWith(func(config map[string]any) {
+		service := config["services"].([]any)[0].(map[string]any)
+		service["warmup_s"], service["warmup_per_s"] = 3.0, 2.0
+	}, 1000, key)
+	warm := f.backend("i-warm", nil)
+	f.up(5)
+	cold := f.backend("i-cold", nil)
+	f.listCold(cold, "ready", 3)
+	eventually(t, 3*time.Second, "the cold server is used", func() bool {
+		for i := range 5 {
+			f.lookup(i)
+		}
+		return cold.total() > 0
+	})
+	end := time.Now().Add(time.Second)
+	before := cold.total()
+	for time.Now().Before(end) {
+		for i := range 5 {
+			f.lookup(i)
+		}
+	}
+	must.LessEq(t, 2+1, cold.total()-before)
+	must.Positive(t, warm.total())
+}
+
+// The only server of a service is cold and gets what it bears already. Callers
+// are told at once, and when to come back.
+func TestRefusalWhileAllServersAreCold(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configureWith(func(config map[string]any) {
+		service := config["services"].([]any)[0].(map[string]any)
+		service["warmup_s"], service["warmup_per_s"] = 3.0, 1.0
+	}, 1000, key)
+	f.up(1)
+	cold := f.backend("i-cold", nil)
+	f.listCold(cold, "ready", 3)
+	eventually(t, 3*time.Second, "the server is known", func() bool {
+		r, _ := f.lookup(0)
+		return r.status == http.StatusOK
+	})
+	start := time.Now()
+	r, _ := f.lookup(0)
+	must.Eq(t, http.StatusServiceUnavailable, r.status)
+	must.Eq(t, "servers-cold\n", r.body)
+	must.NotEq(t, "", r.header.Get("Retry-After"))
+	must.Less(t, 300*time.Millisecond, time.Since(start))
+}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -136,7 +136,7 @@
 	}
 	q := platform.DecodeQuestion(r)
 	e.mu.Lock()
-	addresses := e.addressesFor(q.DataCentre)
+	addresses := e.addressesFor(q)
 	e.mu.Unlock()
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -148,18 +148,11 @@
 	}
 }
 
-// addressesFor names the ready instances of the caller's data centre. Others
-// are named only if there are too few: what crosses data centres is slower,
-// and dear.
-func (e *Edge) addressesFor(dataCentre string) []string {
-	var near, far []string
+// addressesFor names ready instances to a caller.
+func (e *Edge) addressesFor(q platform.Question) []string {
+	ready := make(map[string][]string)
 	add := func(id uint32, dc string) {
-		a := address(id, e.callerPort).String()
-		if dc == dataCentre {
-			near = append(near, a)
-		} else {
-			far = append(far, a)
-		}
+		ready[dc] = append(ready[dc], address(id, e.callerPort).String())
 	}
 	if e.readyLocked() {
 		add(e.self, e.settings.DataCentre)
@@ -169,10 +162,16 @@
 			add(id, m.DataCentre)
 		}
 	}
-	if len(near) < fewAddresses {
-		near = append(near, far...)
+	var regions []string
+	restricted := false
+	if e.state.table != nil {
+		regions, restricted = e.state.table.Regions(q.Host)
+	}
+	d := directory{e.topology, ready}
+	if restricted {
+		return first(d.inRegions(q, regions), maxAddresses)
 	}
-	return near[:min(len(near), maxAddresses)]
+	return first(d.nearest(q), maxAddresses)
 }
 
 // stop ends the instance as planned: it is named to nobody any more and asks
--- a/edge/settings/settings.go
+++ b/edge/settings/settings.go
@@ -23,6 +23,10 @@
 	// IP of the instance. Others know it by this.
 	IP string `json:"ip"`
 
+	// Regions is the region of each data centre. It may be left out where no
+	// route and no workspace is restricted to regions.
+	Regions map[string]string `json:"regions,omitempty"`
+
 	Listen Listen `json:"listen"`
 	Store  Store  `json:"store"`
 	Bounds Bounds `json:"bounds"`
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,9 +62,11 @@
 	edge *Edge
 
 	mu sync.Mutex
-	// config is the packed configuration of row version configRow.
-	config    Packed
-	configRow uint64
+	// config is the packed configuration of row version configRow with these
+	// evacuations.
+	config      Packed
+	configRow   uint64
+	evacuations []string
 	// all is everything, packed at allAt.
 	all   Packed
 	allAt time.Duration
@@ -102,14 +105,15 @@
 	row := s.edge.state.configRow
 	version, _ := s.edge.state.config.Version()
 	rows := s.edge.state.config.Rows()
+	evacuations := s.edge.state.evacuations.List()
 	s.edge.mu.Unlock()
-	if row != s.configRow {
+	if row != s.configRow || !slices.Equal(evacuations, s.evacuations) {
 		table := SnapshotTable{Table: evidence.Config, Version: version, Rows: rows}
 		packed, err := pack(Snapshot{Tables: []SnapshotTable{table}})
 		if err != nil {
 			return err
 		}
-		s.config, s.configRow = packed, row
+		s.config, s.configRow, s.evacuations = packed, row, evacuations
 	}
 	*reply = s.config
 	return nil
--- a/edge/status.go
+++ b/edge/status.go
@@ -46,7 +46,9 @@
 	Listeners int    `json:"listeners"`
 	// RateShare is the part of each workspace's rate that this instance may
 	// count on.
-	RateShare  float64           `json:"rateShare"`
+	RateShare float64 `json:"rateShare"`
+	// Evacuated data centres' backend servers get nothing.
+	Evacuated  []string          `json:"evacuated"`
 	Instances  []InstanceStatus  `json:"instances"`
 	Services   []ServiceStatus   `json:"services"`
 	Suspects   []SuspectStatus   `json:"suspects"`
@@ -69,6 +71,9 @@
 	Service  string `json:"service"`
 	Servers  int    `json:"servers"`
 	Draining int    `json:"draining"`
+	// Cold servers get no more than they bear; Evacuated ones get nothing.
+	Cold      int `json:"cold"`
+	Evacuated int `json:"evacuated"`
 	// Outstanding requests of all instances.
 	Outstanding int `json:"outstanding"`
 	Suspects    int `json:"suspects"`
@@ -100,6 +105,7 @@
 	st := Status{
 		Instance: e.settings.Name, DataCentre: e.settings.DataCentre, Ready: e.readyLocked(),
 		ConfigAgeMS: milli(e.keyAge(now)), ServersAgeMS: -1, RateShare: round(s.usage.Share),
+		Evacuated: s.evacuations.List(),
 	}
 	if s.table != nil {
 		st.Version = s.table.Version
@@ -138,6 +144,12 @@
 		if v.Server.Draining {
 			sum.Draining++
 		}
+		if v.Cold {
+			sum.Cold++
+		}
+		if v.Evacuated {
+			sum.Evacuated++
+		}
 		if v.Risk > suspectRisk {
 			sum.Suspects++
 			suspects = append(suspects, suspect(v))
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -103,6 +103,14 @@
 		515, slog.LevelWarn, "call of the store failed",
 		"This instance asked the store and got no useful answer. Others go on asking.", "If only one instance logs this, check its network.",
 	}
+	EvacuationBegan = Event{
+		516, slog.LevelWarn, "data centre evacuated",
+		"Operators ask that backend servers of data centre `evacuated` get nothing new; this instance obeys from now on.", "Nothing, if it was meant. It ends when the operators take it back.",
+	}
+	EvacuationEnded = Event{
+		517, slog.LevelInfo, "data centre taken back",
+		"Backend servers of data centre `evacuated` are used again, as cold ones at first.", "Nothing.",
+	}
 	PeerHeard = Event{
 		521, slog.LevelInfo, "instance heard",
 		"Another instance speaks, for the first time or again.", "Nothing.",
@@ -142,6 +150,7 @@
 		PlatformUnavailable, PlatformReturned, RecordsDropped,
 		EdgeStarted, EdgeStopping, EdgeStopped, SettingsReloaded, SettingsRejected,
 		ConfigInForce, ConfigRejected, ServerChanged, EntryIgnored, StoreCallFailed,
+		EvacuationBegan, EvacuationEnded,
 		PeerHeard, PeerSilent, PeerMessageFailed, RelayChanged,
 		RequestEnded, AttemptEnded, LinesLeftOut,
 	}
--- a/internal/edgecommand/status.go
+++ b/internal/edgecommand/status.go
@@ -63,9 +63,12 @@
 	line("%s in %s, %s", s.Instance, s.DataCentre, readiness(s.Ready))
 	line("configuration %d, proved %s ago; servers as of %s ago; read by %s", s.Version, ago(s.ConfigAgeMS), ago(s.ServersAgeMS), orNone(s.Reader))
 	line("may count on %.0f%% of each workspace's rate", 100*s.RateShare)
-	line("\nservice\tservers\tdraining\toutstanding\tsuspects")
+	if len(s.Evacuated) > 0 {
+		line("evacuated data centres: %s", strings.Join(s.Evacuated, ", "))
+	}
+	line("\nservice\tservers\tdraining\tevacuated\tcold\toutstanding\tsuspects")
 	for _, v := range s.Services {
-		line("%s\t%d\t%d\t%d\t%d", v.Service, v.Servers, v.Draining, v.Outstanding, v.Suspects)
+		line("%s\t%d\t%d\t%d\t%d\t%d\t%d", v.Service, v.Servers, v.Draining, v.Evacuated, v.Cold, v.Outstanding, v.Suspects)
 	}
 	if len(s.Suspects) > 0 {
 		line("\nsuspect\tservice\trisk\tlast failure")
--- a/internal/edgecommand/status_test.go
+++ b/internal/edgecommand/status_test.go
@@ -26,9 +26,9 @@
 func TestStatusIsShown(t *testing.T) {
 	s := edge.Status{
 		Instance: "edge-1", DataCentre: "luz-a", Ready: true, Version: 12, ConfigAgeMS: 230, ServersAgeMS: -1,
-		Reader: "10.1.0.31", RateShare: 0.5,
+		Reader: "10.1.0.31", RateShare: 0.5, Evacuated: []string{"luz-c"},
 		Instances:  []edge.InstanceStatus{{IP: "10.1.0.31", DataCentre: "luz-a", Alive: true, Leaving: true, HeardMS: 120, SlowLink: true}},
-		Services:   []edge.ServiceStatus{{Service: "order-desk", Servers: 15, Draining: 1, Outstanding: 9, Suspects: 1}},
+		Services:   []edge.ServiceStatus{{Service: "order-desk", Servers: 15, Draining: 1, Cold: 2, Evacuated: 4, Outstanding: 9, Suspects: 1}},
 		Suspects:   []edge.SuspectStatus{{Server: "i-7", Service: "order-desk", Risk: 0.81, LastFailure: "incomplete", LastFailureMS: 1500}},
 		Workspaces: []edge.WorkspaceStatus{{Workspace: "boatyard", Rate: 34, Burst: 34, Tokens: 0.4}},
 	}
@@ -43,6 +43,7 @@
 	for _, part := range []string{
 		"edge-1 in luz-a, ready", "configuration 12, proved 230ms ago; servers as of unknown ago; read by 10.1.0.31",
 		"50% of each workspace's rate", "incomplete 1.5s ago", "boatyard", "not ready, slow link",
+		"evacuated data centres: luz-c",
 	} {
 		must.StrContains(t, out, part)
 	}
--- /dev/null
+++ b/placement/obstacles.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"time"
+
+	"foxtailspoke/health"
+	"foxtailspoke/warmup"
+)
+
+// WarmUp is what the servers of a service bear after a start.
+type WarmUp struct {
+	// Time from a start until a server bears its full load.
+	Time time.Duration
+	// Rate is how many requests a second it bears until then; 0 is no limit.
+	Rate float64
+}
+
+// limits reports whether a server gets no more than the rate now.
+func (w WarmUp) limits(s *server, now time.Duration) bool {
+	return w.Rate > 0 && (now < s.coldTill || s.absent)
+}
+
+// Obstacle is why a request can't be sent to a server at all.
+type Obstacle int
+
+// The obstacles, from the one that is farthest from passing.
+const (
+	// NoObstacle: the request may be sent there.
+	NoObstacle Obstacle = iota
+	// Draining servers, and those that the request was sent to already.
+	Draining
+	// Outside of the regions that may handle the request.
+	Outside
+	// Evacuated data centre.
+	Evacuated
+	// Cold server that gets as much as it bears.
+	Cold
+)
+
+// absentAfter is the time without a sign of a server after which a connection
+// that fails means that it may be down. With less, one instance that lost its
+// path would make others take a busy server for absent.
+const absentAfter = time.Second
+
+// SetLimiter has a limiter bound what cold servers get.
+func (p *Placer) SetLimiter(l *warmup.Limiter) { p.limiter = l }
+
+// SetWarmUp takes in what the servers of a service bear after a start.
+func (p *Placer) SetWarmUp(serviceName string, w WarmUp) { p.service(serviceName).warmUp = w }
+
+// Evacuate takes in that data centres are evacuated or taken back. Servers of
+// one that is taken back have been idle and may be cold, which their entries
+// tell only with their next heartbeat.
+func (p *Placer) Evacuate(begun, ended []string, now time.Duration) {
+	for _, dc := range begun {
+		p.evacuated[dc] = true
+	}
+	for _, dc := range ended {
+		delete(p.evacuated, dc)
+		for _, s := range p.byID {
+			if s.entry.DataCentre == dc {
+				s.coolUntil(now + p.service(s.entry.Service).warmUp.Time)
+			}
+		}
+	}
+}
+
+// Sent takes in that this instance sends a request to a server. It has to be
+// called under the same lock as Choose: two requests that are placed at the
+// same moment would otherwise both take the same share of a cold server.
+func (p *Placer) Sent(id string, now time.Duration) {
+	if p.limiter != nil {
+		p.limiter.Sent(Hash(id), now)
+	}
+}
+
+// Obstacle returns what keeps a request from all servers of its service: the
+// obstacle that is likeliest to pass, and for cold servers how long this
+// instance waits at least until it may send to one of them, 0 if unknown.
+func (p *Placer) Obstacle(r Request, now time.Duration) (Obstacle, time.Duration) {
+	g := p.service(r.Service)
+	last, wait := NoObstacle, time.Duration(0)
+	for _, s := range g.servers {
+		o := p.obstacle(g, s, r, now)
+		last = max(last, o)
+		if o == Cold {
+			_, w := p.allowed(g, s, now)
+			if w > 0 && (wait == 0 || w < wait) {
+				wait = w
+			}
+		}
+	}
+	return last, wait
+}
+
+func (p *Placer) obstacle(g *service, s *server, r Request, now time.Duration) Obstacle {
+	switch {
+	case s.entry.Draining || contains(r.Tried, s.entry.ID):
+		return Draining
+	case r.Allowed != nil && !r.Allowed[s.entry.DataCentre]:
+		return Outside
+	case p.evacuated[s.entry.DataCentre]:
+		return Evacuated
+	}
+	if ok, _ := p.allowed(g, s, now); !ok {
+		return Cold
+	}
+	return NoObstacle
+}
+
+// allowed reports whether a server may get one more request from this instance
+// as far as its warm-up goes, or how long to wait for that.
+func (p *Placer) allowed(g *service, s *server, now time.Duration) (bool, time.Duration) {
+	if p.limiter == nil || !g.warmUp.limits(s, now) {
+		return true, 0
+	}
+	return p.limiter.Allow(Hash(s.entry.ID), g.warmUp.Rate, now)
+}
+
+// coolUntil takes in that the server is cold until then. What is known never
+// becomes shorter: an entry may have been written before the server turned cold.
+func (s *server) coolUntil(end time.Duration) { s.coldTill = max(s.coldTill, end) }
+
+// noteAbsence takes in the result of an attempt of any instance. A server that
+// answers again after nobody could connect to it may have started anew, under
+// the entry that it had before.
+func (s *server) noteAbsence(r health.Result, warmUp, now time.Duration) {
+	switch r {
+	case health.ConnectFailed:
+		s.absent = s.absent || now-s.answered > absentAfter
+	case health.OK, health.ServerError, health.Incomplete, health.Mismatch, health.Shed, health.NotRun:
+		if s.absent {
+			s.coolUntil(now + warmUp)
+		}
+		s.absent = false
+		s.answered = now
+	case health.Timeout, health.Late, health.Cancelled:
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -16,6 +16,9 @@
 // cheaper, which keeps them known: they take over without a try when a spell
 // of failures begins elsewhere, and each spell then costs few requests.
 //
+// Servers in evacuated data centres get nothing, and cold ones no more than they
+// bear, whatever that costs; see obstacle.
+//
 // Trade-off: servers that failed are known least. Requests that may be repeated
 // find out, as long as there is ample room to repeat them; where there are
 // only orders, one in fifty is spent on it. Newcomers get an early request; and
@@ -32,6 +35,7 @@
 	"foxtailspoke/discovery"
 	"foxtailspoke/health"
 	"foxtailspoke/mechanism"
+	"foxtailspoke/warmup"
 )
 
 // Request is what a choice depends on.
@@ -52,6 +56,8 @@
 	DataCentre string
 	// Tried holds the servers that this request was sent to already.
 	Tried []string
+	// Allowed holds the data centres that it may be sent to; nil means any.
+	Allowed map[string]bool
 }
 
 // Waits reports whether the request has to wait for a slot, as far as is known.
@@ -78,6 +84,10 @@
 	off      mechanism.Off
 	// disturbedUntil is how long requests are taken to go unserved unheard.
 	disturbedUntil time.Duration
+	// evacuated data centres get nothing.
+	evacuated map[string]bool
+	// limiter bounds what cold servers get; nil if nothing does.
+	limiter *warmup.Limiter
 }
 
 type service struct {
@@ -87,6 +97,7 @@
 	// work is the usual time of the service's requests, all kinds together.
 	work     time.Duration
 	outcomes outcomes
+	warmUp   WarmUp
 }
 
 // never is the time of what hasn't happened. With 0, an instance that has just
@@ -103,6 +114,8 @@
 		services: make(map[string]*service),
 		byID:     make(map[string]*server),
 		byHash:   make(map[uint32]*server),
+
+		evacuated: make(map[string]bool),
 	}
 }
 
@@ -124,6 +137,7 @@
 			lastUse:     never,
 			lastFail:    never,
 			since:       now,
+			answered:    now,
 			outstanding: make(map[uint32]count),
 		}
 		p.byID[c.Server.ID] = old
@@ -135,12 +149,15 @@
 		s.servers = append(s.servers, old)
 	}
 	old.entry = c.Server
-	old.warmTill = now + c.Server.WarmUp
+	old.coolUntil(now + c.Server.WarmUp)
 }
 
 func (p *Placer) remove(s *server) {
 	delete(p.byID, s.entry.ID)
 	delete(p.byHash, Hash(s.entry.ID))
+	if p.limiter != nil {
+		p.limiter.Forget(Hash(s.entry.ID))
+	}
 	g := p.service(s.entry.Service)
 	for i, o := range g.servers {
 		if o == s {
@@ -166,7 +183,7 @@
 	wide := p.wide(g, now)
 	best, found := Choice{Cost: math.Inf(1)}, false
 	for _, s := range g.servers {
-		if s.entry.Draining || contains(r.Tried, s.entry.ID) {
+		if p.obstacle(g, s, r, now) != NoObstacle {
 			continue
 		}
 		c := s.weigh(p.off, g.work, r, now, wide, random)
@@ -184,16 +201,17 @@
 		return false
 	}
 	if now-g.since < justStarted || now < p.disturbedUntil {
-		return g.inUse(now) < coverageAtStart
+		return p.inUse(g, now) < coverageAtStart
 	}
-	return g.outcomes.unserved(now) > widenAbove && g.inUse(now) < coverage
+	return g.outcomes.unserved(now) > widenAbove && p.inUse(g, now) < coverage
 }
 
-// inUse is the share of the servers that had a request in the last moments.
-func (g *service) inUse(now time.Duration) float64 {
+// inUse is the share of the servers that had a request in the last moments, of
+// those that may get any.
+func (p *Placer) inUse(g *service, now time.Duration) float64 {
 	used, all := 0, 0
 	for _, s := range g.servers {
-		if s.entry.Draining {
+		if s.entry.Draining || p.evacuated[s.entry.DataCentre] || g.warmUp.limits(s, now) {
 			continue
 		}
 		all++
@@ -245,12 +263,14 @@
 	if !ok {
 		return
 	}
+	g := p.service(s.entry.Service)
+	s.noteAbsence(r, g.warmUp.Time, now)
 	s.learn(r, own && p.off.On(mechanism.Paths), now)
 	if r == health.OK {
-		if p.off.On(mechanism.Slowness) {
+		// A cold server's time says nothing of its usual speed.
+		if p.off.On(mechanism.Slowness) && now >= s.coldTill {
 			s.measure(took, work)
 		}
-		g := p.service(s.entry.Service)
 		g.work += time.Duration(workSmoothing * float64(work-g.work))
 	}
 }
@@ -294,6 +314,8 @@
 	// Risk is the probability that a request sent there now fails.
 	Risk     float64
 	Slowness float64
+	// Cold servers get no more than they bear; Evacuated ones get nothing.
+	Cold, Evacuated bool
 	// LastFailure is how the last failed attempt went, SinceFailure ago; OK if
 	// none is known.
 	LastFailure  health.Result
@@ -306,6 +328,7 @@
 	for _, s := range p.byID {
 		views = append(views, View{
 			Server: s.entry, Outstanding: s.count(now), Risk: s.risk(p.off, now), Slowness: s.slowness,
+			Cold: now < s.coldTill, Evacuated: p.evacuated[s.entry.DataCentre],
 			LastFailure: s.failure, SinceFailure: now - s.failedAt,
 		})
 	}
--- a/placement/server.go
+++ b/placement/server.go
@@ -17,7 +17,12 @@
 	// slowness is its time for a request against the mean of the service.
 	slowness float64
 	since    time.Duration
-	warmTill time.Duration
+	// coldTill is when the server bears its full load.
+	coldTill time.Duration
+	// answered is when any instance last had a sign of the server, and absent
+	// says that one couldn't connect long after.
+	answered time.Duration
+	absent   bool
 	lastUse  time.Duration
 	lastFail time.Duration
 	used     bool
@@ -102,7 +107,7 @@
 // requests before it are worked off, then its own work.
 func (s *server) expected(work, queued time.Duration, out int, now time.Duration) time.Duration {
 	slow := s.slowness
-	if now < s.warmTill {
+	if now < s.coldTill {
 		slow = math.Max(slow, coldSlowness)
 	}
 	return time.Duration(slow * (float64(work) + s.ahead(out)*float64(queued)))
--- /dev/null
+++ b/routing/regions.go
@@ -0,0 +1,68 @@
+package routing
+
+import (
+	"slices"
+	"strings"
+)
+
+// Topology maps each data centre to its region.
+type Topology map[string]string
+
+// Allowed returns the data centres that may handle a request, and true, or
+// false if neither its route nor its workspace restricts them. Where both do,
+// a data centre has to satisfy both. The workspace may be nil.
+func (t Topology) Allowed(r *Route, w *Workspace) (map[string]bool, bool) {
+	var ofWorkspace []string
+	if w != nil {
+		ofWorkspace = w.Regions
+	}
+	if len(r.Regions) == 0 && len(ofWorkspace) == 0 {
+		return nil, false
+	}
+	allowed := make(map[string]bool)
+	for dataCentre, region := range t {
+		if includes(r.Regions, region) && includes(ofWorkspace, region) {
+			allowed[dataCentre] = true
+		}
+	}
+	return allowed, true
+}
+
+// includes reports whether a list of regions, of which none means any, holds a
+// region.
+func includes(regions []string, region string) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
+}
+
+// Regions returns the regions that all restricted routes of a host agree on,
+// and false if none of its routes is restricted.
+func (t *Table) Regions(host string) ([]string, bool) {
+	regions, restricted := t.regions[hostName(host)]
+	return regions, restricted
+}
+
+// regionsByHost intersects the regions of the restricted routes of each host.
+func regionsByHost(routes []Route) map[string][]string {
+	byHost := make(map[string][]string)
+	for _, r := range routes {
+		if len(r.Regions) == 0 {
+			continue
+		}
+		common, known := byHost[r.Host]
+		if !known {
+			byHost[r.Host] = slices.Clone(r.Regions)
+			continue
+		}
+		byHost[r.Host] = slices.DeleteFunc(common, func(region string) bool { return !slices.Contains(r.Regions, region) })
+	}
+	return byHost
+}
+
+// hostName is a host in the form that routes have: lower case, without a port.
+func hostName(host string) string {
+	host = strings.ToLower(host)
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	return host
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -54,6 +54,8 @@
 	MaxAttempts int
 	// Public routes need no key.
 	Public bool
+	// Regions are the only ones that may handle its requests; none means any.
+	Regions []string
 	// Shares has at least one entry.
 	Shares []Share
 }
@@ -65,6 +67,10 @@
 	HealthPath string
 	// MaxConnections is what one server accepts from all callers together.
 	MaxConnections int
+	// WarmUp is how long a server stays cold after its start, and WarmUpRate how
+	// many requests a second it bears until then; 0 means that there is no limit.
+	WarmUp     time.Duration
+	WarmUpRate float64
 }
 
 // Workspace is a customer: its keys, its rank and its rate.
@@ -77,6 +83,8 @@
 	Rate float64
 	// Burst in requests beyond the rate.
 	Burst float64
+	// Regions are the only ones that may handle its requests; none means any.
+	Regions []string
 }
 
 // Limits bound what callers may send.
@@ -120,6 +128,8 @@
 	routes     map[routeID]*Route
 	workspaces []Workspace
 	keys       map[Key]int
+	// regions of each host with restricted routes.
+	regions map[string][]string
 }
 
 type routeID struct{ host, prefix string }
@@ -134,6 +144,7 @@
 		routes:     make(map[routeID]*Route, len(c.Routes)),
 		workspaces: c.Workspaces,
 		keys:       c.Keys,
+		regions:    regionsByHost(c.Routes),
 	}
 	for _, s := range c.Services {
 		t.Services[s.Name] = s
@@ -148,10 +159,7 @@
 // Route returns the route with the longest prefix that begins the path, or
 // nil. The path is taken as the caller sent it.
 func (t *Table) Route(host, path string) *Route {
-	host = strings.ToLower(host)
-	if i := strings.LastIndexByte(host, ':'); i >= 0 {
-		host = host[:i]
-	}
+	host = hostName(host)
 	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
 		if r, ok := t.routes[routeID{host, path[:end+1]}]; ok {
 			return r
