usage: a fleet that starts anew serves the callers who waited for it

A bucket held a quarter of its burst, and lost even that: an instance that hears 1 of 99 keeps a 99th of each burst, and what it cut off didn't come back when it heard the others a fifth of a second later.

Change: a bucket is given what it holds at first as the others are heard, and holds up to its burst, as far as half of the platform's tolerance covers it. Until the list of instances is read, nothing counts as this instance's share.

Ruled out: a full burst for all, which exceeds the tolerance for large workspaces when a fleet is killed twice in a window.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -191,7 +191,7 @@
 		instances: replica.NewTable(),
 		list:      discovery.NewList(),
 		placer:    placement.NewWithout(s.Trial.Off()),
-		usage:     usage.NewCounters(),
+		usage:     newUsage(),
 		budgets:   make(map[string]*retry.Shared),
 		routes:    make(map[string]*routeStats),
 		own:       make(map[uint32]uint16),
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -70,11 +70,11 @@
 // limitOf is the limit that a workspace is held to.
 func (e *Edge) limitOf(w routing.Workspace) usage.Limit {
 	if !e.off.On(mechanism.Tolerance) {
-		return usage.Limit{Rate: w.Rate, Burst: w.Burst}
+		return usage.Strict(w.Rate, w.Burst)
 	}
 	b := e.settings.Bounds
 	t := usage.Tolerance{Overshoot: b.RateOvershoot, Slack: b.RateSlack, Window: settings.Seconds(b.RateWindowS)}
-	return t.Loosen(usage.Limit{Rate: w.Rate, Burst: w.Burst})
+	return t.Loosen(usage.Strict(w.Rate, w.Burst))
 }
 
 // takeServers takes in changed entries of backend servers, and returns those
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -184,6 +184,7 @@
 		s.poll.Failed(now)
 		notices = append(notices, evidence.Notice{})
 	}
+	e.countShare()
 	e.tellNotices(notices)
 	return well
 }
--- a/edge/members.go
+++ b/edge/members.go
@@ -8,6 +8,7 @@
 	"foxtailspoke/event"
 	"foxtailspoke/fleet"
 	"foxtailspoke/relay"
+	"foxtailspoke/usage"
 )
 
 // manySilent is the share of instances whose silence at one moment means that
@@ -28,6 +29,23 @@
 	return relay.Member{ID: e.self, DataCentre: e.settings.DataCentre, Alive: true, Slow: e.slowLink()}
 }
 
+// newUsage returns counters that admit nothing until countShare: as long as it
+// knows no other instance, each one of a fleet that starts would count on the
+// whole of every rate.
+func newUsage() *usage.Counters {
+	c := usage.NewCounters()
+	c.Share = 0
+	return c
+}
+
+// countShare takes in which instances are known and heard by now. It waits for
+// the configuration, which is read together with the list of instances.
+func (e *Edge) countShare() {
+	if e.state.table != nil {
+		e.state.usage.Share = e.state.messenger.Fleet().Heard()
+	}
+}
+
 // seeds are the instances that the settings name.
 func (e *Edge) seeds() []uint32 {
 	var ids []uint32
@@ -48,7 +66,7 @@
 		event.PeerHeard.Log(e.log, slog.String("peer", address(m.ID, 0).Addr().String()))
 	}
 	if len(returned) > 0 {
-		e.state.usage.Share = e.state.messenger.Fleet().Heard()
+		e.countShare()
 	}
 }
 
@@ -64,5 +82,5 @@
 	if float64(len(fell)) > manySilent*float64(all) {
 		s.placer.Disturbed(now)
 	}
-	s.usage.Share = s.messenger.Fleet().Heard()
+	e.countShare()
 }
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -222,6 +222,7 @@
 			e.prove(t.Table, t.Stamp, now)
 		}
 	}
+	e.countShare()
 	e.noteKnown(now)
 }
 
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -21,9 +21,10 @@
 	"time"
 )
 
-// startBurst is the share of the burst that a fresh bucket holds. A fleet
-// whose processes were all killed has forgotten what it admitted; with a full
-// burst at each start a workspace would get it twice within one window.
+// startBurst is the share of the burst that a bucket holds at first where the
+// limit may not be exceeded. A fleet whose processes were all killed has
+// forgotten what it admitted; with a full burst at each start a workspace would
+// get it twice within one window.
 const startBurst = 0.25
 
 // maxDebt is how far below zero a bucket may go, in time at its rate. Messages
@@ -37,6 +38,13 @@
 	Rate float64
 	// Burst in requests.
 	Burst float64
+	// Start is what a bucket holds at first, in requests.
+	Start float64
+}
+
+// Strict returns the limit of a workspace where nothing may exceed it.
+func Strict(rate, burst float64) Limit {
+	return Limit{Rate: rate, Burst: burst, Start: startBurst * burst}
 }
 
 // Tolerance is by how much the platform lets the sum over all instances exceed
@@ -56,11 +64,18 @@
 // and a workspace at eight times its usual 15 requests a second, two requests.
 const toleranceUse = 0.4
 
+// startUse is the part of the tolerance that covers what a fleet forgets when
+// all of its processes are killed. Callers have waited by then and come all
+// together; with empty buckets many within their rate would be refused.
+const startUse = 0.5
+
 // Loosen returns the limit with the part of the tolerance that workspaces get.
 func (t Tolerance) Loosen(l Limit) Limit {
 	if l.Rate <= 0 {
 		return l
 	}
+	forgotten := t.Overshoot*(l.Rate*t.Window.Seconds()+l.Burst) + t.Slack
+	l.Start = math.Max(l.Start, math.Min(l.Burst, startUse*forgotten))
 	l.Rate *= 1 + toleranceUse*t.Overshoot
 	if t.Window > 0 {
 		l.Rate += toleranceUse * t.Slack / t.Window.Seconds()
@@ -73,6 +88,8 @@
 	limit  Limit
 	tokens float64
 	at     time.Duration
+	// granted is the part of limit.Start that the bucket has got.
+	granted float64
 	// own is the total admitted here since the start.
 	own uint64
 	// seen holds the last total heard of each other instance.
@@ -109,12 +126,24 @@
 	b.refill(now, c.Share)
 	b.limit = l
 	b.at = now
-	if fresh {
-		b.tokens += l.Burst * startBurst
+	if !fresh {
+		b.granted = 1
 	}
+	b.grant(c.Share)
 	b.tokens = math.Min(b.tokens, l.Burst)
 }
 
+// grant gives a new bucket what it holds at first, as the others are heard. An
+// instance that has just started hears few: if it took all for itself, so would
+// every other one that starts with it; if it got only a part then, it would keep
+// that for good.
+func (b *Bucket) grant(share float64) {
+	if share > b.granted {
+		b.tokens += (share - b.granted) * b.limit.Start
+		b.granted = share
+	}
+}
+
 func (c *Counters) bucket(workspace uint32) *Bucket {
 	b, ok := c.buckets[workspace]
 	if !ok {
@@ -200,6 +229,7 @@
 	if passed <= 0 {
 		return
 	}
+	b.grant(share)
 	most := math.Max(b.limit.Burst*share, 1)
 	b.tokens = math.Min(b.tokens+passed*b.limit.Rate*share, most)
 }
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -114,7 +114,7 @@
 // others' admissions 15 ms late, and one message in fifty never. The sum over
 // any five seconds must stay within what the platform tolerates.
 func TestHotWorkspaceGetsItsRateAndNoMore(t *testing.T) {
-	l := usage.Limit{Rate: 20, Burst: 20}
+	l := usage.Strict(20, 20)
 	for seed := range uint64(10) {
 		f := newFleet(36, l, seed)
 		f.lost = 0.02
@@ -127,7 +127,7 @@
 // A workspace stays inside its rate. A caller refused here would be refused
 // although its plan allows it.
 func TestNobodyInsideTheRateIsRefused(t *testing.T) {
-	l := usage.Limit{Rate: 36, Burst: 36}
+	l := usage.Strict(36, 36)
 	refused, all := 0, 0
 	for seed := range uint64(10) {
 		f := newFleet(36, l, seed)
@@ -142,7 +142,7 @@
 // sending too much to all. Neither side knows what the other admits; each must
 // keep to the part of the rate that belongs to those it hears.
 func TestTwoSidesOfACutShareTheRate(t *testing.T) {
-	l := usage.Limit{Rate: 30, Burst: 30}
+	l := usage.Strict(30, 30)
 	f := newFleet(36, l, 3)
 	side := func(i int) bool { return i < 12 }
 	f.cut = func(from, to int, _ time.Duration) bool { return side(from) != side(to) }
@@ -160,7 +160,7 @@
 // admitted. A full burst for the fresh start would be a second one within the
 // same window.
 func TestKillOfAllGivesNoSecondBurst(t *testing.T) {
-	l := usage.Limit{Rate: 20, Burst: 60}
+	l := usage.Strict(20, 60)
 	f := newFleet(36, l, 5)
 	f.run(0, 10*time.Second, 200)
 	before := f.admitted
@@ -173,6 +173,55 @@
 	must.LessEq(t, tolerated(l), float64(f.most(window)))
 }
 
+// All processes are killed and start again together. Each hears nobody at first
+// and all others after a fifth of a second, and callers within the workspace's
+// rate, who have waited, come all at once. Buckets that stayed as empty as they
+// were while nobody was heard refused them for seconds.
+func TestCallersWhoWaitedForARestartAreServed(t *testing.T) {
+	tolerance := usage.Tolerance{Overshoot: overshoot, Slack: slack, Window: window}
+	for _, tc := range []struct{ rate, waited float64 }{{8, 8}, {36, 30}, {187, 90}} {
+		l := tolerance.Loosen(usage.Strict(tc.rate, tc.rate))
+		before := newFleet(99, l, 7)
+		before.run(0, 10*time.Second, tc.rate/1.6)
+		f := newFleet(99, usage.Limit{}, 8)
+		for _, c := range f.counters {
+			c.Share = 1.0 / 99
+			c.SetLimit(workspace, l, 11*time.Second)
+		}
+		f.admitted = before.admitted
+		heard := func() {
+			for _, c := range f.counters {
+				c.Share = 1
+			}
+		}
+		f.run(11*time.Second, 11200*time.Millisecond, 0.1*tc.waited/0.2)
+		heard()
+		f.run(11200*time.Millisecond, 11700*time.Millisecond, (0.9*tc.waited+tc.rate/1.6*0.5)/0.5)
+		f.run(11700*time.Millisecond, 16*time.Second, tc.rate/1.6)
+		must.LessEq(t, 0.1, float64(f.refused)/float64(f.refused+len(f.admitted)-len(before.admitted)))
+		must.LessEq(t, tolerated(usage.Strict(tc.rate, tc.rate)), float64(f.most(window)))
+	}
+}
+
+// A workspace at eight times its rate meets a fleet whose processes are killed
+// twice within one window.
+func TestTwoKillsOfAllStayInsideTheTolerance(t *testing.T) {
+	l := usage.Strict(36, 36)
+	loose := usage.Tolerance{Overshoot: overshoot, Slack: slack, Window: window}.Loosen(l)
+	f := newFleet(36, loose, 9)
+	f.run(0, 10*time.Second, 288)
+	for _, at := range []time.Duration{10500 * time.Millisecond, 12500 * time.Millisecond} {
+		admitted := f.admitted
+		f = newFleet(36, loose, 10)
+		for _, c := range f.counters {
+			c.SetLimit(workspace, loose, at)
+		}
+		f.admitted = admitted
+		f.run(at, at+1500*time.Millisecond, 288)
+	}
+	must.LessEq(t, tolerated(l), float64(f.most(window)))
+}
+
 // said is what instance 2 says, to somebody who hasn't heard it from its start.
 func said(epoch uint32, count uint64) usage.Word {
 	return usage.Word{Instance: 2, Epoch: epoch, Workspace: workspace, Count: count}
@@ -182,7 +231,7 @@
 // must not go uncharged: over 133 instances that was half of the tolerance.
 func TestLostFirstWordsAreMadeGood(t *testing.T) {
 	c := usage.NewCounters()
-	c.SetLimit(workspace, usage.Limit{Rate: 10, Burst: 10}, 0)
+	c.SetLimit(workspace, usage.Strict(10, 10), 0)
 	w := said(1, 4)
 	w.FromStart = true
 	c.Heard(w, 10*time.Second)
@@ -194,7 +243,7 @@
 // would refuse callers that are inside the rate.
 func TestForgottenInstanceIsntChargedTwice(t *testing.T) {
 	c := usage.NewCounters()
-	c.SetLimit(workspace, usage.Limit{Rate: 10, Burst: 10}, 0)
+	c.SetLimit(workspace, usage.Strict(10, 10), 0)
 	c.Heard(said(1, 5), 10*time.Second)
 	c.Forget(2)
 	c.Heard(said(1, 500), 20*time.Second)
@@ -207,7 +256,7 @@
 // all the same, and a late word of its former start must not.
 func TestRestartedInstanceIsChargedFromZero(t *testing.T) {
 	c := usage.NewCounters()
-	c.SetLimit(workspace, usage.Limit{Rate: 10, Burst: 10}, 0)
+	c.SetLimit(workspace, usage.Strict(10, 10), 0)
 	c.Heard(said(1, 100), 10*time.Second)
 	c.Heard(said(2, 4), 10*time.Second)
 	must.Eq(t, 5, c.Tokens(workspace, 10*time.Second))
@@ -215,7 +264,7 @@
 
 func TestLateTotalsBuildNoLongDebt(t *testing.T) {
 	c := usage.NewCounters()
-	c.SetLimit(workspace, usage.Limit{Rate: 10, Burst: 10}, 0)
+	c.SetLimit(workspace, usage.Strict(10, 10), 0)
 	c.Heard(said(1, 1), 10*time.Second)
 	c.Heard(said(1, 1000), 10*time.Second)
 	ok, _ := c.Take(workspace, 12500*time.Millisecond)
@@ -224,9 +273,9 @@
 
 func TestLowerLimitHoldsAtOnce(t *testing.T) {
 	c := usage.NewCounters()
-	c.SetLimit(workspace, usage.Limit{Rate: 100, Burst: 100}, 0)
+	c.SetLimit(workspace, usage.Strict(100, 100), 0)
 	c.Tokens(workspace, 10*time.Second)
-	c.SetLimit(workspace, usage.Limit{Rate: 5, Burst: 5}, 10*time.Second)
+	c.SetLimit(workspace, usage.Strict(5, 5), 10*time.Second)
 	must.Eq(t, 5, c.Tokens(workspace, 10*time.Second))
 }
 
@@ -240,7 +289,7 @@
 
 func TestRefusalSaysWhenTheNextTokenIsThere(t *testing.T) {
 	c := usage.NewCounters()
-	c.SetLimit(workspace, usage.Limit{Rate: 2, Burst: 1}, 0)
+	c.SetLimit(workspace, usage.Strict(2, 1), 0)
 	ok, _ := c.Take(workspace, 10*time.Second)
 	must.True(t, ok)
 	ok, wait := c.Take(workspace, 10*time.Second)
