placement: lookups reach servers that are well again while much goes unserved

The log shows 21 of 87 servers out of use from 7.6 s on: their spells were over, what may be repeated was used up, so that nothing probed them, and requests were spread only below 72% of all servers in use. The sound ones are another share than all.

Change: requests that can be repeated are spread until 95% of a service's servers are in use. Orders as before.

Ruled out: 95% for orders as well, each of which is lost at a server in a spell.

--- a/placement/costs.go
+++ b/placement/costs.go
@@ -53,6 +53,10 @@
 	// them counts as unserved. Servers that are likelier to be well come first.
 	widenAbove = 0.07
 	coverage   = 0.72
+	// coverageRepeatable is the same for requests that can be repeated, which
+	// cost less. The servers out of use may all be among the few that are well
+	// and undisturbed, so that a share of all servers says little of these.
+	coverageRepeatable = 0.95
 	// coverageAtStart is higher: right after a fleet-wide start most servers may
 	// not count as healthy yet, and of the few that do as many must be in use.
 	coverageAtStart = 0.95
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -180,7 +180,7 @@
 // is none that it may be sent to.
 func (p *Placer) Choose(r Request, now time.Duration, random func() float64) (Choice, bool) {
 	g := p.service(r.Service)
-	wide := p.wide(g, now)
+	wide := p.wide(g, r.Repeatable, now)
 	best, found := Choice{Cost: math.Inf(1)}, false
 	for _, s := range g.servers {
 		if p.obstacle(g, s, r, now) != NoObstacle {
@@ -195,15 +195,20 @@
 	return best, found
 }
 
-// wide reports whether more of the servers should be in use.
-func (p *Placer) wide(g *service, now time.Duration) bool {
+// wide reports whether a request should help to bring more of the servers into
+// use.
+func (p *Placer) wide(g *service, repeatable bool, now time.Duration) bool {
 	if !p.off.On(mechanism.Spread) {
 		return false
 	}
 	if now-g.since < justStarted || now < p.disturbedUntil {
 		return p.inUse(g, now) < coverageAtStart
 	}
-	return g.outcomes.unserved(now) > widenAbove && p.inUse(g, now) < coverage
+	enough := coverage
+	if repeatable {
+		enough = coverageRepeatable
+	}
+	return g.outcomes.unserved(now) > widenAbove && p.inUse(g, now) < enough
 }
 
 // inUse is the share of the servers that had a request in the last moments, of
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -360,6 +360,47 @@
 	must.Eq(t, "failed", choose(t, p, order(), now).Server.ID)
 }
 
+// Workspaces over their rate have a quarter of the lookups refused. A fourth of the
+// servers come out of spells together, while what may be repeated is used up and
+// nothing probes them. As the rest is more than enough of all servers in use,
+// nobody looked for them, though they were the ones to count.
+func TestUnservedLookupsReachServersThatAreWellAgain(t *testing.T) {
+	var all []string
+	for i := range 96 {
+		all = append(all, fmt.Sprintf("i-%02d", i))
+	}
+	p := placer(all...)
+	again := make(map[string]bool)
+	begin := 20 * time.Second
+	for i, id := range all {
+		if i%4 > 0 {
+			use(p, id, health.OK, begin)
+			continue
+		}
+		again[id] = true
+		for range 2 {
+			use(p, id, health.Incomplete, begin-2*time.Second)
+		}
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	found, sent := make(map[string]bool), 0
+	for now := begin; now < begin+2*time.Second; now += 4 * time.Millisecond {
+		if rng.Float64() < 0.25 {
+			p.Served("s", false, now)
+			continue
+		}
+		c, ok := p.Choose(lookup(), now, rng.Float64)
+		must.True(t, ok)
+		use(p, c.Server.ID, health.OK, now)
+		p.Served("s", true, now)
+		if again[c.Server.ID] {
+			found[c.Server.ID] = true
+			sent++
+		}
+	}
+	must.Greater(t, 0.7, float64(len(found))/float64(len(again)), must.Sprint(sent, " requests"))
+}
+
 func TestWarmingServerIsTakenForSlow(t *testing.T) {
 	p := placement.New()
 	warm := server("warm")
