placement: what each kind of failure means is learnt

Cause: on the shifted site a failure in a spell comes at once (1 to 10 ms) as a whole answer, and the next attempt at its server fails in 1,070 of 1,322 cases; one that comes after the usual time of the work is the request's own (29 of 332; the second server fails it after the same time). Resets mean little there (20 of 61). The fixed likelihoods, read off the first sites, took a reset for a spell and a failure for half of one.

Change: signs tell failures by kind and by whether they come long before the work can be done; each service learns how often the next attempt at a server fails after each sign. Only a first failure counts, and only attempts that began after it. Messages carry the time of failures too.

In replay_test.go and placement_test.go failures are given the times that they have in the worlds played there; bounds unchanged.

--- a/edge/tell.go
+++ b/edge/tell.go
@@ -49,9 +49,8 @@
 	told := e.outstanding(a, -1)
 	told.Ended, told.Result, told.Final = true, evidenceOf(c, a), final
 	work := e.statsOf(c.route).work
-	var took time.Duration
+	took := a.took
 	if a.result == health.OK {
-		took = a.took
 		if a.choice.Waits() {
 			// It had to wait; its time says nothing of the server's speed.
 			took = 0
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -66,7 +66,7 @@
 	Result health.Result
 	// Number of the attempt within its request, set when it begins.
 	Number uint8
-	// TookMS of an answer, and WorkMS that is usual for its kind of request.
+	// TookMS until the result, and WorkMS that is usual for its kind of request.
 	TookMS uint16
 	WorkMS uint16
 	// Final is the outcome of the request that the attempt belonged to.
--- a/placement/belief.go
+++ b/placement/belief.go
@@ -43,30 +43,20 @@
 // likelihood of a result in the bad state and in the good one.
 type likelihood struct{ bad, well float64 }
 
-// Of the requests sent in a spell about four fifths fail, and one in eighty
-// otherwise. Nearly all failures in spells are connections that are reset, and
-// those of healthy servers whole answers that report a failure: if both weighed
-// the same, a trusted server would get three or four more requests after the
-// reset that begins a spell. A request that gets no answer, or no connection,
-// tells more of the path than of the server, if it was this instance's own.
+// What a failure means is learnt (signs). A request that gets no connection tells
+// more of the path than of the server, if it was this instance's own.
 var (
-	resetIs        = likelihood{failsInSpell, resetOtherwise}
-	failedIs       = likelihood{errsInSpell, failsOtherwise}
-	answeredIs     = likelihood{1 - failsInSpell, 1 - failsOtherwise}
-	silentServerIs = likelihood{0.3, 0.06}
-	silentPathIs   = likelihood{0.9, 0.03}
-	goodPathIs     = likelihood{0.1, 0.97}
+	answeredIs    = likelihood{1 - failsInSpell, 1 - failsOtherwise}
+	unreachableIs = likelihood{0.3, 0.06}
+	silentPathIs  = likelihood{0.9, 0.03}
+	goodPathIs    = likelihood{0.1, 0.97}
 )
 
 const (
+	// failsInSpell and failsOtherwise are the shares of requests that fail at
+	// servers in spells and at others.
 	failsInSpell   = 0.8
 	failsOtherwise = 0.012
-	// errsInSpell is the share of requests that servers in a spell answer with
-	// a failure: two thirds in some spells, none in most.
-	errsInSpell = 0.35
-	// resetOtherwise is the share of a healthy server's answers that are lost
-	// or garbled on their way.
-	resetOtherwise = 0.002
 	// bounds keep a belief from becoming a certainty that no result moves.
 	leastBelief = 0.002
 	mostBelief  = 0.995
@@ -104,35 +94,48 @@
 	return 1 - (1-fails)*(1-s.path.now(paths, t))
 }
 
-// learn takes in the result of an attempt, of this instance or another.
-func (s *server) learn(r health.Result, own bool, t time.Duration) {
+// learn takes in the result of an attempt, of this instance or another. Took is
+// the time until it and work the usual one of such requests.
+func (s *server) learn(l *signs, r health.Result, own bool, took, work, t time.Duration) {
 	if r.Failed() {
 		s.failure, s.failedAt = r, t
 	}
 	s.hear(r, own)
+	s.follow(l, r, t, took)
+	sign := signOf(r, took, work)
+	if before := s.spell.now(spells, t); sign != noSign && before < followTrust {
+		s.following = following{sign, t, before}
+	}
 	switch r {
 	case health.OK:
 		s.spell.learn(spells, t, answeredIs)
 		if own {
 			s.path.learn(paths, t, goodPathIs)
 		}
-	case health.Incomplete, health.Mismatch:
-		s.spell.learn(spells, t, resetIs)
-		s.lastFail = t
-	case health.ServerError:
-		s.spell.learn(spells, t, failedIs)
-		s.lastFail = t
-	case health.ConnectFailed, health.Late, health.Timeout:
-		s.spell.learn(spells, t, silentServerIs)
-		if own {
-			s.path.learn(paths, t, silentPathIs)
+	case health.Incomplete, health.Mismatch, health.ServerError:
+		s.spell.learn(spells, t, l.means(sign))
+		if sign != slowError {
 			s.lastFail = t
 		}
+	case health.ConnectFailed:
+		s.spell.learn(spells, t, unreachableIs)
+		s.losePath(own, t)
+	case health.Late, health.Timeout:
+		s.spell.learn(spells, t, l.means(sign))
+		s.losePath(own, t)
 	case health.Shed, health.NotRun, health.Cancelled:
 		// A refusal tells of load, which the outstanding work shows already.
 	}
 }
 
+// losePath takes in an attempt without any sign of the server.
+func (s *server) losePath(own bool, t time.Duration) {
+	if own {
+		s.path.learn(paths, t, silentPathIs)
+		s.lastFail = t
+	}
+}
+
 // hear notes whether the server answers at all. That another instance gets no
 // connection says nothing of this one's path: with a path in five cut, all
 // servers had such a failure last, and were left out of use for seconds.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -97,6 +97,7 @@
 	// work is the usual time of the service's requests, all kinds together.
 	work     time.Duration
 	outcomes outcomes
+	signs    signs
 	warmUp   WarmUp
 }
 
@@ -260,9 +261,9 @@
 	}
 }
 
-// Learn takes in the result of an attempt. Took is the time of an answer, 0 if
-// it is unknown or the request had to wait for a slot; work is what a server
-// of mean speed takes for such a request. Own says that the attempt was this instance's.
+// Learn takes in the result of an attempt. Took is the time until it, 0 if it is
+// unknown or an answer had to wait for a slot; work is what a server of mean
+// speed takes for such a request. Own says that the attempt was this instance's.
 func (p *Placer) Learn(hash uint32, r health.Result, own bool, took, work, now time.Duration) {
 	s, ok := p.byHash[hash]
 	if !ok {
@@ -270,7 +271,7 @@
 	}
 	g := p.service(s.entry.Service)
 	s.noteAbsence(r, g.warmUp.Time, now)
-	s.learn(r, own && p.off.On(mechanism.Paths), now)
+	s.learn(&g.signs, r, own && p.off.On(mechanism.Paths), took, work, now)
 	if r == health.OK {
 		// A cold server's time says nothing of its usual speed.
 		if p.off.On(mechanism.Slowness) && now >= s.coldTill {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -48,7 +48,12 @@
 	h := placement.Hash(id)
 	p.Outstanding(h, 0, 1, now)
 	p.Outstanding(h, 0, 0, now)
-	p.Learn(h, r, true, work, work, now)
+	took := work
+	if r == health.Incomplete || r == health.Mismatch {
+		// Servers in spells break connections off at once.
+		took = 2 * time.Millisecond
+	}
+	p.Learn(h, r, true, took, work, now)
 }
 
 func choose(t *testing.T, p *placement.Placer, r placement.Request, now time.Duration) placement.Choice {
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -190,7 +190,7 @@
 		} else {
 			w.lost++
 		}
-		w.end(s, instance, now+2*time.Millisecond, health.Incomplete, 0)
+		w.end(s, instance, now+2*time.Millisecond, health.Incomplete, 2*time.Millisecond)
 		return
 	}
 	slot := 0
@@ -204,7 +204,7 @@
 		w.late++
 	}
 	if w.rng.Float64() < w.errors {
-		w.end(s, instance, s.free[slot], health.ServerError, 0)
+		w.end(s, instance, s.free[slot], health.ServerError, took)
 		return
 	}
 	w.end(s, instance, s.free[slot], health.OK, took)
--- a/placement/server.go
+++ b/placement/server.go
@@ -23,9 +23,11 @@
 	// says that one couldn't connect long after.
 	answered time.Duration
 	absent   bool
-	lastUse  time.Duration
-	lastFail time.Duration
-	used     bool
+	// following is the sign that the next attempt will explain.
+	following following
+	lastUse   time.Duration
+	lastFail  time.Duration
+	used      bool
 	// failure is how the last failed attempt went, at failedAt; OK if none did.
 	failure  health.Result
 	failedAt time.Duration
