retry: callers come back soon to servers that refuse with free slots

Change: a refusal by a server that had a free slot, as far as is known, asks its caller back after 150 ms at first, growing in the same way.

Test: TestCallersReturnSoonToServersThatRefuseWithFreeSlots.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -145,7 +145,7 @@
 	if r.mayHaveRun {
 		return &verdict{status: http.StatusBadGateway, rule: RuleServerFailed}
 	}
-	return &verdict{http.StatusServiceUnavailable, RuleNotRun, max(d.RetryAfter, comeBackSoon)}
+	return &verdict{http.StatusServiceUnavailable, RuleNotRun, d.RetryAfter}
 }
 
 func (r *runner) timedOut() *verdict {
@@ -195,7 +195,9 @@
 func (e *Edge) decide(c *call, a *attempt, number, running int, mayHaveRun bool) retry.Decision {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return retry.Decide(e.now(), e.retryState(c, a.result, number, running, mayHaveRun), e.retryBudget(c.service))
+	state := e.retryState(c, a.result, number, running, mayHaveRun)
+	state.FreeSlot = !a.choice.Waits()
+	return retry.Decide(e.now(), state, e.retryBudget(c.service))
 }
 
 func (e *Edge) mayHedge(c *call, number int, mayHaveRun bool) bool {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -50,10 +50,10 @@
 }
 
 // retryAfter spreads the callers' returns: the more requests were given up
-// lately, the later, and each at another moment.
-func (b *Budget) retryAfter(now time.Duration) time.Duration {
+// lately, the later, and each at another moment; none sooner than least.
+func (b *Budget) retryAfter(now, least time.Duration) time.Duration {
 	b.pressure = fade(b.pressure, now-b.at, pressureHalfLife) + 1
 	b.at = now
-	wait := time.Duration(float64(b.settings.RetryAfter) * (1 + b.pressure/10) * (0.75 + b.rng.Float64()/2))
-	return min(max(wait, b.settings.RetryAfter), b.settings.MaxRetryAfter)
+	wait := time.Duration(float64(least) * (1 + b.pressure/10) * (0.75 + b.rng.Float64()/2))
+	return min(max(wait, least), b.settings.MaxRetryAfter)
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -74,6 +74,9 @@
 	Others int
 	// Room says that one of them has a free slot as far as is known.
 	Room bool
+	// FreeSlot says that the server had one, as far as is known, when the request
+	// was sent.
+	FreeSlot bool
 }
 
 // Decision is what to do and why.
@@ -161,6 +164,20 @@
 	}
 }
 
+// leastWait is the shortest wait told to the caller of a request that is given up.
+// A server that refuses with free slots may take the very next request: waiting
+// for room that is there already would only make its caller late.
+func leastWait(a Attempt, s Settings) time.Duration {
+	if a.Result == health.Shed && a.FreeSlot {
+		return min(s.RetryAfter, afterRandomShed)
+	}
+	return s.RetryAfter
+}
+
+// afterRandomShed is how soon a caller may come back after a server refused it
+// with slots free, as long as that is rare.
+const afterRandomShed = 150 * time.Millisecond
+
 // giveUp ends the request. A whole answer from the server goes to the caller
 // even if it reports an error: it is the truth about what was done.
 func giveUp(now time.Duration, a Attempt, b *Budget, reason Reason) Decision {
@@ -171,5 +188,5 @@
 	if !a.MayHaveRun && a.Result.ProvedNotRun() {
 		outcome = NotRun
 	}
-	return Decision{Action: GiveUp, Outcome: outcome, RetryAfter: b.retryAfter(now), Reason: reason}
+	return Decision{Action: GiveUp, Outcome: outcome, RetryAfter: b.retryAfter(now, leastWait(a, b.settings)), Reason: reason}
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -107,3 +107,25 @@
 	must.LessEq(t, requests*(1+s.Share)+s.Reserve, float64(attempts))
 	must.Greater(t, requests, attempts)
 }
+
+// All servers of a service refuse every second request at random, whatever their
+// load. Callers that were told to wait as for a full service came back too late
+// to be served in time.
+func TestCallersReturnSoonToServersThatRefuseWithFreeSlots(t *testing.T) {
+	for _, free := range []bool{true, false} {
+		s := DefaultSettings()
+		s.RetryAfter = 500 * time.Millisecond
+		b := NewBudget(s, rand.New(rand.NewPCG(1, 1)))
+		a := Attempt{Result: health.Shed, Number: 2, Deadline: time.Minute, Room: true, FreeSlot: free}
+		var sum time.Duration
+		const given = 20
+		for i := range given {
+			d := Decide(time.Duration(i)*500*time.Millisecond, a, b)
+			must.Eq(t, GiveUp, d.Action)
+			must.Eq(t, NotRun, d.Outcome)
+			sum += d.RetryAfter
+		}
+		must.Eq(t, free, sum/given < 400*time.Millisecond)
+		must.Greater(t, 100*time.Millisecond, sum/given)
+	}
+}
