placement: orders leave doubtful servers to lookups

Cause: servers that had nothing for 0.8 s get the next request up to a risk of one half, whether it can be repeated or not. In the incident (2 to 16 s) 18 of 77 orders sent at a risk of 0.1 to 0.5 were lost, on a service where every tenth request is a lookup.

Change: where at least one in twenty of a service's requests can be repeated, as this instance sees them, orders keep only servers in use up to a risk of 0.06.

The lab tells how long failures took, as the instances do.

--- a/edge/call.go
+++ b/edge/call.go
@@ -205,7 +205,7 @@
 	if v := e.charge(c, now); v != nil {
 		return choice, v
 	}
-	s.placer.Sent(choice.Server.ID, now)
+	s.placer.Sent(choice.Server.ID, r, now)
 	return choice, nil
 }
 
--- a/lab/caller.go
+++ b/lab/caller.go
@@ -159,6 +159,7 @@
 	c.ownError = r == health.ServerError && !a.server.ill(c.world.now)
 	state := c.state(r, len(c.running))
 	state.MayHaveRun = mayHaveRun
+	state.FreeSlot = !a.choice.Waits()
 	d := retry.Decide(c.world.now, state, c.instance.repeats[c.service].Budget(bound, c.world.now))
 	switch d.Action {
 	case retry.Wait:
@@ -178,7 +179,7 @@
 		c.world.tally.failed(c)
 		return
 	}
-	c.refused(max(d.RetryAfter, comeBackSoon))
+	c.refused(d.RetryAfter)
 }
 
 // timeout ends the request at its deadline.
--- a/lab/instance.go
+++ b/lab/instance.go
@@ -95,9 +95,8 @@
 func (i *instance) ended(c *caller, a *attempt, r health.Result, final evidence.Final) {
 	i.outstanding(a.server, -1)
 	work := i.workOf(c.kind)
-	var took time.Duration
+	took := i.world.now - a.start
 	if r == health.OK {
-		took = i.world.now - a.start
 		if a.choice.Outstanding >= a.choice.Server.Slots {
 			took = 0
 		} else {
@@ -136,12 +135,17 @@
 // choose places a request.
 func (i *instance) choose(c *caller) (placement.Choice, bool) {
 	now := i.world.now
-	return i.placer.Choose(placement.Request{
+	r := placement.Request{
 		Service: i.world.services[c.service].name, Repeatable: c.kind.Repeatable,
 		RoomToRepeat: c.kind.Repeatable && i.repeats[c.service].Room(bound, now),
 		Aim:          c.kind.Aim - (now - c.sent), Left: c.deadline - now, Work: i.workOf(c.kind),
 		KB: 5, DataCentre: i.dataCentre, Tried: c.tried,
-	}, now, i.rng.Float64)
+	}
+	choice, ok := i.placer.Choose(r, now, i.rng.Float64)
+	if ok {
+		i.placer.Sent(choice.Server.ID, r, now)
+	}
+	return choice, ok
 }
 
 func (i *instance) mayHedge(c *caller) bool {
--- a/placement/costs.go
+++ b/placement/costs.go
@@ -75,6 +75,12 @@
 	// and most healthy servers must be in use then.
 	keepAfter = 800 * time.Millisecond
 	keepRisk  = 0.5
+	// keepRiskOrders replaces keepRisk for requests that can't be repeated where
+	// at least enoughRepeatable of the service's requests can be.
+	keepRiskOrders   = 0.06
+	enoughRepeatable = 0.05
+	// repeatableSmoothing is the weight of a request in that share.
+	repeatableSmoothing = 0.03
 	// probeAfter is the time without a request after which probe applies. A
 	// reset comes within milliseconds and the request is then served elsewhere,
 	// so that it costs its caller little and finds out what would cost others
--- a/placement/obstacles.go
+++ b/placement/obstacles.go
@@ -68,10 +68,15 @@
 // Sent takes in that this instance sends a request to a server. It has to be
 // called under the same lock as Choose: two requests that are placed at the
 // same moment would otherwise both take the same share of a cold server.
-func (p *Placer) Sent(id string, now time.Duration) {
+func (p *Placer) Sent(id string, r Request, now time.Duration) {
 	if p.limiter != nil {
 		p.limiter.Sent(Hash(id), now)
 	}
+	g, share := p.service(r.Service), 0.0
+	if r.Repeatable {
+		share = 1
+	}
+	g.repeatable += repeatableSmoothing * (share - g.repeatable)
 }
 
 // Obstacle returns what keeps a request from all servers of its service: the
--- a/placement/obstacles_test.go
+++ b/placement/obstacles_test.go
@@ -41,7 +41,7 @@
 			sent["refused"]++
 			continue
 		}
-		p.Sent(c.Server.ID, now)
+		p.Sent(c.Server.ID, r, now)
 		sent[c.Server.ID]++
 		use(p, c.Server.ID, health.OK, now)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -98,7 +98,10 @@
 	work     time.Duration
 	outcomes outcomes
 	signs    signs
-	warmUp   WarmUp
+	// repeatable is the share of this instance's requests to the service that can
+	// be repeated.
+	repeatable float64
+	warmUp     WarmUp
 }
 
 // never is the time of what hasn't happened. With 0, an instance that has just
@@ -187,7 +190,7 @@
 		if p.obstacle(g, s, r, now) != NoObstacle {
 			continue
 		}
-		c := s.weigh(p.off, g.work, r, now, wide, random)
+		c := s.weigh(p.off, g, r, now, wide, random)
 		c.Cost += jitter * random()
 		if c.Cost < best.Cost {
 			best, found = c, true
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -110,6 +110,7 @@
 	r.RoomToRepeat = r.Repeatable
 	w.repeatable = r.Repeatable
 	c, _ := w.views[instance].Choose(r, now, w.rng.Float64)
+	w.views[instance].Sent(c.Server.ID, r, now)
 	for _, s := range w.servers {
 		if s.id == c.Server.ID {
 			return s
--- a/placement/server.go
+++ b/placement/server.go
@@ -44,12 +44,11 @@
 	at time.Duration
 }
 
-// weigh returns what it would cost to send the request to this server.
-// The requests before it take as long as is usual at its service (queued).
-func (s *server) weigh(off mechanism.Off, queued time.Duration, r Request, now time.Duration, wide bool, random func() float64) Choice {
+// weigh returns what it would cost to send the request to this server of g.
+func (s *server) weigh(off mechanism.Off, g *service, r Request, now time.Duration, wide bool, random func() float64) Choice {
 	out := s.count(now)
 	risk := s.risk(off, now)
-	expected := s.expected(r.Work, queued, out, now)
+	expected := s.expected(r.Work, g.work, out, now)
 	cost := s.delayCost(off, r, expected, out)
 	if r.Repeatable {
 		cost += risk * riskRepeatable
@@ -60,7 +59,7 @@
 		cost += math.Min(crossing+crossingPerKB*r.KB, crossingMost)
 	}
 	if len(r.Tried) == 0 {
-		cost -= s.pull(off, r, now, out, risk, wide, random)
+		cost -= s.pull(off, g, r, now, out, risk, wide, random)
 	}
 	return Choice{Server: s.entry, Expected: expected, Outstanding: out, Risk: risk, Cost: cost}
 }
@@ -78,7 +77,7 @@
 // pull is what speaks for sending a request to a server that got none for a
 // while, whatever it costs. A request that has failed once isn't used to find
 // out anything.
-func (s *server) pull(off mechanism.Off, r Request, now time.Duration, out int, risk float64, wide bool, random func() float64) float64 {
+func (s *server) pull(off mechanism.Off, g *service, r Request, now time.Duration, out int, risk float64, wide bool, random func() float64) float64 {
 	if !off.On(mechanism.Chance) {
 		random = func() float64 { return 0 }
 	}
@@ -87,7 +86,7 @@
 		return spread
 	case off.On(mechanism.Newcomer) && !s.used && out == 0 && due(now-s.since-newcomerAfter, random):
 		return newcomer
-	case off.On(mechanism.Keep) && s.used && risk < keepRisk && due(now-s.lastUse-keepAfter, random):
+	case off.On(mechanism.Keep) && s.used && risk < g.keepRisk(r) && due(now-s.lastUse-keepAfter, random):
 		return keep
 	case off.On(mechanism.Probe) && r.Repeatable && r.RoomToRepeat && !s.silent && due(now-s.lastUse-probeAfter, random):
 		return probe
@@ -96,6 +95,15 @@
 	}
 }
 
+// keepRisk is the risk up to which a request keeps servers in use. Where enough
+// requests can be repeated, orders leave the doubtful servers to these.
+func (g *service) keepRisk(r Request) float64 {
+	if !r.Repeatable && g.repeatable >= enoughRepeatable {
+		return keepRiskOrders
+	}
+	return keepRisk
+}
+
 // due reports whether a request acts on something that has been due for so
 // long. All instances see it become due at the same moment, and hear of each
 // other's requests some ten milliseconds later: without chance, every request
