--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,7 +17,7 @@
 
 // regressions are the seeds that ever failed, each with its cause.
 var regressions = map[uint64]string{
-	118: "instances that knew the configuration and no servers took themselves for ready",
+	118:  "instances that knew the configuration and no servers took themselves for ready",
 	9000: "two kills of all within a window gave the limited workspace half of the tolerance each",
 }
 
