--- a/fleet/messenger_test.go
+++ b/fleet/messenger_test.go
@@ -268,6 +268,43 @@
 	w.untilKnown(time.Second)
 }
 
+// buried is the time after which no caller may be sent to an instance that was
+// killed.
+const buried = 3 * time.Second
+
+// Some instances are killed. What others say of them, in rosters to newcomers or
+// across paths that fail, must not keep them in the answers to callers.
+func TestKilledInstancesAreNamedToNobody(t *testing.T) {
+	ways := map[string]func(from, to *node) bool{
+		"all hear each other":     func(*node, *node) bool { return false },
+		"each hears half":         func(from, to *node) bool { return (from.id/2+to.id/2)%2 == 0 },
+		"one data centre is lost": func(from, to *node) bool { return (from.dataCentre == "a") != (to.dataCentre == "a") },
+	}
+	for name, lost := range ways {
+		w := started(t, 1, 3, 12, 3, 5)
+		w.lost = lost
+		w.run(w.now + time.Second)
+		killed := make(map[uint32]bool)
+		for i, id := range w.order {
+			if i%6 == 0 {
+				killed[id] = true
+				w.kill(w.nodes[id])
+			}
+		}
+		w.run(w.now + time.Second)
+		w.start(w.add(1, 12, 3))
+		w.run(w.now + buried - time.Second)
+		for _, n := range w.nodes {
+			if n.down {
+				continue
+			}
+			for id, m := range n.m.Fleet().All() {
+				must.False(t, killed[id] && m.Alive, must.Sprint(name, ": ", n.id, " names ", id))
+			}
+		}
+	}
+}
+
 // All processes are killed at once and start again. Callers have waited, and are
 // sent to those that are known to be there: all of them soon, or they are late at
 // the few that are.
