placement: servers that fail partly are a condition of their own

Cause: servers were well or in a spell in which four fifths fail. One that loses a third of its answers (answer_lost, srv_grey and garble on every site) gives two good ones between two failures, and two good answers restored full trust.

Change: a third condition in which a third of the requests fails.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -135,8 +135,8 @@
 	}
 	if old == nil {
 		old = &server{
-			spell:       belief{spells.usually, now},
-			path:        belief{paths.usually, now},
+			condition:   unknown(now),
+			path:        path{usuallyCut, now},
 			slowness:    1,
 			lastUse:     never,
 			lastFail:    never,
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -26,6 +26,8 @@
 	refused float64
 	// lookups is the share of the requests that can be repeated.
 	lookups float64
+	// grey is the share of their answers that half of the servers lose.
+	grey float64
 }
 
 // world replays orders of a fleet at servers with two slots each. A third of
@@ -60,6 +62,8 @@
 	queue     int
 	free      []time.Duration
 	number    []int
+	// losesAnswers says that it loses a share of its answers.
+	losesAnswers bool
 }
 
 const (
@@ -78,6 +82,7 @@
 			id: fmt.Sprintf("i-%03d", i), well: w.rng.Float64() >= illShare,
 			until: time.Duration(w.rng.Float64() * float64(spellLength)),
 			free:  make([]time.Duration, 2), number: make([]int, z.instances),
+			losesAnswers: i%2 == 0,
 		})
 	}
 	for range z.instances {
@@ -194,6 +199,7 @@
 		w.end(s, instance, now+2*time.Millisecond, health.Incomplete, 2*time.Millisecond)
 		return
 	}
+	lost := s.losesAnswers && w.rng.Float64() < w.grey
 	slot := 0
 	if s.free[1] < s.free[0] {
 		slot = 1
@@ -204,6 +210,15 @@
 	if s.free[slot]-now > replayAim {
 		w.late++
 	}
+	if lost {
+		if w.repeatable {
+			w.repeats++
+		} else {
+			w.lost++
+		}
+		w.end(s, instance, s.free[slot], health.Incomplete, took)
+		return
+	}
 	if w.rng.Float64() < w.errors {
 		w.end(s, instance, s.free[slot], health.ServerError, took)
 		return
@@ -297,6 +312,18 @@
 	}
 }
 
+// Half of the servers lose a third of their answers, beside the spells of all. Two
+// good answers between two lost ones must not restore trust: each lost answer is
+// an order lost.
+func TestOrdersAvoidServersThatFailPartly(t *testing.T) {
+	for seed := range uint64(4) {
+		w := newWorld(seed, size{instances: 12, servers: 124, perSecond: 240, errors: 0.012, lookups: 0.3, grey: 0.3})
+		w.run(placed, 20*time.Second)
+		w.report(t, seed)
+		must.Less(t, 0.03, w.share(w.lost))
+	}
+}
+
 func (w *world) share(n int) float64 { return float64(n) / float64(w.sent) }
 
 func (w *world) report(t *testing.T, seed uint64) {
--- a/placement/server.go
+++ b/placement/server.go
@@ -12,8 +12,9 @@
 // server is what is known of a backend server beside its entry.
 type server struct {
 	entry discovery.Server
-	// spell is known to all instances, path only to this one.
-	spell, path belief
+	// condition is known to all instances, path only to this one.
+	condition condition
+	path      path
 	// slowness is its time for a request against the mean of the service.
 	slowness float64
 	since    time.Duration
--- a/placement/signs.go
+++ b/placement/signs.go
@@ -106,20 +106,29 @@
 	}
 }
 
-// means is how much likelier a sign is in a spell than otherwise.
-func (l *signs) means(s sign) likelihood {
+// means is how much likelier a sign is in each condition than at a server that is
+// well. The share that fails after it lies between those of two conditions, which
+// then share what is believed.
+func (l *signs) means(s sign) likelihoods {
 	f := l.followed[s]
 	fails := (f.failed + priorWeight*initially[s]) / (f.all + priorWeight)
 	before := (f.before + priorWeight*usuallyBefore) / (f.all + priorWeight)
-	after := min(max((fails-failsOtherwise)/(failsInSpell-failsOtherwise), before), surest)
-	return likelihood{bad: odds(after) / odds(before), well: 1}
+	var partly, spell float64
+	if fails <= failsPartly {
+		partly = max((fails-failsOtherwise)/(failsPartly-failsOtherwise), before)
+	} else {
+		spell = min((fails-failsPartly)/(failsInSpell-failsPartly), 1)
+		partly = 1 - spell
+	}
+	partly, spell = max(partly*surest, before/2), max(spell*surest, before/2)
+	well := max(1-partly-spell, 1-surest)
+	usual := before / 2 / (1 - before)
+	return likelihoods{well: 1, partly: partly / well / usual, spell: spell / well / usual}
 }
 
-// usuallyBefore is the belief in a spell of a server that is used all the time.
+// usuallyBefore is the belief that a server is ill which is used all the time.
 const usuallyBefore = 0.01
 
-func odds(p float64) float64 { return p / (1 - p) }
-
 // following is a sign whose meaning the next attempt at its server will show.
 type following struct {
 	sign   sign
