--- a/placement/signs.go
+++ b/placement/signs.go
@@ -33,8 +33,8 @@
 	// is too quick for it.
 	quickShare = 0.2
 	// followedFor is the time within which the next attempt at a server shows
-	// whether a sign meant a spell; most spells last longer.
-	followedFor = 4 * time.Second
+	// whether a sign meant a spell. Of later ones some find that it has ended.
+	followedFor = 1500 * time.Millisecond
 	// followTrust is the belief in a spell up to which a sign is followed: what
 	// comes after the first failure tells what that meant.
 	followTrust = 0.15
