relay: the field's terms: publish, subscriber, acknowledgement, join

Renames only, no behaviour: Say and Tell are Publish, listeners subscribers, words unacked messages (words.go is unacked.go), Confirm Ack, Greet Join, strays unexpected.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -54,7 +54,7 @@
 		return float64(e.state.messenger.Hub().Rounds())
 	}))
 	m.gauge("listeners", "Instances that this one sends rounds to.", e.locked(func() float64 {
-		return float64(e.state.messenger.Hub().Listeners())
+		return float64(e.state.messenger.Hub().Subscribers())
 	}))
 	m.gauge("store_calls_total", "Calls of the platform's store.", func() float64 { return float64(e.store.Calls()) })
 	m.gauge("server_connections_total", "Connections opened to backend servers.", func() float64 { return float64(e.pool.Opened()) })
--- a/edge/status.go
+++ b/edge/status.go
@@ -117,7 +117,7 @@
 		st.Reader = address(s.reader, 0).Addr().String()
 	}
 	st.Relay = address(s.messenger.Hub().Relay(), 0).Addr().String()
-	st.Listeners = s.messenger.Hub().Listeners()
+	st.Listeners = s.messenger.Hub().Subscribers()
 	for id, m := range s.messenger.Fleet().All() {
 		st.Instances = append(st.Instances, InstanceStatus{
 			IP: address(id, 0).Addr().String(), DataCentre: m.DataCentre, Alive: m.Alive, Leaving: m.Leaving,
--- a/fleet/messenger.go
+++ b/fleet/messenger.go
@@ -109,7 +109,7 @@
 		return nil, err
 	}
 	m.spoke = now
-	return m.hub.Say(msg.Sequence, b, urgent, now), nil
+	return m.hub.Publish(msg.Sequence, b, urgent, now), nil
 }
 
 func (m *Messenger) encode(msg evidence.Message) ([]byte, error) {
@@ -209,7 +209,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return []relay.Datagram{{To: to, Kind: relay.Greet, Messages: b}}, nil
+	return []relay.Datagram{{To: to, Kind: relay.Join, Messages: b}}, nil
 }
 
 // roster tells an instance that has just come, or was cut off, who lives.
--- a/fleet/messenger_test.go
+++ b/fleet/messenger_test.go
@@ -54,7 +54,7 @@
 	var best *node
 	for _, id := range w.order {
 		n := w.nodes[id]
-		if n.dataCentre == dataCentre && !n.down && (best == nil || n.m.Hub().Listeners() > best.m.Hub().Listeners()) {
+		if n.dataCentre == dataCentre && !n.down && (best == nil || n.m.Hub().Subscribers() > best.m.Hub().Subscribers()) {
 			best = n
 		}
 	}
@@ -63,7 +63,7 @@
 
 func (w *world) relaysOf(dataCentre string) (relays []*node) {
 	for _, id := range w.order {
-		if n := w.nodes[id]; n.dataCentre == dataCentre && !n.down && n.m.Hub().Listeners() > 0 {
+		if n := w.nodes[id]; n.dataCentre == dataCentre && !n.down && n.m.Hub().Subscribers() > 0 {
 			relays = append(relays, n)
 		}
 	}
@@ -117,7 +117,7 @@
 		for _, n := range w.nodes {
 			handled := float64(n.in+n.out) / span.Seconds()
 			busiest = max(busiest, handled)
-			if n.m.Hub().Listeners() > 0 {
+			if n.m.Hub().Subscribers() > 0 {
 				relays++
 				continue
 			}
@@ -374,9 +374,9 @@
 	must.SliceEmpty(t, good)
 	round := n.m.Step(n.m.Due())
 	must.SliceNotEmpty(t, round)
-	told := relay.Datagram{Kind: relay.Tell, Messages: round[0].Messages}
+	told := relay.Datagram{Kind: relay.Publish, Messages: round[0].Messages}
 	whole := told.Encode()
-	for _, b := range [][]byte{nil, {0x7f}, {byte(relay.Tell)}, {byte(relay.Cross), 0xff}, whole[:len(whole)-1], append(whole, 0xff)} {
+	for _, b := range [][]byte{nil, {0x7f}, {byte(relay.Publish)}, {byte(relay.Cross), 0xff}, whole[:len(whole)-1], append(whole, 0xff)} {
 		taken, err := n.m.Take(0x0a010001, b, w.now)
 		must.Error(t, err)
 		must.SliceEmpty(t, taken.Heard)
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -312,7 +312,7 @@
 	for _, n := range w.nodes {
 		for id := range w.nodes {
 			if m := n.m.Fleet().All()[id]; id != n.id && (m == nil || !m.Alive || m.DataCentre == "") {
-				w.t.Logf("%x (told %x, %d listeners) doesn't hear %x: %+v", n.id, n.m.Hub().Relay(), n.m.Hub().Listeners(), id, m)
+				w.t.Logf("%x (told %x, %d listeners) doesn't hear %x: %+v", n.id, n.m.Hub().Relay(), n.m.Hub().Subscribers(), id, m)
 			}
 		}
 	}
--- a/fleet/take.go
+++ b/fleet/take.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return Taken{}, err
 	}
-	if d.Kind == relay.Confirm {
+	if d.Kind == relay.Ack {
 		m.hub.Take(relay.Received{From: sender, Kind: d.Kind}, now)
 		return Taken{}, nil
 	}
@@ -147,7 +147,7 @@
 // introduces itself.
 func (m *Messenger) answer(t *Taken, sender uint32, kind relay.Kind, astray, alone bool, now time.Duration) error {
 	correct := astray && m.mayCorrect(sender, now)
-	if kind == relay.Greet || correct {
+	if kind == relay.Join || correct {
 		if err := t.add(m.roster(sender, now)); err != nil {
 			return err
 		}
@@ -157,7 +157,7 @@
 			return err
 		}
 	}
-	if kind == relay.Greet && len(t.Returned) > 0 {
+	if kind == relay.Join && len(t.Returned) > 0 {
 		if err := t.add(m.Say(evidence.Message{Roster: residents(t.Returned)}, true, now)); err != nil {
 			return err
 		}
--- a/relay/cross.go
+++ b/relay/cross.go
@@ -100,7 +100,7 @@
 }
 
 // confirmed takes in that a relay gets what it is sent.
-func (h *Hub) confirmed(from uint32) {
+func (h *Hub) acked(from uint32) {
 	delete(h.unconfirmed, from)
 	delete(h.suspects, from)
 }
@@ -114,7 +114,7 @@
 
 // confirm tells another relay that its messages arrive, at once or, if that was
 // said a moment ago, a little later.
-func (h *Hub) confirm(to uint32, now time.Duration) []Datagram {
+func (h *Hub) ack(to uint32, now time.Duration) []Datagram {
 	c, ok := h.confirmations[to]
 	if !ok {
 		c = &confirmation{at: now - confirmEvery}
@@ -125,7 +125,7 @@
 		return nil
 	}
 	c.at, c.owed = now, false
-	return []Datagram{{To: []uint32{to}, Kind: Confirm}}
+	return []Datagram{{To: []uint32{to}, Kind: Ack}}
 }
 
 // confirmOwed confirms what was put off.
@@ -134,7 +134,7 @@
 		c := h.confirmations[id]
 		switch {
 		case c.owed && now-c.at >= confirmEvery:
-			out = append(out, h.confirm(id, now)...)
+			out = append(out, h.ack(id, now)...)
 		case now-c.at > listensFor:
 			delete(h.confirmations, id)
 		}
@@ -146,8 +146,8 @@
 // though there should be somebody: it is cut off from its data centre in one
 // direction at least. Whoever sends here must find another relay.
 func (h *Hub) deadEnd(now time.Duration) bool {
-	forget(h.listeners, now)
-	if len(h.listeners) > 0 {
+	forget(h.subscribers, now)
+	if len(h.subscribers) > 0 {
 		return false
 	}
 	for _, id := range h.siblings(now) {
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -20,7 +20,7 @@
 	// any longer.
 	urgentPart = 3
 	// listensFor is the time after its last message for which an instance is a
-	// listener: three heartbeats, so that two lost ones don't end it.
+	// subscriber: three heartbeats, so that two lost ones don't end it.
 	listensFor = 1300 * time.Millisecond
 	// never is when to look if there is nothing to look for.
 	never = time.Duration(math.MaxInt64)
@@ -30,8 +30,8 @@
 type source int
 
 const (
-	// told by listeners, or own messages.
-	told source = iota
+	// told by subscribers, or own messages.
+	published source = iota
 	// crossed from another data centre.
 	crossed
 	// aside came from another relay of the data centre, which gives it to the
@@ -50,10 +50,10 @@
 	// it was made since Moved last looked.
 	stale, renewed bool
 
-	listeners map[uint32]time.Duration
-	// strays are instances that take themselves for relays and aren't expected
-	// to be. They get what listeners get.
-	strays map[uint32]time.Duration
+	subscribers map[uint32]time.Duration
+	// unexpected are instances that take themselves for relays and aren't expected
+	// to be. They get what subscribers get.
+	unexpected map[uint32]time.Duration
 	// unconfirmed is what other relays haven't confirmed, and confirmations
 	// what they were confirmed.
 	unconfirmed   map[uint32]*unconfirmed
@@ -69,7 +69,7 @@
 	round  time.Duration
 	rounds uint64
 
-	words    []*word
+	unacked  []*unackedMessage
 	suspects map[uint32]*suspicion
 	// relay is who was told last.
 	relay uint32
@@ -81,8 +81,8 @@
 	self.Alive = true
 	return &Hub{
 		self: self, members: members, stale: true, relay: self.ID,
-		listeners:     make(map[uint32]time.Duration),
-		strays:        make(map[uint32]time.Duration),
+		subscribers:   make(map[uint32]time.Duration),
+		unexpected:    make(map[uint32]time.Duration),
 		unconfirmed:   make(map[uint32]*unconfirmed),
 		confirmations: make(map[uint32]*confirmation),
 		suspects:      make(map[uint32]*suspicion),
@@ -104,28 +104,28 @@
 // Relay is the instance that was told last; it may be this one.
 func (h *Hub) Relay() uint32 { return h.relay }
 
-// Listeners is how many instances this one sends rounds to.
-func (h *Hub) Listeners() int { return len(h.listeners) }
+// Subscribers is how many instances this one sends rounds to.
+func (h *Hub) Subscribers() int { return len(h.subscribers) }
 
 // Rounds is how many rounds this instance has sent.
 func (h *Hub) Rounds() uint64 { return h.rounds }
 
-// Say tells an own message, encoded, with its number.
-func (h *Hub) Say(sequence uint32, message []byte, urgent bool, now time.Duration) []Datagram {
-	return h.tell(&word{sequence: sequence, message: message, urgent: urgent}, now)
+// Publish sends an own message, encoded, with its number.
+func (h *Hub) Publish(sequence uint32, message []byte, urgent bool, now time.Duration) []Datagram {
+	return h.transmit(&unackedMessage{sequence: sequence, message: message, urgent: urgent}, now)
 }
 
-// tell gives a message to the relay.
-func (h *Hub) tell(w *word, now time.Duration) []Datagram {
+// transmit sends a message to the relay.
+func (h *Hub) transmit(w *unackedMessage, now time.Duration) []Datagram {
 	choices := h.choose(now)
 	h.relay = choices[0]
 	if h.relay == h.self.ID {
-		h.wait(told, w.urgent, w.message)
+		h.wait(published, w.urgent, w.message)
 		return nil
 	}
 	w.to, w.at, w.again = h.relay, now, 0
-	w.tells++
-	h.words = append(h.words, w)
+	w.sends++
+	h.unacked = append(h.unacked, w)
 	to := choices[:1]
 	if h.onProbation(h.relay) && len(choices) > 1 && choices[1] != h.self.ID {
 		to = choices[:2]
@@ -134,7 +134,7 @@
 }
 
 // Moved reports that another relay is the best since this instance last said
-// something. It is a listener there only once it says something again.
+// something. It is a subscriber there only once it says something again.
 func (h *Hub) Moved(now time.Duration) bool {
 	if !h.stale && !h.renewed {
 		return false
@@ -172,14 +172,14 @@
 }
 
 // Take keeps new messages for the next round, if they are to be sent on. It
-// returns what to send at once, and whether the datagram went astray: one of
+// returns what to send at once, and whether the datagram was unexpected: one of
 // sender and receiver takes the other, or itself, for a relay, and the other
 // doesn't. One of them then knows too few members.
-func (h *Hub) Take(r Received, now time.Duration) (out []Datagram, astray bool) {
+func (h *Hub) Take(r Received, now time.Duration) (out []Datagram, unexpected bool) {
 	switch r.Kind {
-	case Tell:
-		h.listeners[r.From] = now
-		h.wait(told, r.Urgent, r.New...)
+	case Publish:
+		h.subscribers[r.From] = now
+		h.wait(published, r.Urgent, r.New...)
 		// What came by another relay won't be in a round any more. The sender
 		// waits for it all the same.
 		return pack(Deliver, false, []uint32{r.From}, r.Known), false
@@ -188,32 +188,32 @@
 		if h.deadEnd(now) {
 			return nil, false
 		}
-		return h.confirm(r.From, now), false
-	case Confirm:
-		h.confirmed(r.From)
+		return h.ack(r.From, now), false
+	case Ack:
+		h.acked(r.From)
 	case Beside:
-		return h.confirm(r.From, now), h.takeBeside(r, now)
+		return h.ack(r.From, now), h.takeBeside(r, now)
 	case Deliver:
-		// While relays change, one may get from another what its own listeners
+		// While relays change, one may get from another what its own subscribers
 		// get from nobody.
-		if len(h.listeners) > 0 {
+		if len(h.subscribers) > 0 {
 			h.wait(aside, r.Urgent, r.New...)
 		}
-	case Greet:
+	case Join:
 	}
 	return nil, false
 }
 
 // takeBeside takes in what another relay of the data centre sends. One that
 // isn't expected may know only this instance, and gets and gives everything as a
-// listener does.
-func (h *Hub) takeBeside(r Received, now time.Duration) (astray bool) {
+// subscriber does.
+func (h *Hub) takeBeside(r Received, now time.Duration) (unexpected bool) {
 	switch {
 	case !h.isRelay(r.From):
-		h.strays[r.From] = now
+		h.unexpected[r.From] = now
 		h.wait(crossed, r.Urgent, r.New...)
 		return true
-	case !h.isRelay(h.self.ID) && len(h.listeners) == 0:
+	case !h.isRelay(h.self.ID) && len(h.subscribers) == 0:
 		h.wait(crossed, r.Urgent, r.New...)
 		return true
 	default:
@@ -235,7 +235,7 @@
 // Due is when to call Step.
 func (h *Hub) Due() time.Duration {
 	due := never
-	for _, w := range h.words {
+	for _, w := range h.unacked {
 		due = min(due, w.due())
 	}
 	for _, u := range h.unconfirmed {
@@ -276,15 +276,15 @@
 
 // send sends a round.
 func (h *Hub) send(now time.Duration) []Datagram {
-	own, far, near := h.waiting[told], h.waiting[crossed], h.waiting[aside]
-	ownUrgent, farUrgent := h.urgent[told], h.urgent[crossed]
+	own, far, near := h.waiting[published], h.waiting[crossed], h.waiting[aside]
+	ownUrgent, farUrgent := h.urgent[published], h.urgent[crossed]
 	h.waiting, h.urgent = [sources][][]byte{}, [sources]bool{}
 	h.rounds++
-	forget(h.listeners, now)
-	forget(h.strays, now)
+	forget(h.subscribers, now)
+	forget(h.unexpected, now)
 	out := h.cross(own, ownUrgent, now)
 	out = append(out, h.beside(ownUrgent || farUrgent, now, own, far)...)
-	out = append(out, pack(Deliver, false, append(keys(h.listeners), keys(h.strays)...), own, far, near)...)
+	out = append(out, pack(Deliver, false, append(keys(h.subscribers), keys(h.unexpected)...), own, far, near)...)
 	h.putOff(out, now)
 	return out
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -8,10 +8,10 @@
 //
 // Idea: an instance tells its relay, one of a few instances of its data centre.
 // A relay gathers what comes within a round and sends it on once: to its
-// listeners, which are the instances that told it something lately; to the
+// subscribers, which are the instances that told it something lately; to the
 // other relays of its data centre; and to one relay of every other data centre,
-// which does the same there. A round is longer the more listeners a relay has,
-// so that neither relays nor listeners handle more datagrams in a larger fleet.
+// which does the same there. A round is longer the more subscribers a relay has,
+// so that neither relays nor subscribers handle more datagrams in a larger fleet.
 //
 // An instance sees its own messages come back in a round. If they don't, its
 // relay is dead, stands still, is cut off or slow, and the instance tells
@@ -24,7 +24,7 @@
 // whoever takes them in knows which are new, and only those are sent on, so that
 // instances that disagree on who is a relay send nothing round in circles.
 //
-// Usage: give Say each own message and Take each datagram, send what they and
+// Usage: give Publish each own message and Take each datagram, send what they and
 // Step return, and call Step when Due says so. Decisions are pure: time is
 // passed in.
 package relay
@@ -37,20 +37,20 @@
 const (
 	// Deliver asks for nothing more.
 	Deliver Kind = iota
-	// Tell is written by an instance to its relay, which sends it on.
-	Tell
+	// Publish is written by an instance to its relay, which sends it on.
+	Publish
 	// Cross is written by a relay to one of another data centre, which sends it
 	// on there.
 	Cross
 	// Beside is written by a relay to another of the same data centre, which
-	// sends it on to its listeners.
+	// sends it on to its subscribers.
 	Beside
-	// Confirm is written by a relay to another whose messages arrive. It has no
+	// Ack is written by a relay to another whose messages arrive. It has no
 	// messages.
-	Confirm
-	// Greet is written by an instance to one that it doesn't hear. The receiver
+	Ack
+	// Join is written by an instance to one that it doesn't hear. The receiver
 	// answers with the members that it knows.
-	Greet
+	Join
 
 	kinds = iota
 )
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -18,7 +18,7 @@
 
 // crossed says something and returns who gets it in other data centres.
 func crossed(h *relay.Hub, urgent bool, now time.Duration) (to []uint32) {
-	h.Say(1, []byte("word"), urgent, now)
+	h.Publish(1, []byte("message"), urgent, now)
 	for _, d := range h.Step(now) {
 		if d.Kind == relay.Cross {
 			to = append(to, d.To...)
@@ -27,7 +27,7 @@
 	return to
 }
 
-// Sending rounds takes thirty times the bandwidth of an instance's own words. A
+// Sending rounds takes thirty times the bandwidth of an instance's own messages. A
 // relay with a slow link loses two messages of five for a whole data centre.
 func TestRelaysHaveFastLinks(t *testing.T) {
 	var members []relay.Member
@@ -61,21 +61,21 @@
 		others := append([]relay.Member{{ID: 1, DataCentre: "here", Alive: true, Slow: true}}, members...)
 		others = append(others[:id-1:id-1], others[id:]...)
 		h := relay.NewHub(relay.Member{ID: id, DataCentre: "here", Slow: true}, func() []relay.Member { return others })
-		h.Say(1, []byte("word"), false, time.Second)
+		h.Publish(1, []byte("message"), false, time.Second)
 		told[h.Relay()] = true
 	}
 	must.Eq(t, 6, len(told))
 }
 
 // A message is told once more to the same relay, and to another one when that
-// brings nothing back. Its sender's own words in a round end the waiting.
+// brings nothing back. Its sender's own messages in a round end the waiting.
 func TestWordIsToldUntilItComesBack(t *testing.T) {
 	members := []relay.Member{
 		{ID: 2, DataCentre: "here", Alive: true}, {ID: 3, DataCentre: "here", Alive: true}, {ID: 4, DataCentre: "here", Alive: true},
 	}
 	h := hub(&members)
 	now := time.Second
-	out := h.Say(1, []byte("word"), false, now)
+	out := h.Publish(1, []byte("message"), false, now)
 	must.Len(t, 1, out)
 	first := out[0].To[0]
 	now = h.Due()
@@ -107,8 +107,8 @@
 	must.Len(t, 1, second)
 	must.Eq(t, relay.Cross, second[0].Kind)
 	must.NotEq(t, first[0], second[0].To[0])
-	must.Eq(t, []byte("word"), second[0].Messages)
-	h.Take(relay.Received{From: second[0].To[0], Kind: relay.Confirm}, now)
+	must.Eq(t, []byte("message"), second[0].Messages)
+	h.Take(relay.Received{From: second[0].To[0], Kind: relay.Ack}, now)
 	must.Greater(t, time.Hour, h.Due())
 }
 
@@ -121,7 +121,7 @@
 	for i := range 400 {
 		m := fmt.Appendf(nil, "message %d of %x, ", i, i*7919)
 		all = append(all, m...)
-		h.Say(uint32(i), m, false, time.Second)
+		h.Publish(uint32(i), m, false, time.Second)
 	}
 	var got []byte
 	for _, d := range h.Step(time.Second) {
@@ -136,7 +136,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	d := relay.Datagram{Kind: relay.Tell, Urgent: true, Messages: bytes.Repeat([]byte("message"), 100)}
+	d := relay.Datagram{Kind: relay.Publish, Urgent: true, Messages: bytes.Repeat([]byte("message"), 100)}
 	f.Add(d.Encode())
 	f.Fuzz(func(t *testing.T, b []byte) {
 		d, err := relay.Decode(b)
--- a/relay/words.go
+++ b/relay/unacked.go
@@ -6,39 +6,39 @@
 )
 
 const (
-	// tellAgain is when an own message that hasn't come back is told to the same
+	// resendAfter is when an own message that hasn't come back is told to the same
 	// relay once more: two rounds of the largest data centre. It was lost on its
 	// way, or the relay or this process itself stood still for a moment.
-	tellAgain = 90 * time.Millisecond
+	resendAfter = 90 * time.Millisecond
 	// giveUpAfter is how much later the relay is suspected.
 	giveUpAfter = 85 * time.Millisecond
-	// mostTells bounds how often a message is told. Messages carry totals, so
+	// maxSends bounds how often a message is told. Messages carry totals, so
 	// that a later one makes good what is lost then.
-	mostTells = 3
+	maxSends = 3
 	// suspectFor is how long a relay that didn't send a message back isn't told
 	// anything, doubled up to mostSuspect while that goes on.
 	suspectFor  = 2 * time.Second
 	mostSuspect = 16 * time.Second
 )
 
-// word is an own message that hasn't come back yet.
-type word struct {
+// unackedMessage is an own message that hasn't come back yet.
+type unackedMessage struct {
 	sequence uint32
 	message  []byte
 	urgent   bool
 	to       uint32
 	at       time.Duration
-	tells    int
+	sends    int
 	// again is when it was told to the same relay once more; 0 if it wasn't.
 	again time.Duration
 }
 
 // due is when to do something about the message.
-func (w *word) due() time.Duration {
+func (w *unackedMessage) due() time.Duration {
 	if w.again > 0 {
 		return w.again + giveUpAfter
 	}
-	return w.at + tellAgain
+	return w.at + resendAfter
 }
 
 // suspicion is held against a relay that didn't send a message back.
@@ -70,14 +70,14 @@
 // Returned takes in that the own message with this number came back from a
 // relay.
 func (h *Hub) Returned(from, sequence uint32) {
-	for i, w := range h.words {
+	for i, w := range h.unacked {
 		if w.sequence != sequence {
 			continue
 		}
 		if from == w.to {
 			delete(h.suspects, w.to)
 		}
-		h.words = slices.Delete(h.words, i, i+1)
+		h.unacked = slices.Delete(h.unacked, i, i+1)
 		return
 	}
 }
@@ -86,7 +86,7 @@
 // then to another one.
 func (h *Hub) retell(now time.Duration) (out []Datagram) {
 	late := make(map[uint32]bool)
-	for _, w := range h.words {
+	for _, w := range h.unacked {
 		switch {
 		case now < w.due():
 		case w.again == 0:
@@ -99,19 +99,19 @@
 	for id := range late {
 		h.suspect(id, now)
 	}
-	words := h.words
-	h.words = nil
-	for _, w := range words {
+	unacked := h.unacked
+	h.unacked = nil
+	for _, w := range unacked {
 		switch {
 		case !late[w.to]:
-			h.words = append(h.words, w)
-		case w.tells < mostTells:
-			out = append(out, h.tell(w, now)...)
+			h.unacked = append(h.unacked, w)
+		case w.sends < maxSends:
+			out = append(out, h.transmit(w, now)...)
 		}
 	}
 	return out
 }
 
-func (w *word) datagram(to []uint32) Datagram {
-	return Datagram{To: to, Kind: Tell, Urgent: w.urgent, Messages: w.message}
+func (w *unackedMessage) datagram(to []uint32) Datagram {
+	return Datagram{To: to, Kind: Publish, Urgent: w.urgent, Messages: w.message}
 }
--- a/relay/view.go
+++ b/relay/view.go
@@ -139,7 +139,7 @@
 func (v *view) relays() []Member { return v.here[:count(v.here)] }
 
 // choices are the instances that this one may tell, best first: itself if it is
-// a relay, else the relays in an order of its own, so that listeners spread
+// a relay, else the relays in an order of its own, so that subscribers spread
 // over them, then the others.
 func (v *view) choices() []uint32 {
 	relays := slices.Clone(v.relays())
