fleet, edge: the field's terms: publish, announce, join, apply

Renames only, no behaviour: Say is Publish, Introduce Announce, greet join, Heard (of messages) Received, tellStart and the others publishStart (tell.go is publish.go), hearNotice applyNotice.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -139,9 +139,9 @@
 	// is stopped.
 	rounds   *time.Timer
 	roundsAt time.Duration
-	// saidReady says that the others were told that this instance is ready.
-	saidReady bool
-	own       map[uint32]uint16
+	// announcedReady says that the others were told that this instance is ready.
+	announcedReady bool
+	own            map[uint32]uint16
 
 	evacuations discovery.Evacuations
 	// limiter bounds what cold servers get; its instances are shareholders.
--- a/edge/evacuations.go
+++ b/edge/evacuations.go
@@ -31,10 +31,10 @@
 	}
 }
 
-// hearEvacuations acts on the evacuations that a notice tells, whether or not
+// applyEvacuations acts on the evacuations that a notice tells, whether or not
 // this instance has the configuration of that version. It returns the rows that
 // bring its copy to the same state.
-func (e *Edge) hearEvacuations(n evidence.Notice, told []evidence.Row, now time.Duration) []evidence.Row {
+func (e *Edge) applyEvacuations(n evidence.Notice, told []evidence.Row, now time.Duration) []evidence.Row {
 	listed := make(map[string]bool, len(told))
 	var dataCentres []string
 	for _, r := range told {
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -105,7 +105,7 @@
 	}
 	if s.poll.Troubled(now) {
 		// Others wait a moment before they ask, instead of all at once.
-		e.say(evidence.Message{Notices: []evidence.Notice{{}}}, false)
+		e.publish(evidence.Message{Notices: []evidence.Notice{{}}}, false)
 	}
 	e.mu.Unlock()
 
@@ -185,7 +185,7 @@
 		notices = append(notices, evidence.Notice{})
 	}
 	e.countShare()
-	e.tellNotices(notices)
+	e.publishNotices(notices)
 	return well
 }
 
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -24,18 +24,18 @@
 	gapSpread = 400 * time.Millisecond
 )
 
-// tellNotices tells notices with rows in a message each, the others together.
-func (e *Edge) tellNotices(notices []evidence.Notice) {
+// publishNotices tells notices with rows in a message each, the others together.
+func (e *Edge) publishNotices(notices []evidence.Notice) {
 	var together []evidence.Notice
 	for _, n := range notices {
 		if len(n.Packed) > 0 {
-			e.say(evidence.Message{Notices: []evidence.Notice{n}}, false)
+			e.publish(evidence.Message{Notices: []evidence.Notice{n}}, false)
 		} else {
 			together = append(together, n)
 		}
 	}
 	if len(together) > 0 {
-		e.say(evidence.Message{Notices: together}, false)
+		e.publish(evidence.Message{Notices: together}, false)
 	}
 }
 
@@ -97,8 +97,8 @@
 	return all, nil
 }
 
-// hearNotice takes in what another instance read from the store.
-func (e *Edge) hearNotice(n evidence.Notice, now time.Duration) {
+// applyNotice takes in what another instance read from the store.
+func (e *Edge) applyNotice(n evidence.Notice, now time.Duration) {
 	s := &e.state
 	if n.StampUS == 0 {
 		s.poll.Attempted(now)
@@ -113,7 +113,7 @@
 		complete = known && s.configRow >= n.Changed
 		n.Since = version
 		if err == nil {
-			rows = e.hearEvacuations(n, rows, now)
+			rows = e.applyEvacuations(n, rows, now)
 		}
 	}
 	if n.Table == evidence.Servers {
--- a/edge/outage_test.go
+++ b/edge/outage_test.go
@@ -45,7 +45,7 @@
 	other.mu.Lock()
 	defer other.mu.Unlock()
 	for _, n := range notices {
-		other.hearNotice(n, at)
+		other.applyNotice(n, at)
 	}
 }
 
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -20,20 +20,20 @@
 // maxDatagramIn is the largest datagram taken in, in bytes.
 const maxDatagramIn = 4 << 10
 
-// say tells a message to everybody; an urgent one waits for no round. The lock
+// publish sends a message to everybody; an urgent one waits for no round. The lock
 // must be held.
-func (e *Edge) say(m evidence.Message, urgent bool) {
+func (e *Edge) publish(m evidence.Message, urgent bool) {
 	now := e.now()
 	before := e.state.messenger.Hub().Relay()
-	e.sendAll(e.state.messenger.Say(m, urgent, now))
+	e.sendAll(e.state.messenger.Publish(m, urgent, now))
 	e.noteRelay(before, now)
 	e.keepRounds(now)
 }
 
-// introduce tells everybody at once whether this instance is ready.
-func (e *Edge) introduce() {
+// announce tells everybody at once whether this instance is ready.
+func (e *Edge) announce() {
 	now := e.now()
-	e.sendAll(e.state.messenger.Introduce(true, now))
+	e.sendAll(e.state.messenger.Announce(true, now))
 	e.keepRounds(now)
 }
 
@@ -43,10 +43,10 @@
 // that are known to be ready, and be late there.
 func (e *Edge) noteKnown(now time.Duration) {
 	s := &e.state
-	e.sendAll(s.messenger.Greet(now))
-	if ready := e.readyLocked(); ready != s.saidReady {
-		s.saidReady = ready
-		e.introduce()
+	e.sendAll(s.messenger.Join(now))
+	if ready := e.readyLocked(); ready != s.announcedReady {
+		s.announcedReady = ready
+		e.announce()
 	}
 }
 
@@ -163,15 +163,15 @@
 		event.PeerMessageFailed.Log(e.log, slog.String("peer", from.String()), slog.Any("error", err))
 	}
 	e.found(t.Returned)
-	for i := range t.Heard {
-		e.hear(&t.Heard[i], now)
+	for i := range t.Received {
+		e.applyMessage(&t.Received[i], now)
 	}
 	e.send(t.Send)
 	e.keepRounds(now)
 }
 
-// hear takes in one message.
-func (e *Edge) hear(m *fleet.Heard, now time.Duration) {
+// applyMessage takes in one message.
+func (e *Edge) applyMessage(m *fleet.Received, now time.Duration) {
 	s := &e.state
 	if m.Restarted {
 		s.placer.Forget(m.Source)
@@ -182,7 +182,7 @@
 		}, now)
 	}
 	for _, a := range m.Attempts {
-		e.hearAttempt(m.Source, a, m.Latest, now)
+		e.applyAttempt(m.Source, a, m.Latest, now)
 	}
 	for _, service := range m.Refused {
 		s.placer.RefusedAt(service, now)
@@ -191,11 +191,11 @@
 		if n.StampUS != 0 {
 			s.reader = m.Source
 		}
-		e.hearNotice(n, now)
+		e.applyNotice(n, now)
 	}
 }
 
-func (e *Edge) hearAttempt(from uint32, a evidence.Attempt, latest bool, now time.Duration) {
+func (e *Edge) applyAttempt(from uint32, a evidence.Attempt, latest bool, now time.Duration) {
 	s := &e.state
 	if latest {
 		s.placer.Outstanding(a.Server, from, int(a.Outstanding), now)
--- a/edge/tell.go
+++ b/edge/publish.go
@@ -8,8 +8,8 @@
 	"foxtailspoke/placement"
 )
 
-// tellStart takes in and tells that an attempt has begun.
-func (e *Edge) tellStart(c *call, a *attempt) {
+// publishStart takes in and tells that an attempt has begun.
+func (e *Edge) publishStart(c *call, a *attempt) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	told := e.outstanding(a, 1)
@@ -20,7 +20,7 @@
 		h := workspaceHash(c.workspace.Name)
 		m.Usage = []evidence.Usage{{Workspace: h, Count: e.state.usage.Own(h)}}
 	}
-	e.say(m, false)
+	e.publish(m, false)
 }
 
 // outstanding changes the own count of work at a server.
@@ -37,8 +37,8 @@
 	return evidence.Attempt{Server: h, Outstanding: n}
 }
 
-// tellEnd takes in and tells how an attempt ended.
-func (e *Edge) tellEnd(c *call, a *attempt, final evidence.Final) {
+// publishEnd takes in and tells how an attempt ended.
+func (e *Edge) publishEnd(c *call, a *attempt, final evidence.Final) {
 	if a.ends {
 		return
 	}
@@ -64,7 +64,7 @@
 	}
 	// The first failure of a spell must reach everybody at once: each request
 	// sent there for want of it may be lost.
-	e.say(evidence.Message{Attempts: []evidence.Attempt{told}}, a.result.Failed() && a.choice.Risk < trusted)
+	e.publish(evidence.Message{Attempts: []evidence.Attempt{told}}, a.result.Failed() && a.choice.Risk < trusted)
 	e.metrics.attempts.WithLabelValues(a.result.String()).Inc()
 	e.logAttempt(c, a, now)
 }
@@ -88,20 +88,20 @@
 // time is up: the way there and back, and its rounding to milliseconds.
 const deadlineMargin = 15 * time.Millisecond
 
-// tellRefused takes in and tells that a request got no attempt.
-func (e *Edge) tellRefused(c *call) {
+// publishRefusal takes in and tells that a request got no attempt.
+func (e *Edge) publishRefusal(c *call) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.state.placer.Served(c.service, false, e.now())
-	e.say(evidence.Message{Refused: []uint32{placement.Hash(c.service)}}, false)
+	e.publish(evidence.Message{Refused: []uint32{placement.Hash(c.service)}}, false)
 }
 
-// tellLate takes in and tells that an attempt takes longer than it should.
-func (e *Edge) tellLate(a *attempt) {
+// publishLate takes in and tells that an attempt takes longer than it should.
+func (e *Edge) publishLate(a *attempt) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	told := e.outstanding(a, 0)
 	told.Result = health.Late
 	e.state.placer.Learn(told.Server, health.Late, true, 0, 0, e.now())
-	e.say(evidence.Message{Attempts: []evidence.Attempt{told}}, false)
+	e.publish(evidence.Message{Attempts: []evidence.Attempt{told}}, false)
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -183,7 +183,7 @@
 	start := e.now()
 	grace := settings.Seconds(e.settings.Bounds.GraceS)
 	e.mu.Lock()
-	e.introduce()
+	e.announce()
 	e.mu.Unlock()
 	for e.now()-start < time.Duration(acceptPart*float64(grace)) {
 		time.Sleep(lingerStep)
--- a/fleet/messenger.go
+++ b/fleet/messenger.go
@@ -12,23 +12,23 @@
 const (
 	// PulseEvery is how often Pulse should be called.
 	PulseEvery = 200 * time.Millisecond
-	// introduceEvery is how often an instance says its data centre, for those
+	// announceEvery is how often an instance says its data centre, for those
 	// who missed the first time.
-	introduceEvery = 2 * time.Second
+	announceEvery = 2 * time.Second
 	// startFor is the time after the start during which it says so with every
 	// heartbeat: whoever is about to start as well misses some.
 	startFor = 2 * time.Second
-	// greetUsually is how many instances that aren't heard are greeted at each
-	// pulse, greetAlone how many by one that hears nobody, beside greetRelays
+	// joinUsually is how many instances that aren't heard are greeted at each
+	// pulse, joinAlone how many by one that hears nobody, beside joinRelays
 	// that are likely to be relays.
-	greetUsually = 1
-	greetAlone   = 4
-	greetRelays  = 3
+	joinUsually = 1
+	joinAlone   = 4
+	joinRelays  = 3
 	// rosterEach is how many instances fit into one message of a roster.
 	rosterEach = 60
-	// rosterAgain is the least time between two rosters for one instance that
+	// rosterInterval is the least time between two rosters for one instance that
 	// didn't ask for them.
-	rosterAgain = HeartbeatEvery
+	rosterInterval = HeartbeatEvery
 )
 
 // Settings of a Messenger.
@@ -36,7 +36,7 @@
 	Self relay.Member
 	// Epoch tells this start of the instance from others.
 	Epoch uint32
-	// Seeds are instances to greet when none is known.
+	// Seeds are instances to join when none is known.
 	Seeds []uint32
 	// Leaving reports whether callers must not be sent here, Stopping whether this
 	// instance will be gone soon.
@@ -51,15 +51,15 @@
 	fleet    *Fleet
 	hub      *relay.Hub
 	sequence uint32
-	// spoke is when this instance last said anything, introduced when it last
-	// introduced itself.
-	spoke, introduced time.Duration
+	// spoke is when this instance last said anything, announced when it last
+	// announced itself.
+	spoke, announced time.Duration
 	// started is the first pulse, once there was one.
 	started time.Duration
 	pulsed  bool
 	// alone is when this instance last heard nobody.
 	alone time.Duration
-	// turn makes each choice of whom to greet another one.
+	// turn makes each choice of whom to ask another one.
 	turn uint32
 	// corrected is when instances that know too little were last told so.
 	corrected map[uint32]time.Duration
@@ -70,7 +70,7 @@
 	f := New()
 	return &Messenger{
 		Settings: s, fleet: f, hub: relay.NewHub(s.Self, f.Members),
-		spoke: -introduceEvery, introduced: -introduceEvery, alone: -HeartbeatEvery, corrected: make(map[uint32]time.Duration),
+		spoke: -announceEvery, announced: -announceEvery, alone: -HeartbeatEvery, corrected: make(map[uint32]time.Duration),
 	}
 }
 
@@ -100,8 +100,8 @@
 	}
 }
 
-// Say tells a message to everybody; an urgent one waits for no round.
-func (m *Messenger) Say(msg evidence.Message, urgent bool, now time.Duration) ([]relay.Datagram, error) {
+// Publish tells a message to everybody; an urgent one waits for no round.
+func (m *Messenger) Publish(msg evidence.Message, urgent bool, now time.Duration) ([]relay.Datagram, error) {
 	m.sequence++
 	msg.Sequence = m.sequence
 	b, err := m.encode(msg)
@@ -117,13 +117,13 @@
 	return evidence.Encode(msg)
 }
 
-// Introduce tells everybody what they need to know of this instance.
-func (m *Messenger) Introduce(urgent bool, now time.Duration) ([]relay.Datagram, error) {
-	m.introduced = now
-	return m.Say(m.introduction(), urgent, now)
+// Announce tells everybody what they need to know of this instance.
+func (m *Messenger) Announce(urgent bool, now time.Duration) ([]relay.Datagram, error) {
+	m.announced = now
+	return m.Publish(m.announcement(), urgent, now)
 }
 
-func (m *Messenger) introduction() evidence.Message {
+func (m *Messenger) announcement() evidence.Message {
 	return evidence.Message{DataCentre: m.Self.DataCentre, SlowLink: m.Self.Slow}
 }
 
@@ -135,32 +135,32 @@
 	if len(fell) > 0 || len(m.fleet.all) != known {
 		m.hub.Changed()
 	}
-	introduce := now-m.introduced >= m.introductions(now)
+	introduce := now-m.announced >= m.announceInterval(now)
 	switch {
 	case introduce:
-		out, err = m.Introduce(false, now)
+		out, err = m.Announce(false, now)
 	case now-m.spoke >= HeartbeatEvery-PulseEvery/2:
-		out, err = m.Say(evidence.Message{}, false, now)
+		out, err = m.Publish(evidence.Message{}, false, now)
 	}
 	if err != nil {
 		return fell, out, err
 	}
-	greetings, err := m.greet(m.worthGreeting(now))
-	return fell, append(out, greetings...), err
+	joins, err := m.join(m.joinTargets(now))
+	return fell, append(out, joins...), err
 }
 
-// worthGreeting are the instances to greet now. One that hears nobody greets
+// joinTargets are the instances to ask now. One that hears nobody asks
 // those first that are relays of its data centre if they live: all that start
 // with it do the same, and have each other's addresses from there.
-func (m *Messenger) worthGreeting(now time.Duration) []uint32 {
+func (m *Messenger) joinTargets(now time.Duration) []uint32 {
 	m.turn++
 	turn := m.turn ^ relay.Mix(m.Self.ID)
 	if !m.fleet.Alone() {
-		return m.fleet.unheard(greetUsually, turn, now)
+		return m.fleet.unheard(joinUsually, turn, now)
 	}
 	m.meetSeeds(now)
-	to := m.hub.Likely(greetRelays)
-	for _, id := range m.fleet.unheard(greetAlone, turn, now) {
+	to := m.hub.Likely(joinRelays)
+	for _, id := range m.fleet.unheard(joinAlone, turn, now) {
 		if !slices.Contains(to, id) {
 			to = append(to, id)
 		}
@@ -168,25 +168,25 @@
 	return to
 }
 
-// Greet greets others at once, if none is heard. It is for the moment at which
+// Join greets others at once, if none is heard. It is for the moment at which
 // the store has told who is listed: after a loss of everything callers come
 // before the next pulse.
-func (m *Messenger) Greet(now time.Duration) ([]relay.Datagram, error) {
+func (m *Messenger) Join(now time.Duration) ([]relay.Datagram, error) {
 	if !m.fleet.Alone() {
 		return nil, nil
 	}
-	return m.greet(m.worthGreeting(now))
+	return m.join(m.joinTargets(now))
 }
 
 // introductions is how often this instance introduces itself.
-func (m *Messenger) introductions(now time.Duration) time.Duration {
+func (m *Messenger) announceInterval(now time.Duration) time.Duration {
 	if !m.pulsed {
 		m.started, m.pulsed = now, true
 	}
 	if now-m.started < startFor {
 		return HeartbeatEvery - PulseEvery/2
 	}
-	return introduceEvery
+	return announceEvery
 }
 
 // meetSeeds makes the seeds known. They are forgotten while they are silent, as
@@ -200,12 +200,12 @@
 	m.hub.Changed()
 }
 
-// greet asks instances for their rosters.
-func (m *Messenger) greet(to []uint32) ([]relay.Datagram, error) {
+// join asks instances for their rosters.
+func (m *Messenger) join(to []uint32) ([]relay.Datagram, error) {
 	if len(to) == 0 {
 		return nil, nil
 	}
-	b, err := m.encode(m.introduction())
+	b, err := m.encode(m.announcement())
 	if err != nil {
 		return nil, err
 	}
@@ -225,7 +225,7 @@
 	}
 	alive := residents(others)
 	for first := true; first || len(alive) > 0; first = false {
-		msg := m.introduction()
+		msg := m.announcement()
 		n := min(len(alive), rosterEach)
 		msg.Roster, alive = alive[:n], alive[n:]
 		b, err := m.encode(msg)
--- a/fleet/messenger_test.go
+++ b/fleet/messenger_test.go
@@ -369,7 +369,7 @@
 	w := started(t, 1, 2, 6, 3, 5)
 	n := w.relayOf("a")
 	before := len(n.m.Fleet().All())
-	good, err := n.m.Introduce(false, w.now)
+	good, err := n.m.Announce(false, w.now)
 	must.NoError(t, err)
 	must.SliceEmpty(t, good)
 	round := n.m.Step(n.m.Due())
@@ -379,7 +379,7 @@
 	for _, b := range [][]byte{nil, {0x7f}, {byte(relay.Publish)}, {byte(relay.Cross), 0xff}, whole[:len(whole)-1], append(whole, 0xff)} {
 		taken, err := n.m.Take(0x0a010001, b, w.now)
 		must.Error(t, err)
-		must.SliceEmpty(t, taken.Heard)
+		must.SliceEmpty(t, taken.Received)
 		must.SliceEmpty(t, taken.Send)
 	}
 	must.Eq(t, before, len(n.m.Fleet().All()))
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -150,7 +150,7 @@
 			n.m.Listed(id, other.dataCentre, other.slow, w.now)
 		}
 	}
-	out, err := n.m.Greet(w.now)
+	out, err := n.m.Join(w.now)
 	must.NoError(w.t, err)
 	w.send(n, out)
 }
@@ -228,13 +228,13 @@
 	}
 	wait := time.Duration(w.rng.ExpFloat64() / w.rate * float64(time.Second))
 	w.at(w.now+wait, func() {
-		w.does(n, life, func() { w.say(n, w.rng.IntN(100) == 0) })
+		w.does(n, life, func() { w.publish(n, w.rng.IntN(100) == 0) })
 		w.speak(n, life)
 	})
 }
 
-func (w *world) say(n *node, urgent bool) word {
-	out, err := n.m.Say(evidence.Message{
+func (w *world) publish(n *node, urgent bool) word {
+	out, err := n.m.Publish(evidence.Message{
 		Attempts: []evidence.Attempt{{Server: w.rng.Uint32(), Outstanding: 1, Number: 1, TookMS: 300, WorkMS: 300}},
 		Usage:    []evidence.Usage{{Workspace: w.rng.Uint32(), Count: 70000}},
 	}, urgent, w.now)
@@ -271,7 +271,7 @@
 	n.in++
 	t, err := n.m.Take(from, b, w.now)
 	must.NoError(w.t, err)
-	for _, h := range t.Heard {
+	for _, h := range t.Received {
 		id := word{h.Source, h.Epoch, h.Sequence}
 		if at, ok := w.said[id]; ok {
 			w.heard[id][n.id] = w.now - at
--- a/fleet/take.go
+++ b/fleet/take.go
@@ -7,8 +7,8 @@
 	"foxtailspoke/relay"
 )
 
-// Heard is a message that is new.
-type Heard struct {
+// Received is a message that is new.
+type Received struct {
 	evidence.Message
 	// From is the instance that says it.
 	From *Instance
@@ -20,7 +20,7 @@
 
 // Taken is what a datagram brought.
 type Taken struct {
-	Heard []Heard
+	Received []Received
 	// Returned are instances that weren't heard before.
 	Returned []*Instance
 	// Send is what to answer or send on at once.
@@ -48,7 +48,7 @@
 	var t Taken
 	r := relay.Received{From: sender, Kind: d.Kind, Urgent: d.Urgent}
 	for i := range messages {
-		switch m.hear(&t, sender, &messages[i], now) {
+		switch m.receive(&t, sender, &messages[i], now) {
 		case fresh:
 			r.New = append(r.New, parts[i])
 		case known:
@@ -71,7 +71,7 @@
 	known
 )
 
-func (m *Messenger) hear(t *Taken, sender uint32, msg *evidence.Message, now time.Duration) news {
+func (m *Messenger) receive(t *Taken, sender uint32, msg *evidence.Message, now time.Duration) news {
 	if msg.Source == m.Self.ID {
 		if msg.Epoch == m.Epoch {
 			m.hub.Returned(sender, msg.Sequence)
@@ -85,7 +85,7 @@
 	if msg.Sequence == evidence.Uncounted {
 		i.Leaving = msg.Leaving
 		m.describe(i, i.DataCentre, i.Slow, msg.Stopping)
-		m.hearRoster(t, msg.Roster, now)
+		m.applyRoster(t, msg.Roster, now)
 		return notForAll
 	}
 	isFresh, restarted := i.Fresh(msg.Epoch, msg.Sequence)
@@ -98,17 +98,17 @@
 		i.Leaving = msg.Leaving
 		m.describe(i, i.DataCentre, i.Slow, msg.Stopping)
 	}
-	m.hearRoster(t, msg.Roster, now)
-	t.Heard = append(t.Heard, Heard{Message: *msg, From: i, Restarted: restarted, Latest: latest})
+	m.applyRoster(t, msg.Roster, now)
+	t.Received = append(t.Received, Received{Message: *msg, From: i, Restarted: restarted, Latest: latest})
 	return fresh
 }
 
-// hearRoster takes in whom another instance hears. Those that never spoke here
+// applyRoster takes in whom another instance hears. Those that never spoke here
 // count as heard for once: they were a moment ago, and will be again within a
 // heartbeat. One that fell silent must speak itself, unless this instance heard
 // nobody until now: if only others hear it, it is no use here as a relay. What an
 // instance says of itself goes before what others say of it.
-func (m *Messenger) hearRoster(t *Taken, roster []evidence.Resident, now time.Duration) {
+func (m *Messenger) applyRoster(t *Taken, roster []evidence.Resident, now time.Duration) {
 	for _, r := range roster {
 		if r.ID == m.Self.ID {
 			continue
@@ -153,20 +153,20 @@
 		}
 	}
 	if correct {
-		if err := t.add(m.greet([]uint32{sender})); err != nil {
+		if err := t.add(m.join([]uint32{sender})); err != nil {
 			return err
 		}
 	}
 	if kind == relay.Join && len(t.Returned) > 0 {
-		if err := t.add(m.Say(evidence.Message{Roster: residents(t.Returned)}, true, now)); err != nil {
+		if err := t.add(m.Publish(evidence.Message{Roster: residents(t.Returned)}, true, now)); err != nil {
 			return err
 		}
 	}
 	switch {
 	case alone && !m.fleet.Alone():
-		return t.add(m.Introduce(true, now))
+		return t.add(m.Announce(true, now))
 	case m.hub.Moved(now):
-		return t.add(m.Say(evidence.Message{}, false, now))
+		return t.add(m.Publish(evidence.Message{}, false, now))
 	}
 	return nil
 }
@@ -174,7 +174,7 @@
 // mayCorrect reports whether an instance may be told once more that it knows too
 // little, and marks that it was.
 func (m *Messenger) mayCorrect(id uint32, now time.Duration) bool {
-	if at, ok := m.corrected[id]; ok && now-at <= rosterAgain {
+	if at, ok := m.corrected[id]; ok && now-at <= rosterInterval {
 		return false
 	}
 	m.corrected[id] = now
--- a/placement/results.go
+++ b/placement/results.go
@@ -21,7 +21,7 @@
 	if r.Failed() {
 		s.failure, s.failedAt = r, t
 	}
-	s.hear(r, own)
+	s.noteSilence(r, own)
 	s.follow(l, r, t, took)
 	sign := signOf(r, took, work)
 	if before := s.condition.now(t).ill(); sign != noSign && before < followTrust {
@@ -57,10 +57,10 @@
 	}
 }
 
-// hear notes whether the server answers at all. That another instance gets no
+// noteSilence notes whether the server answers at all. That another instance gets no
 // connection says nothing of this one's path: with a path in five cut, all
 // servers had such a failure last, and were left out of use for seconds.
-func (s *server) hear(r health.Result, own bool) {
+func (s *server) noteSilence(r health.Result, own bool) {
 	switch r {
 	case health.Timeout, health.Late:
 		s.silent = true
