placement: the pause after which a server is kept in use grows with its risk

Since such a server is believed to fail partly, at a risk of 0.3, it got an order every 0.8 s; before, it was taken for one in a spell (0.74) and left alone.

Change: the pause is longer by ten times the risk.

--- a/placement/costs.go
+++ b/placement/costs.go
@@ -75,6 +75,8 @@
 	// and most healthy servers must be in use then.
 	keepAfter = 800 * time.Millisecond
 	keepRisk  = 0.5
+	// keepRiskPause is how many times keepAfter is added for a certain failure.
+	keepRiskPause = 10
 	// keepRiskOrders replaces keepRisk for requests that can't be repeated where
 	// at least enoughRepeatable of the service's requests can be.
 	keepRiskOrders   = 0.06
--- a/placement/server.go
+++ b/placement/server.go
@@ -87,7 +87,7 @@
 		return spread
 	case off.On(mechanism.Newcomer) && !s.used && out == 0 && due(now-s.since-newcomerAfter, random):
 		return newcomer
-	case off.On(mechanism.Keep) && s.used && risk < g.keepRisk(r) && due(now-s.lastUse-keepAfter, random):
+	case off.On(mechanism.Keep) && s.used && risk < g.keepRisk(r) && due(now-s.lastUse-keepPause(risk), random):
 		return keep
 	case off.On(mechanism.Probe) && r.Repeatable && r.RoomToRepeat && !s.silent && due(now-s.lastUse-probeAfter, random):
 		return probe
@@ -105,6 +105,12 @@
 	return keepRisk
 }
 
+// keepPause is the time without a request after which a server is kept in use. It
+// grows with the risk: each order that finds a server failing partly is one lost.
+func keepPause(risk float64) time.Duration {
+	return time.Duration(float64(keepAfter) * (1 + keepRiskPause*risk))
+}
+
 // due reports whether a request acts on something that has been due for so
 // long. All instances see it become due at the same moment, and hear of each
 // other's requests some ten milliseconds later: without chance, every request
