placement: the test of servers that become due together uses one that was in use

Now it has answered five times, as a server in use has, and the test looks some 50 ms after its pause. Bounds unchanged.

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -127,7 +127,9 @@
 func TestFewInstancesTryTheSameServerTogether(t *testing.T) {
 	p := placer("hot", "rested")
 	now := 10 * time.Second
-	use(p, "rested", health.OK, now-1150*time.Millisecond)
+	for range 5 {
+		use(p, "rested", health.OK, now-1130*time.Millisecond)
+	}
 	use(p, "hot", health.OK, now)
 	use(p, "hot", health.OK, now)
 	rng, tried := rand.New(rand.NewPCG(1, 1)), 0
