--- a/edge/edge.go
+++ b/edge/edge.go
@@ -144,9 +144,9 @@
 	own            map[uint32]uint16
 
 	evacuations discovery.Evacuations
-	// limiter bounds what cold servers get; its instances are shareholders.
+	// limiter bounds what cold servers get, shared among holders.
 	limiter      *warmup.Limiter
-	shareholders []uint32
+	holders []uint32
 }
 
 // routeStats is what an instance knows of one route's requests.
--- a/edge/evacuations.go
+++ b/edge/evacuations.go
@@ -77,10 +77,10 @@
 	return dataCentres
 }
 
-// keepShareholders tells the limiter of cold servers which instances there are,
+// updateHolders tells the limiter of cold servers which instances there are,
 // heard or not. It knows nothing until the store's list is known: an instance
 // that has just started would otherwise take the shares of all others.
-func (e *Edge) keepShareholders() {
+func (e *Edge) updateHolders() {
 	s := &e.state
 	if _, known := s.instances.Version(); !known {
 		return
@@ -90,8 +90,8 @@
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
-	if s.shareholders == nil || !slices.Equal(ids, s.shareholders) {
-		s.shareholders = ids
+	if s.holders == nil || !slices.Equal(ids, s.holders) {
+		s.holders = ids
 		s.limiter.SetInstances(ids)
 	}
 }
