--- a/edge/edge.go
+++ b/edge/edge.go
@@ -145,7 +145,7 @@
 
 	evacuations discovery.Evacuations
 	// limiter bounds what cold servers get, shared among holders.
-	limiter      *warmup.Limiter
+	limiter *warmup.Limiter
 	holders []uint32
 }
 
