--- a/edge/edge.go
+++ b/edge/edge.go
@@ -147,6 +147,9 @@
 	// limiter bounds what cold servers get, shared among holders.
 	limiter *warmup.Limiter
 	holders []uint32
+	// limits are the requests a second that backend servers name in their
+	// answers to this instance, by the hash of their ids.
+	limits map[uint32]float64
 }
 
 // routeStats is what an instance knows of one route's requests.
@@ -196,6 +199,7 @@
 		routes:    make(map[string]*routeStats),
 		own:       make(map[uint32]uint16),
 		limiter:   warmup.NewLimiter(self),
+		limits:    make(map[uint32]float64),
 	}
 	e.state.placer.SetLimiter(e.state.limiter)
 	e.state.messenger = fleet.NewMessenger(fleet.Settings{
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -83,6 +83,9 @@
 		}
 		return float64(n)
 	}))
+	m.gauge("limited_servers", "Backend servers that name a limit in their answers.", e.locked(func() float64 {
+		return float64(len(e.state.limits))
+	}))
 	m.gauge("instances_alive", "Other instances that are heard.", e.locked(func() float64 {
 		n := 0
 		for _, p := range e.state.messenger.Fleet().All() {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -111,6 +111,10 @@
 		517, slog.LevelInfo, "data centre taken back",
 		"Backend servers of data centre `evacuated` are used again, as cold ones at first.", "Nothing.",
 	}
+	ServerLimited = Event{
+		518, slog.LevelWarn, "backend server's limit changed",
+		"A backend server's answers name another `limit` (requests a second from all instances) than `before`; 0 is none.", "Find out what the server is short of.",
+	}
 	PeerHeard = Event{
 		521, slog.LevelInfo, "instance heard",
 		"Another instance speaks, for the first time or again.", "Nothing.",
@@ -150,7 +154,7 @@
 		PlatformUnavailable, PlatformReturned, RecordsDropped,
 		EdgeStarted, EdgeStopping, EdgeStopped, SettingsReloaded, SettingsRejected,
 		ConfigInForce, ConfigRejected, ServerChanged, EntryIgnored, StoreCallFailed,
-		EvacuationBegan, EvacuationEnded,
+		EvacuationBegan, EvacuationEnded, ServerLimited,
 		PeerHeard, PeerSilent, PeerMessageFailed, RelayChanged,
 		RequestEnded, AttemptEnded, LinesLeftOut,
 	}
