--- /dev/null
+++ b/edge/limits_test.go
@@ -0,0 +1,86 @@
+package edge_test
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// limitedServer is a backend server whose answers name a limit, with the times at
+// which its requests came.
+type limitedServer struct {
+	*backend
+	// limit is the header's value; empty names none.
+	limit atomic.Pointer[string]
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (f *fleet) limitedServer(id, limit string) *limitedServer {
+	f.t.Helper()
+	s := &limitedServer{}
+	s.limit.Store(&limit)
+	s.backend = f.backend(id, func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		s.times = append(s.times, time.Now())
+		s.mu.Unlock()
+		if limit := *s.limit.Load(); limit != "" {
+			w.Header().Set("Server-Limit", limit)
+		}
+		w.Header().Set("X-Response-Seal", "seal")
+	})
+	return s
+}
+
+// since is how many requests have come since then.
+func (s *limitedServer) since(t time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, at := range s.times {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// lookupsFor sends lookups to all instances in turn, one every gap, and returns
+// how many were served.
+func (f *fleet) lookupsFor(d, gap time.Duration) int {
+	var served atomic.Int64
+	var wg sync.WaitGroup
+	n := 0
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(gap) {
+		to := n % len(f.instances)
+		n++
+		wg.Go(func() {
+			if r, _ := f.lookup(to); r.err == nil && r.status == http.StatusOK {
+				served.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return int(served.Load())
+}
+
+// A backend server in need names a limit, and the instances together go on
+// sending it many times as much.
+func TestInstancesTogetherKeepToTheLimitOfAServer(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1000, key)
+	limited := f.limitedServer("limited", "2")
+	f.backend("other", nil)
+	f.up(4)
+	f.lookupsFor(time.Second, 10*time.Millisecond)
+	start := time.Now()
+	served := f.lookupsFor(4*time.Second, 10*time.Millisecond)
+	must.Positive(t, served)
+	// One and a half times what the limit allows in four seconds, and five more.
+	must.LessEq(t, 1.5*2*4+5, float64(limited.since(start)))
+	must.Positive(t, limited.since(start))
+}
