--- /dev/null
+++ b/rendezvous/rendezvous.go
@@ -0,0 +1,51 @@
+// Package rendezvous ranks the instances of a fleet for a key by highest random
+// weight, so that all of them agree who comes first without a message.
+package rendezvous
+
+import "foxtailspoke/relay"
+
+// Ranks are the ranks of one instance. They aren't safe for concurrent use.
+type Ranks struct {
+	self uint32
+	// others are all instances that are known, heard or not, without this one.
+	others []uint32
+	known  bool
+	cache  map[uint32]int
+}
+
+// NewRanks returns the ranks of an instance that doesn't know the fleet yet.
+func NewRanks(self uint32) *Ranks { return &Ranks{self: self, cache: make(map[uint32]int)} }
+
+// SetInstances replaces the other instances of the fleet, heard or not.
+func (r *Ranks) SetInstances(ids []uint32) {
+	r.others = ids
+	r.known = true
+	clear(r.cache)
+}
+
+// Known reports whether SetInstances was ever called. An instance that took
+// itself for the only one would rank first for every key.
+func (r *Ranks) Known() bool { return r.known }
+
+// Instances is how many instances the fleet has, with this one.
+func (r *Ranks) Instances() int { return len(r.others) + 1 }
+
+// Of returns the rank of this instance for a key, 0 the first.
+func (r *Ranks) Of(key uint32) int {
+	if rank, known := r.cache[key]; known {
+		return rank
+	}
+	own, rank := weight(key, r.self), 0
+	for _, id := range r.others {
+		if w := weight(key, id); w > own || (w == own && id > r.self) {
+			rank++
+		}
+	}
+	r.cache[key] = rank
+	return rank
+}
+
+// Forget drops what is kept of a key.
+func (r *Ranks) Forget(key uint32) { delete(r.cache, key) }
+
+func weight(key, instance uint32) uint32 { return relay.Mix(relay.Mix(key) ^ instance) }
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -21,7 +21,7 @@
 	"math"
 	"time"
 
-	"foxtailspoke/relay"
+	"foxtailspoke/rendezvous"
 )
 
 // spacingMargin stretches the pause between two requests of a holder, so that
@@ -30,13 +30,7 @@
 
 // Limiter is the part of one instance. It isn't safe for concurrent use.
 type Limiter struct {
-	self uint32
-	// instances are all that are known, heard or not, without this one.
-	instances []uint32
-	// known says that SetInstances was called.
-	known bool
-	// ranks caches the place of this instance among the holders of a server.
-	ranks map[uint32]int
+	ranks *rendezvous.Ranks
 	// last is when this instance last sent to a server.
 	last map[uint32]time.Duration
 }
@@ -44,22 +38,18 @@
 // NewLimiter returns a limiter that allows nothing until the fleet is known: an
 // instance that took itself for the only one would use all shares.
 func NewLimiter(self uint32) *Limiter {
-	return &Limiter{self: self, ranks: make(map[uint32]int), last: make(map[uint32]time.Duration)}
+	return &Limiter{ranks: rendezvous.NewRanks(self), last: make(map[uint32]time.Duration)}
 }
 
 // SetInstances replaces the other instances of the fleet, heard or not.
-func (l *Limiter) SetInstances(ids []uint32) {
-	l.instances = ids
-	l.known = true
-	clear(l.ranks)
-}
+func (l *Limiter) SetInstances(ids []uint32) { l.ranks.SetInstances(ids) }
 
 // Allow reports whether this instance may send a request to a cold server that
 // bears so many requests a second, or how long it has to wait; false and 0 say
 // that it holds no share.
 func (l *Limiter) Allow(server uint32, perSecond float64, now time.Duration) (ok bool, wait time.Duration) {
 	holders := l.holders(perSecond)
-	if !l.known || l.rank(server) >= holders {
+	if !l.ranks.Known() || l.ranks.Of(server) >= holders {
 		return false, 0
 	}
 	last, sent := l.last[server]
@@ -88,28 +78,11 @@
 // Forget drops what is kept of a server.
 func (l *Limiter) Forget(server uint32) {
 	delete(l.last, server)
-	delete(l.ranks, server)
+	l.ranks.Forget(server)
 }
 
 // holders is how many instances share a server that bears so many requests a
 // second.
 func (l *Limiter) holders(perSecond float64) int {
-	return min(len(l.instances)+1, max(int(math.Floor(perSecond)), 1))
-}
-
-// rank is the place of this instance among the holders of a server, 0 the first.
-func (l *Limiter) rank(server uint32) int {
-	if rank, known := l.ranks[server]; known {
-		return rank
-	}
-	own, rank := weight(server, l.self), 0
-	for _, id := range l.instances {
-		if w := weight(server, id); w > own || (w == own && id > l.self) {
-			rank++
-		}
-	}
-	l.ranks[server] = rank
-	return rank
+	return min(l.ranks.Instances(), max(int(math.Floor(perSecond)), 1))
 }
-
-func weight(server, instance uint32) uint32 { return relay.Mix(relay.Mix(server) ^ instance) }
