throttle: the fleet keeps to the limits that backend servers name

Cause: no instance read the limit from servers' answers, so that nothing bound the sum over the fleet. The class of fault: a word of a server that only its answers carry, which one instance hears and all must obey.

Ruled out: repeats, hedges and requests under way. All of them pass through the choice of a server, and event 518 shows that the instances had been told by their first answer.

Fix: the end of each attempt tells all instances the limit that its answer named. A limit ends with a good answer that names none to a request that was sent after it was last named, so that a late answer can't end it. If all servers are at their limits, requests are refused at once with a time.

--- a/edge/call.go
+++ b/edge/call.go
@@ -30,6 +30,7 @@
 	RuleOutside      Rule = "no-server-in-allowed-regions"
 	RuleEvacuated    Rule = "servers-evacuated"
 	RuleCold         Rule = "servers-cold"
+	RuleLimited      Rule = "servers-at-their-limit"
 	RuleNoRoom       Rule = "no-room"
 	RuleServerFailed Rule = "server-failed"
 	RuleNotRun       Rule = "not-run"
@@ -218,9 +219,12 @@
 		v.rule = RuleOutside
 	case placement.Evacuated:
 		v.rule = RuleEvacuated
-	case placement.Cold:
-		// Another instance may hold a share that is free at once.
+	case placement.Cold, placement.Limited:
 		v.rule = RuleCold
+		if obstacle == placement.Limited {
+			v.rule = RuleLimited
+		}
+		// Another instance may hold a share that is free at once.
 		v.retryAfter = min(max(wait, comeBackElsewhere), comeBackSoon)
 	case placement.NoObstacle, placement.Draining:
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -39,6 +39,7 @@
 	"foxtailspoke/replica"
 	"foxtailspoke/retry"
 	"foxtailspoke/routing"
+	"foxtailspoke/throttle"
 	"foxtailspoke/upstream"
 	"foxtailspoke/usage"
 	"foxtailspoke/warmup"
@@ -147,9 +148,8 @@
 	// limiter bounds what cold servers get, shared among holders.
 	limiter *warmup.Limiter
 	holders []uint32
-	// limits are the requests a second that backend servers name in their
-	// answers to this instance, by the hash of their ids.
-	limits map[uint32]float64
+	// throttle keeps the fleet within the limits that servers name.
+	throttle *throttle.Limiter
 }
 
 // routeStats is what an instance knows of one route's requests.
@@ -199,9 +199,10 @@
 		routes:    make(map[string]*routeStats),
 		own:       make(map[uint32]uint16),
 		limiter:   warmup.NewLimiter(self),
-		limits:    make(map[uint32]float64),
+		throttle:  throttle.NewLimiter(self),
 	}
 	e.state.placer.SetLimiter(e.state.limiter)
+	e.state.placer.SetThrottle(e.state.throttle)
 	e.state.messenger = fleet.NewMessenger(fleet.Settings{
 		Self: e.member(), Epoch: e.epoch, Seeds: e.seeds(), Leaving: func() bool { return !e.readyLocked() }, Stopping: e.stopping.Load,
 	})
--- a/edge/evacuations.go
+++ b/edge/evacuations.go
@@ -77,9 +77,9 @@
 	return dataCentres
 }
 
-// updateHolders tells the limiter of cold servers which instances there are,
-// heard or not. It knows nothing until the store's list is known: an instance
-// that has just started would otherwise take the shares of all others.
+// updateHolders tells the limiters of cold and limited servers which instances
+// there are, heard or not. They know nothing until the store's list is known: an
+// instance that has just started would otherwise take the shares of all others.
 func (e *Edge) updateHolders() {
 	s := &e.state
 	if _, known := s.instances.Version(); !known {
@@ -93,5 +93,6 @@
 	if s.holders == nil || !slices.Equal(ids, s.holders) {
 		s.holders = ids
 		s.limiter.SetInstances(ids)
+		s.throttle.SetInstances(ids)
 	}
 }
--- a/edge/internal_test.go
+++ b/edge/internal_test.go
@@ -8,11 +8,14 @@
 	"github.com/shoenig/test/must"
 
 	"foxtailspoke/entry/clock"
+	"foxtailspoke/evidence"
 	"foxtailspoke/fleet"
 	"foxtailspoke/freshness"
 	"foxtailspoke/health"
+	"foxtailspoke/placement"
 	"foxtailspoke/replica"
 	"foxtailspoke/routing"
+	"foxtailspoke/throttle"
 )
 
 // A machine is gone for good and another has taken its place. As long as the
@@ -76,3 +79,29 @@
 	a.took = 500 * time.Millisecond
 	must.Eq(t, health.ServerError, evidenceOf(c, a))
 }
+
+// An answer that left a server before it named its limit comes after one that names
+// it, by way of another instance. It must not end the limit; one to a request that
+// was sent well after must, also if the first news of the end was lost.
+func TestLateAnswersOfOthersDontEndALimit(t *testing.T) {
+	e := &Edge{self: 1}
+	e.state.placer, e.state.throttle = placement.New(), throttle.NewLimiter(1)
+	milli := uint32(2500)
+	e.applyLimit(evidence.Attempt{Server: 9, Ended: true, LimitMilli: &milli}, 10*time.Second)
+	limit, limited := e.state.throttle.Limit(9)
+	must.True(t, limited)
+	must.Eq(t, 2.5, limit)
+	for _, a := range []evidence.Attempt{
+		{Server: 9, Ended: true, TookMS: 300},
+		{Server: 9, Ended: true, TookMS: 3000},
+		{Server: 9, Ended: true, Result: health.Incomplete, TookMS: 10},
+		{Server: 9, Ended: true},
+	} {
+		e.applyLimit(a, 11*time.Second)
+		_, limited = e.state.throttle.Limit(9)
+		must.True(t, limited)
+	}
+	e.applyLimit(evidence.Attempt{Server: 9, Ended: true, TookMS: 300}, 12*time.Second)
+	_, limited = e.state.throttle.Limit(9)
+	must.False(t, limited)
+}
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -2,38 +2,77 @@
 
 import (
 	"log/slog"
+	"math"
+	"net/http"
 	"time"
 
 	"foxtailspoke/event"
+	"foxtailspoke/evidence"
 	"foxtailspoke/health"
 	"foxtailspoke/placement"
 	"foxtailspoke/platform"
 	"foxtailspoke/upstream"
 )
 
-// noteLimit takes in what an answer says of its server's limit. The lock must be
-// held.
-func (e *Edge) noteLimit(a *attempt, now time.Duration) {
-	if a.answer.Outcome != upstream.Answered || a.result == health.Mismatch || a.result == health.NotRun {
-		return
+// limitMargin is how long the news of an answer that names a limit may take to
+// another instance. What others tell of requests that were sent earlier after it
+// doesn't end a limit.
+const limitMargin = time.Second
+
+// learnLimit takes in what an answer says of its server's limit, and returns the
+// limit that it names for the other instances. The lock must be held.
+func (e *Edge) learnLimit(a *attempt, now time.Duration) *uint32 {
+	if a.answer.Outcome != upstream.Answered || a.result == health.Mismatch || a.answer.Status == http.StatusMisdirectedRequest {
+		return nil
 	}
+	hash := placement.Hash(a.choice.Server.ID)
 	limit, named, err := platform.ServerLimit(a.answer.Header)
-	if err != nil {
+	switch {
+	case err != nil:
 		if e.budget.Take(now, quietShare) {
 			event.EntryIgnored.Log(e.log, slog.String("server", a.choice.Server.ID), slog.Any("error", err))
 		}
-		return
+		return nil
+	case named:
+		milli := uint32(math.Min(math.Round(limit*1000), math.MaxUint32))
+		e.limit(hash, milli, now)
+		return &milli
+	case a.result == health.OK && e.state.throttle.HeardBefore(hash, a.start):
+		e.unlimit(hash, now)
 	}
-	hash := placement.Hash(a.choice.Server.ID)
-	before, limited := e.state.limits[hash]
-	if named == limited && limit == before {
+	return nil
+}
+
+// applyLimit takes in what an answer to another instance says of its server's
+// limit. The lock must be held.
+func (e *Edge) applyLimit(a evidence.Attempt, now time.Duration) {
+	if a.LimitMilli != nil {
+		e.limit(a.Server, *a.LimitMilli, now)
 		return
 	}
-	if named {
-		e.state.limits[hash] = limit
-	} else {
-		delete(e.state.limits, hash)
+	start := now - milliseconds(a.TookMS)
+	if a.Result == health.OK && a.TookMS > 0 && e.state.throttle.HeardBefore(a.Server, start-limitMargin) {
+		e.unlimit(a.Server, now)
+	}
+}
+
+func (e *Edge) limit(server, milliPerSecond uint32, now time.Duration) {
+	perSecond := float64(milliPerSecond) / 1000
+	before, limited := e.state.throttle.Limit(server)
+	e.state.throttle.Named(server, perSecond, now)
+	if !limited || before != perSecond {
+		e.logLimit(server, slog.Float64("limit", perSecond), slog.Float64("before", before), now)
+	}
+}
+
+func (e *Edge) unlimit(server uint32, now time.Duration) {
+	before, _ := e.state.throttle.Limit(server)
+	e.state.throttle.Withdrawn(server)
+	e.logLimit(server, slog.Float64("limit", 0), slog.Float64("before", before), now)
+}
+
+func (e *Edge) logLimit(server uint32, limit, before slog.Attr, now time.Duration) {
+	if entry, known := e.state.placer.Server(server); known && e.budget.Take(now, quietShare) {
+		event.ServerLimited.Log(e.log, slog.String("server", entry.ID), slog.String("service", entry.Service), limit, before)
 	}
-	event.ServerLimited.Log(e.log, slog.String("server", a.choice.Server.ID), slog.String("service", a.choice.Server.Service),
-		slog.Float64("limit", limit), slog.Float64("before", before))
 }
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -84,3 +84,44 @@
 	must.LessEq(t, 1.5*2*4+5, float64(limited.since(start)))
 	must.Positive(t, limited.since(start))
 }
+
+// A server that is well again stays at its former limit, and callers wait for the
+// others.
+func TestServerIsUsedAtWillOnceItNamesNoLimit(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1000, key)
+	limited := f.limitedServer("limited", "2")
+	f.backend("other", nil)
+	f.up(8)
+	f.lookupsFor(2*time.Second, 10*time.Millisecond)
+	none := ""
+	limited.limit.Store(&none)
+	f.lookupsFor(4*time.Second, 10*time.Millisecond)
+	start := time.Now()
+	f.lookupsFor(time.Second, 10*time.Millisecond)
+	must.Greater(t, 12, limited.since(start))
+}
+
+// All servers name limits. What goes beyond them is refused as not run, at once,
+// and nothing waits until its deadline.
+func TestRequestsAboveAllLimitsAreRefusedAtOnce(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1000, key)
+	limited := f.limitedServer("limited", "1")
+	f.up(1)
+	f.lookupsFor(500*time.Millisecond, 10*time.Millisecond)
+	before := limited.since(time.Time{})
+	for range 20 {
+		start := time.Now()
+		r, id := f.order(0)
+		if r.status == http.StatusOK {
+			continue
+		}
+		must.Eq(t, http.StatusServiceUnavailable, r.status)
+		must.Eq(t, "servers-at-their-limit\n", r.body)
+		must.NotEq(t, "", r.header.Get("Retry-After"))
+		must.Zero(t, limited.runs(id))
+		must.Less(t, 200*time.Millisecond, time.Since(start))
+	}
+	must.LessEq(t, before+2, limited.since(time.Time{}))
+}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -84,7 +84,7 @@
 		return float64(n)
 	}))
 	m.gauge("limited_servers", "Backend servers that name a limit in their answers.", e.locked(func() float64 {
-		return float64(len(e.state.limits))
+		return float64(e.state.throttle.Limited())
 	}))
 	m.gauge("instances_alive", "Other instances that are heard.", e.locked(func() float64 {
 		n := 0
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -206,6 +206,9 @@
 	if a.Ended || a.Result == health.Late {
 		s.placer.Learn(a.Server, a.Result, false, milliseconds(a.TookMS), milliseconds(a.WorkMS), now)
 	}
+	if a.Ended {
+		e.applyLimit(a, now)
+	}
 	if a.Final != evidence.NotFinal {
 		s.placer.ServedAt(a.Server, a.Final == evidence.Served, now)
 	}
--- a/edge/publish.go
+++ b/edge/publish.go
@@ -46,8 +46,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	e.noteLimit(a, now)
 	told := e.outstanding(a, -1)
+	told.LimitMilli = e.learnLimit(a, now)
 	told.Ended, told.Result, told.Final = true, evidenceOf(c, a), final
 	work := e.statsOf(c.route).work
 	took := a.took
--- a/edge/repeats.go
+++ b/edge/repeats.go
@@ -19,8 +19,8 @@
 
 // repeatsAt counts an attempt at a server.
 func (s *state) repeatsAt(server uint32, number uint8, now time.Duration) {
-	if service, ok := s.placer.ServiceOf(server); ok {
-		s.repeatsOf(service).Count(number > 1, now)
+	if entry, ok := s.placer.Server(server); ok {
+		s.repeatsOf(entry.Service).Count(number > 1, now)
 	}
 }
 
--- a/edge/status.go
+++ b/edge/status.go
@@ -71,8 +71,10 @@
 	Service  string `json:"service"`
 	Servers  int    `json:"servers"`
 	Draining int    `json:"draining"`
-	// Cold servers get no more than they bear; Evacuated ones get nothing.
+	// Cold servers get no more than they bear, Limited ones no more than they name
+	// in their answers, and Evacuated ones nothing.
 	Cold      int `json:"cold"`
+	Limited   int `json:"limited"`
 	Evacuated int `json:"evacuated"`
 	// Outstanding requests of all instances.
 	Outstanding int `json:"outstanding"`
@@ -147,6 +149,9 @@
 		if v.Cold {
 			sum.Cold++
 		}
+		if v.Limited {
+			sum.Limited++
+		}
 		if v.Evacuated {
 			sum.Evacuated++
 		}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -113,7 +113,7 @@
 	}
 	ServerLimited = Event{
 		518, slog.LevelWarn, "backend server's limit changed",
-		"A backend server's answers name another `limit` (requests a second from all instances) than `before`; 0 is none.", "Find out what the server is short of.",
+		"A backend server's answers name another `limit` (requests a second from all instances) than `before`; 0 is none. The instances together keep to it.", "Find out what the server is short of.",
 	}
 	PeerHeard = Event{
 		521, slog.LevelInfo, "instance heard",
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -71,6 +71,9 @@
 	WorkMS uint16
 	// Final is the outcome of the request that the attempt belonged to.
 	Final Final
+	// LimitMilli is the limit that the server's answer named, in thousandths of a
+	// request a second; nil if it named none, or none came.
+	LimitMilli *uint32
 }
 
 // Final is how a request ended for its caller.
--- a/internal/edgecommand/status_test.go
+++ b/internal/edgecommand/status_test.go
@@ -28,7 +28,7 @@
 		Instance: "edge-1", DataCentre: "luz-a", Ready: true, Version: 12, ConfigAgeMS: 230, ServersAgeMS: -1,
 		Reader: "10.1.0.31", RateShare: 0.5, Evacuated: []string{"luz-c"},
 		Instances:  []edge.InstanceStatus{{IP: "10.1.0.31", DataCentre: "luz-a", Alive: true, Leaving: true, HeardMS: 120, SlowLink: true}},
-		Services:   []edge.ServiceStatus{{Service: "order-desk", Servers: 15, Draining: 1, Cold: 2, Evacuated: 4, Outstanding: 9, Suspects: 1}},
+		Services:   []edge.ServiceStatus{{Service: "order-desk", Servers: 15, Draining: 1, Cold: 2, Limited: 3, Evacuated: 4, Outstanding: 9, Suspects: 1}},
 		Suspects:   []edge.SuspectStatus{{Server: "i-7", Service: "order-desk", Risk: 0.81, LastFailure: "incomplete", LastFailureMS: 1500}},
 		Workspaces: []edge.WorkspaceStatus{{Workspace: "boatyard", Rate: 34, Burst: 34, Tokens: 0.4}},
 	}
--- a/placement/obstacles.go
+++ b/placement/obstacles.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"foxtailspoke/health"
+	"foxtailspoke/throttle"
 	"foxtailspoke/warmup"
 )
 
@@ -33,6 +34,8 @@
 	Outside
 	// Evacuated data centre.
 	Evacuated
+	// Limited server that gets as much as it names in its answers.
+	Limited
 	// Cold server that gets as much as it bears.
 	Cold
 )
@@ -45,6 +48,9 @@
 // SetLimiter has a limiter bound what cold servers get.
 func (p *Placer) SetLimiter(l *warmup.Limiter) { p.limiter = l }
 
+// SetThrottle has a limiter bound what servers get that name a limit.
+func (p *Placer) SetThrottle(l *throttle.Limiter) { p.throttle = l }
+
 // SetWarmUp takes in what the servers of a service bear after a start.
 func (p *Placer) SetWarmUp(serviceName string, w WarmUp) { p.service(serviceName).warmUp = w }
 
@@ -72,6 +78,9 @@
 	if p.limiter != nil {
 		p.limiter.Sent(Hash(id), now)
 	}
+	if p.throttle != nil {
+		p.throttle.Sent(Hash(id), now)
+	}
 	g, share := p.service(r.Service), 0.0
 	if r.Repeatable {
 		share = 1
@@ -80,19 +89,16 @@
 }
 
 // Obstacle returns what keeps a request from all servers of its service: the
-// obstacle that is likeliest to pass, and for cold servers how long this
-// instance waits at least until it may send to one of them, 0 if unknown.
+// obstacle that is likeliest to pass, and for cold and limited servers how long
+// this instance waits at least until it may send to one of them, 0 if unknown.
 func (p *Placer) Obstacle(r Request, now time.Duration) (Obstacle, time.Duration) {
 	g := p.service(r.Service)
 	last, wait := NoObstacle, time.Duration(0)
 	for _, s := range g.servers {
 		o := p.obstacle(g, s, r, now)
 		last = max(last, o)
-		if o == Cold {
-			_, w := p.allowed(g, s, now)
-			if w > 0 && (wait == 0 || w < wait) {
-				wait = w
-			}
+		if w := p.untilAllowed(g, s, o, now); w > 0 && (wait == 0 || w < wait) {
+			wait = w
 		}
 	}
 	return last, wait
@@ -107,12 +113,46 @@
 	case p.evacuated[s.entry.DataCentre]:
 		return Evacuated
 	}
+	if ok, _ := p.withinLimit(s, now); !ok {
+		return Limited
+	}
 	if ok, _ := p.allowed(g, s, now); !ok {
 		return Cold
 	}
 	return NoObstacle
 }
 
+// untilAllowed is how long this instance waits at least until an obstacle no
+// longer keeps it from a server, 0 if unknown.
+func (p *Placer) untilAllowed(g *service, s *server, o Obstacle, now time.Duration) (wait time.Duration) {
+	switch o {
+	case Limited:
+		_, wait = p.withinLimit(s, now)
+	case Cold:
+		_, wait = p.allowed(g, s, now)
+	case NoObstacle, Draining, Outside, Evacuated:
+	}
+	return wait
+}
+
+// withinLimit reports whether a server may get one more request from this instance
+// as far as its own limit goes, or how long to wait for that.
+func (p *Placer) withinLimit(s *server, now time.Duration) (bool, time.Duration) {
+	if p.throttle == nil {
+		return true, 0
+	}
+	return p.throttle.Allow(Hash(s.entry.ID), now)
+}
+
+// limited reports whether a server names a limit.
+func (p *Placer) limited(s *server) bool {
+	if p.throttle == nil {
+		return false
+	}
+	_, limited := p.throttle.Limit(Hash(s.entry.ID))
+	return limited
+}
+
 // allowed reports whether a server may get one more request from this instance
 // as far as its warm-up goes, or how long to wait for that.
 func (p *Placer) allowed(g *service, s *server, now time.Duration) (bool, time.Duration) {
--- a/placement/obstacles_test.go
+++ b/placement/obstacles_test.go
@@ -10,6 +10,7 @@
 	"foxtailspoke/discovery"
 	"foxtailspoke/health"
 	"foxtailspoke/placement"
+	"foxtailspoke/throttle"
 	"foxtailspoke/warmup"
 )
 
@@ -150,3 +151,38 @@
 	p.Apply(discovery.Change{Server: s}, 0)
 	must.Zero(t, sentTo(p, lookup(), 0, time.Second)["a"])
 }
+
+// A server that names a limit is idle, due for a probe and wanted while much goes
+// unserved: none of these may send it more than its limit.
+func TestServerGetsNoMoreThanItNames(t *testing.T) {
+	for _, r := range []placement.Request{order(), lookup()} {
+		p := places(map[string]string{"a": "dc", "limited": "dc"})
+		l := throttle.NewLimiter(1)
+		l.SetInstances(nil)
+		p.SetThrottle(l)
+		use(p, "limited", health.OK, time.Second)
+		l.Named(placement.Hash("limited"), 2, time.Second)
+		for range 100 {
+			p.Served("s", false, time.Second)
+		}
+		sent := sentTo(p, r, time.Second, 11*time.Second)
+		must.Between(t, 1, sent["limited"], 20)
+		must.Zero(t, sent["refused"])
+	}
+}
+
+// All servers name a limit. A request that none of them may get is refused at once,
+// with the time after which this instance may send one again.
+func TestRequestAboveAllLimitsIsRefusedWithATime(t *testing.T) {
+	p := places(map[string]string{"a": "dc"})
+	l := throttle.NewLimiter(1)
+	l.SetInstances(nil)
+	p.SetThrottle(l)
+	l.Named(placement.Hash("a"), 2, time.Second)
+	p.Sent("a", order(), time.Second)
+	_, ok := p.Choose(order(), 1200*time.Millisecond, func() float64 { return 0 })
+	must.False(t, ok)
+	obstacle, wait := p.Obstacle(order(), 1200*time.Millisecond)
+	must.Eq(t, placement.Limited, obstacle)
+	must.Eq(t, 300*time.Millisecond, wait)
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -16,8 +16,8 @@
 // cheaper, which keeps them known: they take over without a try when a spell
 // of failures begins elsewhere, and each spell then costs few requests.
 //
-// Servers in evacuated data centres get nothing, and cold ones no more than they
-// bear, whatever that costs; see obstacle.
+// Servers in evacuated data centres get nothing, cold ones no more than they bear,
+// and those that name a limit no more than that, whatever it costs; see obstacle.
 //
 // Trade-off: servers that failed are known least. Requests that may be repeated
 // find out, as long as there is ample room to repeat them; where there are
@@ -35,6 +35,7 @@
 	"foxtailspoke/discovery"
 	"foxtailspoke/health"
 	"foxtailspoke/mechanism"
+	"foxtailspoke/throttle"
 	"foxtailspoke/warmup"
 )
 
@@ -88,6 +89,8 @@
 	evacuated map[string]bool
 	// limiter bounds what cold servers get; nil if nothing does.
 	limiter *warmup.Limiter
+	// throttle bounds what servers get that name a limit; nil if nothing does.
+	throttle *throttle.Limiter
 }
 
 type service struct {
@@ -220,7 +223,7 @@
 func (p *Placer) inUse(g *service, now time.Duration) float64 {
 	used, all := 0, 0
 	for _, s := range g.servers {
-		if s.entry.Draining || p.evacuated[s.entry.DataCentre] || g.warmUp.limits(s, now) {
+		if s.entry.Draining || p.evacuated[s.entry.DataCentre] || g.warmUp.limits(s, now) || p.limited(s) {
 			continue
 		}
 		all++
@@ -307,13 +310,13 @@
 	}
 }
 
-// ServiceOf returns the service of a server.
-func (p *Placer) ServiceOf(hash uint32) (string, bool) {
+// Server returns the entry of a server.
+func (p *Placer) Server(hash uint32) (discovery.Server, bool) {
 	s, ok := p.byHash[hash]
 	if !ok {
-		return "", false
+		return discovery.Server{}, false
 	}
-	return s.entry.Service, true
+	return s.entry, true
 }
 
 // View is what a status page shows of a server.
@@ -323,8 +326,9 @@
 	// Risk is the probability that a request sent there now fails.
 	Risk     float64
 	Slowness float64
-	// Cold servers get no more than they bear; Evacuated ones get nothing.
-	Cold, Evacuated bool
+	// Cold servers get no more than they bear, Limited ones no more than their
+	// limit, and Evacuated ones nothing.
+	Cold, Limited, Evacuated bool
 	// LastFailure is how the last failed attempt went, SinceFailure ago; OK if
 	// none is known.
 	LastFailure  health.Result
@@ -337,7 +341,7 @@
 	for _, s := range p.byID {
 		views = append(views, View{
 			Server: s.entry, Outstanding: s.count(now), Risk: s.risk(p.off, now), Slowness: s.slowness,
-			Cold: now < s.coldTill, Evacuated: p.evacuated[s.entry.DataCentre],
+			Cold: now < s.coldTill, Limited: p.limited(s), Evacuated: p.evacuated[s.entry.DataCentre],
 			LastFailure: s.failure, SinceFailure: now - s.failedAt,
 		})
 	}
