edge: log answers of the store that are older than what is known

Event 519 names the table and both versions. No decision depends on it. go test ./event ./edge passes.

--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -130,6 +130,7 @@
 	defer e.mu.Unlock()
 	now := e.now()
 	e.state.clock.Observe(p.answer.Stamp, now)
+	e.noteIgnored(evidence.Config, p.answer.Version, now)
 	changed, _ := e.state.config.Apply(p.answer, p.since)
 	e.takeRows(evidence.Config, changed, now)
 	e.prove(evidence.Config, p.answer.Stamp, now)
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -169,6 +169,7 @@
 		}
 		s.clock.Observe(p.answer.Stamp, now)
 		e.noteReturn(p.table, p.answer.Stamp, now)
+		e.noteIgnored(p.table, p.answer.Version, now)
 		changed, _ := e.copyOf(p.table).Apply(p.answer, p.since)
 		told := e.takeRows(p.table, changed, now)
 		notices = append(notices, e.notices(p, told)...)
@@ -189,6 +190,15 @@
 	return well
 }
 
+// noteIgnored logs an answer that is older than what is known.
+func (e *Edge) noteIgnored(t evidence.Table, version uint64, now time.Duration) {
+	known, ok := e.copyOf(t).Version()
+	if ok && version < known && e.budget.Take(now, quietShare) {
+		event.AnswerIgnored.Log(e.log, slog.String("table", tableNames[t]),
+			slog.Uint64("version", version), slog.Uint64("known", known))
+	}
+}
+
 // noteReturn notes that the store is back after an outage. It comes before the
 // rows of its first answer: entries that ran out meanwhile are missing there.
 func (e *Edge) noteReturn(t evidence.Table, stamp, now time.Duration) {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -115,6 +115,10 @@
 		518, slog.LevelWarn, "backend server's limit changed",
 		"A backend server's answers name another `limit` (requests a second from all instances) than `before`; 0 is none. The instances together keep to it.", "Find out what the server is short of.",
 	}
+	AnswerIgnored = Event{
+		519, slog.LevelWarn, "answer of the store ignored",
+		"An answer about `table`, of the store or handed on by another instance, is as of `version`, older than what is `known`.", "One or two at a time are late answers. If they go on, compare the store's versions with those that the instances know.",
+	}
 	PeerHeard = Event{
 		521, slog.LevelInfo, "instance heard",
 		"Another instance speaks, for the first time or again.", "Nothing.",
@@ -154,7 +158,7 @@
 		PlatformUnavailable, PlatformReturned, RecordsDropped,
 		EdgeStarted, EdgeStopping, EdgeStopped, SettingsReloaded, SettingsRejected,
 		ConfigInForce, ConfigRejected, ServerChanged, EntryIgnored, StoreCallFailed,
-		EvacuationBegan, EvacuationEnded, ServerLimited,
+		EvacuationBegan, EvacuationEnded, ServerLimited, AnswerIgnored,
 		PeerHeard, PeerSilent, PeerMessageFailed, RelayChanged,
 		RequestEnded, AttemptEnded, LinesLeftOut,
 	}
