edge: failing tests: the store comes back from a copy

The stand-in of the store can be copied and restored: versions go back, Store-Era rises, a read from a version that it doesn't have gets 410.

--- /dev/null
+++ b/edge/era_test.go
@@ -0,0 +1,103 @@
+package edge_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/internal/standin/rowstore"
+)
+
+// fromACopy has the store lose what it was told since a copy, during a moment in
+// which it answers nobody.
+func (f *fleet) fromACopy(c rowstore.Copy) {
+	f.store.SetFault(func(string) rowstore.Fault { return rowstore.Busy })
+	time.Sleep(300 * time.Millisecond)
+	f.store.Restore(c)
+	f.store.SetFault(nil)
+}
+
+// changeOften writes rows that concern nobody, as heartbeats do.
+func (f *fleet) changeOften(n int) {
+	for range n {
+		f.store.Put("servers", "nobody", []byte("{}"))
+	}
+}
+
+// addRoute puts a configuration in force that has one more route.
+func (f *fleet) addRoute() {
+	f.configureWith(func(config map[string]any) {
+		config["routes"] = append(config["routes"].([]any), map[string]any{
+			"name": "added", "host": "h.example", "prefix": "/added/", "route_kind": "idempotent", "timeout_s": 1.5, "aim_s": 0.5,
+			"service": "s", "max_attempts": 2,
+		})
+	}, 1000, key)
+}
+
+func (f *fleet) servesAdded(n int) bool {
+	r, _ := f.call(n, http.MethodGet, "/added/1", "", nil)
+	return r.status == http.StatusOK
+}
+
+// The store comes back from a copy and gives its versions out again. Instances take
+// every answer for older than what they know: a change that is confirmed from then
+// on isn't in force for minutes.
+func TestChangesAreInForceAfterTheStoreCameBackFromACopy(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1000, key)
+	f.backend("one", nil)
+	f.up(3)
+	c := f.store.Copy()
+	f.changeOften(200)
+	time.Sleep(time.Second)
+	f.fromACopy(c)
+	time.Sleep(500 * time.Millisecond)
+	f.addRoute()
+	time.Sleep(2 * time.Second)
+	for n := range f.instances {
+		must.True(t, f.servesAdded(n), must.Sprint("instance ", n))
+	}
+}
+
+// The same, with versions that have grown past those of before the copy by the time
+// of the first answer: what changed between the copy and that version is missed.
+func TestChangesAreInForceAfterVersionsGrewAgain(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1000, key)
+	f.backend("one", nil)
+	f.up(3)
+	c := f.store.Copy()
+	f.changeOften(20)
+	time.Sleep(time.Second)
+	f.store.SetFault(func(string) rowstore.Fault { return rowstore.Busy })
+	f.store.Restore(c)
+	f.addRoute()
+	f.changeOften(60)
+	f.store.SetFault(nil)
+	time.Sleep(2 * time.Second)
+	for n := range f.instances {
+		must.True(t, f.servesAdded(n), must.Sprint("instance ", n))
+	}
+}
+
+// A server that says that it leaves, after the store came back from a copy, goes on
+// getting requests.
+func TestServerThatLeavesAfterACopyGetsNothing(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1000, key)
+	leaving := f.backend("leaving", nil)
+	f.backend("staying", nil)
+	f.up(3)
+	c := f.store.Copy()
+	f.changeOften(200)
+	time.Sleep(time.Second)
+	f.fromACopy(c)
+	time.Sleep(500 * time.Millisecond)
+	f.list(leaving, "draining")
+	time.Sleep(2 * time.Second)
+	before := leaving.total()
+	f.lookupsFor(time.Second, 10*time.Millisecond)
+	must.Eq(t, before, leaving.total())
+}
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -7,8 +7,10 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -51,6 +53,7 @@
 	history  []Row
 	oldest   uint64
 	ver      uint64
+	era      uint64
 	start    time.Time
 	delay    time.Duration
 	fault    func(ip string) Fault
@@ -91,6 +94,29 @@
 	s.oldest = s.ver
 }
 
+// Copy is the state of a store at one moment.
+type Copy struct {
+	rows    map[id]Row
+	history []Row
+	ver     uint64
+}
+
+// Copy returns the store's present state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{rows: maps.Clone(s.rows), history: slices.Clone(s.history), ver: s.ver}
+}
+
+// Restore returns to a copy: what was written since is lost, versions are given
+// out again, and a new era begins.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.history, s.ver = maps.Clone(c.rows), slices.Clone(c.history), c.ver
+	s.era++
+}
+
 // Calls is how many calls were made.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -174,6 +200,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", strconv.FormatUint(answer.era, 10))
 	w.WriteHeader(status)
 	// A caller that has gone needs no answer.
 	_ = json.NewEncoder(w).Encode(answer)
@@ -198,6 +225,7 @@
 	HasMore bool    `json:"has_more"`
 	Ver     uint64  `json:"ver"`
 	NowS    float64 `json:"now_s"`
+	era     uint64
 }
 
 func (s *Store) answer(r *http.Request, body []byte) (int, answerDocument) {
@@ -212,12 +240,12 @@
 	case "/api/rows-tx":
 		return s.transact(body)
 	default:
-		return http.StatusNotFound, answerDocument{}
+		return http.StatusNotFound, s.now()
 	}
 }
 
 func (s *Store) now() answerDocument {
-	return answerDocument{Rows: []Row{}, Ver: s.ver, NowS: time.Since(s.start).Seconds()}
+	return answerDocument{Rows: []Row{}, Ver: s.ver, NowS: time.Since(s.start).Seconds(), era: s.era}
 }
 
 func (s *Store) page(table, part, from, limit string) answerDocument {
@@ -245,7 +273,7 @@
 	if err != nil {
 		return http.StatusBadRequest, a
 	}
-	if since < s.oldest {
+	if since < s.oldest || since > s.ver {
 		return http.StatusGone, a
 	}
 	for _, r := range s.history {
