--- a/edge/internal_test.go
+++ b/edge/internal_test.go
@@ -105,3 +105,17 @@
 	_, limited = e.state.throttle.Limit(9)
 	must.False(t, limited)
 }
+
+// An instance starts while the store is away and learns everything from another.
+// Taken for fresh, a configuration that is three seconds old would let a key that
+// was taken away work for three seconds longer.
+func TestSnapshotIsAsOldAsItsSourceSays(t *testing.T) {
+	source, newcomer := newQuiet(t), newQuiet(t)
+	now := source.now()
+	source.state.clock.Observe(100*time.Second, now)
+	source.state.config.Apply(replica.Answer{Version: 5, Whole: true}, 0)
+	source.prove(evidence.Config, 100*time.Second, now)
+	now += 3 * time.Second
+	newcomer.takeSnapshot(source.snapshot(now), now)
+	must.Eq(t, 3*time.Second, newcomer.keyAge(now))
+}
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -39,6 +39,8 @@
 
 // Snapshot is everything an instance has read from the store.
 type Snapshot struct {
+	// Clock is what the store's clock shows; 0 if unknown or not told.
+	Clock  time.Duration
 	Tables []SnapshotTable
 }
 
@@ -134,6 +136,9 @@
 func (e *Edge) snapshot(now time.Duration) Snapshot {
 	s := &e.state
 	var all Snapshot
+	if clock, known := s.clock.Store(now); known {
+		all.Clock = clock
+	}
 	for _, t := range []evidence.Table{evidence.Config, evidence.Servers, evidence.Instances} {
 		version, known := e.copyOf(t).Version()
 		if !known {
@@ -212,13 +217,19 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := e.now()
+	e.takeSnapshot(snapshot, e.now())
+}
+
+// takeSnapshot takes in what another instance knows.
+func (e *Edge) takeSnapshot(snapshot Snapshot, now time.Duration) {
+	if snapshot.Clock > 0 {
+		e.state.clock.Observe(snapshot.Clock, now)
+	}
 	for _, t := range snapshot.Tables {
 		a := replica.Answer{Rows: t.Rows, Version: t.Version, Stamp: t.Stamp, Whole: true}
 		changed, _ := e.copyOf(t.Table).Apply(a, 0)
 		e.takeRows(t.Table, changed, now)
 		if t.Stamp > 0 {
-			e.state.clock.Observe(t.Stamp, now)
 			e.prove(t.Table, t.Stamp, now)
 		}
 	}
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -57,6 +57,9 @@
 // Restart forgets the estimate: the store's clock has begun anew.
 func (c *Clock) Restart() { *c = Clock{} }
 
+// Store returns what the store's clock shows now, and whether that is known.
+func (c *Clock) Store(now time.Duration) (time.Duration, bool) { return now - c.offset, c.known }
+
 // Age is how long ago the store made the answer with this stamp.
 func (c *Clock) Age(stamp, now time.Duration) time.Duration {
 	if !c.known {
