replica, edge: a store that comes back from a copy begins a new era of versions

What callers and operators saw: after a moment without the store no change came in force any more.

Cause: the store came back from a copy and gave its versions out again. Copies of the tables moved on by versions alone, so that every answer counted as older and was ignored until versions had passed the former ones. What was ignored still renewed the proof of the configuration's age. Class of fault: an order kept by a counter of which a restore of its keeper isn't part.

A copy enters an era by a whole read only: changes since a version of another era say nothing, also once versions have grown past it. What comes from a passed era is dropped. Proofs are carried over by their age, as the store's clock may go back; for a second after the return answers prove nothing about keys that operators have to take away again. The same order was kept by versions for evacuations, for what instances have told each other (configTold, serversTold) and for the configuration's row: mended alike.

--- a/discovery/evacuations.go
+++ b/discovery/evacuations.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+
+	"foxtailspoke/replica"
 )
 
 // Evacuations are the data centres whose backend servers must get nothing new
@@ -12,17 +14,17 @@
 // version of its table, so that a lost message is made good by the next. What
 // is known stays in force while the store is away.
 type Evacuations struct {
-	version     uint64
+	at          replica.Point
 	dataCentres map[string]bool
 }
 
 // Replace takes in the whole set as of a version of the table and returns what
 // it changes. A set that is older than the known one is ignored.
-func (e *Evacuations) Replace(version uint64, dataCentres []string) (begun, ended []string) {
-	if version < e.version {
+func (e *Evacuations) Replace(at replica.Point, dataCentres []string) (begun, ended []string) {
+	if at.Before(e.at) {
 		return nil, nil
 	}
-	e.version = version
+	e.at = at
 	current := make(map[string]bool, len(dataCentres))
 	for _, dc := range dataCentres {
 		current[dc] = true
--- a/discovery/evacuations_test.go
+++ b/discovery/evacuations_test.go
@@ -6,14 +6,15 @@
 	"github.com/shoenig/test/must"
 
 	"foxtailspoke/discovery"
+	"foxtailspoke/replica"
 )
 
 func TestEvacuationsReplace(t *testing.T) {
 	var e discovery.Evacuations
-	begun, ended := e.Replace(5, []string{"b", "a"})
+	begun, ended := e.Replace(replica.Point{Version: 5}, []string{"b", "a"})
 	must.Eq(t, []string{"a", "b"}, begun)
 	must.SliceEmpty(t, ended)
-	begun, ended = e.Replace(7, []string{"b"})
+	begun, ended = e.Replace(replica.Point{Version: 7}, []string{"b"})
 	must.SliceEmpty(t, begun)
 	must.Eq(t, []string{"a"}, ended)
 	must.Eq(t, []string{"b"}, e.List())
@@ -24,8 +25,8 @@
 // A delayed notice from before an evacuation must not end it.
 func TestOlderEvacuationsAreIgnored(t *testing.T) {
 	var e discovery.Evacuations
-	e.Replace(7, []string{"a"})
-	begun, ended := e.Replace(6, nil)
+	e.Replace(replica.Point{Version: 7}, []string{"a"})
+	begun, ended := e.Replace(replica.Point{Version: 6}, nil)
 	must.SliceEmpty(t, begun)
 	must.SliceEmpty(t, ended)
 	must.True(t, e.Has("a"))
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -96,20 +96,24 @@
 	misread bool
 	split   routing.Splitter
 
+	// era of the store in the newest answer; eraKnown says that there was one.
+	// It began at eraSince of the store's clock, 0 if that was before this
+	// instance started.
+	era       uint64
+	eraKnown  bool
+	eraSince  time.Duration
 	clock     freshness.Clock
 	poll      freshness.Poll
 	config    *replica.Table
 	servers   *replica.Table
 	instances *replica.Table
 	recent    [evidence.Tables]replica.Recent
-	// configRow is the version of the configuration's row.
-	configRow uint64
-	// configTold is the newest version of that row that another instance told
-	// of; its content comes by fetchConfig.
-	configTold uint64
+	// configTold is the newest version of the configuration's row that another
+	// instance told of; its content comes by fetchConfig.
+	configTold replica.Point
 	// serversTold is the newest version of the list of servers that another
 	// instance told of.
-	serversTold uint64
+	serversTold replica.Point
 	// configProof is the store's stamp up to which the configuration in force
 	// is proved to be the newest.
 	configProof time.Duration
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -42,7 +42,6 @@
 	if r.Key != platform.KeyConfig || r.Gone {
 		return
 	}
-	s.configRow = max(s.configRow, r.Version)
 	c, err := platform.DecodeConfig(r.Value)
 	if err != nil {
 		s.misread = true
--- /dev/null
+++ b/edge/era_internal_test.go
@@ -0,0 +1,46 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/evidence"
+	"foxtailspoke/replica"
+)
+
+// The store comes back from a copy with its clock set back. Proofs of before must
+// neither look fresh by that nor old for ever, and its first answers prove nothing
+// about keys that operators have to take away once more.
+func TestProofsKeepTheirAgeWhenTheStoreComesBack(t *testing.T) {
+	e := newQuiet(t)
+	now := e.now()
+	must.True(t, e.observe(0, 100*time.Second, now))
+	e.prove(evidence.Config, 100*time.Second, now)
+	now += 3 * time.Second
+	must.True(t, e.observe(1, 20*time.Second, now))
+	must.Eq(t, 3*time.Second, e.keyAge(now))
+	e.prove(evidence.Config, 20*time.Second, now)
+	must.Eq(t, 3*time.Second, e.keyAge(now))
+	now += rewriteWait
+	must.True(t, e.observe(1, 20*time.Second+rewriteWait, now))
+	e.prove(evidence.Config, 20*time.Second+rewriteWait, now)
+	must.Eq(t, 0, e.keyAge(now))
+}
+
+// A message of before the store's return arrives after it. It must not bring back
+// what the store has forgotten, nor set the clock.
+func TestWordOfAPassedEraIsIgnored(t *testing.T) {
+	e := newQuiet(t)
+	now := e.now()
+	must.True(t, e.observe(1, 100*time.Second, now))
+	_, ok := e.takeAnswer(evidence.Servers, replica.Answer{Era: 1, Version: 5, Whole: true}, 0, now)
+	must.True(t, ok)
+	e.applyNotice(evidence.Notice{Table: evidence.Servers, Since: 5, Version: 80, StampUS: 180_000_000}, now)
+	at, _ := e.state.servers.Point()
+	must.Eq(t, replica.Point{Era: 1, Version: 5}, at)
+	must.Eq(t, replica.Point{}, e.state.serversTold)
+	clock, _ := e.state.clock.Store(now)
+	must.Eq(t, 100*time.Second, clock)
+}
--- a/edge/evacuations.go
+++ b/edge/evacuations.go
@@ -25,9 +25,9 @@
 
 // takeEvacuations acts on the evacuations that the copy of the table holds.
 func (e *Edge) takeEvacuations(now time.Duration) {
-	version, known := e.state.config.Version()
+	at, known := e.state.config.Point()
 	if known {
-		e.evacuate(version, dataCentresOf(e.evacuationRows()), now)
+		e.evacuate(at, dataCentresOf(e.evacuationRows()), now)
 	}
 }
 
@@ -43,7 +43,7 @@
 			listed[r.Key] = true
 		}
 	}
-	e.evacuate(n.Version, dataCentres, now)
+	e.evacuate(replica.Point{Era: n.Era, Version: n.Version}, dataCentres, now)
 	for _, r := range e.evacuationRows() {
 		if !listed[r.Key] {
 			told = append(told, evidence.Row{Key: r.Key, Gone: true})
@@ -52,18 +52,18 @@
 	return told
 }
 
-func (e *Edge) evacuate(version uint64, dataCentres []string, now time.Duration) {
+func (e *Edge) evacuate(at replica.Point, dataCentres []string, now time.Duration) {
 	s := &e.state
-	begun, ended := s.evacuations.Replace(version, dataCentres)
+	begun, ended := s.evacuations.Replace(at, dataCentres)
 	if len(begun) == 0 && len(ended) == 0 {
 		return
 	}
 	s.placer.Evacuate(begun, ended, now)
 	for _, dc := range begun {
-		event.EvacuationBegan.Log(e.log, slog.String("evacuated", dc), slog.Uint64("table_version", version))
+		event.EvacuationBegan.Log(e.log, slog.String("evacuated", dc), slog.Uint64("table_version", at.Version))
 	}
 	for _, dc := range ended {
-		event.EvacuationEnded.Log(e.log, slog.String("evacuated", dc), slog.Uint64("table_version", version))
+		event.EvacuationEnded.Log(e.log, slog.String("evacuated", dc), slog.Uint64("table_version", at.Version))
 	}
 }
 
--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"foxtailspoke/evidence"
+	"foxtailspoke/platform"
 	"foxtailspoke/relay"
+	"foxtailspoke/replica"
 )
 
 const (
@@ -75,16 +77,26 @@
 func (e *Edge) hasToldConfig() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_, known := e.state.config.Version()
-	return known && e.state.configRow >= e.state.configTold
+	_, known := e.state.config.Point()
+	return known && !e.configRow().Before(e.state.configTold)
+}
+
+// configRow is the version of the configuration's row in this instance's copy.
+func (e *Edge) configRow() replica.Point {
+	at, _ := e.state.config.Point()
+	row, ok := e.state.config.Row(platform.KeyConfig)
+	if !ok {
+		return replica.Point{}
+	}
+	return replica.Point{Era: at.Era, Version: row.Version}
 }
 
 // hasToldServers is the same for the list of servers.
 func (e *Edge) hasToldServers() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	version, known := e.state.servers.Version()
-	return known && version >= e.state.serversTold
+	at, known := e.state.servers.Point()
+	return known && !at.Before(e.state.serversTold)
 }
 
 // readers are the instances of the own data centre that read the store for the
@@ -129,11 +141,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	e.state.clock.Observe(p.answer.Stamp, now)
-	e.noteIgnored(evidence.Config, p.answer.Version, now)
-	changed, _ := e.state.config.Apply(p.answer, p.since)
-	e.takeRows(evidence.Config, changed, now)
-	e.prove(evidence.Config, p.answer.Stamp, now)
+	if !e.observe(p.answer.Era, p.answer.Stamp, now) {
+		return false
+	}
+	if _, ok := e.takeAnswer(p.table, p.answer, p.since, now); !ok {
+		return false
+	}
+	e.prove(p.table, p.answer.Stamp, now)
 	return true
 }
 
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -141,12 +141,14 @@
 // ask reads the changes of a table, or all of it if that isn't possible.
 func (e *Edge) ask(ctx context.Context, t evidence.Table) polled {
 	e.mu.Lock()
-	since, known := e.copyOf(t).Version()
-	p := polled{table: t, since: since, asked: e.now()}
+	at, known := e.copyOf(t).Point()
+	p := polled{table: t, since: at.Version, asked: e.now()}
 	e.mu.Unlock()
 	if known {
-		p.answer, p.err = e.store.Changes(ctx, tableNames[t], since)
-		if !errors.Is(p.err, replica.ErrHistoryGone) {
+		p.answer, p.err = e.store.Changes(ctx, tableNames[t], at.Version)
+		// Versions of another era say nothing of what has changed since this one.
+		otherEra := p.err == nil && p.answer.Era != at.Era
+		if !otherEra && !errors.Is(p.err, replica.ErrHistoryGone) {
 			return p
 		}
 	}
@@ -167,11 +169,16 @@
 			e.logStoreError(p, now)
 			continue
 		}
-		s.clock.Observe(p.answer.Stamp, now)
+		if !e.observe(p.answer.Era, p.answer.Stamp, now) {
+			well = false
+			continue
+		}
 		e.noteReturn(p.table, p.answer.Stamp, now)
-		e.noteIgnored(p.table, p.answer.Version, now)
-		changed, _ := e.copyOf(p.table).Apply(p.answer, p.since)
-		told := e.takeRows(p.table, changed, now)
+		told, ok := e.takeAnswer(p.table, p.answer, p.since, now)
+		if !ok {
+			well = false
+			continue
+		}
 		notices = append(notices, e.notices(p, told)...)
 		e.prove(p.table, p.answer.Stamp, now)
 		if p.table == evidence.Instances {
@@ -190,12 +197,25 @@
 	return well
 }
 
+// takeAnswer takes in what the store said of a table, to this instance or another
+// one, and returns the rows that others must hear of. It reports false if this
+// instance's copy lacks something from before the answer.
+func (e *Edge) takeAnswer(t evidence.Table, a replica.Answer, since uint64, now time.Duration) ([]replica.Row, bool) {
+	e.noteIgnored(t, a.Point(), now)
+	changed, ok := e.copyOf(t).Apply(a, since)
+	if !ok {
+		return nil, false
+	}
+	return e.takeRows(t, changed, now), true
+}
+
 // noteIgnored logs an answer that is older than what is known.
-func (e *Edge) noteIgnored(t evidence.Table, version uint64, now time.Duration) {
-	known, ok := e.copyOf(t).Version()
-	if ok && version < known && e.budget.Take(now, quietShare) {
+func (e *Edge) noteIgnored(t evidence.Table, at replica.Point, now time.Duration) {
+	known, ok := e.copyOf(t).Point()
+	if ok && at.Before(known) && e.budget.Take(now, quietShare) {
 		event.AnswerIgnored.Log(e.log, slog.String("table", tableNames[t]),
-			slog.Uint64("version", version), slog.Uint64("known", known))
+			slog.Uint64("version", at.Version), slog.Uint64("known", known.Version),
+			slog.Uint64("era", at.Era), slog.Uint64("known_era", known.Era))
 	}
 }
 
@@ -216,7 +236,7 @@
 	at := now - s.clock.Age(stamp, now)
 	switch t {
 	case evidence.Config:
-		if !s.misread && (stamp > s.configProof || !s.proved) {
+		if !s.misread && (stamp > s.configProof || !s.proved) && !e.rewriting(stamp) {
 			s.configProof = stamp
 			s.proved = true
 		}
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -43,9 +43,11 @@
 // anything, not those that only renewed themselves.
 func (e *Edge) notices(p polled, changed []replica.Row) []evidence.Notice {
 	s := &e.state
-	n := evidence.Notice{Table: p.table, Version: p.answer.Version, StampUS: p.answer.Stamp.Microseconds()}
+	n := evidence.Notice{
+		Table: p.table, Era: p.answer.Era, Version: p.answer.Version, StampUS: p.answer.Stamp.Microseconds(),
+	}
 	if p.table == evidence.Config {
-		n.Changed = s.configRow
+		n.Changed = e.configRow().Version
 		return e.withEvacuations(n)
 	}
 	recent := &s.recent[p.table]
@@ -104,20 +106,23 @@
 		s.poll.Attempted(now)
 		return
 	}
-	s.clock.Observe(n.Stamp(), now)
-	version, known := e.copyOf(n.Table).Version()
-	complete := known && version >= n.Since
+	if !e.observe(n.Era, n.Stamp(), now) {
+		return
+	}
+	version, _ := e.copyOf(n.Table).Version()
+	complete := e.currentEra(e.copyOf(n.Table)) && version >= n.Since
 	rows, err := evidence.Unpack(n.Packed)
 	if n.Table == evidence.Config {
-		s.configTold = max(s.configTold, n.Changed)
-		complete = known && s.configRow >= n.Changed
+		changed := replica.Point{Era: n.Era, Version: n.Changed}
+		s.configTold = later(s.configTold, changed)
+		complete = e.currentEra(s.config) && !e.configRow().Before(changed)
 		n.Since = version
 		if err == nil {
 			rows = e.applyEvacuations(n, rows, now)
 		}
 	}
 	if n.Table == evidence.Servers {
-		s.serversTold = max(s.serversTold, n.Version)
+		s.serversTold = later(s.serversTold, replica.Point{Era: n.Era, Version: n.Version})
 	}
 	if !complete {
 		e.missed(n.Table, now)
@@ -128,13 +133,12 @@
 		e.missed(n.Table, now)
 		return
 	}
-	a := replica.Answer{Version: n.Version, Stamp: n.Stamp()}
+	a := replica.Answer{Era: n.Era, Version: n.Version, Stamp: n.Stamp()}
 	for _, r := range rows {
 		a.Rows = append(a.Rows, replica.Row{Key: r.Key, Value: r.Value, Gone: r.Gone, Version: r.Version})
 	}
 	e.noteReturn(n.Table, n.Stamp(), now)
-	changed, _ := e.copyOf(n.Table).Apply(a, n.Since)
-	told := e.takeRows(n.Table, changed, now)
+	told, _ := e.takeAnswer(n.Table, a, n.Since, now)
 	if n.Version > version && n.Table != evidence.Config {
 		s.recent[n.Table].Add(version, n.Version, told)
 	}
@@ -161,9 +165,9 @@
 			return
 		}
 		e.state.gapEnds = now + time.Duration(rand.Float64()*float64(gapSpread))
-		if _, known := e.state.servers.Version(); known {
-			// Notices to come may bring it; an instance without any server
-			// has nothing to wait for.
+		if e.currentEra(e.state.servers) {
+			// Notices to come may bring it; an instance without any server of
+			// this era has nothing to wait for.
 			e.state.gapEnds += gapWait
 		}
 		wake(e.kicked)
@@ -172,6 +176,13 @@
 	}
 }
 
+func later(a, b replica.Point) replica.Point {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 func wake(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/edge/outage_test.go
+++ b/edge/outage_test.go
@@ -37,10 +37,10 @@
 	defer asker.mu.Unlock()
 	since, _ := asker.state.servers.Version()
 	p := polled{table: evidence.Servers, since: since, answer: a}
-	asker.state.clock.Observe(a.Stamp, at)
+	asker.observe(a.Era, a.Stamp, at)
 	asker.noteReturn(p.table, a.Stamp, at)
-	changed, _ := asker.state.servers.Apply(a, since)
-	notices := asker.notices(p, asker.takeRows(p.table, changed, at))
+	told, _ := asker.takeAnswer(p.table, a, since, at)
+	notices := asker.notices(p, told)
 	asker.prove(p.table, a.Stamp, at)
 	other.mu.Lock()
 	defer other.mu.Unlock()
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -39,7 +39,8 @@
 
 // Snapshot is everything an instance has read from the store.
 type Snapshot struct {
-	// Clock is what the store's clock shows; 0 if unknown or not told.
+	// Era of the store, and what its clock shows; 0 if unknown or not told.
+	Era    uint64
 	Clock  time.Duration
 	Tables []SnapshotTable
 }
@@ -47,6 +48,7 @@
 // SnapshotTable is one table of a snapshot.
 type SnapshotTable struct {
 	Table   evidence.Table
+	Era     uint64
 	Version uint64
 	// Stamp is the store's clock up to which it is complete; 0 if unproved.
 	Stamp time.Duration
@@ -67,7 +69,7 @@
 	// config is the packed configuration of row version configRow with these
 	// evacuations.
 	config      Packed
-	configRow   uint64
+	configRow   replica.Point
 	evacuations []string
 	// all is everything, packed at allAt.
 	all   Packed
@@ -104,14 +106,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.edge.mu.Lock()
-	row := s.edge.state.configRow
-	version, _ := s.edge.state.config.Version()
+	row := s.edge.configRow()
+	at, _ := s.edge.state.config.Point()
+	era := s.edge.state.era
 	rows := s.edge.state.config.Rows()
 	evacuations := s.edge.state.evacuations.List()
 	s.edge.mu.Unlock()
 	if row != s.configRow || !slices.Equal(evacuations, s.evacuations) {
-		table := SnapshotTable{Table: evidence.Config, Version: version, Rows: rows}
-		packed, err := pack(Snapshot{Tables: []SnapshotTable{table}})
+		table := SnapshotTable{Table: evidence.Config, Era: at.Era, Version: at.Version, Rows: rows}
+		packed, err := pack(Snapshot{Era: era, Tables: []SnapshotTable{table}})
 		if err != nil {
 			return err
 		}
@@ -135,16 +138,16 @@
 
 func (e *Edge) snapshot(now time.Duration) Snapshot {
 	s := &e.state
-	var all Snapshot
+	all := Snapshot{Era: s.era}
 	if clock, known := s.clock.Store(now); known {
 		all.Clock = clock
 	}
 	for _, t := range []evidence.Table{evidence.Config, evidence.Servers, evidence.Instances} {
-		version, known := e.copyOf(t).Version()
-		if !known {
+		if !e.currentEra(e.copyOf(t)) {
 			continue
 		}
-		table := SnapshotTable{Table: t, Version: version, Rows: e.copyOf(t).Rows()}
+		at, _ := e.copyOf(t).Point()
+		table := SnapshotTable{Table: t, Era: at.Era, Version: at.Version, Rows: e.copyOf(t).Rows()}
 		switch t {
 		case evidence.Config:
 			table.Stamp = s.configProof
@@ -222,14 +225,12 @@
 
 // takeSnapshot takes in what another instance knows.
 func (e *Edge) takeSnapshot(snapshot Snapshot, now time.Duration) {
-	if snapshot.Clock > 0 {
-		e.state.clock.Observe(snapshot.Clock, now)
+	if !e.observeSnapshot(snapshot, now) {
+		return
 	}
 	for _, t := range snapshot.Tables {
-		a := replica.Answer{Rows: t.Rows, Version: t.Version, Stamp: t.Stamp, Whole: true}
-		changed, _ := e.copyOf(t.Table).Apply(a, 0)
-		e.takeRows(t.Table, changed, now)
-		if t.Stamp > 0 {
+		a := replica.Answer{Rows: t.Rows, Era: t.Era, Version: t.Version, Stamp: t.Stamp, Whole: true}
+		if _, ok := e.takeAnswer(t.Table, a, 0, now); ok && t.Stamp > 0 {
 			e.prove(t.Table, t.Stamp, now)
 		}
 	}
@@ -237,6 +238,18 @@
 	e.noteKnown(now)
 }
 
+// observeSnapshot is observe for a snapshot. One that doesn't tell the store's clock
+// can't begin an era.
+func (e *Edge) observeSnapshot(s Snapshot, now time.Duration) bool {
+	if s.Clock > 0 {
+		return e.observe(s.Era, s.Clock, now)
+	}
+	if !e.state.eraKnown {
+		e.state.era, e.state.eraKnown = s.Era, true
+	}
+	return s.Era == e.state.era
+}
+
 func getSnapshot(ctx context.Context, address, method string) (Snapshot, error) {
 	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp4", address)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -119,6 +119,10 @@
 		519, slog.LevelWarn, "answer of the store ignored",
 		"An answer about `table`, of the store or handed on by another instance, is as of `version`, older than what is `known`.", "One or two at a time are late answers. If they go on, compare the store's versions with those that the instances know.",
 	}
+	StoreRestored = Event{
+		520, slog.LevelWarn, "store came back from a copy",
+		"The store is in `era` now, after `before`; what it had confirmed since the copy may be missing until it is written again. All tables are read anew.", "If it wasn't a drill, find out what the store has lost.",
+	}
 	PeerHeard = Event{
 		521, slog.LevelInfo, "instance heard",
 		"Another instance speaks, for the first time or again.", "Nothing.",
@@ -158,7 +162,7 @@
 		PlatformUnavailable, PlatformReturned, RecordsDropped,
 		EdgeStarted, EdgeStopping, EdgeStopped, SettingsReloaded, SettingsRejected,
 		ConfigInForce, ConfigRejected, ServerChanged, EntryIgnored, StoreCallFailed,
-		EvacuationBegan, EvacuationEnded, ServerLimited, AnswerIgnored,
+		EvacuationBegan, EvacuationEnded, ServerLimited, AnswerIgnored, StoreRestored,
 		PeerHeard, PeerSilent, PeerMessageFailed, RelayChanged,
 		RequestEnded, AttemptEnded, LinesLeftOut,
 	}
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -98,6 +98,8 @@
 type Notice struct {
 	_     struct{} `cbor:",toarray"`
 	Table Table
+	// Era of the store that the versions and the stamp belong to.
+	Era uint64
 	// Since and Version span the changes that are told. They span several
 	// answers of the store, so that one lost message isn't missed.
 	Since   uint64
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -1,9 +1,12 @@
 // Package replica keeps copies of tables of the platform's store in memory.
 //
 // A copy has the version up to which it is complete. It moves on by the
-// changes since that version, whoever read them, or by a whole read.
-// Versions never go back: an answer that is older than the copy is ignored,
-// so that an instance never returns to a configuration it has left.
+// changes since that version, whoever read them, or by a whole read. An answer that
+// is older than the copy is ignored.
+//
+// A store that comes back from a copy of its own gives versions out again, in a new
+// era. Of two answers, the one of the later era is newer, whatever their versions; a
+// copy moves on to an era by a whole read only.
 package replica
 
 import (
@@ -31,17 +34,33 @@
 	Version uint64
 }
 
+// Point is a moment in the history of the store.
+type Point struct {
+	// Era counts how often the store came back from a copy.
+	Era     uint64
+	Version uint64
+}
+
+// Before reports whether p is earlier than o.
+func (p Point) Before(o Point) bool {
+	return p.Era < o.Era || (p.Era == o.Era && p.Version < o.Version)
+}
+
 // Answer is what the store said about a table at one moment.
 type Answer struct {
 	Rows []Row
-	// Version is the newest version at that moment.
+	// Version is the newest version of Era at that moment.
 	Version uint64
+	Era     uint64
 	// Stamp is that moment on the store's steady clock.
 	Stamp time.Duration
 	// Whole says that Rows is the whole table, not the changes.
 	Whole bool
 }
 
+// Point is the moment of the answer.
+func (a Answer) Point() Point { return Point{a.Era, a.Version} }
+
 // Store is where tables are read and written.
 type Store interface {
 	// Read returns a whole table.
@@ -54,16 +73,25 @@
 
 // Table is the copy of one table. It isn't safe for concurrent use.
 type Table struct {
-	version uint64
-	known   bool
-	rows    map[string]Row
+	at    Point
+	known bool
+	rows  map[string]Row
 }
 
 // NewTable returns a copy that knows nothing yet.
 func NewTable() *Table { return &Table{rows: make(map[string]Row)} }
 
 // Version up to which the copy is complete, and whether it ever was.
-func (t *Table) Version() (uint64, bool) { return t.version, t.known }
+func (t *Table) Version() (uint64, bool) { return t.at.Version, t.known }
+
+// Point up to which the copy is complete, and whether it ever was.
+func (t *Table) Point() (Point, bool) { return t.at, t.known }
+
+// Row returns the row of a key.
+func (t *Table) Row(key string) (Row, bool) {
+	r, ok := t.rows[key]
+	return r, ok
+}
 
 // Rows returns all rows.
 func (t *Table) Rows() []Row {
@@ -74,17 +102,17 @@
 	return rows
 }
 
-// Apply takes in an answer whose changes begin at version since, and returns
-// the rows that differ from what the copy held. It reports false if the copy
-// lacks something from before since; nothing is taken in then.
+// Apply takes in an answer whose changes begin at version since of its era, and
+// returns the rows that differ from what the copy held. It reports false if the
+// copy lacks something from before since; nothing is taken in then.
 func (t *Table) Apply(a Answer, since uint64) ([]Row, bool) {
-	if t.known && a.Version < t.version {
+	if t.known && a.Point().Before(t.at) {
 		return nil, true
 	}
 	if a.Whole {
 		return t.replace(a), true
 	}
-	if !t.known || since > t.version {
+	if !t.known || a.Era != t.at.Era || since > t.at.Version {
 		return nil, false
 	}
 	var changed []Row
@@ -93,7 +121,7 @@
 			changed = append(changed, r)
 		}
 	}
-	t.version = a.Version
+	t.at = a.Point()
 	return changed, true
 }
 
@@ -115,7 +143,7 @@
 			changed = append(changed, Row{Key: k, Gone: true})
 		}
 	}
-	t.version = a.Version
+	t.at = a.Point()
 	t.known = true
 	return changed
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -123,3 +123,24 @@
 	must.Eq(t, 110, parts[0].Since)
 	must.Len(t, 1, parts[0].Rows)
 }
+
+// The store comes back from a copy with lower versions. Its answers were taken for
+// old ones, and no change reached the copy any more.
+func TestLaterEraIsNewerWhateverItsVersions(t *testing.T) {
+	c := replica.NewTable()
+	c.Apply(whole(56, put("a", "1")), 0)
+	later := changes(60, put("a", "2"))
+	later.Era = 1
+	_, ok := c.Apply(later, 56)
+	must.False(t, ok)
+	restored := whole(40, put("a", "0"))
+	restored.Era = 1
+	changed, ok := c.Apply(restored, 0)
+	must.True(t, ok)
+	must.Eq(t, []replica.Row{put("a", "0")}, changed)
+	changed, ok = c.Apply(whole(57, put("a", "1")), 0)
+	must.True(t, ok)
+	must.Len(t, 0, changed)
+	at, _ := c.Point()
+	must.Eq(t, replica.Point{Era: 1, Version: 40}, at)
+}
