discovery: a copy of the store doesn't bring back servers that have left

The store comes back from a copy that lists a server as ready which had said that it leaves, or whose entry was removed, until that is written again.

Fix: entries tell how often they were written since their server's start, and one that was written before the known one is ignored. A server that has left is remembered for a minute and comes back by a write that follows the copy's only: how often it had written before isn't known to all, as mere renewals aren't handed on. What the store says next of such a server is told to all, because their copies of the table differ from their lists.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -7,6 +7,10 @@
 // it again. Dropping them at once would leave whole services without servers
 // for seconds after each outage, so absence right after an outage counts only
 // after a pause (see Grace).
+//
+// A store that comes back from a copy lists servers as they were some seconds
+// before. What is known of a server is kept until the server itself writes again:
+// one that drains or has left must not come back by an old entry.
 package discovery
 
 import (
@@ -28,6 +32,10 @@
 // means that the server has turned cold again.
 const warmUpJitter = time.Second
 
+// leftFor is how long a server that has left is remembered, so that an old entry
+// doesn't bring it back. Copies of the store are some seconds old.
+const leftFor = time.Minute
+
 // Server is one backend server.
 type Server struct {
 	ID      string
@@ -44,15 +52,24 @@
 	// Born is when the server started, in Unix milliseconds. A restart under
 	// the same id has a later one.
 	Born int64
+	// Seq counts the writes of its entry since its start; 0 if it doesn't say.
+	Seq int64
 }
 
 // Same reports whether two entries tell the same of a server, the time that
-// is left to warm up aside.
+// is left to warm up and the count of writes aside.
 func (s Server) Same(o Server) bool {
 	s.WarmUp, o.WarmUp = 0, 0
+	s.Seq, o.Seq = 0, 0
 	return s == o
 }
 
+// olderThan reports whether an entry was written before another one of the same
+// server.
+func (s Server) olderThan(o Server) bool {
+	return s.Born < o.Born || (s.Born == o.Born && s.Seq > 0 && s.Seq < o.Seq)
+}
+
 // Change is what became of one server.
 type Change struct {
 	Server Server
@@ -69,28 +86,61 @@
 	missing map[string]time.Duration
 	// warm holds when each server that reported a warm-up is warm.
 	warm map[string]time.Duration
+	// left are the servers that have left, as they were last known.
+	left map[string]departed
+	// old are entries of the store that were ignored because they are older than
+	// what is known of their servers.
+	old map[string]Server
+}
+
+// departed is a server that has left.
+type departed struct {
+	Server
+	at time.Duration
 }
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{servers: make(map[string]Server), missing: make(map[string]time.Duration), warm: make(map[string]time.Duration)}
+	return &List{
+		servers: make(map[string]Server), missing: make(map[string]time.Duration), warm: make(map[string]time.Duration),
+		left: make(map[string]departed), old: make(map[string]Server),
+	}
+}
+
+// Restore takes in an entry of a store that came back from a copy. A server that
+// has left stays out until it writes again: how often it had written isn't known by
+// then, because entries that only renew themselves aren't handed on.
+func (l *List) Restore(s Server, now time.Duration) (Change, bool) {
+	if left, ok := l.left[s.ID]; ok && now-left.at < leftFor && s.Born <= left.Born {
+		l.old[s.ID] = s
+		return Change{}, false
+	}
+	return l.Put(s, now)
 }
 
 // Put takes in an entry. Time alone shortens a warm-up; an entry that differs
-// only by that is no change. An entry of an earlier start is ignored: a late write
-// of a process that is gone must not hide its successor.
+// only by that is no change. An entry that was written before the known one is
+// ignored: a late write of a process that is gone must not hide its successor.
 func (l *List) Put(s Server, now time.Duration) (Change, bool) {
-	old, known := l.servers[s.ID]
-	if known && s.Born < old.Born {
+	known, ok := l.servers[s.ID]
+	if ok && s.olderThan(known) {
+		l.old[s.ID] = s
 		return Change{}, false
 	}
+	if old, ignored := l.old[s.ID]; ignored {
+		if !ok && (s.olderThan(old) || s.Same(old) && s.Seq == old.Seq) {
+			return Change{}, false
+		}
+		delete(l.old, s.ID)
+	}
 	delete(l.missing, s.ID)
+	delete(l.left, s.ID)
 	colder := l.turnsCold(s, now)
-	if known && old.Same(s) && !colder {
+	l.servers[s.ID] = s
+	if ok && known.Same(s) && !colder {
 		return Change{}, false
 	}
-	l.servers[s.ID] = s
-	return Change{Server: s, New: !known || s.Born != old.Born}, true
+	return Change{Server: s, New: !ok || s.Born != known.Born}, true
 }
 
 // turnsCold notes the warm-up that an entry reports, and reports whether it is
@@ -109,6 +159,7 @@
 // store's fault: the server is then kept, and dropped by Expire at that time
 // unless it is listed again before.
 func (l *List) Remove(id string, now, keepUntil time.Duration) (Change, bool) {
+	delete(l.old, id)
 	s, known := l.servers[id]
 	if !known {
 		return Change{}, false
@@ -120,14 +171,27 @@
 	delete(l.servers, id)
 	delete(l.missing, id)
 	delete(l.warm, id)
+	l.leave(s, now)
 	return Change{Server: s, Gone: true}, true
 }
 
-// Missing reports whether the store no longer lists a server whose return is
-// still waited for.
-func (l *List) Missing(id string) bool {
+// leave remembers a server that has left, and forgets those of long ago.
+func (l *List) leave(s Server, now time.Duration) {
+	for id, d := range l.left {
+		if now-d.at >= leftFor {
+			delete(l.left, id)
+		}
+	}
+	l.left[s.ID] = departed{s, now}
+}
+
+// Unsettled reports whether the store and this list differ about a server: it is
+// no longer listed there and its return waited for, or listed as it was before.
+// What the store says next of it is news, also if it is what the list has.
+func (l *List) Unsettled(id string) bool {
 	_, missing := l.missing[id]
-	return missing
+	_, old := l.old[id]
+	return missing || old
 }
 
 // Expire drops the servers whose return was waited for in vain.
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -17,8 +17,9 @@
 	"foxtailspoke/usage"
 )
 
-// takeRows takes in changed rows and returns those that changed anything.
-func (e *Edge) takeRows(t evidence.Table, rows []replica.Row, now time.Duration) []replica.Row {
+// takeRows takes in changed rows and returns those that changed anything. Restored
+// says that they are those of a store that just came back from a copy.
+func (e *Edge) takeRows(t evidence.Table, rows []replica.Row, restored bool, now time.Duration) []replica.Row {
 	switch t {
 	case evidence.Config:
 		for _, r := range rows {
@@ -27,7 +28,7 @@
 		e.takeEvacuations(now)
 		return rows
 	case evidence.Servers:
-		return e.takeServers(rows, now)
+		return e.takeServers(rows, restored, now)
 	default:
 		for _, r := range rows {
 			e.takeInstance(r, now)
@@ -82,7 +83,7 @@
 // to them. If it weren't told, their copies would lack it from then on: they
 // would drop a living server, and whoever of them read later that it leaves
 // would have nothing to remove and nothing to tell.
-func (e *Edge) takeServers(rows []replica.Row, now time.Duration) []replica.Row {
+func (e *Edge) takeServers(rows []replica.Row, restored bool, now time.Duration) []replica.Row {
 	s := &e.state
 	var keepUntil time.Duration
 	if s.outageEnd > 0 {
@@ -90,19 +91,19 @@
 	}
 	var changed []replica.Row
 	for _, r := range rows {
-		returned := s.list.Missing(r.Key)
-		c, ok := e.serverChange(r, now, keepUntil)
+		unsettled := s.list.Unsettled(r.Key)
+		c, ok := e.serverChange(r, restored, now, keepUntil)
 		if ok {
 			e.applyServer(c, now)
 		}
-		if ok || r.Gone || returned {
+		if ok || r.Gone || unsettled {
 			changed = append(changed, r)
 		}
 	}
 	return changed
 }
 
-func (e *Edge) serverChange(r replica.Row, now, keepUntil time.Duration) (discovery.Change, bool) {
+func (e *Edge) serverChange(r replica.Row, restored bool, now, keepUntil time.Duration) (discovery.Change, bool) {
 	s := &e.state
 	if r.Gone {
 		return s.list.Remove(r.Key, now, keepUntil)
@@ -115,6 +116,9 @@
 		}
 		return s.list.Remove(r.Key, now, now)
 	}
+	if restored {
+		return s.list.Restore(entry, now)
+	}
 	return s.list.Put(entry, now)
 }
 
--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -101,3 +101,54 @@
 	f.lookupsFor(time.Second, 10*time.Millisecond)
 	must.Eq(t, before, leaving.total())
 }
+
+// A server says that it leaves, or is gone. The store then comes back from a copy
+// that lists it as ready, until the server's word is written again: it must get
+// nothing meanwhile.
+func TestCopyDoesNotBringBackServersThatHaveLeft(t *testing.T) {
+	for name, leave := range map[string]func(*fleet, *backend){
+		"leaving": func(f *fleet, b *backend) { f.list(b, "draining") },
+		"gone":    func(f *fleet, b *backend) { f.store.Remove("servers", b.id) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.configure(1000, key)
+			leaving := f.backend("leaving", nil)
+			f.backend("staying", nil)
+			f.up(3)
+			c := f.store.Copy()
+			leave(f, leaving)
+			time.Sleep(time.Second)
+			f.fromACopy(c)
+			time.Sleep(time.Second)
+			before := leaving.total()
+			f.lookupsFor(time.Second, 10*time.Millisecond)
+			must.Eq(t, before, leaving.total())
+			leave(f, leaving)
+			time.Sleep(time.Second)
+			f.lookupsFor(500*time.Millisecond, 10*time.Millisecond)
+			must.Eq(t, before, leaving.total())
+		})
+	}
+}
+
+// A server is taken off the list by mistake of the network: its entry ran out while
+// it was cut off, and the store comes back from a copy that lists it. Once it writes
+// again it must be used.
+func TestServerThatWritesAgainAfterACopyIsUsed(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1000, key)
+	cut := f.backend("cut", nil)
+	f.backend("other", nil)
+	f.up(3)
+	c := f.store.Copy()
+	f.store.Remove("servers", cut.id)
+	time.Sleep(time.Second)
+	f.fromACopy(c)
+	time.Sleep(time.Second)
+	f.list(cut, "ready")
+	time.Sleep(time.Second)
+	before := cut.total()
+	f.lookupsFor(2*time.Second, 10*time.Millisecond)
+	must.Greater(t, before, cut.total())
+}
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -173,10 +173,12 @@
 
 // backend is a backend server.
 type backend struct {
-	id      string
-	zone    string
-	server  *httptest.Server
-	mu      sync.Mutex
+	id     string
+	zone   string
+	server *httptest.Server
+	mu     sync.Mutex
+	// writes counts its entries in the store.
+	writes  int
 	ran     map[string]int
 	last    http.Header
 	lastURI string
@@ -203,9 +205,10 @@
 
 // listCold writes the entry of a server that is cold for some seconds yet.
 func (f *fleet) listCold(b *backend, state string, coldS float64) {
+	b.writes++
 	v, err := json.Marshal(map[string]any{
 		"service": "s", "address": strings.TrimPrefix(b.server.URL, "http://"), "zone": b.zone, "version": "v1",
-		"slots": 4, "state": state, "warmup_left_s": coldS, "seq": 1, "born": 1790000000000,
+		"slots": 4, "state": state, "warmup_left_s": coldS, "seq": b.writes, "born": 1790000000000,
 	})
 	must.NoError(f.t, err)
 	f.store.Put("servers", b.id, v)
--- a/edge/knowledge.go
+++ b/edge/knowledge.go
@@ -202,11 +202,13 @@
 // instance's copy lacks something from before the answer.
 func (e *Edge) takeAnswer(t evidence.Table, a replica.Answer, since uint64, now time.Duration) ([]replica.Row, bool) {
 	e.noteIgnored(t, a.Point(), now)
+	before, known := e.copyOf(t).Point()
 	changed, ok := e.copyOf(t).Apply(a, since)
 	if !ok {
 		return nil, false
 	}
-	return e.takeRows(t, changed, now), true
+	restored := known && before.Era < a.Era
+	return e.takeRows(t, changed, restored, now), true
 }
 
 // noteIgnored logs an answer that is older than what is known.
