edge: a copy of the store doesn't end an evacuation

The store comes back from a copy without an evacuation that it had confirmed, until that is written again.

Fix: for two seconds after the store's return, the time that the platform gives for what lapsed to come back, evacuations that were known stay in force; new ones begin at once.

The tests of eras and limits run in parallel with others.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -99,15 +99,18 @@
 	// era of the store in the newest answer; eraKnown says that there was one.
 	// It began at eraSince of the store's clock, 0 if that was before this
 	// instance started.
-	era       uint64
-	eraKnown  bool
-	eraSince  time.Duration
-	clock     freshness.Clock
-	poll      freshness.Poll
-	config    *replica.Table
-	servers   *replica.Table
-	instances *replica.Table
-	recent    [evidence.Tables]replica.Recent
+	era      uint64
+	eraKnown bool
+	eraSince time.Duration
+	// restoredUntil is how long what the store had confirmed may be missing
+	// since it came back from a copy.
+	restoredUntil time.Duration
+	clock         freshness.Clock
+	poll          freshness.Poll
+	config        *replica.Table
+	servers       *replica.Table
+	instances     *replica.Table
+	recent        [evidence.Tables]replica.Recent
 	// configTold is the newest version of the configuration's row that another
 	// instance told of; its content comes by fetchConfig.
 	configTold replica.Point
--- a/edge/era.go
+++ b/edge/era.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"foxtailspoke/discovery"
 	"foxtailspoke/event"
 	"foxtailspoke/replica"
 )
@@ -42,6 +43,7 @@
 	s.era, s.eraSince = era, stamp
 	// Entries of servers that wrote them after the copy are missing.
 	s.outageEnd = now
+	s.restoredUntil = now + discovery.Grace
 	for i := range s.recent {
 		s.recent[i].Reset()
 	}
--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -45,6 +45,7 @@
 // every answer for older than what they know: a change that is confirmed from then
 // on isn't in force for minutes.
 func TestChangesAreInForceAfterTheStoreCameBackFromACopy(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1000, key)
 	f.backend("one", nil)
@@ -64,6 +65,7 @@
 // The same, with versions that have grown past those of before the copy by the time
 // of the first answer: what changed between the copy and that version is missed.
 func TestChangesAreInForceAfterVersionsGrewAgain(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1000, key)
 	f.backend("one", nil)
@@ -85,6 +87,7 @@
 // A server that says that it leaves, after the store came back from a copy, goes on
 // getting requests.
 func TestServerThatLeavesAfterACopyGetsNothing(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1000, key)
 	leaving := f.backend("leaving", nil)
@@ -106,11 +109,13 @@
 // that lists it as ready, until the server's word is written again: it must get
 // nothing meanwhile.
 func TestCopyDoesNotBringBackServersThatHaveLeft(t *testing.T) {
+	t.Parallel()
 	for name, leave := range map[string]func(*fleet, *backend){
 		"leaving": func(f *fleet, b *backend) { f.list(b, "draining") },
 		"gone":    func(f *fleet, b *backend) { f.store.Remove("servers", b.id) },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(t)
 			f.configure(1000, key)
 			leaving := f.backend("leaving", nil)
@@ -136,6 +141,7 @@
 // it was cut off, and the store comes back from a copy that lists it. Once it writes
 // again it must be used.
 func TestServerThatWritesAgainAfterACopyIsUsed(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1000, key)
 	cut := f.backend("cut", nil)
@@ -152,3 +158,28 @@
 	f.lookupsFor(2*time.Second, 10*time.Millisecond)
 	must.Greater(t, before, cut.total())
 }
+
+// Operators evacuate a data centre, and the store comes back from a copy without the
+// evacuation until that is written again. Its servers must get nothing meanwhile.
+func TestCopyDoesNotEndAnEvacuation(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1000, key)
+	away := f.backendIn("away", "i-away", nil)
+	f.backend("i-stays", nil)
+	f.up(3)
+	c := f.store.Copy()
+	f.store.Put("op", "evacuate/away", []byte("{}"))
+	time.Sleep(time.Second)
+	before := away.total()
+	f.fromACopy(c)
+	f.lookupsFor(1500*time.Millisecond, 10*time.Millisecond)
+	f.store.Put("op", "evacuate/away", []byte("{}"))
+	f.lookupsFor(1500*time.Millisecond, 10*time.Millisecond)
+	must.Eq(t, before, away.total())
+	f.store.Remove("op", "evacuate/away")
+	eventually(t, 5*time.Second, "the data centre is used again", func() bool {
+		f.lookupsFor(100*time.Millisecond, 10*time.Millisecond)
+		return away.total() > before
+	})
+}
--- a/edge/evacuations.go
+++ b/edge/evacuations.go
@@ -54,6 +54,9 @@
 
 func (e *Edge) evacuate(at replica.Point, dataCentres []string, now time.Duration) {
 	s := &e.state
+	if now < s.restoredUntil {
+		dataCentres = append(dataCentres, s.evacuations.List()...)
+	}
 	begun, ended := s.evacuations.Replace(at, dataCentres)
 	if len(begun) == 0 && len(ended) == 0 {
 		return
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -71,6 +71,7 @@
 // A backend server in need names a limit, and the instances together go on
 // sending it many times as much.
 func TestInstancesTogetherKeepToTheLimitOfAServer(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1000, key)
 	limited := f.limitedServer("limited", "2")
@@ -88,6 +89,7 @@
 // A server that is well again stays at its former limit, and callers wait for the
 // others.
 func TestServerIsUsedAtWillOnceItNamesNoLimit(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1000, key)
 	limited := f.limitedServer("limited", "2")
@@ -105,6 +107,7 @@
 // All servers name limits. What goes beyond them is refused as not run, at once,
 // and nothing waits until its deadline.
 func TestRequestsAboveAllLimitsAreRefusedAtOnce(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1000, key)
 	limited := f.limitedServer("limited", "1")
