edge: a copy of the store doesn't unlist instances

What the fleet wrote since the copy is gone: rows of instances. An instance that is cut off from the others stops counting by that, and its part of every rate is used on both sides of the cut (QUOTA). Found by going through what is kept of the store's tables.

Fix: rows that are missing after the store's return unlist nobody; the list of instances is read at once, and readers write what is missing there as they do otherwise.

Tests: TestCopyDoesNotUnlistInstances (failed before); TestRowsOfInstancesAreWritten- AgainAfterACopy (passed before as well: kept, it guards the writing).

--- a/edge/entries.go
+++ b/edge/entries.go
@@ -31,6 +31,10 @@
 		return e.takeServers(rows, restored, now)
 	default:
 		for _, r := range rows {
+			if restored && r.Gone {
+				// It may have been written after the copy. Readers write it again.
+				continue
+			}
 			e.takeInstance(r, now)
 		}
 		return rows
--- a/edge/era.go
+++ b/edge/era.go
@@ -44,6 +44,7 @@
 	// Entries of servers that wrote them after the copy are missing.
 	s.outageEnd = now
 	s.restoredUntil = now + discovery.Grace
+	s.nextListed = 0
 	for i := range s.recent {
 		s.recent[i].Reset()
 	}
--- a/edge/era_internal_test.go
+++ b/edge/era_internal_test.go
@@ -44,3 +44,25 @@
 	clock, _ := e.state.clock.Store(now)
 	must.Eq(t, 100*time.Second, clock)
 }
+
+// The store comes back from a copy without the row of an instance that is cut off
+// from the others. Forgotten, its part of every rate would be used twice.
+func TestCopyDoesNotUnlistInstances(t *testing.T) {
+	e := newQuiet(t)
+	now := e.now()
+	row := replica.Row{Key: "10.0.0.7", Value: []byte(`{"dataCentre":"dc"}`), Version: 3}
+	must.True(t, e.observe(0, 100*time.Second, now))
+	_, ok := e.takeAnswer(evidence.Instances, replica.Answer{Version: 3, Whole: true, Rows: []replica.Row{row}}, 0, now)
+	must.True(t, ok)
+	listed := func() bool { return e.state.messenger.Fleet().All()[0x0a000007].Listed }
+	must.True(t, listed())
+	must.True(t, e.observe(1, 103*time.Second, now))
+	_, ok = e.takeAnswer(evidence.Instances, replica.Answer{Era: 1, Version: 1, Whole: true}, 0, now)
+	must.True(t, ok)
+	must.True(t, listed())
+	removed := replica.Answer{Era: 1, Version: 2, Rows: []replica.Row{{Key: "10.0.0.7", Gone: true, Version: 2}}}
+	e.state.instances.Note(row)
+	_, ok = e.takeAnswer(evidence.Instances, removed, 1, now)
+	must.True(t, ok)
+	must.False(t, listed())
+}
--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"foxtailspoke/edge/settings"
 	"foxtailspoke/internal/standin/rowstore"
 )
 
@@ -183,3 +184,24 @@
 		return away.total() > before
 	})
 }
+
+// The store loses the rows of instances. They must be written again in each data
+// centre: an instance of a later start finds the others by them.
+func TestRowsOfInstancesAreWrittenAgainAfterACopy(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1000, key)
+	f.backend("one", nil)
+	c := f.store.Copy()
+	const n = 6
+	for i := range n {
+		f.start(func(s *settings.Settings) { s.DataCentre = []string{"dc", "away"}[i%2] })
+	}
+	all := func() bool { return len(f.store.Rows("instances")) == n }
+	eventually(t, 15*time.Second, "all instances are listed", all)
+	f.changeOften(100)
+	time.Sleep(time.Second)
+	f.fromACopy(c)
+	must.SliceEmpty(t, f.store.Rows("instances"))
+	eventually(t, 12*time.Second, "all instances are listed again", all)
+}
