edge: after a copy of the store, newcomers learn the configuration in force

The store comes back from a copy with an older configuration.

Fix: the copy of the table holds the configuration in force under the row's new version.

Open: if all instances start within that moment, nobody knows the newer one.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -91,6 +91,9 @@
 	bounds freshness.Bounds
 
 	table *routing.Table
+	// configInForce is the configuration that table was made of, as operators
+	// wrote it.
+	configInForce []byte
 	// misread says that the newest configuration in the store couldn't be
 	// understood: what is in force is older, and its age can't be proved.
 	misread bool
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -55,9 +55,11 @@
 	}
 	s.misread = false
 	if s.table != nil && c.Version < s.table.Version {
+		// Instances that start meanwhile learn the one in force from this copy.
+		s.config.Note(replica.Row{Key: r.Key, Value: s.configInForce, Version: r.Version})
 		return
 	}
-	s.table = routing.NewTable(c)
+	s.table, s.configInForce = routing.NewTable(c), r.Value
 	for _, w := range s.table.Workspaces() {
 		s.usage.SetLimit(workspaceHash(w.Name), e.limitOf(w), now)
 	}
--- a/edge/era_internal_test.go
+++ b/edge/era_internal_test.go
@@ -66,3 +66,29 @@
 	must.True(t, ok)
 	must.False(t, listed())
 }
+
+func configRow(version string, at uint64) replica.Row {
+	return replica.Row{Key: "config", Value: []byte(`{"version":"` + version + `","routes":[]}`), Version: at}
+}
+
+// The store comes back from a copy with an older configuration, and an instance
+// starts before operators have written theirs again. It learns from another that
+// still acts on the newer one; taking the older one, it would accept keys that were
+// taken away.
+func TestNewcomerLearnsTheConfigurationInForce(t *testing.T) {
+	e, newcomer := newQuiet(t), newQuiet(t)
+	now := e.now()
+	take := func(era uint64, row replica.Row) {
+		t.Helper()
+		must.True(t, e.observe(era, 100*time.Second, now))
+		a := replica.Answer{Era: era, Version: row.Version, Whole: true, Rows: []replica.Row{row}}
+		_, ok := e.takeAnswer(evidence.Config, a, 0, now)
+		must.True(t, ok)
+	}
+	take(0, configRow("0000001f", 30))
+	take(1, configRow("00000016", 20))
+	must.Eq(t, 31, e.state.table.Version)
+	newcomer.takeSnapshot(e.snapshot(now), now)
+	must.Eq(t, 31, newcomer.state.table.Version)
+	must.Eq(t, replica.Point{Era: 1, Version: 20}, newcomer.configRow())
+}
