soak: drills of the store and servers that name limits

A series of faults of its own beside the others: the store comes back from a copy some seconds old and its own writers write again, servers name limits of 1 to 4 a second for 5 to 8 s. The check of limits counts whatever else is going on, with ten requests for each instance that was just started.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -25,6 +27,8 @@
 	http *httptest.Server
 	// link is the way to it.
 	link *standin.Link
+	// writes counts its entries in the store.
+	writes atomic.Int64
 
 	mu       sync.Mutex
 	bad      time.Time
@@ -35,6 +39,7 @@
 	// came until then.
 	coldTill time.Time
 	arrived  []time.Time
+	limit    limit
 }
 
 func newBackend(w *world, id, dataCentre string, cold time.Duration) *backend {
@@ -50,7 +55,7 @@
 	v, err := json.Marshal(map[string]any{
 		"service": "s", "address": b.link.Address(), "zone": b.dataCentre, "slots": 4,
 		"warmup_left_s": max(0, time.Until(b.coldTill).Seconds()),
-		"state":         state, "seq": 1, "born": 1790000000000,
+		"state":         state, "seq": b.writes.Add(1), "born": 1790000000000,
 	})
 	must.NoError(b.w.t, err)
 	b.w.store.Put("servers", b.id, v)
@@ -88,6 +93,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	wr.Header().Set("X-Response-Seal", "seal")
+	if limit := b.named(); limit > 0 {
+		wr.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', 2, 64))
+	}
 	_, _ = wr.Write([]byte(id + string(body)))
 }
 
@@ -102,6 +110,7 @@
 	w.runs[id] = append(w.runs[id], now)
 	req, known := w.requests[id]
 	w.checkPlace(b, id, now)
+	w.checkLimit(b, now)
 	switch {
 	case !known:
 		w.faults = append(w.faults, "a request ran that nobody sent: "+id)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,29 +26,37 @@
 // and the store fails, is slow, and forgets, while callers go on. What they and
 // the backend servers see must keep the promises: no order runs twice, a
 // refusal that says "not run" is true, an answer belongs to its request, a key
-// that was taken away stops, a leaving server gets nothing new; and once the
-// faults end, everybody is served again.
+// that was taken away stops, a leaving server gets nothing new, one that names a
+// limit no more than that; and once the faults end, everybody is served again. In
+// drills the store comes back from a copy.
 func TestSoak(t *testing.T) {
 	binary := build(t)
 	for seed := range regressions {
-		run(t, binary, seed)
+		run(t, binary, seed, false)
 	}
 	for i := range *seeds {
-		run(t, binary, *firstSeed+uint64(i))
+		run(t, binary, *firstSeed+uint64(i), true)
 	}
 }
 
-func run(t *testing.T, binary string, seed uint64) {
+// run plays a seed. Drills are a series of faults of their own beside the others:
+// seeds that were found without them stay as they were.
+func run(t *testing.T, binary string, seed uint64, drills bool) {
 	t.Helper()
 	w := newWorld(t, binary, seed)
 	defer w.end()
 	w.start()
+	if drills {
+		backs := w.backs[:servers:servers]
+		w.wg.Go(func() { w.drills(backs, seed, *length) })
+	}
 	w.underFaults(*length)
 	w.recovered()
 	for _, fault := range w.check() {
 		t.Errorf("seed %d: %s", seed, fault)
 	}
 	served, refused, failed := w.counts()
+	t.Logf("seed %d: %d drills of the store, %d limits named", seed, w.restores, w.limits)
 	t.Logf("seed %d: %d served, %d refused, %d failed", seed, served, refused, failed)
 	must.Positive(t, served)
 	if t.Failed() {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -81,8 +81,12 @@
 	evacuated map[string]time.Time
 	// limited is when requests of the limited workspace ran.
 	limited []time.Time
-	stop    chan struct{}
-	wg      sync.WaitGroup
+	// launched is when each process was started again; restores and limits count
+	// drills of the store and limits that servers named.
+	launched         []time.Time
+	restores, limits int
+	stop             chan struct{}
+	wg               sync.WaitGroup
 }
 
 type request struct {
@@ -228,6 +232,9 @@
 }
 
 func (w *world) launch(p *process) {
+	w.mu.Lock()
+	w.launched = append(w.launched, time.Now())
+	w.mu.Unlock()
 	log, err := os.OpenFile(filepath.Join(w.dir, fmt.Sprintf("edge-%d.log", p.n)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must.NoError(w.t, err)
 	p.cmd = exec.Command(w.binary, "--settings", w.settings(p.n))
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -48,12 +48,14 @@
 
 // Store is the stand-in. It is safe for concurrent use.
 type Store struct {
-	mu       sync.Mutex
-	rows     map[id]Row
-	history  []Row
-	oldest   uint64
-	ver      uint64
-	era      uint64
+	mu      sync.Mutex
+	rows    map[id]Row
+	history []Row
+	oldest  uint64
+	ver     uint64
+	era     uint64
+	// restored is the version of the copy that the store last came back from.
+	restored uint64
 	start    time.Time
 	delay    time.Duration
 	fault    func(ip string) Fault
@@ -109,12 +111,41 @@
 }
 
 // Restore returns to a copy: what was written since is lost, versions are given
-// out again, and a new era begins.
-func (s *Store) Restore(c Copy) {
+// out again, and a new era begins. It returns what the platform's own writers had
+// written since the copy, for Rewrite.
+func (s *Store) Restore(c Copy) []Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var lost []Row
+	for k, r := range s.rows {
+		if s.readOnly[k.table] && c.rows[k].Ver != r.Ver {
+			lost = append(lost, r)
+		}
+	}
+	for k, r := range c.rows {
+		if _, kept := s.rows[k]; s.readOnly[k.table] && !kept {
+			lost = append(lost, Row{Table: k.table, Part: k.part, Key: k.key, Ver: r.Ver, Tombstone: true})
+		}
+	}
 	s.rows, s.history, s.ver = maps.Clone(c.rows), slices.Clone(c.history), c.ver
+	s.restored = c.ver
 	s.era++
+	return lost
+}
+
+// Rewrite writes rows again that were lost, but for those that were written anew
+// since the store's return.
+func (s *Store) Rewrite(lost []Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range lost {
+		if s.rows[id{r.Table, r.Part, r.Key}].Ver > s.restored {
+			continue
+		}
+		s.ver++
+		r.Ver = s.ver
+		s.set(r)
+	}
 }
 
 // Calls is how many calls were made.
