edge: a copy of the store without a configuration

A store that comes back from a copy of before the first configuration has no row of it. The row's version then stood for the former era: each notice made every instance look for a newer configuration, and none renewed the proof of its age, so that requests with keys would have been refused after some seconds.

Fix: a missing row has version 0 of the present era, and the configuration in force stays in the copy of the table for instances that start.

Test: TestCopyWithoutAConfiguration (failed before).

--- a/edge/entries.go
+++ b/edge/entries.go
@@ -44,7 +44,11 @@
 // takeConfig puts a new configuration in force.
 func (e *Edge) takeConfig(r replica.Row, now time.Duration) {
 	s := &e.state
-	if r.Key != platform.KeyConfig || r.Gone {
+	if r.Key != platform.KeyConfig {
+		return
+	}
+	if r.Gone {
+		e.keepConfig(0)
 		return
 	}
 	c, err := platform.DecodeConfig(r.Value)
@@ -55,8 +59,7 @@
 	}
 	s.misread = false
 	if s.table != nil && c.Version < s.table.Version {
-		// Instances that start meanwhile learn the one in force from this copy.
-		s.config.Note(replica.Row{Key: r.Key, Value: s.configInForce, Version: r.Version})
+		e.keepConfig(r.Version)
 		return
 	}
 	s.table, s.configInForce = routing.NewTable(c), r.Value
@@ -73,6 +76,14 @@
 		slog.Int("routes", len(c.Routes)), slog.Int("workspaces", len(c.Workspaces)))
 }
 
+// keepConfig puts the configuration in force into the copy of the table, in place of
+// a row of that version that is older: instances that start learn it from there.
+func (e *Edge) keepConfig(version uint64) {
+	if e.state.configInForce != nil {
+		e.state.config.Note(replica.Row{Key: platform.KeyConfig, Value: e.state.configInForce, Version: version})
+	}
+}
+
 // limitOf is the limit that a workspace is held to.
 func (e *Edge) limitOf(w routing.Workspace) usage.Limit {
 	if !e.off.On(mechanism.Tolerance) {
--- a/edge/era_internal_test.go
+++ b/edge/era_internal_test.go
@@ -92,3 +92,26 @@
 	must.Eq(t, 31, newcomer.state.table.Version)
 	must.Eq(t, replica.Point{Era: 1, Version: 20}, newcomer.configRow())
 }
+
+// The store comes back from a copy of before the first configuration. Instances
+// that have one act on it, and must not look for another one all the time, nor lose
+// the proof of its age.
+func TestCopyWithoutAConfiguration(t *testing.T) {
+	e := newQuiet(t)
+	now := e.now()
+	row := configRow("0000001f", 30)
+	must.True(t, e.observe(0, 100*time.Second, now))
+	_, ok := e.takeAnswer(evidence.Config, replica.Answer{Version: 30, Whole: true, Rows: []replica.Row{row}}, 0, now)
+	must.True(t, ok)
+	must.True(t, e.observe(1, 100*time.Second, now))
+	_, ok = e.takeAnswer(evidence.Config, replica.Answer{Era: 1, Version: 5, Whole: true}, 0, now)
+	must.True(t, ok)
+	now += 2 * rewriteWait
+	e.applyNotice(evidence.Notice{Table: evidence.Config, Era: 1, Version: 5, StampUS: 102_000_000}, now)
+	must.True(t, e.hasToldConfig())
+	must.Eq(t, 0, e.keyAge(now))
+	must.Eq(t, 31, e.state.table.Version)
+	newcomer := newQuiet(t)
+	newcomer.takeSnapshot(e.snapshot(now), now)
+	must.Eq(t, 31, newcomer.state.table.Version)
+}
--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -84,10 +84,8 @@
 // configRow is the version of the configuration's row in this instance's copy.
 func (e *Edge) configRow() replica.Point {
 	at, _ := e.state.config.Point()
-	row, ok := e.state.config.Row(platform.KeyConfig)
-	if !ok {
-		return replica.Point{}
-	}
+	// A copy of the store may be older than the first configuration.
+	row, _ := e.state.config.Row(platform.KeyConfig)
 	return replica.Point{Era: at.Era, Version: row.Version}
 }
 
