edge: an unsigned error doesn't end a backend server's limit

An answer without the limit's header ended the limit, also an error of 4xx that nobody has signed and that may not come from the server itself. The instance then sent at will until the next good answer.

Fix: only a signed answer ends a limit; of others the known limit is told on.

--- a/edge/limits.go
+++ b/edge/limits.go
@@ -34,15 +34,35 @@
 		}
 		return nil
 	case named:
-		milli := uint32(math.Min(math.Round(limit*1000), math.MaxUint32))
-		e.limit(hash, milli, now)
-		return &milli
+		milli := milliPerSecond(limit)
+		e.limit(hash, *milli, now)
+		return milli
+	case a.result == health.OK && a.answer.Header.Get(platform.HeaderProof) == "":
+		// An error that nobody has signed may not come from the server itself.
+		return e.knownLimit(hash)
 	case a.result == health.OK && e.state.throttle.HeardBefore(hash, a.start):
 		e.unlimit(hash, now)
 	}
 	return nil
 }
 
+// knownLimit is the limit that a server last named, for the other instances.
+func (e *Edge) knownLimit(server uint32) *uint32 {
+	limit, limited := e.state.throttle.Limit(server)
+	if !limited {
+		return nil
+	}
+	return milliPerSecond(limit)
+}
+
+// perMilli is how many thousandths make a request a second.
+const perMilli = 1000
+
+func milliPerSecond(perSecond float64) *uint32 {
+	m := uint32(math.Min(math.Round(perSecond*perMilli), math.MaxUint32))
+	return &m
+}
+
 // applyLimit takes in what an answer to another instance says of its server's
 // limit. The lock must be held.
 func (e *Edge) applyLimit(a evidence.Attempt, now time.Duration) {
@@ -56,8 +76,8 @@
 	}
 }
 
-func (e *Edge) limit(server, milliPerSecond uint32, now time.Duration) {
-	perSecond := float64(milliPerSecond) / 1000
+func (e *Edge) limit(server, milli uint32, now time.Duration) {
+	perSecond := float64(milli) / perMilli
 	before, limited := e.state.throttle.Limit(server)
 	e.state.throttle.Named(server, perSecond, now)
 	if !limited || before != perSecond {
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -128,3 +128,30 @@
 	}
 	must.LessEq(t, before+2, limited.since(time.Time{}))
 }
+
+// A limited server's own error bears neither its signature nor its limit. Taken for
+// the limit's end, it would let everybody send at will until the next good answer.
+func TestUnsignedErrorDoesNotEndALimit(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1000, key)
+	limited := f.limitedServer("limited", "2")
+	answer := limited.answer
+	var n atomic.Int64
+	limited.answer = func(w http.ResponseWriter, r *http.Request) {
+		if n.Add(1)%10 > 1 {
+			limited.mu.Lock()
+			limited.times = append(limited.times, time.Now())
+			limited.mu.Unlock()
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		answer(w, r)
+	}
+	f.backend("other", nil)
+	f.up(4)
+	f.lookupsFor(time.Second, 10*time.Millisecond)
+	start := time.Now()
+	f.lookupsFor(4*time.Second, 10*time.Millisecond)
+	must.LessEq(t, 1.5*2*4+5, float64(limited.since(start)))
+}
