discovery: names of entries that are ignored; edge: one Retry-After for shares

Found on reading the diff. A server that doesn't count its writes isn't kept out after a copy of the store: it could never show that it has written again (TestServerThatDoesNot- CountItsWritesComesBack).

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -88,9 +88,9 @@
 	warm map[string]time.Duration
 	// left are the servers that have left, as they were last known.
 	left map[string]departed
-	// old are entries of the store that were ignored because they are older than
-	// what is known of their servers.
-	old map[string]Server
+	// ignored are entries of the store that are older than what is known of their
+	// servers.
+	ignored map[string]Server
 }
 
 // departed is a server that has left.
@@ -103,7 +103,7 @@
 func NewList() *List {
 	return &List{
 		servers: make(map[string]Server), missing: make(map[string]time.Duration), warm: make(map[string]time.Duration),
-		left: make(map[string]departed), old: make(map[string]Server),
+		left: make(map[string]departed), ignored: make(map[string]Server),
 	}
 }
 
@@ -111,8 +111,9 @@
 // has left stays out until it writes again: how often it had written isn't known by
 // then, because entries that only renew themselves aren't handed on.
 func (l *List) Restore(s Server, now time.Duration) (Change, bool) {
-	if left, ok := l.left[s.ID]; ok && now-left.at < leftFor && s.Born <= left.Born {
-		l.old[s.ID] = s
+	left, ok := l.left[s.ID]
+	if ok && now-left.at < leftFor && s.Born <= left.Born && s.Seq > 0 {
+		l.ignored[s.ID] = s
 		return Change{}, false
 	}
 	return l.Put(s, now)
@@ -122,25 +123,23 @@
 // only by that is no change. An entry that was written before the known one is
 // ignored: a late write of a process that is gone must not hide its successor.
 func (l *List) Put(s Server, now time.Duration) (Change, bool) {
-	known, ok := l.servers[s.ID]
-	if ok && s.olderThan(known) {
-		l.old[s.ID] = s
+	old, known := l.servers[s.ID]
+	if known && s.olderThan(old) {
+		l.ignored[s.ID] = s
 		return Change{}, false
 	}
-	if old, ignored := l.old[s.ID]; ignored {
-		if !ok && (s.olderThan(old) || s.Same(old) && s.Seq == old.Seq) {
-			return Change{}, false
-		}
-		delete(l.old, s.ID)
+	if ignored, ok := l.ignored[s.ID]; ok && !known && !ignored.olderThan(s) {
+		return Change{}, false
 	}
+	delete(l.ignored, s.ID)
 	delete(l.missing, s.ID)
 	delete(l.left, s.ID)
 	colder := l.turnsCold(s, now)
 	l.servers[s.ID] = s
-	if ok && known.Same(s) && !colder {
+	if known && old.Same(s) && !colder {
 		return Change{}, false
 	}
-	return Change{Server: s, New: !ok || s.Born != known.Born}, true
+	return Change{Server: s, New: !known || s.Born != old.Born}, true
 }
 
 // turnsCold notes the warm-up that an entry reports, and reports whether it is
@@ -159,7 +158,7 @@
 // store's fault: the server is then kept, and dropped by Expire at that time
 // unless it is listed again before.
 func (l *List) Remove(id string, now, keepUntil time.Duration) (Change, bool) {
-	delete(l.old, id)
+	delete(l.ignored, id)
 	s, known := l.servers[id]
 	if !known {
 		return Change{}, false
@@ -190,8 +189,8 @@
 // What the store says next of it is news, also if it is what the list has.
 func (l *List) Unsettled(id string) bool {
 	_, missing := l.missing[id]
-	_, old := l.old[id]
-	return missing || old
+	_, ignored := l.ignored[id]
+	return missing || ignored
 }
 
 // Expire drops the servers whose return was waited for in vain.
--- a/discovery/restore_test.go
+++ b/discovery/restore_test.go
@@ -89,3 +89,12 @@
 	must.False(t, ok)
 	must.False(t, l.Unsettled("a"))
 }
+
+// A server that doesn't count its writes can't show that it has written again.
+func TestServerThatDoesNotCountItsWritesComesBack(t *testing.T) {
+	l := discovery.NewList()
+	l.Put(server("a", 1), 0)
+	l.Remove("a", time.Second, 0)
+	_, ok := l.Restore(server("a", 1), 2*time.Second)
+	must.True(t, ok)
+}
--- a/edge/call.go
+++ b/edge/call.go
@@ -219,18 +219,21 @@
 		v.rule = RuleOutside
 	case placement.Evacuated:
 		v.rule = RuleEvacuated
-	case placement.Cold, placement.Limited:
-		v.rule = RuleCold
-		if obstacle == placement.Limited {
-			v.rule = RuleLimited
-		}
-		// Another instance may hold a share that is free at once.
-		v.retryAfter = min(max(wait, comeBackElsewhere), comeBackSoon)
+	case placement.Limited:
+		v.rule, v.retryAfter = RuleLimited, untilShare(wait)
+	case placement.Cold:
+		v.rule, v.retryAfter = RuleCold, untilShare(wait)
 	case placement.NoObstacle, placement.Draining:
 	}
 	return v
 }
 
+// untilShare is when to come back after this instance's share of a server was used
+// up: another instance may hold one that is free at once.
+func untilShare(wait time.Duration) time.Duration {
+	return min(max(wait, comeBackElsewhere), comeBackSoon)
+}
+
 func (e *Edge) wanted(c *call, tried []string, now time.Duration) placement.Request {
 	stats := e.statsOf(c.route)
 	repeatable := c.route.Kind.Repeatable()
