--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -1,41 +1,26 @@
 package warmup_test
 
 import (
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"foxtailspoke/internal/ratesim"
 	"foxtailspoke/warmup"
 )
 
-const (
-	step = time.Millisecond
-	// hearing is how long the news of a request takes to the other instances.
-	hearing = 30 * time.Millisecond
-)
-
-// policy is what an instance asks before it sends to a cold server.
-type policy interface {
-	allow(server uint32, now time.Duration) bool
-	sent(server uint32, now time.Duration)
-	// heard takes in a request of another instance.
-	heard(server uint32, now time.Duration)
-}
-
 // leases is the policy of package warmup.
 type leases struct {
 	*warmup.Limiter
 	rate float64
 }
 
-func (l leases) allow(server uint32, now time.Duration) bool {
-	ok, _ := l.Allow(server, l.rate, now)
+func (l leases) Allow(server uint32, now time.Duration) bool {
+	ok, _ := l.Limiter.Allow(server, l.rate, now)
 	return ok
 }
-func (l leases) sent(server uint32, now time.Duration) { l.Sent(server, now) }
-func (l leases) heard(uint32, time.Duration)           {}
+func (l leases) Heard(uint32, time.Duration) {}
 
 // sharedCount is the policy to compare with: an instance sends while it has
 // heard of fewer requests in the last second than the server bears, times the
@@ -45,7 +30,7 @@
 	log  map[uint32][]time.Duration
 }
 
-func (s sharedCount) allow(server uint32, now time.Duration) bool {
+func (s sharedCount) Allow(server uint32, now time.Duration) bool {
 	recent := 0
 	for _, at := range s.log[server] {
 		if now-at < time.Second {
@@ -55,147 +40,72 @@
 	return float64(recent)+1 <= s.rate
 }
 
-func (s sharedCount) sent(server uint32, now time.Duration) {
+func (s sharedCount) Sent(server uint32, now time.Duration) {
 	s.log[server] = append(s.log[server], now)
 }
-func (s sharedCount) heard(server uint32, now time.Duration) { s.sent(server, now) }
+func (s sharedCount) Heard(server uint32, now time.Duration) { s.Sent(server, now) }
 
 // scene is a fleet whose every request would go to a cold server if it may.
-type scene struct {
-	instances, servers int
-	// bears is what a cold server bears, in requests a second.
-	bears float64
-	// perSecond is how many requests the fleet gets.
-	perSecond float64
-	// halves says that each instance hears only every second other one.
-	halves bool
-	// alone says that nobody hears anybody and only the list of instances is known.
-	alone bool
-}
+type scene struct{ ratesim.Scene }
 
-func ids(n int) []uint32 {
-	list := make([]uint32, n)
-	for i := range list {
-		list[i] = 0x0a000001 + uint32(i)
-	}
-	return list
-}
-
-func without(list []uint32, skip int) []uint32 {
-	rest := append([]uint32(nil), list[:skip]...)
-	return append(rest, list[skip+1:]...)
-}
-
-func (s scene) leases() []policy {
-	all := ids(s.instances)
-	var p []policy
-	for i, id := range all {
-		l := warmup.NewLimiter(id)
-		l.SetInstances(without(all, i))
-		p = append(p, leases{l, s.bears})
-	}
-	return p
+func (s scene) leases() []ratesim.Policy {
+	return s.Fleet(func(self uint32, others []uint32) ratesim.Policy {
+		l := warmup.NewLimiter(self)
+		l.SetInstances(others)
+		return leases{l, s.Rate}
+	})
 }
 
-func (s scene) sharedCounts() []policy {
-	rate := s.bears
+func (s scene) sharedCounts() []ratesim.Policy {
+	rate := s.Rate
 	switch {
-	case s.halves:
+	case s.Halves:
 		rate /= 2
-	case s.alone:
-		rate /= float64(s.instances)
+	case s.Alone:
+		rate /= float64(s.Instances)
 	}
-	var p []policy
-	for range s.instances {
-		p = append(p, sharedCount{rate, make(map[uint32][]time.Duration)})
-	}
-	return p
-}
-
-type news struct {
-	at     time.Duration
-	from   int
-	server uint32
+	return s.Fleet(func(uint32, []uint32) ratesim.Policy {
+		return sharedCount{rate, make(map[uint32][]time.Duration)}
+	})
 }
 
-// play returns the most requests that a server got within a second, and the
-// share of what all servers bear that was used.
-func (s scene) play(policies []policy, seed uint64) (most int, used float64) {
-	const length = 3 * time.Second
-	rng := rand.New(rand.NewPCG(seed, 2))
-	arrivals := make(map[uint32][]time.Duration)
-	var pending []news
-	total := 0
-	for now := time.Duration(0); now < length; now += step {
-		for len(pending) > 0 && pending[0].at <= now {
-			n := pending[0]
-			pending = pending[1:]
-			for i, p := range policies {
-				if i != n.from && !s.alone && (!s.halves || i%2 == n.from%2) {
-					p.heard(n.server, now)
-				}
-			}
-		}
-		if rng.Float64() >= s.perSecond*step.Seconds() {
-			continue
-		}
-		i := rng.IntN(s.instances)
-		for _, k := range rng.Perm(s.servers) {
-			server := uint32(1000 + k*7919)
-			if policies[i].allow(server, now) {
-				policies[i].sent(server, now)
-				arrivals[server] = append(arrivals[server], now)
-				pending = append(pending, news{now + hearing, i, server})
-				total++
-				break
-			}
-		}
-	}
-	return busiest(arrivals), float64(total) / (s.bears * float64(s.servers) * length.Seconds())
-}
-
-func busiest(arrivals map[uint32][]time.Duration) (most int) {
-	for _, list := range arrivals {
-		first := 0
-		for last, at := range list {
-			for at-list[first] >= time.Second {
-				first++
-			}
-			most = max(most, last-first+1)
-		}
-	}
-	return most
+// play plays a scene for three seconds and counts what comes within one.
+func (s scene) play(fleet []ratesim.Policy, seed uint64) (most int, used float64) {
+	s.Length, s.Window = 3*time.Second, time.Second
+	return s.Play(fleet, seed)
 }
 
-var scenes = map[string]scene{
-	"a data centre returns":       {instances: 99, servers: 24, bears: 7.5, perSecond: 350},
-	"one server joins under load": {instances: 99, servers: 1, bears: 7.5, perSecond: 350},
-	"half don't hear each other":  {instances: 99, servers: 24, bears: 7.5, perSecond: 350, halves: true},
-	"all were just killed":        {instances: 99, servers: 47, bears: 7.5, perSecond: 900, alone: true},
-	"servers bear two a second":   {instances: 36, servers: 8, bears: 2, perSecond: 60},
-	"two a second, half unheard":  {instances: 36, servers: 8, bears: 2, perSecond: 60, halves: true},
-	"few instances":               {instances: 3, servers: 4, bears: 7.5, perSecond: 100},
-	"less than one a second":      {instances: 12, servers: 4, bears: 0.5, perSecond: 60},
+var scenes = map[string]ratesim.Scene{
+	"a data centre returns":       {Instances: 99, Servers: 24, Rate: 7.5, PerSecond: 350},
+	"one server joins under load": {Instances: 99, Servers: 1, Rate: 7.5, PerSecond: 350},
+	"half don't hear each other":  {Instances: 99, Servers: 24, Rate: 7.5, PerSecond: 350, Halves: true},
+	"all were just killed":        {Instances: 99, Servers: 47, Rate: 7.5, PerSecond: 900, Alone: true},
+	"servers bear two a second":   {Instances: 36, Servers: 8, Rate: 2, PerSecond: 60},
+	"two a second, half unheard":  {Instances: 36, Servers: 8, Rate: 2, PerSecond: 60, Halves: true},
+	"few instances":               {Instances: 3, Servers: 4, Rate: 7.5, PerSecond: 100},
+	"less than one a second":      {Instances: 12, Servers: 4, Rate: 0.5, PerSecond: 60},
 }
 
 // A cold server gets more requests within a second than it bears and breaks
 // down, because every instance finds it idle at the same moment.
 func TestColdServersGetWhatTheyBear(t *testing.T) {
-	for name, s := range scenes {
+	for name, drawn := range scenes {
+		s := scene{drawn}
 		for seed := range uint64(5) {
 			most, _ := s.play(s.leases(), seed)
-			must.LessEq(t, max(s.bears, 1), float64(most), must.Sprint(name, " seed ", seed))
+			must.LessEq(t, max(s.Rate, 1), float64(most), must.Sprint(name, " seed ", seed))
 		}
 	}
 }
 
 // What the two policies cost and use; see docs/design/shifted.md.
 func TestComparePolicies(t *testing.T) {
-	for name, s := range scenes {
+	for name, drawn := range scenes {
+		s := scene{drawn}
 		most, used := s.play(s.leases(), 1)
 		countMost, countUsed := s.play(s.sharedCounts(), 1)
 		t.Logf("%-28s bears %.1f: leases most %d, used %.2f; shared count most %d, used %.2f",
-			name, s.bears, most, used, countMost, countUsed)
+			name, s.Rate, most, used, countMost, countUsed)
 	}
 }
 
