discovery: counts of writes order entries only of servers that say when they started

The count begins anew with each start.

Tests: TestRestartWithoutATimeOfStartIsBelieved (failed before).

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -64,10 +64,14 @@
 	return s == o
 }
 
+// counted reports whether an entry tells which of the server's writes it is. The
+// count begins anew with each start, so that it says nothing without that.
+func (s Server) counted() bool { return s.Born > 0 && s.Seq > 0 }
+
 // olderThan reports whether an entry was written before another one of the same
 // server.
 func (s Server) olderThan(o Server) bool {
-	return s.Born < o.Born || (s.Born == o.Born && s.Seq > 0 && s.Seq < o.Seq)
+	return s.Born < o.Born || (s.Born == o.Born && s.counted() && s.Seq < o.Seq)
 }
 
 // Change is what became of one server.
@@ -112,7 +116,7 @@
 // then, because entries that only renew themselves aren't handed on.
 func (l *List) Restore(s Server, now time.Duration) (Change, bool) {
 	left, ok := l.left[s.ID]
-	if ok && now-left.at < leftFor && s.Born <= left.Born && s.Seq > 0 {
+	if ok && now-left.at < leftFor && s.Born <= left.Born && s.counted() {
 		l.ignored[s.ID] = s
 		return Change{}, false
 	}
--- a/discovery/restore_test.go
+++ b/discovery/restore_test.go
@@ -90,11 +90,27 @@
 	must.False(t, l.Unsettled("a"))
 }
 
-// A server that doesn't count its writes can't show that it has written again.
+// A server that doesn't count its writes, or not since when, can't show that it has
+// written again.
 func TestServerThatDoesNotCountItsWritesComesBack(t *testing.T) {
+	for _, s := range []discovery.Server{server("a", 1), server("a", 0)} {
+		l := discovery.NewList()
+		l.Put(s, 0)
+		l.Remove("a", time.Second, 0)
+		_, ok := l.Restore(s, 2*time.Second)
+		must.True(t, ok)
+	}
+}
+
+// A server that doesn't say when it started has started again: its count of writes
+// begins anew, and its entries aren't older for that.
+func TestRestartWithoutATimeOfStartIsBelieved(t *testing.T) {
 	l := discovery.NewList()
-	l.Put(server("a", 1), 0)
-	l.Remove("a", time.Second, 0)
-	_, ok := l.Restore(server("a", 1), 2*time.Second)
+	draining := server("a", 0)
+	draining.Seq, draining.Draining = 20, true
+	l.Put(draining, 0)
+	again := server("a", 0)
+	again.Seq = 1
+	_, ok := l.Put(again, time.Second)
 	must.True(t, ok)
 }
