--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -205,3 +205,22 @@
 	must.SliceEmpty(t, f.store.Rows("instances"))
 	eventually(t, 12*time.Second, "all instances are listed again", all)
 }
+
+// The store comes back from a copy. What instances learnt from their readers looked
+// as old as the proof of the configuration, and each of them read the store itself.
+func TestFewInstancesReadAStoreThatCameBack(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1000, key)
+	f.backend("one", nil)
+	f.up(12)
+	c := f.store.Copy()
+	f.changeOften(200)
+	time.Sleep(time.Second)
+	f.fromACopy(c)
+	before := f.store.Calls()
+	time.Sleep(2 * time.Second)
+	// Two readers and whoever asks first read three tables, after an attempt at their
+	// changes, and the store is polled as usual.
+	must.LessEq(t, 3*2*3+12, f.store.Calls()-before)
+}
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -152,8 +152,7 @@
 		case evidence.Config:
 			table.Stamp = s.configProof
 		case evidence.Servers:
-			// The stamp of the list: its age, on the store's clock.
-			table.Stamp = s.configProof - max(0, (now-s.serversProof)-e.keyAge(now))
+			table.Stamp = all.Clock - (now - s.serversProof)
 		case evidence.Instances:
 		}
 		all.Tables = append(all.Tables, table)
