--- a/edge/notices.go
+++ b/edge/notices.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"foxtailspoke/event"
@@ -164,18 +165,28 @@
 		if e.state.gapEnds > 0 {
 			return
 		}
-		e.state.gapEnds = now + time.Duration(rand.Float64()*float64(gapSpread))
-		if e.currentEra(e.state.servers) {
-			// Notices to come may bring it; an instance without any server of
-			// this era has nothing to wait for.
-			e.state.gapEnds += gapWait
-		}
+		e.state.gapEnds = now + e.gapPause()
 		wake(e.kicked)
 	case evidence.Instances:
 		e.state.nextListed = 0
 	}
 }
 
+// gapPause is how long to wait before changes that were missed are fetched. Notices to
+// come may bring them, but not to an instance that knows no server of this era. Its
+// readers go first there, so that the others find what they lack.
+func (e *Edge) gapPause() time.Duration {
+	spread := time.Duration(rand.Float64() * float64(gapSpread))
+	switch {
+	case e.currentEra(e.state.servers):
+		return spread + gapWait
+	case slices.Contains(e.readers(), e.self):
+		return 0
+	default:
+		return spread
+	}
+}
+
 func later(a, b replica.Point) replica.Point {
 	if a.Before(b) {
 		return b
