--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -190,7 +190,7 @@
 
 // Unsettled reports whether the store and this list differ about a server: it is
 // no longer listed there and its return waited for, or listed as it was before.
-// What the store says next of it is news, also if it is what the list has.
+// The next entry has to be handed on, even if it says what the list has.
 func (l *List) Unsettled(id string) bool {
 	_, missing := l.missing[id]
 	_, ignored := l.ignored[id]
--- a/edge/era.go
+++ b/edge/era.go
@@ -11,8 +11,7 @@
 
 // rewriteWait is how long after the store's return from a copy its answers prove
 // nothing of the configuration: operators' latest changes, such as a key that they
-// took away, may not be written again yet. An outage and this wait together stay
-// within freshness.Bounds.Keys as a rule, so that nothing is refused for it.
+// took away, may not be written again yet.
 const rewriteWait = time.Second
 
 // observe takes in the era and the clock of an answer of the store, to this instance
@@ -41,7 +40,7 @@
 	s.clock.Restart()
 	s.configProof = stamp - age
 	s.era, s.eraSince = era, stamp
-	// Entries of servers that wrote them after the copy are missing.
+	// Entries that were first written after the copy are missing.
 	s.outageEnd = now
 	s.restoredUntil = now + discovery.Grace
 	s.nextListed = 0
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -14,9 +14,9 @@
 	"foxtailspoke/upstream"
 )
 
-// limitMargin is how long the news of an answer that names a limit may take to
-// another instance. What others tell of requests that were sent earlier after it
-// doesn't end a limit.
+// limitMargin is how long another instance may take to learn of an answer that names
+// a limit. An answer to a request that another instance sent within that time after
+// it doesn't end the limit.
 const limitMargin = time.Second
 
 // learnLimit takes in what an answer says of its server's limit, and returns the
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -9,8 +9,8 @@
 // Idea: rendezvous hashing gives each limited server some holders among the
 // instances, a few more than the requests a second that it takes. Each holder
 // sends its part of the limit, and the turns of holders are staggered. The sum
-// holds while messages between instances are lost, because a holder needs nobody's
-// word for its part.
+// holds while messages between instances are lost, because no holder depends on
+// them.
 //
 // Trade-off: the part of a holder without a request lies idle. More holders with
 // smaller parts waste less, but may send more at once.
@@ -33,8 +33,8 @@
 	// leastRate is the rate in requests a second that is used of any limit, also
 	// of none: without a request, nobody would learn that the limit has ended.
 	leastRate = 0.1
-	// forgetAfter is the time without a word after which a limit is dropped. Its
-	// server is gone by then: a holder asks it every half a minute at the latest.
+	// forgetAfter is how long a limit is kept after it was last named. A server that
+	// lives gets a request of each holder every half a minute at the latest.
 	forgetAfter = 10 * time.Minute
 )
 
