Log which headers of a backend server an attempt's answer had

Both are new on the platform. Change: package platform decodes the two headers, event 532 has retry_after_ms and leaving. Nothing is decided by them yet.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -298,5 +298,11 @@
 	if a.answer.Err != nil {
 		attrs = append(attrs, slog.String("error", a.answer.Err.Error()))
 	}
+	if d, named, err := platform.ServerRetryAfter(a.answer.Status, a.answer.Header); named || err != nil {
+		attrs = append(attrs, slog.Int64("retry_after_ms", d.Milliseconds()))
+	}
+	if platform.ServerLeaving(a.answer.Header) {
+		attrs = append(attrs, slog.Bool("leaving", true))
+	}
 	event.AttemptEnded.Log(e.log, attrs...)
 }
