BUDGET: a server that rejects with Retry-After gets nothing from that instance until then

What callers saw: requests spent their attempts on servers that were known to refuse them, and were late or refused (not-run) for it. Servers got 3 or 4 requests from an instance within the 3 s in which they wanted none.

Cause: nothing read Retry-After in the answers of backend servers. A rejection raises the risk of a server only a little (0.05 to 0.15 in the incident), and a server that rejects everything has no outstanding requests, so that it is soon the cheapest choice again.

Change: package backoff keeps the end of the period for each run of a server; placement doesn't choose the server until then, for first attempts, retries, hedges and explorations alike, as all pass through Choose. The period outlives the server's registration and ends when the server restarts. If only such servers are left, requests are refused at once (servers-backing-off). Event 525, gauge servers_backing_off, column of status.

TestServerReceivesNothingWhileItBacksOff replays the load pattern; without the tracker the second request comes after 2.1 s.

--- a/edge/call.go
+++ b/edge/call.go
@@ -29,6 +29,7 @@
 	RuleNoServerInRegions Rule = "no-server-in-allowed-regions"
 	RuleServersEvacuated  Rule = "servers-evacuated"
 	RuleServersCold       Rule = "servers-cold"
+	RuleServersBackingOff Rule = "servers-backing-off"
 	RuleServersAtLimit    Rule = "servers-at-their-limit"
 	RuleNoRoom            Rule = "no-room"
 	RuleServerFailed      Rule = "server-failed"
@@ -223,6 +224,8 @@
 		v.rule = RuleNoServerInRegions
 	case placement.Evacuated:
 		v.rule = RuleServersEvacuated
+	case placement.BackingOff:
+		v.rule, v.retryAfter = RuleServersBackingOff, shareRetryAfter(wait)
 	case placement.RateLimited:
 		v.rule, v.retryAfter = RuleServersAtLimit, shareRetryAfter(wait)
 	case placement.Cold:
@@ -233,8 +236,8 @@
 }
 
 // shareRetryAfter returns the Retry-After for a server of which this instance has
-// used up its share. Another instance may have a free share at once, so the wait
-// is bounded.
+// used up its share, or which asked this instance to back off. Another instance may
+// use it at once, so the wait is bounded.
 func shareRetryAfter(wait time.Duration) time.Duration {
 	return min(max(wait, retryAfterElsewhere), retryAfterShort)
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
 
+	"foxtailspoke/backoff"
 	"foxtailspoke/discovery"
 	"foxtailspoke/edge/settings"
 	"foxtailspoke/entry/clock"
@@ -163,6 +164,8 @@
 	holders []uint32
 	// throttle keeps the fleet within the limits that servers set.
 	throttle *throttle.Limiter
+	// backoffs holds the servers that asked this instance to back off.
+	backoffs *backoff.Tracker
 }
 
 // routeStats holds the moving averages of one route's requests.
@@ -213,9 +216,11 @@
 		ownOutstanding: make(map[uint32]uint16),
 		limiter:        warmup.NewLimiter(self),
 		throttle:       throttle.NewLimiter(self),
+		backoffs:       backoff.NewTracker(),
 	}
 	e.state.placer.SetWarmUpLimiter(e.state.limiter)
 	e.state.placer.SetRateLimiter(e.state.throttle)
+	e.state.placer.SetBackoffs(e.state.backoffs)
 	e.state.messenger = fleet.NewMessenger(fleet.Settings{
 		Self: e.selfMember(), Epoch: e.epoch, Seeds: e.seedIDs(), Leaving: func() bool { return !e.readyLocked() }, Stopping: e.stopping.Load,
 	})
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -79,6 +79,9 @@
 	m.gauge("limited_servers", "Backend servers that name a limit in their answers.", e.locked(func() float64 {
 		return float64(e.state.throttle.LimitedServers())
 	}))
+	m.gauge("servers_backing_off", "Backend servers whose Retry-After keeps this instance from sending requests.", e.locked(func() float64 {
+		return float64(e.state.backoffs.Count(e.now()))
+	}))
 	m.gauge("instances_alive", "Other instances that are heard.", e.locked(func() float64 {
 		n := 0
 		for _, p := range e.state.messenger.Fleet().All() {
--- a/edge/publish.go
+++ b/edge/publish.go
@@ -49,6 +49,7 @@
 	now := e.now()
 	report := e.addOutstanding(a, -1)
 	report.LimitMilli = e.updateLimit(a, now)
+	e.updateBackoff(a, now)
 	report.Ended, report.Result, report.RequestOutcome = true, serverResult(c, a), final
 	work := e.routeStatsFor(c.route).work
 	took := a.took
--- a/edge/status.go
+++ b/edge/status.go
@@ -71,12 +71,14 @@
 	Service  string `json:"service"`
 	Servers  int    `json:"servers"`
 	Draining int    `json:"draining"`
-	// Cold, Limited and Evacuated count servers with restrictions: cold servers get
-	// requests at their warm-up rate, limited ones at most the rate that their
-	// responses set, and evacuated ones none.
-	Cold      int `json:"cold"`
-	Limited   int `json:"limited"`
-	Evacuated int `json:"evacuated"`
+	// Cold, Limited, Evacuated and BackingOff count servers with restrictions: cold
+	// servers get requests at their warm-up rate, limited ones at most the rate that
+	// their responses set, evacuated ones none, and those backing off none from this
+	// instance.
+	Cold       int `json:"cold"`
+	Limited    int `json:"limited"`
+	Evacuated  int `json:"evacuated"`
+	BackingOff int `json:"backingOff"`
 	// Outstanding is the number of requests in progress from all instances.
 	Outstanding int `json:"outstanding"`
 	Suspects    int `json:"suspects"`
@@ -157,6 +159,9 @@
 		if v.Evacuated {
 			sum.Evacuated++
 		}
+		if v.BackingOff {
+			sum.BackingOff++
+		}
 		if v.Risk > suspectRisk {
 			sum.Suspects++
 			suspects = append(suspects, suspectStatus(v))
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -140,6 +140,10 @@
 		524, slog.LevelInfo, "relay changed",
 		"This instance now sends its messages to `relay`, which forwards them to all others: the previous relay `before` is silent, is draining, or didn't echo a message, or a better one is known.", "If it changes again and again, check the network between these instances.",
 	}
+	ServerBackoff = Event{
+		525, slog.LevelWarn, "backend server asked to back off",
+		"A backend server rejected a request of this instance with Retry-After; this instance sends it nothing for `retry_after_ms`.", "If many instances log it, the server is short of capacity: see what else it serves.",
+	}
 	RequestEnded = Event{
 		531, slog.LevelInfo, "request ended",
 		"A caller's request was answered: `status` and `rule` say how, the other fields by which figures.", "See OPERATIONS.md; `foxtailspoke-edge explain` summarises these lines.",
@@ -164,7 +168,7 @@
 		EdgeStarted, EdgeStopping, EdgeStopped, SettingsReloaded, SettingsRejected,
 		ConfigInForce, ConfigRejected, ServerChanged, EntryIgnored, StoreCallFailed,
 		EvacuationStarted, EvacuationEnded, ServerLimited, StaleResponseIgnored, StoreRestored,
-		PeerReachable, PeerUnreachable, PeerMessageFailed, RelayChanged,
+		PeerReachable, PeerUnreachable, PeerMessageFailed, RelayChanged, ServerBackoff,
 		RequestEnded, AttemptEnded, LogLinesDropped,
 	}
 }
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -40,6 +40,7 @@
 	warmupEnd      time.Time
 	warmupArrivals []time.Time
 	limit          requestLimit
+	rejections     rejections
 }
 
 func newBackend(c *cluster, id, dataCentre string, warmup time.Duration) *backend {
@@ -80,6 +81,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if d := b.checkBackoff(id); d > 0 {
+		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 2, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -196,7 +203,7 @@
 	must.NoError(c.t, err)
 	// Without GetBody the client cannot rewind the body, and so does not resend the request.
 	req.GetBody = nil
-	record := &request{key: key, order: order, sentAt: time.Now()}
+	record := &request{key: key, order: order, sentAt: time.Now(), instance: address}
 	c.mu.Lock()
 	c.requests[id] = record
 	c.mu.Unlock()
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -95,16 +95,24 @@
 	// backend servers.
 	launchTimes              []time.Time
 	restoreCount, limitCount int
-	stop                     chan struct{}
-	wg                       sync.WaitGroup
+	// rejectionCount counts the requests that busy backend servers rejected.
+	// instanceFaults and linkFaults have the last time a process started, stopped or
+	// was paused, by address for callers, and the last disruption of each link.
+	rejectionCount int
+	instanceFaults map[string]time.Time
+	linkFaults     map[*standin.Link]time.Time
+	stop           chan struct{}
+	wg             sync.WaitGroup
 }
 
 type request struct {
 	key    string
 	order  bool
 	sentAt time.Time
-	status int
-	failed bool
+	// instance is the address that the request was sent to.
+	instance string
+	status   int
+	failed   bool
 }
 
 type process struct {
@@ -122,7 +130,7 @@
 	c := &cluster{
 		t: t, binary: binary, dir: t.TempDir(), subnet: 100 + clusterCount%100, store: rowstore.New("op", "servers"),
 		rng: rand.New(rand.NewPCG(seed, 1)), withdrawnAt: make(map[string]time.Time),
-		evacuatedSince: make(map[string]time.Time), requests: make(map[string]*request), executions: make(map[string][]time.Time), stop: make(chan struct{}),
+		evacuatedSince: make(map[string]time.Time), requests: make(map[string]*request), instanceFaults: make(map[string]time.Time), linkFaults: make(map[*standin.Link]time.Time), executions: make(map[string][]time.Time), stop: make(chan struct{}),
 	}
 	c.storeServer = httptest.NewServer(c.store)
 	c.client = &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{
@@ -244,6 +252,7 @@
 }
 
 func (c *cluster) launch(p *process) {
+	c.recordInstanceFault(p)
 	c.mu.Lock()
 	c.launchTimes = append(c.launchTimes, time.Now())
 	c.mu.Unlock()
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -103,6 +103,7 @@
 		return
 	}
 	p.restarting = true
+	c.recordInstanceFault(p)
 	p.signal(s)
 	c.wg.Go(func() {
 		<-p.done
@@ -120,9 +121,11 @@
 }
 
 func (c *cluster) pause(p *process, d time.Duration) {
+	c.recordInstanceFault(p)
 	p.signal(syscall.SIGSTOP)
 	time.AfterFunc(d, func() {
 		c.recordDisturbance()
+		c.recordInstanceFault(p)
 		p.signal(syscall.SIGCONT)
 	})
 }
@@ -162,6 +165,7 @@
 }
 
 func (c *cluster) setLinkState(l *standin.Link, s standin.LinkState) {
+	c.recordLinkFault(l)
 	if err := l.SetState(s); err != nil {
 		c.t.Error(err)
 	}
--- a/placement/exclusions.go
+++ b/placement/exclusions.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"foxtailspoke/backoff"
 	"foxtailspoke/health"
 	"foxtailspoke/throttle"
 	"foxtailspoke/warmup"
@@ -34,6 +35,8 @@
 	RegionNotAllowed
 	// Evacuated: the server's data centre is evacuated.
 	Evacuated
+	// BackingOff: the server asked this instance to send no requests for some time.
+	BackingOff
 	// RateLimited: the limit that the server announced is used up.
 	RateLimited
 	// Cold: the rate of a cold server is used up.
@@ -51,6 +54,9 @@
 // SetRateLimiter sets the limiter of requests to servers that announce a limit.
 func (p *Placer) SetRateLimiter(l *throttle.Limiter) { p.rateLimiter = l }
 
+// SetBackoffs sets the servers that asked this instance to back off.
+func (p *Placer) SetBackoffs(t *backoff.Tracker) { p.backoffs = t }
+
 // SetWarmUp sets the capacity of the servers of a service after a start.
 func (p *Placer) SetWarmUp(serviceName string, w WarmUp) { p.service(serviceName).warmUp = w }
 
@@ -89,9 +95,9 @@
 }
 
 // ExclusionReason returns why a request can't be sent to any server of its service: of
-// the servers' exclusions, the one most likely to end soon. For cold and limited servers
-// it also returns the minimum time until this instance may send to one of them, 0 if
-// unknown.
+// the servers' exclusions, the one most likely to end soon. For servers that are cold,
+// limited or backing off it also returns the minimum time until this instance may send to
+// one of them, 0 if unknown.
 func (p *Placer) ExclusionReason(r Request, now time.Duration) (Exclusion, time.Duration) {
 	g := p.service(r.Service)
 	reason, wait := NotExcluded, time.Duration(0)
@@ -113,6 +119,8 @@
 		return RegionNotAllowed
 	case p.evacuated[s.entry.DataCentre]:
 		return Evacuated
+	case p.backoffRemaining(s, now) > 0:
+		return BackingOff
 	}
 	if ok, _ := p.allowedByRateLimit(s, now); !ok {
 		return RateLimited
@@ -127,6 +135,8 @@
 // instance from sending to a server, 0 if unknown.
 func (p *Placer) waitUntilAllowed(g *service, s *server, e Exclusion, now time.Duration) (wait time.Duration) {
 	switch e {
+	case BackingOff:
+		wait = p.backoffRemaining(s, now)
 	case RateLimited:
 		_, wait = p.allowedByRateLimit(s, now)
 	case Cold:
@@ -136,6 +146,15 @@
 	return wait
 }
 
+// backoffRemaining returns the time until a server wants requests from this instance
+// again.
+func (p *Placer) backoffRemaining(s *server, now time.Duration) time.Duration {
+	if p.backoffs == nil {
+		return 0
+	}
+	return p.backoffs.Remaining(backoff.Run{ID: s.entry.ID, StartTimeMS: s.entry.StartTimeMS}, now)
+}
+
 // allowedByRateLimit reports whether the limit that a server announced allows another
 // request from this instance, or how long to wait for that.
 func (p *Placer) allowedByRateLimit(s *server, now time.Duration) (bool, time.Duration) {
--- a/placement/exclusions_test.go
+++ b/placement/exclusions_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"foxtailspoke/backoff"
 	"foxtailspoke/discovery"
 	"foxtailspoke/health"
 	"foxtailspoke/placement"
@@ -69,6 +70,51 @@
 	}
 }
 
+// An overloaded server rejects requests within a millisecond and is always the least
+// loaded. Guards against further requests to it until its Retry-After.
+func TestServerReceivesNothingWhileItBacksOff(t *testing.T) {
+	for _, r := range []placement.Request{nonRetryable(), retryable()} {
+		p := placer("a", "b", "c")
+		b := backoff.NewTracker()
+		p.SetBackoffs(b)
+		rng := rand.New(rand.NewPCG(1, 1))
+		r.RetryBudgetAmple = true
+		var arrivals []time.Duration
+		for now := time.Second; now < 20*time.Second; now += 50 * time.Millisecond {
+			c, ok := p.Choose(r, now, rng.Float64)
+			must.True(t, ok)
+			if c.Server.ID != "a" {
+				use(p, c.Server.ID, health.OK, now)
+				continue
+			}
+			use(p, "a", health.Shed, now)
+			b.Extend(backoff.Run{ID: "a"}, 3*time.Second, now)
+			arrivals = append(arrivals, now)
+		}
+		must.GreaterEq(t, 2, len(arrivals))
+		for i := 1; i < len(arrivals); i++ {
+			must.GreaterEq(t, 3*time.Second, arrivals[i]-arrivals[i-1])
+		}
+	}
+}
+
+// Guards against a refusal that names another cause, or no time to come back, when the
+// only server left is backing off.
+func TestBackOffIsTheReasonOfARefusal(t *testing.T) {
+	p := placer("a", "b")
+	b := backoff.NewTracker()
+	p.SetBackoffs(b)
+	b.Extend(backoff.Run{ID: "a"}, 3*time.Second, 0)
+	r := nonRetryable()
+	r.TriedServers = []string{"b"}
+	o, wait := p.ExclusionReason(r, time.Second)
+	must.Eq(t, placement.BackingOff, o)
+	must.Eq(t, 2*time.Second, wait)
+	for _, v := range p.ServerStatuses(time.Second) {
+		must.Eq(t, v.Server.ID == "a", v.BackingOff)
+	}
+}
+
 func TestExclusions(t *testing.T) {
 	p := placerWithDataCentres(map[string]string{"a": "dc", "b": "away"})
 	r := nonRetryable()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -16,8 +16,9 @@
 // which keeps the information about them current: they take over without a trial when
 // another server starts to fail, and each failing period costs few requests.
 //
-// Servers in evacuated data centres receive no requests, cold servers and those that
-// announce a rate limit no more than their limit, whatever the cost; see Exclusion.
+// Servers in evacuated data centres and those that asked this instance to back off
+// receive no requests, cold servers and those that announce a rate limit no more than
+// their limit, whatever the cost; see Exclusion.
 //
 // Trade-off: the least is known about servers that failed. Retryable requests probe
 // them as long as the retry budget is ample; if there are only non-retryable requests,
@@ -32,6 +33,7 @@
 	"math"
 	"time"
 
+	"foxtailspoke/backoff"
 	"foxtailspoke/discovery"
 	"foxtailspoke/health"
 	"foxtailspoke/mechanism"
@@ -94,6 +96,8 @@
 	warmUpLimiter *warmup.Limiter
 	// rateLimiter limits requests to servers that announce a limit; nil means no limit.
 	rateLimiter *throttle.Limiter
+	// backoffs holds the servers that asked this instance to back off; nil means none.
+	backoffs *backoff.Tracker
 }
 
 type service struct {
@@ -226,7 +230,8 @@
 func (p *Placer) shareInUse(g *service, now time.Duration) float64 {
 	used, all := 0, 0
 	for _, s := range g.servers {
-		if s.entry.Draining || p.evacuated[s.entry.DataCentre] || g.warmUp.limitsServer(s, now) || p.rateLimited(s) {
+		if s.entry.Draining || p.evacuated[s.entry.DataCentre] || p.backoffRemaining(s, now) > 0 ||
+			g.warmUp.limitsServer(s, now) || p.rateLimited(s) {
 			continue
 		}
 		all++
@@ -333,8 +338,8 @@
 	Risk     float64
 	Slowness float64
 	// Cold and RateLimited servers receive requests up to their limit, and Evacuated
-	// ones none.
-	Cold, RateLimited, Evacuated bool
+	// and BackingOff ones none.
+	Cold, RateLimited, Evacuated, BackingOff bool
 	// LastFailure is the result of the last failed attempt, SinceFailure ago; OK if none
 	// is known.
 	LastFailure  health.Result
@@ -347,7 +352,7 @@
 	for _, s := range p.byID {
 		statuses = append(statuses, ServerStatus{
 			Server: s.entry, Outstanding: s.currentOutstanding(now), Risk: s.risk(p.off, now), Slowness: s.slowness,
-			Cold: now < s.coldUntil, RateLimited: p.rateLimited(s), Evacuated: p.evacuated[s.entry.DataCentre],
+			Cold: now < s.coldUntil, RateLimited: p.rateLimited(s), Evacuated: p.evacuated[s.entry.DataCentre], BackingOff: p.backoffRemaining(s, now) > 0,
 			LastFailure: s.failureResult, SinceFailure: now - s.failedAt,
 		})
 	}
