--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -179,11 +179,13 @@
 	server *httptest.Server
 	mu     sync.Mutex
 	// writes is the sequence number of its last entry in the store.
-	writes   int
-	executed map[string]int
-	last     http.Header
-	lastURI  string
-	answer   func(w http.ResponseWriter, r *http.Request)
+	writes int
+	// startTimeMS is the start time in its entry.
+	startTimeMS int64
+	executed    map[string]int
+	last        http.Header
+	lastURI     string
+	answer      func(w http.ResponseWriter, r *http.Request)
 }
 
 // backend starts a server of service s; answer replaces its default response.
@@ -195,7 +197,7 @@
 // backendIn starts a server in the given data centre.
 func (f *fleet) backendIn(zone, id string, answer func(w http.ResponseWriter, r *http.Request)) *backend {
 	f.t.Helper()
-	b := &backend{id: id, zone: zone, executed: make(map[string]int), answer: answer}
+	b := &backend{id: id, zone: zone, executed: make(map[string]int), answer: answer, startTimeMS: 1790000000000}
 	b.server = httptest.NewServer(b)
 	f.t.Cleanup(b.server.Close)
 	f.writeEntry(b, "ready")
@@ -210,7 +212,7 @@
 	b.writes++
 	v, err := json.Marshal(map[string]any{
 		"service": "s", "address": strings.TrimPrefix(b.server.URL, "http://"), "zone": b.zone, "version": "v1",
-		"slots": 4, "state": state, "warmup_left_s": coldS, "seq": b.writes, "born": 1790000000000,
+		"slots": 4, "state": state, "warmup_left_s": coldS, "seq": b.writes, "born": b.startTimeMS,
 	})
 	must.NoError(f.t, err)
 	f.store.Put("servers", b.id, v)
