DRAIN: a server that says in a response that it leaves gets no new requests

What callers would see: requests at a server that ends soon, lost if they can't be repeated. The instance knows better than the store: some servers never write that they drain, and in an outage of the store no entry arrives.

Change: discovery.List keeps which run of a server said that it leaves and gives its changes out as draining, whatever the entry says, until a later run is listed. The list itself keeps entries as written: if the reader of the store took the entry's change to draining for nothing new, it would not forward it to the other instances (TestDrainingEntryIsAChangeAfterTheServerSaidItLeaves). The stand-in and the soak's servers send the header; in the soak some servers leave without writing it, and a server that has left comes back with a later start, as on the platform.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -12,6 +12,10 @@
 // before. The known state of a server is kept until the server itself writes
 // again: a server that is draining or has left must not come back through an
 // old entry.
+//
+// A server that says in a response that it is about to stop is draining for the rest
+// of its run, whatever its entry says: some servers never write it, and during a
+// store outage no entry arrives.
 package discovery
 
 import (
@@ -38,6 +42,10 @@
 // entry does not bring it back. Backups of the store are some seconds old.
 const departedRetention = time.Minute
 
+// leavingRetention is how long a server that said that it is about to stop is
+// remembered after its entry was removed.
+const leavingRetention = 10 * time.Minute
+
 // Server is a backend server.
 type Server struct {
 	ID      string
@@ -88,6 +96,7 @@
 
 // List is the list of known servers. It is not safe for concurrent use.
 type List struct {
+	// servers has the entries as written.
 	servers map[string]Server
 	// removalDue holds when a server that the store no longer lists is removed.
 	removalDue map[string]time.Duration
@@ -98,6 +107,8 @@
 	// staleEntries holds entries of the store that are older than the known
 	// state of their servers.
 	staleEntries map[string]Server
+	// leaving holds the servers that said in a response that they are about to stop.
+	leaving map[string]leavingRun
 }
 
 // departedServer is a removed server with the time of its removal.
@@ -106,10 +117,18 @@
 	at time.Duration
 }
 
+// leavingRun is the run of a server that said at the given time that it is about to
+// stop.
+type leavingRun struct {
+	startTimeMS int64
+	at          time.Duration
+}
+
 func NewList() *List {
 	return &List{
 		servers: make(map[string]Server), removalDue: make(map[string]time.Duration), warmUpEnd: make(map[string]time.Duration),
 		departed: make(map[string]departedServer), staleEntries: make(map[string]Server),
+		leaving: make(map[string]leavingRun),
 	}
 }
 
@@ -147,7 +166,39 @@
 	if known && old.EqualExceptRenewal(s) && !newWarmUp {
 		return Change{}, false
 	}
-	return Change{Server: s, New: !known || s.StartTimeMS != old.StartTimeMS}, true
+	return Change{Server: l.withLeaving(s), New: !known || s.StartTimeMS != old.StartTimeMS}, true
+}
+
+// MarkLeaving applies that a server has said in a response that it is about to stop.
+// It reports whether that is a change of its state.
+func (l *List) MarkLeaving(id string, startTimeMS int64, now time.Duration) (Change, bool) {
+	l.forgetLeft(now)
+	s, known := l.servers[id]
+	before := l.withLeaving(s)
+	l.leaving[id] = leavingRun{startTimeMS, now}
+	after := l.withLeaving(s)
+	return Change{Server: after}, known && after != before
+}
+
+// withLeaving returns a server's entry, draining if the server has said in a response
+// of this run that it is about to stop.
+//
+// The list itself keeps entries as the store has them. The change of an entry to
+// draining would otherwise go unnoticed, and not be forwarded to other instances.
+func (l *List) withLeaving(s Server) Server {
+	run, ok := l.leaving[s.ID]
+	s.Draining = s.Draining || ok && s.StartTimeMS <= run.startTimeMS
+	return s
+}
+
+// forgetLeft forgets servers that are no longer listed and said long ago that they
+// are about to stop.
+func (l *List) forgetLeft(now time.Duration) {
+	for id, run := range l.leaving {
+		if _, listed := l.servers[id]; !listed && now-run.at >= leavingRetention {
+			delete(l.leaving, id)
+		}
+	}
 }
 
 // recordWarmUp stores the end of the warm-up that an entry reports, and reports
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -106,3 +106,57 @@
 	must.Len(t, 1, removed)
 	must.Zero(t, l.Len())
 }
+
+// Guards against new requests to a server that has said in a response that it is about
+// to stop, through entries that don't say so.
+func TestServerThatSaysItLeavesStaysDraining(t *testing.T) {
+	l := discovery.NewList()
+	l.Put(server("a", 5), 0)
+	c, ok := l.MarkLeaving("a", 5, time.Second)
+	must.True(t, ok && c.Server.Draining && !c.New && !c.Removed)
+	_, ok = l.MarkLeaving("a", 5, time.Second)
+	must.False(t, ok)
+	cold := server("a", 5)
+	cold.WarmUp = 3 * time.Second
+	c, ok = l.Put(cold, 2*time.Second)
+	must.True(t, ok && c.Server.Draining)
+	l.Remove("a", 3*time.Second, 0)
+	c, ok = l.Put(server("a", 5), 4*time.Second)
+	must.True(t, ok && c.Server.Draining)
+	c, ok = l.Put(server("a", 6), 5*time.Second)
+	must.True(t, ok && c.New && !c.Server.Draining)
+}
+
+// The instance that reads the store forwards changes of entries. Guards against the
+// others never learning that a server drains, because the reader knew it already from
+// a response.
+func TestDrainingEntryIsAChangeAfterTheServerSaidItLeaves(t *testing.T) {
+	l := discovery.NewList()
+	l.Put(server("a", 5), 0)
+	l.MarkLeaving("a", 5, time.Second)
+	draining := server("a", 5)
+	draining.Draining = true
+	_, ok := l.Put(draining, 2*time.Second)
+	must.True(t, ok)
+}
+
+// A response of the previous run arrives after the entry of the new one.
+func TestResponseOfAnEarlierRunDoesNotStopARestartedServer(t *testing.T) {
+	l := discovery.NewList()
+	l.Put(server("a", 6), 0)
+	_, ok := l.MarkLeaving("a", 5, time.Second)
+	must.False(t, ok)
+	c, ok := l.Put(server("b", 1), time.Second)
+	must.True(t, ok && !c.Server.Draining)
+}
+
+// Guards against memory that grows with every server that ever left.
+func TestServersThatLeftAreForgotten(t *testing.T) {
+	l := discovery.NewList()
+	l.Put(server("a", 5), 0)
+	l.MarkLeaving("a", 5, 0)
+	l.Remove("a", 0, 0)
+	l.MarkLeaving("b", 1, time.Hour)
+	c, ok := l.Put(server("a", 5), time.Hour)
+	must.True(t, ok && !c.Server.Draining)
+}
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"math"
-	"net/http"
 	"time"
 
 	"foxtailspoke/event"
@@ -11,7 +10,6 @@
 	"foxtailspoke/health"
 	"foxtailspoke/placement"
 	"foxtailspoke/platform"
-	"foxtailspoke/upstream"
 )
 
 // limitPropagationDelay is the time that another instance may take to learn of a
@@ -22,7 +20,7 @@
 // updateLimit applies the limit in a server's response and returns the limit to
 // announce to the other instances, if any. The lock must be held.
 func (e *Edge) updateLimit(a *attempt, now time.Duration) *uint32 {
-	if a.answer.Outcome != upstream.Completed || a.result == health.Mismatch || a.answer.Status == http.StatusMisdirectedRequest {
+	if !a.answeredByServer() {
 		return nil
 	}
 	hash := placement.Hash(a.choice.Server.ID)
--- a/edge/publish.go
+++ b/edge/publish.go
@@ -50,6 +50,7 @@
 	report := e.addOutstanding(a, -1)
 	report.LimitMilli = e.updateLimit(a, now)
 	e.updateBackoff(a, now)
+	e.updateLeaving(a, now)
 	report.Ended, report.Result, report.RequestOutcome = true, serverResult(c, a), final
 	work := e.routeStatsFor(c.route).work
 	took := a.took
--- a/edge/server_notices.go
+++ b/edge/server_notices.go
@@ -2,18 +2,41 @@
 
 import (
 	"log/slog"
+	"net/http"
 	"time"
 
 	"foxtailspoke/backoff"
 	"foxtailspoke/event"
+	"foxtailspoke/health"
 	"foxtailspoke/platform"
 	"foxtailspoke/upstream"
 )
 
+// answeredByServer reports whether the attempt's response comes from the chosen server,
+// not from another one that has its address now.
+func (a *attempt) answeredByServer() bool {
+	return a.answer.Outcome == upstream.Completed && a.result != health.Mismatch && a.answer.Status != http.StatusMisdirectedRequest
+}
+
+// updateLeaving applies that a server's response says that it is about to stop. The
+// lock must be held.
+func (e *Edge) updateLeaving(a *attempt, now time.Duration) {
+	if !a.answeredByServer() || !platform.ServerLeaving(a.answer.Header) {
+		return
+	}
+	server := a.choice.Server
+	c, changed := e.state.serverList.MarkLeaving(server.ID, server.StartTimeMS, now)
+	if !changed {
+		return
+	}
+	e.applyServerChange(c, now)
+	event.ServerLeaving.Log(e.log, slog.String("server", server.ID), slog.String("service", server.Service))
+}
+
 // updateBackoff applies the Retry-After of a server's rejection. The lock must be
 // held.
 func (e *Edge) updateBackoff(a *attempt, now time.Duration) {
-	if a.answer.Outcome != upstream.Completed {
+	if !a.answeredByServer() {
 		return
 	}
 	server := a.choice.Server
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -144,6 +144,10 @@
 		525, slog.LevelWarn, "backend server asked to back off",
 		"A backend server rejected a request of this instance with Retry-After; this instance sends it nothing for `retry_after_ms`.", "If many instances log it, the server is short of capacity: see what else it serves.",
 	}
+	ServerLeaving = Event{
+		526, slog.LevelInfo, "backend server says that it leaves",
+		"A response of a backend server says that it is about to stop, before its entry in the store did; this instance sends it no new requests.", "Nothing.",
+	}
 	RequestEnded = Event{
 		531, slog.LevelInfo, "request ended",
 		"A caller's request was answered: `status` and `rule` say how, the other fields by which figures.", "See OPERATIONS.md; `foxtailspoke-edge explain` summarises these lines.",
@@ -168,7 +172,7 @@
 		EdgeStarted, EdgeStopping, EdgeStopped, SettingsReloaded, SettingsRejected,
 		ConfigInForce, ConfigRejected, ServerChanged, EntryIgnored, StoreCallFailed,
 		EvacuationStarted, EvacuationEnded, ServerLimited, StaleResponseIgnored, StoreRestored,
-		PeerReachable, PeerUnreachable, PeerMessageFailed, RelayChanged, ServerBackoff,
+		PeerReachable, PeerUnreachable, PeerMessageFailed, RelayChanged, ServerBackoff, ServerLeaving,
 		RequestEnded, AttemptEnded, LogLinesDropped,
 	}
 }
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -33,6 +33,11 @@
 	mu            sync.Mutex
 	failUntil     time.Time
 	drainingSince time.Time
+	// leavesSilently means that the server leaves without writing that it drains.
+	leavesSilently bool
+	// startTimeMS is the start time in the server's entry. A server that has drained
+	// comes back with a later one.
+	startTimeMS int64
 
 	dataCentre string
 	// warmupEnd is when the server can take its full load. warmupArrivals has the
@@ -44,7 +49,7 @@
 }
 
 func newBackend(c *cluster, id, dataCentre string, warmup time.Duration) *backend {
-	b := &backend{cluster: c, id: id, dataCentre: dataCentre}
+	b := &backend{cluster: c, id: id, dataCentre: dataCentre, startTimeMS: 1790000000000}
 	b.http = httptest.NewServer(b)
 	b.link = c.startLink(strings.TrimPrefix(b.http.URL, "http://"))
 	b.warmupEnd = time.Now().Add(warmup)
@@ -53,15 +58,20 @@
 }
 
 func (b *backend) register(state string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if state == "ready" && b.isLeaving() {
+		b.startTimeMS++
+		b.leavesSilently = false
+		b.cluster.forgetLeaving(b)
+	}
 	entry, err := json.Marshal(map[string]any{
 		"service": "s", "address": b.link.Address(), "zone": b.dataCentre, "slots": 4,
 		"warmup_left_s": max(0, time.Until(b.warmupEnd).Seconds()),
-		"state":         state, "seq": b.writes.Add(1), "born": 1790000000000,
+		"state":         state, "seq": b.writes.Add(1), "born": b.startTimeMS,
 	})
 	must.NoError(b.cluster.t, err)
 	b.cluster.store.Put("servers", b.id, entry)
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.drainingSince = time.Time{}
 	if state == "draining" {
 		b.drainingSince = time.Now()
@@ -77,6 +87,14 @@
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
+	seal := "seal"
+	b.mu.Lock()
+	leaving := b.isLeaving()
+	b.mu.Unlock()
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+		seal = leavingSeal + b.id
+	}
 	if r.Header.Get("X-Expect-Instance") != b.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -99,7 +117,7 @@
 	if failing && rand.IntN(5) > 0 {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("X-Response-Seal", "seal")
+	w.Header().Set("X-Response-Seal", seal)
 	if perSecond := b.announcedLimit(); perSecond > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(perSecond, 'f', 2, 64))
 	}
@@ -119,6 +137,7 @@
 	req, known := c.requests[id]
 	c.checkPlacement(b, id, now)
 	c.checkLimit(b, now)
+	c.checkLeaving(b, id)
 	switch {
 	case !known:
 		c.violations = append(c.violations, "backend server executed a request that no caller sent: "+id)
@@ -224,6 +243,7 @@
 		return false
 	}
 	record.status = resp.StatusCode
+	c.recordLeaving(record, resp.Header.Get("X-Response-Seal"))
 	if resp.StatusCode == http.StatusOK && string(body) != id+"+"+id {
 		c.violations = append(c.violations, fmt.Sprintf("request %s received the wrong response body %q", id, body))
 	}
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -101,8 +101,12 @@
 	rejectionCount int
 	instanceFaults map[string]time.Time
 	linkFaults     map[*standin.Link]time.Time
-	stop           chan struct{}
-	wg             sync.WaitGroup
+	// leaving has, by backend server and instance, when the instance first returned a
+	// response that says that the server leaves. leavingCount counts these.
+	leaving      map[string]map[string]time.Time
+	leavingCount int
+	stop         chan struct{}
+	wg           sync.WaitGroup
 }
 
 type request struct {
@@ -130,7 +134,7 @@
 	c := &cluster{
 		t: t, binary: binary, dir: t.TempDir(), subnet: 100 + clusterCount%100, store: rowstore.New("op", "servers"),
 		rng: rand.New(rand.NewPCG(seed, 1)), withdrawnAt: make(map[string]time.Time),
-		evacuatedSince: make(map[string]time.Time), requests: make(map[string]*request), instanceFaults: make(map[string]time.Time), linkFaults: make(map[*standin.Link]time.Time), executions: make(map[string][]time.Time), stop: make(chan struct{}),
+		evacuatedSince: make(map[string]time.Time), requests: make(map[string]*request), instanceFaults: make(map[string]time.Time), linkFaults: make(map[*standin.Link]time.Time), leaving: make(map[string]map[string]time.Time), executions: make(map[string][]time.Time), stop: make(chan struct{}),
 	}
 	c.storeServer = httptest.NewServer(c.store)
 	c.client = &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{
--- a/internal/soak/rejections_test.go
+++ b/internal/soak/rejections_test.go
@@ -32,9 +32,9 @@
 	arrivals   int
 }
 
-// injectRejections has backend servers reject requests with Retry-After, each for some
-// seconds, in random order for d.
-func (c *cluster) injectRejections(backends []*backend, seed uint64, d time.Duration) {
+// injectServerNotices has backend servers reject requests with Retry-After, or leave
+// without writing that they drain, each for some seconds, in random order for d.
+func (c *cluster) injectServerNotices(backends []*backend, seed uint64, d time.Duration) {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	randomDuration := func(shortest, longest time.Duration) time.Duration {
 		return shortest + time.Duration(rng.Int64N(int64(longest-shortest)))
@@ -45,6 +45,10 @@
 			return
 		}
 		b := backends[rng.IntN(len(backends))]
+		if rng.IntN(3) == 0 {
+			b.leaveSilently(randomDuration(3*time.Second, 6*time.Second))
+			continue
+		}
 		c.mu.Lock()
 		b.rejections.busyUntil = time.Now().Add(randomDuration(time.Second, 4*time.Second))
 		b.rejections.retryAfter = randomDuration(time.Second, 4*time.Second)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -31,11 +31,14 @@
 //   - A draining backend server and an evacuated data centre receive no new requests.
 //   - Backend servers that announce a limit or are warming up, and the limited
 //     workspace, stay within their limits.
+//   - A backend server that says in a response that it leaves receives no new requests
+//     from that instance, whatever the state of the store.
 //   - Backend servers that reject requests with Retry-After receive none until then.
 //   - Lookups are served again after the faults end.
 //
 // Seeds other than regressionSeeds also restore the store from a copy and have
-// backend servers announce limits and reject requests.
+// backend servers announce limits, reject requests
+// and leave.
 func TestSoak(t *testing.T) {
 	binary := buildEdge(t)
 	for seed := range regressionSeeds {
@@ -57,7 +60,7 @@
 	if restoresAndLimits {
 		backends := c.backends[:serverCount:serverCount]
 		c.wg.Go(func() { c.injectRestoresAndLimits(backends, seed, *faultPeriod) })
-		c.wg.Go(func() { c.injectRejections(backends, seed, *faultPeriod) })
+		c.wg.Go(func() { c.injectServerNotices(backends, seed, *faultPeriod) })
 	}
 	c.injectFaults(*faultPeriod)
 	c.verifyRecovery()
@@ -65,7 +68,8 @@
 		t.Errorf("seed %d: %s", seed, violation)
 	}
 	served, refused, failed := c.outcomeCounts()
-	t.Logf("seed %d: %d store restores, %d limits announced, %d requests rejected", seed, c.restoreCount, c.limitCount, c.rejectionCount)
+	t.Logf("seed %d: %d store restores, %d limits announced, %d requests rejected, %d times a server said that it leaves",
+		seed, c.restoreCount, c.limitCount, c.rejectionCount, c.leavingCount)
 	t.Logf("seed %d: %d served, %d refused, %d failed", seed, served, refused, failed)
 	must.Positive(t, served)
 	if t.Failed() {
--- a/internal/standin/backend_requests.go
+++ b/internal/standin/backend_requests.go
@@ -46,6 +46,7 @@
 	if conn, ok := r.Context().Value(connKey{}).(*faultConn); ok {
 		conn.capture.addRequest(r.Method + " " + r.RequestURI + " HTTP/")
 	}
+	b.setLeavingHeader(w)
 	execution, err := b.readRequest(r)
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -77,6 +78,13 @@
 	b.execute(ctx, w, r, execution)
 }
 
+// setLeavingHeader sets leavingHeader if the server is draining.
+func (b *Backend) setLeavingHeader(w http.ResponseWriter) {
+	if b.isDraining() {
+		w.Header().Set(leavingHeader, "1")
+	}
+}
+
 // readRequest reads the entire request body. It fails for truncated requests,
 // which must not be executed.
 func (b *Backend) readRequest(r *http.Request) (Execution, error) {
--- a/internal/standin/backend_response.go
+++ b/internal/standin/backend_response.go
@@ -49,6 +49,7 @@
 
 // sendResponse sends the response as modified by the fault.
 func (b *Backend) sendResponse(w http.ResponseWriter, r *http.Request, fault responseFault, resp response) {
+	b.setLeavingHeader(w)
 	switch fault {
 	case errorResponse:
 		resp.status = http.StatusInternalServerError
--- a/internal/standin/backend_test.go
+++ b/internal/standin/backend_test.go
@@ -173,8 +173,13 @@
 
 	must.Eq(t, http.StatusNoContent, callControlAPI(t, http.MethodPost, b.ControlURL()+"/control/drain", "").status)
 	must.Eq(t, "catalogue a luzon leaving", state())
-	requireNotExecuted(t, request{}.send(t, newClient(t), b.URL()), http.StatusServiceUnavailable)
-	must.Eq(t, http.StatusOK, (<-running).status)
+	rejected, served := request{}.send(t, newClient(t), b.URL()), <-running
+	requireNotExecuted(t, rejected, http.StatusServiceUnavailable)
+	must.NotEq(t, "", rejected.header.Get("Retry-After"))
+	must.Eq(t, http.StatusOK, served.status)
+	for _, r := range []response{rejected, served} {
+		must.Eq(t, "1", r.header.Get("Server-Leaving"))
+	}
 	b.Shutdown(t.Context())
 	must.Eq(t, "catalogue a luzon ended", state())
 	must.Positive(t, p.Counts().Writes)
--- a/internal/standin/protocol.go
+++ b/internal/standin/protocol.go
@@ -18,6 +18,10 @@
 	OutcomeGaveUp = wire.OutcomeGaveUp
 )
 
+// leavingHeader is "1" in all responses of a backend server of the users' platform that
+// is about to stop.
+const leavingHeader = "Server-Leaving"
+
 // Paths reserved for the backend server itself. ReservedPrefix is their common
 // prefix.
 const (
