A workspace's first requests are not refused as over its rate

What callers saw: 429 over-rate (or 503) for the first requests of a workspace after its lists were in force everywhere; seen once as TestRunGoesAsPromised beside load.

Cause: the first holders of a shard waited as long as if former holders were still using their parts, and then began with empty buckets. Nobody has held the parts of a first row.

Change: entries of the first row (Since 0) may be used as soon as their holder knows the row, and begin full. What is admitted stays bounded by burst + rate*w: nothing was in use before.

--- a/config/config.go
+++ b/config/config.go
@@ -129,7 +129,8 @@
 	Instance string `json:"instance"`
 	Parts    int    `json:"parts"`
 	// Since is the table revision that was the precondition of the write
-	// that last increased Parts. It is different for each such write.
+	// that last increased Parts. It is different for each such write, and 0 for
+	// the write of the shard's first row.
 	Since uint64 `json:"since"`
 }
 
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -48,6 +48,10 @@
 // the new one, so the bound is the larger of both until T after the change is
 // in force.
 //
+// A shard's first row has no former holders, so that nothing is in use when its
+// holders learn it: S is 0. They start at once and full, which raises S to burst.
+// Otherwise requests would be refused as over the rate before any was admitted.
+//
 // Rebalancing (Rebalance) and returning tokens (Settlement.Back) follow the
 // same rules: a stored token counts against the capacity of the instance that
 // stores it, and a returned one ends the outstanding transfer that occupied
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -70,8 +70,9 @@
 // takes effect.
 //
 // A new entry starts empty, and only after the time in which tokens given by
-// the former holders may still be used. If parts are removed, their share of
-// the tokens is removed too.
+// the former holders may still be used. An entry of the shard's first row starts
+// full and at once: it has no former holders. If parts are removed, their share
+// of the tokens is removed too.
 func (h *Holder) SetGrants(now time.Duration, name string, grants []Grant) {
 	h.SetGrantsWithGrace(now, name, grants, now)
 }
@@ -90,7 +91,7 @@
 		s = &shard{buckets: map[Bucket]*bucket{}}
 		h.shards[name] = s
 	}
-	next := s.mergeGrants(grants, now+h.settings.settleTime())
+	next := s.mergeGrants(grants, now, h.settings.settleTime())
 	next = append(next, s.revokedGrants(now, grants, until)...)
 	s.setGrants(now, next, h.settings.Drift)
 	if len(next) == 0 {
@@ -100,11 +101,15 @@
 
 // mergeGrants returns the new grants. Those known before keep their times and
 // never gain parts.
-func (s *shard) mergeGrants(grants []Grant, from time.Duration) []grant {
+func (s *shard) mergeGrants(grants []Grant, now, settleTime time.Duration) []grant {
 	var next []grant
 	for _, g := range grants {
 		known, ok := s.findGrant(g.Since)
 		if !ok {
+			from := now
+			if g.Since != firstRow {
+				from += settleTime
+			}
 			next = append(next, grant{Grant: g, from: from})
 			continue
 		}
@@ -213,17 +218,22 @@
 	return own, parts
 }
 
-// newBucket returns a bucket that was empty when the first grant became
-// active, or at the last use of any evicted bucket if that is later.
+// newBucket returns a bucket that had the tokens of the first row's parts when
+// the first grant became active, or was empty at the last use of any evicted
+// bucket if that is later.
 func (s *shard) newBucket(l config.Limit) *bucket {
-	start := s.grants[0].from
+	start, unused := s.grants[0].from, 0
 	for _, g := range s.grants {
 		start = min(start, g.from)
+		if g.Since == firstRow {
+			unused += g.Parts
+		}
 	}
+	level := capacity(l, unused)
 	if s.hasEvicted {
-		start = max(start, s.evictedLastUse)
+		start, level = max(start, s.evictedLastUse), 0
 	}
-	return &bucket{limit: l, updatedAt: start, lastUsed: start}
+	return &bucket{limit: l, level: level, updatedAt: start, lastUsed: start}
 }
 
 // EvictIdle removes the buckets that would be full by now even if their last
--- a/quota/shard.go
+++ b/quota/shard.go
@@ -16,8 +16,8 @@
 	return strconv.FormatUint(xxhash.Sum64String(workspace)%uint64(max(shards, 1)), 10)
 }
 
-// Grant is an entry of a shard's row that names this instance and whose write
-// is in force. An entry is identified by its Since. The parts of an entry only
+// Grant is an entry of a shard's row that names this instance and that it may
+// use. An entry is identified by its Since. The parts of an entry only
 // ever decrease: additional parts come as another entry with another Since. So
 // an instance that finds an entry it already knew has held at least these
 // parts all along, even if it missed rows in between.
@@ -26,16 +26,22 @@
 	Parts int
 }
 
-// Grants returns the entries of a row that name the instance and are in force.
-// inForce reports whether the write made at table revision since is known to
-// be in force everywhere (package membership). An invalid row grants nothing.
+// firstRow is the Since of the entries of a shard's first row. Nobody has held
+// their parts before.
+const firstRow = 0
+
+// Grants returns the entries of a row that name the instance and may be used:
+// those that are in force, and those of the shard's first row, which take
+// nothing from a former holder. inForce reports whether the write made at table
+// revision since is known to be in force everywhere (package membership). An
+// invalid row grants nothing.
 func Grants(row config.Shard, instance string, inForce func(since uint64) bool) []Grant {
 	if !validRow(row) {
 		return nil
 	}
 	var grants []Grant
 	for _, e := range row.Holders {
-		if e.Instance == instance && inForce(e.Since) {
+		if e.Instance == instance && (e.Since == firstRow || inForce(e.Since)) {
 			grants = append(grants, Grant{Since: e.Since, Parts: e.Parts})
 		}
 	}
