placement: servers that fail no longer hide idle ones that may be sound

Change: orders are spread, too, while fewer than 0.72 of the servers that may be sound are in use: those with a risk up to 0.6 and no failure within 1.7 s.

--- a/placement/costs.go
+++ b/placement/costs.go
@@ -54,6 +54,9 @@
 	// healthy are tried first.
 	spreadUnservedShare = 0.07
 	spreadCoverage      = 0.72
+	// spreadRiskLimit is the risk up to which a server may be healthy: that of one that
+	// failed all its requests until 2.6 seconds ago.
+	spreadRiskLimit = 0.6
 	// spreadCoverageRetryable applies to retryable requests, whose failures cost less.
 	// The idle servers may all be among the few that are healthy and undisturbed, so a
 	// share of all servers says little about these.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -216,22 +216,31 @@
 		return false
 	}
 	if now-g.firstServerAt < startupSpreadPeriod || now < p.instanceLossUntil {
-		return p.shareInUse(g, now) < spreadCoverageAtStart
+		return p.shareInUse(g, anyHealth, now) < spreadCoverageAtStart
+	}
+	if g.outcomes.unservedShare(now) <= spreadUnservedShare {
+		return false
 	}
-	coverage := spreadCoverage
 	if retryable {
-		coverage = spreadCoverageRetryable
+		return p.shareInUse(g, anyHealth, now) < spreadCoverageRetryable
 	}
-	return g.outcomes.unservedShare(now) > spreadUnservedShare && p.shareInUse(g, now) < coverage
+	// Servers that were tried and failed are in use. Where most servers fail, they alone
+	// exceed the coverage, so that the idle ones among the others need a count of their own.
+	mayBeHealthy := func(s *server) bool {
+		return now-s.lastFailure > spreadFailureHoldoff && s.risk(p.off, now) <= spreadRiskLimit
+	}
+	return p.shareInUse(g, anyHealth, now) < spreadCoverage || p.shareInUse(g, mayBeHealthy, now) < spreadCoverage
 }
 
+func anyHealth(*server) bool { return true }
+
 // shareInUse returns the share of servers that received a request within idleAfter, among
-// those that may receive requests without limit.
-func (p *Placer) shareInUse(g *service, now time.Duration) float64 {
+// those that may receive requests without limit and meet the condition.
+func (p *Placer) shareInUse(g *service, condition func(*server) bool, now time.Duration) float64 {
 	used, all := 0, 0
 	for _, s := range g.servers {
 		if s.entry.Draining || p.evacuated[s.entry.DataCentre] || p.backoffRemaining(s, now) > 0 ||
-			g.warmUp.limitsServer(s, now) || p.rateLimited(s) {
+			g.warmUp.limitsServer(s, now) || p.rateLimited(s) || !condition(s) {
 			continue
 		}
 		all++
