Status shows the share of a service's requests that weren't served

Cause: FLOOR depends on it, spreading begins by it, and no line or metric showed what an instance takes it for.

--- a/edge/status.go
+++ b/edge/status.go
@@ -82,6 +82,9 @@
 	// Outstanding is the number of requests in progress from all instances.
 	Outstanding int `json:"outstanding"`
 	Suspects    int `json:"suspects"`
+	// UnservedShare is the share of the requests of all instances in the last two
+	// seconds that weren't served.
+	UnservedShare float64 `json:"unservedShare"`
 }
 
 // SuspectStatus describes a backend server that is more likely to fail than not.
@@ -132,6 +135,9 @@
 	}
 	slices.SortFunc(st.Instances, func(a, b InstanceStatus) int { return strings.Compare(a.IP, b.IP) })
 	st.Services, st.Suspects = summarizeServers(s.placer.ServerStatuses(now))
+	for i := range st.Services {
+		st.Services[i].UnservedShare = round3(s.placer.UnservedShare(st.Services[i].Service, now))
+	}
 	st.Workspaces = e.workspacesNearRate(now)
 	return st
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -330,6 +330,11 @@
 	}
 }
 
+// UnservedShare returns the share of recent requests to a service that weren't served.
+func (p *Placer) UnservedShare(serviceName string, now time.Duration) float64 {
+	return p.service(serviceName).outcomes.unservedShare(now)
+}
+
 // Server returns the registration of a server.
 func (p *Placer) Server(hash uint32) (discovery.Server, bool) {
 	s, ok := p.byHash[hash]
