Requests that time out or find no second server count as unserved

Change: run records each request that wasn't served once, unless its caller left early. Evidence's field Refused is called Unserved now.

Evidence: TestTimedOutRequestsCountAsUnserved and TestRequestsWithoutASecondServerCountAsUnserved fail before (no instance knows of any of ten unserved orders), pass now; TestServedRequestsDoNotCountAsUnserved passes before and after.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -38,7 +38,12 @@
 	defer cancel()
 	r := &runner{e: e, c: c, ctx: ctx, done: make(chan *attempt, maxConcurrentAttempts)}
 	defer r.cancelRemaining()
-	return r.run()
+	a, v := r.run()
+	// A caller that left early says nothing about the servers.
+	if !r.outcomePublished && ctx.Err() != context.Canceled {
+		e.publishUnserved(c)
+	}
+	return a, v
 }
 
 // maxConcurrentAttempts bounds the attempts of one call.
@@ -58,11 +63,13 @@
 	// lastServerError is the attempt with the latest complete response that reports
 	// a failure of the server itself.
 	lastServerError *attempt
+	// outcomePublished is set once the outcome of the call was published with the end
+	// of an attempt.
+	outcomePublished bool
 }
 
 func (r *runner) run() (*attempt, *refusal) {
 	if v := r.startAttempt(); v != nil {
-		r.e.publishRefusal(r.c)
 		return nil, v
 	}
 	late := time.NewTimer(r.e.lateAfter(r.c))
@@ -116,7 +123,7 @@
 // refusal for the caller, or neither if the call goes on.
 func (r *runner) handleEnd(a *attempt) (*attempt, *refusal) {
 	if a.result == health.OK {
-		r.e.publishAttemptEnd(r.c, a, evidence.RequestServed)
+		r.publishOutcome(a, evidence.RequestServed)
 		return a, nil
 	}
 	mayHaveRun := r.mayHaveRun
@@ -135,7 +142,7 @@
 			return nil, nil
 		}
 	case retry.Deliver, retry.GiveUp, retry.Hedge:
-		r.e.publishAttemptEnd(r.c, a, evidence.RequestUnserved)
+		r.publishOutcome(a, evidence.RequestUnserved)
 	}
 	if r.lastServerError != nil {
 		return r.lastServerError, nil
@@ -143,6 +150,12 @@
 	return nil, r.notServed(d)
 }
 
+// publishOutcome publishes the end of an attempt and the outcome of the call.
+func (r *runner) publishOutcome(a *attempt, o evidence.RequestOutcome) {
+	r.e.publishAttemptEnd(r.c, a, o)
+	r.outcomePublished = true
+}
+
 // notServed returns the refusal of a call that has no response. It reports the
 // call as not executed only if that is certain.
 func (r *runner) notServed(d retry.Decision) *refusal {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -185,8 +185,8 @@
 	for _, a := range m.Attempts {
 		e.applyAttempt(m.Source, a, m.Latest, now)
 	}
-	for _, service := range m.Refused {
-		s.placer.RecordRefusal(service, now)
+	for _, service := range m.Unserved {
+		s.placer.RecordUnserved(service, now)
 	}
 	for _, n := range m.TableUpdates {
 		if n.StoreClockUS != 0 {
--- a/edge/publish.go
+++ b/edge/publish.go
@@ -95,13 +95,14 @@
 // milliseconds.
 const deadlineMargin = 15 * time.Millisecond
 
-// publishRefusal records and publishes that a request was refused without an
-// attempt.
-func (e *Edge) publishRefusal(c *call) {
+// publishUnserved records and publishes that a request wasn't served, apart from
+// the end of an attempt: it was refused without one, found no server for another
+// one, or timed out.
+func (e *Edge) publishUnserved(c *call) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.state.placer.RecordOutcome(c.service, false, e.now())
-	e.publish(evidence.Message{Refused: []uint32{placement.Hash(c.service)}}, false)
+	e.publish(evidence.Message{Unserved: []uint32{placement.Hash(c.service)}}, false)
 }
 
 // publishLate records and publishes that an attempt takes longer than expected.
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -44,9 +44,10 @@
 	Attempts     []Attempt
 	Usage        []Usage
 	TableUpdates []TableUpdate
-	// Refused holds one service hash for each request that was refused without
-	// an attempt.
-	Refused []uint32
+	// Unserved holds one service hash for each request whose outcome isn't part of
+	// Attempts: it was refused without an attempt, found no server for another one,
+	// or timed out.
+	Unserved []uint32
 }
 
 // Member describes an instance that the source considers alive.
--- a/evidence/evidence_test.go
+++ b/evidence/evidence_test.go
@@ -20,7 +20,7 @@
 			Table: evidence.Servers, Since: 1, Version: 2, StoreClockUS: 3,
 			Packed: []byte("rows"), More: true,
 		}},
-		Refused: []uint32{5},
+		Unserved: []uint32{5},
 	}
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -321,8 +321,8 @@
 	}
 }
 
-// RecordRefusal records a refused request to a service, given by the hash of its name.
-func (p *Placer) RecordRefusal(hash uint32, now time.Duration) {
+// RecordUnserved records an unserved request to a service, given by the hash of its name.
+func (p *Placer) RecordUnserved(hash uint32, now time.Duration) {
 	for name, g := range p.services {
 		if Hash(name) == hash {
 			g.outcomes.count(false, now)
