A late announcement of an earlier run doesn't replace that of the present one

Found while reading the diff: MarkLeaving took the run of the newest response, so that a late response of the run before would have put a server that is about to stop back into use. It keeps the later run now (TestResponseOfAnEarlierRunDoesNotStopARestartedServer, extended; failed before at the last line). The soak forgets a server's Retry-After when the server starts again, as the platform's servers do: its check would have counted requests to the new run. Words of comments and tests for "announce".

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -13,9 +13,9 @@
 // again: a server that is draining or has left must not come back through an
 // old entry.
 //
-// A server that says in a response that it is about to stop is draining for the rest
-// of its run, whatever its entry says: some servers never write it, and during a
-// store outage no entry arrives.
+// A server that announces in a response that it is about to stop is draining for the
+// rest of its run, whatever its entry: some servers never write that they drain, and
+// during a store outage no entry arrives.
 package discovery
 
 import (
@@ -42,8 +42,8 @@
 // entry does not bring it back. Backups of the store are some seconds old.
 const departedRetention = time.Minute
 
-// leavingRetention is how long a server that said that it is about to stop is
-// remembered after its entry was removed.
+// leavingRetention is how long the announcement of a server that it is about to stop
+// is kept after its entry was removed.
 const leavingRetention = 10 * time.Minute
 
 // Server is a backend server.
@@ -107,7 +107,8 @@
 	// staleEntries holds entries of the store that are older than the known
 	// state of their servers.
 	staleEntries map[string]Server
-	// leaving holds the servers that said in a response that they are about to stop.
+	// leaving holds the servers that announced in a response that they are about to
+	// stop.
 	leaving map[string]leavingRun
 }
 
@@ -117,8 +118,8 @@
 	at time.Duration
 }
 
-// leavingRun is the run of a server that said at the given time that it is about to
-// stop.
+// leavingRun is the run of a server that announced at the given time that it is about
+// to stop.
 type leavingRun struct {
 	startTimeMS int64
 	at          time.Duration
@@ -169,18 +170,18 @@
 	return Change{Server: l.withLeaving(s), New: !known || s.StartTimeMS != old.StartTimeMS}, true
 }
 
-// MarkLeaving applies that a server has said in a response that it is about to stop.
+// MarkLeaving applies that a server announced in a response that it is about to stop.
 // It reports whether that is a change of its state.
 func (l *List) MarkLeaving(id string, startTimeMS int64, now time.Duration) (Change, bool) {
 	l.forgetLeft(now)
 	s, known := l.servers[id]
 	before := l.withLeaving(s)
-	l.leaving[id] = leavingRun{startTimeMS, now}
+	l.leaving[id] = leavingRun{max(startTimeMS, l.leaving[id].startTimeMS), now}
 	after := l.withLeaving(s)
 	return Change{Server: after}, known && after != before
 }
 
-// withLeaving returns a server's entry, draining if the server has said in a response
+// withLeaving returns a server's entry, draining if the server announced in a response
 // of this run that it is about to stop.
 //
 // The list itself keeps entries as the store has them. The change of an entry to
@@ -191,8 +192,7 @@
 	return s
 }
 
-// forgetLeft forgets servers that are no longer listed and said long ago that they
-// are about to stop.
+// forgetLeft drops the announcements of servers that are no longer listed.
 func (l *List) forgetLeft(now time.Duration) {
 	for id, run := range l.leaving {
 		if _, listed := l.servers[id]; !listed && now-run.at >= leavingRetention {
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -107,9 +107,9 @@
 	must.Zero(t, l.Len())
 }
 
-// Guards against new requests to a server that has said in a response that it is about
-// to stop, through entries that don't say so.
-func TestServerThatSaysItLeavesStaysDraining(t *testing.T) {
+// Guards against new requests to a server that announced in a response that it is about
+// to stop, caused by an entry in state ready.
+func TestServerThatAnnouncedItsStopStaysDraining(t *testing.T) {
 	l := discovery.NewList()
 	l.Put(server("a", 5), 0)
 	c, ok := l.MarkLeaving("a", 5, time.Second)
@@ -130,7 +130,7 @@
 // The instance that reads the store forwards changes of entries. Guards against the
 // others never learning that a server drains, because the reader knew it already from
 // a response.
-func TestDrainingEntryIsAChangeAfterTheServerSaidItLeaves(t *testing.T) {
+func TestDrainingEntryIsAChangeAfterTheAnnouncement(t *testing.T) {
 	l := discovery.NewList()
 	l.Put(server("a", 5), 0)
 	l.MarkLeaving("a", 5, time.Second)
@@ -140,14 +140,20 @@
 	must.True(t, ok)
 }
 
-// A response of the previous run arrives after the entry of the new one.
+// Responses of the previous run arrive after the entry of the new one, or after a
+// response of it. They must not change the state of the new run.
 func TestResponseOfAnEarlierRunDoesNotStopARestartedServer(t *testing.T) {
 	l := discovery.NewList()
 	l.Put(server("a", 6), 0)
 	_, ok := l.MarkLeaving("a", 5, time.Second)
 	must.False(t, ok)
-	c, ok := l.Put(server("b", 1), time.Second)
-	must.True(t, ok && !c.Server.Draining)
+	c, ok := l.MarkLeaving("a", 6, time.Second)
+	must.True(t, ok && c.Server.Draining)
+	l.MarkLeaving("a", 5, time.Second)
+	cold := server("a", 6)
+	cold.WarmUp = 3 * time.Second
+	c, ok = l.Put(cold, 2*time.Second)
+	must.True(t, ok && c.Server.Draining)
 }
 
 // Guards against memory that grows with every server that ever left.
--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -39,7 +39,7 @@
 	r := &runner{e: e, c: c, ctx: ctx, done: make(chan *attempt, maxConcurrentAttempts)}
 	defer r.cancelRemaining()
 	a, v := r.run()
-	// A caller that left early says nothing about the servers.
+	// That a caller left early is no evidence about the servers.
 	if !r.outcomePublished && ctx.Err() != context.Canceled {
 		e.publishUnserved(c)
 	}
@@ -311,7 +311,7 @@
 	if a.answer.Err != nil {
 		attrs = append(attrs, slog.String("error", a.answer.Err.Error()))
 	}
-	if d, named, err := platform.ServerRetryAfter(a.answer.Status, a.answer.Header); named || err != nil {
+	if d, named, err := platform.ServerRetryAfter(a.answer.Status, a.answer.Header); named && err == nil {
 		attrs = append(attrs, slog.Int64("retry_after_ms", d.Milliseconds()))
 	}
 	if platform.ServerLeaving(a.answer.Header) {
--- a/edge/server_leaving_test.go
+++ b/edge/server_leaving_test.go
@@ -11,8 +11,8 @@
 	"foxtailspoke/internal/standin/rowstore"
 )
 
-// leavingServer is a backend server whose responses say that it is about to stop. Its
-// entry in the store doesn't.
+// leavingServer is a backend server whose responses announce that it is about to stop.
+// Its entry in the store stays in state ready.
 type leavingServer struct {
 	*backend
 	arrivals atomic.Int64
@@ -45,9 +45,8 @@
 	return f, s
 }
 
-// Guards against requests to a server that said in a response that it leaves, and whose
-// entry in the store doesn't say so.
-func TestServerThatSaysItLeavesGetsNoRequests(t *testing.T) {
+// Guards against requests to a server that announced its stop in a response only.
+func TestServerThatAnnouncedItsStopGetsNoRequests(t *testing.T) {
 	t.Parallel()
 	f, s := fleetWithLeavingServer(t)
 	before := s.arrivals.Load()
--- a/edge/server_notices.go
+++ b/edge/server_notices.go
@@ -18,8 +18,8 @@
 	return a.answer.Outcome == upstream.Completed && a.result != health.Mismatch && a.answer.Status != http.StatusMisdirectedRequest
 }
 
-// updateLeaving applies that a server's response says that it is about to stop. The
-// lock must be held.
+// updateLeaving applies a server's announcement that it is about to stop. The lock
+// must be held.
 func (e *Edge) updateLeaving(a *attempt, now time.Duration) {
 	if !a.answeredByServer() || !platform.ServerLeaving(a.answer.Header) {
 		return
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -145,8 +145,8 @@
 		"A backend server rejected a request of this instance with Retry-After; this instance sends it nothing for `retry_after_ms`.", "If many instances log it, the server is short of capacity: see what else it serves.",
 	}
 	ServerLeaving = Event{
-		526, slog.LevelInfo, "backend server says that it leaves",
-		"A response of a backend server says that it is about to stop, before its entry in the store did; this instance sends it no new requests.", "Nothing.",
+		526, slog.LevelInfo, "backend server announced its stop",
+		"A response of a backend server announced that it is about to stop, and its entry in the store isn't draining yet; this instance sends it no new requests.", "Nothing.",
 	}
 	RequestEnded = Event{
 		531, slog.LevelInfo, "request ended",
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -63,7 +63,7 @@
 	if state == "ready" && b.isLeaving() {
 		b.startTimeMS++
 		b.leavesSilently = false
-		b.cluster.forgetLeaving(b)
+		b.cluster.recordServerRestart(b)
 	}
 	entry, err := json.Marshal(map[string]any{
 		"service": "s", "address": b.link.Address(), "zone": b.dataCentre, "slots": 4,
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -102,7 +102,7 @@
 	instanceFaults map[string]time.Time
 	linkFaults     map[*standin.Link]time.Time
 	// leaving has, by backend server and instance, when the instance first returned a
-	// response that says that the server leaves. leavingCount counts these.
+	// response of the server that announces its stop. leavingCount counts these.
 	leaving      map[string]map[string]time.Time
 	leavingCount int
 	stop         chan struct{}
--- a/internal/soak/leaving_test.go
+++ b/internal/soak/leaving_test.go
@@ -21,8 +21,8 @@
 	time.AfterFunc(d, func() { b.register("ready") })
 }
 
-// recordLeaving records that an instance returned a response that says that its server
-// leaves. c.mu must be held.
+// recordLeaving records that an instance returned a response whose server announces its
+// stop. c.mu must be held.
 func (c *cluster) recordLeaving(r *request, seal string) {
 	server, leaving := strings.CutPrefix(seal, leavingSeal)
 	if !leaving {
@@ -38,11 +38,13 @@
 	c.leavingCount++
 }
 
-// forgetLeaving records that a server starts again.
-func (c *cluster) forgetLeaving(b *backend) {
+// recordServerRestart records that a server starts again. Nothing that it asked for
+// before applies to the new run.
+func (c *cluster) recordServerRestart(b *backend) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.leaving, b.id)
+	b.rejections = rejections{}
 }
 
 // checkLeaving checks that a request is not to a server whose leaving its instance has
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -31,7 +31,7 @@
 //   - A draining backend server and an evacuated data centre receive no new requests.
 //   - Backend servers that announce a limit or are warming up, and the limited
 //     workspace, stay within their limits.
-//   - A backend server that says in a response that it leaves receives no new requests
+//   - A backend server that announces its stop in a response receives no new requests
 //     from that instance, whatever the state of the store.
 //   - Backend servers that reject requests with Retry-After receive none until then.
 //   - Lookups are served again after the faults end.
@@ -68,7 +68,7 @@
 		t.Errorf("seed %d: %s", seed, violation)
 	}
 	served, refused, failed := c.outcomeCounts()
-	t.Logf("seed %d: %d store restores, %d limits announced, %d requests rejected, %d times a server said that it leaves",
+	t.Logf("seed %d: %d store restores, %d limits announced, %d requests rejected, %d times a server announced its stop",
 		seed, c.restoreCount, c.limitCount, c.rejectionCount, c.leavingCount)
 	t.Logf("seed %d: %d served, %d refused, %d failed", seed, served, refused, failed)
 	must.Positive(t, served)
