proofs: each instance listens for peers on a loopback IP of its own

Change: each address has an IP of its own (127.201.x.y), on which nothing else listens. No check is changed.

--- a/internal/proofs/cluster_test.go
+++ b/internal/proofs/cluster_test.go
@@ -234,11 +234,16 @@
 	}
 }
 
-// freeAddress returns a local address that is currently unused. A link needs its
-// target address before the process that listens there is started.
+// addressCount counts the addresses that freeAddress has returned.
+var addressCount atomic.Uint32
+
+// freeAddress returns an unused local address. A link needs its target address before
+// the process that listens there is started. Each address has a loopback IP of its own:
+// on a shared one, another listener may take the port before the process does.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addressCount.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.201.%d.%d:0", n/250, n%250+1))
 	must.NoError(t, err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
