Events, gauge and status show whether an instance reaches any backend server

Package reach combines failures to connect at different servers; events 527 and 528, the gauge cut_off and a line of status report it. Line 532 says whether a request was sent on a kept connection, which tells connections that hang from ones that are refused. Nothing decides by it yet.

The pool takes its dialer as an argument, so that a test can partition one instance from the servers.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -308,6 +308,9 @@
 		slog.Int("outstanding", a.choice.Outstanding), slog.Float64("risk", round3(a.choice.Risk)),
 		slog.Int64("expected_ms", a.choice.ExpectedLatency.Milliseconds()),
 	}
+	if a.answer.Reused {
+		attrs = append(attrs, slog.Bool("reused", true))
+	}
 	if a.answer.Err != nil {
 		attrs = append(attrs, slog.String("error", a.answer.Err.Error()))
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -36,6 +36,7 @@
 	"foxtailspoke/pipeline"
 	"foxtailspoke/placement"
 	"foxtailspoke/platform"
+	"foxtailspoke/reach"
 	"foxtailspoke/replica"
 	"foxtailspoke/retry"
 	"foxtailspoke/routing"
@@ -55,6 +56,7 @@
 	clock        clock.Clock
 	store        *platform.Store
 	pool         *upstream.Pool
+	serverDialer upstream.Dialer
 	metrics      *metrics
 	socket       *net.UDPConn
 	ports        ports
@@ -166,6 +168,8 @@
 	throttle *throttle.Limiter
 	// backoffs holds the servers that asked this instance to back off.
 	backoffs *backoff.Tracker
+	// reach tracks whether this instance can connect to backend servers.
+	reach *reach.Tracker
 }
 
 // routeStats holds the moving averages of one route's requests.
@@ -176,9 +180,15 @@
 	kb float64
 }
 
+// Option changes an instance before it starts.
+type Option func(*Edge)
+
+// WithServerDialer replaces the function that opens connections to backend servers.
+func WithServerDialer(d upstream.Dialer) Option { return func(e *Edge) { e.serverDialer = d } }
+
 // New returns an instance that listens on its addresses. It serves requests once
 // Run is called.
-func New(file string, s settings.Settings, lines *logging.Writer) (*Edge, error) {
+func New(file string, s settings.Settings, lines *logging.Writer, options ...Option) (*Edge, error) {
 	self, err := parseIPv4(s.IP)
 	if err != nil {
 		return nil, err
@@ -192,7 +202,6 @@
 		budget:        logging.NewRateLimiter(s.Log.LinesPerSecond),
 		clock:         clock.New(),
 		store:         platform.NewStore(s.Store.Address),
-		pool:          upstream.NewPool(),
 		self:          self,
 		topology:      s.Regions,
 		epoch:         newEpoch(),
@@ -200,6 +209,10 @@
 		fetchNow:      make(chan struct{}, 1),
 		storeReadable: make(chan struct{}),
 	}
+	for _, o := range options {
+		o(e)
+	}
+	e.pool = upstream.NewPool(e.serverDialer, e.recordDial)
 	e.callerServer = e.newCallerServer()
 	e.metrics = newMetrics(e)
 	e.state = state{
@@ -217,6 +230,7 @@
 		limiter:        warmup.NewLimiter(self),
 		throttle:       throttle.NewLimiter(self),
 		backoffs:       backoff.NewTracker(),
+		reach:          reach.NewTracker(),
 	}
 	e.state.placer.SetWarmUpLimiter(e.state.limiter)
 	e.state.placer.SetRateLimiter(e.state.throttle)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -82,6 +82,12 @@
 	m.gauge("servers_backing_off", "Backend servers whose Retry-After keeps this instance from sending requests.", e.locked(func() float64 {
 		return float64(e.state.backoffs.Count(e.now()))
 	}))
+	m.gauge("cut_off", "1 if this instance fails to connect to any backend server, otherwise 0.", e.locked(func() float64 {
+		if e.state.reach.CutOff() {
+			return 1
+		}
+		return 0
+	}))
 	m.gauge("instances_alive", "Other instances that are heard.", e.locked(func() float64 {
 		n := 0
 		for _, p := range e.state.messenger.Fleet().All() {
--- a/edge/status.go
+++ b/edge/status.go
@@ -32,6 +32,8 @@
 	DataCentre string `json:"dataCentre"`
 	// Ready reports whether callers are given the address of this instance.
 	Ready bool `json:"ready"`
+	// CutOff reports that this instance fails to connect to any backend server.
+	CutOff bool `json:"cutOff"`
 	// Version is the version of the configuration in force. ConfigAgeMS is the age
 	// of the proof that it is the newest.
 	Version     uint32 `json:"version"`
@@ -112,7 +114,7 @@
 	defer e.mu.Unlock()
 	s, now := &e.state, e.now()
 	st := Status{
-		Instance: e.settings.Name, DataCentre: e.settings.DataCentre, Ready: e.readyLocked(),
+		Instance: e.settings.Name, DataCentre: e.settings.DataCentre, Ready: e.readyLocked(), CutOff: s.reach.CutOff(),
 		ConfigAgeMS: millisOrUnknown(e.configAge(now)), ServersAgeMS: -1, RateShare: round3(s.usage.RateShare),
 		Evacuated: s.evacuations.List(),
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -148,6 +148,14 @@
 		526, slog.LevelInfo, "backend server announced its stop",
 		"A response of a backend server announced that it is about to stop, and its entry in the store isn't draining yet; this instance sends it no new requests.", "Nothing.",
 	}
+	ServersUnreachable = Event{
+		527, slog.LevelWarn, "no connection to backend servers",
+		"This instance failed to open connections to several backend servers in a row; `error` is the last cause.", "If other instances reach the servers, check this machine's network; if none does, check the servers.",
+	}
+	ServersReachable = Event{
+		528, slog.LevelInfo, "connection to a backend server opened again",
+		"A connection to a backend server was opened after none could be for `after_ms`.", "Nothing.",
+	}
 	RequestEnded = Event{
 		531, slog.LevelInfo, "request ended",
 		"A caller's request was answered: `status` and `rule` say how, the other fields by which figures.", "See OPERATIONS.md; `foxtailspoke-edge explain` summarises these lines.",
@@ -172,7 +180,7 @@
 		EdgeStarted, EdgeStopping, EdgeStopped, SettingsReloaded, SettingsRejected,
 		ConfigInForce, ConfigRejected, ServerChanged, EntryIgnored, StoreCallFailed,
 		EvacuationStarted, EvacuationEnded, ServerLimited, StaleResponseIgnored, StoreRestored,
-		PeerReachable, PeerUnreachable, PeerMessageFailed, RelayChanged, ServerBackoff, ServerLeaving,
+		PeerReachable, PeerUnreachable, PeerMessageFailed, RelayChanged, ServerBackoff, ServerLeaving, ServersUnreachable, ServersReachable,
 		RequestEnded, AttemptEnded, LogLinesDropped,
 	}
 }
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -55,6 +55,8 @@
 	Body    []byte
 	// Err is the cause of an outcome other than Completed.
 	Err error
+	// Reused reports that the request was sent on a kept connection.
+	Reused bool
 }
 
 const (
@@ -82,7 +84,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	written := r.start(w)
+	reused := c.reused
 	resp, reusable := c.read(r)
+	resp.Reused = reused
 	if resp.Outcome != Completed {
 		_ = c.Close()
 		resp.Outcome = failureOutcome(ctx, <-written, w, resp)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -47,13 +48,34 @@
 // Pool keeps idle connections to backend servers. It is safe for concurrent
 // use.
 type Pool struct {
+	dialer Dialer
+	// onDial, if not nil, is called with the result of each attempt to open a
+	// connection that wasn't cancelled.
+	onDial func(address string, err error)
+
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	opened uint64
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: make(map[string][]*conn)} }
+// Dialer opens a TCP connection. The connection must implement syscall.Conn.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// NewPool returns an empty pool whose connections are opened by dialer, or over the
+// network if it is nil. onDial, if not nil, is called with the result of each attempt
+// to open a connection, unless the attempt was cancelled.
+func NewPool(dialer Dialer, onDial func(address string, err error)) *Pool {
+	if dialer == nil {
+		dialer = DialTCP
+	}
+	return &Pool{dialer: dialer, onDial: onDial, idle: make(map[string][]*conn)}
+}
+
+// DialTCP opens a connection over the network.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1}
+	return d.DialContext(ctx, "tcp4", address)
+}
 
 // ConnectionsOpened returns the number of connections opened so far.
 func (p *Pool) ConnectionsOpened() uint64 {
@@ -69,6 +91,8 @@
 	// server may close it.
 	lastUsed time.Time
 	expires  time.Time
+	// reused is set once the connection has carried a request.
+	reused bool
 }
 
 // get returns a usable idle connection, or a new one.
@@ -104,8 +128,12 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp4", address)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := p.dialer(dialCtx, address)
+	if p.onDial != nil && (err == nil || ctx.Err() == nil) {
+		p.onDial(address, err)
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "dial backend server")
 	}
@@ -120,7 +148,7 @@
 // nothing. Without it, a request on a silent connection would hang until its
 // own timeout.
 func setTCPUserTimeout(nc net.Conn) {
-	raw, err := nc.(*net.TCPConn).SyscallConn()
+	raw, err := nc.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return
 	}
@@ -132,7 +160,7 @@
 
 // put keeps a connection for the next request.
 func (p *Pool) put(address string, c *conn, h http.Header) {
-	c.lastUsed = time.Now()
+	c.lastUsed, c.reused = time.Now(), true
 	c.expires = c.lastUsed.Add(idleTimeout(h))
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -179,7 +207,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -87,7 +87,7 @@
 			_, _ = io.WriteString(c, responseText(id, "ok"))
 		}
 	})
-	p := upstream.NewPool()
+	p := upstream.NewPool(nil, nil)
 	for _, id := range []string{"1", "2", "3"} {
 		resp := s.do(t, p, postRequest(id))
 		must.Eq(t, upstream.Completed, resp.Outcome)
@@ -113,7 +113,7 @@
 			_, _ = io.WriteString(c, responseText(id, "ok"))
 		}
 	})
-	p := upstream.NewPool()
+	p := upstream.NewPool(nil, nil)
 	nonIdempotent := func(id string) upstream.Request {
 		r := postRequest(id)
 		r.NonIdempotent = true
@@ -136,7 +136,7 @@
 		got <- line
 		_ = c.Close()
 	})
-	s.do(t, upstream.NewPool(), postRequest("1"))
+	s.do(t, upstream.NewPool(nil, nil), postRequest("1"))
 	must.Eq(t, "POST /a//b?x=%20 HTTP/1.1\r\n", <-got)
 }
 
@@ -148,7 +148,7 @@
 		_, _ = io.WriteString(c, responseText(id, "ok"))
 		s.request(r)
 	})
-	p := upstream.NewPool()
+	p := upstream.NewPool(nil, nil)
 	must.Eq(t, upstream.Completed, s.do(t, p, postRequest("1")).Outcome)
 	must.Eq(t, upstream.Broken, s.do(t, p, postRequest("2")).Outcome)
 	must.Eq(t, 2, s.arrived.Load())
@@ -161,7 +161,7 @@
 		id, _ := s.request(r)
 		_, _ = io.WriteString(c, responseText(id, "ok"))
 	})
-	p := upstream.NewPool()
+	p := upstream.NewPool(nil, nil)
 	for _, id := range []string{"1", "2", "3"} {
 		must.Eq(t, upstream.Completed, s.do(t, p, postRequest(id)).Outcome)
 		time.Sleep(20 * time.Millisecond)
@@ -179,7 +179,7 @@
 		second, _ := s.request(r)
 		_, _ = io.WriteString(c, responseText(first, "one")+responseText(second, "two"))
 	})
-	p := upstream.NewPool()
+	p := upstream.NewPool(nil, nil)
 	s.do(t, p, postRequest("1"))
 	resp := s.do(t, p, postRequest("2"))
 	must.Eq(t, upstream.Completed, resp.Outcome)
@@ -191,7 +191,7 @@
 		s.request(r)
 		_, _ = io.WriteString(c, responseText("9", "x"))
 	})
-	resp := s.do(t, upstream.NewPool(), postRequest("1"))
+	resp := s.do(t, upstream.NewPool(nil, nil), postRequest("1"))
 	must.Eq(t, upstream.Broken, resp.Outcome)
 }
 
@@ -205,7 +205,7 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
 		_, _ = r.ReadByte()
 	})
-	p := upstream.NewPool()
+	p := upstream.NewPool(nil, nil)
 	must.Eq(t, upstream.Completed, s.do(t, p, postRequest("1")).Outcome)
 	time.Sleep(30 * time.Millisecond)
 	must.Eq(t, upstream.Completed, s.do(t, p, postRequest("2")).Outcome)
@@ -226,7 +226,7 @@
 				s.request(r)
 				_, _ = io.WriteString(c, bytes)
 			})
-			must.Eq(t, upstream.Broken, s.do(t, upstream.NewPool(), postRequest("1")).Outcome)
+			must.Eq(t, upstream.Broken, s.do(t, upstream.NewPool(nil, nil), postRequest("1")).Outcome)
 		})
 	}
 }
@@ -243,7 +243,7 @@
 				_ = c.(*net.TCPConn).SetLinger(0)
 			}
 		})
-		resp := s.do(t, upstream.NewPool(), postRequest("1"))
+		resp := s.do(t, upstream.NewPool(nil, nil), postRequest("1"))
 		if reset {
 			must.Eq(t, upstream.Broken, resp.Outcome)
 		} else {
@@ -268,7 +268,7 @@
 		}
 		_, _ = io.Copy(io.Discard, r)
 	})
-	p := upstream.NewPool()
+	p := upstream.NewPool(nil, nil)
 	long := postRequest("1")
 	long.Body = []byte(strings.Repeat("x", 16<<20))
 	must.Eq(t, upstream.Completed, s.do(t, p, long).Outcome)
@@ -280,7 +280,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	must.NoError(t, l.Close())
-	resp := upstream.NewPool().Do(context.Background(), l.Addr().String(), postRequest("1"))
+	resp := upstream.NewPool(nil, nil).Do(context.Background(), l.Addr().String(), postRequest("1"))
 	must.Eq(t, upstream.NotSent, resp.Outcome)
 	must.Error(t, resp.Err)
 }
@@ -296,7 +296,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(30*time.Millisecond, cancel)
-	resp := upstream.NewPool().Do(ctx, s.listener.Addr().String(), postRequest("1"))
+	resp := upstream.NewPool(nil, nil).Do(ctx, s.listener.Addr().String(), postRequest("1"))
 	must.Eq(t, upstream.Cancelled, resp.Outcome)
 	select {
 	case <-closed:
@@ -312,7 +312,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
 	defer cancel()
-	resp := upstream.NewPool().Do(ctx, s.listener.Addr().String(), postRequest("1"))
+	resp := upstream.NewPool(nil, nil).Do(ctx, s.listener.Addr().String(), postRequest("1"))
 	must.Eq(t, upstream.TimedOut, resp.Outcome)
 }
 
@@ -328,7 +328,7 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n")
 		}
 	})
-	p := upstream.NewPool()
+	p := upstream.NewPool(nil, nil)
 	s.do(t, p, postRequest("1"))
 	s.do(t, p, postRequest("2"))
 	must.Eq(t, 1, p.ConnectionsOpened())
