--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -19,6 +19,7 @@
 
 	"foxtailspoke/edge"
 	"foxtailspoke/edge/settings"
+	"foxtailspoke/internal/standin"
 	"foxtailspoke/internal/standin/rowstore"
 	"foxtailspoke/logging"
 )
@@ -40,7 +41,9 @@
 }
 
 type instance struct {
-	ip     string
+	ip string
+	// path is the network path to the backend servers.
+	path   *standin.Partition
 	cancel context.CancelFunc
 	done   chan error
 	log    *syncBuffer
@@ -131,8 +134,8 @@
 	if change != nil {
 		change(&s)
 	}
-	i := &instance{ip: s.IP, done: make(chan error, 1), log: &syncBuffer{}}
-	e, err := edge.New("", s, logging.NewWriter(i.log))
+	i := &instance{ip: s.IP, path: standin.NewPartition(), done: make(chan error, 1), log: &syncBuffer{}}
+	e, err := edge.New("", s, logging.NewWriter(i.log), edge.WithServerDialer(i.path.Dial))
 	must.NoError(f.t, err)
 	var ctx context.Context
 	ctx, i.cancel = context.WithCancel(context.Background())
@@ -314,8 +317,11 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-func (f *fleet) addresses(n int) []string {
-	resp, err := http.Get("http://" + f.address(n, 2) + "/api/resolve?name=h.example&zone=dc")
+func (f *fleet) addresses(n int) []string { return f.addressesIn(n, "dc") }
+
+// addressesIn returns the addresses that instance n returns to callers in a zone.
+func (f *fleet) addressesIn(n int, zone string) []string {
+	resp, err := http.Get("http://" + f.address(n, 2) + "/api/resolve?name=h.example&zone=" + zone)
 	if err != nil {
 		return nil
 	}
