Instances without a connection to a server have another one forward the request

Cause: an instance had one way to a server, its own connection. Attempts ended as "connect failed" at server after server until max_attempts was used up, and nothing related these failures to each other.

Change: an attempt that couldn't be sent, of which the server has therefore seen nothing, is forwarded by another instance (edge/forward.go). All decisions stay with the instance that the caller uses, so that rates, retry budget and evidence are as before, and the result that the others learn is the server's. HTTP between instances, not net/rpc: closing the connection cancels the request at the server.

Wire: evidence.Message has a new field, so that instances of this and of earlier builds don't understand each other's datagrams. All instances need the new listen.forwarding port; default is the port after that of peers.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -101,8 +101,9 @@
 	r.running = append(r.running, a)
 	r.e.publishAttemptStart(r.c, a)
 	go func() {
-		a.answer = r.e.pool.Do(ctx, choice.Server.Address, r.e.upstreamRequest(r.c, choice))
-		a.took = r.e.now() - a.start
+		var sentAt time.Duration
+		a.answer, sentAt = r.e.sendToServer(ctx, r.c, choice)
+		a.took = r.e.now() - sentAt
 		a.result = classify(a.answer)
 		cancel()
 		r.done <- a
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -57,15 +57,21 @@
 	store        *platform.Store
 	pool         *upstream.Pool
 	serverDialer upstream.Dialer
-	metrics      *metrics
-	socket       *net.UDPConn
-	ports        ports
-	supervisor   *suture.Supervisor
+	// peerPool has the connections to instances that forward requests.
+	peerPool *upstream.Pool
+	// forwarding is the number of other instances' requests in progress.
+	forwarding atomic.Int64
+	metrics    *metrics
+	socket     *net.UDPConn
+	ports      ports
+	supervisor *suture.Supervisor
 
-	self       uint32
-	epoch      uint32
-	peerPort   uint16
-	callerPort uint16
+	self     uint32
+	epoch    uint32
+	peerPort uint16
+	// forwardingPort is the port on which all instances accept requests to forward.
+	forwardingPort uint16
+	callerPort     uint16
 	// topology maps each data centre to its region.
 	topology routing.Topology
 	// mechanisms holds the mechanisms that a trial has disabled.
@@ -213,6 +219,7 @@
 		o(e)
 	}
 	e.pool = upstream.NewPool(e.serverDialer, e.recordDial)
+	e.peerPool = upstream.NewPool(e.dialPeer, nil)
 	e.callerServer = e.newCallerServer()
 	e.metrics = newMetrics(e)
 	e.state = state{
@@ -237,6 +244,7 @@
 	e.state.placer.SetBackoffs(e.state.backoffs)
 	e.state.messenger = fleet.NewMessenger(fleet.Settings{
 		Self: e.selfMember(), Epoch: e.epoch, Seeds: e.seedIDs(), Leaving: func() bool { return !e.readyLocked() }, Stopping: e.stopping.Load,
+		Partitioned: e.state.reach.Partitioned,
 	})
 	if err := e.listen(); err != nil {
 		return nil, err
@@ -279,7 +287,7 @@
 
 // ports holds the listeners of an instance.
 type ports struct {
-	callers, readiness, directory, metrics, snapshots net.Listener
+	callers, readiness, directory, metrics, snapshots, forwarding net.Listener
 }
 
 func (e *Edge) listen() error {
@@ -293,6 +301,7 @@
 		{&e.ports.directory, l.Directory},
 		{&e.ports.metrics, l.Metrics},
 		{&e.ports.snapshots, l.Peers},
+		{&e.ports.forwarding, l.Forwarding},
 	} {
 		listener, err := net.Listen("tcp4", p.address)
 		if err != nil {
@@ -307,6 +316,7 @@
 	}
 	e.socket = socket
 	e.peerPort = peers.Port()
+	e.forwardingPort = netip.MustParseAddrPort(e.ports.forwarding.Addr().String()).Port()
 	e.callerPort = netip.MustParseAddrPort(e.ports.callers.Addr().String()).Port()
 	return nil
 }
@@ -326,6 +336,7 @@
 	e.supervisor.Add(namedService{"fetcher", e.fetchConfig})
 	e.supervisor.Add(namedService{"register", e.registerInstances})
 	e.supervisor.Add(namedService{"snapshots", e.serveSnapshots})
+	e.supervisor.Add(namedService{"forwarding", e.serveForwarding})
 	e.supervisor.Add(namedService{"settings", e.watchSettings})
 	e.supervisor.Add(namedService{"callers", e.serveCallers})
 	e.supervisor.Add(namedService{"readiness", e.serveHTTP(e.ports.readiness, http.HandlerFunc(e.handleReadiness))})
--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -34,7 +34,7 @@
 type fleet struct {
 	t         *testing.T
 	store     *rowstore.Store
-	ports     [5]int
+	ports     [6]int
 	net       byte
 	instances []*instance
 	version   int
@@ -121,6 +121,7 @@
 		Name: fmt.Sprintf("edge-%d", n), DataCentre: "dc", IP: f.ip(n),
 		Listen: settings.Listen{
 			Callers: f.address(n, 0), Readiness: f.address(n, 1), Directory: f.address(n, 2), Peers: f.address(n, 3), Metrics: f.address(n, 4),
+			Forwarding: f.address(n, 5),
 		},
 		Store: settings.Store{Address: f.storeAddress(f.ip(n))},
 		Bounds: settings.Bounds{
@@ -357,3 +358,19 @@
 		})
 	}
 }
+
+// metric returns the line of a metric of instance n, "" if it has none.
+func (f *fleet) metric(n int, name string) string {
+	f.t.Helper()
+	resp, err := http.Get("http://" + f.address(n, 4) + "/metrics")
+	must.NoError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	must.NoError(f.t, err)
+	for line := range strings.Lines(string(b)) {
+		if strings.HasPrefix(line, name) {
+			return line
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/edge/forward.go
@@ -0,0 +1,223 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/event"
+	"foxtailspoke/mechanism"
+	"foxtailspoke/placement"
+	"foxtailspoke/platform"
+	"foxtailspoke/reach"
+	"foxtailspoke/upstream"
+)
+
+// Headers between an instance and the one that forwards its request. Requests are
+// forwarded by HTTP, not net/rpc: closing the connection must cancel the request at the
+// backend server.
+const (
+	// headerForwardTo is the address of the backend server.
+	headerForwardTo = "Foxtailspoke-Forward-To"
+	// headerForwardOutcome tells how the attempt at the server ended. The response is the
+	// server's if it is forwardCompleted.
+	headerForwardOutcome = "Foxtailspoke-Forward-Outcome"
+)
+
+// Values of headerForwardOutcome.
+const (
+	forwardCompleted = "completed"
+	forwardNotSent   = "not-sent"
+	forwardFailed    = "failed"
+)
+
+// maxForwardedHeaderBytes bounds the headers of a forwarded request: those of the caller
+// and some of the instance's own.
+const maxForwardedHeaderBytes = maxHeaderBytes + 4<<10
+
+var (
+	errForwarderGone = errors.New("forwarding instance gave no outcome")
+	errNotForwarded  = errors.New("forwarding instance could not send the request")
+)
+
+// sendToServer sends a request to the chosen server and returns the response and the time of
+// sending. Where no connection to the server can be opened, other instances forward the
+// request: nothing of it has been sent then.
+func (e *Edge) sendToServer(ctx context.Context, c *call, choice placement.Choice) (upstream.Response, time.Duration) {
+	address, sentAt := choice.Server.Address, e.now()
+	forwarders, direct := e.chooseWay(address)
+	request := e.upstreamRequest(c, choice)
+	request.KeptConnectionOnly = !direct
+	resp := e.pool.Do(ctx, address, request)
+	if resp.Outcome != upstream.NotSent {
+		return resp, sentAt
+	}
+	for _, f := range forwarders {
+		if ctx.Err() != nil {
+			break
+		}
+		sentAt = e.now()
+		forwarded := e.forward(ctx, f.ID, address, e.upstreamRequest(c, choice))
+		e.metrics.forwarded.WithLabelValues(forwarded.Outcome.String()).Inc()
+		if forwarded.Outcome != upstream.NotSent {
+			return forwarded, sentAt
+		}
+		resp.Err = errors.CombineErrors(resp.Err, forwarded.Err)
+	}
+	return resp, sentAt
+}
+
+// chooseWay returns the instances that may forward a request to a server, and whether to
+// try it directly first. A server that isn't reached directly is tried in the background
+// from time to time.
+func (e *Edge) chooseWay(address string) (forwarders []reach.Peer, direct bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.mechanisms.Enabled(mechanism.Forwarding) {
+		return nil, true
+	}
+	forwarders = e.forwarders()
+	direct = len(forwarders) == 0 || e.state.reach.IsDirect(address)
+	if !direct && e.state.reach.ProbeDue(address, e.now()) {
+		go e.pool.Connect(context.Background(), address)
+	}
+	return forwarders, direct
+}
+
+// forwarders returns the instances that may forward a request now. The lock must be held.
+func (e *Edge) forwarders() []reach.Peer {
+	var peers []reach.Peer
+	for id, m := range e.state.messenger.Fleet().All() {
+		if m.Alive && !m.Leaving && !m.Stopping && !m.Partitioned {
+			peers = append(peers, reach.Peer{ID: id, DataCentre: m.DataCentre})
+		}
+	}
+	return reach.ChooseForwarders(peers, e.settings.DataCentre, rand.Float64)
+}
+
+// forward has another instance send a request to a server.
+func (e *Edge) forward(ctx context.Context, peer uint32, address string, r upstream.Request) upstream.Response {
+	r.Header.Set(headerForwardTo, address)
+	resp := e.peerPool.Do(ctx, addrPort(peer, e.forwardingPort).String(), r)
+	if resp.Outcome != upstream.Completed {
+		return resp
+	}
+	outcome := resp.Header.Get(headerForwardOutcome)
+	resp.Header.Del(headerForwardOutcome)
+	switch outcome {
+	case forwardCompleted:
+		return resp
+	case forwardNotSent:
+		return upstream.Response{Outcome: upstream.NotSent, Err: errNotForwarded}
+	case forwardFailed:
+		return upstream.Response{Outcome: upstream.Broken, Err: errors.Newf("forwarded by %s: %s", addrPort(peer, 0).Addr(), resp.Body)}
+	default:
+		return upstream.Response{Outcome: upstream.Broken, Err: errForwarderGone}
+	}
+}
+
+// serveForwarding serves the requests that other instances can't send themselves.
+func (e *Edge) serveForwarding(ctx context.Context) error {
+	return serve(ctx, e.ports.forwarding, &http.Server{
+		Handler: http.HandlerFunc(e.handleForwarded), ReadHeaderTimeout: headerTimeout, IdleTimeout: initialIdleTimeout,
+		MaxHeaderBytes: maxForwardedHeaderBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	})
+}
+
+// handleForwarded sends a request of another instance to a backend server. All decisions
+// about it are the other instance's.
+func (e *Edge) handleForwarded(w http.ResponseWriter, r *http.Request) {
+	e.forwarding.Add(1)
+	defer e.forwarding.Add(-1)
+	address, server := r.Header.Get(headerForwardTo), r.Header.Get(platform.HeaderExpectInstance)
+	if !e.mayForward(r.RemoteAddr, address, server) {
+		writeForwardFailure(w, forwardNotSent, "not forwarded")
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		event.PeerMessageFailed.Log(e.log, slog.String("peer", r.RemoteAddr), slog.Any("error", err))
+		writeForwardFailure(w, forwardNotSent, "request body incomplete")
+		return
+	}
+	ctx := r.Context()
+	if left := platform.Deadline(r.Header); left > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, left)
+		defer cancel()
+	}
+	h := withoutHopByHop(r.Header)
+	h.Del(headerForwardTo)
+	resp := e.pool.Do(ctx, address, upstream.Request{
+		Method: r.Method, Target: requestTarget(r), Host: r.Host, Header: h, Body: body,
+		IDHeader: platform.HeaderAttempt, ID: r.Header.Get(platform.HeaderAttempt),
+		// Whether it may be repeated is the sender's knowledge.
+		NonIdempotent: true,
+	})
+	switch {
+	case resp.Outcome == upstream.Completed:
+		writeForwarded(w, r.Method, resp)
+	case resp.Outcome == upstream.NotSent:
+		writeForwardFailure(w, forwardNotSent, resp.Err.Error())
+	default:
+		writeForwardFailure(w, forwardFailed, resp.Err.Error())
+	}
+}
+
+// mayForward reports whether the sender is an instance and the server is one that this
+// instance knows and that accepts requests.
+func (e *Edge) mayForward(sender, address, server string) bool {
+	from, err := netip.ParseAddrPort(sender)
+	if err != nil {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, known := e.state.messenger.Fleet().All()[ipv4Number(from.Addr())]; !known {
+		return false
+	}
+	entry, known := e.state.placer.Server(placement.Hash(server))
+	return known && entry.ID == server && entry.Address == address && !entry.Draining
+}
+
+func writeForwarded(w http.ResponseWriter, method string, resp upstream.Response) {
+	h := w.Header()
+	for name, values := range withoutHopByHop(resp.Header) {
+		h[name] = values
+	}
+	for _, name := range []string{"Date", "Content-Type"} {
+		// net/http would add those that the server left out.
+		if _, ok := h[name]; !ok {
+			h[name] = nil
+		}
+	}
+	h.Set(headerForwardOutcome, forwardCompleted)
+	if method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	}
+	w.WriteHeader(resp.Status)
+	// A write error means that the other instance has cancelled the request.
+	_, _ = w.Write(resp.Body)
+}
+
+func writeForwardFailure(w http.ResponseWriter, outcome, cause string) {
+	w.Header().Set(headerForwardOutcome, outcome)
+	w.WriteHeader(http.StatusBadGateway)
+	// A write error means that the other instance has cancelled the request.
+	_, _ = io.WriteString(w, cause)
+}
+
+// dialPeer opens a connection from this instance's own address, by which the others
+// identify it.
+func (e *Edge) dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1, LocalAddr: &net.TCPAddr{IP: addrPort(e.self, 0).Addr().AsSlice()}}
+	return d.DialContext(ctx, "tcp4", address)
+}
--- /dev/null
+++ b/edge/forward_test.go
@@ -0,0 +1,141 @@
+package edge_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/internal/standin"
+)
+
+// partitionedInstance returns a fleet of two instances, the first of which is partitioned from the
+// servers and knows it.
+func partitionedInstance(t *testing.T, mode standin.PartitionMode, answer func(http.ResponseWriter, *http.Request)) (*fleet, []*backend) {
+	t.Helper()
+	f := newFleet(t)
+	f.configure(10000, key)
+	servers := []*backend{f.backend("i-0", answer), f.backend("i-1", answer)}
+	f.startAll(2)
+	f.instances[0].path.SetMode(mode)
+	eventually(t, 5*time.Second, "instance notices that it is partitioned", func() bool {
+		f.lookup(0)
+		return strings.Contains(f.instances[0].log.String(), `"event":527`)
+	})
+	return f, servers
+}
+
+// Guards against a forwarder that changes the request or the response.
+func TestForwardedRequestAndResponseAreUnchanged(t *testing.T) {
+	f, servers := partitionedInstance(t, standin.PartitionReset, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Response-Seal", "seal")
+		w.Header()["Date"], w.Header()["Content-Type"] = nil, nil
+		w.Header().Set("X-Own", "a")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, "<html>")
+	})
+	r, id := f.call(0, http.MethodPut, "/order/%41?x=%20&y", "the body", func(r *http.Request) {
+		r.Header.Set("X-Callers", "b")
+	})
+	must.NoError(t, r.err)
+	must.Eq(t, http.StatusCreated, r.status)
+	must.Eq(t, "<html>", r.body)
+	must.Eq(t, "a", r.header.Get("X-Own"))
+	must.Eq(t, id, r.header.Get("X-Attempt-Id"))
+	for name := range r.header {
+		must.StrNotHasPrefix(t, "Foxtailspoke", name)
+	}
+	must.Eq(t, 1, servers[0].executions(id)+servers[1].executions(id))
+	for _, s := range servers {
+		if s.executions(id) == 0 {
+			continue
+		}
+		must.Eq(t, "/order/%41?x=%20&y", s.lastURI)
+		must.Eq(t, "b", s.last.Get("X-Callers"))
+		must.Eq(t, "w", s.last.Get("X-Tenant"))
+		must.Eq(t, "", s.last.Get("Authorization"))
+		for name := range s.last {
+			must.StrNotHasPrefix(t, "Foxtailspoke", name)
+		}
+	}
+}
+
+// Guards against an order that runs twice because its forwarder gave no response.
+func TestForwardedOrderThatMayHaveRunIsNotRepeated(t *testing.T) {
+	f, servers := partitionedInstance(t, standin.PartitionReset, nil)
+	for _, s := range servers {
+		s.mu.Lock()
+		s.answer = resetConnection
+		s.mu.Unlock()
+	}
+	r, id := f.order(0)
+	must.NoError(t, r.err)
+	must.Eq(t, http.StatusBadGateway, r.status)
+	must.Eq(t, 1, servers[0].executions(id)+servers[1].executions(id))
+}
+
+// Guards against a server that works on a forwarded request after its caller has left.
+func TestForwardedRequestEndsWithItsCaller(t *testing.T) {
+	var working atomic.Int32
+	f, _ := partitionedInstance(t, standin.PartitionHang, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Response-Seal", "seal")
+		if r.URL.Path != "/lookup/slow" {
+			return
+		}
+		working.Add(1)
+		defer working.Add(-1)
+		select {
+		case <-r.Context().Done():
+		case <-time.After(5 * time.Second):
+		}
+	})
+	client := http.Client{Timeout: 300 * time.Millisecond}
+	req, err := http.NewRequest(http.MethodGet, "http://"+f.address(0, 0)+"/lookup/slow", nil)
+	must.NoError(t, err)
+	req.Host = "h.example"
+	req.Header.Set("X-Attempt-Id", "leaves")
+	req.Header.Set("Authorization", "Token "+key)
+	go func() { _, _ = client.Do(req) }()
+	eventually(t, time.Second, "server works on the request", func() bool { return working.Load() > 0 })
+	eventually(t, 800*time.Millisecond, "server stops working on the request", func() bool { return working.Load() == 0 })
+}
+
+// Guards against requests that take a detour for ever after the partition has ended.
+func TestRequestsAreSentDirectlyAfterAPartition(t *testing.T) {
+	f, _ := partitionedInstance(t, standin.PartitionHang, nil)
+	f.instances[0].path.SetMode(standin.PartitionNone)
+	eventually(t, 3*time.Second, "instance connects to servers again", func() bool {
+		return strings.Contains(f.instances[0].log.String(), `"event":528`)
+	})
+	before := f.metric(0, `foxtailspoke_edge_forwarded_total{outcome="completed"}`)
+	for range 10 {
+		r, _ := f.order(0)
+		must.Eq(t, http.StatusOK, r.status)
+	}
+	must.Eq(t, before, f.metric(0, `foxtailspoke_edge_forwarded_total{outcome="completed"}`))
+}
+
+// Guards against an open proxy on the forwarding address.
+func TestOnlyInstancesReachOnlyKnownServersByForwarding(t *testing.T) {
+	f := newFleet(t)
+	f.configure(10000, key)
+	b := f.backend("i-0", nil)
+	f.startAll(1)
+	for _, to := range []string{strings.TrimPrefix(b.server.URL, "http://"), "127.0.0.1:1"} {
+		req, err := http.NewRequest(http.MethodGet, "http://"+f.address(0, 5)+"/lookup/1", nil)
+		must.NoError(t, err)
+		req.Header.Set("Foxtailspoke-Forward-To", to)
+		req.Header.Set("X-Expect-Instance", "i-0")
+		req.Header.Set("X-Attempt-Id", "foreign")
+		resp, err := http.DefaultClient.Do(req)
+		must.NoError(t, err)
+		must.NoError(t, resp.Body.Close())
+		must.Eq(t, http.StatusBadGateway, resp.StatusCode)
+		must.Eq(t, "not-sent", resp.Header.Get("Foxtailspoke-Forward-Outcome"))
+	}
+	must.Eq(t, 0, b.total())
+}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -18,6 +18,7 @@
 	requests          *prometheus.CounterVec
 	durations         *prometheus.HistogramVec
 	attempts          *prometheus.CounterVec
+	forwarded         *prometheus.CounterVec
 	datagrams         prometheus.Counter
 	datagramsReceived prometheus.Counter
 }
@@ -35,6 +36,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "attempts_total", Help: "Attempts at backend servers by result.",
 		}, []string{"result"}),
+		forwarded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "forwarded_total", Help: "Requests of this instance that others were asked to forward, by outcome.",
+		}, []string{"outcome"}),
 		datagrams: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "datagrams_total", Help: "Datagrams written to other instances.",
 		}),
@@ -42,7 +46,7 @@
 			Namespace: namespace, Name: "datagrams_received_total", Help: "Datagrams read from other instances.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.durations, m.attempts, m.datagrams, m.datagramsReceived)
+	m.registry.MustRegister(m.requests, m.durations, m.attempts, m.forwarded, m.datagrams, m.datagramsReceived)
 	m.gauge("rounds_total", "Rounds sent to listeners and other relays.", e.locked(func() float64 {
 		return float64(e.state.messenger.Hub().Rounds())
 	}))
@@ -82,12 +86,13 @@
 	m.gauge("servers_backing_off", "Backend servers whose Retry-After keeps this instance from sending requests.", e.locked(func() float64 {
 		return float64(e.state.backoffs.Count(e.now()))
 	}))
-	m.gauge("cut_off", "1 if this instance fails to connect to any backend server, otherwise 0.", e.locked(func() float64 {
-		if e.state.reach.CutOff() {
+	m.gauge("partitioned", "1 if this instance fails to connect to any backend server, otherwise 0.", e.locked(func() float64 {
+		if e.state.reach.Partitioned() {
 			return 1
 		}
 		return 0
 	}))
+	m.gauge("forwarding", "Requests of other instances that this one is forwarding.", func() float64 { return float64(e.forwarding.Load()) })
 	m.gauge("instances_alive", "Other instances that are heard.", e.locked(func() float64 {
 		n := 0
 		for _, p := range e.state.messenger.Fleet().All() {
--- a/edge/outage_test.go
+++ b/edge/outage_test.go
@@ -23,7 +23,7 @@
 	const any = "127.0.0.1:0"
 	e, err := New("", settings.Settings{
 		Name: "edge", DataCentre: "dc", IP: "127.0.0.1",
-		Listen: settings.Listen{Callers: any, Readiness: any, Directory: any, Peers: any, Metrics: any},
+		Listen: settings.Listen{Callers: any, Readiness: any, Directory: any, Peers: any, Metrics: any, Forwarding: any},
 		Store:  settings.Store{Address: any},
 		Bounds: settings.Bounds{RevokeS: 5, RetryRatio: 0.2, RetrySlack: 50, RateWindowS: 5},
 	}, logging.NewWriter(io.Discard))
--- a/edge/cut_off_test.go
+++ b/edge/partition_test.go
@@ -76,10 +76,10 @@
 
 // Guards against refusing the callers of an instance that has lost its connections to
 // all backend servers, while other instances still reach them.
-func TestCallersOfACutOffInstanceAreServed(t *testing.T) {
+func TestCallersOfAPartitionedInstanceAreServed(t *testing.T) {
 	for _, mode := range []standin.PartitionMode{standin.PartitionHang, standin.PartitionReset, standin.PartitionRefuse} {
-		for _, cut := range [][]int{{0}, {0, 2}} {
-			t.Run(fmt.Sprintf("%s at %d", mode, len(cut)), func(t *testing.T) {
+		for _, partitioned := range [][]int{{0}, {0, 2}} {
+			t.Run(fmt.Sprintf("%s at %d", mode, len(partitioned)), func(t *testing.T) {
 				t.Parallel()
 				f, _ := partitionedFleet(t)
 				before, after := &served{ok: map[int]int{}, all: map[int]int{}}, &served{ok: map[int]int{}, all: map[int]int{}}
@@ -92,7 +92,7 @@
 					wg.Wait()
 				}
 				sendAll(before, 10)
-				for _, i := range cut {
+				for _, i := range partitioned {
 					f.instances[i].path.SetMode(mode)
 				}
 				for start := time.Now(); time.Since(start) < contactPeriod; {
@@ -100,14 +100,14 @@
 				}
 				sendAll(after, 25)
 
-				others := slices.DeleteFunc(slices.Clone(all), func(i int) bool { return slices.Contains(cut, i) })
-				cutOK, cutAll := after.share(cut)
+				others := slices.DeleteFunc(slices.Clone(all), func(i int) bool { return slices.Contains(partitioned, i) })
+				partitionedOK, partitionedAll := after.share(partitioned)
 				otherOK, otherAll := after.share(others)
-				t.Logf("cut off: %d of %d served, others: %d of %d", cutOK, cutAll, otherOK, otherAll)
+				t.Logf("partitioned: %d of %d served, others: %d of %d", partitionedOK, partitionedAll, otherOK, otherAll)
 				must.Greater(t, 0, otherOK)
-				farWorse := float64(cutOK)/float64(cutAll) < 2.0/3*float64(otherOK)/float64(otherAll)
-				tooMany := cutAll-cutOK > 10+(cutAll+otherAll)/50
-				must.False(t, farWorse && tooMany, must.Sprintf("cut-off instances served %d of %d requests, the others %d of %d", cutOK, cutAll, otherOK, otherAll))
+				farWorse := float64(partitionedOK)/float64(partitionedAll) < 2.0/3*float64(otherOK)/float64(otherAll)
+				tooMany := partitionedAll-partitionedOK > 10+(partitionedAll+otherAll)/50
+				must.False(t, farWorse && tooMany, must.Sprintf("partitioned instances served %d of %d requests, the others %d of %d", partitionedOK, partitionedAll, otherOK, otherAll))
 			})
 		}
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -131,6 +131,7 @@
 	e.updateLimiterInstances()
 	e.announceIfChanged(now)
 	e.expireServers(now)
+	e.probeWhilePartitioned(now)
 	e.logStoreAvailability(now)
 	e.logDroppedLines(now)
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -192,7 +192,7 @@
 	}
 	e.closing.Store(true)
 	e.callerServer.CloseIdle()
-	for e.callerServer.InFlight() > 0 && e.now()-start < grace-killMargin {
+	for e.callerServer.InFlight()+e.forwarding.Load() > 0 && e.now()-start < grace-killMargin {
 		time.Sleep(drainPollInterval)
 	}
 	event.EdgeStopped.Log(e.log, slog.Int64("cut", e.callerServer.InFlight()))
--- a/edge/settings/settings.go
+++ b/edge/settings/settings.go
@@ -68,6 +68,9 @@
 	// Peers carries datagrams and snapshots between instances. All instances must
 	// use the same port.
 	Peers string `json:"peers"`
+	// Forwarding accepts requests of instances that can't connect to a backend server.
+	// All instances must use the same port. Default: the port after that of Peers.
+	Forwarding string `json:"forwarding,omitempty"`
 	// Metrics serves the metrics and the status.
 	Metrics string `json:"metrics"`
 }
@@ -134,9 +137,18 @@
 	if err := d.Decode(&s); err != nil {
 		return Settings{}, errors.Wrap(err, "parsing settings")
 	}
+	s.Listen.setForwarding()
 	return s, s.check()
 }
 
+// setForwarding sets the default of Forwarding. An invalid Peers is reported by check.
+func (l *Listen) setForwarding() {
+	peers, err := netip.ParseAddrPort(l.Peers)
+	if l.Forwarding == "" && err == nil {
+		l.Forwarding = netip.AddrPortFrom(peers.Addr(), peers.Port()+1).String()
+	}
+}
+
 func (s Settings) check() error {
 	if _, err := mechanism.Parse(s.Trial.DisabledMechanisms); err != nil {
 		return errors.Wrap(err, "settings: trial.without")
@@ -145,12 +157,13 @@
 		return errors.Wrap(err, "settings: ip")
 	}
 	for name, address := range map[string]string{
-		"listen.callers":   s.Listen.Callers,
-		"listen.readiness": s.Listen.Readiness,
-		"listen.directory": s.Listen.Directory,
-		"listen.peers":     s.Listen.Peers,
-		"listen.metrics":   s.Listen.Metrics,
-		"store.address":    s.Store.Address,
+		"listen.callers":    s.Listen.Callers,
+		"listen.readiness":  s.Listen.Readiness,
+		"listen.directory":  s.Listen.Directory,
+		"listen.peers":      s.Listen.Peers,
+		"listen.forwarding": s.Listen.Forwarding,
+		"listen.metrics":    s.Listen.Metrics,
+		"store.address":     s.Store.Address,
 	} {
 		if _, err := netip.ParseAddrPort(address); err != nil {
 			return errors.Wrapf(err, "settings: %s must be ip:port", name)
--- a/edge/status.go
+++ b/edge/status.go
@@ -32,8 +32,8 @@
 	DataCentre string `json:"dataCentre"`
 	// Ready reports whether callers are given the address of this instance.
 	Ready bool `json:"ready"`
-	// CutOff reports that this instance fails to connect to any backend server.
-	CutOff bool `json:"cutOff"`
+	// Partitioned reports that this instance fails to connect to any backend server.
+	Partitioned bool `json:"partitioned"`
 	// Version is the version of the configuration in force. ConfigAgeMS is the age
 	// of the proof that it is the newest.
 	Version     uint32 `json:"version"`
@@ -63,9 +63,11 @@
 	DataCentre string `json:"dataCentre"`
 	Alive      bool   `json:"alive"`
 	// Leaving is set if the instance is not ready or is stopping.
-	Leaving  bool  `json:"leaving"`
-	HeardMS  int64 `json:"heardMS"`
-	SlowLink bool  `json:"slowLink"`
+	Leaving bool `json:"leaving"`
+	// Partitioned reports that the instance fails to connect to any backend server.
+	Partitioned bool  `json:"partitioned"`
+	HeardMS     int64 `json:"heardMS"`
+	SlowLink    bool  `json:"slowLink"`
 }
 
 // ServiceStatus summarizes the backend servers of a service.
@@ -114,7 +116,7 @@
 	defer e.mu.Unlock()
 	s, now := &e.state, e.now()
 	st := Status{
-		Instance: e.settings.Name, DataCentre: e.settings.DataCentre, Ready: e.readyLocked(), CutOff: s.reach.CutOff(),
+		Instance: e.settings.Name, DataCentre: e.settings.DataCentre, Ready: e.readyLocked(), Partitioned: s.reach.Partitioned(),
 		ConfigAgeMS: millisOrUnknown(e.configAge(now)), ServersAgeMS: -1, RateShare: round3(s.usage.RateShare),
 		Evacuated: s.evacuations.List(),
 	}
@@ -131,7 +133,7 @@
 	st.Listeners = s.messenger.Hub().Subscribers()
 	for id, m := range s.messenger.Fleet().All() {
 		st.Instances = append(st.Instances, InstanceStatus{
-			IP: addrPort(id, 0).Addr().String(), DataCentre: m.DataCentre, Alive: m.Alive, Leaving: m.Leaving,
+			IP: addrPort(id, 0).Addr().String(), DataCentre: m.DataCentre, Alive: m.Alive, Leaving: m.Leaving, Partitioned: m.Partitioned,
 			HeardMS: millisOrUnknown(now - m.LastHeard), SlowLink: m.SlowLink,
 		})
 	}
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -38,6 +38,8 @@
 	Leaving bool
 	// Stopping reports that the instance is about to stop.
 	Stopping bool
+	// Partitioned reports that the instance fails to connect to any backend server.
+	Partitioned bool
 	// Members are instances that the source considers alive. A join is answered
 	// with them, and newly found instances are broadcast with them.
 	Members      []Member
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -45,6 +45,8 @@
 	relay.Member
 	// Leaving reports that the instance must not receive callers.
 	Leaving bool
+	// Partitioned reports that the instance fails to connect to any backend server.
+	Partitioned bool
 	// LastHeard is the time of the last sign of life; if there was none, the
 	// time at which the instance became known.
 	LastHeard time.Duration
--- a/fleet/messenger.go
+++ b/fleet/messenger.go
@@ -42,6 +42,8 @@
 	// Leaving reports whether this instance must not receive callers, Stopping
 	// whether it is about to stop.
 	Leaving, Stopping func() bool
+	// Partitioned reports whether this instance fails to connect to any backend server.
+	Partitioned func() bool
 }
 
 // Messenger is the messaging endpoint of one instance: it tracks which
@@ -117,7 +119,7 @@
 }
 
 func (m *Messenger) encode(msg evidence.Message) ([]byte, error) {
-	msg.Source, msg.Epoch, msg.Leaving, msg.Stopping = m.Self.ID, m.Epoch, m.Leaving(), m.Stopping()
+	msg.Source, msg.Epoch, msg.Leaving, msg.Stopping, msg.Partitioned = m.Self.ID, m.Epoch, m.Leaving(), m.Stopping(), m.Partitioned()
 	return evidence.Encode(msg)
 }
 
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -86,7 +86,7 @@
 		m.updateMember(i, msg.DataCentre, msg.SlowLink, i.Stopping)
 	}
 	if msg.Sequence == evidence.Unsequenced {
-		i.Leaving = msg.Leaving
+		i.Leaving, i.Partitioned = msg.Leaving, msg.Partitioned
 		m.updateMember(i, i.DataCentre, i.SlowLink, msg.Stopping)
 		m.applyMembers(t, msg.Members, now)
 		return classDirect
@@ -98,7 +98,7 @@
 	latest := i.IsLatest(msg.Sequence)
 	if latest {
 		i.lastMessage = now
-		i.Leaving = msg.Leaving
+		i.Leaving, i.Partitioned = msg.Leaving, msg.Partitioned
 		m.updateMember(i, i.DataCentre, i.SlowLink, msg.Stopping)
 	}
 	m.applyMembers(t, msg.Members, now)
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -137,8 +137,9 @@
 	n.m = fleet.NewMessenger(fleet.Settings{
 		Self: relay.Member{ID: n.id, DataCentre: n.dataCentre, SlowLink: n.slow}, Epoch: n.epoch, Seeds: n.seeds,
 		// An instance is not ready before it has read the store.
-		Leaving:  func() bool { return w.now < started+readyDelay },
-		Stopping: func() bool { return false },
+		Leaving:     func() bool { return w.now < started+readyDelay },
+		Stopping:    func() bool { return false },
+		Partitioned: func() bool { return false },
 	})
 	w.tick(n, n.generation)
 	w.publishRandomly(n, n.generation)
--- a/internal/edgecommand/status.go
+++ b/internal/edgecommand/status.go
@@ -63,7 +63,7 @@
 	line("%s in %s, %s", s.Instance, s.DataCentre, readiness(s.Ready))
 	line("configuration %d, proved %s ago; servers as of %s ago; read by %s", s.Version, ago(s.ConfigAgeMS), ago(s.ServersAgeMS), orNone(s.Reader))
 	line("may count on %.0f%% of each workspace's rate", 100*s.RateShare)
-	if s.CutOff {
+	if s.Partitioned {
 		line("no connection to any backend server")
 	}
 	if len(s.Evacuated) > 0 {
@@ -109,6 +109,9 @@
 	default:
 		words = append(words, "ready")
 	}
+	if i.Partitioned {
+		words = append(words, "no connection to servers")
+	}
 	if i.SlowLink {
 		words = append(words, "slow link")
 	}
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -63,7 +63,7 @@
 	binary      string
 	dir         string
 	subnet      int
-	ports       [5]int
+	ports       [6]int
 	store       *rowstore.Store
 	storeServer *httptest.Server
 	client      *http.Client
@@ -240,7 +240,7 @@
 	b, err := json.Marshal(map[string]any{
 		"name": fmt.Sprintf("edge-%d", n), "dataCentre": fmt.Sprintf("dc-%d", n%2), "ip": c.instanceIP(n),
 		"listen": map[string]string{
-			"callers": c.instanceAddress(n, 0), "readiness": c.instanceAddress(n, 1), "directory": c.instanceAddress(n, 2), "peers": c.instanceAddress(n, 3), "metrics": c.instanceAddress(n, 4),
+			"callers": c.instanceAddress(n, 0), "readiness": c.instanceAddress(n, 1), "directory": c.instanceAddress(n, 2), "peers": c.instanceAddress(n, 3), "metrics": c.instanceAddress(n, 4), "forwarding": c.instanceAddress(n, 5),
 		},
 		"store": map[string]string{"address": c.storeLinks[n].Address()},
 		"bounds": map[string]any{
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -55,11 +55,14 @@
 	// FreshConnections sends non-idempotent requests only on new or recently
 	// used connections.
 	FreshConnections Name = "fresh"
+	// Forwarding has other instances send requests to servers that this one can't connect
+	// to.
+	Forwarding Name = "forwarding"
 )
 
 // All lists all mechanisms.
 var All = []Name{
-	Spread, UnusedServers, KeepInUse, Probe, RandomTiming, FailurePrediction, PathFailures, SlowServers, LocalPreference, QueueCost, Hedge, Priorities, RateTolerance, FreshConnections,
+	Spread, UnusedServers, KeepInUse, Probe, RandomTiming, FailurePrediction, PathFailures, SlowServers, LocalPreference, QueueCost, Hedge, Priorities, RateTolerance, FreshConnections, Forwarding,
 }
 
 // Disabled is a set of disabled mechanisms. The zero value is empty.
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -28,6 +28,8 @@
 	// NonIdempotent means that the request cannot be sent again if its
 	// connection turns out to be dead.
 	NonIdempotent bool
+	// KeptConnectionOnly means that no connection is to be opened for the request.
+	KeptConnectionOnly bool
 }
 
 // Outcome tells how an attempt ended.
@@ -47,6 +49,11 @@
 	Cancelled
 )
 
+// String returns the name of the outcome.
+func (o Outcome) String() string {
+	return [...]string{"completed", "not-sent", "broken", "timed-out", "cancelled"}[o]
+}
+
 // Response is the result of an attempt.
 type Response struct {
 	Outcome Outcome
@@ -76,7 +83,7 @@
 
 // Do sends the request to the address and reads the whole response.
 func (p *Pool) Do(ctx context.Context, address string, r Request) Response {
-	c, err := p.get(ctx, address, r.NonIdempotent)
+	c, err := p.get(ctx, address, r)
 	if err != nil {
 		return Response{Outcome: NotSent, Err: err}
 	}
@@ -85,6 +92,7 @@
 	defer stop()
 	written := r.start(w)
 	reused := c.reused
+	c.reused = true
 	resp, reusable := c.read(r)
 	resp.Reused = reused
 	if resp.Outcome != Completed {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -96,9 +96,12 @@
 }
 
 // get returns a usable idle connection, or a new one.
-func (p *Pool) get(ctx context.Context, address string, nonIdempotent bool) (*conn, error) {
+func (p *Pool) get(ctx context.Context, address string, r Request) (*conn, error) {
 	for {
-		c := p.take(address, nonIdempotent)
+		c := p.take(address, r.NonIdempotent)
+		if c == nil && r.KeptConnectionOnly {
+			return nil, ErrNoKeptConnection
+		}
 		if c == nil {
 			return p.dial(ctx, address)
 		}
@@ -109,6 +112,19 @@
 	}
 }
 
+// ErrNoKeptConnection is the cause of an attempt that needed a kept connection.
+var ErrNoKeptConnection = errors.New("no kept connection to backend server")
+
+// Connect opens a connection and keeps it for a request. The result is reported like that
+// of any other attempt to open one.
+func (p *Pool) Connect(ctx context.Context, address string) {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return
+	}
+	p.put(address, c, nil)
+}
+
 // take returns the most recently used idle connection. For a request that
 // cannot be repeated it returns nil if that connection has been idle for too
 // long; the connection stays in the pool for other requests.
@@ -160,7 +176,7 @@
 
 // put keeps a connection for the next request.
 func (p *Pool) put(address string, c *conn, h http.Header) {
-	c.lastUsed, c.reused = time.Now(), true
+	c.lastUsed = time.Now()
 	c.expires = c.lastUsed.Add(idleTimeout(h))
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -184,6 +200,19 @@
 	}
 }
 
+// CloseAllIdle closes the idle connections to all addresses.
+func (p *Pool) CloseAllIdle() {
+	p.mu.Lock()
+	all := p.idle
+	p.idle = make(map[string][]*conn)
+	p.mu.Unlock()
+	for _, conns := range all {
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}
+}
+
 // idleTimeout returns how long an idle connection may be kept according to the
 // server's Keep-Alive header.
 func idleTimeout(h http.Header) time.Duration {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -77,16 +77,19 @@
 	return p.Do(ctx, s.listener.Addr().String(), r)
 }
 
-func TestConnectionIsReused(t *testing.T) {
-	s := serve(t, func(s *scriptedServer, _ int, c net.Conn, r *bufio.Reader) {
-		for {
-			id, ok := s.request(r)
-			if !ok {
-				return
-			}
-			_, _ = io.WriteString(c, responseText(id, "ok"))
+// answerAll answers all requests of a connection.
+func answerAll(s *scriptedServer, _ int, c net.Conn, r *bufio.Reader) {
+	for {
+		id, ok := s.request(r)
+		if !ok {
+			return
 		}
-	})
+		_, _ = io.WriteString(c, responseText(id, "ok"))
+	}
+}
+
+func TestConnectionIsReused(t *testing.T) {
+	s := serve(t, answerAll)
 	p := upstream.NewPool(nil, nil)
 	for _, id := range []string{"1", "2", "3"} {
 		resp := s.do(t, p, postRequest(id))
@@ -336,3 +339,38 @@
 	s.do(t, p, postRequest("3"))
 	must.Eq(t, 2, p.ConnectionsOpened())
 }
+
+// Guards against opening a connection to a server that can't be reached with each request.
+func TestRequestForKeptConnectionsOpensNone(t *testing.T) {
+	s := serve(t, answerAll)
+	p := upstream.NewPool(nil, nil)
+	r := postRequest("1")
+	r.KeptConnectionOnly = true
+	resp := s.do(t, p, r)
+	must.Eq(t, upstream.NotSent, resp.Outcome)
+	must.ErrorIs(t, resp.Err, upstream.ErrNoKeptConnection)
+	must.Eq(t, 0, s.opened.Load())
+
+	p.Connect(context.Background(), s.listener.Addr().String())
+	must.Eq(t, upstream.Completed, s.do(t, p, r).Outcome)
+	must.Eq(t, 1, s.opened.Load())
+
+	p.CloseAllIdle()
+	must.Eq(t, upstream.NotSent, s.do(t, p, r).Outcome)
+}
+
+// Guards against taking a caller that leaves for a server that can't be reached.
+func TestCancelledDialIsNotReported(t *testing.T) {
+	var results []error
+	p := upstream.NewPool(func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}, func(_ string, err error) { results = append(results, err) })
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	must.Eq(t, upstream.NotSent, p.Do(ctx, "127.0.0.1:1", postRequest("1")).Outcome)
+	must.SliceEmpty(t, results)
+	must.Eq(t, upstream.NotSent, p.Do(context.Background(), "127.0.0.1:1", postRequest("2")).Outcome)
+	must.Len(t, 1, results)
+	must.ErrorIs(t, results[0], context.DeadlineExceeded)
+}
