A forwarder that doesn't reach a server answers at once; up to three are tried

Where many instances lose their connections to a service, both forwarders of a request were often partitioned as well, and each took the 300 ms of a connection that hangs to say so. A forwarder now uses what it knows of the server, as for its own requests, and a third one is tried.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -76,8 +76,7 @@
 }
 
 // chooseWay returns the instances that may forward a request to a server, and whether to
-// try it directly first. A server that isn't reached directly is tried in the background
-// from time to time.
+// try it directly first.
 func (e *Edge) chooseWay(address string) (forwarders []reach.Peer, direct bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -85,11 +84,25 @@
 		return nil, true
 	}
 	forwarders = e.forwarders()
-	direct = len(forwarders) == 0 || e.state.reach.IsDirect(address)
-	if !direct && e.state.reach.ProbeDue(address, e.now()) {
+	return forwarders, len(forwarders) == 0 || e.isDirectLocked(address)
+}
+
+// isDirect reports whether requests to a server are sent directly. One that isn't reached
+// is tried in the background from time to time.
+func (e *Edge) isDirect(address string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isDirectLocked(address)
+}
+
+func (e *Edge) isDirectLocked(address string) bool {
+	if e.state.reach.IsDirect(address) {
+		return true
+	}
+	if e.state.reach.ProbeDue(address, e.now()) {
 		go e.pool.Connect(context.Background(), address)
 	}
-	return forwarders, direct
+	return false
 }
 
 // forwarders returns the instances that may forward a request now. The lock must be held.
@@ -142,6 +155,7 @@
 		writeForwardFailure(w, forwardNotSent, "not forwarded")
 		return
 	}
+	direct := e.isDirect(address)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		event.PeerMessageFailed.Log(e.log, slog.String("peer", r.RemoteAddr), slog.Any("error", err))
@@ -161,6 +175,8 @@
 		IDHeader: platform.HeaderAttempt, ID: r.Header.Get(platform.HeaderAttempt),
 		// Whether it may be repeated is the sender's knowledge.
 		NonIdempotent: true,
+		// The sender tries another instance sooner than a connection would time out here.
+		KeptConnectionOnly: !direct,
 	})
 	switch {
 	case resp.Outcome == upstream.Completed:
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -139,3 +140,23 @@
 	}
 	must.Eq(t, 0, b.total())
 }
+
+// Guards against a forwarder that tries to connect to a server that it knows it doesn't
+// reach, while the sender waits.
+func TestForwarderWithoutConnectionAnswersAtOnce(t *testing.T) {
+	f, servers := partitionedInstance(t, standin.PartitionHang, nil)
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(f.ip(1))}}
+	client := http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}
+	defer client.CloseIdleConnections()
+	req, err := http.NewRequest(http.MethodGet, "http://"+f.address(0, 5)+"/lookup/1", nil)
+	must.NoError(t, err)
+	req.Header.Set("Foxtailspoke-Forward-To", strings.TrimPrefix(servers[0].server.URL, "http://"))
+	req.Header.Set("X-Expect-Instance", servers[0].id)
+	req.Header.Set("X-Attempt-Id", "forwarded")
+	start := time.Now()
+	resp, err := client.Do(req)
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	must.Eq(t, "not-sent", resp.Header.Get("Foxtailspoke-Forward-Outcome"))
+	must.Less(t, 150*time.Millisecond, time.Since(start))
+}
--- a/reach/forwarders.go
+++ b/reach/forwarders.go
@@ -5,9 +5,9 @@
 	"slices"
 )
 
-// maxForwarders is the number of instances through which one attempt may be tried. The
-// second one serves where the first is partitioned as well and hasn't reported it yet.
-const maxForwarders = 2
+// maxForwarders is the number of instances through which one attempt may be tried. A
+// server may be out of reach of many instances, not all of which know it yet.
+const maxForwarders = 3
 
 // Peer is another instance that could forward requests.
 type Peer struct {
@@ -17,39 +17,41 @@
 
 // ChooseForwarders returns the instances that should forward a request, in order: one of
 // this instance's data centre, whose use costs no additional traffic between data centres,
-// then one of another, which a fault of the whole data centre leaves out.
+// then some of others, which a fault of the whole data centre leaves out, then any.
 func ChooseForwarders(peers []Peer, dataCentre string, random func() float64) []Peer {
 	type candidate struct {
 		Peer
-		key float64
+		tier int
+		key  float64
 	}
 	candidates := make([]candidate, 0, len(peers))
+	first := -1 // the candidate of this data centre that comes first
 	for _, p := range peers {
-		candidates = append(candidates, candidate{p, random()})
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		if aLocal, bLocal := a.DataCentre == dataCentre, b.DataCentre == dataCentre; aLocal != bLocal {
-			if aLocal {
-				return -1
+		c := candidate{p, tierRemote, random()}
+		if p.DataCentre == dataCentre {
+			c.tier = tierLocal
+			if first < 0 || c.key < candidates[first].key {
+				first = len(candidates)
 			}
-			return 1
 		}
-		return cmp.Compare(a.key, b.key)
+		candidates = append(candidates, c)
+	}
+	if first >= 0 {
+		candidates[first].tier = tierFirst
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.key, b.key))
 	})
 	var chosen []Peer
-	for _, c := range candidates {
-		if len(chosen) == 0 || c.DataCentre != chosen[0].DataCentre {
-			chosen = append(chosen, c.Peer)
-		}
-		if len(chosen) == maxForwarders {
-			return chosen
-		}
-	}
-	// All candidates are in one data centre.
-	for _, c := range candidates[min(1, len(candidates)):] {
-		if len(chosen) < maxForwarders {
-			chosen = append(chosen, c.Peer)
-		}
+	for _, c := range candidates[:min(maxForwarders, len(candidates))] {
+		chosen = append(chosen, c.Peer)
 	}
 	return chosen
 }
+
+// The order in which candidates are chosen.
+const (
+	tierFirst = iota
+	tierRemote
+	tierLocal
+)
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -89,7 +89,8 @@
 	}{
 		{"none", nil, nil},
 		{"one", []reach.Peer{b1}, []reach.Peer{b1}},
-		{"own data centre first, then another", []reach.Peer{b1, b2, a1, a2}, []reach.Peer{a1, b1}},
+		{"own data centre first, then another", []reach.Peer{b1, b2, a1, a2}, []reach.Peer{a1, b1, b2}},
+		{"own data centre again if no other is left", []reach.Peer{a1, b1, a2}, []reach.Peer{a1, b1, a2}},
 		{"own data centre only", []reach.Peer{a2, a1}, []reach.Peer{a2, a1}},
 		{"another data centre only", []reach.Peer{b1, b2}, []reach.Peer{b1, b2}},
 	} {
