Connecting takes at most 150 ms where another instance can forward the request

A connection that hangs cost the first requests to each unreachable server 300 ms, although nothing was gained by waiting: a SYN that was lost is sent again after a second only.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -43,6 +43,11 @@
 // and some of the instance's own.
 const maxForwardedHeaderBytes = maxHeaderBytes + 4<<10
 
+// connectTimeout bounds the opening of a connection to a server if another instance can
+// forward the request instead. It is far above a round trip between data centres of a
+// region, and far below the latency targets of callers.
+const connectTimeout = 150 * time.Millisecond
+
 var (
 	errForwarderGone = errors.New("forwarding instance gave no outcome")
 	errNotForwarded  = errors.New("forwarding instance could not send the request")
@@ -56,6 +61,9 @@
 	forwarders, direct := e.chooseWay(address)
 	request := e.upstreamRequest(c, choice)
 	request.KeptConnectionOnly = !direct
+	if len(forwarders) > 0 {
+		request.ConnectTimeout = connectTimeout
+	}
 	resp := e.pool.Do(ctx, address, request)
 	if resp.Outcome != upstream.NotSent {
 		return resp, sentAt
@@ -176,7 +184,7 @@
 		// Whether it may be repeated is the sender's knowledge.
 		NonIdempotent: true,
 		// The sender tries another instance sooner than a connection would time out here.
-		KeptConnectionOnly: !direct,
+		KeptConnectionOnly: !direct, ConnectTimeout: connectTimeout,
 	})
 	switch {
 	case resp.Outcome == upstream.Completed:
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -160,3 +160,18 @@
 	must.Eq(t, "not-sent", resp.Header.Get("Foxtailspoke-Forward-Outcome"))
 	must.Less(t, 150*time.Millisecond, time.Since(start))
 }
+
+// Guards against spending the caller's time on a connection that hangs although another
+// instance can forward the request.
+func TestFirstOrderAtAHangingConnectionIsForwardedInTime(t *testing.T) {
+	f := newFleet(t)
+	f.configure(10000, key)
+	f.backend("i-0", nil)
+	f.startAll(2)
+	f.instances[0].path.SetMode(standin.PartitionHang)
+	start := time.Now()
+	r, _ := f.order(0)
+	must.NoError(t, r.err)
+	must.Eq(t, http.StatusOK, r.status)
+	must.Less(t, 280*time.Millisecond, time.Since(start))
+}
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -28,6 +28,8 @@
 	// NonIdempotent means that the request cannot be sent again if its
 	// connection turns out to be dead.
 	NonIdempotent bool
+	// ConnectTimeout bounds the opening of a connection; 0 means dialTimeout.
+	ConnectTimeout time.Duration
 	// KeptConnectionOnly means that no connection is to be opened for the request.
 	KeptConnectionOnly bool
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -8,6 +8,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -103,7 +104,7 @@
 			return nil, ErrNoKeptConnection
 		}
 		if c == nil {
-			return p.dial(ctx, address)
+			return p.dial(ctx, address, cmp.Or(r.ConnectTimeout, dialTimeout))
 		}
 		if time.Now().Before(c.expires) && c.noPendingInput() {
 			return c, nil
@@ -118,7 +119,7 @@
 // Connect opens a connection and keeps it for a request. The result is reported like that
 // of any other attempt to open one.
 func (p *Pool) Connect(ctx context.Context, address string) {
-	c, err := p.dial(ctx, address)
+	c, err := p.dial(ctx, address, dialTimeout)
 	if err != nil {
 		return
 	}
@@ -143,8 +144,8 @@
 	return c
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+func (p *Pool) dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	nc, err := p.dialer(dialCtx, address)
 	if p.onDial != nil && (err == nil || ctx.Err() == nil) {
