A hedge uses a new connection

Where an instance's connections hang, the first lookup on a kept one was late and its hedge was sent on another kept connection, which hung as well: 504 at the end of the route's time.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -69,7 +69,7 @@
 }
 
 func (r *runner) run() (*attempt, *refusal) {
-	if v := r.startAttempt(); v != nil {
+	if v := r.startAttempt(false); v != nil {
 		return nil, v
 	}
 	late := time.NewTimer(r.e.lateAfter(r.c))
@@ -89,8 +89,9 @@
 	}
 }
 
-// startAttempt starts an attempt at the best available server.
-func (r *runner) startAttempt() *refusal {
+// startAttempt starts an attempt at the best available server. hedge means that another
+// attempt is late.
+func (r *runner) startAttempt(hedge bool) *refusal {
 	choice, v := r.e.chooseServer(r.c, r.tried)
 	if v != nil {
 		return v
@@ -102,7 +103,7 @@
 	r.e.publishAttemptStart(r.c, a)
 	go func() {
 		var sentAt time.Duration
-		a.answer, sentAt = r.e.sendToServer(ctx, r.c, choice)
+		a.answer, sentAt = r.e.sendToServer(ctx, r.c, choice, hedge)
 		a.took = r.e.now() - sentAt
 		a.result = classify(a.answer)
 		cancel()
@@ -139,7 +140,7 @@
 		return nil, nil
 	case retry.Retry:
 		r.e.publishAttemptEnd(r.c, a, evidence.RequestPending)
-		if v := r.startAttempt(); v == nil {
+		if v := r.startAttempt(false); v == nil {
 			return nil, nil
 		}
 	case retry.Deliver, retry.GiveUp, retry.Hedge:
@@ -184,7 +185,7 @@
 	if r.e.mayHedge(r.c, len(r.tried), r.mayHaveRun) {
 		// If no server is available for a second attempt, the first one continues
 		// alone.
-		_ = r.startAttempt()
+		_ = r.startAttempt(true)
 	}
 }
 
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -55,12 +55,13 @@
 
 // sendToServer sends a request to the chosen server and returns the response and the time of
 // sending. Where no connection to the server can be opened, other instances forward the
-// request: nothing of it has been sent then.
-func (e *Edge) sendToServer(ctx context.Context, c *call, choice placement.Choice) (upstream.Response, time.Duration) {
+// request: nothing of it has been sent then. A hedge uses a new connection, as kept ones may
+// hang for the same reason as that of the late attempt.
+func (e *Edge) sendToServer(ctx context.Context, c *call, choice placement.Choice, hedge bool) (upstream.Response, time.Duration) {
 	address, sentAt := choice.Server.Address, e.now()
 	forwarders, direct := e.chooseWay(address)
 	request := e.upstreamRequest(c, choice)
-	request.KeptConnectionOnly = !direct
+	request.NewConnection, request.KeptConnectionOnly = hedge && direct, !direct
 	if len(forwarders) > 0 {
 		request.ConnectTimeout = connectTimeout
 	}
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -175,3 +176,21 @@
 	must.Eq(t, http.StatusOK, r.status)
 	must.Less(t, 280*time.Millisecond, time.Since(start))
 }
+
+// Guards against a second attempt that is sent on a kept connection, which hangs for the
+// same reason as the first one's.
+func TestLookupOnConnectionsThatHangIsServed(t *testing.T) {
+	f := newFleet(t)
+	f.configure(10000, key)
+	for i := range 3 {
+		f.backend(fmt.Sprintf("i-%d", i), nil)
+	}
+	f.startAll(2)
+	for range 20 {
+		f.lookup(0)
+	}
+	f.instances[0].path.SetMode(standin.PartitionHang)
+	r, _ := f.lookup(0)
+	must.NoError(t, r.err)
+	must.Eq(t, http.StatusOK, r.status)
+}
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -30,6 +30,8 @@
 	NonIdempotent bool
 	// ConnectTimeout bounds the opening of a connection; 0 means dialTimeout.
 	ConnectTimeout time.Duration
+	// NewConnection means that no kept connection is to be used.
+	NewConnection bool
 	// KeptConnectionOnly means that no connection is to be opened for the request.
 	KeptConnectionOnly bool
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -99,7 +99,10 @@
 // get returns a usable idle connection, or a new one.
 func (p *Pool) get(ctx context.Context, address string, r Request) (*conn, error) {
 	for {
-		c := p.take(address, r.NonIdempotent)
+		var c *conn
+		if !r.NewConnection {
+			c = p.take(address, r.NonIdempotent)
+		}
 		if c == nil && r.KeptConnectionOnly {
 			return nil, ErrNoKeptConnection
 		}
