A forwarded request that times out counts as a timeout

The forwarder reported every failure as "failed", which the sender took for a broken connection: 502 instead of 504 could result, and the server was rated as one that breaks off. The outcome is now passed on by name.

TestForwardedRequestThatTimesOutIsATimeout fails without the change ("result":"incomplete").

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -27,18 +27,11 @@
 const (
 	// headerForwardTo is the address of the backend server.
 	headerForwardTo = "Foxtailspoke-Forward-To"
-	// headerForwardOutcome tells how the attempt at the server ended. The response is the
-	// server's if it is forwardCompleted.
+	// headerForwardOutcome names the upstream.Outcome of the attempt at the server. The
+	// response is the server's if it was completed.
 	headerForwardOutcome = "Foxtailspoke-Forward-Outcome"
 )
 
-// Values of headerForwardOutcome.
-const (
-	forwardCompleted = "completed"
-	forwardNotSent   = "not-sent"
-	forwardFailed    = "failed"
-)
-
 // maxForwardedHeaderBytes bounds the headers of a forwarded request: those of the caller
 // and some of the instance's own.
 const maxForwardedHeaderBytes = maxHeaderBytes + 4<<10
@@ -48,10 +41,8 @@
 // region, and far below the latency targets of callers.
 const connectTimeout = 150 * time.Millisecond
 
-var (
-	errForwarderGone = errors.New("forwarding instance gave no outcome")
-	errNotForwarded  = errors.New("forwarding instance could not send the request")
-)
+// errNoOutcome is the cause of a forwarded attempt whose response doesn't tell how it ended.
+var errNoOutcome = errors.New("forwarding instance gave no outcome")
 
 // sendToServer sends a request to the chosen server and returns the response and the time of
 // sending. Where no connection to the server can be opened, other instances forward the
@@ -134,16 +125,15 @@
 	}
 	outcome := resp.Header.Get(headerForwardOutcome)
 	resp.Header.Del(headerForwardOutcome)
-	switch outcome {
-	case forwardCompleted:
+	if outcome == upstream.Completed.String() {
 		return resp
-	case forwardNotSent:
-		return upstream.Response{Outcome: upstream.NotSent, Err: errNotForwarded}
-	case forwardFailed:
-		return upstream.Response{Outcome: upstream.Broken, Err: errors.Newf("forwarded by %s: %s", addrPort(peer, 0).Addr(), resp.Body)}
-	default:
-		return upstream.Response{Outcome: upstream.Broken, Err: errForwarderGone}
 	}
+	for _, o := range []upstream.Outcome{upstream.NotSent, upstream.TimedOut, upstream.Broken} {
+		if outcome == o.String() {
+			return upstream.Response{Outcome: o, Err: errors.Newf("forwarded by %s: %s", addrPort(peer, 0).Addr(), resp.Body)}
+		}
+	}
+	return upstream.Response{Outcome: upstream.Broken, Err: errNoOutcome}
 }
 
 // serveForwarding serves the requests that other instances can't send themselves.
@@ -161,14 +151,14 @@
 	defer e.forwarding.Add(-1)
 	address, server := r.Header.Get(headerForwardTo), r.Header.Get(platform.HeaderExpectInstance)
 	if !e.mayForward(r.RemoteAddr, address, server) {
-		writeForwardFailure(w, forwardNotSent, "not forwarded")
+		writeForwardFailure(w, upstream.NotSent, "not a server or not an instance that requests are forwarded for")
 		return
 	}
 	direct := e.isDirect(address)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		event.PeerMessageFailed.Log(e.log, slog.String("peer", r.RemoteAddr), slog.Any("error", err))
-		writeForwardFailure(w, forwardNotSent, "request body incomplete")
+		writeForwardFailure(w, upstream.NotSent, "request body incomplete")
 		return
 	}
 	ctx := r.Context()
@@ -187,14 +177,11 @@
 		// The sender tries another instance sooner than a connection would time out here.
 		KeptConnectionOnly: !direct, ConnectTimeout: connectTimeout,
 	})
-	switch {
-	case resp.Outcome == upstream.Completed:
-		writeForwarded(w, r.Method, resp)
-	case resp.Outcome == upstream.NotSent:
-		writeForwardFailure(w, forwardNotSent, resp.Err.Error())
-	default:
-		writeForwardFailure(w, forwardFailed, resp.Err.Error())
+	if resp.Outcome != upstream.Completed {
+		writeForwardFailure(w, resp.Outcome, resp.Err.Error())
+		return
 	}
+	writeForwarded(w, r.Method, resp)
 }
 
 // mayForward reports whether the sender is an instance and the server is one that this
@@ -224,7 +211,7 @@
 			h[name] = nil
 		}
 	}
-	h.Set(headerForwardOutcome, forwardCompleted)
+	h.Set(headerForwardOutcome, resp.Outcome.String())
 	if method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(resp.Body)))
 	}
@@ -233,8 +220,8 @@
 	_, _ = w.Write(resp.Body)
 }
 
-func writeForwardFailure(w http.ResponseWriter, outcome, cause string) {
-	w.Header().Set(headerForwardOutcome, outcome)
+func writeForwardFailure(w http.ResponseWriter, outcome upstream.Outcome, cause string) {
+	w.Header().Set(headerForwardOutcome, outcome.String())
 	w.WriteHeader(http.StatusBadGateway)
 	// A write error means that the other instance has cancelled the request.
 	_, _ = io.WriteString(w, cause)
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -194,3 +194,19 @@
 	must.NoError(t, r.err)
 	must.Eq(t, http.StatusOK, r.status)
 }
+
+// Guards against reporting a forwarded request that ran out of time as broken off.
+func TestForwardedRequestThatTimesOutIsATimeout(t *testing.T) {
+	f, _ := partitionedInstance(t, standin.PartitionReset, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/order/") {
+			<-r.Context().Done()
+		}
+		w.Header().Set("X-Response-Seal", "seal")
+	})
+	r, _ := f.order(0)
+	must.NoError(t, r.err)
+	must.Eq(t, http.StatusGatewayTimeout, r.status)
+	eventually(t, time.Second, "attempt is logged as timed out", func() bool {
+		return strings.Contains(f.instances[0].log.String(), `"result":"timeout"`)
+	})
+}
