Requests restricted to regions are forwarded only by instances there

TestRestrictedRequestIsNotForwardedToAnotherRegion: 200 through an instance of another region before, 503 not-run now.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -50,7 +50,7 @@
 // hang for the same reason as that of the late attempt.
 func (e *Edge) sendToServer(ctx context.Context, c *call, choice placement.Choice, hedge bool) (upstream.Response, time.Duration) {
 	address, sentAt := choice.Server.Address, e.now()
-	forwarders, direct := e.chooseWay(address)
+	forwarders, direct := e.chooseWay(c, address)
 	request := e.upstreamRequest(c, choice)
 	request.NewConnection, request.KeptConnectionOnly = hedge && direct, !direct
 	if len(forwarders) > 0 {
@@ -77,13 +77,13 @@
 
 // chooseWay returns the instances that may forward a request to a server, and whether to
 // try it directly first.
-func (e *Edge) chooseWay(address string) (forwarders []reach.Peer, direct bool) {
+func (e *Edge) chooseWay(c *call, address string) (forwarders []reach.Peer, direct bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.mechanisms.Enabled(mechanism.Forwarding) {
 		return nil, true
 	}
-	forwarders = e.forwarders()
+	forwarders = e.forwarders(c)
 	return forwarders, len(forwarders) == 0 || e.isDirectLocked(address)
 }
 
@@ -106,10 +106,11 @@
 }
 
 // forwarders returns the instances that may forward a request now. The lock must be held.
-func (e *Edge) forwarders() []reach.Peer {
+func (e *Edge) forwarders(c *call) []reach.Peer {
+	allowed, restricted := e.topology.AllowedDataCentres(c.route, c.workspace)
 	var peers []reach.Peer
 	for id, m := range e.state.messenger.Fleet().All() {
-		if m.Alive && !m.Leaving && !m.Stopping && !m.Partitioned {
+		if m.Alive && !m.Leaving && !m.Stopping && !m.Partitioned && (!restricted || allowed[m.DataCentre]) {
 			peers = append(peers, reach.Peer{ID: id, DataCentre: m.DataCentre})
 		}
 	}
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"foxtailspoke/edge/settings"
 	"foxtailspoke/internal/standin"
 )
 
@@ -195,6 +196,32 @@
 	must.Eq(t, http.StatusOK, r.status)
 }
 
+// Guards against passing a request through an instance in a region that may not handle it.
+func TestRestrictedRequestIsNotForwardedToAnotherRegion(t *testing.T) {
+	f := newFleet(t)
+	f.configureWith(func(config map[string]any) {
+		for _, r := range config["routes"].([]any) {
+			if r := r.(map[string]any); r["name"] == "order" {
+				r["allowed_regions"] = []string{"here"}
+			}
+		}
+	}, 10000, key)
+	b := f.backend("i-0", nil)
+	f.start(withRegions)
+	f.start(func(s *settings.Settings) { withRegions(s); s.DataCentre = "away" })
+	for i := range 2 {
+		eventually(t, 5*time.Second, "instance is ready", func() bool { return f.ready(i) })
+	}
+	f.instances[0].path.SetMode(standin.PartitionReset)
+	eventually(t, 3*time.Second, "lookups are forwarded", func() bool {
+		r, _ := f.lookup(0)
+		return r.status == http.StatusOK
+	})
+	r, id := f.order(0)
+	must.Eq(t, http.StatusServiceUnavailable, r.status)
+	must.Eq(t, 0, b.executions(id))
+}
+
 // Guards against reporting a forwarded request that ran out of time as broken off.
 func TestForwardedRequestThatTimesOutIsATimeout(t *testing.T) {
 	f, _ := partitionedInstance(t, standin.PartitionReset, func(w http.ResponseWriter, r *http.Request) {
