Soak partitions instances from all backend servers

The instances run from a program of the soak whose path to the servers follows a file. Callers are in both data centres now; those of dc-1 were missing, and its instances received nothing.

--- a/internal/edgecommand/command.go
+++ b/internal/edgecommand/command.go
@@ -34,7 +34,7 @@
   foxtailspoke-edge status 10.1.0.30:7341
   foxtailspoke-edge explain edge-1.log edge-2.log`
 
-type options struct {
+type arguments struct {
 	Settings string `long:"settings" description:"settings file, JSON with comments; default: the file named by FOXTAILSPOKE_SETTINGS"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
 
@@ -42,9 +42,9 @@
 	Explain explainCommand `command:"explain" description:"reports from log files which requests were served and why others were not"`
 }
 
-// Run runs the daemon and returns its exit status.
-func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	var o options
+// Run runs the daemon with the given options and returns its exit status.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer, options ...edge.Option) int {
+	var o arguments
 	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "foxtailspoke-edge"
 	parser.LongDescription = help
@@ -77,7 +77,7 @@
 		_, _ = fmt.Fprintln(stdout, "settings are in order")
 		return exitOK
 	}
-	e, err := edge.New(o.Settings, s, logging.NewWriter(stdout))
+	e, err := edge.New(o.Settings, s, logging.NewWriter(stdout), options...)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitFailed
@@ -89,7 +89,7 @@
 	return exitOK
 }
 
-func (o options) runCommand(name string, stdout io.Writer) error {
+func (o arguments) runCommand(name string, stdout io.Writer) error {
 	if name == "explain" {
 		return o.Explain.run(os.Stdin, stdout)
 	}
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -176,7 +176,7 @@
 		case <-time.After(time.Duration(10+rand.IntN(30)) * time.Millisecond):
 		}
 		if time.Since(resolvedAt) > time.Second || len(addresses) == 0 {
-			if fresh := c.resolve(); len(fresh) > 0 {
+			if fresh := c.resolve(caller); len(fresh) > 0 {
 				addresses, resolvedAt = fresh, time.Now()
 			}
 		}
@@ -197,8 +197,9 @@
 	return c.currentKey
 }
 
-func (c *cluster) resolve() []string {
-	resp, err := c.client.Get("http://" + c.instanceAddress(rand.IntN(len(c.processes)), 2) + "/api/resolve?name=h&zone=dc-0")
+// resolve returns the addresses for a caller. Callers are in both data centres.
+func (c *cluster) resolve(caller int) []string {
+	resp, err := c.client.Get(fmt.Sprintf("http://%s/api/resolve?name=h&zone=dc-%d", c.instanceAddress(rand.IntN(len(c.processes)), 2), caller%2))
 	if err != nil {
 		return nil
 	}
@@ -296,6 +297,7 @@
 			violations = append(violations, fmt.Sprintf("order %s was refused with status %d but executed", id, req.status))
 		}
 	}
+	violations = append(violations, c.findPartitionViolations()...)
 	return append(violations, findRateViolations(c.limitedExecutions)...)
 }
 
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -51,7 +51,7 @@
 func buildEdge(t *testing.T) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "foxtailspoke-edge")
-	out, err := exec.Command("go", "build", "-o", path, "foxtailspoke/cmd/foxtailspoke-edge").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", path, "foxtailspoke/internal/soak/instance").CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(out)))
 	return path
 }
@@ -105,8 +105,14 @@
 	// response of the server that announces its stop. leavingCount counts these.
 	leaving      map[string]map[string]time.Time
 	leavingCount int
-	stop         chan struct{}
-	wg           sync.WaitGroup
+	// faultTimes has the times of all faults of each instance and of its link to the
+	// callers, by address for callers.
+	faultTimes map[string][]time.Time
+	partitions []partition
+	// partitionSummary is the result of findPartitionViolations.
+	partitionSummary string
+	stop             chan struct{}
+	wg               sync.WaitGroup
 }
 
 type request struct {
@@ -134,7 +140,7 @@
 	c := &cluster{
 		t: t, binary: binary, dir: t.TempDir(), subnet: 100 + clusterCount%100, store: rowstore.New("op", "servers"),
 		rng: rand.New(rand.NewPCG(seed, 1)), withdrawnAt: make(map[string]time.Time),
-		evacuatedSince: make(map[string]time.Time), requests: make(map[string]*request), instanceFaults: make(map[string]time.Time), linkFaults: make(map[*standin.Link]time.Time), leaving: make(map[string]map[string]time.Time), executions: make(map[string][]time.Time), stop: make(chan struct{}),
+		evacuatedSince: make(map[string]time.Time), requests: make(map[string]*request), instanceFaults: make(map[string]time.Time), linkFaults: make(map[*standin.Link]time.Time), leaving: make(map[string]map[string]time.Time), executions: make(map[string][]time.Time), faultTimes: make(map[string][]time.Time), stop: make(chan struct{}),
 	}
 	c.storeServer = httptest.NewServer(c.store)
 	c.client = &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{
@@ -263,6 +269,7 @@
 	log, err := os.OpenFile(filepath.Join(c.dir, fmt.Sprintf("edge-%d.log", p.index)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must.NoError(c.t, err)
 	p.cmd = exec.Command(c.binary, "--settings", c.writeSettings(p.index))
+	p.cmd.Env = append(os.Environ(), partitionVariable+"="+c.partitionFile(p.index))
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	must.NoError(c.t, p.cmd.Start())
 	done := make(chan struct{})
--- a/internal/soak/rejections_test.go
+++ b/internal/soak/rejections_test.go
@@ -93,7 +93,9 @@
 func (c *cluster) recordInstanceFault(p *process) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.instanceFaults[c.instanceAddress(p.index, 0)] = time.Now()
+	address := c.instanceAddress(p.index, 0)
+	c.instanceFaults[address] = time.Now()
+	c.faultTimes[address] = append(c.faultTimes[address], time.Now())
 }
 
 // recordLinkFault records that the state of a link changes.
@@ -101,4 +103,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.linkFaults[l] = time.Now()
+	for n, callers := range c.callerLinks {
+		if callers == l {
+			address := c.instanceAddress(n, 0)
+			c.faultTimes[address] = append(c.faultTimes[address], time.Now())
+		}
+	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,11 +34,13 @@
 //   - A backend server that announces its stop in a response receives no new requests
 //     from that instance, whatever the state of the store.
 //   - Backend servers that reject requests with Retry-After receive none until then.
+//   - Instances that are partitioned from all backend servers serve their callers about as
+//     well as the others.
 //   - Lookups are served again after the faults end.
 //
-// Seeds other than regressionSeeds also restore the store from a copy and have
-// backend servers announce limits, reject requests
-// and leave.
+// Seeds other than regressionSeeds also restore the store from a copy, have backend
+// servers announce limits, reject requests and leave, and partition instances from all
+// backend servers.
 func TestSoak(t *testing.T) {
 	binary := buildEdge(t)
 	for seed := range regressionSeeds {
@@ -49,27 +51,32 @@
 	}
 }
 
-// runSeed runs the test with one seed. Store restores and announced limits run beside
-// the other faults with a random source of their own; regression seeds found
-// without them run without them, so that their fault sequence stays the same.
-func runSeed(t *testing.T, binary string, seed uint64, restoresAndLimits bool) {
+// runSeed runs the test with one seed. Store restores, notices of backend servers and
+// partitions run beside the other faults with random sources of their own; regression seeds
+// found without them run without them, so that their fault sequence stays the same.
+func runSeed(t *testing.T, binary string, seed uint64, allFaults bool) {
 	t.Helper()
 	c := newCluster(t, binary, seed)
 	defer c.shutdown()
 	c.start()
-	if restoresAndLimits {
+	if allFaults {
 		backends := c.backends[:serverCount:serverCount]
 		c.wg.Go(func() { c.injectRestoresAndLimits(backends, seed, *faultPeriod) })
 		c.wg.Go(func() { c.injectServerNotices(backends, seed, *faultPeriod) })
+		c.wg.Go(func() { c.injectPartitions(seed, *faultPeriod) })
 	}
 	c.injectFaults(*faultPeriod)
 	c.verifyRecovery()
+	if allFaults {
+		c.playPartition(seed)
+	}
 	for _, violation := range c.findViolations() {
 		t.Errorf("seed %d: %s", seed, violation)
 	}
 	served, refused, failed := c.outcomeCounts()
 	t.Logf("seed %d: %d store restores, %d limits announced, %d requests rejected, %d times a server announced its stop",
 		seed, c.restoreCount, c.limitCount, c.rejectionCount, c.leavingCount)
+	t.Logf("seed %d: %s", seed, c.partitionSummary)
 	t.Logf("seed %d: %d served, %d refused, %d failed", seed, served, refused, failed)
 	must.Positive(t, served)
 	if t.Failed() {
