Forwarders are chosen only when a request needs one

Each attempt sorted all instances to choose forwarders, of which nearly none was used; at hundreds of instances that is most of an attempt's work. Now they are chosen once a request couldn't be sent directly. A hedge that is forwarded uses a new connection to the forwarder too, since open connections between instances may go silent.

Found while doing so: if no other instance can forward, a server must be tried directly although it wasn't reached a moment ago, or all instances refuse for up to a second after a fault that all of them saw. TestServersAreTriedDirectlyWhereNobodyForwards guards this; it fails without the last branch (503).

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -50,22 +50,29 @@
 // hang for the same reason as that of the late attempt.
 func (e *Edge) sendToServer(ctx context.Context, c *call, choice placement.Choice, hedge bool) (upstream.Response, time.Duration) {
 	address, sentAt := choice.Server.Address, e.now()
-	forwarders, direct := e.chooseWay(c, address)
+	direct, forwardable := e.chooseWay(address)
 	request := e.upstreamRequest(c, choice)
 	request.NewConnection, request.KeptConnectionOnly = hedge && direct, !direct
-	if len(forwarders) > 0 {
+	if forwardable {
 		request.ConnectTimeout = connectTimeout
 	}
 	resp := e.pool.Do(ctx, address, request)
-	if resp.Outcome != upstream.NotSent {
+	if resp.Outcome != upstream.NotSent || !forwardable {
 		return resp, sentAt
 	}
+	forwarders := e.forwarders(c)
+	if len(forwarders) == 0 && !direct {
+		request.KeptConnectionOnly = false
+		return e.pool.Do(ctx, address, request), sentAt
+	}
 	for _, f := range forwarders {
 		if ctx.Err() != nil {
 			break
 		}
 		sentAt = e.now()
-		forwarded := e.forward(ctx, f.ID, address, e.upstreamRequest(c, choice))
+		request := e.upstreamRequest(c, choice)
+		request.NewConnection = hedge
+		forwarded := e.forward(ctx, f.ID, address, request)
 		e.metrics.forwarded.WithLabelValues(forwarded.Outcome.String()).Inc()
 		if forwarded.Outcome != upstream.NotSent {
 			return forwarded, sentAt
@@ -75,16 +82,13 @@
 	return resp, sentAt
 }
 
-// chooseWay returns the instances that may forward a request to a server, and whether to
-// try it directly first.
-func (e *Edge) chooseWay(c *call, address string) (forwarders []reach.Peer, direct bool) {
+// chooseWay reports whether to try to connect to a server, and whether other instances may
+// forward requests to it.
+func (e *Edge) chooseWay(address string) (direct, forwardable bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.mechanisms.Enabled(mechanism.Forwarding) {
-		return nil, true
-	}
-	forwarders = e.forwarders(c)
-	return forwarders, len(forwarders) == 0 || e.isDirectLocked(address)
+	forwardable = e.mechanisms.Enabled(mechanism.Forwarding) && !e.state.messenger.Fleet().Isolated()
+	return !forwardable || e.isDirectLocked(address), forwardable
 }
 
 // isDirect reports whether requests to a server are sent directly. One that isn't reached
@@ -105,8 +109,10 @@
 	return false
 }
 
-// forwarders returns the instances that may forward a request now. The lock must be held.
+// forwarders returns the instances that may forward a request now, the best one first.
 func (e *Edge) forwarders(c *call) []reach.Peer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	allowed, restricted := e.topology.AllowedDataCentres(c.route, c.workspace)
 	var peers []reach.Peer
 	for id, m := range e.state.messenger.Fleet().All() {
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -237,3 +237,28 @@
 		return strings.Contains(f.instances[0].log.String(), `"result":"timeout"`)
 	})
 }
+
+// Guards against refusing requests because no instance reached a server a moment ago.
+func TestServersAreTriedDirectlyWhereNobodyForwards(t *testing.T) {
+	f := newFleet(t)
+	f.configure(10000, key)
+	for i := range 3 {
+		f.backend(fmt.Sprintf("i-%d", i), nil)
+	}
+	f.startAll(2)
+	for i := range 2 {
+		f.instances[i].path.SetMode(standin.PartitionReset)
+	}
+	eventually(t, 5*time.Second, "both instances notice that they are partitioned", func() bool {
+		f.lookup(0)
+		f.lookup(1)
+		return strings.Contains(f.instances[0].log.String(), `"event":527`) && strings.Contains(f.instances[1].log.String(), `"event":527`)
+	})
+	time.Sleep(100 * time.Millisecond) // for the news to reach each other
+	for i := range 2 {
+		f.instances[i].path.SetMode(standin.PartitionNone)
+	}
+	r, _ := f.order(0)
+	must.NoError(t, r.err)
+	must.Eq(t, http.StatusOK, r.status)
+}
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -48,8 +48,11 @@
 	rejections     rejections
 }
 
+// firstStartTimeMS is the start time of each server's first run.
+const firstStartTimeMS = 1790000000000
+
 func newBackend(c *cluster, id, dataCentre string, warmup time.Duration) *backend {
-	b := &backend{cluster: c, id: id, dataCentre: dataCentre, startTimeMS: 1790000000000}
+	b := &backend{cluster: c, id: id, dataCentre: dataCentre, startTimeMS: firstStartTimeMS}
 	b.http = httptest.NewServer(b)
 	b.link = c.startLink(strings.TrimPrefix(b.http.URL, "http://"))
 	b.warmupEnd = time.Now().Add(warmup)
@@ -89,12 +92,11 @@
 	w.Header().Set("X-Attempt-Id", id)
 	seal := "seal"
 	b.mu.Lock()
-	leaving := b.isLeaving()
-	b.mu.Unlock()
-	if leaving {
+	if b.isLeaving() {
 		w.Header().Set("Server-Leaving", "1")
-		seal = leavingSeal + b.id
+		seal = b.sealOfLeaving()
 	}
+	b.mu.Unlock()
 	if r.Header.Get("X-Expect-Instance") != b.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -105,6 +105,10 @@
 	// response of the server that announces its stop. leavingCount counts these.
 	leaving      map[string]map[string]time.Time
 	leavingCount int
+	// lateLeavingCount counts such responses of a run that had ended.
+	lateLeavingCount int
+	// serverRuns has the start time of the latest run of each server that has restarted.
+	serverRuns map[string]string
 	// faultTimes has the times of all faults of each instance and of its link to the
 	// callers, by address for callers.
 	faultTimes map[string][]time.Time
@@ -140,7 +144,7 @@
 	c := &cluster{
 		t: t, binary: binary, dir: t.TempDir(), subnet: 100 + clusterCount%100, store: rowstore.New("op", "servers"),
 		rng: rand.New(rand.NewPCG(seed, 1)), withdrawnAt: make(map[string]time.Time),
-		evacuatedSince: make(map[string]time.Time), requests: make(map[string]*request), instanceFaults: make(map[string]time.Time), linkFaults: make(map[*standin.Link]time.Time), leaving: make(map[string]map[string]time.Time), executions: make(map[string][]time.Time), faultTimes: make(map[string][]time.Time), stop: make(chan struct{}),
+		evacuatedSince: make(map[string]time.Time), requests: make(map[string]*request), instanceFaults: make(map[string]time.Time), linkFaults: make(map[*standin.Link]time.Time), leaving: make(map[string]map[string]time.Time), serverRuns: make(map[string]string), executions: make(map[string][]time.Time), faultTimes: make(map[string][]time.Time), stop: make(chan struct{}),
 	}
 	c.storeServer = httptest.NewServer(c.store)
 	c.client = &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{
