Soak: a rejection that only an ended process could receive binds no instance

Traced: i-0 named that time from 4.0 to 5.24 s of the faults only; both processes had been killed meanwhile and came up at 20:39:44.94 and 45.08. The new process of instance 0 knew no server before 45.18, and neither log has a rejection with 3.74 s, while later ones (2.38 s, 3.96 s) are logged and kept. So the rejected requests were those of the killed processes, still on their way, and the check took them for the new ones'.

The check now leaves out requests that were sent before their instance restarted, as that of leaving servers does.

--- a/internal/soak/rejections_test.go
+++ b/internal/soak/rejections_test.go
@@ -82,6 +82,11 @@
 		return 0
 	}
 	c.rejectionCount++
+	if c.instanceFaults[req.instance].After(req.sentAt) {
+		// The process that sent the request has ended, so that no instance receives the
+		// response.
+		return r.retryAfter
+	}
 	if r.periods == nil {
 		r.periods = make(map[string][]backoffPeriod)
 	}
