A request whose time ends first at its forwarder is answered 504

What callers saw: an order that timed out while another instance forwarded it was sometimes answered 502 (server failed) instead of 504 (timeout).

Cause: the time that a forwarder gets is in whole milliseconds, so that it may end up to 1 ms before the sender's. If the forwarder's answer arrives before the sender's own time is over, the attempt ends as a timeout, and the end of an attempt that may have run was always answered 502. Without forwarding the same happens if both ends come at once, as select picks either.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -149,6 +149,9 @@
 	if r.lastServerError != nil {
 		return r.lastServerError, nil
 	}
+	if a.result == health.Timeout {
+		return nil, r.timedOut()
+	}
 	return nil, r.notServed(d)
 }
 
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -238,6 +238,33 @@
 	})
 }
 
+// Guards against reporting a request as broken off if the forwarder's time for it ends before
+// the sender's.
+func TestForwarderTimesOutBeforeTheSender(t *testing.T) {
+	f := newFleet(t)
+	f.configure(10000, key)
+	f.backend("i-0", nil)
+	f.start(nil)
+	forwarder, err := net.Listen("tcp4", f.address(1, 5))
+	must.NoError(t, err)
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("Foxtailspoke-Forward-Outcome", "timed-out")
+		w.WriteHeader(http.StatusBadGateway)
+	})}
+	go func() { _ = server.Serve(forwarder) }()
+	t.Cleanup(func() { _ = server.Close() })
+	f.start(func(s *settings.Settings) { s.Listen.Forwarding = f.ip(1) + ":0" })
+	for i := range 2 {
+		eventually(t, 5*time.Second, "instance is ready", func() bool { return f.ready(i) })
+	}
+	eventually(t, 5*time.Second, "instances know each other", func() bool { return len(f.addresses(0)) == 2 })
+	f.instances[0].path.SetMode(standin.PartitionReset)
+	r, _ := f.order(0)
+	must.NoError(t, r.err)
+	must.Eq(t, http.StatusGatewayTimeout, r.status)
+}
+
 // Guards against refusing requests because no instance reached a server a moment ago.
 func TestServersAreTriedDirectlyWhereNobodyForwards(t *testing.T) {
 	f := newFleet(t)
