A forwarder keeps to Retry-After and the announced stop in forwarded responses

What the server sees: it asks an instance to send nothing for some seconds, or says that it is about to stop, and gets further requests from that instance.

Cause: an instance that forwards a request is the one that the server answers, but only the instance that the request belongs to read Retry-After and Server-Leaving in the response. Found by reading; forwarding brought it in.

Evidence: TestForwarderBacksOffAfterForwardedRequest and TestForwarderNoticesThatServerLeaves: 1 request too many in either before, none now. The forwarder applies both to itself now; the sender still does as well.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailspoke/discovery"
 	"foxtailspoke/event"
 	"foxtailspoke/mechanism"
 	"foxtailspoke/placement"
@@ -156,8 +157,9 @@
 func (e *Edge) handleForwarded(w http.ResponseWriter, r *http.Request) {
 	e.forwarding.Add(1)
 	defer e.forwarding.Add(-1)
-	address, server := r.Header.Get(headerForwardTo), r.Header.Get(platform.HeaderExpectInstance)
-	if !e.mayForward(r.RemoteAddr, address, server) {
+	address := r.Header.Get(headerForwardTo)
+	server, ok := e.forwardTarget(r.RemoteAddr, address, r.Header.Get(platform.HeaderExpectInstance))
+	if !ok {
 		writeForwardFailure(w, upstream.NotSent, "not a server or not an instance that requests are forwarded for")
 		return
 	}
@@ -184,6 +186,7 @@
 		// The sender tries another instance sooner than a connection would time out here.
 		KeptConnectionOnly: !direct, ConnectTimeout: connectTimeout,
 	})
+	e.applyNotices(server, resp)
 	if resp.Outcome != upstream.Completed {
 		writeForwardFailure(w, resp.Outcome, resp.Err.Error())
 		return
@@ -191,20 +194,30 @@
 	writeForwarded(w, r.Method, resp)
 }
 
-// mayForward reports whether the sender is an instance and the server is one that this
-// instance knows and that accepts requests.
-func (e *Edge) mayForward(sender, address, server string) bool {
+// forwardTarget returns the server to forward a request to. ok is false if the sender isn't an
+// instance, or the server isn't one that this instance knows and that accepts requests.
+func (e *Edge) forwardTarget(sender, address, id string) (server discovery.Server, ok bool) {
 	from, err := netip.ParseAddrPort(sender)
 	if err != nil {
-		return false
+		return discovery.Server{}, false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if _, known := e.state.messenger.Fleet().All()[ipv4Number(from.Addr())]; !known {
-		return false
+		return discovery.Server{}, false
 	}
-	entry, known := e.state.placer.Server(placement.Hash(server))
-	return known && entry.ID == server && entry.Address == address && !entry.Draining
+	server, known := e.state.placer.Server(placement.Hash(id))
+	return server, known && server.ID == id && server.Address == address && !server.Draining
+}
+
+// applyNotices applies what a server's response to a forwarded request asks of the instance that
+// sent it. What it says about the server's health and load is the other instance's to publish.
+func (e *Edge) applyNotices(server discovery.Server, resp upstream.Response) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := &attempt{choice: placement.Choice{Server: server}, answer: resp, result: classify(resp)}
+	e.updateBackoff(a, e.now())
+	e.updateLeaving(a, e.now())
 }
 
 func writeForwarded(w http.ResponseWriter, method string, resp upstream.Response) {
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -265,6 +265,36 @@
 	must.Eq(t, http.StatusGatewayTimeout, r.status)
 }
 
+// Guards against a forwarder that sends a server its own requests before the Retry-After of a
+// forwarded one.
+func TestForwarderBacksOffAfterForwardedRequest(t *testing.T) {
+	t.Parallel()
+	f, _ := partitionedInstance(t, standin.PartitionReset, nil)
+	busy := f.busyServer("busy", 10*time.Second)
+	eventually(t, 5*time.Second, "the busy server gets a forwarded request", func() bool {
+		f.lookup(0)
+		return busy.arrivals() > 0
+	})
+	before := busy.arrivals()
+	must.Positive(t, f.sendLookups(3*time.Second, 10*time.Millisecond, 1))
+	must.Eq(t, before, busy.arrivals())
+}
+
+// Guards against a forwarder that sends its own requests to a server that announced its stop in
+// the response to a forwarded one.
+func TestForwarderNoticesThatServerLeaves(t *testing.T) {
+	t.Parallel()
+	f, _ := partitionedInstance(t, standin.PartitionReset, nil)
+	s := f.leavingServer("leaving")
+	eventually(t, 5*time.Second, "the leaving server gets a forwarded request", func() bool {
+		f.lookup(0)
+		return s.arrivals.Load() > 0
+	})
+	before := s.arrivals.Load()
+	must.Positive(t, f.sendLookups(3*time.Second, 10*time.Millisecond, 1))
+	must.Eq(t, before, s.arrivals.Load())
+}
+
 // Guards against refusing requests because no instance reached a server a moment ago.
 func TestServersAreTriedDirectlyWhereNobodyForwards(t *testing.T) {
 	f := newFleet(t)
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -49,14 +49,19 @@
 	return n
 }
 
-// sendLookups sends lookups to all instances in turn for d, with a pause of gap
-// between them, and returns how many were served.
-func (f *fleet) sendLookups(d, gap time.Duration) int {
+// sendLookups sends lookups to some instances, or all, in turn for d, with a pause of
+// gap between them, and returns how many were served.
+func (f *fleet) sendLookups(d, gap time.Duration, instances ...int) int {
+	if len(instances) == 0 {
+		for n := range f.instances {
+			instances = append(instances, n)
+		}
+	}
 	var served atomic.Int64
 	var wg sync.WaitGroup
 	n := 0
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(gap) {
-		to := n % len(f.instances)
+		to := instances[n%len(instances)]
 		n++
 		wg.Go(func() {
 			if r, _ := f.lookup(to); r.err == nil && r.status == http.StatusOK {
