A forwarder sends nothing to a server that has asked it for no requests

What the server sees: it answers an instance 503 with Retry-After, and gets further requests from that instance, which forwards them for others.

Cause: a forwarder checked only that the server is known and not draining. Found by reading; forwarding brought it in.

Evidence: TestRequestsAreNotForwardedBeforeRetryAfter: one request too many before, none now.

The forwarder declines such requests, and the sender asks the next one. If none sends it, the attempt counts as not run, not as a failed connection: it says nothing about the server's health.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"foxtailspoke/event"
 	"foxtailspoke/evidence"
 	"foxtailspoke/health"
@@ -259,6 +261,9 @@
 func classify(a upstream.Response) health.Result {
 	switch a.Outcome {
 	case upstream.NotSent:
+		if errors.Is(a.Err, errDeclined) {
+			return health.NotRun
+		}
 		return health.ConnectFailed
 	case upstream.Broken:
 		return health.Incomplete
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailspoke/backoff"
 	"foxtailspoke/discovery"
 	"foxtailspoke/event"
 	"foxtailspoke/mechanism"
@@ -42,6 +43,13 @@
 // region, and far below the latency targets of callers.
 const connectTimeout = 150 * time.Millisecond
 
+// outcomeDeclined is the outcome of a request that the forwarder could send, but must not.
+const outcomeDeclined = "declined"
+
+// errDeclined is the cause of an attempt that forwarders declined. It says nothing about the
+// server.
+var errDeclined = errors.New("forwarding instance must not send requests to the server now")
+
 // errNoOutcome is the cause of a forwarded attempt whose response doesn't tell how it ended.
 var errNoOutcome = errors.New("forwarding instance gave no outcome")
 
@@ -66,6 +74,7 @@
 		request.KeptConnectionOnly = false
 		return e.pool.Do(ctx, address, request), sentAt
 	}
+	declined := false
 	for _, f := range forwarders {
 		if ctx.Err() != nil {
 			break
@@ -78,8 +87,12 @@
 		if forwarded.Outcome != upstream.NotSent {
 			return forwarded, sentAt
 		}
+		declined = declined || errors.Is(forwarded.Err, errDeclined)
 		resp.Err = errors.CombineErrors(resp.Err, forwarded.Err)
 	}
+	if declined {
+		resp.Err = errors.Mark(resp.Err, errDeclined)
+	}
 	return resp, sentAt
 }
 
@@ -133,8 +146,11 @@
 	}
 	outcome := resp.Header.Get(headerForwardOutcome)
 	resp.Header.Del(headerForwardOutcome)
-	if outcome == upstream.Completed.String() {
+	switch outcome {
+	case upstream.Completed.String():
 		return resp
+	case outcomeDeclined:
+		return upstream.Response{Outcome: upstream.NotSent, Err: errors.Wrapf(errDeclined, "forwarded by %s", addrPort(peer, 0).Addr())}
 	}
 	for _, o := range []upstream.Outcome{upstream.NotSent, upstream.TimedOut, upstream.Broken} {
 		if outcome == o.String() {
@@ -160,14 +176,18 @@
 	address := r.Header.Get(headerForwardTo)
 	server, ok := e.forwardTarget(r.RemoteAddr, address, r.Header.Get(platform.HeaderExpectInstance))
 	if !ok {
-		writeForwardFailure(w, upstream.NotSent, "not a server or not an instance that requests are forwarded for")
+		writeForwardFailure(w, upstream.NotSent.String(), "not a server or not an instance that requests are forwarded for")
+		return
+	}
+	if e.backsOff(server) {
+		writeForwardFailure(w, outcomeDeclined, "server has asked for no requests for some time")
 		return
 	}
 	direct := e.isDirect(address)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		event.PeerMessageFailed.Log(e.log, slog.String("peer", r.RemoteAddr), slog.Any("error", err))
-		writeForwardFailure(w, upstream.NotSent, "request body incomplete")
+		writeForwardFailure(w, upstream.NotSent.String(), "request body incomplete")
 		return
 	}
 	ctx := r.Context()
@@ -188,7 +208,7 @@
 	})
 	e.applyNotices(server, resp)
 	if resp.Outcome != upstream.Completed {
-		writeForwardFailure(w, resp.Outcome, resp.Err.Error())
+		writeForwardFailure(w, resp.Outcome.String(), resp.Err.Error())
 		return
 	}
 	writeForwarded(w, r.Method, resp)
@@ -210,6 +230,13 @@
 	return server, known && server.ID == id && server.Address == address && !server.Draining
 }
 
+// backsOff reports whether a server has asked this instance for no requests for some time.
+func (e *Edge) backsOff(server discovery.Server) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.backoffs.Remaining(backoff.Run{ID: server.ID, StartTimeMS: server.StartTimeMS}, e.now()) > 0
+}
+
 // applyNotices applies what a server's response to a forwarded request asks of the instance that
 // sent it. What it says about the server's health and load is the other instance's to publish.
 func (e *Edge) applyNotices(server discovery.Server, resp upstream.Response) {
@@ -240,8 +267,8 @@
 	_, _ = w.Write(resp.Body)
 }
 
-func writeForwardFailure(w http.ResponseWriter, outcome upstream.Outcome, cause string) {
-	w.Header().Set(headerForwardOutcome, outcome.String())
+func writeForwardFailure(w http.ResponseWriter, outcome, cause string) {
+	w.Header().Set(headerForwardOutcome, outcome)
 	w.WriteHeader(http.StatusBadGateway)
 	// A write error means that the other instance has cancelled the request.
 	_, _ = io.WriteString(w, cause)
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -280,6 +280,26 @@
 	must.Eq(t, before, busy.arrivals())
 }
 
+// Guards against a forwarder that sends a server requests of others before its Retry-After, and
+// against taking that for a failure of the server.
+func TestRequestsAreNotForwardedBeforeRetryAfter(t *testing.T) {
+	t.Parallel()
+	f, _ := partitionedInstance(t, standin.PartitionReset, nil)
+	busy := f.busyServer("busy", 10*time.Second)
+	eventually(t, 5*time.Second, "the busy server gets a request", func() bool {
+		f.lookup(1)
+		return busy.arrivals() > 0
+	})
+	before := busy.arrivals()
+	must.Positive(t, f.sendLookups(3*time.Second, 10*time.Millisecond, 0))
+	must.Eq(t, before, busy.arrivals())
+	for line := range strings.Lines(f.instances[0].log.String()) {
+		if strings.Contains(line, `"server":"busy"`) {
+			must.StrNotContains(t, line, `"result":"connect failed"`)
+		}
+	}
+}
+
 // Guards against a forwarder that sends its own requests to a server that announced its stop in
 // the response to a forwarded one.
 func TestForwarderNoticesThatServerLeaves(t *testing.T) {
