Soak: servers know which instance sent a request

The soak held the instance that a caller used to Retry-After and to the announced stop of a server, not the one that forwarded the request, which the server answered.

The links of the soak keep the source address, the instances connect from their own, and both instances of a forwarded request are held to what the server asked. Nothing is checked less than before.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -101,7 +101,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if d := b.checkBackoff(id); d > 0 {
+	if d := b.checkBackoff(id, b.cluster.senderOf(r)); d > 0 {
 		w.Header().Set("X-Not-Executed", "1")
 		w.Header().Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 2, 64))
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -139,7 +139,17 @@
 	req, known := c.requests[id]
 	c.checkPlacement(b, id, now)
 	c.checkLimit(b, now)
-	c.checkLeaving(b, id)
+	sender := c.senderOf(r)
+	c.checkLeaving(b, id, sender)
+	if known {
+		if req.senders == nil {
+			req.senders = make(map[string]string)
+		}
+		req.senders[b.id] = sender
+		if sender != req.instance {
+			c.forwardedCount++
+		}
+	}
 	switch {
 	case !known:
 		c.violations = append(c.violations, "backend server executed a request that no caller sent: "+id)
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -105,6 +105,8 @@
 	// response of the server that announces its stop. leavingCount counts these.
 	leaving      map[string]map[string]time.Time
 	leavingCount int
+	// forwardedCount counts the executions of requests that were forwarded.
+	forwardedCount int
 	// lateLeavingCount counts such responses of a run that had ended.
 	lateLeavingCount int
 	// serverRuns has the start time of the latest run of each server that has restarted.
@@ -125,8 +127,11 @@
 	sentAt time.Time
 	// instance is the address that the request was sent to.
 	instance string
-	status   int
-	failed   bool
+	// senders has the instance that sent the request to each backend server. It is another
+	// one if the request was forwarded.
+	senders map[string]string
+	status  int
+	failed  bool
 }
 
 type process struct {
@@ -163,11 +168,27 @@
 func (c *cluster) instanceIP(n int) string { return fmt.Sprintf("127.%d.0.%d", c.subnet, n+1) }
 
 func (c *cluster) startLink(to string) *standin.Link {
-	l, err := standin.StartLink(standin.LinkOptions{Name: to, Target: to}, nil)
+	l, err := standin.StartLink(standin.LinkOptions{Name: to, Target: to, KeepSource: true}, nil)
 	must.NoError(c.t, err)
 	return l
 }
 
+// senderOf returns the instance that sent a request to a backend server, by its address for
+// callers.
+func (c *cluster) senderOf(r *http.Request) string {
+	ip, _, _ := strings.Cut(r.RemoteAddr, ":")
+	return fmt.Sprintf("%s:%d", ip, c.ports[0])
+}
+
+// instancesOf returns the instance that accepted a request, and the one that sent it to a backend
+// server if that is another one.
+func (r *request) instancesOf(sender string) []string {
+	if sender == "" || sender == r.instance {
+		return []string{r.instance}
+	}
+	return []string{r.instance, sender}
+}
+
 // dialThroughLinks replaces the callers' address of an instance by that of its
 // caller link.
 func (c *cluster) dialThroughLinks(ctx context.Context, network, address string) (net.Conn, error) {
@@ -273,7 +294,7 @@
 	log, err := os.OpenFile(filepath.Join(c.dir, fmt.Sprintf("edge-%d.log", p.index)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must.NoError(c.t, err)
 	p.cmd = exec.Command(c.binary, "--settings", c.writeSettings(p.index))
-	p.cmd.Env = append(os.Environ(), partitionVariable+"="+c.partitionFile(p.index))
+	p.cmd.Env = append(os.Environ(), partitionVariable+"="+c.partitionFile(p.index), ipVariable+"="+c.instanceIP(p.index))
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	must.NoError(c.t, p.cmd.Start())
 	done := make(chan struct{})
--- a/internal/soak/leaving_test.go
+++ b/internal/soak/leaving_test.go
@@ -32,7 +32,7 @@
 }
 
 // recordLeaving records that an instance returned a response whose server announces its
-// stop. c.mu must be held.
+// stop, and that the one which had sent the request passed it on. c.mu must be held.
 func (c *cluster) recordLeaving(r *request, seal string) {
 	run, leaving := strings.CutPrefix(seal, leavingSeal)
 	if !leaving {
@@ -47,11 +47,13 @@
 	if c.leaving[server] == nil {
 		c.leaving[server] = make(map[string]time.Time)
 	}
-	if since, known := c.leaving[server][r.instance]; known && !c.instanceFaults[r.instance].After(since) {
-		return
+	for _, instance := range r.instancesOf(r.senders[server]) {
+		if since, known := c.leaving[server][instance]; known && !c.instanceFaults[instance].After(since) {
+			continue
+		}
+		c.leaving[server][instance] = time.Now()
+		c.leavingCount++
 	}
-	c.leaving[server][r.instance] = time.Now()
-	c.leavingCount++
 }
 
 // latestRun returns the start time of a server's latest run, as its seals have it. c.mu
@@ -73,19 +75,22 @@
 	b.rejections = rejections{}
 }
 
-// checkLeaving checks that a request is not to a server whose leaving its instance has
-// passed on. Faults of the store and of links excuse nothing. c.mu must be held.
-func (c *cluster) checkLeaving(b *backend, id string) {
+// checkLeaving checks that a request is not to a server whose leaving its instance, or the one
+// that sent it, has passed on. Faults of the store and of links excuse nothing. c.mu must be
+// held.
+func (c *cluster) checkLeaving(b *backend, id, sender string) {
 	req, known := c.requests[id]
 	if !known {
 		return
 	}
-	since, leaving := c.leaving[b.id][req.instance]
-	if !leaving || c.instanceFaults[req.instance].After(since) || !req.sentAt.After(since.Add(drainBound)) {
-		return
+	for _, instance := range req.instancesOf(sender) {
+		since, leaving := c.leaving[b.id][instance]
+		if !leaving || c.instanceFaults[instance].After(since) || !req.sentAt.After(since.Add(drainBound)) {
+			continue
+		}
+		c.violations = append(c.violations, fmt.Sprintf("request %s reached backend server %s from %s, sent %v after the instance had passed on that the server leaves",
+			id, b.id, instance, req.sentAt.Sub(since)))
 	}
-	c.violations = append(c.violations, fmt.Sprintf("request %s reached backend server %s from %s, sent %v after the instance had passed on that the server leaves",
-		id, b.id, req.instance, req.sentAt.Sub(since)))
 }
 
 // Guards against a check that takes the late response of an earlier run for an announcement
@@ -101,10 +106,10 @@
 	c.recordServerRestart(b)
 	c.recordLeaving(&request{instance: "a"}, old)
 	c.requests["r"] = &request{instance: "a", sentAt: time.Now().Add(drainBound + time.Second)}
-	c.checkLeaving(b, "r")
+	c.checkLeaving(b, "r", "a")
 	must.SliceEmpty(t, c.violations)
 
 	c.recordLeaving(&request{instance: "a"}, b.sealOfLeaving())
-	c.checkLeaving(b, "r")
+	c.checkLeaving(b, "r", "a")
 	must.SliceNotEmpty(t, c.violations)
 }
--- a/internal/soak/partitions_test.go
+++ b/internal/soak/partitions_test.go
@@ -18,6 +18,8 @@
 	contactPeriod = 3 * time.Second
 	// partitionVariable names the file with the state of an instance's path to the servers.
 	partitionVariable = "FOXTAILSPOKE_SOAK_PARTITION"
+	// ipVariable has the IP address that an instance connects to servers from.
+	ipVariable = "FOXTAILSPOKE_SOAK_IP"
 )
 
 // partition is the time in which an instance was partitioned from all backend servers.
--- a/internal/soak/rejections_check_test.go
+++ b/internal/soak/rejections_check_test.go
@@ -25,14 +25,14 @@
 				instanceFaults: map[string]time.Time{"a": now.Add(c.restarted)},
 			}
 			b := &backend{cluster: k, id: "i-0", rejections: rejections{busyUntil: now.Add(time.Minute), retryAfter: time.Minute}}
-			b.checkBackoff("r")
+			b.checkBackoff("r", "a")
 			for _, p := range b.rejections.periods["a"] {
 				p.start = p.start.Add(-backoffGracePeriod - time.Second)
 				b.rejections.periods["a"][0] = p
 			}
 			k.instanceFaults["a"] = now.Add(-time.Hour)
 			for range backoffSlack + 1 {
-				b.checkBackoff("r")
+				b.checkBackoff("r", "a")
 			}
 			must.Eq(t, c.violated, len(k.violations) > 0)
 		})
--- a/internal/soak/rejections_test.go
+++ b/internal/soak/rejections_test.go
@@ -57,9 +57,9 @@
 }
 
 // checkBackoff checks a request that reached a backend server against the Retry-After
-// times that its instance received. It returns the Retry-After of the rejection, or 0 if
-// the request is not rejected.
-func (b *backend) checkBackoff(id string) time.Duration {
+// times that its instance, and the one that sent it, received. It returns the Retry-After
+// of the rejection, or 0 if the request is not rejected.
+func (b *backend) checkBackoff(id, sender string) time.Duration {
 	c, r, now := b.cluster, &b.rejections, time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -67,30 +67,34 @@
 	if !known {
 		return 0
 	}
-	for i := range r.periods[req.instance] {
-		p := &r.periods[req.instance][i]
-		counted := now.After(p.start.Add(backoffGracePeriod)) && now.Before(p.end)
-		if !counted || c.instanceFaults[req.instance].After(p.start) || c.linkFaults[b.link].After(p.start) {
-			continue
-		}
-		if p.arrivals++; p.arrivals > backoffSlack {
-			c.violations = append(c.violations, fmt.Sprintf("backend server %s asked %s to send nothing for %v and received %d requests",
-				b.id, req.instance, p.end.Sub(p.start), p.arrivals))
+	for _, instance := range req.instancesOf(sender) {
+		for i := range r.periods[instance] {
+			p := &r.periods[instance][i]
+			counted := now.After(p.start.Add(backoffGracePeriod)) && now.Before(p.end)
+			if !counted || c.instanceFaults[instance].After(p.start) || c.linkFaults[b.link].After(p.start) {
+				continue
+			}
+			if p.arrivals++; p.arrivals > backoffSlack {
+				c.violations = append(c.violations, fmt.Sprintf("backend server %s asked %s to send nothing for %v and received %d requests",
+					b.id, instance, p.end.Sub(p.start), p.arrivals))
+			}
 		}
 	}
 	if !now.Before(r.busyUntil) {
 		return 0
 	}
 	c.rejectionCount++
-	if c.instanceFaults[req.instance].After(req.sentAt) {
-		// The process that sent the request has ended, so that no instance receives the
-		// response.
-		return r.retryAfter
-	}
 	if r.periods == nil {
 		r.periods = make(map[string][]backoffPeriod)
 	}
-	r.periods[req.instance] = append(r.periods[req.instance], backoffPeriod{start: now, end: now.Add(r.retryAfter)})
+	for _, instance := range req.instancesOf(sender) {
+		if c.instanceFaults[instance].After(req.sentAt) {
+			// The process that handled the request has ended, so that it doesn't receive the
+			// response.
+			continue
+		}
+		r.periods[instance] = append(r.periods[instance], backoffPeriod{start: now, end: now.Add(r.retryAfter)})
+	}
 	return r.retryAfter
 }
 
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -63,6 +63,9 @@
 	ListenAddress string `json:"listen"`
 	// Target is the address that connections are relayed to: "ip:port".
 	Target string `json:"to"`
+	// KeepSource has the target see the client's IP address, which must be one of this
+	// machine.
+	KeepSource bool `json:"keepSource"`
 }
 
 // Link is a running TCP relay whose directions can be cut and delayed
@@ -153,6 +156,9 @@
 		return
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
+	if l.options.KeepSource {
+		dialer.LocalAddr = &net.TCPAddr{IP: client.RemoteAddr().(*net.TCPAddr).IP}
+	}
 	conn, err := dialer.DialContext(l.ctx, "tcp", l.options.Target)
 	if err != nil {
 		l.log.Debug("link failed to connect to its target", "link", l.options.Name, "error", err)
--- a/internal/standin/partition.go
+++ b/internal/standin/partition.go
@@ -34,6 +34,10 @@
 // Partition is the network path from one client to any number of servers, which can be
 // partitioned. The client opens its connections with Dial.
 type Partition struct {
+	// LocalIP, if set, is the IP address that connections come from. It must be set before
+	// the first Dial.
+	LocalIP net.IP
+
 	mu   sync.Mutex
 	mode PartitionMode
 	// changed is closed when the mode changes.
@@ -106,6 +110,9 @@
 		case PartitionNone:
 		}
 		d := net.Dialer{KeepAlive: -1}
+		if p.LocalIP != nil {
+			d.LocalAddr = &net.TCPAddr{IP: p.LocalIP}
+		}
 		nc, err := d.DialContext(ctx, "tcp4", address)
 		if err != nil {
 			return nil, err
