Test: requests of a partitioned instance need no retries

Where connections hang, are reset, or are refused while old ones live on, 10 of 10 orders are served at the first attempt once the instance has noticed.

--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -315,6 +315,25 @@
 	must.Eq(t, before, s.arrivals.Load())
 }
 
+// Guards against using up the fleet's budget of retries for servers that only this instance
+// doesn't reach.
+func TestForwardedRequestsNeedNoRetries(t *testing.T) {
+	t.Parallel()
+	for _, mode := range []standin.PartitionMode{standin.PartitionHang, standin.PartitionReset, standin.PartitionRefuse} {
+		t.Run(string(mode), func(t *testing.T) {
+			t.Parallel()
+			f, _ := partitionedInstance(t, mode, nil)
+			before := len(f.instances[0].log.String())
+			for range 10 {
+				r, _ := f.order(0)
+				must.NoError(t, r.err)
+				must.Eq(t, http.StatusOK, r.status)
+			}
+			must.StrNotContains(t, f.instances[0].log.String()[before:], `"attempt":2`)
+		})
+	}
+}
+
 // Guards against refusing requests because no instance reached a server a moment ago.
 func TestServersAreTriedDirectlyWhereNobodyForwards(t *testing.T) {
 	f := newFleet(t)
