Soak: tests that run at the same time use addresses of their own

Cause: clusters of soak tests that run at the same time had the same loopback addresses, so that an instance may find a port taken. Chosen ports are free at another address, and other clusters' connections may have them.

The log of the instance was lost with the failure; it is part of the message now.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -165,7 +165,11 @@
 	return c
 }
 
-func (c *cluster) instanceIP(n int) string { return fmt.Sprintf("127.%d.0.%d", c.subnet, n+1) }
+// instanceIP returns the address of an instance. The process ID in it keeps soak tests that run at
+// the same time apart: they may choose the same ports.
+func (c *cluster) instanceIP(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", c.subnet, 1+os.Getpid()%250, n+1)
+}
 
 func (c *cluster) startLink(to string) *standin.Link {
 	l, err := standin.StartLink(standin.LinkOptions{Name: to, Target: to, KeepSource: true}, nil)
@@ -228,7 +232,7 @@
 	deadline := time.Now().Add(10 * time.Second)
 	for n := range *instanceCount {
 		for !c.ready(n) {
-			must.True(c.t, time.Now().Before(deadline), must.Sprintf("instance %d is not ready", n))
+			must.True(c.t, time.Now().Before(deadline), must.Sprintf("instance %d is not ready; its log:\n%s", n, c.processLog(n)))
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
@@ -237,6 +241,15 @@
 	}
 }
 
+// processLog returns the log of an instance, which includes that of its earlier processes.
+func (c *cluster) processLog(n int) []byte {
+	b, err := os.ReadFile(c.logFile(n))
+	must.NoError(c.t, err)
+	return b
+}
+
+func (c *cluster) logFile(n int) string { return filepath.Join(c.dir, fmt.Sprintf("edge-%d.log", n)) }
+
 // publishConfig writes a configuration with a new key, which withdraws the old key.
 func (c *cluster) publishConfig() {
 	c.mu.Lock()
@@ -291,7 +304,7 @@
 	c.mu.Lock()
 	c.launchTimes = append(c.launchTimes, time.Now())
 	c.mu.Unlock()
-	log, err := os.OpenFile(filepath.Join(c.dir, fmt.Sprintf("edge-%d.log", p.index)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(c.logFile(p.index), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must.NoError(c.t, err)
 	p.cmd = exec.Command(c.binary, "--settings", c.writeSettings(p.index))
 	p.cmd.Env = append(os.Environ(), partitionVariable+"="+c.partitionFile(p.index), ipVariable+"="+c.instanceIP(p.index))
