--- a/edge/forward.go
+++ b/edge/forward.go
@@ -46,11 +46,11 @@
 // outcomeDeclined is the outcome of a request that the forwarder could send, but must not.
 const outcomeDeclined = "declined"
 
-// errDeclined is the cause of an attempt that forwarders declined. It says nothing about the
+// errDeclined is the cause of an attempt that forwarders declined. It is no evidence about the
 // server.
 var errDeclined = errors.New("forwarding instance must not send requests to the server now")
 
-// errNoOutcome is the cause of a forwarded attempt whose response doesn't tell how it ended.
+// errNoOutcome is the cause of a forwarded attempt whose response names no outcome.
 var errNoOutcome = errors.New("forwarding instance gave no outcome")
 
 // sendToServer sends a request to the chosen server and returns the response and the time of
@@ -238,7 +238,7 @@
 }
 
 // applyNotices applies what a server's response to a forwarded request asks of the instance that
-// sent it. What it says about the server's health and load is the other instance's to publish.
+// sent it. The other instance publishes the evidence about the server's health and load.
 func (e *Edge) applyNotices(server discovery.Server, resp upstream.Response) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -265,34 +265,35 @@
 	must.Eq(t, http.StatusGatewayTimeout, r.status)
 }
 
-// Guards against a forwarder that sends a server its own requests before the Retry-After of a
-// forwarded one.
-func TestForwarderBacksOffAfterForwardedRequest(t *testing.T) {
-	t.Parallel()
+// backOffAfterRequestsTo has a server ask for no requests in response to one of instance first, sends
+// lookups to instance next, and checks that the server gets none of them. Instance 0 is partitioned,
+// and instance 1 forwards its requests.
+func backOffAfterRequestsTo(t *testing.T, first, next int) *fleet {
+	t.Helper()
 	f, _ := partitionedInstance(t, standin.PartitionReset, nil)
 	busy := f.busyServer("busy", 10*time.Second)
-	eventually(t, 5*time.Second, "the busy server gets a forwarded request", func() bool {
-		f.lookup(0)
+	eventually(t, 5*time.Second, "the busy server gets a request", func() bool {
+		f.lookup(first)
 		return busy.arrivals() > 0
 	})
 	before := busy.arrivals()
-	must.Positive(t, f.sendLookups(3*time.Second, 10*time.Millisecond, 1))
+	must.Positive(t, f.sendLookups(3*time.Second, 10*time.Millisecond, next))
 	must.Eq(t, before, busy.arrivals())
+	return f
+}
+
+// Guards against a forwarder that sends a server its own requests before the Retry-After of a
+// forwarded one.
+func TestForwarderBacksOffAfterForwardedRequest(t *testing.T) {
+	t.Parallel()
+	backOffAfterRequestsTo(t, 0, 1)
 }
 
 // Guards against a forwarder that sends a server requests of others before its Retry-After, and
 // against taking that for a failure of the server.
 func TestRequestsAreNotForwardedBeforeRetryAfter(t *testing.T) {
 	t.Parallel()
-	f, _ := partitionedInstance(t, standin.PartitionReset, nil)
-	busy := f.busyServer("busy", 10*time.Second)
-	eventually(t, 5*time.Second, "the busy server gets a request", func() bool {
-		f.lookup(1)
-		return busy.arrivals() > 0
-	})
-	before := busy.arrivals()
-	must.Positive(t, f.sendLookups(3*time.Second, 10*time.Millisecond, 0))
-	must.Eq(t, before, busy.arrivals())
+	f := backOffAfterRequestsTo(t, 1, 0)
 	for line := range strings.Lines(f.instances[0].log.String()) {
 		if strings.Contains(line, `"server":"busy"`) {
 			must.StrNotContains(t, line, `"result":"connect failed"`)
--- a/internal/soak/instance/main.go
+++ b/internal/soak/instance/main.go
@@ -19,7 +19,7 @@
 	// the path, a standin.PartitionMode.
 	partitionVariable = "FOXTAILSPOKE_SOAK_PARTITION"
 	// ipVariable is the environment variable with the IP address of the instance, by which
-	// backend servers tell instances apart.
+	// backend servers identify it.
 	ipVariable = "FOXTAILSPOKE_SOAK_IP"
 )
 
--- a/internal/standin/partition.go
+++ b/internal/standin/partition.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// PartitionMode says what happens to the connections of a partitioned path.
+// PartitionMode is what happens to the connections of a partitioned path.
 type PartitionMode string
 
 // Partition modes.
