--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -250,6 +250,17 @@
 
 func (c *cluster) logFile(n int) string { return filepath.Join(c.dir, fmt.Sprintf("edge-%d.log", n)) }
 
+// faultSummary describes the injected faults and what they caused.
+func (c *cluster) faultSummary() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return []string{
+		fmt.Sprintf("%d store restores, %d limits announced, %d requests rejected, %d times a server announced its stop, %d of these after its run",
+			c.restoreCount, c.limitCount, c.rejectionCount, c.leavingCount+c.lateLeavingCount, c.lateLeavingCount),
+		fmt.Sprintf("%s; %d executions of forwarded requests", c.partitionSummary, c.forwardedCount),
+	}
+}
+
 // publishConfig writes a configuration with a new key, which withdraws the old key.
 func (c *cluster) publishConfig() {
 	c.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -74,9 +74,9 @@
 		t.Errorf("seed %d: %s", seed, violation)
 	}
 	served, refused, failed := c.outcomeCounts()
-	t.Logf("seed %d: %d store restores, %d limits announced, %d requests rejected, %d times a server announced its stop, %d of these after its run",
-		seed, c.restoreCount, c.limitCount, c.rejectionCount, c.leavingCount+c.lateLeavingCount, c.lateLeavingCount)
-	t.Logf("seed %d: %s; %d executions of forwarded requests", seed, c.partitionSummary, c.forwardedCount)
+	for _, line := range c.faultSummary() {
+		t.Logf("seed %d: %s", seed, line)
+	}
 	t.Logf("seed %d: %d served, %d refused, %d failed", seed, served, refused, failed)
 	must.Positive(t, served)
 	if t.Failed() {
