proofs: a started fleet is waited for at each of its instances

Cause, in the test: awaitServed returned once any instance had served each service. Each instance learns at its own time that the first holders of a workspace's limits are in force; the test took the platform away in between. The refusal is "peer-unreachable (no instance holds them yet)", not run, and the instance serves some 0.2 s later, during the outage. Such refusals are what a fleet that has just started gives; the test isn't about them.

Change: awaitServed waits until each running instance has served each service. The check of the test is the same, for each request; it now also compares the rule, and prints it.

--- a/internal/proofs/load_test.go
+++ b/internal/proofs/load_test.go
@@ -166,17 +166,20 @@
 	return func(c *caller) { c.send(address, c.request("catalogue", http.MethodGet)) }
 }
 
-// awaitServed waits until each service serves a workspace. In a newly started fleet
-// no quota parts are in force yet, so requests are refused at first.
+// awaitServed waits until each running instance serves each service to a
+// workspace. In a newly started fleet no quota parts are in force yet, and each
+// instance learns at its own time that they are; until then it refuses requests.
 func (tc *testCluster) awaitServed(key, workspace string) {
 	tc.t.Helper()
 	l := newLoad(tc)
 	c := &caller{l: l, workspace: workspace, key: key, rng: rand.New(rand.NewPCG(0, 0)), http: map[string]*trial.Caller{}}
 	start := time.Now()
-	for _, service := range []string{"catalogue", "ordering", "diagnosis"} {
-		for c.send(c.randomAddress(), c.request(service, http.MethodGet)).outcome != "served" {
-			must.Less(tc.t, waitTimeout, time.Since(start), must.Sprintf("%s did not serve the workspace within the timeout", service))
-			time.Sleep(50 * time.Millisecond)
+	for _, e := range tc.running() {
+		for _, service := range []string{"catalogue", "ordering", "diagnosis"} {
+			for c.send(e.callers, c.request(service, http.MethodGet)).outcome != "served" {
+				must.Less(tc.t, waitTimeout, time.Since(start), must.Sprintf("%s did not serve %s to the workspace within the timeout", e.name, service))
+				time.Sleep(50 * time.Millisecond)
+			}
 		}
 	}
 	tc.t.Logf("served %s after the key was in force", time.Since(start).Round(10*time.Millisecond))
--- a/internal/proofs/start_test.go
+++ b/internal/proofs/start_test.go
@@ -44,7 +44,8 @@
 		must.Eq(t, "not-run cut-off", s.outcome+" "+s.rule, must.Sprint("a new instance without configuration must refuse as cut-off, not as an unknown key"))
 		must.False(t, accepts(late.callers, key), must.Sprint("locate succeeded on an instance without configuration"))
 		refused++
-		must.Eq(t, "served", c.send(old.callers, c.request("catalogue", http.MethodGet)).outcome)
+		s = c.send(old.callers, c.request("catalogue", http.MethodGet))
+		must.Eq(t, "served ", s.outcome+" "+s.rule, must.Sprintf("failure: %q", s.failure))
 	}
 	seeded := tc.startEntry("luzon-3", old.toPeers.Address())
 	started := time.Now()
