Failing tests of FLOOR: partitioned instances, callers that give up

What callers see: a service's orders fail while sound servers get nothing.

- placement's simulation has instances that can't connect to any server, and computes the users' rule.
- an attempt that never arrives counts as use of the server;
- failed connections of other instances are believed of a server that answers;
- requests whose caller left early don't count as unserved (edge).

--- a/edge/unserved_test.go
+++ b/edge/unserved_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"testing"
@@ -35,6 +36,12 @@
 		})
 	}
 	wg.Wait()
+	f.awaitUnserved()
+}
+
+// awaitUnserved waits until both instances know that most orders are not served.
+func (f *fleet) awaitUnserved() {
+	f.t.Helper()
 	eventually(f.t, time.Second, "all instances know that orders are not served", func() bool {
 		shares := f.unservedShares()
 		return len(shares) == 2 && min(shares[0], shares[1]) > 0.8
@@ -63,6 +70,30 @@
 	f.requireUnserved(http.StatusServiceUnavailable)
 }
 
+// A server hangs, and callers disconnect long before the deadline. Guards against requests
+// that callers give up without counting as unserved, so that the idle servers of the service
+// stay idle.
+func TestRequestsThatCallersGiveUpCountAsUnserved(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1000, key)
+	f.backend("hanging", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	f.startAll(2)
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			r, _ := f.call(0, http.MethodPost, "/order/1", "body", func(r *http.Request) { *r = *r.WithContext(ctx) })
+			if r.err == nil {
+				t.Errorf("status %d, want no response", r.status)
+			}
+		})
+	}
+	wg.Wait()
+	f.awaitUnserved()
+}
+
 // Guards against requests that count twice because several attempts of them failed.
 func TestServedRequestsDoNotCountAsUnserved(t *testing.T) {
 	t.Parallel()
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -27,6 +27,9 @@
 	retryableShare float64
 	// lostAnswers is the share of their answers that half of the servers lose.
 	lostAnswers float64
+	// partitionedShare is the share of instances that reach no server. Each of their
+	// requests fails to connect at one server and isn't served.
+	partitionedShare float64
 }
 
 // simulation sends the requests of a fleet to servers with two slots each. At any time
@@ -50,6 +53,15 @@
 	coverageSum float64
 	samples     int
 	nextSample  time.Duration
+	// idleSamples counts the samples with too many idle healthy servers while too many
+	// requests weren't served.
+	idleSamples int
+	outcomes    []simulatedOutcome
+}
+
+type simulatedOutcome struct {
+	at     time.Duration
+	served bool
 }
 
 type simulatedServer struct {
@@ -70,11 +82,19 @@
 
 const (
 	propagationDelay = 10 * time.Millisecond
+	connectFailure   = 150 * time.Millisecond
 	latencyTarget    = 800 * time.Millisecond
 	statePeriod      = 9 * time.Second
 	failingShare     = 0.3
 	firstRequest     = 8 * time.Second
 	settlingTime     = 5 * time.Second
+	// idleWindow is the time without a request after which a healthy server is idle.
+	idleWindow = 2 * time.Second
+	// minCoverage is the share of healthy servers that must be in use while the share of
+	// unserved requests is between minUnservedShare and maxUnservedShare.
+	minCoverage      = 0.7
+	minUnservedShare = 0.1
+	maxUnservedShare = 0.5
 )
 
 func newSimulation(seed uint64, z fleetParams) *simulation {
@@ -155,6 +175,7 @@
 	for now := firstRequest; now < firstRequest+length; now += time.Duration(sim.rng.ExpFloat64() / sim.requestRate * float64(time.Second)) {
 		sim.events.runUntil(now)
 		if sim.rng.Float64() < sim.refused {
+			sim.recordOutcome(false, now)
 			for _, p := range sim.placers {
 				p.RecordOutcome("s", false, now)
 			}
@@ -178,23 +199,54 @@
 			continue
 		}
 		healthy++
-		if now-s.lastRequest < 2*time.Second {
+		if now-s.lastRequest < idleWindow {
 			used++
 		}
 	}
-	sim.coverageSum += float64(used) / float64(healthy)
+	coverage := float64(used) / float64(healthy)
+	sim.coverageSum += coverage
+	if unserved := sim.unservedShare(now); used > 0 && coverage < minCoverage && unserved > minUnservedShare && unserved < maxUnservedShare {
+		sim.idleSamples++
+	}
+}
+
+func (sim *simulation) recordOutcome(served bool, now time.Duration) {
+	sim.outcomes = append(sim.outcomes, simulatedOutcome{now, served})
+}
+
+// unservedShare returns the share of requests within the last idleWindow that weren't served.
+func (sim *simulation) unservedShare(now time.Duration) float64 {
+	for len(sim.outcomes) > 0 && now-sim.outcomes[0].at > idleWindow {
+		sim.outcomes = sim.outcomes[1:]
+	}
+	unserved := 0
+	for _, o := range sim.outcomes {
+		if !o.served {
+			unserved++
+		}
+	}
+	return float64(unserved) / float64(max(len(sim.outcomes), 1))
 }
 
 func (sim *simulation) coverage() float64 { return sim.coverageSum / float64(sim.samples) }
 
 func (sim *simulation) send(choose chooser, instance int, now time.Duration) {
 	s := choose(sim, instance, now)
+	if float64(instance) < sim.partitionedShare*float64(sim.instances) {
+		sim.sampleCoverage(now)
+		sim.sent++
+		sim.recordOutcome(false, now)
+		sim.addOutstanding(s, instance, 1, now)
+		sim.end(s, instance, now+connectFailure, health.ConnectFailed, connectFailure)
+		return
+	}
 	s.lastRequest = now
 	sim.sampleCoverage(now)
 	sim.updateState(s, now)
 	sim.sent++
 	sim.addOutstanding(s, instance, 1, now)
 	if !s.healthy && sim.rng.Float64() < 0.85 {
+		sim.recordOutcome(sim.retryable, now)
 		if sim.retryable {
 			sim.retries++
 		} else {
@@ -215,6 +267,7 @@
 		sim.late++
 	}
 	if lost {
+		sim.recordOutcome(sim.retryable, now)
 		if sim.retryable {
 			sim.retries++
 		} else {
@@ -223,7 +276,9 @@
 		sim.end(s, instance, s.slotFree[slot], health.Incomplete, latency)
 		return
 	}
-	if sim.rng.Float64() < sim.errors {
+	failed := sim.rng.Float64() < sim.errors
+	sim.recordOutcome(!failed, now)
+	if failed {
 		sim.end(s, instance, s.slotFree[slot], health.ServerError, latency)
 		return
 	}
@@ -327,6 +382,47 @@
 	}
 }
 
+// requireIdleServersInUse requires that too many healthy servers are never idle while too
+// many requests aren't served.
+func requireIdleServersInUse(t *testing.T, z fleetParams) {
+	t.Helper()
+	for seed := range uint64(10) {
+		sim := newSimulation(seed, z)
+		sim.run(choosePlacer, 30*time.Second)
+		sim.report(t, seed)
+		must.Zero(t, sim.idleSamples, must.Sprintf("of %d samples with %d servers", sim.samples, z.servers))
+	}
+}
+
+// Some instances can't connect to any server, and their requests aren't served. Guards
+// against servers that the other instances take for used, or for failing, because of
+// attempts that never arrived there.
+func TestIdleServersComeIntoUseBesidePartitionedInstances(t *testing.T) {
+	for _, z := range []fleetParams{
+		{instances: 36, servers: 12, requestRate: 45, partitionedShare: 0.2},
+		{instances: 36, servers: 22, requestRate: 100, partitionedShare: 0.3},
+		{instances: 36, servers: 40, requestRate: 100, partitionedShare: 0.3},
+	} {
+		requireIdleServersInUse(t, z)
+	}
+}
+
+// The same with so few servers that two idle ones are too many.
+func TestIdleServersAmongFewComeIntoUseBesidePartitionedInstances(t *testing.T) {
+	requireIdleServersInUse(t, fleetParams{instances: 36, servers: 8, requestRate: 45, partitionedShare: 0.3})
+}
+
+// As many requests are refused, but all instances reach the servers.
+func TestIdleServersComeIntoUseWhileRequestsAreRefused(t *testing.T) {
+	for _, z := range []fleetParams{
+		{instances: 36, servers: 8, requestRate: 45, refused: 0.3},
+		{instances: 36, servers: 22, requestRate: 100, refused: 0.3},
+		{instances: 36, servers: 40, requestRate: 100, refused: 0.3},
+	} {
+		requireIdleServersInUse(t, z)
+	}
+}
+
 func (sim *simulation) share(n int) float64 { return float64(n) / float64(sim.sent) }
 
 func (sim *simulation) report(t *testing.T, seed uint64) {
--- a/placement/utilization_test.go
+++ b/placement/utilization_test.go
@@ -231,3 +231,35 @@
 	}
 	must.GreaterEq(t, 2, len(found))
 }
+
+// An idle server is tried only by an instance that can't connect to it, while a quarter of
+// the requests isn't served. Guards against attempts that never arrived counting as use.
+func TestFailedConnectionIsNoUseOfAServer(t *testing.T) {
+	p := placer("hot", "idle")
+	now := 10 * time.Second
+	use(p, "idle", health.OK, now-3*time.Second)
+	for i := range 20 {
+		use(p, "hot", health.OK, now)
+		p.RecordOutcome("s", i >= 5, now)
+	}
+	h := placement.Hash("idle")
+	p.SetOutstanding(h, peer, 1, now-200*time.Millisecond)
+	p.SetOutstanding(h, peer, 0, now)
+	p.RecordResult(h, health.ConnectFailed, false, 0, serviceTime, now)
+	must.Eq(t, "idle", choose(t, p, nonRetryable(), now).Server.ID)
+}
+
+// Guards against the results of an instance without a path to a server changing what the
+// others, whose requests the server answers, believe of it.
+func TestFailedConnectionsOfOthersDontHideAServerThatAnswers(t *testing.T) {
+	p := placer("a")
+	now := 10 * time.Second
+	for range 5 {
+		use(p, "a", health.OK, now)
+	}
+	before := choose(t, p, nonRetryable(), now).Risk
+	for range 3 {
+		p.RecordResult(placement.Hash("a"), health.ConnectFailed, false, 0, serviceTime, now)
+	}
+	must.LessEq(t, before, choose(t, p, nonRetryable(), now).Risk)
+}
