--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -32,6 +32,18 @@
 	return f, servers
 }
 
+// fleetOfTwo returns a fleet of two instances with some servers.
+func fleetOfTwo(t *testing.T, servers int) *fleet {
+	t.Helper()
+	f := newFleet(t)
+	f.configure(10000, key)
+	for i := range servers {
+		f.backend(fmt.Sprintf("i-%d", i), nil)
+	}
+	f.startAll(2)
+	return f
+}
+
 // Guards against a forwarder that changes the request or the response.
 func TestForwardedRequestAndResponseAreUnchanged(t *testing.T) {
 	f, servers := partitionedInstance(t, standin.PartitionReset, func(w http.ResponseWriter, r *http.Request) {
@@ -166,10 +178,7 @@
 // Guards against spending the caller's time on a connection that hangs although another
 // instance can forward the request.
 func TestFirstOrderAtAHangingConnectionIsForwardedInTime(t *testing.T) {
-	f := newFleet(t)
-	f.configure(10000, key)
-	f.backend("i-0", nil)
-	f.startAll(2)
+	f := fleetOfTwo(t, 1)
 	f.instances[0].path.SetMode(standin.PartitionHang)
 	start := time.Now()
 	r, _ := f.order(0)
@@ -181,12 +190,7 @@
 // Guards against a second attempt that is sent on a kept connection, which hangs for the
 // same reason as the first one's.
 func TestLookupOnConnectionsThatHangIsServed(t *testing.T) {
-	f := newFleet(t)
-	f.configure(10000, key)
-	for i := range 3 {
-		f.backend(fmt.Sprintf("i-%d", i), nil)
-	}
-	f.startAll(2)
+	f := fleetOfTwo(t, 3)
 	for range 20 {
 		f.lookup(0)
 	}
@@ -337,12 +341,7 @@
 
 // Guards against refusing requests because no instance reached a server a moment ago.
 func TestServersAreTriedDirectlyWhereNobodyForwards(t *testing.T) {
-	f := newFleet(t)
-	f.configure(10000, key)
-	for i := range 3 {
-		f.backend(fmt.Sprintf("i-%d", i), nil)
-	}
-	f.startAll(2)
+	f := fleetOfTwo(t, 3)
 	for i := range 2 {
 		f.instances[i].path.SetMode(standin.PartitionReset)
 	}
