soak: a paused process and its restart don't race for the run in progress

The signal that ends a pause could miss its run or hit the wrong one; no check depends on it.

Change: the current run of a process and whether it is being restarted are behind a lock of their own.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -135,12 +135,22 @@
 }
 
 type process struct {
-	index      int
+	index int
+
+	mu sync.Mutex
+	// cmd is the current or last run of the process; done is closed at its end.
 	cmd        *exec.Cmd
 	done       chan struct{}
 	restarting bool
 }
 
+// run returns the current or last run of the process.
+func (p *process) run() (cmd *exec.Cmd, done chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd, p.done
+}
+
 var clusterCount int
 
 func newCluster(t *testing.T, binary string, seed uint64) *cluster {
@@ -317,15 +327,17 @@
 	c.mu.Unlock()
 	log, err := os.OpenFile(c.logFile(p.index), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must.NoError(c.t, err)
-	p.cmd = exec.Command(c.binary, "--settings", c.writeSettings(p.index))
-	p.cmd.Env = append(os.Environ(), partitionVariable+"="+c.partitionFile(p.index), ipVariable+"="+c.instanceIP(p.index))
-	p.cmd.Stdout, p.cmd.Stderr = log, log
-	must.NoError(c.t, p.cmd.Start())
+	cmd := exec.Command(c.binary, "--settings", c.writeSettings(p.index))
+	cmd.Env = append(os.Environ(), partitionVariable+"="+c.partitionFile(p.index), ipVariable+"="+c.instanceIP(p.index))
+	cmd.Stdout, cmd.Stderr = log, log
+	must.NoError(c.t, cmd.Start())
 	done := make(chan struct{})
-	p.done = done
+	p.mu.Lock()
+	p.cmd, p.done = cmd, done
+	p.mu.Unlock()
 	go func() {
 		// The process's log shows why it exited.
-		_ = p.cmd.Wait()
+		_ = cmd.Wait()
 		_ = log.Close()
 		close(done)
 	}()
@@ -333,10 +345,11 @@
 
 // signal sends s to the process unless it has exited.
 func (p *process) signal(s syscall.Signal) {
+	cmd, done := p.run()
 	select {
-	case <-p.done:
+	case <-done:
 	default:
-		_ = p.cmd.Process.Signal(s)
+		_ = cmd.Process.Signal(s)
 	}
 }
 
@@ -354,7 +367,8 @@
 	for _, p := range c.processes {
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
-		<-p.done
+		_, done := p.run()
+		<-done
 	}
 	c.wg.Wait()
 	c.client.CloseIdleConnections()
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -99,14 +99,17 @@
 // restart ends a process with s and starts it again once it has exited and the delay
 // after has passed. It does nothing for a process that is already being restarted.
 func (c *cluster) restart(p *process, s syscall.Signal, after time.Duration) {
-	if p.restarting {
+	p.mu.Lock()
+	restarting, done := p.restarting, p.done
+	p.restarting = true
+	p.mu.Unlock()
+	if restarting {
 		return
 	}
-	p.restarting = true
 	c.recordInstanceFault(p)
 	p.signal(s)
 	c.wg.Go(func() {
-		<-p.done
+		<-done
 		time.Sleep(after)
 		select {
 		case <-c.stop:
@@ -114,9 +117,9 @@
 		default:
 		}
 		c.launch(p)
-		c.mu.Lock()
+		p.mu.Lock()
 		p.restarting = false
-		c.mu.Unlock()
+		p.mu.Unlock()
 	})
 }
 
