soak: a process that a restart launches while the test ends is killed, too

Found by reading: shutdown killed the processes once, and a restart that had passed its check of the stop signal could launch one afterwards, which nothing ended. No run showed it.

Change: the processes are killed again once the restarts have ended.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -364,13 +364,10 @@
 
 func (c *cluster) shutdown() {
 	close(c.stop)
-	for _, p := range c.processes {
-		p.signal(syscall.SIGCONT)
-		p.signal(syscall.SIGKILL)
-		_, done := p.run()
-		<-done
-	}
+	c.kill()
 	c.wg.Wait()
+	// A restart may have been under way.
+	c.kill()
 	c.client.CloseIdleConnections()
 	for _, l := range c.allLinks() {
 		l.Close()
@@ -383,6 +380,16 @@
 	c.storeServer.Close()
 }
 
+// kill kills all processes and waits until they have exited.
+func (c *cluster) kill() {
+	for _, p := range c.processes {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		_, done := p.run()
+		<-done
+	}
+}
+
 // saveLogs copies the processes' logs to a directory that is kept after the test and
 // returns its path, or the error message if that fails.
 func (c *cluster) saveLogs() string {
