--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -59,10 +59,12 @@
 // cluster runs instances as separate processes, and the stand-in of the store, the
 // backend servers and the callers in the test process.
 type cluster struct {
-	t           *testing.T
-	binary      string
-	dir         string
-	subnet      int
+	t      *testing.T
+	binary string
+	dir    string
+	subnet int
+	// revokeS is the instances' bound on revoked keys in seconds.
+	revokeS     float64
 	ports       [6]int
 	store       *rowstore.Store
 	storeServer *httptest.Server
@@ -157,7 +159,7 @@
 	t.Helper()
 	clusterCount++
 	c := &cluster{
-		t: t, binary: binary, dir: t.TempDir(), subnet: 100 + clusterCount%100, store: rowstore.New("op", "servers"),
+		t: t, binary: binary, dir: t.TempDir(), revokeS: revocationBound.Seconds(), subnet: 100 + clusterCount%100, store: rowstore.New("op", "servers"),
 		rng: rand.New(rand.NewPCG(seed, 1)), withdrawnAt: make(map[string]time.Time),
 		evacuatedSince: make(map[string]time.Time), requests: make(map[string]*request), instanceFaults: make(map[string]time.Time), linkFaults: make(map[*standin.Link]time.Time), leaving: make(map[string]map[string]time.Time), serverRuns: make(map[string]string), executions: make(map[string][]time.Time), faultTimes: make(map[string][]time.Time), stop: make(chan struct{}),
 	}
@@ -309,7 +311,7 @@
 		},
 		"store": map[string]string{"address": c.storeLinks[n].Address()},
 		"bounds": map[string]any{
-			"revokeS": revocationBound.Seconds(), "graceS": 4, "addressTTLS": 1, "retryRatio": 0.2, "retrySlack": 30, "rateWindowS": rateWindow.Seconds(),
+			"revokeS": c.revokeS, "graceS": 4, "addressTTLS": 1, "retryRatio": 0.2, "retrySlack": 30, "rateWindowS": rateWindow.Seconds(),
 			"rateOvershoot": rateOvershoot, "rateSlack": rateSlack,
 		},
 		"seeds": []string{c.instanceAddress(0, 3), c.instanceAddress(1, 3)},
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -62,8 +62,10 @@
 	restoredVer uint64
 	startTime   time.Time
 	delay       time.Duration
-	faultFor    func(ip string) Fault
-	requests    int
+	// responseDelay is the time between the processing of a request and its response.
+	responseDelay time.Duration
+	faultFor      func(ip string) Fault
+	requests      int
 	// readOnly holds the tables that clients cannot write.
 	readOnly map[string]bool
 }
@@ -96,6 +98,14 @@
 	s.delay = d
 }
 
+// SetResponseDelay sets the delay between the processing of each request and its
+// response, which is stale by that time.
+func (s *Store) SetResponseDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.responseDelay = d
+}
+
 // TruncateHistory discards all recorded changes. Reading changes after a
 // version older than the current one then fails with status 410.
 func (s *Store) TruncateHistory() {
@@ -239,7 +249,12 @@
 		return
 	case NoFault, ResponseLost:
 	}
-	status, resp := s.handle(r, body)
+	status, resp, delay := s.handle(r, body)
+	select {
+	case <-time.After(delay):
+	case <-r.Context().Done():
+		return
+	}
 	if fault == ResponseLost {
 		panic(http.ErrAbortHandler)
 	}
@@ -273,9 +288,15 @@
 	era     uint64
 }
 
-func (s *Store) handle(r *http.Request, body []byte) (int, response) {
+// handle processes a request and returns the response and the delay before it.
+func (s *Store) handle(r *http.Request, body []byte) (status int, resp response, delay time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	status, resp = s.route(r, body)
+	return status, resp, s.responseDelay
+}
+
+func (s *Store) route(r *http.Request, body []byte) (int, response) {
 	q := r.URL.Query()
 	switch r.URL.Path {
 	case "/api/rows-get":
