Logs tell a start from an outage, where a configuration came from, and stalls

Three hypotheses couldn't be told apart: event 401 was logged at each start of a process; event 511 named neither the source of a configuration nor the age of the read or of its announcement; a process that stood still left no line.

--- a/edge/call.go
+++ b/edge/call.go
@@ -100,6 +100,7 @@
 	}
 	c.version = s.table.Version
 	c.configAge = e.configAge(c.start)
+	e.metrics.configAges.Observe(c.configAge.Seconds())
 	c.route = s.table.Route(r.Host, path)
 	if c.route == nil {
 		return c, &refusal{status: http.StatusNotFound, rule: RuleNoRoute}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -66,9 +66,11 @@
 	ports      ports
 	supervisor *suture.Supervisor
 
-	self     uint32
-	epoch    uint32
-	peerPort uint16
+	self  uint32
+	epoch uint32
+	// startedAt is the time at which the process started.
+	startedAt time.Duration
+	peerPort  uint16
 	// forwardingPort is the port on which all instances accept requests to forward.
 	forwardingPort uint16
 	callerPort     uint16
@@ -126,6 +128,10 @@
 	// announcedConfig is the newest version of the configuration's row that another
 	// instance has announced. fetchConfig reads its content.
 	announcedConfig replica.Position
+	// announcedConfigAt is when this instance received that announcement.
+	announcedConfigAt time.Duration
+	// stalls detects that the process has not run for a while.
+	stalls freshness.StallDetector
 	// announcedServers is the newest version of the server list that another
 	// instance has announced.
 	announcedServers replica.Position
@@ -215,6 +221,7 @@
 		fetchNow:      make(chan struct{}, 1),
 		storeReadable: make(chan struct{}),
 	}
+	e.startedAt = e.clock.Now()
 	for _, o := range options {
 		o(e)
 	}
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"encoding/json"
 	"log/slog"
 	"time"
@@ -9,6 +10,7 @@
 	"foxtailspoke/edge/settings"
 	"foxtailspoke/event"
 	"foxtailspoke/evidence"
+	"foxtailspoke/freshness"
 	"foxtailspoke/mechanism"
 	"foxtailspoke/placement"
 	"foxtailspoke/platform"
@@ -17,14 +19,14 @@
 	"foxtailspoke/usage"
 )
 
-// applyRows applies rows received from the store and returns those that must be
-// forwarded to other instances. restored reports that they are the first rows
-// read after the store was restored from a backup.
-func (e *Edge) applyRows(t evidence.Table, rows []replica.Row, restored bool, now time.Duration) []replica.Row {
+// applyRows applies the changed rows of a read and returns those that must be
+// forwarded to other instances. restored reports that it is the first read after
+// the store was restored from a backup.
+func (e *Edge) applyRows(t evidence.Table, a replica.ReadResult, rows []replica.Row, restored bool, now time.Duration) []replica.Row {
 	switch t {
 	case evidence.Config:
 		for _, r := range rows {
-			e.applyConfig(r, now)
+			e.applyConfig(r, a, now)
 		}
 		e.applyEvacuationRows(now)
 		return rows
@@ -43,9 +45,9 @@
 	}
 }
 
-// applyConfig decodes the configuration row and activates it, unless it is
-// older than the active one.
-func (e *Edge) applyConfig(r replica.Row, now time.Duration) {
+// applyConfig decodes the configuration row of a read and activates it, unless
+// it is older than the active one.
+func (e *Edge) applyConfig(r replica.Row, a replica.ReadResult, now time.Duration) {
 	s := &e.state
 	if r.Key != platform.KeyConfig {
 		return
@@ -76,7 +78,27 @@
 		e.callerServer.SetIdleTimeout(c.Limits.IdleTimeout)
 	}
 	event.ConfigInForce.Log(e.log, slog.Uint64("version", uint64(c.Version)),
-		slog.Int("routes", len(c.Routes)), slog.Int("workspaces", len(c.Workspaces)))
+		slog.Int("routes", len(c.Routes)), slog.Int("workspaces", len(c.Workspaces)),
+		slog.String("source", cmp.Or(a.Source, "store")), ageAttr(e.readAge(a, now)), e.announcedAttr(r.Version, now))
+}
+
+// readAge returns how long ago the store made the response that a result came
+// from.
+func (e *Edge) readAge(a replica.ReadResult, now time.Duration) time.Duration {
+	if a.StoreTime == 0 {
+		return freshness.UnknownAge
+	}
+	return e.state.clock.Age(a.StoreTime, now)
+}
+
+// announcedAttr returns the log attribute of the time since another instance
+// announced a version of the configuration row, or an empty one if none did.
+func (e *Edge) announcedAttr(version uint64, now time.Duration) slog.Attr {
+	s := &e.state
+	if s.announcedConfigAt == 0 || s.announcedConfig.Version != version {
+		return slog.Attr{}
+	}
+	return slog.Int64("announced_ms", (now - s.announcedConfigAt).Milliseconds())
 }
 
 // retainConfigRow stores the active configuration in the local copy of the
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -21,6 +21,8 @@
 	forwarded         *prometheus.CounterVec
 	datagrams         prometheus.Counter
 	datagramsReceived prometheus.Counter
+	stalls            prometheus.Counter
+	configAges        prometheus.Histogram
 }
 
 func newMetrics(e *Edge) *metrics {
@@ -46,7 +48,15 @@
 			Namespace: namespace, Name: "datagrams_received_total", Help: "Datagrams read from other instances.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.durations, m.attempts, m.forwarded, m.datagrams, m.datagramsReceived)
+	m.stalls = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "stalls_total", Help: "Times at which the process did not run for half a second or longer.",
+	})
+	m.configAges = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "request_configuration_age_seconds",
+		Help:    "Age of the proof that the configuration is the newest, at the begin of a request.",
+		Buckets: []float64{0.25, 0.5, 0.75, 1, 1.25, 1.5, 1.75, 2, 2.5, 3, 4, 5},
+	})
+	m.registry.MustRegister(m.requests, m.durations, m.attempts, m.forwarded, m.datagrams, m.datagramsReceived, m.stalls, m.configAges)
 	m.gauge("rounds_total", "Rounds sent to listeners and other relays.", e.locked(func() float64 {
 		return float64(e.state.messenger.Hub().Rounds())
 	}))
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -123,6 +123,7 @@
 
 func (e *Edge) tick(now time.Duration) {
 	s := &e.state
+	e.logStall(now)
 	all := len(s.messenger.Fleet().All())
 	silent, datagrams, err := s.messenger.Tick(now)
 	e.handlePeersSilent(silent, all, now)
@@ -136,6 +137,14 @@
 	e.logDroppedLines(now)
 }
 
+// logStall logs a stall of the process that has just ended.
+func (e *Edge) logStall(now time.Duration) {
+	if d := e.state.stalls.Advance(now); d > 0 {
+		e.metrics.stalls.Inc()
+		event.ProcessStalled.Log(e.log, slog.Int64("for_ms", d.Milliseconds()), ageAttr(e.configAge(now)))
+	}
+}
+
 // receiveDatagrams receives datagrams from peers until ctx ends.
 func (e *Edge) receiveDatagrams(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = e.socket.SetReadDeadline(time.Unix(1, 0)) })
--- a/edge/poll.go
+++ b/edge/poll.go
@@ -212,7 +212,7 @@
 		return nil, false
 	}
 	restored := known && before.Era < a.Era
-	return e.applyRows(t, changed, restored, now), true
+	return e.applyRows(t, a, changed, restored, now), true
 }
 
 // logStaleRead logs a read that is older than the local copy.
@@ -267,11 +267,11 @@
 // available again.
 func (e *Edge) logStoreAvailability(now time.Duration) {
 	s := &e.state
-	age := s.poll.Age(now)
-	if lost := age > storeLostAfter; lost != s.storeUnavailable {
+	age, uptime := s.poll.Age(now), now-e.startedAt
+	if lost := min(age, uptime) > storeLostAfter; lost != s.storeUnavailable {
 		s.storeUnavailable = lost
 		if lost {
-			event.PlatformUnavailable.Log(e.log, ageAttr(age))
+			event.PlatformUnavailable.Log(e.log, ageAttr(age), slog.Int64("uptime_ms", uptime.Milliseconds()))
 		} else {
 			event.PlatformReturned.Log(e.log, ageAttr(age))
 		}
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -45,6 +45,8 @@
 	Era    uint64
 	Clock  time.Duration
 	Tables []SnapshotTable
+	// source is the instance that a received snapshot came from.
+	source string
 }
 
 // SnapshotTable is one table of a snapshot.
@@ -225,6 +227,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	snapshot.source = addrPort(peer, 0).Addr().String()
 	e.applySnapshot(snapshot, e.now())
 }
 
@@ -234,7 +237,7 @@
 		return
 	}
 	for _, t := range snapshot.Tables {
-		a := replica.ReadResult{Rows: t.Rows, Era: t.Era, Version: t.Version, StoreTime: t.Stamp, Full: true}
+		a := replica.ReadResult{Rows: t.Rows, Era: t.Era, Version: t.Version, StoreTime: t.Stamp, Full: true, Source: snapshot.source}
 		if _, ok := e.applyReadResult(t.Table, a, 0, now); ok && t.Stamp > 0 {
 			e.recordProof(t.Table, t.Stamp, now)
 		}
--- a/edge/table_updates.go
+++ b/edge/table_updates.go
@@ -117,7 +117,9 @@
 	rows, err := evidence.Unpack(n.Packed)
 	if n.Table == evidence.Config {
 		changed := replica.Position{Era: n.Era, Version: n.LatestRowVersion}
-		s.announcedConfig = laterPosition(s.announcedConfig, changed)
+		if s.announcedConfig.Before(changed) {
+			s.announcedConfig, s.announcedConfigAt = changed, now
+		}
 		complete = e.isCurrentEra(s.config) && !e.configRowPosition().Before(changed)
 		n.Since = version
 		if err == nil {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -52,7 +52,7 @@
 
 	PlatformUnavailable = Event{
 		401, slog.LevelWarn, "platform gives no answer",
-		"Reads or writes of the platform's table fail. Requests are still served under the last accepted configuration.",
+		"Reads or writes of the platform's table fail. Requests are still served under the last accepted configuration. An edge instance logs `age_ms` since the last answer, if there was one, and its `uptime_ms`.",
 		"Check the platform. No keys or lists can change meanwhile.",
 	}
 	PlatformReturned = Event{
@@ -86,7 +86,7 @@
 	}
 	ConfigInForce = Event{
 		511, slog.LevelInfo, "configuration in force",
-		"This instance now applies a new configuration.", "Nothing.",
+		"This instance now applies a new configuration. `source` is the store or the instance that it came from, `age_ms` the age of the read, and `announced_ms` the time since another instance announced it.", "Nothing.",
 	}
 	ConfigRejected = Event{
 		512, slog.LevelError, "configuration not understood",
@@ -156,6 +156,10 @@
 		528, slog.LevelInfo, "connection to a backend server opened again",
 		"A connection to a backend server was opened after none could be for `after_ms`.", "Nothing.",
 	}
+	ProcessStalled = Event{
+		529, slog.LevelWarn, "process stalled",
+		"The process did not run for `for_ms`: it was starved of processor time, swapped out, or its machine was suspended. `age_ms` is the age of the proof that its configuration is the newest.", "If it happens again and again, give the machine more processor time or memory.",
+	}
 	RequestEnded = Event{
 		531, slog.LevelInfo, "request ended",
 		"A caller's request was answered: `status` and `rule` say how, the other fields by which figures.", "See OPERATIONS.md; `foxtailspoke-edge explain` summarises these lines.",
@@ -180,7 +184,7 @@
 		EdgeStarted, EdgeStopping, EdgeStopped, SettingsReloaded, SettingsRejected,
 		ConfigInForce, ConfigRejected, ServerChanged, EntryIgnored, StoreCallFailed,
 		EvacuationStarted, EvacuationEnded, ServerLimited, StaleResponseIgnored, StoreRestored,
-		PeerReachable, PeerUnreachable, PeerMessageFailed, RelayChanged, ServerBackoff, ServerLeaving, ServersUnreachable, ServersReachable,
+		PeerReachable, PeerUnreachable, PeerMessageFailed, RelayChanged, ServerBackoff, ServerLeaving, ServersUnreachable, ServersReachable, ProcessStalled,
 		RequestEnded, AttemptEnded, LogLinesDropped,
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -56,6 +56,8 @@
 	StoreTime time.Duration
 	// Full means that Rows holds the whole table, not only changes.
 	Full bool
+	// Source is the instance that forwarded the result; empty for the store.
+	Source string
 }
 
 // Position returns the position of the read.
