replica: a read that overlaps another one brings no older row back

What callers saw: requests handled by a configuration that was replaced seconds ago, on one instance or many, with proofs a few milliseconds old, until the next change.

Cause: the changes since a position hold each version of a row. The instance then announces the older version with the time and position of its read, and every instance that has it takes it for proved, and skips the newer one for good. A withdrawn key would work on just as long.

--- /dev/null
+++ b/edge/config_proof_internal_test.go
@@ -0,0 +1,189 @@
+package edge
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/evidence"
+	"foxtailspoke/replica"
+)
+
+// readConfigOf returns what reads of an instance that begin now will return.
+func (s *configStore) readConfigOf(e *Edge, now time.Duration) tableRead {
+	since, known := e.state.config.Version()
+	res := replica.ReadResult{Version: s.version, StoreTime: now, Full: !known}
+	for _, r := range s.history {
+		if known && r.Version > since {
+			res.Rows = append(res.Rows, r)
+		}
+	}
+	if !known {
+		res.Rows = s.history[len(s.history)-1:]
+	}
+	return tableRead{table: evidence.Config, since: since, result: res}
+}
+
+// completeRead applies a read and returns the updates for the other instances.
+func completeRead(e *Edge, p tableRead, now time.Duration) []evidence.TableUpdate {
+	e.observeStore(p.result.Era, p.result.StoreTime, now)
+	changed, ok := e.applyReadResult(p.table, p.result, p.since, now)
+	if !ok {
+		return nil
+	}
+	updates := e.tableUpdatesFor(p, changed)
+	e.recordProof(p.table, p.result.StoreTime, now)
+	return updates
+}
+
+// configStore is a store that holds only configurations.
+type configStore struct {
+	version uint64
+	history []replica.Row
+	// writtenAt has the store's time of each row of history.
+	writtenAt []time.Duration
+}
+
+// write stores the next configuration.
+func (s *configStore) write(now time.Duration) {
+	s.version += 2
+	s.history = append(s.history, configRow(fmt.Sprintf("%08x", len(s.history)+1), s.version))
+	s.writtenAt = append(s.writtenAt, now)
+}
+
+// newestAt returns the configuration version that was the newest at a time.
+func (s *configStore) newestAt(at time.Duration) uint32 {
+	n := 0
+	for n < len(s.writtenAt) && s.writtenAt[n] <= at {
+		n++
+	}
+	return uint32(n)
+}
+
+// Two configurations are written between two polls, and two reads of an instance overlap.
+// Guards against applying the older row again after the newer one: the instance would
+// announce the version of the older row with the time of the read, and all others would take
+// the older configuration for the newest until the next change.
+func TestOverlappingReadsDoNotProveReplacedConfiguration(t *testing.T) {
+	store, now := &configStore{}, 100*time.Second
+	reader, other := newIdleInstance(t), newIdleInstance(t)
+	store.write(now)
+	for _, e := range []*Edge{reader, other} {
+		completeRead(e, store.readConfigOf(e, now), now)
+	}
+	store.write(now)
+	completeRead(other, store.readConfigOf(other, now), now)
+	store.write(now)
+	first, second := store.readConfigOf(reader, now+ms), store.readConfigOf(reader, now+2*ms)
+	completeRead(reader, first, now+3*ms)
+	must.Eq(t, 3, reader.state.table.Version)
+	updates := completeRead(reader, second, now+4*ms)
+	must.Eq(t, 3, reader.state.table.Version)
+	must.Eq(t, store.version, reader.configRowPosition().Version)
+	for _, n := range updates {
+		other.applyTableUpdate(n, now+5*ms)
+	}
+	must.Eq(t, 2, other.state.table.Version)
+	must.Eq(t, now, other.state.configProof)
+	must.False(t, other.hasAnnouncedConfig())
+}
+
+const ms = time.Millisecond
+
+// configSimulation has instances read configurations, announce them to each other and fetch
+// them from each other, in random order and with losses.
+type configSimulation struct {
+	t         *testing.T
+	rng       *rand.Rand
+	now       time.Duration
+	store     configStore
+	instances []*Edge
+	// reads and messages are under way, by the instance that will receive them.
+	reads    [][]tableRead
+	messages [][]evidence.TableUpdate
+}
+
+func (s *configSimulation) step() {
+	s.now += time.Duration(1+s.rng.IntN(20)) * ms
+	i := s.rng.IntN(len(s.instances))
+	e := s.instances[i]
+	switch s.rng.IntN(12) {
+	case 0:
+		s.store.write(s.now)
+	case 1:
+		s.store.version++
+	case 2, 3, 4:
+		s.reads[i] = append(s.reads[i], s.store.readConfigOf(e, s.now))
+	case 5, 6:
+		if n := len(s.reads[i]); n > 0 {
+			k := s.rng.IntN(n)
+			p := s.reads[i][k]
+			s.reads[i] = append(s.reads[i][:k:k], s.reads[i][k+1:]...)
+			s.announce(i, completeRead(e, p, s.now))
+		}
+	case 7, 8, 9:
+		if n := len(s.messages[i]); n > 0 {
+			k := s.rng.IntN(n)
+			e.applyTableUpdate(s.messages[i][k], s.now)
+			s.messages[i] = append(s.messages[i][:k:k], s.messages[i][k+1:]...)
+		}
+	case 10:
+		e.applySnapshot(s.instances[s.rng.IntN(len(s.instances))].snapshot(s.now), s.now)
+	case 11:
+		if from := s.instances[s.rng.IntN(len(s.instances))]; from.state.table != nil {
+			e.applySnapshot(configSnapshot(s.t, from), s.now)
+		}
+	}
+}
+
+func (s *configSimulation) announce(from int, updates []evidence.TableUpdate) {
+	for i := range s.instances {
+		for _, n := range updates {
+			if i != from && s.rng.IntN(3) > 0 {
+				s.messages[i] = append(s.messages[i], n)
+			}
+		}
+	}
+}
+
+// configSnapshot returns what Snapshots.Config of an instance sends.
+func configSnapshot(t *testing.T, e *Edge) (s Snapshot) {
+	t.Helper()
+	var packed Packed
+	must.NoError(t, (&Snapshots{edge: e}).Config(Nothing{}, &packed))
+	z, err := gzip.NewReader(bytes.NewReader(packed.Data))
+	must.NoError(t, err)
+	must.NoError(t, json.NewDecoder(z).Decode(&s))
+	return s
+}
+
+// Guards against proofs that hold for an older configuration than the newest at their time, in
+// whatever order reads, announcements and snapshots arrive.
+func TestProofsHoldForTheNewestConfiguration(t *testing.T) {
+	for seed := range uint64(10) {
+		s := &configSimulation{
+			t: t, rng: rand.New(rand.NewPCG(seed, 0)), now: 100 * time.Second,
+			reads: make([][]tableRead, 4), messages: make([][]evidence.TableUpdate, 4),
+		}
+		s.store.write(s.now)
+		for range s.reads {
+			s.instances = append(s.instances, newIdleInstance(t))
+		}
+		for step := range 3000 {
+			s.step()
+			for i, e := range s.instances {
+				if !e.state.configProved {
+					continue
+				}
+				must.LessEq(t, e.state.table.Version, s.store.newestAt(e.state.configProof),
+					must.Sprintf("seed %d, step %d, instance %d: proof of %v", seed, step, i, e.state.configProof))
+			}
+		}
+	}
+}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -143,3 +143,21 @@
 	at, _ := c.Position()
 	must.Eq(t, replica.Position{Era: 1, Version: 40}, at)
 }
+
+// Two reads overlap, so that the second one holds a change that was applied already, and a
+// newer one of the same row. Guards against bringing back the older row.
+func TestApplyNeverBringsBackAnOlderRow(t *testing.T) {
+	c := replica.NewTable()
+	older, newer := versioned("a", "1", 6), versioned("a", "2", 7)
+	c.Apply(full(5, versioned("a", "0", 3)), 0)
+	for i, want := range [][]replica.Row{{newer}, nil} {
+		changed, ok := c.Apply(changes(8, older, newer), 5)
+		must.True(t, ok)
+		must.Eq(t, want, changed, must.Sprintf("read %d", i))
+		must.Eq(t, []replica.Row{newer}, c.Rows())
+	}
+	changed, ok := c.Apply(changes(9, replica.Row{Key: "a", Gone: true, Version: 7}), 5)
+	must.True(t, ok)
+	must.SliceEmpty(t, changed)
+	must.Eq(t, []replica.Row{newer}, c.Rows())
+}
