edge: requests are handled only by a configuration verified within the bound

What callers saw: after a process stood still, the requests that had waited for it were run or refused by a configuration that had been replaced 2.4 to 2.6 s before they were sent.

Cause: the bound on changes (2 s, 2.5 s) was known nowhere. The way from the confirmation to the instance is a chain of polls, messages and fetches, each with a time-out of its own; nothing looked at the end of it. Only the bound on withdrawn keys was checked where a request is handled, at 4.4 s, and only for requests with keys.

Fix: one budget for the whole way, checked at its end. A request is handled if the proof that the configuration is the newest is at most 0.8 of the bound old. Otherwise it waits, up to 0.4 s, for a read of the store (a few milliseconds), is refused as not run after that, and is handled by the last configuration if that read fails or other instances announced that theirs fail, as in an outage. After a stall announcements that may have waited in a buffer don't count. From 0.7 of the bound on the instance reads without a request. Holds whatever the proofs were lost to: stalls, lost messages, slow readers. The bound is a setting (applyS).

--- a/edge/call.go
+++ b/edge/call.go
@@ -22,6 +22,7 @@
 	RuleNoRoute           Rule = "no-route"
 	RuleUnknownKey        Rule = "unknown-key"
 	RuleConfigTooOld      Rule = "configuration-too-old"
+	RuleConfigUnverified  Rule = "configuration-unverified"
 	RuleBodyTooLarge      Rule = "body-too-large"
 	RuleBodyUnreadable    Rule = "body-unreadable"
 	RuleOverRate          Rule = "over-rate"
@@ -98,8 +99,11 @@
 	if s.table == nil {
 		return c, &refusal{http.StatusServiceUnavailable, RuleNoConfig, retryAfterShort}
 	}
+	if v := e.awaitConfigProof(r.Context()); v != nil {
+		return c, v
+	}
 	c.version = s.table.Version
-	c.configAge = e.configAge(c.start)
+	c.configAge = e.configAge(e.now())
 	e.metrics.configAges.Observe(c.configAge.Seconds())
 	c.route = s.table.Route(r.Host, path)
 	if c.route == nil {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -88,6 +88,8 @@
 	pollNow chan struct{}
 	// fetchNow wakes the configuration fetcher.
 	fetchNow chan struct{}
+	// verifyNow wakes the configuration verifier.
+	verifyNow chan struct{}
 	// storeReadable is closed when this instance may read the store.
 	storeReadable chan struct{}
 	joinOnce      sync.Once
@@ -132,6 +134,10 @@
 	announcedConfigAt time.Duration
 	// stalls detects that the process has not run for a while.
 	stalls freshness.StallDetector
+	// lease decides whether requests may be handled by the configuration in force.
+	lease freshness.Lease
+	// leaseChanged is closed when the lease has changed; nil if no request waits.
+	leaseChanged chan struct{}
 	// announcedServers is the newest version of the server list that another
 	// instance has announced.
 	announcedServers replica.Position
@@ -219,6 +225,7 @@
 		epoch:         newEpoch(),
 		pollNow:       make(chan struct{}, 1),
 		fetchNow:      make(chan struct{}, 1),
+		verifyNow:     make(chan struct{}, 1),
 		storeReadable: make(chan struct{}),
 	}
 	e.startedAt = e.clock.Now()
@@ -230,7 +237,7 @@
 	e.callerServer = e.newCallerServer()
 	e.metrics = newMetrics(e)
 	e.state = state{
-		bounds:         freshness.NewBounds(settings.Seconds(s.Bounds.RevokeS)),
+		bounds:         freshness.NewBounds(settings.Seconds(s.Bounds.RevokeS), settings.Seconds(s.Bounds.ApplyS)),
 		splitter:       routing.Splitter{Offset: rand.Float64()},
 		config:         replica.NewTable(),
 		servers:        replica.NewTable(),
@@ -341,6 +348,7 @@
 	e.supervisor.Add(namedService{"heart", e.sendHeartbeats})
 	e.supervisor.Add(namedService{"poller", e.pollStore})
 	e.supervisor.Add(namedService{"fetcher", e.fetchConfig})
+	e.supervisor.Add(namedService{"verifier", e.verifyConfig})
 	e.supervisor.Add(namedService{"register", e.registerInstances})
 	e.supervisor.Add(namedService{"snapshots", e.serveSnapshots})
 	e.supervisor.Add(namedService{"forwarding", e.serveForwarding})
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -123,7 +123,8 @@
 
 func (e *Edge) tick(now time.Duration) {
 	s := &e.state
-	e.logStall(now)
+	e.observeStall(now)
+	e.requestConfigProof(now)
 	all := len(s.messenger.Fleet().All())
 	silent, datagrams, err := s.messenger.Tick(now)
 	e.handlePeersSilent(silent, all, now)
@@ -137,14 +138,6 @@
 	e.logDroppedLines(now)
 }
 
-// logStall logs a stall of the process that has just ended.
-func (e *Edge) logStall(now time.Duration) {
-	if d := e.state.stalls.Advance(now); d > 0 {
-		e.metrics.stalls.Inc()
-		event.ProcessStalled.Log(e.log, slog.Int64("for_ms", d.Milliseconds()), ageAttr(e.configAge(now)))
-	}
-}
-
 // receiveDatagrams receives datagrams from peers until ctx ends.
 func (e *Edge) receiveDatagrams(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = e.socket.SetReadDeadline(time.Unix(1, 0)) })
--- a/edge/poll.go
+++ b/edge/poll.go
@@ -170,6 +170,9 @@
 	for _, p := range reads {
 		if p.err != nil {
 			allRead = false
+			if p.table == evidence.Config {
+				s.lease.ObserveOwnFailure()
+			}
 			e.logStoreError(p, now)
 			continue
 		}
@@ -246,6 +249,7 @@
 		if !s.configUnreadable && (storeTime > s.configProof || !s.configProved) && !e.inConfigRewrite(storeTime) {
 			s.configProof = storeTime
 			s.configProved = true
+			e.observeConfigProof(now)
 		}
 	case evidence.Servers:
 		s.serversProof = max(s.serversProof, at)
--- a/edge/settings/settings.go
+++ b/edge/settings/settings.go
@@ -84,6 +84,9 @@
 type Bounds struct {
 	// RevokeS is how long a revoked key may still work.
 	RevokeS float64 `json:"revokeS"`
+	// ApplyS is how long after its confirmation a change of the configuration may
+	// not be in force yet; 0 means no bound.
+	ApplyS float64 `json:"applyS"`
 	// GraceS is the time between the signal to stop and the forced end of the
 	// process.
 	GraceS float64 `json:"graceS"`
@@ -110,7 +113,7 @@
 // defaults returns the values of settings that the file omits.
 func defaults() Settings {
 	return Settings{
-		Bounds: Bounds{RevokeS: 5, GraceS: 6, AddressTTLS: 5, RetryRatio: 0.2, RateWindowS: 5},
+		Bounds: Bounds{RevokeS: 5, ApplyS: 2, GraceS: 6, AddressTTLS: 5, RetryRatio: 0.2, RateWindowS: 5},
 		Log:    Log{LinesPerSecond: 150},
 	}
 }
@@ -170,7 +173,7 @@
 		}
 	}
 	b := s.Bounds
-	if b.RevokeS <= 0 || b.GraceS <= 0 || b.AddressTTLS <= 0 || b.RetryRatio < 0 || b.RetrySlack < 0 ||
+	if b.RevokeS <= 0 || b.ApplyS < 0 || b.GraceS <= 0 || b.AddressTTLS <= 0 || b.RetryRatio < 0 || b.RetrySlack < 0 ||
 		b.RateOvershoot < 0 || b.RateSlack < 0 || b.RateWindowS <= 0 {
 		return errors.New("settings: bounds must not be negative, and revokeS, graceS, addressTTLS and rateWindowS must be positive")
 	}
--- a/edge/settings_reload.go
+++ b/edge/settings_reload.go
@@ -38,7 +38,7 @@
 		current = s
 		e.store.SetAddress(s.Store.Address)
 		e.mu.Lock()
-		e.state.bounds = freshness.NewBounds(settings.Seconds(s.Bounds.RevokeS))
+		e.state.bounds = freshness.NewBounds(settings.Seconds(s.Bounds.RevokeS), settings.Seconds(s.Bounds.ApplyS))
 		e.mu.Unlock()
 		event.SettingsReloaded.Log(e.log, slog.String("store", s.Store.Address))
 	}
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -18,6 +18,13 @@
 	// a key is admitted. A withdrawn key must stop working everywhere within
 	// the platform's bound, whether the store is reachable or not.
 	MaxKeyAge time.Duration
+	// MaxConfigAge is the maximum age of the configuration at which requests are
+	// handled without verifying it. A change must be in force within the
+	// platform's bound. UnknownAge means no maximum.
+	MaxConfigAge time.Duration
+	// RefreshAge is the age from which an instance verifies the configuration
+	// before a request needs it.
+	RefreshAge time.Duration
 }
 
 // keyAgeMargin is the fraction of the platform's bound on withdrawn keys that
@@ -25,9 +32,25 @@
 // server.
 const keyAgeMargin = 0.12
 
-// NewBounds derives the bounds from the platform's bound on withdrawn keys.
-func NewBounds(revoke time.Duration) Bounds {
-	return Bounds{MaxKeyAge: revoke - time.Duration(float64(revoke)*keyAgeMargin)}
+const (
+	// configAgeShare is the fraction of the platform's bound on changes at which
+	// the configuration must be verified. The rest covers the error of estimated
+	// ages.
+	configAgeShare = 0.8
+	// refreshShare is the fraction of that bound from which the configuration is
+	// verified in advance. Regular polls usually prove it before that.
+	refreshShare = 0.7
+)
+
+// NewBounds derives the bounds from the platform's bounds on withdrawn keys and
+// on changes of the configuration; 0 means no bound on changes.
+func NewBounds(revoke, apply time.Duration) Bounds {
+	b := Bounds{MaxKeyAge: revoke - time.Duration(float64(revoke)*keyAgeMargin), MaxConfigAge: UnknownAge, RefreshAge: UnknownAge}
+	if apply > 0 {
+		b.MaxConfigAge = time.Duration(float64(apply) * configAgeShare)
+		b.RefreshAge = time.Duration(float64(apply) * refreshShare)
+	}
+	return b
 }
 
 // StoreClock estimates the store's monotonic clock. The smallest difference
--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -38,8 +38,15 @@
 }
 
 func TestMaxKeyAgeLeavesMargin(t *testing.T) {
-	b := freshness.NewBounds(5 * time.Second)
+	b := freshness.NewBounds(5*time.Second, 2*time.Second)
 	must.Between(t, 4*time.Second, b.MaxKeyAge, 4500*ms)
+	must.Between(t, 1500*ms, b.MaxConfigAge, 1800*ms)
+	must.Less(t, b.MaxConfigAge, b.RefreshAge)
+}
+
+func TestNoBoundOnChangesMeansNoMaximumAge(t *testing.T) {
+	b := freshness.NewBounds(5*time.Second, 0)
+	must.Eq(t, freshness.UnknownAge, b.MaxConfigAge)
 }
 
 // The instance first in rank asks for all; no other reaches its threshold as
--- /dev/null
+++ b/freshness/lease.go
@@ -0,0 +1,89 @@
+package freshness
+
+import "time"
+
+// Lease decides whether requests may be handled by the configuration in force.
+//
+// A change must be in force within a bound of its confirmation. Usually several
+// proofs that the configuration is the newest arrive within that time. An
+// instance that stalled or missed them can't know of a change, so it verifies
+// the configuration before it handles another request. While the store is
+// unavailable no instance can do that, and requests are handled by the last
+// configuration.
+type Lease struct {
+	// stalled is set from a stall of the process until the next proof.
+	stalled bool
+	// ownFailures counts this instance's failed reads, and othersFailed reports
+	// that another instance announced one, since the newest proof or stall.
+	ownFailures  int
+	othersFailed bool
+	// verifyingSince is when the first request had to wait for a proof; valid if
+	// verifying is set.
+	verifyingSince time.Duration
+	verifying      bool
+}
+
+// LeaseDecision is what to do with a request.
+type LeaseDecision int
+
+const (
+	// Serve means that the configuration in force may be used.
+	Serve LeaseDecision = iota
+	// Verify means that the configuration must be verified first.
+	Verify
+	// Reject means that verifying takes too long.
+	Reject
+)
+
+const (
+	// VerifyTimeout is how long requests wait for a proof. A read usually takes a
+	// few milliseconds.
+	VerifyTimeout = 400 * time.Millisecond
+	// stallFailures is the number of failed reads after a stall that show that
+	// the store is unavailable: the stall itself may have broken the first.
+	stallFailures = 2
+)
+
+// ObserveProof records a proof that is fresh enough to serve requests.
+func (l *Lease) ObserveProof() { *l = Lease{} }
+
+// ObserveStall records that the process has stalled. What it knew of failed
+// reads is out of date.
+func (l *Lease) ObserveStall() {
+	l.stalled = true
+	l.ownFailures, l.othersFailed = 0, false
+}
+
+// ObserveOwnFailure records that a read of this instance failed or proved
+// nothing.
+func (l *Lease) ObserveOwnFailure() { l.ownFailures++ }
+
+// ObserveOtherFailure records that another instance announced that it gets no
+// answer of the store.
+func (l *Lease) ObserveOtherFailure() { l.othersFailed = true }
+
+// StoreUnavailable reports whether a further read would be of no use. After a
+// stall only reads of this instance count: the announcements of others may have
+// waited in a buffer.
+func (l *Lease) StoreUnavailable() bool {
+	if l.stalled {
+		return l.ownFailures >= stallFailures
+	}
+	return l.ownFailures > 0 || l.othersFailed
+}
+
+// Decide returns what to do with a request, given the age of the newest proof
+// and the maximum age at which the configuration may be used without another
+// one.
+func (l *Lease) Decide(age, maxAge, now time.Duration) LeaseDecision {
+	if age <= maxAge || l.StoreUnavailable() {
+		return Serve
+	}
+	if !l.verifying {
+		l.verifying, l.verifyingSince = true, now
+	}
+	if now-l.verifyingSince < VerifyTimeout {
+		return Verify
+	}
+	return Reject
+}
--- a/internal/soak/config_changes_test.go
+++ b/internal/soak/config_changes_test.go
@@ -354,7 +354,7 @@
 func everyInstance(int) bool { return true }
 
 // configFaultNames are the values of the flag config.faults.
-var configFaultNames = []string{"none", "series", "kill", "kill-share", "kill-all", "pause", "pause-many", "silent", "slow", "stale", "refuse-some"}
+var configFaultNames = []string{"none", "series", "kill", "kill-share", "kill-all", "pause", "pause-many", "pause-through-changes", "silent", "slow", "stale", "refuse-some"}
 
 // play changes the configuration beside faults for d.
 func (f *configFleet) play(d time.Duration) {
@@ -408,6 +408,16 @@
 		for i := range count {
 			f.pauseFor((first+i)%size, f.randomDuration(time.Second, 4*time.Second))
 		}
+	case "pause-through-changes":
+		first := f.randomInt(size)
+		for i := range 1 + size/3 {
+			f.pauseFor((first+i)%size, 1500*time.Millisecond)
+		}
+		for range 2 + f.randomInt(3) {
+			f.change()
+			time.Sleep(f.randomDuration(100*time.Millisecond, 400*time.Millisecond))
+		}
+		time.Sleep(1500*time.Millisecond + configApplyBound)
 	case "silent":
 		f.failStoreFor(f.randomDuration(500*time.Millisecond, 3*time.Second), rowstore.NoResponse, everyInstance)
 	case "slow":
