edge: an announced configuration is proved once it has been fetched

What callers saw: while the configuration changes every 0.15 to 0.4 s, requests with keys are refused as configuration-too-old after a few seconds, though the store answers and each version is in force everywhere within 0.7 s.

Fix: the newest such update is kept and counts once the row that it names is there.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -138,6 +138,9 @@
 	lease freshness.Lease
 	// leaseChanged is closed when the lease has changed; nil if no request waits.
 	leaseChanged chan struct{}
+	// unfetchedConfig is the newest update about the configuration table that names
+	// a row that this instance has yet to fetch.
+	unfetchedConfig evidence.TableUpdate
 	// announcedServers is the newest version of the server list that another
 	// instance has announced.
 	announcedServers replica.Position
--- a/edge/era.go
+++ b/edge/era.go
@@ -6,6 +6,7 @@
 
 	"foxtailspoke/discovery"
 	"foxtailspoke/event"
+	"foxtailspoke/evidence"
 	"foxtailspoke/replica"
 )
 
@@ -45,6 +46,7 @@
 	s.outageEnd = now
 	s.restoredUntil = now + discovery.RemovalGracePeriod
 	s.nextInstancesRead = 0
+	s.unfetchedConfig = evidence.TableUpdate{}
 	for i := range s.recent {
 		s.recent[i].Reset()
 	}
--- a/edge/poll.go
+++ b/edge/poll.go
@@ -215,7 +215,11 @@
 		return nil, false
 	}
 	restored := known && before.Era < a.Era
-	return e.applyRows(t, a, changed, restored, now), true
+	changed = e.applyRows(t, a, changed, restored, now)
+	if t == evidence.Config {
+		e.applyUnfetchedProof(now)
+	}
+	return changed, true
 }
 
 // logStaleRead logs a read that is older than the local copy.
--- a/edge/table_updates.go
+++ b/edge/table_updates.go
@@ -131,6 +131,9 @@
 		s.announcedServers = laterPosition(s.announcedServers, replica.Position{Era: n.Era, Version: n.Version})
 	}
 	if !complete {
+		if n.Table == evidence.Config && n.StoreClockUS > s.unfetchedConfig.StoreClockUS {
+			s.unfetchedConfig = n
+		}
 		e.scheduleCatchUp(n.Table, now)
 		return
 	}
@@ -161,6 +164,20 @@
 	}
 }
 
+// applyUnfetchedProof records what the newest update about the configuration
+// proves, once this instance has the row that it names. Without that, an instance
+// that must fetch each of many changes would never have a proof.
+func (e *Edge) applyUnfetchedProof(now time.Duration) {
+	s := &e.state
+	n := s.unfetchedConfig
+	if n.StoreClockUS == 0 || n.Era != s.era || !e.isCurrentEra(s.config) ||
+		e.configRowPosition().Before(replica.Position{Era: n.Era, Version: n.LatestRowVersion}) {
+		return
+	}
+	s.unfetchedConfig = evidence.TableUpdate{}
+	e.recordProof(evidence.Config, n.StoreClock(), now)
+}
+
 // scheduleCatchUp schedules a read, from a reader or the store, of changes that
 // an update could not supply.
 func (e *Edge) scheduleCatchUp(t evidence.Table, now time.Duration) {
