edge: the list of servers is verified within its bound, too

Now the lease covers both tables: the older of the two ages, each as a share of its maximum, decides, and a poll of both tables verifies them. The bound is the setting drainS. The new rule of refusals is named unverified.

--- a/edge/call.go
+++ b/edge/call.go
@@ -22,7 +22,7 @@
 	RuleNoRoute           Rule = "no-route"
 	RuleUnknownKey        Rule = "unknown-key"
 	RuleConfigTooOld      Rule = "configuration-too-old"
-	RuleConfigUnverified  Rule = "configuration-unverified"
+	RuleUnverified        Rule = "unverified"
 	RuleBodyTooLarge      Rule = "body-too-large"
 	RuleBodyUnreadable    Rule = "body-unreadable"
 	RuleOverRate          Rule = "over-rate"
@@ -99,7 +99,7 @@
 	if s.table == nil {
 		return c, &refusal{http.StatusServiceUnavailable, RuleNoConfig, retryAfterShort}
 	}
-	if v := e.awaitConfigProof(r.Context()); v != nil {
+	if v := e.awaitProof(r.Context()); v != nil {
 		return c, v
 	}
 	c.version = s.table.Version
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -88,7 +88,7 @@
 	pollNow chan struct{}
 	// fetchNow wakes the configuration fetcher.
 	fetchNow chan struct{}
-	// verifyNow wakes the configuration verifier.
+	// verifyNow wakes the verifier of the tables.
 	verifyNow chan struct{}
 	// storeReadable is closed when this instance may read the store.
 	storeReadable chan struct{}
@@ -134,7 +134,7 @@
 	announcedConfigAt time.Duration
 	// stalls detects that the process has not run for a while.
 	stalls freshness.StallDetector
-	// lease decides whether requests may be handled by the configuration in force.
+	// lease decides whether requests may be handled by the copies of the tables.
 	lease freshness.Lease
 	// leaseChanged is closed when the lease has changed; nil if no request waits.
 	leaseChanged chan struct{}
@@ -240,7 +240,7 @@
 	e.callerServer = e.newCallerServer()
 	e.metrics = newMetrics(e)
 	e.state = state{
-		bounds:         freshness.NewBounds(settings.Seconds(s.Bounds.RevokeS), settings.Seconds(s.Bounds.ApplyS)),
+		bounds:         s.Bounds.Freshness(),
 		splitter:       routing.Splitter{Offset: rand.Float64()},
 		config:         replica.NewTable(),
 		servers:        replica.NewTable(),
@@ -351,7 +351,7 @@
 	e.supervisor.Add(namedService{"heart", e.sendHeartbeats})
 	e.supervisor.Add(namedService{"poller", e.pollStore})
 	e.supervisor.Add(namedService{"fetcher", e.fetchConfig})
-	e.supervisor.Add(namedService{"verifier", e.verifyConfig})
+	e.supervisor.Add(namedService{"verifier", e.verifyTables})
 	e.supervisor.Add(namedService{"register", e.registerInstances})
 	e.supervisor.Add(namedService{"snapshots", e.serveSnapshots})
 	e.supervisor.Add(namedService{"forwarding", e.serveForwarding})
--- a/edge/lease.go
+++ b/edge/lease.go
@@ -10,13 +10,18 @@
 	"foxtailspoke/freshness"
 )
 
-// verifyRetryDelay is the pause between two reads that verify the configuration.
+// proofAfterRewriteTime is how long regular polls may take to prove the
+// configuration after configRewriteTime. Until then, every instance would read
+// the store by itself.
+const proofAfterRewriteTime = 700 * time.Millisecond
+
+// verifyRetryDelay is the pause between two reads that verify the tables.
 const verifyRetryDelay = 50 * time.Millisecond
 
-// awaitConfigProof returns nil once requests may be handled by the configuration
-// in force, or a refusal if that takes too long. The lock must be held; it is
-// released while waiting.
-func (e *Edge) awaitConfigProof(ctx context.Context) *refusal {
+// awaitProof returns nil once requests may be handled by this instance's copies
+// of the configuration and of the servers, or a refusal if that takes too long.
+// The lock must be held; it is released while waiting.
+func (e *Edge) awaitProof(ctx context.Context) *refusal {
 	s := &e.state
 	for ctx.Err() == nil {
 		now := e.now()
@@ -24,11 +29,11 @@
 		if e.configUnprovable(now) {
 			return nil
 		}
-		switch s.lease.Decide(e.configAge(now), s.bounds.MaxConfigAge, now) {
+		switch s.lease.Decide(e.expiry(now), now) {
 		case freshness.Serve:
 			return nil
 		case freshness.Reject:
-			return &refusal{http.StatusServiceUnavailable, RuleConfigUnverified, retryAfterElsewhere}
+			return &refusal{http.StatusServiceUnavailable, RuleUnverified, retryAfterElsewhere}
 		case freshness.Verify:
 		}
 		if s.leaseChanged == nil {
@@ -44,28 +49,38 @@
 		}
 		e.mu.Lock()
 	}
-	return &refusal{http.StatusServiceUnavailable, RuleConfigUnverified, retryAfterElsewhere}
+	return &refusal{http.StatusServiceUnavailable, RuleUnverified, retryAfterElsewhere}
 }
 
-// notifyLeaseWaiters wakes the requests that wait in awaitConfigProof.
-func (e *Edge) notifyLeaseWaiters() {
-	if c := e.state.leaseChanged; c != nil {
-		close(c)
-		e.state.leaseChanged = nil
+// expiry returns the age of the copies as a fraction of its maximum.
+func (e *Edge) expiry(now time.Duration) float64 {
+	s := &e.state
+	serversAge := freshness.UnknownAge
+	if s.serversProof > 0 {
+		serversAge = now - s.serversProof
 	}
+	return s.bounds.Expiry(e.configAge(now), serversAge)
 }
 
-// observeConfigProof renews the lease after a proof that is fresh enough.
-func (e *Edge) observeConfigProof(now time.Duration) {
-	if e.configAge(now) <= e.state.bounds.MaxConfigAge {
+// renewLease records a proof that may have made the copies fresh enough.
+func (e *Edge) renewLease(now time.Duration) {
+	if e.expiry(now) <= 1 {
 		e.state.lease.ObserveProof()
 		e.notifyLeaseWaiters()
 	}
 }
 
-// verifyConfig reads the configuration whenever a request waits for a proof or
-// the last one is about to be too old.
-func (e *Edge) verifyConfig(ctx context.Context) error {
+// notifyLeaseWaiters wakes the requests that wait in awaitProof.
+func (e *Edge) notifyLeaseWaiters() {
+	if c := e.state.leaseChanged; c != nil {
+		close(c)
+		e.state.leaseChanged = nil
+	}
+}
+
+// verifyTables reads the store whenever a request waits for a proof or the last
+// one is about to be too old.
+func (e *Edge) verifyTables(ctx context.Context) error {
 	select {
 	case <-e.storeReadable:
 	case <-ctx.Done():
@@ -77,16 +92,8 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		for e.configProofDue() {
-			if !e.readConfig(ctx) {
-				e.fetchFromPeer(ctx)
-			}
-			e.mu.Lock()
-			if e.configProofDueLocked(e.now()) {
-				e.state.lease.ObserveOwnFailure()
-			}
-			e.notifyLeaseWaiters()
-			e.mu.Unlock()
+		for e.proofDue() {
+			e.verifyOnce(ctx)
 			if !sleepContext(ctx, verifyRetryDelay) {
 				return ctx.Err()
 			}
@@ -94,33 +101,47 @@
 	}
 }
 
-// requestConfigProof has the configuration verified if its proof is about to be
-// too old. Usually the polls of any instance prove it before that.
-func (e *Edge) requestConfigProof(now time.Duration) {
-	if e.state.table != nil && e.configProofDueLocked(now) {
+// verifyOnce reads the store, or gets the tables from another instance if that
+// fails.
+func (e *Edge) verifyOnce(ctx context.Context) {
+	allRead := e.pollOnce(ctx)
+	if !allRead {
+		e.fetchFromPeer(ctx)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if allRead && e.proofDueLocked(e.now()) {
+		// The response was too old when it arrived.
+		e.state.lease.ObserveOwnFailure()
+	}
+	e.notifyLeaseWaiters()
+}
+
+// requestProof has the tables verified if their proof is about to be too old.
+func (e *Edge) requestProof(now time.Duration) {
+	if e.state.table != nil && e.proofDueLocked(now) {
 		wake(e.verifyNow)
 	}
 }
 
-func (e *Edge) configProofDue() bool {
+func (e *Edge) proofDue() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.configProofDueLocked(e.now())
+	return e.proofDueLocked(e.now())
 }
 
-// configProofDueLocked reports whether this instance should read the
-// configuration to prove it. The lock must be held.
-func (e *Edge) configProofDueLocked(now time.Duration) bool {
-	s := &e.state
-	return e.configAge(now) > s.bounds.RefreshAge && !s.lease.StoreUnavailable() && !e.configUnprovable(now)
+// proofDueLocked reports whether this instance should read the store to prove its
+// copies. The lock must be held.
+func (e *Edge) proofDueLocked(now time.Duration) bool {
+	return e.expiry(now) > freshness.RefreshExpiry && !e.state.lease.StoreUnavailable() && !e.configUnprovable(now)
 }
 
-// configUnprovable reports whether no read can prove the configuration in force:
-// the newest one can't be parsed, or may be missing from a store that was just
-// restored.
+// configUnprovable reports whether an own read is of no use to prove the
+// configuration: the newest one can't be parsed, or may be missing from a store
+// that was restored, or a regular poll is about to prove it after that.
 func (e *Edge) configUnprovable(now time.Duration) bool {
 	storeTime, known := e.state.clock.Now(now)
-	return e.state.configUnreadable || known && e.inConfigRewrite(storeTime)
+	return e.state.configUnreadable || known && e.inConfigRewrite(storeTime-proofAfterRewriteTime)
 }
 
 // observeStall records and logs a stall of the process that has just ended.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -124,7 +124,7 @@
 func (e *Edge) tick(now time.Duration) {
 	s := &e.state
 	e.observeStall(now)
-	e.requestConfigProof(now)
+	e.requestProof(now)
 	all := len(s.messenger.Fleet().All())
 	silent, datagrams, err := s.messenger.Tick(now)
 	e.handlePeersSilent(silent, all, now)
--- a/edge/poll.go
+++ b/edge/poll.go
@@ -93,8 +93,9 @@
 	return true
 }
 
-// pollOnce reads the changes of all due tables concurrently.
-func (e *Edge) pollOnce(ctx context.Context) {
+// pollOnce reads the changes of all due tables concurrently and reports whether
+// all were read.
+func (e *Edge) pollOnce(ctx context.Context) bool {
 	e.mu.Lock()
 	now := e.now()
 	s := &e.state
@@ -130,6 +131,7 @@
 	if len(tables) > 2 {
 		e.removeGoneInstances(ctx)
 	}
+	return allRead
 }
 
 // tableRead is the outcome of reading one table from the store.
@@ -170,9 +172,6 @@
 	for _, p := range reads {
 		if p.err != nil {
 			allRead = false
-			if p.table == evidence.Config {
-				s.lease.ObserveOwnFailure()
-			}
 			e.logStoreError(p, now)
 			continue
 		}
@@ -197,6 +196,7 @@
 		s.poll.OwnCallSucceeded()
 	} else {
 		s.poll.OwnCallFailed(now)
+		s.lease.ObserveOwnFailure()
 		updates = append(updates, evidence.TableUpdate{})
 	}
 	e.updateRateShare()
@@ -253,13 +253,14 @@
 		if !s.configUnreadable && (storeTime > s.configProof || !s.configProved) && !e.inConfigRewrite(storeTime) {
 			s.configProof = storeTime
 			s.configProved = true
-			e.observeConfigProof(now)
 		}
 	case evidence.Servers:
 		s.serversProof = max(s.serversProof, at)
 		s.poll.ObserveResponse(now-at, now)
 	case evidence.Instances:
+		return
 	}
+	e.renewLease(now)
 }
 
 // configAge returns the age of the newest proof that the active configuration
--- a/edge/settings/settings.go
+++ b/edge/settings/settings.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tailscale/hujson"
 
+	"foxtailspoke/freshness"
 	"foxtailspoke/mechanism"
 )
 
@@ -87,6 +88,9 @@
 	// ApplyS is how long after its confirmation a change of the configuration may
 	// not be in force yet; 0 means no bound.
 	ApplyS float64 `json:"applyS"`
+	// DrainS is how long after it starts to drain a backend server may still get
+	// requests; 0 means no bound.
+	DrainS float64 `json:"drainS"`
 	// GraceS is the time between the signal to stop and the forced end of the
 	// process.
 	GraceS float64 `json:"graceS"`
@@ -113,7 +117,7 @@
 // defaults returns the values of settings that the file omits.
 func defaults() Settings {
 	return Settings{
-		Bounds: Bounds{RevokeS: 5, ApplyS: 2, GraceS: 6, AddressTTLS: 5, RetryRatio: 0.2, RateWindowS: 5},
+		Bounds: Bounds{RevokeS: 5, ApplyS: 2, DrainS: 2, GraceS: 6, AddressTTLS: 5, RetryRatio: 0.2, RateWindowS: 5},
 		Log:    Log{LinesPerSecond: 150},
 	}
 }
@@ -173,7 +177,7 @@
 		}
 	}
 	b := s.Bounds
-	if b.RevokeS <= 0 || b.ApplyS < 0 || b.GraceS <= 0 || b.AddressTTLS <= 0 || b.RetryRatio < 0 || b.RetrySlack < 0 ||
+	if b.RevokeS <= 0 || b.ApplyS < 0 || b.DrainS < 0 || b.GraceS <= 0 || b.AddressTTLS <= 0 || b.RetryRatio < 0 || b.RetrySlack < 0 ||
 		b.RateOvershoot < 0 || b.RateSlack < 0 || b.RateWindowS <= 0 {
 		return errors.New("settings: bounds must not be negative, and revokeS, graceS, addressTTLS and rateWindowS must be positive")
 	}
@@ -186,5 +190,10 @@
 	return nil
 }
 
+// Freshness returns the bounds on the age of what an instance knows.
+func (b Bounds) Freshness() freshness.Bounds {
+	return freshness.NewBounds(Seconds(b.RevokeS), Seconds(b.ApplyS), Seconds(b.DrainS))
+}
+
 // Seconds converts a setting in seconds to a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/edge/settings_reload.go
+++ b/edge/settings_reload.go
@@ -9,7 +9,6 @@
 
 	"foxtailspoke/edge/settings"
 	"foxtailspoke/event"
-	"foxtailspoke/freshness"
 )
 
 // settingsPollInterval is how often the settings file is checked for changes, as
@@ -38,7 +37,7 @@
 		current = s
 		e.store.SetAddress(s.Store.Address)
 		e.mu.Lock()
-		e.state.bounds = freshness.NewBounds(settings.Seconds(s.Bounds.RevokeS), settings.Seconds(s.Bounds.ApplyS))
+		e.state.bounds = s.Bounds.Freshness()
 		e.mu.Unlock()
 		event.SettingsReloaded.Log(e.log, slog.String("store", s.Store.Address))
 	}
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -18,13 +18,11 @@
 	// a key is admitted. A withdrawn key must stop working everywhere within
 	// the platform's bound, whether the store is reachable or not.
 	MaxKeyAge time.Duration
-	// MaxConfigAge is the maximum age of the configuration at which requests are
-	// handled without verifying it. A change must be in force within the
-	// platform's bound. UnknownAge means no maximum.
-	MaxConfigAge time.Duration
-	// RefreshAge is the age from which an instance verifies the configuration
-	// before a request needs it.
-	RefreshAge time.Duration
+	// MaxConfigAge and MaxServersAge are the maximum ages of the configuration and
+	// of the list of backend servers at which requests are handled without
+	// verifying them. A change must be in force, and a server that leaves must get
+	// no more requests, within the platform's bounds. UnknownAge means no maximum.
+	MaxConfigAge, MaxServersAge time.Duration
 }
 
 // keyAgeMargin is the fraction of the platform's bound on withdrawn keys that
@@ -32,25 +30,31 @@
 // server.
 const keyAgeMargin = 0.12
 
-const (
-	// configAgeShare is the fraction of the platform's bound on changes at which
-	// the configuration must be verified. The rest covers the error of estimated
-	// ages.
-	configAgeShare = 0.8
-	// refreshShare is the fraction of that bound from which the configuration is
-	// verified in advance. Regular polls usually prove it before that.
-	refreshShare = 0.7
-)
+// maxAgeShare is the fraction of the platform's bound on a change at which the
+// table must be verified. The rest covers the error of estimated ages.
+const maxAgeShare = 0.8
 
-// NewBounds derives the bounds from the platform's bounds on withdrawn keys and
-// on changes of the configuration; 0 means no bound on changes.
-func NewBounds(revoke, apply time.Duration) Bounds {
-	b := Bounds{MaxKeyAge: revoke - time.Duration(float64(revoke)*keyAgeMargin), MaxConfigAge: UnknownAge, RefreshAge: UnknownAge}
-	if apply > 0 {
-		b.MaxConfigAge = time.Duration(float64(apply) * configAgeShare)
-		b.RefreshAge = time.Duration(float64(apply) * refreshShare)
+// NewBounds derives the bounds from the platform's bounds on withdrawn keys, on
+// changes of the configuration and on leaving servers. The last two may be 0 for
+// no bound.
+func NewBounds(revoke, apply, drain time.Duration) Bounds {
+	return Bounds{
+		MaxKeyAge:    revoke - time.Duration(float64(revoke)*keyAgeMargin),
+		MaxConfigAge: maxAge(apply), MaxServersAge: maxAge(drain),
 	}
-	return b
+}
+
+func maxAge(bound time.Duration) time.Duration {
+	if bound <= 0 {
+		return UnknownAge
+	}
+	return time.Duration(float64(bound) * maxAgeShare)
+}
+
+// Expiry returns the larger of the two ages as a fraction of its maximum. From 1
+// on, requests need a proof.
+func (b Bounds) Expiry(configAge, serversAge time.Duration) float64 {
+	return max(float64(configAge)/float64(b.MaxConfigAge), float64(serversAge)/float64(b.MaxServersAge))
 }
 
 // StoreClock estimates the store's monotonic clock. The smallest difference
--- a/freshness/lease.go
+++ b/freshness/lease.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// Lease decides whether requests may be handled by the configuration in force.
+// Lease decides whether requests may be handled by this instance's copies of the
+// configuration and of the list of backend servers.
 //
 // A change must be in force within a bound of its confirmation. Usually several
-// proofs that the configuration is the newest arrive within that time. An
-// instance that stalled or missed them can't know of a change, so it verifies
-// the configuration before it handles another request. While the store is
-// unavailable no instance can do that, and requests are handled by the last
-// configuration.
+// proofs that the copies are current arrive within that time. An instance that
+// stalled or missed them can't know of a change, so it reads the store before it
+// handles another request. While the store is unavailable no instance can do
+// that, and requests are handled by the last copies.
 type Lease struct {
 	// stalled is set from a stall of the process until the next proof.
 	stalled bool
@@ -27,15 +27,19 @@
 type LeaseDecision int
 
 const (
-	// Serve means that the configuration in force may be used.
+	// Serve means that the copies may be used.
 	Serve LeaseDecision = iota
-	// Verify means that the configuration must be verified first.
+	// Verify means that the copies must be verified first.
 	Verify
 	// Reject means that verifying takes too long.
 	Reject
 )
 
 const (
+	// RefreshExpiry is the result of Bounds.Expiry from which the copies are
+	// verified before a request needs it. Regular polls usually prove them before
+	// that.
+	RefreshExpiry = 0.875
 	// VerifyTimeout is how long requests wait for a proof. A read usually takes a
 	// few milliseconds.
 	VerifyTimeout = 400 * time.Millisecond
@@ -44,7 +48,8 @@
 	stallFailures = 2
 )
 
-// ObserveProof records a proof that is fresh enough to serve requests.
+// ObserveProof records that the copies are proved and fresh enough to serve
+// requests.
 func (l *Lease) ObserveProof() { *l = Lease{} }
 
 // ObserveStall records that the process has stalled. What it knew of failed
@@ -72,11 +77,9 @@
 	return l.ownFailures > 0 || l.othersFailed
 }
 
-// Decide returns what to do with a request, given the age of the newest proof
-// and the maximum age at which the configuration may be used without another
-// one.
-func (l *Lease) Decide(age, maxAge, now time.Duration) LeaseDecision {
-	if age <= maxAge || l.StoreUnavailable() {
+// Decide returns what to do with a request, given the result of Bounds.Expiry.
+func (l *Lease) Decide(expiry float64, now time.Duration) LeaseDecision {
+	if expiry <= 1 || l.StoreUnavailable() {
 		return Serve
 	}
 	if !l.verifying {
--- a/internal/soak/config_history_test.go
+++ b/internal/soak/config_history_test.go
@@ -105,6 +105,13 @@
 	h.probes[id] = probe{instance, at}
 }
 
+// sentAt returns when a probe was sent.
+func (h *configHistory) sentAt(id string) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.probes[id].sentAt
+}
+
 func (h *configHistory) answered(status int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
