edge: a read that overlaps another update claims only what it brings

And a receiver kept only the rows that changed its own copy for those that it may forward, though another instance may have seen a state in between.

Now a read announces the changes since the copy's position at which it is applied, and received rows are kept whole. A replica still takes no row that it has already, but every later version of a row, since each may matter to another instance; of the configuration only the newest counts.

--- a/edge/entries.go
+++ b/edge/entries.go
@@ -26,7 +26,9 @@
 	switch t {
 	case evidence.Config:
 		for _, r := range rows {
-			e.applyConfig(r, a, now)
+			if newest, ok := e.state.config.Row(r.Key); !ok || newest.Version <= r.Version {
+				e.applyConfig(r, a, now)
+			}
 		}
 		e.applyEvacuationRows(now)
 		return rows
--- a/edge/poll.go
+++ b/edge/poll.go
@@ -175,18 +175,12 @@
 			e.logStoreError(p, now)
 			continue
 		}
-		if !e.observeStore(p.result.Era, p.result.StoreTime, now) {
-			allRead = false
-			continue
-		}
-		e.recordOutageEnd(p.table, p.result.StoreTime, now)
-		changed, ok := e.applyReadResult(p.table, p.result, p.since, now)
+		forward, ok := e.applyTableRead(p, now)
 		if !ok {
 			allRead = false
 			continue
 		}
-		updates = append(updates, e.tableUpdatesFor(p, changed)...)
-		e.recordProof(p.table, p.result.StoreTime, now)
+		updates = append(updates, forward...)
 		if p.table == evidence.Instances {
 			s.nextInstancesRead = now + instancesReadInterval
 		}
@@ -204,6 +198,27 @@
 	return allRead
 }
 
+// applyTableRead applies the read of one table and returns the updates that
+// forward it to the other instances, or false if it could not be applied.
+func (e *Edge) applyTableRead(p tableRead, now time.Duration) ([]evidence.TableUpdate, bool) {
+	if !e.observeStore(p.result.Era, p.result.StoreTime, now) {
+		return nil, false
+	}
+	e.recordOutageEnd(p.table, p.result.StoreTime, now)
+	if at, known := e.replicaOf(p.table).Position(); known && at.Era == p.result.Era {
+		// The copy may have advanced since the read began. The rows that differ from
+		// it are the changes since then only.
+		p.since = max(p.since, at.Version)
+	}
+	changed, ok := e.applyReadResult(p.table, p.result, p.since, now)
+	if !ok {
+		return nil, false
+	}
+	updates := e.tableUpdatesFor(p, changed)
+	e.recordProof(p.table, p.result.StoreTime, now)
+	return updates, true
+}
+
 // applyReadResult applies the result of reading a table, whether this instance
 // or another one read it, and returns the rows to forward to others. It returns
 // false if the local copy lacks changes from before the result.
--- a/edge/table_updates.go
+++ b/edge/table_updates.go
@@ -54,6 +54,11 @@
 		return e.tableUpdatesWithEvacuations(n)
 	}
 	recent := &s.recent[p.table]
+	if p.since > p.result.Version {
+		// The read was older than the copy and changed nothing.
+		n.Since = p.result.Version
+		return []evidence.TableUpdate{n}
+	}
 	if p.result.Full {
 		// A full read doesn't name rows that were removed before it.
 		recent.Reset()
@@ -147,9 +152,11 @@
 		a.Rows = append(a.Rows, replica.Row{Key: r.Key, Value: r.Value, Gone: r.Deleted, Version: r.Version})
 	}
 	e.recordOutageEnd(n.Table, n.StoreClock(), now)
-	changed, _ := e.applyReadResult(n.Table, a, n.Since, now)
+	e.applyReadResult(n.Table, a, n.Since, now)
 	if n.Version > version && n.Table != evidence.Config {
-		s.recent[n.Table].Add(version, n.Version, changed)
+		// Rows that changed nothing here may change another instance, which has seen
+		// a state between the two versions.
+		s.recent[n.Table].Add(version, n.Version, newerRows(a.Rows, version))
 	}
 	if n.More {
 		return
@@ -164,6 +171,16 @@
 	}
 }
 
+// newerRows returns the rows after a version.
+func newerRows(rows []replica.Row, version uint64) (newer []replica.Row) {
+	for _, r := range rows {
+		if r.Version > version {
+			newer = append(newer, r)
+		}
+	}
+	return newer
+}
+
 // applyUnfetchedProof records what the newest update about the configuration
 // proves, once this instance has the row that it names. Without that, an instance
 // that must fetch each of many changes would never have a proof.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -108,9 +108,8 @@
 }
 
 // Apply applies a read whose changes begin at version since of its era, and
-// returns the rows that differ from the previous state, at most one for each
-// key. It reports false, and applies nothing, if the replica lacks changes from
-// before since.
+// returns the rows that differ from the previous state. It reports false, and
+// applies nothing, if the replica lacks changes from before since.
 func (t *Table) Apply(res ReadResult, since uint64) ([]Row, bool) {
 	if t.loaded && res.Position().Before(t.position) {
 		return nil, true
@@ -122,8 +121,10 @@
 		return nil, false
 	}
 	var changed []Row
-	for _, r := range t.newRows(res.Rows) {
-		if t.put(r) {
+	for _, r := range res.Rows {
+		// Reads may overlap, so that one includes rows that were replaced since.
+		applied := r.Version > 0 && r.Version <= t.position.Version
+		if !applied && t.put(r) {
 			changed = append(changed, r)
 		}
 	}
@@ -131,23 +132,6 @@
 	return changed, true
 }
 
-// newRows returns the newest row of each key, without those that the replica
-// already has. Reads may overlap, so that the changes of one include rows that
-// have been replaced since.
-func (t *Table) newRows(rows []Row) []Row {
-	newest := make(map[string]int, len(rows))
-	for i, r := range rows {
-		newest[r.Key] = i
-	}
-	var fresh []Row
-	for i, r := range rows {
-		if newest[r.Key] == i && (r.Version == 0 || r.Version > t.position.Version) {
-			fresh = append(fresh, r)
-		}
-	}
-	return fresh
-}
-
 // ApplyOwnWrite applies a row that was just written, before it is returned by a
 // read.
 func (t *Table) ApplyOwnWrite(r Row) { t.put(r) }
