--- a/edge/call.go
+++ b/edge/call.go
@@ -104,7 +104,7 @@
 	}
 	c.version = s.table.Version
 	c.configAge = e.configAge(e.now())
-	e.metrics.configAges.Observe(c.configAge.Seconds())
+	e.metrics.observeConfigAge(c.configAge)
 	c.route = s.table.Route(r.Host, path)
 	if c.route == nil {
 		return c, &refusal{status: http.StatusNotFound, rule: RuleNoRoute}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"foxtailspoke/freshness"
 )
 
 const namespace = "foxtailspoke_edge"
@@ -53,7 +55,7 @@
 	})
 	m.configAges = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "request_configuration_age_seconds",
-		Help:    "Age of the proof that the configuration is the newest, at the begin of a request.",
+		Help:    "Age of the proof that the configuration is the newest, when a request is handled.",
 		Buckets: []float64{0.25, 0.5, 0.75, 1, 1.25, 1.5, 1.75, 2, 2.5, 3, 4, 5},
 	})
 	m.registry.MustRegister(m.requests, m.durations, m.attempts, m.forwarded, m.datagrams, m.datagramsReceived, m.stalls, m.configAges)
@@ -137,6 +139,13 @@
 	return mux
 }
 
+// observeConfigAge records the age of the configuration, unless it is unknown.
+func (m *metrics) observeConfigAge(age time.Duration) {
+	if age != freshness.UnknownAge {
+		m.configAges.Observe(age.Seconds())
+	}
+}
+
 func (m *metrics) observeRequest(rule Rule, took time.Duration) {
 	m.requests.WithLabelValues(string(rule)).Inc()
 	m.durations.WithLabelValues(string(rule)).Observe(took.Seconds())
