--- a/Makefile
+++ b/Makefile
@@ -64,11 +64,12 @@
 	SOAK=$(SOAK) go test ./internal/proofs -run '^TestPromisesHoldUnderFaults$$' -v -count=1 -timeout 0
 
 # soak-edge runs the instances of the users' platform as processes under random
-# faults, SEEDS seeds from SEED on.
+# faults, and while their configuration changes, SEEDS seeds from SEED on.
 SEED ?= 1
 SEEDS ?= 50
 soak-edge:
-	go test ./internal/soak -v -count=1 -timeout 0 -soak.seed $(SEED) -soak.seeds $(SEEDS)
+	go test ./internal/soak -v -count=1 -timeout 0 -soak.seed $(SEED) -soak.seeds $(SEEDS) \
+		-config.seed $(SEED) -config.seeds $(SEEDS)
 
 generate:
 	go generate ./...
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -119,8 +119,10 @@
 	partitions []partition
 	// partitionSummary is the result of findPartitionViolations.
 	partitionSummary string
-	stop             chan struct{}
-	wg               sync.WaitGroup
+	// onLaunch is called before a process starts, unless it is nil.
+	onLaunch func(n int)
+	stop     chan struct{}
+	wg       sync.WaitGroup
 }
 
 type request struct {
@@ -324,6 +326,9 @@
 
 func (c *cluster) launch(p *process) {
 	c.recordInstanceFault(p)
+	if c.onLaunch != nil {
+		c.onLaunch(p.index)
+	}
 	c.mu.Lock()
 	c.launchTimes = append(c.launchTimes, time.Now())
 	c.mu.Unlock()
