--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -117,6 +117,8 @@
 	// callers, by address for callers.
 	faultTimes map[string][]time.Time
 	partitions []partition
+	// partitionCounts has the number of partitions of each instance.
+	partitionCounts map[int]int
 	// partitionSummary is the result of findPartitionViolations.
 	partitionSummary string
 	// onLaunch is called before a process starts, unless it is nil.
@@ -163,7 +165,7 @@
 	c := &cluster{
 		t: t, binary: binary, dir: t.TempDir(), revokeS: revocationBound.Seconds(), subnet: 100 + clusterCount%100, store: rowstore.New("op", "servers"),
 		rng: rand.New(rand.NewPCG(seed, 1)), withdrawnAt: make(map[string]time.Time),
-		evacuatedSince: make(map[string]time.Time), requests: make(map[string]*request), instanceFaults: make(map[string]time.Time), linkFaults: make(map[*standin.Link]time.Time), leaving: make(map[string]map[string]time.Time), serverRuns: make(map[string]string), executions: make(map[string][]time.Time), faultTimes: make(map[string][]time.Time), stop: make(chan struct{}),
+		evacuatedSince: make(map[string]time.Time), requests: make(map[string]*request), instanceFaults: make(map[string]time.Time), linkFaults: make(map[*standin.Link]time.Time), leaving: make(map[string]map[string]time.Time), serverRuns: make(map[string]string), executions: make(map[string][]time.Time), partitionCounts: make(map[int]int), faultTimes: make(map[string][]time.Time), stop: make(chan struct{}),
 	}
 	c.storeServer = httptest.NewServer(c.store)
 	c.client = &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{
--- a/internal/soak/partitions_test.go
+++ b/internal/soak/partitions_test.go
@@ -78,13 +78,21 @@
 func (c *cluster) partition(n int, mode standin.PartitionMode, d time.Duration, measured bool) {
 	p := partition{c.instanceAddress(n, 0), time.Now(), time.Now().Add(d), measured}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.partitions = append(c.partitions, p)
-	c.mu.Unlock()
+	c.partitionCounts[n]++
+	count := c.partitionCounts[n]
 	if err := os.WriteFile(c.partitionFile(n), []byte(mode), 0o600); err != nil {
 		c.t.Error(err)
 	}
 	c.wg.Go(func() {
 		time.Sleep(d)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.partitionCounts[n] != count {
+			// The next partition began before this one ended.
+			return
+		}
 		if err := os.Remove(c.partitionFile(n)); err != nil {
 			c.t.Error(err)
 		}
