--- a/edge/config_proof_internal_test.go
+++ b/edge/config_proof_internal_test.go
@@ -5,7 +5,6 @@
 	"compress/gzip"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -30,12 +29,6 @@
 	return tableRead{table: evidence.Config, since: since, result: res}
 }
 
-// completeRead applies a read and returns the updates for the other instances.
-func completeRead(e *Edge, p tableRead, now time.Duration) []evidence.TableUpdate {
-	updates, _ := e.applyTableRead(p, now)
-	return updates
-}
-
 // configStore is a store that holds only configurations.
 type configStore struct {
 	version uint64
@@ -90,62 +83,6 @@
 
 const ms = time.Millisecond
 
-// configSimulation has instances read configurations, announce them to each other and fetch
-// them from each other, in random order and with losses.
-type configSimulation struct {
-	t         *testing.T
-	rng       *rand.Rand
-	now       time.Duration
-	store     configStore
-	instances []*Edge
-	// reads and messages are under way, by the instance that will receive them.
-	reads    [][]tableRead
-	messages [][]evidence.TableUpdate
-}
-
-func (s *configSimulation) step() {
-	s.now += time.Duration(1+s.rng.IntN(20)) * ms
-	i := s.rng.IntN(len(s.instances))
-	e := s.instances[i]
-	switch s.rng.IntN(12) {
-	case 0:
-		s.store.write(s.now)
-	case 1:
-		s.store.version++
-	case 2, 3, 4:
-		s.reads[i] = append(s.reads[i], s.store.readConfigOf(e, s.now))
-	case 5, 6:
-		if n := len(s.reads[i]); n > 0 {
-			k := s.rng.IntN(n)
-			p := s.reads[i][k]
-			s.reads[i] = append(s.reads[i][:k:k], s.reads[i][k+1:]...)
-			s.announce(i, completeRead(e, p, s.now))
-		}
-	case 7, 8, 9:
-		if n := len(s.messages[i]); n > 0 {
-			k := s.rng.IntN(n)
-			e.applyTableUpdate(s.messages[i][k], s.now)
-			s.messages[i] = append(s.messages[i][:k:k], s.messages[i][k+1:]...)
-		}
-	case 10:
-		e.applySnapshot(s.instances[s.rng.IntN(len(s.instances))].snapshot(s.now), s.now)
-	case 11:
-		if from := s.instances[s.rng.IntN(len(s.instances))]; from.state.table != nil {
-			e.applySnapshot(configSnapshot(s.t, from), s.now)
-		}
-	}
-}
-
-func (s *configSimulation) announce(from int, updates []evidence.TableUpdate) {
-	for i := range s.instances {
-		for _, n := range updates {
-			if i != from && s.rng.IntN(3) > 0 {
-				s.messages[i] = append(s.messages[i], n)
-			}
-		}
-	}
-}
-
 // configSnapshot returns what Snapshots.Config of an instance sends.
 func configSnapshot(t *testing.T, e *Edge) (s Snapshot) {
 	t.Helper()
@@ -161,21 +98,30 @@
 // whatever order reads, announcements and snapshots arrive.
 func TestProofsHoldForTheNewestConfiguration(t *testing.T) {
 	for seed := range uint64(10) {
-		s := &configSimulation{
-			t: t, rng: rand.New(rand.NewPCG(seed, 0)), now: 100 * time.Second,
-			reads: make([][]tableRead, 4), messages: make([][]evidence.TableUpdate, 4),
+		s, store := newTableSimulation(t, seed), &configStore{}
+		store.write(s.now)
+		change := func() {
+			if s.rng.IntN(2) == 0 {
+				store.version++ // a change of another table
+				return
+			}
+			store.write(s.now)
 		}
-		s.store.write(s.now)
-		for range s.reads {
-			s.instances = append(s.instances, newIdleInstance(t))
+		fetch := func(to, from *Edge) {
+			switch {
+			case s.rng.IntN(2) == 0:
+				to.applySnapshot(from.snapshot(s.now), s.now)
+			case from.state.table != nil:
+				to.applySnapshot(configSnapshot(t, from), s.now)
+			}
 		}
 		for step := range 3000 {
-			s.step()
+			s.step(change, store.readConfigOf, fetch)
 			for i, e := range s.instances {
 				if !e.state.configProved {
 					continue
 				}
-				must.LessEq(t, e.state.table.Version, s.store.newestAt(e.state.configProof),
+				must.LessEq(t, e.state.table.Version, store.newestAt(e.state.configProof),
 					must.Sprintf("seed %d, step %d, instance %d: proof of %v", seed, step, i, e.state.configProof))
 			}
 		}
--- a/edge/server_rows_internal_test.go
+++ b/edge/server_rows_internal_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -67,68 +66,18 @@
 	return tableRead{table: evidence.Servers, since: since, result: res}
 }
 
-// serverSimulation has instances read entries, announce them to each other and fetch them from
-// each other, in random order and with losses.
-type serverSimulation struct {
-	rng       *rand.Rand
-	now       time.Duration
-	store     *serverStore
-	instances []*Edge
-	reads     [][]tableRead
-	messages  [][]evidence.TableUpdate
-}
-
-func (s *serverSimulation) step() {
-	s.now += time.Duration(1+s.rng.IntN(20)) * ms
-	i := s.rng.IntN(len(s.instances))
-	e := s.instances[i]
-	switch s.rng.IntN(13) {
-	case 0, 1:
-		s.store.write(fmt.Sprintf("i-%d", 1+s.rng.IntN(4)), []string{"ready", "draining", ""}[s.rng.IntN(3)])
-	case 2, 3, 4:
-		s.reads[i] = append(s.reads[i], s.store.read(e, s.now))
-	case 5, 6:
-		if n := len(s.reads[i]); n > 0 {
-			k := s.rng.IntN(n)
-			p := s.reads[i][k]
-			s.reads[i] = append(s.reads[i][:k:k], s.reads[i][k+1:]...)
-			s.announce(i, completeRead(e, p, s.now))
-		}
-	case 7, 8, 9, 10, 11:
-		if n := len(s.messages[i]); n > 0 {
-			k := s.rng.IntN(n)
-			e.applyTableUpdate(s.messages[i][k], s.now)
-			s.messages[i] = append(s.messages[i][:k:k], s.messages[i][k+1:]...)
-		}
-	case 12:
-		e.applySnapshot(s.instances[s.rng.IntN(len(s.instances))].snapshot(s.now), s.now)
-	}
-}
-
-func (s *serverSimulation) announce(from int, updates []evidence.TableUpdate) {
-	for i := range s.instances {
-		for _, n := range updates {
-			if i != from && s.rng.IntN(3) > 0 {
-				s.messages[i] = append(s.messages[i], n)
-			}
-		}
-	}
-}
-
 // Guards against copies of the server list that lack a change from before their version, in
 // whatever order reads, announcements and snapshots arrive: an instance would use a server that
 // has left for good.
 func TestServerListIsCompleteUpToItsVersion(t *testing.T) {
 	for seed := range uint64(10) {
-		s := &serverSimulation{
-			rng: rand.New(rand.NewPCG(seed, 1)), now: 100 * time.Second, store: newServerStore(t),
-			reads: make([][]tableRead, 4), messages: make([][]evidence.TableUpdate, 4),
-		}
-		for range s.reads {
-			s.instances = append(s.instances, newIdleInstance(t))
+		s, store := newTableSimulation(t, seed), newServerStore(t)
+		change := func() {
+			store.write(fmt.Sprintf("i-%d", 1+s.rng.IntN(4)), []string{"ready", "draining", ""}[s.rng.IntN(3)])
 		}
+		fetch := func(to, from *Edge) { to.applySnapshot(from.snapshot(s.now), s.now) }
 		for step := range 3000 {
-			s.step()
+			s.step(change, store.read, fetch)
 			for i, e := range s.instances {
 				version, known := e.state.servers.Version()
 				if !known {
@@ -139,7 +88,7 @@
 					have[r.Key] = entryState(t, string(r.Value))
 				}
 				want := make(map[string]string)
-				for id, value := range s.store.states[version] {
+				for id, value := range store.states[version] {
 					want[id] = entryState(t, value)
 				}
 				must.Eq(t, want, have, must.Sprintf("seed %d, step %d, instance %d, version %d", seed, step, i, version))
