Retry allowance and idle healthy servers in status, metrics and attempt lines

Event 532 has window_requests, window_retries and retries_allowed where a retry was considered; status and metrics have them for each service, and the expected share of the healthy servers that got a request within two seconds (placement.HealthyInUse). The budgets of all services move to retry.FleetBudgets. No decision changes.

go test -race ./edge -run FiguresOf passes.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -28,6 +28,9 @@
 	// start is the time at which the attempt was sent.
 	start  time.Duration
 	cancel context.CancelFunc
+	// allowance is the state of the retry budget when the end of the attempt was
+	// handled, nil if no retry was considered.
+	allowance *retry.Allowance
 	// endPublished is set once the end of the attempt was published to the other
 	// instances.
 	endPublished bool
@@ -223,6 +226,8 @@
 	defer e.mu.Unlock()
 	state := e.retryState(c, a.result, number, running, mayHaveRun)
 	state.HadFreeSlot = !a.choice.MustQueue()
+	allowance := e.retryAllowance(c.service)
+	a.allowance = &allowance
 	return retry.Decide(e.now(), state, e.retryBudget(c.service))
 }
 
@@ -327,6 +332,10 @@
 	if d, named, err := platform.ServerRetryAfter(a.answer.Status, a.answer.Header); named && err == nil {
 		attrs = append(attrs, slog.Int64("retry_after_ms", d.Milliseconds()))
 	}
+	if a.allowance != nil {
+		attrs = append(attrs, slog.Int("window_requests", a.allowance.Requests), slog.Int("window_retries", a.allowance.Retries),
+			slog.Float64("retries_allowed", round3(a.allowance.Allowed)))
+	}
 	if platform.ServerLeaving(a.answer.Header) {
 		attrs = append(attrs, slog.Bool("leaving", true))
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -168,7 +168,7 @@
 	serverList *discovery.List
 	placer     *placement.Placer
 	usage      *usage.Counters
-	budgets    map[string]*retry.FleetBudget
+	budgets    *retry.FleetBudgets
 	routes     map[string]*routeStats
 
 	messenger *fleet.Messenger
@@ -248,7 +248,7 @@
 		serverList:     discovery.NewList(),
 		placer:         placement.NewWithout(s.Trial.Disabled()),
 		usage:          newUsageCounters(),
-		budgets:        make(map[string]*retry.FleetBudget),
+		budgets:        newRetryBudgets(),
 		routes:         make(map[string]*routeStats),
 		ownOutstanding: make(map[uint32]uint16),
 		limiter:        warmup.NewLimiter(self),
--- a/edge/members.go
+++ b/edge/members.go
@@ -38,13 +38,14 @@
 	return c
 }
 
-// updateRateShare sets this instance's share of the rates from the known and
-// reachable instances. It waits for the configuration, which is read together
+// updateRateShare sets this instance's share of the rates, and the coverage of its
+// retry counts, from the known and reachable instances. It waits for the configuration, which is read together
 // with the list of instances.
 func (e *Edge) updateRateShare() {
 	if e.state.table != nil {
 		fleet := e.state.messenger.Fleet()
 		e.state.usage.RateShare, e.state.usage.StartupShare = fleet.AliveShare(), fleet.AliveSinceStartShare()
+		e.state.budgets.SetCoverage(fleet.AliveShare())
 	}
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -114,6 +114,7 @@
 		}
 		return float64(n)
 	}))
+	m.registry.MustRegister(&serviceCollector{e})
 	return m
 }
 
--- a/edge/status.go
+++ b/edge/status.go
@@ -89,6 +89,14 @@
 	// UnservedShare is the share of the requests of all instances in the last two
 	// seconds that weren't served.
 	UnservedShare float64 `json:"unservedShare"`
+	// Retries of RetriesAllowed, for Requests, are those of the fleet in the window of
+	// the platform's limit, as this instance counts them.
+	Requests       int     `json:"requests"`
+	Retries        int     `json:"retries"`
+	RetriesAllowed float64 `json:"retriesAllowed"`
+	// HealthyInUse is the expected share of the healthy servers that received a
+	// request in the last two seconds.
+	HealthyInUse float64 `json:"healthyInUse"`
 }
 
 // SuspectStatus describes a backend server that is more likely to fail than not.
@@ -140,12 +148,20 @@
 	slices.SortFunc(st.Instances, func(a, b InstanceStatus) int { return strings.Compare(a.IP, b.IP) })
 	st.Services, st.Suspects = summarizeServers(s.placer.ServerStatuses(now))
 	for i := range st.Services {
-		st.Services[i].UnservedShare = round3(s.placer.UnservedShare(st.Services[i].Service, now))
+		e.addServiceFigures(&st.Services[i], now)
 	}
 	st.Workspaces = e.workspacesNearRate(now)
 	return st
 }
 
+// addServiceFigures adds the figures of a service that aren't sums over its servers.
+func (e *Edge) addServiceFigures(st *ServiceStatus, now time.Duration) {
+	allowance := e.retryAllowance(st.Service)
+	st.Requests, st.Retries, st.RetriesAllowed = allowance.Requests, allowance.Retries, round3(allowance.Allowed)
+	st.UnservedShare = round3(e.state.placer.UnservedShare(st.Service, now))
+	st.HealthyInUse = round3(e.state.placer.HealthyInUse(st.Service, now))
+}
+
 // summarizeServers summarizes the servers of each service and lists the suspects.
 func summarizeServers(views []placement.ServerStatus) (services []ServiceStatus, suspects []SuspectStatus) {
 	sums := make(map[string]*ServiceStatus)
--- a/edge/status_test.go
+++ b/edge/status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -53,3 +54,28 @@
 	must.Eq(t, "incomplete", s.Suspects[0].LastFailure)
 	must.Eq(t, "w", s.Workspaces[0].Workspace)
 }
+
+// A service's retries and idle servers are found in the status and the metrics of any
+// instance. Without them nobody can tell a used-up retry budget from a failing server.
+func TestFiguresOfAServiceAreExported(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.backend("i-well", nil)
+	f.backend("i-failing", resetConnection)
+	f.configure(20, key)
+	f.startAll(2)
+	eventually(t, 5*time.Second, "a retry in the status of the other instance", func() bool {
+		f.lookup(0)
+		s := f.status(1)
+		return len(s.Services) == 1 && s.Services[0].Retries > 0 && s.Services[0].Requests >= s.Services[0].Retries
+	})
+	must.Between(t, 0, f.status(1).Services[0].HealthyInUse, 1)
+	resp, err := http.Get("http://" + f.address(1, 4) + "/metrics")
+	must.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	for _, name := range []string{"window_requests", "window_retries", "retries_allowed", "healthy_servers_in_use"} {
+		must.StrContains(t, string(text), "foxtailspoke_edge_service_"+name+"{service=")
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -239,8 +239,7 @@
 func (p *Placer) shareInUse(g *service, condition func(*server) bool, now time.Duration) float64 {
 	used, all := 0, 0
 	for _, s := range g.servers {
-		if s.entry.Draining || p.evacuated[s.entry.DataCentre] || p.backoffRemaining(s, now) > 0 ||
-			g.warmUp.limitsServer(s, now) || p.rateLimited(s) || !condition(s) {
+		if !p.unlimited(g, s, now) || !condition(s) {
 			continue
 		}
 		all++
@@ -254,6 +253,12 @@
 	return float64(used) / float64(all)
 }
 
+// unlimited reports whether this instance may send any number of requests to a server.
+func (p *Placer) unlimited(g *service, s *server, now time.Duration) bool {
+	return !s.entry.Draining && !p.evacuated[s.entry.DataCentre] && p.backoffRemaining(s, now) <= 0 &&
+		!g.warmUp.limitsServer(s, now) && !p.rateLimited(s)
+}
+
 // RecordInstanceLoss records that many instances stopped responding. The requests that
 // go unserved there aren't reported; for a while they are assumed to be too many.
 func (p *Placer) RecordInstanceLoss(now time.Duration) {
--- a/retry/fleet_budget.go
+++ b/retry/fleet_budget.go
@@ -22,6 +22,12 @@
 	Coverage float64
 }
 
+// usable returns the ratio and the slack that this instance may use.
+func (l Limit) usable() (ratio, slack float64) {
+	share := limitShare * l.Coverage
+	return l.Ratio * share, l.Slack * share
+}
+
 const (
 	// limitShare is the share of the limit that is used. The rest covers
 	// retries of other instances that haven't been reported yet.
@@ -51,14 +57,29 @@
 // Budget returns the budget, with the number of retries that the limit still
 // allows.
 func (f *FleetBudget) Budget(l Limit, now time.Duration) *Budget {
-	share := limitShare * l.Coverage
-	f.budget.SetTokens(f.window.Remaining(l.Ratio*share, l.Slack*share, now))
+	ratio, slack := l.usable()
+	f.budget.SetTokens(f.window.Remaining(ratio, slack, now))
 	return f.budget
 }
 
 // MayProbe reports whether requests may be used to probe whether servers have
 // recovered.
 func (f *FleetBudget) MayProbe(l Limit, now time.Duration) bool {
-	share := limitShare * l.Coverage
-	return f.window.UsedShare(l.Ratio*share, l.Slack*share, now) < probeShare
+	ratio, slack := l.usable()
+	return f.window.UsedShare(ratio, slack, now) < probeShare
+}
+
+// Allowance is the state of a retry budget.
+type Allowance struct {
+	// Requests and Retries are counted over the window of the limit.
+	Requests, Retries int
+	// Allowed is the number of retries that this instance would allow there.
+	Allowed float64
+}
+
+// Allowance returns the state of the budget.
+func (f *FleetBudget) Allowance(l Limit, now time.Duration) Allowance {
+	ratio, slack := l.usable()
+	requests, retries := f.window.totals(now)
+	return Allowance{Requests: requests, Retries: retries, Allowed: ratio*float64(requests) + slack}
 }
--- a/retry/window.go
+++ b/retry/window.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Window counts requests and retries of one service in the sliding window over
 // which the limit on retries applies.
@@ -34,40 +37,44 @@
 }
 
 func (w *Window) bucketAt(now time.Duration) *windowBucket {
-	second := int64(now / time.Second)
-	t := &w.buckets[second%windowSeconds]
+	second := secondOf(now)
+	t := &w.buckets[(second%windowSeconds+windowSeconds)%windowSeconds]
 	if t.second != second {
 		*t = windowBucket{second: second}
 	}
 	return t
 }
 
+// secondOf returns the number of a second, which is negative before the clock's
+// origin.
+func secondOf(t time.Duration) int64 { return int64(math.Floor(t.Seconds())) }
+
 // Remaining returns how many retries are still allowed by a limit of ratio times
 // the requests, plus slack. It is negative if the limit is exceeded.
 func (w *Window) Remaining(ratio, slack float64, now time.Duration) float64 {
-	allowed, retries := w.totals(ratio, slack, now)
-	return allowed - retries
+	requests, retries := w.totals(now)
+	return ratio*float64(requests) + slack - float64(retries)
 }
 
 // UsedShare returns the share of the limit that is used up.
 func (w *Window) UsedShare(ratio, slack float64, now time.Duration) float64 {
-	allowed, retries := w.totals(ratio, slack, now)
+	requests, retries := w.totals(now)
+	allowed := ratio*float64(requests) + slack
 	if allowed <= 0 {
 		return 1
 	}
-	return retries / allowed
+	return float64(retries) / allowed
 }
 
-func (w *Window) totals(ratio, slack float64, now time.Duration) (allowed, retried float64) {
-	oldest := int64(now/time.Second) - windowSeconds
-	requests, retries := 0, 0
+func (w *Window) totals(now time.Duration) (requests, retries int) {
+	oldest := secondOf(now) - windowSeconds
 	for _, t := range w.buckets {
 		if t.second > oldest {
 			requests += t.requests
 			retries += t.retries
 		}
 	}
-	return ratio*float64(requests) + slack, float64(retries)
+	return requests, retries
 }
 
 // SetTokens replaces the tokens that the budget earned from its own requests.
