Retry counts survive the restart of an instance; until then it doesn't use the slack

Callers of a service whose servers fail most requests got more retries than the platform allows (BUDGET): each process counted the retries of the last 11 s for itself and began with none, so that a restart of the whole fleet allowed the whole slack again, and an instance that started alone took the past for free of retries.

An instance records which share of the fleet it has counted, over the window (retry.CoverageHistory). The whole slack is allowed for the share that was counted all the time; for what came back since, only what the others can't have used (1 - limitShare), in proportion to the time.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -354,6 +354,7 @@
 	e.supervisor.Add(namedService{"verifier", e.verifyTables})
 	e.supervisor.Add(namedService{"register", e.registerInstances})
 	e.supervisor.Add(namedService{"snapshots", e.serveSnapshots})
+	e.supervisor.Add(namedService{"retry history", e.adoptRetryHistory})
 	e.supervisor.Add(namedService{"forwarding", e.serveForwarding})
 	e.supervisor.Add(namedService{"settings", e.watchSettings})
 	e.supervisor.Add(namedService{"callers", e.serveCallers})
--- a/edge/members.go
+++ b/edge/members.go
@@ -45,7 +45,7 @@
 	if e.state.table != nil {
 		fleet := e.state.messenger.Fleet()
 		e.state.usage.RateShare, e.state.usage.StartupShare = fleet.AliveShare(), fleet.AliveSinceStartShare()
-		e.state.budgets.SetCoverage(fleet.AliveShare())
+		e.state.budgets.SetCoverage(fleet.AliveShare(), e.now())
 	}
 }
 
--- a/edge/retry_budget.go
+++ b/edge/retry_budget.go
@@ -1,12 +1,25 @@
 package edge
 
 import (
+	"context"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
+	"foxtailspoke/event"
 	"foxtailspoke/retry"
 )
 
+const (
+	// minHistoryInterval and maxHistoryInterval bound the time between two calls
+	// for the retry counts of other instances, which doubles as long as the own
+	// counts remain incomplete.
+	minHistoryInterval = 250 * time.Millisecond
+	maxHistoryInterval = 4 * time.Second
+
+	methodRetries = "Snapshots.Retries"
+)
+
 // newRetryBudgets returns the retry budgets of an instance that has just started.
 func newRetryBudgets() *retry.FleetBudgets {
 	return retry.NewFleetBudgets(retryAfterShort, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
@@ -20,26 +33,89 @@
 }
 
 // retryBound returns this instance's share of the platform's bound on retries.
-func (e *Edge) retryBound() retry.Limit {
+func (e *Edge) retryBound(now time.Duration) retry.Limit {
 	b := e.settings.Bounds
-	return retry.Limit{Ratio: b.RetryRatio, Slack: b.RetrySlack, Coverage: e.state.budgets.Coverage()}
+	return retry.Limit{Ratio: b.RetryRatio, Slack: b.RetrySlack, Coverage: e.state.budgets.Coverage(now)}
 }
 
 // retryBudget returns the remaining retry budget of a service.
 func (e *Edge) retryBudget(service string) *retry.Budget {
 	now := e.now()
-	return e.state.budgets.Service(service).Budget(e.retryBound(), now)
+	return e.state.budgets.Service(service).Budget(e.retryBound(now), now)
 }
 
 // retryAllowance returns the state of the retry budget of a service.
 func (e *Edge) retryAllowance(service string) retry.Allowance {
 	now := e.now()
-	return e.state.budgets.Service(service).Allowance(e.retryBound(), now)
+	return e.state.budgets.Service(service).Allowance(e.retryBound(now), now)
 }
 
 // hasRetryBudget reports whether the budget allows requests that probe uncertain
 // servers, since a failed one needs a retry.
 func (e *Edge) hasRetryBudget(service string) bool {
 	now := e.now()
-	return e.state.budgets.Service(service).MayProbe(e.retryBound(), now)
+	return e.state.budgets.Service(service).MayProbe(e.retryBound(now), now)
+}
+
+// Retries returns the retry counts of this instance.
+func (s *Snapshots) Retries(_ Nothing, reply *retry.History) error {
+	s.edge.mu.Lock()
+	defer s.edge.mu.Unlock()
+	*reply = s.edge.state.budgets.History(s.edge.now())
+	return nil
+}
+
+// adoptRetryHistory fetches the retry counts of other instances while those of
+// this instance lack a part of the window.
+func (e *Edge) adoptRetryHistory(ctx context.Context) error {
+	interval := minHistoryInterval
+	for sleepContext(ctx, interval) {
+		peer, needed := e.retryHistoryPeer()
+		if !needed {
+			interval = minHistoryInterval
+			continue
+		}
+		interval = min(2*interval, maxHistoryInterval)
+		if peer != 0 {
+			e.fetchRetryHistory(ctx, peer)
+		}
+	}
+	return ctx.Err()
+}
+
+// retryHistoryPeer reports whether this instance lacks a part of the retry counts,
+// and returns a random instance that may have it, or 0 if there is none. Instances
+// that started after this one don't have it.
+func (e *Edge) retryHistoryPeer() (id uint32, needed bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.state.budgets.Coverage(e.now()).Incomplete() {
+		return 0, false
+	}
+	var older []uint32
+	for id, m := range e.state.messenger.Fleet().All() {
+		if m.Alive && !m.AliveSinceStart {
+			older = append(older, id)
+		}
+	}
+	if len(older) == 0 {
+		return 0, true
+	}
+	return older[rand.IntN(len(older))], true
+}
+
+func (e *Edge) fetchRetryHistory(ctx context.Context, peer uint32) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	var history retry.History
+	if err := callPeer(ctx, addrPort(peer, e.peerPort).String(), methodRetries, &history); err != nil {
+		event.PeerMessageFailed.Log(e.log, slog.String("peer", addrPort(peer, 0).Addr().String()), slog.Any("error", err))
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now := e.now(); e.state.budgets.Adopt(history, now) {
+		event.RetryHistoryAdopted.Log(e.log, slog.String("peer", addrPort(peer, 0).Addr().String()),
+			slog.Float64("coverage", round3(e.state.budgets.Coverage(now).Lowest)))
+	}
 }
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -258,33 +258,38 @@
 	return s.Era == e.state.era
 }
 
-// callSnapshot calls a Snapshots method of the instance at address and decodes
-// the reply.
+// callSnapshot calls a method of the instance at address that replies with a
+// packed Snapshot.
 func callSnapshot(ctx context.Context, address, method string) (Snapshot, error) {
+	var packed Packed
+	if err := callPeer(ctx, address, method, &packed); err != nil {
+		return Snapshot{}, err
+	}
+	z, err := gzip.NewReader(bytes.NewReader(packed.Data))
+	if err != nil {
+		return Snapshot{}, errors.Wrap(err, "decompressing snapshot")
+	}
+	var s Snapshot
+	err = json.NewDecoder(io.LimitReader(z, maxSnapshotBytes)).Decode(&s)
+	return s, errors.Wrap(err, "decoding snapshot")
+}
+
+// callPeer calls a Snapshots method of the instance at address.
+func callPeer(ctx context.Context, address, method string, reply any) error {
 	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp4", address)
 	if err != nil {
-		return Snapshot{}, errors.Wrap(err, "connecting for a snapshot")
+		return errors.Wrap(err, "connecting to peer")
 	}
 	defer func() { _ = c.Close() }()
 	if end, ok := ctx.Deadline(); ok {
 		if err := c.SetDeadline(end); err != nil {
-			return Snapshot{}, errors.Wrap(err, "setting the deadline of a snapshot call")
+			return errors.Wrap(err, "setting the deadline of a peer call")
 		}
 	}
 	client := rpc.NewClient(c)
 	defer func() { _ = client.Close() }()
-	var packed Packed
-	if err := client.Call(method, Nothing{}, &packed); err != nil {
-		return Snapshot{}, errors.Wrap(err, "requesting snapshot")
-	}
-	z, err := gzip.NewReader(bytes.NewReader(packed.Data))
-	if err != nil {
-		return Snapshot{}, errors.Wrap(err, "decompressing snapshot")
-	}
-	var s Snapshot
-	err = json.NewDecoder(io.LimitReader(z, maxSnapshotBytes)).Decode(&s)
-	return s, errors.Wrap(err, "decoding snapshot")
+	return errors.Wrapf(client.Call(method, Nothing{}, reply), "calling %s", method)
 }
 
 // maxSnapshotBytes bounds the decompressed size of a snapshot.
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -172,6 +172,10 @@
 		533, slog.LevelWarn, "log lines left out",
 		"Log lines exceeded the rate limit; `count` have been left out since the start.", "Raise log.linesPerSecond if they are needed.",
 	}
+	RetryHistoryAdopted = Event{
+		534, slog.LevelInfo, "retry counts taken over from a peer",
+		"This instance lacked a part of the fleet's retry counts, as it has just started or was partitioned, and took over those of `peer`. `coverage` is the lowest share of the instances that these counts include.", "Nothing.",
+	}
 )
 
 // All returns the catalogue in the order of the numbers.
@@ -185,6 +189,6 @@
 		ConfigInForce, ConfigRejected, ServerChanged, EntryIgnored, StoreCallFailed,
 		EvacuationStarted, EvacuationEnded, ServerLimited, StaleResponseIgnored, StoreRestored,
 		PeerReachable, PeerUnreachable, PeerMessageFailed, RelayChanged, ServerBackoff, ServerLeaving, ServersUnreachable, ServersReachable, ProcessStalled,
-		RequestEnded, AttemptEnded, LogLinesDropped,
+		RequestEnded, AttemptEnded, LogLinesDropped, RetryHistoryAdopted,
 	}
 }
--- a/lab/instance.go
+++ b/lab/instance.go
@@ -135,7 +135,7 @@
 	return time.Duration(initialServiceTimeShare * float64(k.LatencyTarget))
 }
 
-var retryLimit = retry.Limit{Ratio: retryRatio, Slack: retrySlack, Coverage: 1}
+var retryLimit = retry.Limit{Ratio: retryRatio, Slack: retrySlack, Coverage: retry.FullCoverage()}
 
 // choose selects a server for a request and records that the request is sent.
 func (i *instance) choose(c *caller) (placement.Choice, bool) {
--- a/retry/fleet_budget.go
+++ b/retry/fleet_budget.go
@@ -16,16 +16,14 @@
 type Limit struct {
 	// Up to Ratio times the service's requests, plus Slack, may be retried.
 	Ratio, Slack float64
-	// Coverage is the share of the fleet whose attempts this instance counts,
-	// itself included, from 0 to 1. The instance uses only that share of the
-	// limit.
-	Coverage float64
+	// Coverage of the attempts that this instance counts. The instance uses only
+	// that share of the limit.
+	Coverage Coverage
 }
 
 // usable returns the ratio and the slack that this instance may use.
 func (l Limit) usable() (ratio, slack float64) {
-	share := limitShare * l.Coverage
-	return l.Ratio * share, l.Slack * share
+	return l.Ratio * limitShare * l.Coverage.Current, l.Slack * l.Coverage.slackShare()
 }
 
 const (
--- a/retry/fleet_budgets.go
+++ b/retry/fleet_budgets.go
@@ -8,7 +8,7 @@
 // FleetBudgets holds the retry budgets of all services, as seen by one instance.
 type FleetBudgets struct {
 	services   map[string]*FleetBudget
-	coverage   float64
+	coverage   CoverageHistory
 	retryAfter time.Duration
 	rng        *rand.Rand
 }
@@ -31,7 +31,56 @@
 
 // SetCoverage records the share of the fleet whose attempts are counted from now
 // on, from 0 to 1.
-func (f *FleetBudgets) SetCoverage(share float64) { f.coverage = share }
+func (f *FleetBudgets) SetCoverage(share float64, now time.Duration) { f.coverage.Set(share, now) }
 
 // Coverage returns the coverage of the counts.
-func (f *FleetBudgets) Coverage() float64 { return f.coverage }
+func (f *FleetBudgets) Coverage(now time.Duration) Coverage { return f.coverage.Coverage(now) }
+
+// History is what an instance has counted in the window of the limit. It lets
+// an instance that has just started take into account what was counted before.
+type History struct {
+	// Coverage holds the periods from the oldest to the newest.
+	Coverage []CoveragePeriod
+	// Services maps the name of each service to its counts.
+	Services map[string][]Count
+}
+
+// Count is the number of attempts in one second.
+type Count struct {
+	// Age is the time since the end of that second, 0 for the current one.
+	Age               time.Duration
+	Requests, Retries int
+}
+
+// History returns what this instance has counted.
+func (f *FleetBudgets) History(now time.Duration) History {
+	f.coverage.dropBefore(now - window)
+	h := History{Coverage: f.coverage.periods(now), Services: make(map[string][]Count)}
+	for name, b := range f.services {
+		if counts := b.window.counts(now); len(counts) > 0 {
+			h.Services[name] = counts
+		}
+	}
+	return h
+}
+
+// Adopt replaces the counts by those of another instance if these cover more of
+// the window, and reports whether they do. The coverage from now on is this
+// instance's own.
+func (f *FleetBudgets) Adopt(h History, now time.Duration) bool {
+	own := f.coverage.Coverage(now)
+	adopted := historyOf(h.Coverage, now)
+	other := adopted.Coverage(now)
+	if other.Lowest < own.Lowest || (other.Lowest == own.Lowest && other.Mean <= own.Mean) {
+		return false
+	}
+	adopted.Set(own.Current, now)
+	f.coverage = adopted
+	for _, b := range f.services {
+		b.window = Window{}
+	}
+	for name, counts := range h.Services {
+		f.Service(name).window.add(counts, now)
+	}
+	return true
+}
--- /dev/null
+++ b/retry/fleet_simulation_test.go
@@ -0,0 +1,286 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/health"
+	"foxtailspoke/retry"
+)
+
+const (
+	fleetRatio  = 0.2
+	fleetSlack  = 58
+	limitWindow = 10 * time.Second
+	reportDelay = 15 * time.Millisecond
+	downTime    = 500 * time.Millisecond
+	// adoptionDelay is the time from the start of an instance, or from a failed try, until it
+	// adopts a history.
+	adoptionDelay = 300 * time.Millisecond
+	failedShare   = 0.85
+	maxAttempts   = 3
+)
+
+// fleetLoad describes a simulated fleet whose servers fail most requests.
+type fleetLoad struct {
+	instances int
+	// requestRate in requests per second.
+	requestRate float64
+	// adopts means that an instance that starts adopts the history of another one.
+	adopts bool
+}
+
+// fleetSimulation counts the requests and retries of a fleet whose instances
+// stop, start and lose contact with each other.
+type fleetSimulation struct {
+	fleetLoad
+	rng       *rand.Rand
+	instances []*simulatedInstance
+	// separated reports whether two instances don't hear each other.
+	separated func(a, b int) bool
+	reports   []attemptReport
+	requests  []time.Duration
+	retries   []time.Duration
+	denied    int
+}
+
+type simulatedInstance struct {
+	budgets *retry.FleetBudgets
+	// startsAt is when an instance that was killed runs again.
+	startsAt time.Duration
+	// adoptAt is when it adopts the history of another one.
+	adoptAt time.Duration
+}
+
+type attemptReport struct {
+	at       time.Duration
+	from, to int
+	retry    bool
+}
+
+func newFleetSimulation(l fleetLoad, seed uint64) *fleetSimulation {
+	sim := &fleetSimulation{fleetLoad: l, rng: rand.New(rand.NewPCG(seed, 3)), separated: func(int, int) bool { return false }}
+	for range l.instances {
+		sim.instances = append(sim.instances, &simulatedInstance{budgets: sim.newBudgets()})
+	}
+	sim.updateCoverage(0)
+	return sim
+}
+
+func (sim *fleetSimulation) newBudgets() *retry.FleetBudgets {
+	return retry.NewFleetBudgets(time.Second, sim.rng)
+}
+
+func (sim *fleetSimulation) running(i int) bool { return sim.instances[i].budgets != nil }
+
+// kill stops instances; each starts again after downTime.
+func (sim *fleetSimulation) kill(now time.Duration, instances ...int) {
+	for _, i := range instances {
+		sim.instances[i].budgets = nil
+		sim.instances[i].startsAt = now + downTime
+	}
+	sim.updateCoverage(now)
+}
+
+func (sim *fleetSimulation) killAll(now time.Duration) {
+	for i := range sim.instances {
+		sim.kill(now, i)
+	}
+}
+
+// startDue starts the instances that are due and lets new ones adopt a history.
+func (sim *fleetSimulation) startDue(now time.Duration) {
+	for _, instance := range sim.instances {
+		if instance.budgets != nil || now < instance.startsAt {
+			continue
+		}
+		instance.budgets, instance.adoptAt = sim.newBudgets(), now+adoptionDelay
+		sim.updateCoverage(now)
+	}
+	for i, instance := range sim.instances {
+		if !sim.adopts || instance.budgets == nil || now < instance.adoptAt || !instance.budgets.Coverage(now).Incomplete() {
+			continue
+		}
+		instance.adoptAt = now + adoptionDelay
+		if peer := sim.rng.IntN(len(sim.instances)); peer != i && sim.running(peer) && !sim.separated(i, peer) {
+			instance.budgets.Adopt(sim.instances[peer].budgets.History(now), now)
+		}
+	}
+}
+
+// updateCoverage sets the share of the fleet that each instance hears.
+func (sim *fleetSimulation) updateCoverage(now time.Duration) {
+	for i, instance := range sim.instances {
+		if instance.budgets == nil {
+			continue
+		}
+		heard := 0
+		for j := range sim.instances {
+			if sim.running(j) && !sim.separated(i, j) {
+				heard++
+			}
+		}
+		instance.budgets.SetCoverage(float64(heard)/float64(len(sim.instances)), now)
+	}
+}
+
+func (sim *fleetSimulation) deliver(now time.Duration) {
+	sim.reports = slices.DeleteFunc(sim.reports, func(r attemptReport) bool {
+		if r.at > now {
+			return false
+		}
+		if sim.running(r.to) && !sim.separated(r.from, r.to) {
+			sim.instances[r.to].budgets.Service("s").Count(r.retry, r.at)
+		}
+		return true
+	})
+}
+
+func (sim *fleetSimulation) count(from int, isRetry bool, now time.Duration) {
+	if isRetry {
+		sim.retries = append(sim.retries, now)
+	} else {
+		sim.requests = append(sim.requests, now)
+	}
+	sim.instances[from].budgets.Service("s").Count(isRetry, now)
+	for to := range sim.instances {
+		if to != from {
+			sim.reports = append(sim.reports, attemptReport{now + reportDelay, from, to, isRetry})
+		}
+	}
+}
+
+// run sends requests; the retries of a request follow it at once.
+func (sim *fleetSimulation) run(from, to time.Duration) {
+	for now := from; now < to; now += time.Duration(sim.rng.ExpFloat64() / sim.requestRate * float64(time.Second)) {
+		sim.startDue(now)
+		sim.deliver(now)
+		i := sim.rng.IntN(len(sim.instances))
+		if !sim.running(i) {
+			continue
+		}
+		sim.count(i, false, now)
+		for attempts := 1; sim.rng.Float64() < failedShare; attempts++ {
+			b := sim.instances[i].budgets
+			limit := retry.Limit{Ratio: fleetRatio, Slack: fleetSlack, Coverage: b.Coverage(now)}
+			d := retry.Decide(now, retry.Attempt{
+				Result: health.ServerError, Idempotent: true, AttemptCount: attempts, Deadline: now + time.Second, Untried: maxAttempts - attempts, UntriedHasSlot: true,
+			}, b.Service("s").Budget(limit, now))
+			if d.Action != retry.Retry {
+				if d.Reason == retry.ReasonBudget {
+					sim.denied++
+				}
+				break
+			}
+			sim.count(i, true, now)
+		}
+	}
+}
+
+func within(times []time.Duration, from, to time.Duration) int {
+	i, _ := slices.BinarySearch(times, from)
+	j, _ := slices.BinarySearch(times, to)
+	return j - i
+}
+
+// requireWithinLimit requires that the retries of any window are within the limit for its
+// requests, or for those of the window before it or half a window before it.
+func (sim *fleetSimulation) requireWithinLimit(t *testing.T) {
+	t.Helper()
+	for _, from := range sim.retries {
+		requests := 0
+		for _, start := range []time.Duration{from, from - limitWindow/2, from - limitWindow} {
+			requests = max(requests, within(sim.requests, start, start+limitWindow))
+		}
+		must.LessEq(t, fleetRatio*float64(requests)+fleetSlack, float64(within(sim.retries, from, from+limitWindow)),
+			must.Sprintf("%+v: from %v, for %d requests", sim.fleetLoad, from, requests))
+	}
+}
+
+func forEachLoad(t *testing.T, run func(t *testing.T, l fleetLoad, seed uint64)) {
+	t.Helper()
+	for _, rate := range []float64{5, 12, 20, 90, 600} {
+		for _, adopts := range []bool{false, true} {
+			for seed := range uint64(3) {
+				run(t, fleetLoad{instances: 36, requestRate: rate, adopts: adopts}, seed)
+			}
+		}
+	}
+}
+
+// All instances are killed every few seconds while most requests fail. Guards
+// against retry counts that are lost with the processes, so that each start allows
+// the whole slack again.
+func TestRetriesStayWithinTheLimitWhenAllInstancesRestart(t *testing.T) {
+	for _, interval := range []time.Duration{time.Second, 2500 * time.Millisecond, 9 * time.Second} {
+		forEachLoad(t, func(t *testing.T, l fleetLoad, seed uint64) {
+			sim := newFleetSimulation(l, seed)
+			sim.run(0, 20*time.Second)
+			for k := range 4 {
+				at := 20*time.Second + time.Duration(k)*interval
+				sim.killAll(at)
+				sim.run(at, at+interval)
+			}
+			sim.requireWithinLimit(t)
+		})
+	}
+}
+
+// Servers begin to fail just before all instances are killed, so that the slack is
+// used once by the old processes and must not be used again by the new ones.
+func TestRetriesStayWithinTheLimitWhenTheSlackWasUsedBeforeARestart(t *testing.T) {
+	forEachLoad(t, func(t *testing.T, l fleetLoad, seed uint64) {
+		sim := newFleetSimulation(l, seed)
+		for _, c := range sim.instances {
+			c.budgets.SetCoverage(1, -time.Minute)
+		}
+		sim.run(time.Second, 5*time.Second)
+		sim.killAll(5 * time.Second)
+		sim.run(5*time.Second, 30*time.Second)
+		sim.requireWithinLimit(t)
+	})
+}
+
+// Instances are restarted in turn, some at a time. Guards against a retry budget of
+// which each new process has the whole, and against one that is empty for as long as
+// instances restart.
+func TestRetriesDuringARollingRestart(t *testing.T) {
+	forEachLoad(t, func(t *testing.T, l fleetLoad, seed uint64) {
+		undisturbed := newFleetSimulation(l, seed)
+		undisturbed.run(0, 40*time.Second)
+		sim := newFleetSimulation(l, seed)
+		sim.run(0, 20*time.Second)
+		for k := range 20 {
+			at := 20*time.Second + time.Duration(k)*time.Second
+			sim.kill(at, (3*k)%l.instances, (3*k+1)%l.instances, (3*k+2)%l.instances)
+			sim.run(at, at+time.Second)
+		}
+		sim.requireWithinLimit(t)
+		t.Logf("%+v: %d retries, %d without restarts", l, len(sim.retries), len(undisturbed.retries))
+		if l.adopts {
+			must.Greater(t, 0.8*float64(len(undisturbed.retries)), float64(len(sim.retries)))
+		}
+	})
+}
+
+// Two halves of the fleet don't hear each other for a while. Guards against counts
+// that lack the retries of the other half when they hear each other again.
+func TestRetriesStayWithinTheLimitAfterAPartition(t *testing.T) {
+	forEachLoad(t, func(t *testing.T, l fleetLoad, seed uint64) {
+		sim := newFleetSimulation(l, seed)
+		sim.run(0, 20*time.Second)
+		for at := 20 * time.Second; at < 60*time.Second; at += 8 * time.Second {
+			sim.separated = func(a, b int) bool { return (a < 18) != (b < 18) }
+			sim.updateCoverage(at)
+			sim.run(at, at+4*time.Second)
+			sim.separated = func(int, int) bool { return false }
+			sim.updateCoverage(at + 4*time.Second)
+			sim.run(at+4*time.Second, at+8*time.Second)
+		}
+		sim.requireWithinLimit(t)
+	})
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -45,6 +45,32 @@
 	return t
 }
 
+// counts returns the attempts of each second in the window.
+func (w *Window) counts(now time.Duration) []Count {
+	oldest := secondOf(now) - windowSeconds
+	var counts []Count
+	for _, b := range w.buckets {
+		if b.second > oldest && b.requests+b.retries > 0 {
+			end := time.Duration(b.second+1) * time.Second
+			counts = append(counts, Count{Age: max(now-end, 0), Requests: b.requests, Retries: b.retries})
+		}
+	}
+	return counts
+}
+
+// add adds the counts of another instance, whose seconds begin at other times.
+// An attempt is counted for up to a second longer than there, never shorter.
+func (w *Window) add(counts []Count, now time.Duration) {
+	for _, c := range counts {
+		if c.Age < 0 || c.Age >= window {
+			continue
+		}
+		b := w.bucketAt(now - c.Age)
+		b.requests += c.Requests
+		b.retries += c.Retries
+	}
+}
+
 // secondOf returns the number of a second, which is negative before the clock's
 // origin.
 func secondOf(t time.Duration) int64 { return int64(math.Floor(t.Seconds())) }
