placement: a server that was slow is tried again

The slowness in that cost changed with new measurements only: a server that had been slow got no request and so no new measurement.

The slowness now decays towards 1 (time constant 3 s).

--- a/placement/costs.go
+++ b/placement/costs.go
@@ -106,6 +106,9 @@
 	coldSlowness = 2.0
 	// slownessSmoothing is the weight of a new measurement in a server's slowness.
 	slownessSmoothing = 0.25
+	// slownessDecayTime is the time constant of the decay of a server's slowness without
+	// requests.
+	slownessDecayTime = 3 * time.Second
 	// serviceTimeSmoothing is the weight of a request in the service's mean service
 	// time.
 	serviceTimeSmoothing = 0.05
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -307,7 +307,7 @@
 	if r == health.OK {
 		// The latency of a cold server says nothing about its usual speed.
 		if p.off.Enabled(mechanism.SlowServers) && now >= s.coldUntil {
-			s.updateSlowness(latency, serviceTime)
+			s.updateSlowness(latency, serviceTime, now)
 		}
 		g.serviceTime += time.Duration(serviceTimeSmoothing * float64(serviceTime-g.serviceTime))
 	}
@@ -370,7 +370,7 @@
 	statuses := make([]ServerStatus, 0, len(p.byID))
 	for _, s := range p.byID {
 		statuses = append(statuses, ServerStatus{
-			Server: s.entry, Outstanding: s.currentOutstanding(now), Risk: s.risk(p.off, now), Slowness: s.slowness,
+			Server: s.entry, Outstanding: s.currentOutstanding(now), Risk: s.risk(p.off, now), Slowness: s.currentSlowness(now),
 			Cold: now < s.coldUntil, RateLimited: p.rateLimited(s), Evacuated: p.evacuated[s.entry.DataCentre], BackingOff: p.backoffRemaining(s, now) > 0,
 			LastFailure: s.failureResult, SinceFailure: now - s.failedAt,
 		})
--- a/placement/server.go
+++ b/placement/server.go
@@ -17,9 +17,10 @@
 	// belief is derived from the results of all instances, path from those of this one.
 	belief healthBelief
 	path   path
-	// slowness is its service time relative to the mean of the service.
-	slowness float64
-	addedAt  time.Duration
+	// slowness is its service time relative to the mean of the service, as of slownessAt.
+	slowness   float64
+	slownessAt time.Duration
+	addedAt    time.Duration
 	// coldUntil is the time at which the server can handle its full load.
 	coldUntil time.Duration
 	// lastAnswer is when any instance last received an answer from the server, and
@@ -128,7 +129,7 @@
 // the requests ahead are served, each taking meanServiceTime, and the request's own
 // service time.
 func (s *server) expectedLatency(serviceTime, meanServiceTime time.Duration, out int, now time.Duration) time.Duration {
-	slowness := s.slowness
+	slowness := s.currentSlowness(now)
 	if now < s.coldUntil {
 		slowness = math.Max(slowness, coldSlowness)
 	}
@@ -159,12 +160,19 @@
 	return sum
 }
 
+// currentSlowness returns the slowness, decayed towards that of an average server. Without
+// the decay a server that was slow would receive no requests, and so no new measurement.
+func (s *server) currentSlowness(now time.Duration) float64 {
+	return 1 + (s.slowness-1)*math.Exp(-float64(max(now-s.slownessAt, 0))/float64(slownessDecayTime))
+}
+
 // updateSlowness updates the moving average with the latency of a request relative to
 // its usual service time.
-func (s *server) updateSlowness(latency, serviceTime time.Duration) {
+func (s *server) updateSlowness(latency, serviceTime, now time.Duration) {
 	if latency <= 0 || serviceTime <= 0 {
 		return
 	}
+	s.slowness, s.slownessAt = s.currentSlowness(now), now
 	x := math.Min(float64(latency)/float64(serviceTime), maxSlowness)
 	s.slowness += slownessSmoothing * (x - s.slowness)
 }
