placement: requests keep three quarters of the healthy servers in use

After many servers failed at a time, those that recovered stayed idle for ten seconds: the bonus that attracts a request to an idle server (0.3) is less than its risk for that long.

--- a/placement/costs.go
+++ b/placement/costs.go
@@ -36,6 +36,9 @@
 	// keepInUseBonus attracts requests to servers that are probably healthy, so that
 	// all of them stay in use.
 	keepInUseBonus = 0.3
+	// fewInUseBonus is added to keepInUseBonus while few healthy servers are in use. It
+	// outweighs a risk up to keepInUseRiskLimit.
+	fewInUseBonus = 0.5
 	// probeBonus attracts retryable requests to servers whose last requests failed, but
 	// not to servers that didn't answer at all.
 	probeBonus = 0.8
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -196,16 +196,24 @@
 func (p *Placer) Choose(r Request, now time.Duration, random func() float64) (Choice, bool) {
 	g := p.service(r.Service)
 	spread := p.shouldSpread(g, r.Retryable, now)
-	best, found := Choice{Cost: math.Inf(1)}, false
+	best, visit := Choice{Cost: math.Inf(1)}, Choice{Cost: math.Inf(1)}
+	found := false
 	for _, s := range g.servers {
 		if p.exclusion(g, s, r, now) != NotExcluded {
 			continue
 		}
-		c := s.evaluate(p.off, g, r, now, spread, random)
+		c, reason := s.evaluate(p.off, g, r, now, spread, random)
 		c.Cost += costJitter * random()
 		if c.Cost < best.Cost {
 			best, found = c, true
 		}
+		if reason == keepInUse && c.Cost-fewInUseBonus < visit.Cost {
+			visit = c
+			visit.Cost -= fewInUseBonus
+		}
+	}
+	if visit.Cost < best.Cost && p.fewInUse(g, now) {
+		return visit, true
 	}
 	return best, found
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -49,8 +49,9 @@
 	at time.Duration
 }
 
-// evaluate returns the choice of this server of g for a request, with its cost.
-func (s *server) evaluate(off mechanism.Disabled, g *service, r Request, now time.Duration, spread bool, random func() float64) Choice {
+// evaluate returns the choice of this server of g for a request, with its cost, and the
+// reason for the exploration bonus in it.
+func (s *server) evaluate(off mechanism.Disabled, g *service, r Request, now time.Duration, spread bool, random func() float64) (Choice, exploration) {
 	out := s.currentOutstanding(now)
 	risk := s.risk(off, now)
 	expected := s.expectedLatency(r.ServiceTime, g.serviceTime, out, now)
@@ -63,10 +64,11 @@
 	if s.entry.DataCentre != r.DataCentre && off.Enabled(mechanism.LocalPreference) {
 		cost += math.Min(crossDCCost+crossDCCostPerKB*r.SizeKB, maxCrossDCCost)
 	}
+	reason := noExploration
 	if len(r.TriedServers) == 0 {
-		cost -= s.explorationBonus(off, g, r, now, out, risk, spread, random)
+		reason = s.explorationReason(off, g, r, now, out, risk, spread, random)
 	}
-	return Choice{Server: s.entry, ExpectedLatency: expected, Outstanding: out, Risk: risk, Cost: cost}
+	return Choice{Server: s.entry, ExpectedLatency: expected, Outstanding: out, Risk: risk, Cost: cost - explorationBonus[reason]}, reason
 }
 
 // latencyCost returns the cost of the expected latency for a request that doesn't fail.
@@ -79,24 +81,43 @@
 	return cost
 }
 
-// explorationBonus returns the reduction of the cost for a server that received no
-// requests for a while, whatever else it costs. Requests that have already failed once
-// aren't used for exploration.
-func (s *server) explorationBonus(off mechanism.Disabled, g *service, r Request, now time.Duration, out int, risk float64, spread bool, random func() float64) float64 {
+// exploration is the reason for which a server that received no requests for a while
+// becomes cheaper.
+type exploration int
+
+const (
+	noExploration exploration = iota
+	spreadLoad
+	tryUnused
+	keepInUse
+	probe
+)
+
+// explorationBonus is the reduction of the cost.
+var explorationBonus = [...]float64{
+	spreadLoad: spreadBonus,
+	tryUnused:  unusedServerBonus,
+	keepInUse:  keepInUseBonus,
+	probe:      probeBonus,
+}
+
+// explorationReason returns whether the request is to explore the server, and why.
+// Requests that have already failed once aren't used for exploration.
+func (s *server) explorationReason(off mechanism.Disabled, g *service, r Request, now time.Duration, out int, risk float64, spread bool, random func() float64) exploration {
 	if !off.Enabled(mechanism.RandomTiming) {
 		random = func() float64 { return 0 }
 	}
 	switch {
 	case spread && now-s.lastFailure > spreadFailureHoldoff && isDue(now-s.lastUse-idleAfter, random):
-		return spreadBonus
+		return spreadLoad
 	case off.Enabled(mechanism.UnusedServers) && !s.used && out == 0 && isDue(now-s.addedAt-unusedServerDelay, random):
-		return unusedServerBonus
+		return tryUnused
 	case off.Enabled(mechanism.KeepInUse) && s.used && risk < g.maxKeepInUseRisk(r) && isDue(now-s.lastUse-keepInUsePause(risk), random):
-		return keepInUseBonus
+		return keepInUse
 	case off.Enabled(mechanism.Probe) && r.Retryable && r.RetryBudgetAmple && !s.unresponsive && isDue(now-s.lastUse-probeAfter, random):
-		return probeBonus
+		return probe
 	default:
-		return 0
+		return noExploration
 	}
 }
 
