At the first start of the fleet its whole slack of retries is allowed

A fleet that starts for the first time, with firstStart in its settings, can't have used any of the slack of retries; with the budget of a restarted process its first callers would get no retry.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -248,7 +248,7 @@
 		serverList:     discovery.NewList(),
 		placer:         placement.NewWithout(s.Trial.Disabled()),
 		usage:          newUsageCounters(),
-		budgets:        newRetryBudgets(),
+		budgets:        newRetryBudgets(s.FirstStart, e.startedAt),
 		routes:         make(map[string]*routeStats),
 		ownOutstanding: make(map[uint32]uint16),
 		limiter:        warmup.NewLimiter(self),
--- a/edge/retry_budget.go
+++ b/edge/retry_budget.go
@@ -20,9 +20,14 @@
 	methodRetries = "Snapshots.Retries"
 )
 
-// newRetryBudgets returns the retry budgets of an instance that has just started.
-func newRetryBudgets() *retry.FleetBudgets {
-	return retry.NewFleetBudgets(retryAfterShort, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+// newRetryBudgets returns the retry budgets of an instance that starts now. If it is the
+// first start of the whole fleet, there were no attempts before.
+func newRetryBudgets(firstStart bool, now time.Duration) *retry.FleetBudgets {
+	b := retry.NewFleetBudgets(retryAfterShort, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	if firstStart {
+		b.AssumeNoneBefore(now)
+	}
+	return b
 }
 
 // countAttempt counts an attempt at a server against the budget of its service.
--- a/retry/fleet_budgets.go
+++ b/retry/fleet_budgets.go
@@ -33,6 +33,9 @@
 // on, from 0 to 1.
 func (f *FleetBudgets) SetCoverage(share float64, now time.Duration) { f.coverage.Set(share, now) }
 
+// AssumeNoneBefore records that the fleet had no attempts before now.
+func (f *FleetBudgets) AssumeNoneBefore(now time.Duration) { f.coverage.Set(1, now-window) }
+
 // Coverage returns the coverage of the counts.
 func (f *FleetBudgets) Coverage(now time.Duration) Coverage { return f.coverage.Coverage(now) }
 
