--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -228,7 +228,9 @@
 	state.HadFreeSlot = !a.choice.MustQueue()
 	allowance := e.retryAllowance(c.service)
 	a.allowance = &allowance
-	return retry.Decide(e.now(), state, e.retryBudget(c.service))
+	d := retry.Decide(e.now(), state, e.retryBudget(c.service))
+	e.countRetry(c.service, d)
+	return d
 }
 
 func (e *Edge) mayHedge(c *call, number int, mayHaveRun bool) bool {
@@ -238,7 +240,9 @@
 		return false
 	}
 	a := e.retryState(c, health.Late, number, 1, mayHaveRun)
-	return retry.DecideHedge(e.now(), a, e.retryBudget(c.service)).Action == retry.Hedge
+	d := retry.DecideHedge(e.now(), a, e.retryBudget(c.service))
+	e.countRetry(c.service, d)
+	return d.Action == retry.Hedge
 }
 
 func (e *Edge) retryState(c *call, result health.Result, number, running int, mayHaveRun bool) retry.Attempt {
--- a/edge/publish.go
+++ b/edge/publish.go
@@ -14,7 +14,9 @@
 	defer e.mu.Unlock()
 	report := e.addOutstanding(a, 1)
 	report.Number = uint8(a.number)
-	e.state.budgets.Service(c.service).Count(a.number > 1, e.now())
+	if a.number == 1 {
+		e.state.budgets.Service(c.service).Count(false, e.now())
+	}
 	m := evidence.Message{Attempts: []evidence.Attempt{report}}
 	if c.workspace != nil {
 		h := workspaceHash(c.workspace.Name)
--- a/edge/retry_budget.go
+++ b/edge/retry_budget.go
@@ -37,6 +37,14 @@
 	}
 }
 
+// countRetry counts the retry or hedge that was decided, before it is sent: decisions
+// made at the same moment must not all use the same remaining budget.
+func (e *Edge) countRetry(service string, d retry.Decision) {
+	if d.Action == retry.Retry || d.Action == retry.Hedge {
+		e.state.budgets.Service(service).Count(true, e.now())
+	}
+}
+
 // retryBound returns this instance's share of the platform's bound on retries.
 func (e *Edge) retryBound(now time.Duration) retry.Limit {
 	b := e.settings.Bounds
