--- a/edge/retry_budget.go
+++ b/edge/retry_budget.go
@@ -12,8 +12,8 @@
 
 const (
 	// minHistoryInterval and maxHistoryInterval bound the time between two calls
-	// for the retry counts of other instances, which doubles as long as the own
-	// counts remain incomplete.
+	// for the retry counts of other instances. It doubles while the counts of this
+	// instance remain incomplete.
 	minHistoryInterval = 250 * time.Millisecond
 	maxHistoryInterval = 4 * time.Second
 
@@ -117,6 +117,7 @@
 	return older[rand.IntN(len(older))], true
 }
 
+// fetchRetryHistory replaces the retry counts by those of a peer if these cover more.
 func (e *Edge) fetchRetryHistory(ctx context.Context, peer uint32) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -14,7 +14,8 @@
 // between data centres. Servers that answered recently carry the least risk. Servers
 // that are probably healthy receive a request now and then even if others are cheaper,
 // which keeps the information about them current: they take over without a trial when
-// another server starts to fail, and each failing period costs few requests.
+// another server starts to fail, and each failing period costs few requests. While too few
+// of the healthy servers are expected to be in use, doubtful ones receive requests too.
 //
 // Servers in evacuated data centres and those that asked this instance to back off
 // receive no requests, cold servers and those that announce a rate limit no more than
--- a/retry/coverage.go
+++ b/retry/coverage.go
@@ -22,7 +22,7 @@
 
 // slackShare returns the share of the slack that this instance may use.
 //
-// Instances that this one didn't hear, or that ran before it, may have used
+// Instances that were unreachable for this one, or that ran before it, may have used
 // limitShare of the slack. As long as the window includes such a time, only the
 // rest may be used, in proportion to the time since.
 func (c Coverage) slackShare() float64 {
@@ -30,6 +30,13 @@
 	return limitShare*c.Lowest + (1-limitShare)*regained
 }
 
+// completeShare allows for single instances that stop.
+const completeShare = 0.9
+
+// Incomplete reports whether the counts lack attempts of instances that are reachable
+// now, so that another instance may have counted more.
+func (c Coverage) Incomplete() bool { return c.Lowest < c.Current*completeShare }
+
 // CoverageHistory records the coverage over time. The zero value is that of an
 // instance that hasn't counted any attempt.
 type CoverageHistory struct {
@@ -55,13 +62,6 @@
 	h.dropBefore(now - window)
 }
 
-// Incomplete reports whether instances that are heard now were not heard for a part of
-// the window, so that another instance may have counted more.
-func (c Coverage) Incomplete() bool { return c.Lowest < c.Current*completeShare }
-
-// completeShare allows for single instances that stop.
-const completeShare = 0.9
-
 // dropBefore drops the steps that ended before start.
 func (h *CoverageHistory) dropBefore(start time.Duration) {
 	ended := 0
@@ -93,13 +93,14 @@
 	return c
 }
 
-// CoveragePeriod is a time with constant coverage, until the next period begins.
+// CoveragePeriod is a period of constant coverage. It ends when the next one begins.
 type CoveragePeriod struct {
 	// Age is the time since the period began.
 	Age   time.Duration
 	Share float64
 }
 
+// periods returns the history with ages instead of times, for another instance.
 func (h *CoverageHistory) periods(now time.Duration) []CoveragePeriod {
 	var periods []CoveragePeriod
 	for _, step := range h.steps {
