--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -340,3 +340,26 @@
 	}
 	must.Eq(t, usage.Limit{}, tol.Loosen(usage.Limit{}))
 }
+
+// All instances are killed again and again within one window, and each time run again
+// after a moment. Guards against the initial tokens of every new process adding up.
+func TestManyRestartsWithinAWindowStayWithinTolerance(t *testing.T) {
+	const interval, downTime = 700 * time.Millisecond, 200 * time.Millisecond
+	tolerance := usage.Tolerance{Overshoot: overshoot, Slack: slack, Window: window}
+	for _, rate := range []float64{10, 36, 90, 187} {
+		l := usage.StrictLimit(rate, rate)
+		loose := tolerance.Loosen(l)
+		f := newFleet(36, loose, 9)
+		f.run(9*time.Second, 10*time.Second, 10*rate)
+		for at := 10 * time.Second; at < 16*time.Second; at += interval {
+			admitted := f.admitted
+			f = newFleet(36, usage.Limit{}, uint64(at))
+			for _, c := range f.counters {
+				c.SetLimit(workspace, loose, at+downTime)
+			}
+			f.admitted = admitted
+			f.run(at+downTime, at+interval, 10*rate)
+		}
+		must.LessEq(t, tolerated(l), float64(f.maxAdmitted(window)), must.Sprint(rate))
+	}
+}
