--- a/edge/status_test.go
+++ b/edge/status_test.go
@@ -56,7 +56,7 @@
 }
 
 // A service's retries and idle servers are found in the status and the metrics of any
-// instance. Without them nobody can tell a used-up retry budget from a failing server.
+// instance, so that a used-up retry budget and a failing server can be distinguished.
 func TestFiguresOfAServiceAreExported(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
--- a/retry/coverage.go
+++ b/retry/coverage.go
@@ -12,7 +12,7 @@
 // included, from 0 to 1.
 type Coverage struct {
 	Current float64
-	// Lowest and Mean are taken over the window of the limit. The time before the
+	// Lowest and Mean are those over the window of the limit. The time before the
 	// instance began to count has a coverage of 0.
 	Lowest, Mean float64
 }
--- a/retry/fleet_simulation_test.go
+++ b/retry/fleet_simulation_test.go
@@ -40,7 +40,7 @@
 	fleetLoad
 	rng       *rand.Rand
 	instances []*simulatedInstance
-	// separated reports whether two instances don't hear each other.
+	// separated reports whether two instances can't reach each other.
 	separated func(a, b int) bool
 	reports   []attemptReport
 	requests  []time.Duration
@@ -112,7 +112,7 @@
 	}
 }
 
-// updateCoverage sets the share of the fleet that each instance hears.
+// updateCoverage sets the share of the fleet that each instance reaches.
 func (sim *fleetSimulation) updateCoverage(now time.Duration) {
 	for i, instance := range sim.instances {
 		if instance.budgets == nil {
@@ -267,8 +267,8 @@
 	})
 }
 
-// Two halves of the fleet don't hear each other for a while. Guards against counts
-// that lack the retries of the other half when they hear each other again.
+// Two halves of the fleet are partitioned from each other for a while. Guards against
+// counts that lack the retries of the other half when the partition ends.
 func TestRetriesStayWithinTheLimitAfterAPartition(t *testing.T) {
 	forEachLoad(t, func(t *testing.T, l fleetLoad, seed uint64) {
 		sim := newFleetSimulation(l, seed)
