Misdirected attempts and each instance's own retries in logs and metrics

A 421 was logged as "not run", like any other rejection of a server, so that attempts at an address that another service has now couldn't be told from load (hypothesis a). It is a result of its own, treated as before. Metric service_attempts_total{service,attempt}: whether an instance has counted the retries of the others (hypothesis c) is the difference of its service_window_retries from the sum of these. No decision changes.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -284,7 +284,7 @@
 	}
 	switch {
 	case a.Status == http.StatusMisdirectedRequest:
-		return health.NotRun
+		return health.Misdirected
 	case platform.NotExecuted(a.Status, a.Header) && a.Status == http.StatusServiceUnavailable:
 		return health.Shed
 	case platform.NotExecuted(a.Status, a.Header):
@@ -338,7 +338,7 @@
 	}
 	if a.allowance != nil {
 		attrs = append(attrs, slog.Int("window_requests", a.allowance.Requests), slog.Int("window_retries", a.allowance.Retries),
-			slog.Float64("retries_allowed", round3(a.allowance.Allowed)))
+			slog.Float64("retries_allowed", round3(a.allowance.Allowed)), slog.Float64("coverage", round3(a.allowance.Coverage)))
 	}
 	if platform.ServerLeaving(a.answer.Header) {
 		attrs = append(attrs, slog.Bool("leaving", true))
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -20,6 +20,7 @@
 	requests          *prometheus.CounterVec
 	durations         *prometheus.HistogramVec
 	attempts          *prometheus.CounterVec
+	serviceAttempts   *prometheus.CounterVec
 	forwarded         *prometheus.CounterVec
 	datagrams         prometheus.Counter
 	datagramsReceived prometheus.Counter
@@ -40,6 +41,10 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "attempts_total", Help: "Attempts at backend servers by result.",
 		}, []string{"result"}),
+		serviceAttempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "service_attempts_total",
+			Help: "Attempts that this instance began, by service; \"first\" of a request or \"retry\".",
+		}, []string{"service", "attempt"}),
 		forwarded: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "forwarded_total", Help: "Requests of this instance that others were asked to forward, by outcome.",
 		}, []string{"outcome"}),
@@ -58,7 +63,7 @@
 		Help:    "Age of the proof that the configuration is the newest, when a request is handled.",
 		Buckets: []float64{0.25, 0.5, 0.75, 1, 1.25, 1.5, 1.75, 2, 2.5, 3, 4, 5},
 	})
-	m.registry.MustRegister(m.requests, m.durations, m.attempts, m.forwarded, m.datagrams, m.datagramsReceived, m.stalls, m.configAges)
+	m.registry.MustRegister(m.requests, m.durations, m.attempts, m.serviceAttempts, m.forwarded, m.datagrams, m.datagramsReceived, m.stalls, m.configAges)
 	m.gauge("rounds_total", "Rounds sent to listeners and other relays.", e.locked(func() float64 {
 		return float64(e.state.messenger.Hub().Rounds())
 	}))
--- a/edge/publish.go
+++ b/edge/publish.go
@@ -16,6 +16,9 @@
 	report.Number = uint8(a.number)
 	if a.number == 1 {
 		e.state.budgets.Service(c.service).Count(false, e.now())
+		e.metrics.serviceAttempts.WithLabelValues(c.service, "first").Inc()
+	} else {
+		e.metrics.serviceAttempts.WithLabelValues(c.service, "retry").Inc()
 	}
 	m := evidence.Message{Attempts: []evidence.Attempt{report}}
 	if c.workspace != nil {
--- a/health/result.go
+++ b/health/result.go
@@ -39,11 +39,14 @@
 	// Late means that the attempt is still in flight after Latency, longer than
 	// nearly all others of its service. It isn't the end of the attempt.
 	Late
+	// Misdirected is a refusal by another server, which has the address now: the
+	// request didn't run, and the server that it was meant for is no longer there.
+	Misdirected
 )
 
 var resultNames = [...]string{
 	"ok", "server error", "timeout", "incomplete", "mismatch",
-	"connect failed", "shed", "not run", "cancelled", "late",
+	"connect failed", "shed", "not run", "cancelled", "late", "misdirected",
 }
 
 // String returns the name used in logs and decision records.
@@ -56,7 +59,7 @@
 
 // ProvedNotRun reports whether the request provably didn't run.
 func (r Result) ProvedNotRun() bool {
-	return r == ConnectFailed || r == Shed || r == NotRun
+	return r == ConnectFailed || r == Shed || r == NotRun || r == Misdirected
 }
 
 // Failed reports whether the result counts as a failure of the server.
--- a/placement/exclusions.go
+++ b/placement/exclusions.go
@@ -193,7 +193,7 @@
 	switch r {
 	case health.ConnectFailed:
 		s.unreachable = s.unreachable || now-s.lastAnswer > unreachableAfter
-	case health.OK, health.ServerError, health.Incomplete, health.Mismatch, health.Shed, health.NotRun:
+	case health.OK, health.ServerError, health.Incomplete, health.Mismatch, health.Shed, health.NotRun, health.Misdirected:
 		if s.unreachable {
 			s.extendWarmUp(now + warmUp)
 		}
--- a/placement/failure_signals.go
+++ b/placement/failure_signals.go
@@ -75,7 +75,7 @@
 		return slowDisconnect
 	case health.Timeout, health.Late:
 		return noAnswer
-	case health.OK, health.ConnectFailed, health.Shed, health.NotRun, health.Cancelled:
+	case health.OK, health.ConnectFailed, health.Shed, health.NotRun, health.Misdirected, health.Cancelled:
 	}
 	return noSignal
 }
--- a/placement/results.go
+++ b/placement/results.go
@@ -44,7 +44,7 @@
 	case health.Late, health.Timeout:
 		s.belief.update(t, l.likelihoods(signal))
 		s.recordNoAnswer(own, t)
-	case health.Shed, health.NotRun, health.Cancelled:
+	case health.Shed, health.NotRun, health.Misdirected, health.Cancelled:
 		// A rejection is a sign of load, which the outstanding requests already show.
 	}
 }
@@ -67,7 +67,7 @@
 		s.unresponsive = true
 	case health.ConnectFailed:
 		s.unresponsive = s.unresponsive || own
-	case health.OK, health.ServerError, health.Incomplete, health.Mismatch, health.Shed, health.NotRun:
+	case health.OK, health.ServerError, health.Incomplete, health.Mismatch, health.Shed, health.NotRun, health.Misdirected:
 		s.unresponsive = false
 	case health.Cancelled:
 	}
--- a/retry/fleet_budget.go
+++ b/retry/fleet_budget.go
@@ -73,11 +73,13 @@
 	Requests, Retries int
 	// Allowed is the number of retries that this instance would allow there.
 	Allowed float64
+	// Coverage is the share of the fleet whose attempts are counted now.
+	Coverage float64
 }
 
 // Allowance returns the state of the budget.
 func (f *FleetBudget) Allowance(l Limit, now time.Duration) Allowance {
 	ratio, slack := l.usable()
 	requests, retries := f.window.totals(now)
-	return Allowance{Requests: requests, Retries: retries, Allowed: ratio*float64(requests) + slack}
+	return Allowance{Requests: requests, Retries: retries, Allowed: ratio*float64(requests) + slack, Coverage: l.Coverage.Current}
 }
