--- a/edge/fixture_test.go
+++ b/edge/fixture_test.go
@@ -214,12 +214,24 @@
 // seconds.
 func (f *fleet) writeColdEntry(b *backend, state string, coldS float64) {
 	b.writes++
-	v, err := json.Marshal(map[string]any{
+	f.writeServer(b.id, map[string]any{
 		"service": "s", "address": strings.TrimPrefix(b.server.URL, "http://"), "zone": b.zone, "version": "v1",
 		"slots": 4, "state": state, "warmup_left_s": coldS, "seq": b.writes, "born": b.startTimeMS,
 	})
+}
+
+func (f *fleet) writeServer(id string, entry map[string]any) {
+	v, err := json.Marshal(entry)
 	must.NoError(f.t, err)
-	f.store.Put("servers", b.id, v)
+	f.store.Put("servers", id, v)
+}
+
+// entry writes the entry of a server that this fixture doesn't run.
+func (f *fleet) entry(id, service, address string, startTimeMS int64) {
+	f.writeServer(id, map[string]any{
+		"service": service, "address": address, "zone": "dc", "version": "v1", "slots": 4, "state": "ready", "warmup_left_s": 0,
+		"seq": 1, "born": startTimeMS,
+	})
 }
 
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/retry/fleet_simulation_test.go
+++ b/retry/fleet_simulation_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -18,6 +19,11 @@
 	limitWindow = 10 * time.Second
 	reportDelay = 15 * time.Millisecond
 	downTime    = 500 * time.Millisecond
+	// tickInterval is the time between two checks for silent instances, which are also the
+	// heartbeats.
+	tickInterval = 200 * time.Millisecond
+	// silenceTimeout is the silence after which an instance is considered dead.
+	silenceTimeout = 1300 * time.Millisecond
 	// adoptionDelay is the time from the start of an instance, or from a failed try, until it
 	// adopts a history.
 	adoptionDelay = 300 * time.Millisecond
@@ -46,6 +52,7 @@
 	requests  []time.Duration
 	retries   []time.Duration
 	denied    int
+	ticked    time.Duration
 }
 
 type simulatedInstance struct {
@@ -54,6 +61,8 @@
 	startsAt time.Duration
 	// adoptAt is when it adopts the history of another one.
 	adoptAt time.Duration
+	// heard is when it last received a message of each other instance.
+	heard map[int]time.Duration
 }
 
 type attemptReport struct {
@@ -65,9 +74,9 @@
 func newFleetSimulation(l fleetLoad, seed uint64) *fleetSimulation {
 	sim := &fleetSimulation{fleetLoad: l, rng: rand.New(rand.NewPCG(seed, 3)), separated: func(int, int) bool { return false }}
 	for range l.instances {
-		sim.instances = append(sim.instances, &simulatedInstance{budgets: sim.newBudgets()})
+		sim.instances = append(sim.instances, &simulatedInstance{budgets: sim.newBudgets(), heard: make(map[int]time.Duration)})
 	}
-	sim.updateCoverage(0)
+	sim.tick(0)
 	return sim
 }
 
@@ -83,7 +92,6 @@
 		sim.instances[i].budgets = nil
 		sim.instances[i].startsAt = now + downTime
 	}
-	sim.updateCoverage(now)
 }
 
 func (sim *fleetSimulation) killAll(now time.Duration) {
@@ -99,7 +107,8 @@
 			continue
 		}
 		instance.budgets, instance.adoptAt = sim.newBudgets(), now+adoptionDelay
-		sim.updateCoverage(now)
+		instance.heard = make(map[int]time.Duration)
+		sim.tick(now)
 	}
 	for i, instance := range sim.instances {
 		if !sim.adopts || instance.budgets == nil || now < instance.adoptAt || !instance.budgets.Coverage(now).Incomplete() {
@@ -112,19 +121,24 @@
 	}
 }
 
-// updateCoverage sets the share of the fleet that each instance reaches.
-func (sim *fleetSimulation) updateCoverage(now time.Duration) {
+// tick sends a heartbeat of each instance to those that it reaches, and sets the coverage of
+// each by the instances that it has heard lately.
+func (sim *fleetSimulation) tick(now time.Duration) {
+	sim.ticked = now
 	for i, instance := range sim.instances {
 		if instance.budgets == nil {
 			continue
 		}
-		heard := 0
+		alive := 1
 		for j := range sim.instances {
-			if sim.running(j) && !sim.separated(i, j) {
-				heard++
+			if j != i && sim.running(j) && !sim.separated(i, j) {
+				instance.heard[j] = now
+			}
+			if at, heard := instance.heard[j]; heard && now-at <= silenceTimeout {
+				alive++
 			}
 		}
-		instance.budgets.SetCoverage(float64(heard)/float64(len(sim.instances)), now)
+		instance.budgets.SetCoverage(float64(alive)/float64(len(sim.instances)), now)
 	}
 }
 
@@ -157,6 +171,9 @@
 // run sends requests; the retries of a request follow it at once.
 func (sim *fleetSimulation) run(from, to time.Duration) {
 	for now := from; now < to; now += time.Duration(sim.rng.ExpFloat64() / sim.requestRate * float64(time.Second)) {
+		if now-sim.ticked >= tickInterval {
+			sim.tick(now)
+		}
 		sim.startDue(now)
 		sim.deliver(now)
 		i := sim.rng.IntN(len(sim.instances))
@@ -236,7 +253,7 @@
 	forEachLoad(t, func(t *testing.T, l fleetLoad, seed uint64) {
 		sim := newFleetSimulation(l, seed)
 		for _, c := range sim.instances {
-			c.budgets.SetCoverage(1, -time.Minute)
+			c.budgets.AssumeNoneBefore(0)
 		}
 		sim.run(time.Second, 5*time.Second)
 		sim.killAll(5 * time.Second)
@@ -274,13 +291,47 @@
 		sim := newFleetSimulation(l, seed)
 		sim.run(0, 20*time.Second)
 		for at := 20 * time.Second; at < 60*time.Second; at += 8 * time.Second {
-			sim.separated = func(a, b int) bool { return (a < 18) != (b < 18) }
-			sim.updateCoverage(at)
+			sim.separated = separatedHalves
 			sim.run(at, at+4*time.Second)
 			sim.separated = func(int, int) bool { return false }
-			sim.updateCoverage(at + 4*time.Second)
 			sim.run(at+4*time.Second, at+8*time.Second)
 		}
 		sim.requireWithinLimit(t)
 	})
 }
+
+func separatedHalves(a, b int) bool { return (a < 18) != (b < 18) }
+
+func separatedAll(a, b int) bool { return a != b }
+
+// Instances are partitioned again and again, for less or hardly more than the time after
+// which they notice it. Guards against reports that are lost for good, and against silence
+// that is taken for no retries.
+func TestRetriesStayWithinTheLimitDuringShortPartitions(t *testing.T) {
+	for name, separated := range map[string]func(a, b int) bool{"all": separatedAll, "halves": separatedHalves} {
+		for _, p := range []struct{ length, interval time.Duration }{
+			{700 * time.Millisecond, 1200 * time.Millisecond},
+			{1200 * time.Millisecond, 2 * time.Second},
+			{1200 * time.Millisecond, 2600 * time.Millisecond},
+			{1200 * time.Millisecond, 10 * time.Second},
+			{3 * time.Second, 6 * time.Second},
+		} {
+			t.Run(fmt.Sprintf("%s %v every %v", name, p.length, p.interval), func(t *testing.T) {
+				forEachLoad(t, func(t *testing.T, l fleetLoad, seed uint64) {
+					sim := newFleetSimulation(l, seed)
+					for _, c := range sim.instances {
+						c.budgets.AssumeNoneBefore(0)
+					}
+					sim.run(0, 10*time.Second)
+					for at := 10 * time.Second; at < 30*time.Second; at += p.interval {
+						sim.separated = separated
+						sim.run(at, at+p.length)
+						sim.separated = func(int, int) bool { return false }
+						sim.run(at+p.length, at+p.interval)
+					}
+					sim.requireWithinLimit(t)
+				})
+			})
+		}
+	}
+}
