placement: no requests to a server whose address another one has

421 now proves that the entry is false: the server gets nothing for 2 s, doubling to 16 s while that goes on, at all instances, since the result of an attempt is published anyway. Any answer that only the server itself can give ends it, and so does a restart or a new address. The instance that sent the request tries again first (reports hold 1.5 times as long). Of two entries with one address only the server that started last gets requests; the older one stays in the list and is used again if the younger one goes. 421 no longer proves that the server is reachable.

Status shows the number of such servers.

--- a/edge/call.go
+++ b/edge/call.go
@@ -235,7 +235,7 @@
 		v.rule, v.retryAfter = RuleServersAtLimit, shareRetryAfter(wait)
 	case placement.Cold:
 		v.rule, v.retryAfter = RuleServersCold, shareRetryAfter(wait)
-	case placement.NotExcluded, placement.DrainingOrTried:
+	case placement.NotExcluded, placement.DrainingOrTried, placement.AddressReused:
 	}
 	return v
 }
--- a/edge/status.go
+++ b/edge/status.go
@@ -83,6 +83,9 @@
 	Limited    int `json:"limited"`
 	Evacuated  int `json:"evacuated"`
 	BackingOff int `json:"backingOff"`
+	// AddressReused counts servers that get no requests, as another server has their
+	// address.
+	AddressReused int `json:"addressReused"`
 	// Outstanding is the number of requests in progress from all instances.
 	Outstanding int `json:"outstanding"`
 	Suspects    int `json:"suspects"`
@@ -188,6 +191,9 @@
 		if v.BackingOff {
 			sum.BackingOff++
 		}
+		if v.AddressReused {
+			sum.AddressReused++
+		}
 		if v.Risk > suspectRisk {
 			sum.Suspects++
 			suspects = append(suspects, suspectStatus(v))
--- a/placement/exclusions.go
+++ b/placement/exclusions.go
@@ -31,6 +31,8 @@
 	NotExcluded Exclusion = iota
 	// DrainingOrTried: the server is draining, or the request was already sent to it.
 	DrainingOrTried
+	// AddressReused: another server has the server's address.
+	AddressReused
 	// RegionNotAllowed: the server is outside of the regions that may handle the request.
 	RegionNotAllowed
 	// Evacuated: the server's data centre is evacuated.
@@ -115,6 +117,8 @@
 	switch {
 	case s.entry.Draining || contains(r.TriedServers, s.entry.ID):
 		return DrainingOrTried
+	case s.addressReused(now):
+		return AddressReused
 	case r.AllowedDataCentres != nil && !r.AllowedDataCentres[s.entry.DataCentre]:
 		return RegionNotAllowed
 	case p.evacuated[s.entry.DataCentre]:
@@ -141,7 +145,7 @@
 		_, wait = p.allowedByRateLimit(s, now)
 	case Cold:
 		_, wait = p.allowedByWarmUp(g, s, now)
-	case NotExcluded, DrainingOrTried, RegionNotAllowed, Evacuated:
+	case NotExcluded, DrainingOrTried, AddressReused, RegionNotAllowed, Evacuated:
 	}
 	return wait
 }
@@ -193,12 +197,12 @@
 	switch r {
 	case health.ConnectFailed:
 		s.unreachable = s.unreachable || now-s.lastAnswer > unreachableAfter
-	case health.OK, health.ServerError, health.Incomplete, health.Mismatch, health.Shed, health.NotRun, health.Misdirected:
+	case health.OK, health.ServerError, health.Incomplete, health.Mismatch, health.Shed, health.NotRun:
 		if s.unreachable {
 			s.extendWarmUp(now + warmUp)
 		}
 		s.unreachable = false
 		s.lastAnswer = now
-	case health.Timeout, health.Late, health.Cancelled:
+	case health.Timeout, health.Late, health.Misdirected, health.Cancelled:
 	}
 }
--- a/placement/misdirected_test.go
+++ b/placement/misdirected_test.go
@@ -74,3 +74,37 @@
 		must.Positive(t, sent["b"])
 	}
 }
+
+// The entry was right after all, or the server is back at its address. Guards against a server that
+// stays unused after a misdirected request.
+func TestServerIsUsedAgainAfterAMisdirectedRequest(t *testing.T) {
+	p := placer("a", "b")
+	use(p, "a", health.Misdirected, time.Second)
+	must.Zero(t, simulateRequests(p, retryable(), time.Second, 2900*time.Millisecond)["a"])
+	must.Positive(t, simulateRequests(p, retryable(), 3*time.Second, 6*time.Second)["a"])
+	use(p, "a", health.Misdirected, 7*time.Second)
+	p.Apply(discovery.Change{Server: server("a"), New: true}, 8*time.Second)
+	must.Positive(t, simulateRequests(p, retryable(), 8*time.Second, 9*time.Second)["a"])
+}
+
+// The younger server leaves, or its entry was false. Guards against an older one that
+// stays unused then.
+func TestServerIsUsedOnceNoYoungerOneHasItsAddress(t *testing.T) {
+	p := placer()
+	old := discovery.Server{ID: "old", Service: "s", Address: "10.0.0.2:80", DataCentre: "dc", Slots: 2, StartTimeMS: 1}
+	young := old
+	young.ID, young.StartTimeMS = "young", 2
+	p.Apply(discovery.Change{Server: old, New: true}, 0)
+	p.Apply(discovery.Change{Server: young, New: true}, 0)
+	must.Zero(t, simulateRequests(p, retryable(), 0, time.Second)["old"])
+	p.Apply(discovery.Change{Server: young, Removed: true}, time.Second)
+	must.Positive(t, simulateRequests(p, retryable(), time.Second, 2*time.Second)["old"])
+}
+
+// Guards against a refusal that names another cause when only false entries are left.
+func TestReusedAddressIsTheReasonOfARefusal(t *testing.T) {
+	p := placer("a")
+	use(p, "a", health.Misdirected, time.Second)
+	reason, _ := p.ExclusionReason(retryable(), 2*time.Second)
+	must.Eq(t, placement.AddressReused, reason)
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -17,8 +17,8 @@
 // another server starts to fail, and each failing period costs few requests. While too few
 // of the healthy servers are expected to be in use, doubtful ones receive requests too.
 //
-// Servers in evacuated data centres and those that asked this instance to back off
-// receive no requests, cold servers and those that announce a rate limit no more than
+// Servers in evacuated data centres, those that asked this instance to back off and those
+// whose address another server has receive no requests, cold servers and those that announce a rate limit no more than
 // their limit, whatever the cost; see Exclusion.
 //
 // Trade-off: the least is known about servers that failed. Retryable requests probe
@@ -87,7 +87,10 @@
 	services map[string]*service
 	byID     map[string]*server
 	byHash   map[uint32]*server
-	off      mechanism.Disabled
+	// byAddress holds the servers whose entries have an address; only the one that started
+	// last can be there.
+	byAddress map[string][]*server
+	off       mechanism.Disabled
 	// instanceLossUntil is the time until which requests are assumed to go unserved
 	// without being reported.
 	instanceLossUntil time.Duration
@@ -130,6 +133,7 @@
 		byID:     make(map[string]*server),
 		byHash:   make(map[uint32]*server),
 
+		byAddress: make(map[string][]*server),
 		evacuated: make(map[string]bool),
 	}
 }
@@ -164,13 +168,14 @@
 		}
 		s.servers = append(s.servers, old)
 	}
-	old.entry = c.Server
+	p.setEntry(old, c.Server)
 	old.extendWarmUp(now + c.Server.WarmUp)
 }
 
 func (p *Placer) remove(s *server) {
 	delete(p.byID, s.entry.ID)
 	delete(p.byHash, s.hash)
+	p.removeAddress(s)
 	if p.warmUpLimiter != nil {
 		p.warmUpLimiter.Forget(s.hash)
 	}
@@ -319,6 +324,8 @@
 	// Cold and RateLimited servers receive requests up to their limit, and Evacuated
 	// and BackingOff ones none.
 	Cold, RateLimited, Evacuated, BackingOff bool
+	// AddressReused servers receive none, as another server has their address.
+	AddressReused bool
 	// LastFailure is the result of the last failed attempt, SinceFailure ago; OK if none
 	// is known.
 	LastFailure  health.Result
@@ -332,6 +339,7 @@
 		statuses = append(statuses, ServerStatus{
 			Server: s.entry, Outstanding: s.currentOutstanding(now), Risk: s.risk(p.off, now), Slowness: s.currentSlowness(now),
 			Cold: now < s.coldUntil, RateLimited: p.rateLimited(s), Evacuated: p.evacuated[s.entry.DataCentre], BackingOff: p.backoffRemaining(s, now) > 0,
+			AddressReused: s.addressReused(now),
 			LastFailure: s.failureResult, SinceFailure: now - s.failedAt,
 		})
 	}
--- a/placement/results.go
+++ b/placement/results.go
@@ -22,6 +22,7 @@
 		s.failureResult, s.failedAt = r, t
 	}
 	s.updateUnresponsive(r, own)
+	s.updateMisdirection(r, own, t)
 	s.recordFollowUp(l, r, t, latency)
 	signal := signalOf(r, latency, serviceTime)
 	if before := s.belief.decayedTo(t).unhealthy(); signal != noSignal && before < maxFollowUpBelief {
@@ -44,8 +45,21 @@
 	case health.Late, health.Timeout:
 		s.belief.update(t, l.likelihoods(signal))
 		s.recordNoAnswer(own, t)
-	case health.Shed, health.NotRun, health.Misdirected, health.Cancelled:
+	case health.Shed, health.NotRun, health.Cancelled:
 		// A rejection is a sign of load, which the outstanding requests already show.
+	case health.Misdirected:
+	}
+}
+
+// updateMisdirection records whether the server is at the address of its entry. Results that
+// any server at the address could give show nothing.
+func (s *server) updateMisdirection(r health.Result, own bool, t time.Duration) {
+	switch r {
+	case health.Misdirected:
+		s.misdirection.record(own, t)
+	case health.OK, health.ServerError, health.Shed, health.NotRun:
+		s.misdirection = misdirection{}
+	case health.Timeout, health.Incomplete, health.Mismatch, health.ConnectFailed, health.Cancelled, health.Late:
 	}
 }
 
@@ -67,8 +81,8 @@
 		s.unresponsive = true
 	case health.ConnectFailed:
 		s.unresponsive = s.unresponsive || own
-	case health.OK, health.ServerError, health.Incomplete, health.Mismatch, health.Shed, health.NotRun, health.Misdirected:
+	case health.OK, health.ServerError, health.Incomplete, health.Mismatch, health.Shed, health.NotRun:
 		s.unresponsive = false
-	case health.Cancelled:
+	case health.Cancelled, health.Misdirected:
 	}
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -27,6 +27,9 @@
 	// unreachable means that one failed to connect well after that.
 	lastAnswer  time.Duration
 	unreachable bool
+	// superseded means that a server that started later has the address.
+	superseded   bool
+	misdirection misdirection
 	// pending is the signal whose follow-up attempt is awaited.
 	pending     pendingSignal
 	lastUse     time.Duration
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -51,6 +51,6 @@
 
 // unlimited reports whether this instance may send any number of requests to a server.
 func (p *Placer) unlimited(g *service, s *server, now time.Duration) bool {
-	return !s.entry.Draining && !p.evacuated[s.entry.DataCentre] && p.backoffRemaining(s, now) <= 0 &&
+	return !s.entry.Draining && !s.addressReused(now) && !p.evacuated[s.entry.DataCentre] && p.backoffRemaining(s, now) <= 0 &&
 		!g.warmUp.limitsServer(s, now) && !p.rateLimited(s)
 }
