retry: adopted counts keep their age

Counts that an instance adopts from another one were dated to the end of their second, so that each adoption made them up to a second younger. They are dated to the middle of the second now; the error doesn't add up.

Failed before: go test ./retry -run KeepTheirAge (100 requests counted 13 s later, 0 now).

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -340,7 +340,7 @@
 			Server: s.entry, Outstanding: s.currentOutstanding(now), Risk: s.risk(p.off, now), Slowness: s.currentSlowness(now),
 			Cold: now < s.coldUntil, RateLimited: p.rateLimited(s), Evacuated: p.evacuated[s.entry.DataCentre], BackingOff: p.backoffRemaining(s, now) > 0,
 			AddressReused: s.addressReused(now),
-			LastFailure: s.failureResult, SinceFailure: now - s.failedAt,
+			LastFailure:   s.failureResult, SinceFailure: now - s.failedAt,
 		})
 	}
 	return statuses
--- a/retry/fleet_budgets.go
+++ b/retry/fleet_budgets.go
@@ -50,7 +50,7 @@
 
 // Count is the number of attempts in one second.
 type Count struct {
-	// Age is the time since the end of that second, 0 for the current one.
+	// Age is the time since the middle of that second, 0 if that is to come.
 	Age               time.Duration
 	Requests, Retries int
 }
--- a/retry/window.go
+++ b/retry/window.go
@@ -51,15 +51,15 @@
 	var counts []Count
 	for _, b := range w.buckets {
 		if b.second > oldest && b.requests+b.retries > 0 {
-			end := time.Duration(b.second+1) * time.Second
-			counts = append(counts, Count{Age: max(now-end, 0), Requests: b.requests, Retries: b.retries})
+			middle := time.Duration(b.second)*time.Second + time.Second/2
+			counts = append(counts, Count{Age: max(now-middle, 0), Requests: b.requests, Retries: b.retries})
 		}
 	}
 	return counts
 }
 
-// add adds the counts of another instance, whose seconds begin at other times.
-// An attempt is counted for up to a second longer than there, never shorter.
+// add adds the counts of another instance, whose seconds begin at other times. An attempt is
+// counted for up to half a second longer or shorter than there.
 func (w *Window) add(counts []Count, now time.Duration) {
 	for _, c := range counts {
 		if c.Age < 0 || c.Age >= window {
