Instances report totals of their retries instead of single attempts

A message about an attempt that is lost was never made up for: during a partition the counts of both sides miss the retries of the other, for good, also if it is too short to be noticed. Attempts at servers that the receiver didn't know weren't counted either. Now each message about the start of an attempt has the totals of its service since the sender's start, and heartbeats and announcements those of all services used within the window, so that the next report makes up for lost ones. Services are given by the hash of their name. Counts adopted from another instance come with the reports that they include, so that the next ones continue there.

Messages stay below the size that a test bounds (64 bytes): totals are modulo 65536.

TestRetriesStayBelowTheLimit and TestWindowDropsOldCounts check the same figures through other functions, as Window.Remaining is gone.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -248,7 +248,7 @@
 		serverList:     discovery.NewList(),
 		placer:         placement.NewWithout(s.Trial.Disabled()),
 		usage:          newUsageCounters(),
-		budgets:        newRetryBudgets(s.FirstStart, e.startedAt),
+		budgets:        newRetryBudgets(retry.Run{Instance: self, Epoch: e.epoch}, s.FirstStart, e.startedAt),
 		routes:         make(map[string]*routeStats),
 		ownOutstanding: make(map[uint32]uint16),
 		limiter:        warmup.NewLimiter(self),
@@ -261,7 +261,7 @@
 	e.state.placer.SetBackoffs(e.state.backoffs)
 	e.state.messenger = fleet.NewMessenger(fleet.Settings{
 		Self: e.selfMember(), Epoch: e.epoch, Seeds: e.seedIDs(), Leaving: func() bool { return !e.readyLocked() }, Stopping: e.stopping.Load,
-		Partitioned: e.state.reach.Partitioned,
+		Partitioned: e.state.reach.Partitioned, ServiceAttempts: e.recentServiceAttempts,
 	})
 	if err := e.listen(); err != nil {
 		return nil, err
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -185,6 +185,7 @@
 			Instance: m.Source, Epoch: m.Epoch, Workspace: u.Workspace, Count: u.Count, ReceivedSinceStart: m.From.AliveSinceStart,
 		}, now)
 	}
+	e.applyServiceAttempts(m, now)
 	for _, a := range m.Attempts {
 		e.applyAttempt(m.Source, a, m.Latest, now)
 	}
@@ -204,9 +205,6 @@
 	if latest {
 		s.placer.SetOutstanding(a.Server, from, int(a.Outstanding), now)
 	}
-	if a.Number > 0 {
-		s.countAttempt(a.Server, a.Number, now)
-	}
 	if a.Ended || a.Result == health.Late {
 		s.placer.RecordResult(a.Server, a.Result, false, milliseconds(a.LatencyMS), milliseconds(a.TypicalLatencyMS), now)
 	}
--- a/edge/publish.go
+++ b/edge/publish.go
@@ -13,14 +13,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	report := e.addOutstanding(a, 1)
-	report.Number = uint8(a.number)
 	if a.number == 1 {
-		e.state.budgets.Service(c.service).Count(false, e.now())
+		e.state.budgets.Service(placement.Hash(c.service)).Count(false, e.now())
 		e.metrics.serviceAttempts.WithLabelValues(c.service, "first").Inc()
 	} else {
 		e.metrics.serviceAttempts.WithLabelValues(c.service, "retry").Inc()
 	}
-	m := evidence.Message{Attempts: []evidence.Attempt{report}}
+	m := evidence.Message{Attempts: []evidence.Attempt{report}, ServiceAttempts: e.serviceAttempts(c.service)}
 	if c.workspace != nil {
 		h := workspaceHash(c.workspace.Name)
 		m.Usage = []evidence.Usage{{Workspace: h, Count: e.state.usage.AdmittedTotal(h)}}
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -50,6 +50,10 @@
 	// Attempts: it was refused without an attempt, found no server for another one,
 	// or timed out.
 	Unserved []uint32
+	// ServiceAttempts holds what the source has sent to some services: in messages about the
+	// start of an attempt that of its service, in announcements and heartbeats that of all
+	// recently used.
+	ServiceAttempts []ServiceAttempts
 }
 
 // Member describes an instance that the source considers alive.
@@ -75,8 +79,6 @@
 	// in progress.
 	Ended  bool
 	Result health.Result
-	// Number of the attempt within its request; set when the attempt starts.
-	Number uint8
 	// LatencyMS is the time until the result, TypicalLatencyMS the usual time
 	// for this kind of request.
 	LatencyMS        uint16
@@ -88,6 +90,16 @@
 	LimitMilli *uint32
 }
 
+// ServiceAttempts are the attempts that the source has begun since its start at the servers
+// of a service, modulo 65536: the first ones of requests, and retries.
+type ServiceAttempts struct {
+	_ struct{} `cbor:",toarray"`
+	// Service is the hash of the service name.
+	Service  uint32
+	Requests uint16
+	Retries  uint16
+}
+
 // RequestOutcome is the outcome of a request for its caller.
 type RequestOutcome uint8
 
--- a/evidence/evidence_test.go
+++ b/evidence/evidence_test.go
@@ -20,7 +20,8 @@
 			Table: evidence.Servers, Since: 1, Version: 2, StoreClockUS: 3,
 			Packed: []byte("rows"), More: true,
 		}},
-		Unserved: []uint32{5},
+		Unserved:        []uint32{5},
+		ServiceAttempts: []evidence.ServiceAttempts{{Service: 6, Requests: 7, Retries: 8}},
 	}
 }
 
@@ -53,8 +54,10 @@
 func TestMessageOfAnAttemptIsSmall(t *testing.T) {
 	m := evidence.Message{
 		Source: 0x0a000001, Epoch: 1800000000, Sequence: 100000,
-		Attempts: []evidence.Attempt{{Server: 0xdeadbeef, Outstanding: 3, Number: 1}},
+		Attempts: []evidence.Attempt{{Server: 0xdeadbeef, Outstanding: 3}},
 		Usage:    []evidence.Usage{{Workspace: 0xdeadbeef, Count: 100000}},
+
+		ServiceAttempts: []evidence.ServiceAttempts{{Service: 0xdeadbeef, Requests: 65535, Retries: 65535}},
 	}
 	must.Less(t, 64, len(encode(t, m)))
 }
--- a/fleet/messenger.go
+++ b/fleet/messenger.go
@@ -44,6 +44,9 @@
 	Leaving, Stopping func() bool
 	// Partitioned reports whether this instance fails to connect to any backend server.
 	Partitioned func() bool
+	// ServiceAttempts returns the totals of the services that this instance used recently,
+	// for announcements and heartbeats.
+	ServiceAttempts func() []evidence.ServiceAttempts
 }
 
 // Messenger is the messaging endpoint of one instance: it tracks which
@@ -126,7 +129,9 @@
 // Announce broadcasts the description of this instance.
 func (m *Messenger) Announce(urgent bool, now time.Duration) ([]relay.Datagram, error) {
 	m.lastAnnounce = now
-	return m.Publish(m.announcement(), urgent, now)
+	msg := m.announcement()
+	msg.ServiceAttempts = m.ServiceAttempts()
+	return m.Publish(msg, urgent, now)
 }
 
 func (m *Messenger) announcement() evidence.Message {
@@ -147,7 +152,7 @@
 	case announce:
 		out, err = m.Announce(false, now)
 	case now-m.lastPublish >= HeartbeatInterval-TickInterval/2:
-		out, err = m.Publish(evidence.Message{}, false, now)
+		out, err = m.Publish(evidence.Message{ServiceAttempts: m.ServiceAttempts()}, false, now)
 	}
 	if err != nil {
 		return silenced, out, err
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -140,6 +140,8 @@
 		Leaving:     func() bool { return w.now < started+readyDelay },
 		Stopping:    func() bool { return false },
 		Partitioned: func() bool { return false },
+
+		ServiceAttempts: func() []evidence.ServiceAttempts { return nil },
 	})
 	w.tick(n, n.generation)
 	w.publishRandomly(n, n.generation)
@@ -240,8 +242,10 @@
 
 func (w *simulation) publish(n *node, urgent bool) messageID {
 	out, err := n.m.Publish(evidence.Message{
-		Attempts: []evidence.Attempt{{Server: w.rng.Uint32(), Outstanding: 1, Number: 1, LatencyMS: 300, TypicalLatencyMS: 300}},
+		Attempts: []evidence.Attempt{{Server: w.rng.Uint32(), Outstanding: 1, LatencyMS: 300, TypicalLatencyMS: 300}},
 		Usage:    []evidence.Usage{{Workspace: w.rng.Uint32(), Count: 70000}},
+
+		ServiceAttempts: []evidence.ServiceAttempts{{Service: 0xdeadbeef, Requests: 60000, Retries: 6000}},
 	}, urgent, w.now)
 	must.NoError(w.t, err)
 	id := messageID{n.id, n.epoch, n.m.Sequence()}
--- a/retry/fleet_budget.go
+++ b/retry/fleet_budget.go
@@ -10,6 +10,9 @@
 type FleetBudget struct {
 	budget *Budget
 	window Window
+	// sent holds the totals of this instance, which last changed at sentAt.
+	sent   Totals
+	sentAt time.Duration
 }
 
 // Limit bounds the retries to a service across all instances.
@@ -48,23 +51,30 @@
 	return &FleetBudget{budget: NewBudget(s, rng)}
 }
 
-// Count records an attempt of any instance: the first one of a request, or a
-// retry.
-func (f *FleetBudget) Count(retry bool, now time.Duration) { f.window.Count(retry, now) }
+// Count records an attempt of this instance: the first one of a request, or a retry.
+func (f *FleetBudget) Count(retry bool, now time.Duration) {
+	f.window.Count(retry, now)
+	f.sentAt = now
+	if retry {
+		f.sent.Retries++
+	} else {
+		f.sent.Requests++
+	}
+}
 
 // Budget returns the budget, with the number of retries that the limit still
 // allows.
 func (f *FleetBudget) Budget(l Limit, now time.Duration) *Budget {
-	ratio, slack := l.usable()
-	f.budget.SetTokens(f.window.Remaining(ratio, slack, now))
+	a := f.Allowance(l, now)
+	f.budget.SetTokens(a.Allowed - float64(a.Retries))
 	return f.budget
 }
 
 // MayProbe reports whether requests may be used to probe whether servers have
 // recovered.
 func (f *FleetBudget) MayProbe(l Limit, now time.Duration) bool {
-	ratio, slack := l.usable()
-	return f.window.UsedShare(ratio, slack, now) < probeShare
+	a := f.Allowance(l, now)
+	return float64(a.Retries) < probeShare*a.Allowed
 }
 
 // Allowance is the state of a retry budget.
--- a/retry/fleet_budgets.go
+++ b/retry/fleet_budgets.go
@@ -5,26 +5,33 @@
 	"time"
 )
 
-// FleetBudgets holds the retry budgets of all services, as seen by one instance.
+// FleetBudgets holds the retry budgets of all services, as seen by one instance. Services
+// are given by the hash of their names.
 type FleetBudgets struct {
-	services   map[string]*FleetBudget
+	self     Run
+	services map[uint32]*FleetBudget
+	// reported holds what the other instances have reported.
+	reported   map[uint32]*reportedRun
 	coverage   CoverageHistory
 	retryAfter time.Duration
 	rng        *rand.Rand
 }
 
-// NewFleetBudgets returns budgets without requests. The parameter retryAfter is
-// the shortest Retry-After time sent to callers.
-func NewFleetBudgets(retryAfter time.Duration, rng *rand.Rand) *FleetBudgets {
-	return &FleetBudgets{services: make(map[string]*FleetBudget), retryAfter: retryAfter, rng: rng}
+// NewFleetBudgets returns the budgets of the given run, without requests. The parameter
+// retryAfter is the shortest Retry-After time sent to callers.
+func NewFleetBudgets(self Run, retryAfter time.Duration, rng *rand.Rand) *FleetBudgets {
+	self.SinceStart = true
+	return &FleetBudgets{
+		self: self, services: make(map[uint32]*FleetBudget), reported: make(map[uint32]*reportedRun), retryAfter: retryAfter, rng: rng,
+	}
 }
 
 // Service returns the budget of a service.
-func (f *FleetBudgets) Service(name string) *FleetBudget {
-	b, ok := f.services[name]
+func (f *FleetBudgets) Service(id uint32) *FleetBudget {
+	b, ok := f.services[id]
 	if !ok {
 		b = NewFleetBudget(f.retryAfter, f.rng)
-		f.services[name] = b
+		f.services[id] = b
 	}
 	return b
 }
@@ -44,8 +51,9 @@
 type History struct {
 	// Coverage holds the periods from the oldest to the newest.
 	Coverage []CoveragePeriod
-	// Services maps the name of each service to its counts.
-	Services map[string][]Count
+	Services map[uint32][]Count
+	// Runs holds the reports that the counts include.
+	Runs []ReportedRun
 }
 
 // Count is the number of attempts in one second.
@@ -58,10 +66,10 @@
 // History returns what this instance has counted.
 func (f *FleetBudgets) History(now time.Duration) History {
 	f.coverage.dropBefore(now - window)
-	h := History{Coverage: f.coverage.periods(now), Services: make(map[string][]Count)}
-	for name, b := range f.services {
+	h := History{Coverage: f.coverage.periods(now), Services: make(map[uint32][]Count), Runs: f.reportedRuns(now)}
+	for id, b := range f.services {
 		if counts := b.window.counts(now); len(counts) > 0 {
-			h.Services[name] = counts
+			h.Services[id] = counts
 		}
 	}
 	return h
@@ -82,8 +90,9 @@
 	for _, b := range f.services {
 		b.window = Window{}
 	}
-	for name, counts := range h.Services {
-		f.Service(name).window.add(counts, now)
+	for id, counts := range h.Services {
+		f.Service(id).window.add(counts, now)
 	}
+	f.adoptRuns(h.Runs, now)
 	return true
 }
--- a/retry/fleet_simulation_test.go
+++ b/retry/fleet_simulation_test.go
@@ -24,6 +24,11 @@
 	tickInterval = 200 * time.Millisecond
 	// silenceTimeout is the silence after which an instance is considered dead.
 	silenceTimeout = 1300 * time.Millisecond
+	// overdueAfter is the silence after which a message of an instance is overdue.
+	overdueAfter = 600 * time.Millisecond
+	// heartbeatInterval is the time after which an instance reports without an attempt.
+	heartbeatInterval = 300 * time.Millisecond
+	service           = 1
 	// adoptionDelay is the time from the start of an instance, or from a failed try, until it
 	// adopts a history.
 	adoptionDelay = 300 * time.Millisecond
@@ -38,6 +43,8 @@
 	requestRate float64
 	// adopts means that an instance that starts adopts the history of another one.
 	adopts bool
+	// failsLate means that the servers fail from the first disruption on, not before.
+	failsLate bool
 }
 
 // fleetSimulation counts the requests and retries of a fleet whose instances
@@ -53,12 +60,16 @@
 	retries   []time.Duration
 	denied    int
 	ticked    time.Duration
+	// failedShare is the share of the attempts that fail.
+	failedShare float64
 }
 
 type simulatedInstance struct {
 	budgets *retry.FleetBudgets
-	// startsAt is when an instance that was killed runs again.
-	startsAt time.Duration
+	// startsAt is when an instance that was killed runs again, startedAt when it did.
+	startsAt, startedAt time.Duration
+	run                 retry.Run
+	reportedAt          time.Duration
 	// adoptAt is when it adopts the history of another one.
 	adoptAt time.Duration
 	// heard is when it last received a message of each other instance.
@@ -68,20 +79,26 @@
 type attemptReport struct {
 	at       time.Duration
 	from, to int
-	retry    bool
+	run      retry.Run
+	totals   []retry.ServiceTotals
 }
 
 func newFleetSimulation(l fleetLoad, seed uint64) *fleetSimulation {
-	sim := &fleetSimulation{fleetLoad: l, rng: rand.New(rand.NewPCG(seed, 3)), separated: func(int, int) bool { return false }}
-	for range l.instances {
-		sim.instances = append(sim.instances, &simulatedInstance{budgets: sim.newBudgets(), heard: make(map[int]time.Duration)})
+	sim := &fleetSimulation{fleetLoad: l, rng: rand.New(rand.NewPCG(seed, 3)), separated: func(int, int) bool { return false }, failedShare: failedShare}
+	for i := range l.instances {
+		sim.instances = append(sim.instances, &simulatedInstance{run: retry.Run{Instance: uint32(i + 1)}})
+		sim.start(i, 0)
 	}
 	sim.tick(0)
 	return sim
 }
 
-func (sim *fleetSimulation) newBudgets() *retry.FleetBudgets {
-	return retry.NewFleetBudgets(time.Second, sim.rng)
+func (sim *fleetSimulation) start(i int, now time.Duration) {
+	instance := sim.instances[i]
+	instance.run.Epoch++
+	instance.budgets = retry.NewFleetBudgets(instance.run, time.Second, sim.rng)
+	instance.startedAt, instance.adoptAt = now, now+adoptionDelay
+	instance.heard = make(map[int]time.Duration)
 }
 
 func (sim *fleetSimulation) running(i int) bool { return sim.instances[i].budgets != nil }
@@ -102,13 +119,11 @@
 
 // startDue starts the instances that are due and lets new ones adopt a history.
 func (sim *fleetSimulation) startDue(now time.Duration) {
-	for _, instance := range sim.instances {
-		if instance.budgets != nil || now < instance.startsAt {
-			continue
+	for i, instance := range sim.instances {
+		if instance.budgets == nil && now >= instance.startsAt {
+			sim.start(i, now)
+			sim.tick(now)
 		}
-		instance.budgets, instance.adoptAt = sim.newBudgets(), now+adoptionDelay
-		instance.heard = make(map[int]time.Duration)
-		sim.tick(now)
 	}
 	for i, instance := range sim.instances {
 		if !sim.adopts || instance.budgets == nil || now < instance.adoptAt || !instance.budgets.Coverage(now).Incomplete() {
@@ -121,8 +136,8 @@
 	}
 }
 
-// tick sends a heartbeat of each instance to those that it reaches, and sets the coverage of
-// each by the instances that it has heard lately.
+// tick sends a heartbeat of each instance that has sent nothing else, and sets its coverage
+// by the instances that it has heard lately.
 func (sim *fleetSimulation) tick(now time.Duration) {
 	sim.ticked = now
 	for i, instance := range sim.instances {
@@ -131,24 +146,31 @@
 		}
 		alive := 1
 		for j := range sim.instances {
-			if j != i && sim.running(j) && !sim.separated(i, j) {
-				instance.heard[j] = now
-			}
 			if at, heard := instance.heard[j]; heard && now-at <= silenceTimeout {
 				alive++
 			}
 		}
 		instance.budgets.SetCoverage(float64(alive)/float64(len(sim.instances)), now)
+		if now-instance.reportedAt >= heartbeatInterval {
+			sim.report(i, instance.budgets.RecentTotals(1, now), now)
+		}
 	}
 }
 
+// retryLimit returns the limit as an instance uses it.
+func (sim *fleetSimulation) retryLimit(i int, now time.Duration) retry.Limit {
+	return retry.Limit{Ratio: fleetRatio, Slack: fleetSlack, Coverage: sim.instances[i].budgets.Coverage(now)}
+}
+
 func (sim *fleetSimulation) deliver(now time.Duration) {
 	sim.reports = slices.DeleteFunc(sim.reports, func(r attemptReport) bool {
 		if r.at > now {
 			return false
 		}
 		if sim.running(r.to) && !sim.separated(r.from, r.to) {
-			sim.instances[r.to].budgets.Service("s").Count(r.retry, r.at)
+			sim.instances[r.to].heard[r.from] = r.at
+			r.run.SinceStart = r.at-sim.instances[r.from].startedAt < overdueAfter
+			sim.instances[r.to].budgets.ApplyReport(r.run, r.totals, r.at)
 		}
 		return true
 	})
@@ -160,10 +182,17 @@
 	} else {
 		sim.requests = append(sim.requests, now)
 	}
-	sim.instances[from].budgets.Service("s").Count(isRetry, now)
+	budgets := sim.instances[from].budgets
+	budgets.Service(service).Count(isRetry, now)
+	sim.report(from, []retry.ServiceTotals{budgets.SentTotals(service)}, now)
+}
+
+// report sends a report to all other instances.
+func (sim *fleetSimulation) report(from int, totals []retry.ServiceTotals, now time.Duration) {
+	sim.instances[from].reportedAt = now
 	for to := range sim.instances {
 		if to != from {
-			sim.reports = append(sim.reports, attemptReport{now + reportDelay, from, to, isRetry})
+			sim.reports = append(sim.reports, attemptReport{now + reportDelay, from, to, sim.instances[from].run, totals})
 		}
 	}
 }
@@ -181,12 +210,11 @@
 			continue
 		}
 		sim.count(i, false, now)
-		for attempts := 1; sim.rng.Float64() < failedShare; attempts++ {
+		for attempts := 1; sim.rng.Float64() < sim.failedShare; attempts++ {
 			b := sim.instances[i].budgets
-			limit := retry.Limit{Ratio: fleetRatio, Slack: fleetSlack, Coverage: b.Coverage(now)}
 			d := retry.Decide(now, retry.Attempt{
 				Result: health.ServerError, Idempotent: true, AttemptCount: attempts, Deadline: now + time.Second, Untried: maxAttempts - attempts, UntriedHasSlot: true,
-			}, b.Service("s").Budget(limit, now))
+			}, b.Service(service).Budget(sim.retryLimit(i, now), now))
 			if d.Action != retry.Retry {
 				if d.Reason == retry.ReasonBudget {
 					sim.denied++
@@ -204,17 +232,30 @@
 	return j - i
 }
 
+// worstShare returns the largest share of the limit that was used in any window.
+func (sim *fleetSimulation) worstShare() (worst float64) {
+	for _, from := range sim.retries {
+		worst = max(worst, float64(within(sim.retries, from, from+limitWindow))/sim.limit(from))
+	}
+	return worst
+}
+
+// limit returns the limit on retries in the window that begins at the given time.
+func (sim *fleetSimulation) limit(from time.Duration) float64 {
+	requests := 0
+	for _, start := range []time.Duration{from, from - limitWindow/2, from - limitWindow} {
+		requests = max(requests, within(sim.requests, start, start+limitWindow))
+	}
+	return fleetRatio*float64(requests) + fleetSlack
+}
+
 // requireWithinLimit requires that the retries of any window are within the limit for its
 // requests, or for those of the window before it or half a window before it.
 func (sim *fleetSimulation) requireWithinLimit(t *testing.T) {
 	t.Helper()
 	for _, from := range sim.retries {
-		requests := 0
-		for _, start := range []time.Duration{from, from - limitWindow/2, from - limitWindow} {
-			requests = max(requests, within(sim.requests, start, start+limitWindow))
-		}
-		must.LessEq(t, fleetRatio*float64(requests)+fleetSlack, float64(within(sim.retries, from, from+limitWindow)),
-			must.Sprintf("%+v: from %v, for %d requests", sim.fleetLoad, from, requests))
+		must.LessEq(t, sim.limit(from), float64(within(sim.retries, from, from+limitWindow)),
+			must.Sprintf("%+v: from %v", sim.fleetLoad, from))
 	}
 }
 
@@ -229,6 +270,16 @@
 	}
 }
 
+// forEachLoadAndOnset is forEachLoad with failures before and from the first disruption.
+func forEachLoadAndOnset(t *testing.T, run func(t *testing.T, l fleetLoad, seed uint64)) {
+	t.Helper()
+	forEachLoad(t, func(t *testing.T, l fleetLoad, seed uint64) {
+		run(t, l, seed)
+		l.failsLate = true
+		run(t, l, seed)
+	})
+}
+
 // All instances are killed every few seconds while most requests fail. Guards
 // against retry counts that are lost with the processes, so that each start allows
 // the whole slack again.
@@ -317,12 +368,16 @@
 			{3 * time.Second, 6 * time.Second},
 		} {
 			t.Run(fmt.Sprintf("%s %v every %v", name, p.length, p.interval), func(t *testing.T) {
-				forEachLoad(t, func(t *testing.T, l fleetLoad, seed uint64) {
+				forEachLoadAndOnset(t, func(t *testing.T, l fleetLoad, seed uint64) {
 					sim := newFleetSimulation(l, seed)
 					for _, c := range sim.instances {
 						c.budgets.AssumeNoneBefore(0)
 					}
+					if l.failsLate {
+						sim.failedShare = 0.01
+					}
 					sim.run(0, 10*time.Second)
+					sim.failedShare = failedShare
 					for at := 10 * time.Second; at < 30*time.Second; at += p.interval {
 						sim.separated = separated
 						sim.run(at, at+p.length)
--- a/retry/window.go
+++ b/retry/window.go
@@ -75,23 +75,6 @@
 // origin.
 func secondOf(t time.Duration) int64 { return int64(math.Floor(t.Seconds())) }
 
-// Remaining returns how many retries are still allowed by a limit of ratio times
-// the requests, plus slack. It is negative if the limit is exceeded.
-func (w *Window) Remaining(ratio, slack float64, now time.Duration) float64 {
-	requests, retries := w.totals(now)
-	return ratio*float64(requests) + slack - float64(retries)
-}
-
-// UsedShare returns the share of the limit that is used up.
-func (w *Window) UsedShare(ratio, slack float64, now time.Duration) float64 {
-	requests, retries := w.totals(now)
-	allowed := ratio*float64(requests) + slack
-	if allowed <= 0 {
-		return 1
-	}
-	return float64(retries) / allowed
-}
-
 func (w *Window) totals(now time.Duration) (requests, retries int) {
 	oldest := secondOf(now) - windowSeconds
 	for _, t := range w.buckets {
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -13,16 +13,15 @@
 // reported yet.
 func TestRetriesStayBelowTheLimit(t *testing.T) {
 	const ratio, slack = 0.14, 150.0
-	var w Window
-	b := NewBudget(DefaultSettings(), nil)
+	f := NewFleetBudget(time.Second, nil)
+	limit := Limit{Ratio: ratio / limitShare, Slack: slack / limitShare, Coverage: FullCoverage()}
 	var retries []time.Duration
 	requests := 0
 	for now := time.Duration(0); now < 30*time.Second; now += 2 * time.Millisecond {
-		w.Count(false, now)
+		f.Count(false, now)
 		requests++
-		b.SetTokens(w.Remaining(ratio, slack, now))
-		if b.take() {
-			w.Count(true, now)
+		if f.Budget(limit, now).take() {
+			f.Count(true, now)
 			retries = append(retries, now)
 		}
 	}
@@ -42,6 +41,8 @@
 	for range 10 {
 		w.Count(true, time.Second)
 	}
-	must.Eq(t, -5, w.Remaining(1, 5, 5*time.Second))
-	must.Eq(t, 5, w.Remaining(1, 5, 20*time.Second))
+	_, retries := w.totals(5 * time.Second)
+	must.Eq(t, 10, retries)
+	_, retries = w.totals(20 * time.Second)
+	must.Zero(t, retries)
 }
