retry: less is allowed while other instances are overdue

An instance noticed a partition after 1.3 s and took the silence of the others for no retries until then, so that each of 36 used what was left for all of them.

Instances that haven't been heard for 0.6 s (they send at least each 0.5 s) no longer count as covered, and for the time since the last message of each a retry is assumed for every request that it may have got.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,6 +28,9 @@
 	// an instance from the addresses given to callers well within the two
 	// seconds for which they cache them.
 	silenceTimeout = 1300 * time.Millisecond
+	// overdueAfter is the silence after which an instance that is up should have been heard:
+	// the longest time between two heartbeats, which are sent at ticks, and their way.
+	overdueAfter = HeartbeatInterval + TickInterval
 	// maxStartupSequence is the highest sequence number of an instance that has
 	// only just started: it sends some five messages before callers arrive.
 	maxStartupSequence = 20
@@ -158,6 +161,31 @@
 	return float64(alive) / float64(all)
 }
 
+// Contact describes how recently the other instances were heard.
+type Contact struct {
+	// HeardShare is the share of instances that aren't overdue, this one included.
+	HeardShare float64
+	// MeanSilence is the mean time since the last message of each instance that is alive, 0
+	// for this one.
+	MeanSilence time.Duration
+}
+
+// Contact returns how recently the other instances were heard.
+func (f *Fleet) Contact(now time.Duration) Contact {
+	heard, alive, sum := 1, 1, time.Duration(0)
+	for _, m := range f.instances {
+		if !m.Alive {
+			continue
+		}
+		alive++
+		sum += now - m.LastHeard
+		if now-m.LastHeard <= overdueAfter {
+			heard++
+		}
+	}
+	return Contact{HeardShare: float64(heard) / float64(len(f.instances)+1), MeanSilence: sum / time.Duration(alive)}
+}
+
 // AliveSinceStartShare returns the share of instances that have been alive
 // without interruption since their start, this one included. While this
 // instance has just started, these are the instances that started together with
--- a/retry/coverage.go
+++ b/retry/coverage.go
@@ -17,6 +17,13 @@
 	Lowest, Mean float64
 }
 
+// Reachable returns the coverage while only a share of the fleet has been heard lately. It may
+// be lower than the recorded one, as an instance counts as silent only after some time.
+func (c Coverage) Reachable(share float64) Coverage {
+	c.Current = min(c.Current, share)
+	return c
+}
+
 // FullCoverage means that every attempt in the window has been counted.
 func FullCoverage() Coverage { return Coverage{Current: 1, Lowest: 1, Mean: 1} }
 
@@ -26,8 +33,9 @@
 // limitShare of the slack. As long as the window includes such a time, only the
 // rest may be used, in proportion to the time since.
 func (c Coverage) slackShare() float64 {
-	regained := max(min(c.Mean, c.Current)-c.Lowest, 0)
-	return limitShare*c.Lowest + (1-limitShare)*regained
+	lowest := min(c.Lowest, c.Current)
+	regained := max(min(c.Mean, c.Current)-lowest, 0)
+	return limitShare*lowest + (1-limitShare)*regained
 }
 
 // completeShare allows for single instances that stop.
--- a/retry/fleet_budget.go
+++ b/retry/fleet_budget.go
@@ -22,6 +22,8 @@
 	// Coverage of the attempts that this instance counts. The instance uses only
 	// that share of the limit.
 	Coverage Coverage
+	// Silence is the mean time since the last message of each other instance.
+	Silence time.Duration
 }
 
 // usable returns the ratio and the slack that this instance may use.
@@ -33,6 +35,9 @@
 	// limitShare is the share of the limit that is used. The rest covers
 	// retries of other instances that haven't been reported yet.
 	limitShare = 0.7
+	// unseenRetriesPerRequest is the number of retries that are assumed for each request that
+	// the other instances may have received since their last messages.
+	unseenRetriesPerRequest = 1.0
 	// probeShare is the share of the usable limit up to which idempotent
 	// requests may probe whether servers have recovered. The rest is kept for
 	// requests that fail for other reasons.
@@ -81,7 +86,8 @@
 type Allowance struct {
 	// Requests and Retries are counted over the window of the limit.
 	Requests, Retries int
-	// Allowed is the number of retries that this instance would allow there.
+	// Allowed is the number of retries that this instance would allow there, less those
+	// that others may have sent since their last messages.
 	Allowed float64
 	// Coverage is the share of the fleet whose attempts are counted now.
 	Coverage float64
@@ -91,5 +97,6 @@
 func (f *FleetBudget) Allowance(l Limit, now time.Duration) Allowance {
 	ratio, slack := l.usable()
 	requests, retries := f.window.totals(now)
-	return Allowance{Requests: requests, Retries: retries, Allowed: ratio*float64(requests) + slack, Coverage: l.Coverage.Current}
+	unseen := unseenRetriesPerRequest * float64(requests) * float64(l.Silence) / float64(window)
+	return Allowance{Requests: requests, Retries: retries, Allowed: ratio*float64(requests) + slack - unseen, Coverage: l.Coverage.Current}
 }
--- a/retry/fleet_simulation_test.go
+++ b/retry/fleet_simulation_test.go
@@ -159,7 +159,18 @@
 
 // retryLimit returns the limit as an instance uses it.
 func (sim *fleetSimulation) retryLimit(i int, now time.Duration) retry.Limit {
-	return retry.Limit{Ratio: fleetRatio, Slack: fleetSlack, Coverage: sim.instances[i].budgets.Coverage(now)}
+	heard, silence := 1, time.Duration(0)
+	for _, at := range sim.instances[i].heard {
+		silence += min(now-at, silenceTimeout)
+		if now-at <= overdueAfter {
+			heard++
+		}
+	}
+	all := time.Duration(len(sim.instances))
+	return retry.Limit{
+		Ratio: fleetRatio, Slack: fleetSlack, Silence: silence / all,
+		Coverage: sim.instances[i].budgets.Coverage(now).Reachable(float64(heard) / float64(all)),
+	}
 }
 
 func (sim *fleetSimulation) deliver(now time.Duration) {
@@ -368,6 +379,7 @@
 			{3 * time.Second, 6 * time.Second},
 		} {
 			t.Run(fmt.Sprintf("%s %v every %v", name, p.length, p.interval), func(t *testing.T) {
+				t.Parallel()
 				forEachLoadAndOnset(t, func(t *testing.T, l fleetLoad, seed uint64) {
 					sim := newFleetSimulation(l, seed)
 					for _, c := range sim.instances {
