Retries count at the service where they arrive

A retry that another service's server rejects (421) counted only against the service that it was meant for; the limit counts arrivals. Booking-desk's retries at reused addresses and artwork-hall's own each kept their bound and broke artwork-hall's together. Now such a retry counts there, too: at once if the entry of that server is known, otherwise when it arrives within the window.

Failed before (the API is new): go test ./edge -run Stray, go test ./retry -run Stray.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -169,7 +169,9 @@
 	placer     *placement.Placer
 	usage      *usage.Counters
 	budgets    *retry.FleetBudgets
-	routes     map[string]*routeStats
+	// strayRetries holds retries that reached servers of a service not known yet.
+	strayRetries retry.StrayRetries
+	routes       map[string]*routeStats
 
 	messenger *fleet.Messenger
 	// roundTimer fires at roundDue, when messenger has work to do. roundDue is 0 if
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -176,6 +176,8 @@
 	e.state.placer.Apply(c, now)
 	if c.Removed {
 		e.pool.CloseIdle(c.Server.Address)
+	} else {
+		e.countStrayRetriesOf(c.Server, now)
 	}
 	event.ServerChanged.Log(e.log, slog.String("server", c.Server.ID), slog.String("service", c.Server.Service),
 		slog.String("address", c.Server.Address), slog.Bool("draining", c.Server.Draining), slog.Bool("gone", c.Removed),
