usage: tokens of the time since others were last heard are held back

The same class as in the retry budget: between two messages of an instance its silence was taken for no requests. In a partition that isn't noticed yet (1.3 s) each of 36 instances used the whole rate of a workspace. Now the tokens of the mean time since the last message of each other instance aren't used until they are heard; a full bucket isn't smaller.

--- a/edge/call.go
+++ b/edge/call.go
@@ -269,6 +269,7 @@
 	if c.workspace == nil || c.charged {
 		return nil
 	}
+	e.state.usage.Silence = e.contact(now).MeanSilence
 	ok, wait := e.state.usage.Take(workspaceHash(c.workspace.Name), now)
 	if !ok {
 		// Random jitter keeps callers that are refused together from returning
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -174,6 +174,9 @@
 	routes       map[string]*routeStats
 
 	messenger *fleet.Messenger
+	// contact is how recently the other instances were heard, as of contactAt.
+	contact   fleet.Contact
+	contactAt time.Duration
 	// roundTimer fires at roundDue, when messenger has work to do. roundDue is 0 if
 	// the timer is stopped.
 	roundTimer *time.Timer
--- a/edge/members.go
+++ b/edge/members.go
@@ -49,6 +49,18 @@
 	}
 }
 
+// contactInterval is the time for which a computed contact is reused.
+const contactInterval = 10 * time.Millisecond
+
+// contact returns how recently the other instances were heard. The lock must be held.
+func (e *Edge) contact(now time.Duration) fleet.Contact {
+	s := &e.state
+	if s.contactAt == 0 || now-s.contactAt >= contactInterval {
+		s.contact, s.contactAt = s.messenger.Fleet().Contact(now), now
+	}
+	return s.contact
+}
+
 // seedIDs returns the instances named in the settings as seeds.
 func (e *Edge) seedIDs() []uint32 {
 	var ids []uint32
--- a/edge/retry_budget.go
+++ b/edge/retry_budget.go
@@ -74,7 +74,7 @@
 // retryBound returns this instance's share of the platform's bound on retries.
 func (e *Edge) retryBound(now time.Duration) retry.Limit {
 	b := e.settings.Bounds
-	contact := e.state.messenger.Fleet().Contact(now)
+	contact := e.contact(now)
 	return retry.Limit{
 		Ratio: b.RetryRatio, Slack: b.RetrySlack,
 		Coverage: e.state.budgets.Coverage(now).Reachable(contact.HeardShare), Silence: contact.MeanSilence,
--- a/fleet/messenger_test.go
+++ b/fleet/messenger_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -320,6 +321,13 @@
 	}
 }
 
+// The same with seeds that leave some instances knowing too few of the others.
+func TestAllAreKilledWithOtherSeeds(t *testing.T) {
+	for _, seed := range []uint64{5, 6, 9, 18, 23, 28, 31, 34, 35, 42} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { testAllAreKilled(t, seed) })
+	}
+}
+
 func testAllAreKilled(t *testing.T, seed uint64) {
 	t.Helper()
 	w := startedFleet(t, seed, 4, 9, 9, 3)
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -95,6 +95,9 @@
 	limit      Limit
 	tokens     float64
 	refilledAt time.Duration
+	// heldBack is the part of tokens that others may have used, and rateShare the share as of
+	// refilledAt.
+	heldBack, rateShare float64
 	// granted is the fraction of limit.InitialTokens that the bucket has
 	// received since limitedAt.
 	granted   float64
@@ -120,6 +123,9 @@
 	// StartupShare is the same ratio over the instances that started together
 	// with this one. The others know what was admitted before.
 	StartupShare float64
+	// Silence is the mean time since the last message of each other instance that RateShare
+	// includes. The tokens of that time are held back, as others may have used them.
+	Silence time.Duration
 }
 
 // NewCounters returns counters without workspaces.
@@ -173,7 +179,7 @@
 		return true, 0
 	}
 	c.refill(b, now)
-	if b.tokens < 1 {
+	if b.tokens-b.heldBack < 1 {
 		return false, b.timeToToken(c.RateShare)
 	}
 	b.tokens--
@@ -243,7 +249,13 @@
 		return
 	}
 	c.grantInitialTokens(b, now)
-	capacity := math.Max(b.limit.Burst*c.RateShare, 1)
+	heldBack := b.limit.Rate * c.RateShare * c.Silence.Seconds()
+	if c.RateShare < b.rateShare {
+		// What was held back for instances that no longer count doesn't become available.
+		b.tokens -= math.Max(b.heldBack-heldBack, 0)
+	}
+	b.rateShare, b.heldBack = c.RateShare, heldBack
+	capacity := math.Max(b.limit.Burst*c.RateShare, 1) + b.heldBack
 	b.tokens = math.Min(b.tokens+elapsed*b.limit.Rate*c.RateShare, capacity)
 }
 
@@ -260,12 +272,12 @@
 	if rate <= 0 {
 		return time.Second
 	}
-	return time.Duration((1 - b.tokens) / rate * float64(time.Second))
+	return time.Duration((1 + b.heldBack - b.tokens) / rate * float64(time.Second))
 }
 
 // Tokens returns the current content of a workspace's bucket.
 func (c *Counters) Tokens(workspace uint32, now time.Duration) float64 {
 	b := c.bucket(workspace)
 	c.refill(b, now)
-	return b.tokens
+	return b.tokens - b.heldBack
 }
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -24,6 +24,8 @@
 	queue       []delayedReport
 	admitted    []time.Duration
 	refused     int
+	// contact is nil if the instances don't notice whom they hear.
+	contact *contact
 }
 
 type delayedReport struct {
@@ -50,6 +52,9 @@
 // request simulates a request at instance i.
 func (f *fleet) request(i int, now time.Duration) {
 	f.deliver(now)
+	if f.contact != nil {
+		f.contact.update(f, i, now)
+	}
 	ok, _ := f.counters[i].Take(workspace, now)
 	if !ok {
 		f.refused++
@@ -74,6 +79,9 @@
 			rest = append(rest, r)
 			continue
 		}
+		if f.contact != nil {
+			f.contact.heard[r.to][r.from] = r.at
+		}
 		f.counters[r.to].ApplyReport(usage.Report{
 			Instance: uint32(r.from + 1), Epoch: r.epoch, Workspace: workspace, Count: r.count, ReceivedSinceStart: true,
 		}, r.at)
