--- a/retry/retry.go
+++ b/retry/retry.go
@@ -4,6 +4,13 @@
 //
 // A non-idempotent request is sent again only if it provably didn't run. All
 // retries and hedges of a service draw on one budget.
+//
+// FleetBudgets is that budget over all instances. Load pattern: many instances with few
+// requests each share one limit on the retries of a service, while messages between them
+// are lost and instances restart. Each instance counts the attempts of all from the totals
+// that they report, and uses less of the limit for what it can't have counted: the time
+// before its start, instances that are partitioned from it, and the time since the last
+// report of each.
 package retry
 
 import (
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -14,6 +14,9 @@
 // it hears, itself included (RateShare). Two partitioned groups together use at
 // most the whole rate. The share of dead instances is unused until they are
 // removed from the list of instances.
+//
+// A partition is noticed only after some time. The tokens of the time since the
+// others were last heard are therefore held back until they are heard again.
 package usage
 
 import (
