fleet: messages of a former run don't count as new again

A run of an instance is known by its epoch. Every change of the epoch counted as a restart, also the change back by a late message of the former run, and emptied the record of what was received. While messages of two runs were on their way (a quick restart beside slow relays), each counted as new whenever one of the other had arrived: relays forwarded them to each other without end, and attempts and admitted requests in them counted each time.

Now the last runs of an instance are told apart, each with its own record. Messages of a former run are forwarded once and not applied.

--- a/edge/internal_test.go
+++ b/edge/internal_test.go
@@ -58,9 +58,7 @@
 func TestRestartWithinASecondIsDetected(t *testing.T) {
 	var m fleet.Instance
 	for _, sequence := range []uint32{100, 1} {
-		fresh, restarted := m.MarkSeen(newEpoch(), sequence)
-		must.True(t, fresh)
-		must.True(t, restarted)
+		must.Eq(t, fleet.Receipt{New: true, Restarted: true}, m.MarkSeen(newEpoch(), sequence, time.Second))
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -61,37 +61,80 @@
 
 	// lastMessage is when its latest message was received.
 	lastMessage time.Duration
-	epoch       uint32
-	sequence    uint32
+	// runs holds the present run and some former ones, latest first.
+	runs []run
+}
+
+// maxRuns is the number of runs of an instance whose messages are told apart. Messages of a
+// run are on their way for far less than the time of that many restarts.
+const maxRuns = 4
+
+// runTakeover is the time without a message of the present run after which another known
+// run counts as the present one.
+const runTakeover = directSilenceTimeout
+
+// run is what was received of one run of an instance.
+type run struct {
+	epoch, sequence uint32
 	// seenWindow has a bit for each of the last 64 sequence numbers up to
 	// sequence, set if the message was received.
 	seenWindow uint64
+	// advancedAt is when sequence last changed.
+	advancedAt time.Duration
+}
+
+// Receipt classifies a message.
+type Receipt struct {
+	// New means that the message was not received before.
+	New bool
+	// Restarted means that it is the first one of a run.
+	Restarted bool
+	// Former means that it is one of a former run. It is forwarded, but says nothing about the
+	// instance.
+	Former bool
 }
 
-// MarkSeen marks a message as received. It reports whether the message is new,
-// and whether it is the first since a start of the instance. The same message
-// may arrive through two relays, or late.
-func (m *Instance) MarkSeen(epoch, sequence uint32) (isNew, restarted bool) {
-	if epoch != m.epoch {
-		m.epoch, m.sequence, m.seenWindow = epoch, sequence, 1
+// MarkSeen marks a message as received. The same message may arrive through two relays, or
+// late, also after messages of a later run.
+func (m *Instance) MarkSeen(epoch, sequence uint32, now time.Duration) Receipt {
+	i := slices.IndexFunc(m.runs, func(r run) bool { return r.epoch == epoch })
+	if i < 0 {
+		m.runs = slices.Insert(m.runs, 0, run{epoch, sequence, 1, now})
+		m.runs = m.runs[:min(len(m.runs), maxRuns)]
 		m.AliveSinceStart = sequence <= maxStartupSequence
-		return true, true
+		return Receipt{New: true, Restarted: true}
+	}
+	isNew, ahead := m.runs[i].markSeen(sequence, now)
+	if i == 0 {
+		return Receipt{New: isNew}
 	}
-	if ahead := int64(sequence) - int64(m.sequence); ahead > 0 {
-		m.seenWindow = m.seenWindow<<min(ahead, 64) | 1
-		m.sequence = sequence
-		return true, false
+	if !ahead || now-m.runs[0].advancedAt <= runTakeover {
+		return Receipt{New: isNew, Former: true}
 	}
-	behind := m.sequence - sequence
-	if behind >= 64 || m.seenWindow&(1<<behind) != 0 {
+	// The message that made the other run the present one was late.
+	m.runs[0], m.runs[i] = m.runs[i], m.runs[0]
+	return Receipt{New: true, Restarted: true}
+}
+
+// markSeen reports whether the message is new, and whether it is the latest of the run.
+func (r *run) markSeen(sequence uint32, now time.Duration) (isNew, latest bool) {
+	if ahead := int64(sequence) - int64(r.sequence); ahead > 0 {
+		r.seenWindow = r.seenWindow<<min(ahead, 64) | 1
+		r.sequence, r.advancedAt = sequence, now
+		return true, true
+	}
+	behind := r.sequence - sequence
+	if behind >= 64 || r.seenWindow&(1<<behind) != 0 {
 		return false, false
 	}
-	m.seenWindow |= 1 << behind
+	r.seenWindow |= 1 << behind
 	return true, false
 }
 
-// IsLatest reports whether no newer message of the instance has been received.
-func (m *Instance) IsLatest(sequence uint32) bool { return sequence == m.sequence }
+// IsLatest reports whether no newer message of the present run has been received.
+func (m *Instance) IsLatest(sequence uint32) bool {
+	return len(m.runs) > 0 && sequence == m.runs[0].sequence
+}
 
 // Fleet holds all other known instances. It is not safe for concurrent use.
 type Fleet struct {
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -91,10 +91,13 @@
 		m.applyMembers(t, msg.Members, now)
 		return classDirect
 	}
-	isNew, restarted := i.MarkSeen(msg.Epoch, msg.Sequence)
-	if !isNew {
+	receipt := i.MarkSeen(msg.Epoch, msg.Sequence, now)
+	if !receipt.New {
 		return classDuplicate
 	}
+	if receipt.Former {
+		return classNew
+	}
 	latest := i.IsLatest(msg.Sequence)
 	if latest {
 		i.lastMessage = now
@@ -102,7 +105,7 @@
 		m.updateMember(i, i.DataCentre, i.SlowLink, msg.Stopping)
 	}
 	m.applyMembers(t, msg.Members, now)
-	t.Messages = append(t.Messages, ReceivedMessage{Message: *msg, From: i, Restarted: restarted, Latest: latest})
+	t.Messages = append(t.Messages, ReceivedMessage{Message: *msg, From: i, Restarted: receipt.Restarted, Latest: latest})
 	return classNew
 }
 
@@ -118,7 +121,7 @@
 			continue
 		}
 		i := m.fleet.GetOrAdd(r.ID, now)
-		if !i.Alive && (i.epoch == 0 || now-m.lastIsolated < HeartbeatInterval) {
+		if !i.Alive && (len(i.runs) == 0 || now-m.lastIsolated < HeartbeatInterval) {
 			m.markAlive(t, r.ID, now)
 		}
 		if now-i.lastMessage > directSilenceTimeout {
