--- a/retry/short_partitions_test.go
+++ b/retry/short_partitions_test.go
@@ -34,6 +34,7 @@
 		} {
 			t.Run(fmt.Sprintf("%s %v every %v", name, p.length, p.interval), func(t *testing.T) {
 				t.Parallel()
+				worst := 0.0
 				forEachLoadAndOnset(t, func(t *testing.T, l fleetLoad, seed uint64) {
 					sim := newFleetSimulation(l, seed)
 					for _, c := range sim.instances {
@@ -51,7 +52,9 @@
 						sim.run(at+p.length, at+p.interval)
 					}
 					sim.requireWithinLimit(t)
+					worst = max(worst, sim.worstShare())
 				})
+				t.Logf("at most %.2f of the limit", worst)
 			})
 		}
 	}
