--- a/edge/arrivals.go
+++ b/edge/stray_retries.go
@@ -37,7 +37,8 @@
 	return e.serviceAttempts(service)
 }
 
-// countStrayRetriesOf does that for a server whose entry has arrived.
+// countStrayRetriesOf counts the stray retries at the address of a server whose entry has
+// arrived, and publishes the totals.
 func (e *Edge) countStrayRetriesOf(s discovery.Server, now time.Duration) {
 	if totals := e.takeStrayRetries(s.Address, s.Service, now); totals != nil {
 		e.publish(evidence.Message{ServiceAttempts: totals}, false)
