Attempts tell whether their server ended, and which request they were of

Line 532 has the fingerprint of the request (method, host, target, body) and server_ended: after a connection that the server closed, the pool opens another one and keeps it; refused means ended. No decision uses it yet.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -309,7 +309,7 @@
 	}
 	return upstream.Request{
 		Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body,
-		IDHeader: platform.HeaderAttempt, ID: c.id,
+		IDHeader: platform.HeaderAttempt, ID: c.id, DetectEnd: true,
 		NonIdempotent: !c.route.Kind.Repeatable() && e.mechanisms.Enabled(mechanism.FreshConnections),
 	}
 }
@@ -333,6 +333,9 @@
 	if a.answer.Err != nil {
 		attrs = append(attrs, slog.String("error", a.answer.Err.Error()))
 	}
+	if a.result == health.Incomplete || a.result == health.Timeout {
+		attrs = append(attrs, slog.String("fingerprint", c.fingerprint().String()), slog.Bool("server_ended", a.answer.ServerEnded))
+	}
 	if d, named, err := platform.ServerRetryAfter(a.answer.Status, a.answer.Header); named && err == nil {
 		attrs = append(attrs, slog.Int64("retry_after_ms", d.Milliseconds()))
 	}
--- a/edge/call.go
+++ b/edge/call.go
@@ -10,6 +10,7 @@
 	"foxtailspoke/mechanism"
 	"foxtailspoke/placement"
 	"foxtailspoke/platform"
+	"foxtailspoke/quarantine"
 	"foxtailspoke/routing"
 )
 
@@ -73,6 +74,16 @@
 	configAge time.Duration
 	// charged is set once the request was counted against the workspace's rate.
 	charged bool
+	// identity is the fingerprint of the request, 0 until it is needed.
+	identity quarantine.Fingerprint
+}
+
+// fingerprint returns the fingerprint of the request. Edge.mu must be held.
+func (c *call) fingerprint() quarantine.Fingerprint {
+	if c.identity == 0 {
+		c.identity = quarantine.FingerprintOf(c.method, c.host, c.target, c.body)
+	}
+	return c.identity
 }
 
 // refusal is the response to a request that no backend server has served.
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -32,6 +32,8 @@
 	// headerForwardOutcome names the upstream.Outcome of the attempt at the server. The
 	// response is the server's if it was completed.
 	headerForwardOutcome = "Foxtailspoke-Forward-Outcome"
+	// headerForwardServerEnded is set if the server's process ended during the attempt.
+	headerForwardServerEnded = "Foxtailspoke-Forward-Server-Ended"
 )
 
 // maxForwardedHeaderBytes bounds the headers of a forwarded request: those of the caller
@@ -140,6 +142,8 @@
 // forward has another instance send a request to a server.
 func (e *Edge) forward(ctx context.Context, peer uint32, address string, r upstream.Request) upstream.Response {
 	r.Header.Set(headerForwardTo, address)
+	// The peer's end isn't the server's.
+	r.DetectEnd = false
 	resp := e.peerPool.Do(ctx, addrPort(peer, e.forwardingPort).String(), r)
 	if resp.Outcome != upstream.Completed {
 		return resp
@@ -154,7 +158,10 @@
 	}
 	for _, o := range []upstream.Outcome{upstream.NotSent, upstream.TimedOut, upstream.Broken} {
 		if outcome == o.String() {
-			return upstream.Response{Outcome: o, Err: errors.Newf("forwarded by %s: %s", addrPort(peer, 0).Addr(), resp.Body)}
+			return upstream.Response{
+				Outcome: o, Err: errors.Newf("forwarded by %s: %s", addrPort(peer, 0).Addr(), resp.Body),
+				ServerEnded: resp.Header.Get(headerForwardServerEnded) != "",
+			}
 		}
 	}
 	return upstream.Response{Outcome: upstream.Broken, Err: errNoOutcome}
@@ -204,9 +211,12 @@
 		// Whether it may be repeated is the sender's knowledge.
 		NonIdempotent: true,
 		// The sender tries another instance sooner than a connection would time out here.
-		KeptConnectionOnly: !direct, ConnectTimeout: connectTimeout,
+		KeptConnectionOnly: !direct, ConnectTimeout: connectTimeout, DetectEnd: true,
 	})
 	e.applyNotices(server, resp)
+	if resp.ServerEnded {
+		w.Header().Set(headerForwardServerEnded, "1")
+	}
 	if resp.Outcome != upstream.Completed {
 		writeForwardFailure(w, resp.Outcome.String(), resp.Err.Error())
 		return
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -166,7 +166,7 @@
 	}
 	AttemptEnded = Event{
 		532, slog.LevelInfo, "attempt ended",
-		"One attempt at a backend server ended: the expected and the actual result. If a retry was considered, `window_requests` and `window_retries` are the fleet's requests and retries of the service in the last 11 s, as this instance counts them, `retries_allowed` is what it allows for them, and `coverage` the share of the instances whose attempts it counts now. The result `misdirected` means that another server has the address.", "See OPERATIONS.md.",
+		"One attempt at a backend server ended: the expected and the actual result. If a retry was considered, `window_requests` and `window_retries` are the fleet's requests and retries of the service in the last 11 s, as this instance counts them, `retries_allowed` is what it allows for them, and `coverage` the share of the instances whose attempts it counts now. The result `misdirected` means that another server has the address. If the server may have ended, `fingerprint` identifies the request, also when it is sent again, and `server_ended` says whether the server then refused connections.", "See OPERATIONS.md.",
 	}
 	LogLinesDropped = Event{
 		533, slog.LevelWarn, "log lines left out",
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -34,6 +34,9 @@
 	NewConnection bool
 	// KeptConnectionOnly means that no connection is to be opened for the request.
 	KeptConnectionOnly bool
+	// DetectEnd means to find out whether the server's process has ended if its connection
+	// ends without a response.
+	DetectEnd bool
 }
 
 // Outcome tells how an attempt ended.
@@ -68,6 +71,9 @@
 	Err error
 	// Reused reports that the request was sent on a kept connection.
 	Reused bool
+	// ServerEnded reports that the server's process ended before the response was complete;
+	// see Request.DetectEnd.
+	ServerEnded bool
 }
 
 const (
@@ -102,6 +108,9 @@
 	if resp.Outcome != Completed {
 		_ = c.Close()
 		resp.Outcome = failureOutcome(ctx, <-written, w, resp)
+		if r.DetectEnd && resp.Outcome == Broken && closedByServer(resp.Err) {
+			resp.ServerEnded = p.refusesConnections(ctx, address)
+		}
 		return resp
 	}
 	select {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -157,11 +157,16 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial backend server")
 	}
+	return p.newConn(nc), nil
+}
+
+// newConn returns a connection that has just been opened.
+func (p *Pool) newConn(nc net.Conn) *conn {
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
 	setTCPUserTimeout(nc)
-	return &conn{Conn: nc, reader: bufio.NewReader(nc)}, nil
+	return &conn{Conn: nc, reader: bufio.NewReader(nc)}
 }
 
 // setTCPUserTimeout makes the kernel end a connection whose peer acknowledges
