quarantine: requests under which servers end are withheld

Callers saw a service go down as one of them repeated one request: each send ended up to two servers, whichever instance it went to (20 servers of 20).

Cause: a bound on a request that was kept for each send only, by each instance alone. Class: state that is shared by the fleet and must outlive one process.

Package quarantine records the ends of servers by the fingerprint of the request. After two without a response in between, the request is refused at once as not run (503 fatal-request, Retry-After is the time left). An instance that may lack ends, as it has just started or as its peers are overdue, allows one. Why it works: the proof (a refused connection) takes one round trip, a caller's next send more than two; restart and partition are covered by the lower limit.

The message of an attempt stays below 64 bytes: the announcement's two fields became one pointer.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -51,6 +51,10 @@
 	return a, v
 }
 
+// retryDelayAfterEnd is the time until a request under which a server ended is retried: reports
+// of other servers that ended under it at the same moment arrive first.
+const retryDelayAfterEnd = 30 * time.Millisecond
+
 // maxConcurrentAttempts bounds the attempts of one call.
 const maxConcurrentAttempts = 8
 
@@ -145,6 +149,9 @@
 		return nil, nil
 	case retry.Retry:
 		r.e.publishAttemptEnd(r.c, a, evidence.RequestPending)
+		if a.answer.ServerEnded {
+			sleepContext(r.ctx, retryDelayAfterEnd)
+		}
 		if v := r.startAttempt(false); v == nil {
 			return nil, nil
 		}
--- a/edge/call.go
+++ b/edge/call.go
@@ -38,6 +38,7 @@
 	RuleNotRun            Rule = "not-run"
 	RuleTimeout           Rule = "timeout"
 	RuleCallerLeft        Rule = "caller-left"
+	RuleFatalRequest      Rule = "fatal-request"
 	RuleStopping          Rule = "stopping"
 )
 
@@ -211,6 +212,9 @@
 	// The grace period of a server may have ended since the last heartbeat. Without
 	// this it would get requests for up to 200 ms more.
 	e.expireServers(now)
+	if v := e.withhold(c, now); v != nil {
+		return placement.Choice{}, v
+	}
 	r := e.placementRequest(c, tried, now)
 	choice, ok := s.placer.Choose(r, now, rand.Float64)
 	if !ok {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -36,6 +36,7 @@
 	"foxtailspoke/pipeline"
 	"foxtailspoke/placement"
 	"foxtailspoke/platform"
+	"foxtailspoke/quarantine"
 	"foxtailspoke/reach"
 	"foxtailspoke/replica"
 	"foxtailspoke/retry"
@@ -193,6 +194,8 @@
 	backoffs *backoff.Tracker
 	// reach tracks whether this instance can connect to backend servers.
 	reach *reach.Tracker
+	// quarantine holds the requests under which backend servers ended.
+	quarantine *quarantine.Tracker
 }
 
 // routeStats holds the moving averages of one route's requests.
@@ -257,13 +260,14 @@
 		throttle:       throttle.NewLimiter(self),
 		backoffs:       backoff.NewTracker(),
 		reach:          reach.NewTracker(),
+		quarantine:     quarantine.NewTracker(s.FirstStart, e.startedAt),
 	}
 	e.state.placer.SetWarmUpLimiter(e.state.limiter)
 	e.state.placer.SetRateLimiter(e.state.throttle)
 	e.state.placer.SetBackoffs(e.state.backoffs)
 	e.state.messenger = fleet.NewMessenger(fleet.Settings{
 		Self: e.selfMember(), Epoch: e.epoch, Seeds: e.seedIDs(), Leaving: func() bool { return !e.readyLocked() }, Stopping: e.stopping.Load,
-		Partitioned: e.state.reach.Partitioned, ServiceAttempts: e.recentServiceAttempts,
+		Partitioned: e.state.reach.Partitioned, ServiceAttempts: e.recentServiceAttempts, Suspects: e.recentSuspects,
 	})
 	if err := e.listen(); err != nil {
 		return nil, err
@@ -356,7 +360,7 @@
 	e.supervisor.Add(namedService{"verifier", e.verifyTables})
 	e.supervisor.Add(namedService{"register", e.registerInstances})
 	e.supervisor.Add(namedService{"snapshots", e.serveSnapshots})
-	e.supervisor.Add(namedService{"retry history", e.adoptRetryHistory})
+	e.supervisor.Add(namedService{"history", e.adoptHistory})
 	e.supervisor.Add(namedService{"forwarding", e.serveForwarding})
 	e.supervisor.Add(namedService{"settings", e.watchSettings})
 	e.supervisor.Add(namedService{"callers", e.serveCallers})
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -173,6 +173,9 @@
 // applyServerChange passes a change of the server list to the placer and the
 // connection pool.
 func (e *Edge) applyServerChange(c discovery.Change, now time.Duration) {
+	if c.Removed || c.New {
+		e.recordFormerRunEnd(c, now)
+	}
 	e.state.placer.Apply(c, now)
 	if c.Removed {
 		e.pool.CloseIdle(c.Server.Address)
--- a/edge/fatal_fixture_test.go
+++ b/edge/fatal_fixture_test.go
@@ -21,6 +21,8 @@
 	work time.Duration
 	// survives reports which servers serve the request instead; nil means none.
 	survives func(id string) bool
+	// slowWork is the time that servers need for requests whose path ends in "/slow".
+	slowWork time.Duration
 	// restartAfter is the time until an ended server starts again with a new id; 0 means
 	// never.
 	restartAfter time.Duration
@@ -81,6 +83,9 @@
 		m.sends = append(m.sends, time.Now())
 		m.mu.Unlock()
 	}
+	if strings.HasSuffix(r.URL.Path, "/slow") {
+		time.Sleep(m.slowWork)
+	}
 	if !fatal || (m.survives != nil && m.survives(b.id)) {
 		w.Header().Set("X-Response-Seal", "seal")
 		return
@@ -96,6 +101,15 @@
 	panic(http.ErrAbortHandler)
 }
 
+// endAll ends the first n servers.
+func (m *mortalServers) endAll(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.servers[:n] {
+		_ = s.Close()
+	}
+}
+
 func (m *mortalServers) sendCount() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -153,3 +167,101 @@
 	t.Helper()
 	must.LessEq(t, maxEndedServers, m.sendCount(), must.Sprint("servers that a fatal request was sent to"))
 }
+
+// restartingServer is a server whose process ends during a fatal request and is started again
+// at once, under the same id and address.
+type restartingServer struct {
+	f       *fleet
+	id      string
+	address string
+	sends   *atomic.Int64
+
+	mu       sync.Mutex
+	run      *serverRun
+	startsMS int64
+}
+
+// serverRun is one run of a restartingServer, and the listener of its HTTP server.
+type serverRun struct {
+	net.Listener
+	http  *http.Server
+	conns chan net.Conn
+	ended chan struct{}
+	end   func()
+}
+
+// Accept implements net.Listener.
+func (r *serverRun) Accept() (net.Conn, error) {
+	select {
+	case c := <-r.conns:
+		return c, nil
+	case <-r.ended:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener. The port stays open for the next run.
+func (r *serverRun) Close() error {
+	r.end()
+	return nil
+}
+
+// restartingServer starts a server; sends counts the fatal requests that reach it.
+func (f *fleet) restartingServer(id string, sends *atomic.Int64) {
+	f.t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(f.t, err)
+	s := &restartingServer{f: f, id: id, address: l.Addr().String(), sends: sends, startsMS: 1}
+	s.run = s.start(l)
+	f.entry(id, "s", s.address, s.startsMS)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			run := s.run
+			s.mu.Unlock()
+			select {
+			case run.conns <- c:
+			case <-run.ended:
+				_ = c.Close()
+			}
+		}
+	}()
+	f.t.Cleanup(func() {
+		_ = l.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		_ = s.run.http.Close()
+	})
+}
+
+func (s *restartingServer) start(l net.Listener) *serverRun {
+	run := &serverRun{Listener: l, conns: make(chan net.Conn), ended: make(chan struct{})}
+	run.end = sync.OnceFunc(func() { close(run.ended) })
+	b := &backend{id: s.id, zone: "dc", executed: make(map[string]int)}
+	b.answer = func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != fatalPath {
+			w.Header().Set("X-Response-Seal", "seal")
+			return
+		}
+		s.sends.Add(1)
+		s.restart(run)
+		panic(http.ErrAbortHandler)
+	}
+	run.http = &http.Server{Handler: b}
+	go func() { _ = run.http.Serve(run) }()
+	return run
+}
+
+func (s *restartingServer) restart(former *serverRun) {
+	s.mu.Lock()
+	s.run = s.start(former.Listener)
+	s.startsMS++
+	startsMS := s.startsMS
+	s.mu.Unlock()
+	_ = former.http.Close()
+	time.AfterFunc(50*time.Millisecond, func() { s.f.entry(s.id, "s", s.address, startsMS) })
+}
--- a/edge/fatal_test.go
+++ b/edge/fatal_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"foxtailspoke/internal/standin"
 )
 
 // Guards against a request that ends each server that works on it, and is sent to all of a
@@ -122,3 +126,110 @@
 		must.Eq(t, http.StatusOK, r.status)
 	}
 }
+
+// Guards against servers whose end isn't seen, as they accept connections again at once.
+func TestFatalRequestEndsFewServersThatRestartAtOnce(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	var sends atomic.Int64
+	for _, id := range []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"} {
+		f.restartingServer(id, &sends)
+	}
+	// One attempt for each send, as the entry of a restarted server arrives later than a retry.
+	f.configureWith(func(config map[string]any) {
+		for _, r := range config["routes"].([]any) {
+			r.(map[string]any)["max_attempts"] = 1
+		}
+	}, 1000, key)
+	f.startFirst(3)
+	for i := range 10 {
+		f.call(i%3, http.MethodGet, fatalPath, "", nil)
+		time.Sleep(time.Second)
+	}
+	must.LessEq(t, maxEndedServers, sends.Load())
+}
+
+// Guards against withheld requests that try a server, or whose callers aren't told when to
+// come back and which request it is.
+func TestWithheldRequestIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	m := newMortalServers(f).start(6)
+	f.configure(1000, key)
+	f.startFirst(2)
+	m.repeat(http.MethodGet, fatalPath, 1, 0)
+	for n := range 2 {
+		start := time.Now()
+		r, id := f.call(n, http.MethodGet, fatalPath, "", nil)
+		must.Less(t, 100*time.Millisecond, time.Since(start))
+		must.Eq(t, http.StatusServiceUnavailable, r.status)
+		must.Eq(t, "fatal-request\n", r.body)
+		must.Eq(t, id, r.header.Get("X-Attempt-Id"))
+		wait, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+		must.NoError(t, err)
+		must.Between(t, 50, wait, 60)
+		must.StrContains(t, f.metric(n, "foxtailspoke_edge_withheld_requests"), " 1")
+	}
+	must.StrContains(t, f.instances[0].log.String(), `"proof":"refuses connections","ends":2,"withheld":true`)
+	must.StrContains(t, f.metric(0, `foxtailspoke_edge_server_ends_total{proof="refuses connections"}`), " 2")
+	r, _ := f.call(0, http.MethodGet, fatalPath+"?x", "", nil)
+	must.NotEq(t, http.StatusOK, r.status, must.Sprint("another request isn't withheld, but ends a server as well"))
+	must.Eq(t, 4, m.sendCount())
+}
+
+// Servers end for a reason of their own while many callers' requests of one path are at work on
+// them. Guards against withholding that request from then on.
+func TestSoundRequestIsServedAfterServersEnded(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	m := newMortalServers(f)
+	m.slowWork = 300 * time.Millisecond
+	m.start(8)
+	f.configure(1000, key)
+	f.startFirst(3)
+	const popular = "/lookup/slow"
+	var wg sync.WaitGroup
+	for caller := range 16 {
+		wg.Go(func() { f.call(caller%3, http.MethodGet, popular, "", nil) })
+	}
+	time.Sleep(150 * time.Millisecond)
+	m.endAll(3)
+	wg.Wait()
+	for i := range 9 {
+		r, _ := f.call(i%3, http.MethodGet, popular, "", nil)
+		must.Eq(t, http.StatusOK, r.status)
+	}
+}
+
+// Guards against callers that aren't served although only some servers end under their
+// request.
+func TestRequestThatEndsSomeServersIsServedByOthers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	m := newMortalServers(f)
+	m.survives = func(id string) bool { return id != "i-mortal-1" }
+	m.start(4)
+	f.configure(1000, key)
+	f.startFirst(2)
+	for i := range 12 {
+		r, _ := f.call(i%2, http.MethodGet, fatalPath, "", nil)
+		must.Eq(t, http.StatusOK, r.status)
+	}
+}
+
+// Guards against forwarded requests that end servers unnoticed.
+func TestForwardedFatalRequestEndsFewServers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	m := newMortalServers(f).start(12)
+	f.configure(1000, key)
+	f.startFirst(2)
+	f.instances[0].path.SetMode(standin.PartitionHang)
+	eventually(t, 5*time.Second, "instance notices that it is partitioned", func() bool {
+		f.lookup(0)
+		return strings.Contains(f.instances[0].log.String(), `"event":527`)
+	})
+	m.repeat(http.MethodGet, fatalPath, 6, 0)
+	must.Positive(t, m.sendCount())
+	requireFewSends(t, m)
+}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -24,6 +24,7 @@
 	forwarded         *prometheus.CounterVec
 	datagrams         prometheus.Counter
 	datagramsReceived prometheus.Counter
+	serverEnds        *prometheus.CounterVec
 	stalls            prometheus.Counter
 	configAges        prometheus.Histogram
 }
@@ -55,6 +56,9 @@
 			Namespace: namespace, Name: "datagrams_received_total", Help: "Datagrams read from other instances.",
 		}),
 	}
+	m.serverEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "server_ends_total", Help: "Ends of backend servers during requests of this instance, by how they were noticed.",
+	}, []string{"proof"})
 	m.stalls = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "stalls_total", Help: "Times at which the process did not run for half a second or longer.",
 	})
@@ -63,7 +67,7 @@
 		Help:    "Age of the proof that the configuration is the newest, when a request is handled.",
 		Buckets: []float64{0.25, 0.5, 0.75, 1, 1.25, 1.5, 1.75, 2, 2.5, 3, 4, 5},
 	})
-	m.registry.MustRegister(m.requests, m.durations, m.attempts, m.serviceAttempts, m.forwarded, m.datagrams, m.datagramsReceived, m.stalls, m.configAges)
+	m.registry.MustRegister(m.requests, m.durations, m.attempts, m.serviceAttempts, m.forwarded, m.datagrams, m.datagramsReceived, m.serverEnds, m.stalls, m.configAges)
 	m.gauge("rounds_total", "Rounds sent to listeners and other relays.", e.locked(func() float64 {
 		return float64(e.state.messenger.Hub().Rounds())
 	}))
@@ -103,6 +107,10 @@
 	m.gauge("servers_backing_off", "Backend servers whose Retry-After keeps this instance from sending requests.", e.locked(func() float64 {
 		return float64(e.state.backoffs.Count(e.now()))
 	}))
+	m.gauge("withheld_requests", "Requests that aren't sent to backend servers, as too many ended under them.", e.locked(func() float64 {
+		now := e.now()
+		return float64(e.state.quarantine.WithheldCount(e.knowsSuspects(now), now))
+	}))
 	m.gauge("partitioned", "1 if this instance fails to connect to any backend server, otherwise 0.", e.locked(func() float64 {
 		if e.state.reach.Partitioned() {
 			return 1
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -133,6 +133,7 @@
 	e.updateLimiterInstances()
 	e.announceIfChanged(now)
 	e.expireServers(now)
+	s.quarantine.Expire(now)
 	e.probeWhilePartitioned(now)
 	e.logStoreAvailability(now)
 	e.logDroppedLines(now)
@@ -186,6 +187,7 @@
 		}, now)
 	}
 	e.applyServiceAttempts(m, now)
+	s.quarantine.Apply(suspectReports(m.Suspects), now)
 	for _, a := range m.Attempts {
 		e.applyAttempt(m.Source, a, m.Latest, now)
 	}
--- a/edge/publish.go
+++ b/edge/publish.go
@@ -73,8 +73,10 @@
 	}
 	// The first of a series of failures must reach all instances at once: each
 	// request that they send to the server before that may be lost.
-	m := evidence.Message{Attempts: []evidence.Attempt{report}, ServiceAttempts: e.countStrayRetry(a, c.service, now)}
-	e.publish(m, a.result.Failed() && a.choice.Risk < urgentRiskBound)
+	m := evidence.Message{
+		Attempts: []evidence.Attempt{report}, ServiceAttempts: e.countStrayRetry(a, c.service, now), Suspects: e.recordServerEnd(c, a, now),
+	}
+	e.publish(m, len(m.Suspects) > 0 || (a.result.Failed() && a.choice.Risk < urgentRiskBound))
 	e.metrics.attempts.WithLabelValues(a.result.String()).Inc()
 	e.logAttempt(c, a, now)
 }
--- a/edge/retry_budget.go
+++ b/edge/retry_budget.go
@@ -10,6 +10,7 @@
 	"foxtailspoke/evidence"
 	"foxtailspoke/fleet"
 	"foxtailspoke/placement"
+	"foxtailspoke/quarantine"
 	"foxtailspoke/retry"
 )
 
@@ -20,7 +21,7 @@
 	minHistoryInterval = 250 * time.Millisecond
 	maxHistoryInterval = 4 * time.Second
 
-	methodRetries = "Snapshots.Retries"
+	methodHistory = "Snapshots.History"
 
 	// maxAnnouncedServices is the number of services whose totals fit into one announcement.
 	maxAnnouncedServices = 50
@@ -100,36 +101,44 @@
 	return e.state.budgets.Service(placement.Hash(service)).MayProbe(e.retryBound(now), now)
 }
 
-// Retries returns the retry counts of this instance.
-func (s *Snapshots) Retries(_ Nothing, reply *retry.History) error {
+// History is what an instance has counted and recorded lately.
+type History struct {
+	Retries retry.History
+	// Suspects are the requests under which servers ended.
+	Suspects quarantine.Knowledge
+}
+
+// History returns the history of this instance.
+func (s *Snapshots) History(_ Nothing, reply *History) error {
 	s.edge.mu.Lock()
 	defer s.edge.mu.Unlock()
-	*reply = s.edge.state.budgets.History(s.edge.now())
+	now := s.edge.now()
+	*reply = History{s.edge.state.budgets.History(now), s.edge.state.quarantine.Knowledge(now)}
 	return nil
 }
 
-// adoptRetryHistory fetches the retry counts of other instances while those of
+// adoptHistory fetches the history of other instances while the retry counts of
 // this instance lack a part of the window.
-func (e *Edge) adoptRetryHistory(ctx context.Context) error {
+func (e *Edge) adoptHistory(ctx context.Context) error {
 	interval := minHistoryInterval
 	for sleepContext(ctx, interval) {
-		peer, needed := e.retryHistoryPeer()
+		peer, needed := e.historyPeer()
 		if !needed {
 			interval = minHistoryInterval
 			continue
 		}
 		interval = min(2*interval, maxHistoryInterval)
 		if peer != 0 {
-			e.fetchRetryHistory(ctx, peer)
+			e.fetchHistory(ctx, peer)
 		}
 	}
 	return ctx.Err()
 }
 
-// retryHistoryPeer reports whether this instance lacks a part of the retry counts,
+// historyPeer reports whether this instance lacks a part of the retry counts,
 // and returns a random instance that may have it, or 0 if there is none. Instances
 // that started after this one don't have it.
-func (e *Edge) retryHistoryPeer() (id uint32, needed bool) {
+func (e *Edge) historyPeer() (id uint32, needed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.state.budgets.Coverage(e.now()).Incomplete() {
@@ -147,18 +156,21 @@
 	return older[rand.IntN(len(older))], true
 }
 
-// fetchRetryHistory replaces the retry counts by those of a peer if these cover more.
-func (e *Edge) fetchRetryHistory(ctx context.Context, peer uint32) {
+// fetchHistory replaces the retry counts by those of a peer if these cover more, and adds
+// its suspects.
+func (e *Edge) fetchHistory(ctx context.Context, peer uint32) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	var history retry.History
-	if err := callPeer(ctx, addrPort(peer, e.peerPort).String(), methodRetries, &history); err != nil {
+	var history History
+	if err := callPeer(ctx, addrPort(peer, e.peerPort).String(), methodHistory, &history); err != nil {
 		event.PeerMessageFailed.Log(e.log, slog.String("peer", addrPort(peer, 0).Addr().String()), slog.Any("error", err))
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if now := e.now(); e.state.budgets.Adopt(history, now) {
+	now := e.now()
+	e.state.quarantine.Adopt(history.Suspects, now)
+	if e.state.budgets.Adopt(history.Retries, now) {
 		event.RetryHistoryAdopted.Log(e.log, slog.String("peer", addrPort(peer, 0).Addr().String()),
 			slog.Float64("coverage", round3(e.state.budgets.Coverage(now).Lowest)))
 	}
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -18,6 +18,7 @@
 
 	"foxtailspoke/event"
 	"foxtailspoke/evidence"
+	"foxtailspoke/quarantine"
 	"foxtailspoke/replica"
 )
 
@@ -38,13 +39,16 @@
 	methodConfig = "Snapshots.Config"
 )
 
-// Snapshot holds the data that an instance has read from the store.
+// Snapshot holds the data that an instance has read from the store, and what must be known
+// before the first request is served.
 type Snapshot struct {
 	// Era is the era of the store, and Clock its clock reading; 0 if unknown or
 	// not included.
 	Era    uint64
 	Clock  time.Duration
 	Tables []SnapshotTable
+	// Suspects are the requests under which servers ended; nil if not included.
+	Suspects *quarantine.Knowledge `json:",omitempty"`
 	// source is the instance that a received snapshot came from.
 	source string
 }
@@ -145,7 +149,8 @@
 
 func (e *Edge) snapshot(now time.Duration) Snapshot {
 	s := &e.state
-	all := Snapshot{Era: s.era}
+	suspects := s.quarantine.Knowledge(now)
+	all := Snapshot{Era: s.era, Suspects: &suspects}
 	if clock, known := s.clock.Now(now); known {
 		all.Clock = clock
 	}
@@ -233,6 +238,9 @@
 
 // applySnapshot applies the snapshot of another instance.
 func (e *Edge) applySnapshot(snapshot Snapshot, now time.Duration) {
+	if snapshot.Suspects != nil {
+		e.state.quarantine.Adopt(*snapshot.Suspects, now)
+	}
 	if !e.observeSnapshot(snapshot, now) {
 		return
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -172,6 +172,10 @@
 		533, slog.LevelWarn, "log lines left out",
 		"Log lines exceeded the rate limit; `count` have been left out since the start.", "Raise log.linesPerSecond if they are needed.",
 	}
+	ServerEndedUnderRequest = Event{
+		535, slog.LevelWarn, "backend server ended under a request",
+		"The process of a backend server ended while it worked on a request: `proof` says how that is known, `fingerprint` identifies the request, `ends` is the number of servers that have ended under it since it was last served. `withheld` requests aren't sent to servers for some time.", "See OPERATIONS.md; if the same request ends several servers, find what it does there.",
+	}
 	RetryHistoryAdopted = Event{
 		534, slog.LevelInfo, "retry counts taken over from a peer",
 		"This instance lacked a part of the fleet's retry counts, as it has just started or was partitioned, and took over those of `peer`. `coverage` is the lowest share of the instances that these counts include.", "Nothing.",
@@ -189,6 +193,6 @@
 		ConfigInForce, ConfigRejected, ServerChanged, EntryIgnored, StoreCallFailed,
 		EvacuationStarted, EvacuationEnded, ServerLimited, StaleResponseIgnored, StoreRestored,
 		PeerReachable, PeerUnreachable, PeerMessageFailed, RelayChanged, ServerBackoff, ServerLeaving, ServersUnreachable, ServersReachable, ProcessStalled,
-		RequestEnded, AttemptEnded, LogLinesDropped, RetryHistoryAdopted,
+		RequestEnded, AttemptEnded, LogLinesDropped, RetryHistoryAdopted, ServerEndedUnderRequest,
 	}
 }
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -28,11 +28,8 @@
 	// start. Unsequenced messages go to a single instance and contain only a
 	// description and a member list.
 	Sequence uint32
-	// DataCentre is set in announcements.
-	DataCentre string
-	// SlowLink is set in announcements of an instance that should not be a
-	// relay.
-	SlowLink bool
+	// Announcement describes the source; nil in most messages.
+	Announcement *Announcement
 	// Leaving reports that the instance must not receive callers, because it is
 	// not ready or is stopping.
 	Leaving bool
@@ -54,6 +51,18 @@
 	// start of an attempt that of its service, in announcements and heartbeats that of all
 	// recently used.
 	ServiceAttempts []ServiceAttempts
+	// Suspects holds the requests under which servers ended as the source saw, or which
+	// were served afterwards: in messages about that, and for some time in announcements
+	// and heartbeats.
+	Suspects []Suspect
+}
+
+// Announcement describes an instance to the others.
+type Announcement struct {
+	_          struct{} `cbor:",toarray"`
+	DataCentre string
+	// SlowLink means that the instance should not be a relay.
+	SlowLink bool
 }
 
 // Member describes an instance that the source considers alive.
@@ -100,6 +109,26 @@
 	Retries  uint16
 }
 
+// Suspect is all that the source knows of a request under which servers ended.
+type Suspect struct {
+	_ struct{} `cbor:",toarray"`
+	// Request is its fingerprint.
+	Request uint64
+	// Served reports that a server has responded to it, ServedAgeMS ago.
+	Served      bool
+	ServedAgeMS uint32
+	// Ends has the servers that have ended since.
+	Ends []ServerEnd
+}
+
+// ServerEnd is the end of a backend server's process.
+type ServerEnd struct {
+	_ struct{} `cbor:",toarray"`
+	// Run is the hash of the server's ID and start time.
+	Run   uint32
+	AgeMS uint32
+}
+
 // RequestOutcome is the outcome of a request for its caller.
 type RequestOutcome uint8
 
--- a/evidence/evidence_test.go
+++ b/evidence/evidence_test.go
@@ -12,7 +12,7 @@
 
 func message() evidence.Message {
 	return evidence.Message{
-		Source: 0x0a000001, Epoch: 7, Sequence: 9, DataCentre: "dc", Leaving: true,
+		Source: 0x0a000001, Epoch: 7, Sequence: 9, Announcement: &evidence.Announcement{DataCentre: "dc", SlowLink: true}, Leaving: true,
 		Members:  []evidence.Member{{ID: 1, DataCentre: "dc", SlowLink: true}},
 		Attempts: []evidence.Attempt{{Server: 3, Outstanding: 2, Ended: true, Result: health.Incomplete, RequestOutcome: evidence.RequestUnserved}},
 		Usage:    []evidence.Usage{{Workspace: 4, Count: 1 << 40}},
@@ -22,6 +22,7 @@
 		}},
 		Unserved:        []uint32{5},
 		ServiceAttempts: []evidence.ServiceAttempts{{Service: 6, Requests: 7, Retries: 8}},
+		Suspects:        []evidence.Suspect{{Request: 9, Served: true, ServedAgeMS: 10, Ends: []evidence.ServerEnd{{Run: 11, AgeMS: 12}}}},
 	}
 }
 
--- a/fleet/messenger.go
+++ b/fleet/messenger.go
@@ -47,6 +47,9 @@
 	// ServiceAttempts returns the totals of the services that this instance used recently,
 	// for announcements and heartbeats.
 	ServiceAttempts func() []evidence.ServiceAttempts
+	// Suspects returns the requests under which servers ended recently as this instance saw,
+	// for announcements and heartbeats.
+	Suspects func() []evidence.Suspect
 }
 
 // Messenger is the messaging endpoint of one instance: it tracks which
@@ -130,12 +133,12 @@
 func (m *Messenger) Announce(urgent bool, now time.Duration) ([]relay.Datagram, error) {
 	m.lastAnnounce = now
 	msg := m.announcement()
-	msg.ServiceAttempts = m.ServiceAttempts()
+	msg.ServiceAttempts, msg.Suspects = m.ServiceAttempts(), m.Suspects()
 	return m.Publish(msg, urgent, now)
 }
 
 func (m *Messenger) announcement() evidence.Message {
-	return evidence.Message{DataCentre: m.Self.DataCentre, SlowLink: m.Self.SlowLink}
+	return evidence.Message{Announcement: &evidence.Announcement{DataCentre: m.Self.DataCentre, SlowLink: m.Self.SlowLink}}
 }
 
 // Tick does the periodic work: it marks silent instances as dead, sends a
@@ -152,7 +155,7 @@
 	case announce:
 		out, err = m.Announce(false, now)
 	case now-m.lastPublish >= HeartbeatInterval-TickInterval/2:
-		out, err = m.Publish(evidence.Message{ServiceAttempts: m.ServiceAttempts()}, false, now)
+		out, err = m.Publish(evidence.Message{ServiceAttempts: m.ServiceAttempts(), Suspects: m.Suspects()}, false, now)
 	}
 	if err != nil {
 		return silenced, out, err
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -82,8 +82,8 @@
 		return classDirect
 	}
 	i := m.markAlive(t, msg.Source, now)
-	if msg.DataCentre != "" {
-		m.updateMember(i, msg.DataCentre, msg.SlowLink, i.Stopping)
+	if a := msg.Announcement; a != nil {
+		m.updateMember(i, a.DataCentre, a.SlowLink, i.Stopping)
 	}
 	if msg.Sequence == evidence.Unsequenced {
 		i.Leaving, i.Partitioned = msg.Leaving, msg.Partitioned
--- a/quarantine/fingerprint_test.go
+++ b/quarantine/fingerprint_test.go
@@ -12,8 +12,13 @@
 func TestFingerprintsOfDifferentRequestsDiffer(t *testing.T) {
 	seen := make(map[quarantine.Fingerprint]bool)
 	for _, r := range [][4]string{
-		{"GET", "h", "/a", ""}, {"HEAD", "h", "/a", ""}, {"GET", "h", "/a?b", ""}, {"GET", "h/", "a", ""}, {"GET", "g", "/a", ""},
-		{"GET", "h", "/a", "x"}, {"GET", "h", "/ax", ""},
+		{"GET", "h", "/a", ""},
+		{"HEAD", "h", "/a", ""},
+		{"GET", "h", "/a?b", ""},
+		{"GET", "h/", "a", ""},
+		{"GET", "g", "/a", ""},
+		{"GET", "h", "/a", "x"},
+		{"GET", "h", "/ax", ""},
 	} {
 		f := quarantine.FingerprintOf(r[0], r[1], r[2], []byte(r[3]))
 		must.False(t, seen[f])
