Responses without end are cut off, and long bodies share a bound

A server that sends bytes without end held requests until their deadline and took 0.3 to 3 GB for 12 of them, on machines of 184 MB and more.

Cause: http.ReadResponse reads lines without a limit, bodies had 16 MiB each and none together, and closing a broken body reads the rest of it. Class: readers of what another process sends without a limit on all that they keep. Heads have 64 KiB now, buffers above 64 KiB share 32 MiB, framing of chunks is bounded, what isn't HTTP ends at its first byte.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -316,7 +316,7 @@
 	}
 	return upstream.Request{
 		Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body,
-		IDHeader: platform.HeaderAttempt, ID: c.id, DetectEnd: true,
+		IDHeader: platform.HeaderAttempt, ID: c.id, DetectEnd: true, Lifetime: c.lifetime,
 		NonIdempotent: !c.route.Kind.Repeatable() && e.mechanisms.Enabled(mechanism.FreshConnections),
 	}
 }
--- a/edge/call.go
+++ b/edge/call.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"cmp"
+	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -53,6 +55,8 @@
 	// initialWorkShare is the part of the latency target that a request is assumed
 	// to need before one of its route was measured.
 	initialWorkShare = 0.3
+	// maxBodyBytes bounds the body of a request if the configuration doesn't.
+	maxBodyBytes = 16 << 20
 	// initialSizeKB is the assumed size of request and response before one of the
 	// route was measured.
 	initialSizeKB = 5.0
@@ -75,6 +79,8 @@
 	configAge time.Duration
 	// charged is set once the request was counted against the workspace's rate.
 	charged bool
+	// lifetime ends when the caller was answered or has left.
+	lifetime context.Context
 	// identity is the fingerprint of the request, 0 until it is needed.
 	identity quarantine.Fingerprint
 }
@@ -103,6 +109,8 @@
 		target: requestTarget(r),
 		host:   r.Host,
 		start:  e.now(),
+
+		lifetime: r.Context(),
 	}
 	path, _, _ := strings.Cut(c.target, "?")
 	e.mu.Lock()
@@ -185,13 +193,10 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
-	body := r.Body
 	e.mu.Lock()
-	if limit := e.state.table.Limits.MaxBodyBytes; limit > 0 {
-		body = http.MaxBytesReader(w, body, limit)
-	}
+	limit := cmp.Or(max(e.state.table.Limits.MaxBodyBytes, 0), maxBodyBytes)
 	e.mu.Unlock()
-	b, err := io.ReadAll(body)
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if _, tooLarge := err.(*http.MaxBytesError); tooLarge { //nolint:errorlint // the reader returns it bare
 		return &refusal{status: http.StatusRequestEntityTooLarge, rule: RuleBodyTooLarge}
 	}
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -191,7 +191,7 @@
 		return
 	}
 	direct := e.isDirect(address)
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		event.PeerMessageFailed.Log(e.log, slog.String("peer", r.RemoteAddr), slog.Any("error", err))
 		writeForwardFailure(w, upstream.NotSent.String(), "request body incomplete")
@@ -211,7 +211,7 @@
 		// Whether it may be repeated is the sender's knowledge.
 		NonIdempotent: true,
 		// The sender tries another instance sooner than a connection would time out here.
-		KeptConnectionOnly: !direct, ConnectTimeout: connectTimeout, DetectEnd: true,
+		KeptConnectionOnly: !direct, ConnectTimeout: connectTimeout, DetectEnd: true, Lifetime: r.Context(),
 	})
 	e.applyNotices(server, resp)
 	if resp.ServerEnded {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -63,7 +63,7 @@
 func (e *Edge) serveHTTP(l net.Listener, h http.Handler) func(context.Context) error {
 	return func(ctx context.Context) error {
 		return serve(ctx, l, &http.Server{
-			Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: initialIdleTimeout,
+			Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: initialIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 		})
 	}
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -193,7 +193,7 @@
 		go func() {
 			defer func() { <-slots }()
 			_ = c.SetDeadline(time.Now().Add(2 * snapshotTimeout))
-			server.ServeConn(c)
+			server.ServeConn(limitedConn{c, io.LimitReader(c, maxSnapshotRequestBytes)})
 		}()
 	}
 }
@@ -295,10 +295,24 @@
 			return errors.Wrap(err, "setting the deadline of a peer call")
 		}
 	}
-	client := rpc.NewClient(c)
+	client := rpc.NewClient(limitedConn{c, io.LimitReader(c, maxPackedBytes)})
 	defer func() { _ = client.Close() }()
 	return errors.Wrapf(client.Call(method, Nothing{}, reply), "calling %s", method)
 }
 
-// maxSnapshotBytes bounds the decompressed size of a snapshot.
-const maxSnapshotBytes = 64 << 20
+const (
+	// maxSnapshotBytes bounds the decompressed size of a snapshot, maxPackedBytes that of a
+	// reply, and maxSnapshotRequestBytes what a connection may send as requests.
+	maxSnapshotBytes        = 64 << 20
+	maxPackedBytes          = 16 << 20
+	maxSnapshotRequestBytes = 64 << 10
+)
+
+// limitedConn is a connection of which only a limited number of bytes is read.
+type limitedConn struct {
+	net.Conn
+	r io.Reader
+}
+
+// Read implements io.Reader.
+func (c limitedConn) Read(b []byte) (int, error) { return c.r.Read(b) }
--- a/entry/attempt/transport.go
+++ b/entry/attempt/transport.go
@@ -26,6 +26,9 @@
 	ConnectionsPerServer int
 }
 
+// maxResponseHeadBytes bounds the headers of a backend server's response.
+const maxResponseHeadBytes = 64 << 10
+
 func NewSender(s Settings) *Sender {
 	dialer := net.Dialer{Timeout: s.ConnectTimeout}
 	return &Sender{
@@ -42,6 +45,8 @@
 			IdleConnTimeout:     s.IdleTimeout,
 			MaxConnsPerHost:     s.ConnectionsPerServer,
 			MaxIdleConnsPerHost: s.ConnectionsPerServer,
+
+			MaxResponseHeaderBytes: maxResponseHeadBytes,
 		},
 	}
 }
--- a/storage/client/client.go
+++ b/storage/client/client.go
@@ -104,6 +104,9 @@
 	return http.ErrUseLastResponse
 }
 
+// maxResponseHeadBytes bounds the headers of a response.
+const maxResponseHeadBytes = 64 << 10
+
 func newTransport(s Settings) *http.Transport {
 	dialer := &net.Dialer{Timeout: s.DialTimeout, KeepAlive: keepAliveInterval}
 	return &http.Transport{
@@ -112,5 +115,7 @@
 		MaxIdleConnsPerHost: s.MaxConnections,
 		MaxConnsPerHost:     s.MaxConnections,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
 }
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -34,6 +34,9 @@
 	NewConnection bool
 	// KeptConnectionOnly means that no connection is to be opened for the request.
 	KeptConnectionOnly bool
+	// Lifetime ends when the body of the response is no longer needed; nil means at once. A
+	// long body counts against the memory of all long ones until then.
+	Lifetime context.Context
 	// DetectEnd means to find out whether the server's process has ended if its connection
 	// ends without a response.
 	DetectEnd bool
@@ -86,9 +89,6 @@
 	// writeCompletionWait is how long to wait after the response for the end of
 	// the write, before the write counts as unfinished.
 	writeCompletionWait = 5 * time.Millisecond
-	// maxResponseBytes bounds the size of a response body. Responses are
-	// buffered as a whole, so that a truncated one cannot look complete.
-	maxResponseBytes = 16 << 20
 )
 
 // Do sends the request to the address and reads the whole response.
@@ -216,27 +216,18 @@
 // readOne returns the next response and whether the server closes the
 // connection after it.
 func (c *conn) readOne(r Request) (_ Response, closes bool) {
-	resp, err := readFinalResponse(c.reader, r.Method)
+	resp, err := c.readHead(r.Method)
 	if err != nil {
 		return Response{Outcome: Broken, Err: errors.Wrap(err, "read response")}, true
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	_ = resp.Body.Close()
+	length := resp.ContentLength
+	if resp.Body == http.NoBody {
+		length = 0
+	}
+	// The body isn't closed on errors, as that would read the rest of it.
+	body, err := c.memory.read(&bodyReader{r: resp.Body, limit: c.limit, initial: c.limit.left}, length, r.Lifetime)
 	if err != nil {
 		return Response{Outcome: Broken, Err: errors.Wrap(err, "read response body")}, true
 	}
-	if len(body) > maxResponseBytes {
-		return Response{Outcome: Broken, Err: errors.New("response body exceeds 16 MiB")}, true
-	}
 	return Response{Outcome: Completed, Status: resp.StatusCode, Header: resp.Header, Body: body}, resp.Close
 }
-
-// readFinalResponse skips interim responses.
-func readFinalResponse(b *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(b, &http.Request{Method: method})
-		if err != nil || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, err
-		}
-	}
-}
--- /dev/null
+++ b/upstream/limits.go
@@ -0,0 +1,201 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxHeadBytes bounds the status line and the headers of a response, with all interim
+	// responses before it.
+	maxHeadBytes = 64 << 10
+	// maxResponseBytes bounds the size of a response body. Responses are
+	// buffered as a whole, so that a truncated one cannot look complete.
+	maxResponseBytes = 16 << 20
+	// maxFramingBytes is the framing of chunks that a body may have in addition to its own
+	// length. Chunks of a few bytes have more, and take long to read.
+	maxFramingBytes = 64 << 10
+	// smallBodyBytes is the size up to which the buffer of a body takes nothing of the memory
+	// that long bodies share, so that these can't keep out the usual ones.
+	smallBodyBytes = 64 << 10
+	// longBodyBytes is the size of the buffers that all long bodies of a pool share: the
+	// smallest machines have 184 MB, of which the garbage collector may need as much again.
+	longBodyBytes = 32 << 20
+	// initialBodyBytes is the initial size of the buffer of a body.
+	initialBodyBytes = 4 << 10
+	// maxErrorText bounds what is kept of an error that quotes the response.
+	maxErrorText = 300
+)
+
+// Causes of an attempt whose response is too long, or isn't one.
+var (
+	ErrHeadTooLarge   = errors.New("response headers exceed 64 KiB")
+	ErrBodyTooLarge   = errors.New("response body exceeds 16 MiB")
+	ErrTooMuchFraming = errors.New("response body consists of too short chunks")
+	ErrNoBodyMemory   = errors.New("long response bodies take up all of their memory")
+	ErrNoHTTPResponse = errors.New("server sent something else than an HTTP response")
+)
+
+// limiter bounds the bytes that are read from a connection.
+type limiter struct {
+	r io.Reader
+	// left is the number of bytes that may still be read before Read returns err.
+	left int
+	err  error
+}
+
+// Read implements io.Reader.
+func (l *limiter) Read(b []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, l.err
+	}
+	n, err := l.r.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// responsePrefix begins each response.
+const responsePrefix = "HTTP/1."
+
+// readHead returns the next final response, without its body. It skips interim responses.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limit.left, c.limit.err = maxHeadBytes, ErrHeadTooLarge
+	for {
+		if err := checkPrefix(c.reader); err != nil {
+			return nil, err
+		}
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil && c.limit.left <= 0 {
+			// A line that the limit cuts off is reported as malformed.
+			return nil, ErrHeadTooLarge
+		}
+		if err != nil {
+			return nil, shortened(err)
+		}
+		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			c.limit.left, c.limit.err = 2*maxResponseBytes+maxFramingBytes, ErrBodyTooLarge
+			return resp, nil
+		}
+	}
+}
+
+// checkPrefix reports as soon as possible that what arrives is no response.
+func checkPrefix(b *bufio.Reader) error {
+	for n := 1; n <= len(responsePrefix); n++ {
+		got, err := b.Peek(n)
+		if err != nil {
+			return err
+		}
+		if !strings.HasPrefix(responsePrefix, string(got)) {
+			return ErrNoHTTPResponse
+		}
+	}
+	return nil
+}
+
+// shortened returns the error, or its beginning if it quotes a long response.
+func shortened(err error) error {
+	if text := err.Error(); len(text) > maxErrorText {
+		return errors.Newf("%s...", text[:maxErrorText])
+	}
+	return err
+}
+
+// bodyReader reads the body of a response and bounds the framing of its chunks.
+type bodyReader struct {
+	r     io.Reader
+	limit *limiter
+	// initial is the value of limit.left at the start of the body, read the number of bytes
+	// that were read.
+	initial, read int
+}
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	b.read += n
+	if sent := b.initial - b.limit.left; err == nil && sent > 2*b.read+maxFramingBytes {
+		err = ErrTooMuchFraming
+	}
+	return n, err
+}
+
+// bodyMemory is the memory that the long bodies of a pool share.
+type bodyMemory struct {
+	mu   sync.Mutex
+	used int
+}
+
+func (m *bodyMemory) reserve(n int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.used+n > longBodyBytes {
+		return false
+	}
+	m.used += n
+	return true
+}
+
+func (m *bodyMemory) release(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.used -= n
+}
+
+// read reads a whole body; length is its declared length, -1 if unknown. A long one takes its
+// share of the memory until the lifetime ends, or until it has been read if that is nil.
+func (m *bodyMemory) read(r io.Reader, length int64, lifetime context.Context) ([]byte, error) {
+	if length > maxResponseBytes {
+		return nil, ErrBodyTooLarge
+	}
+	// A buffer that is larger than the body needn't grow to read its end.
+	body, reserved, err := m.allocate(nil, max(int(length)+1, initialBodyBytes), 0)
+	for err == nil {
+		var n int
+		n, err = r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == nil && len(body) > maxResponseBytes:
+			err = ErrBodyTooLarge
+		case err == nil && len(body) == cap(body):
+			body, reserved, err = m.allocate(body, min(2*cap(body), maxResponseBytes+1), reserved)
+		}
+	}
+	if err != io.EOF {
+		m.release(reserved)
+		return nil, err
+	}
+	m.releaseAfter(lifetime, reserved)
+	return body, nil
+}
+
+// allocate returns a copy of a body in a buffer of the given size, and what that has reserved
+// instead of the old one. Both count until the body has been copied.
+func (m *bodyMemory) allocate(body []byte, size, reserved int) (_ []byte, newReserved int, _ error) {
+	if size <= smallBodyBytes {
+		return append(make([]byte, 0, size), body...), reserved, nil
+	}
+	if !m.reserve(size) {
+		return nil, reserved, ErrNoBodyMemory
+	}
+	larger := append(make([]byte, 0, size), body...)
+	m.release(reserved)
+	return larger, size, nil
+}
+
+func (m *bodyMemory) releaseAfter(lifetime context.Context, n int) {
+	if n == 0 {
+		return
+	}
+	if lifetime == nil {
+		m.release(n)
+		return
+	}
+	context.AfterFunc(lifetime, func() { m.release(n) })
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -53,6 +53,7 @@
 	// onDial, if not nil, is called with the result of each attempt to open a
 	// connection that wasn't cancelled.
 	onDial func(address string, err error)
+	memory bodyMemory
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -87,7 +88,10 @@
 
 type conn struct {
 	net.Conn
+	// limit bounds what reader reads for the head or the body of a response.
+	limit  *limiter
 	reader *bufio.Reader
+	memory *bodyMemory
 	// lastUsed is when the connection was last used, and expires when the
 	// server may close it.
 	lastUsed time.Time
@@ -166,7 +170,8 @@
 	p.opened++
 	p.mu.Unlock()
 	setTCPUserTimeout(nc)
-	return &conn{Conn: nc, reader: bufio.NewReader(nc)}
+	limit := &limiter{r: nc}
+	return &conn{Conn: nc, limit: limit, reader: bufio.NewReader(limit), memory: &p.memory}
 }
 
 // setTCPUserTimeout makes the kernel end a connection whose peer acknowledges
