--- a/edge/endless_test.go
+++ b/edge/endless_test.go
@@ -39,5 +39,7 @@
 		must.Less(t, 500*time.Millisecond, time.Since(start))
 	}
 	must.LessEq(t, 10, endless.total())
-	must.StrContains(t, f.instances[0].log.String(), "response headers exceed 64 KiB")
+	eventually(t, time.Second, "the cause is logged", func() bool {
+		return strings.Contains(f.instances[0].log.String(), "response headers exceed 64 KiB")
+	})
 }
--- a/edge/fatal_test.go
+++ b/edge/fatal_test.go
@@ -170,7 +170,9 @@
 		must.Between(t, 50, wait, 60)
 		must.StrContains(t, f.metric(n, "foxtailspoke_edge_withheld_requests"), " 1")
 	}
-	must.StrContains(t, f.instances[0].log.String(), `"proof":"refuses connections","ends":2,"withheld":true`)
+	eventually(t, time.Second, "the ends are logged", func() bool {
+		return strings.Contains(f.instances[0].log.String(), `"proof":"refuses connections","ends":2,"withheld":true`)
+	})
 	must.StrContains(t, f.metric(0, `foxtailspoke_edge_server_ends_total{proof="refuses connections"}`), " 2")
 	r, _ := f.call(0, http.MethodGet, fatalPath+"?x", "", nil)
 	must.NotEq(t, http.StatusOK, r.status, must.Sprint("another request isn't withheld, but ends a server as well"))
