pipeline: a connection accepted as the server stops is closed

Found as TestPlannedStopEndsInTime hung once in 24 parallel runs (and a new test of planned stops once): Serve left a connection open that Accept returned after the context had ended, so that its caller waited until the process was gone.

--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -81,6 +81,9 @@
 	for {
 		nc, err := l.Accept()
 		if ctx.Err() != nil {
+			if err == nil {
+				_ = nc.Close()
+			}
 			return ctx.Err()
 		}
 		if isTemporary(err) {
