--- a/edge/serve.go
+++ b/edge/serve.go
@@ -48,9 +48,10 @@
 	shutdownWait = 200 * time.Millisecond
 	// acceptShare is the part of the grace period during which a stopping instance
 	// still accepts requests. By its end most callers have refreshed their
-	// addresses; the rest of the period is for requests in progress. Accepting
-	// requests until the end cut them off while servers were executing them.
-	acceptShare = 0.5
+	// addresses; the rest of the period is for requests in progress. The platform
+	// expects those of its first half to be finished; the margin is for the time until a
+	// slow machine handles the signal and the requests that have arrived.
+	acceptShare = 0.4
 	// retryAfterElsewhere is the Retry-After where another instance can serve the
 	// request at once, such as when this one no longer accepts requests.
 	retryAfterElsewhere = 50 * time.Millisecond
@@ -187,9 +188,7 @@
 	e.mu.Lock()
 	e.announceReadiness()
 	e.mu.Unlock()
-	for e.now()-start < time.Duration(acceptShare*float64(grace)) {
-		time.Sleep(drainPollInterval)
-	}
+	time.Sleep(time.Duration(acceptShare * float64(grace)))
 	e.closing.Store(true)
 	e.callerServer.CloseIdle()
 	for e.callerServer.InFlight()+e.forwarding.Load() > 0 && e.now()-start < grace-killMargin {
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -13,7 +13,7 @@
 )
 
 // On a planned stop an instance must be removed from the directory at once, finish
-// its requests and ask callers to use other instances. After half of the grace
+// its requests and ask callers to use other instances. After two fifths of the grace
 // period it must refuse requests that still arrive.
 func TestPlannedStopFinishesRequests(t *testing.T) {
 	t.Parallel()
@@ -89,3 +89,33 @@
 	wg.Wait()
 	must.Less(t, 2900*time.Millisecond, time.Since(start))
 }
+
+// The platform counts from the signal, which a slow machine handles late. Guards against
+// requests that are accepted in the second half of the grace period and can't be finished.
+func TestStoppingInstanceRefusesRequestsWellBeforeHalfOfTheGracePeriod(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.backend("i-1", nil)
+	f.configure(1000, key)
+	f.startAll(1)
+	const grace = 3 * time.Second
+	start := time.Now()
+	f.instances[0].cancel()
+	accepted := time.Duration(0)
+	for sent := time.Since(start); sent < grace*2/3; sent = time.Since(start) {
+		if r, _ := f.lookup(0); r.status == http.StatusOK {
+			accepted = sent
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	must.Between(t, grace*3/10, accepted, grace*9/20)
+	eventually(t, 2*time.Second, "the instance ends", func() bool {
+		select {
+		case err := <-f.instances[0].done:
+			f.instances[0].done <- err
+			return true
+		default:
+			return false
+		}
+	})
+}
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -285,16 +285,19 @@
 	c.currentKey = fmt.Sprintf("key-%d", c.version)
 	key, version := c.currentKey, c.version
 	c.mu.Unlock()
-	route := func(name, prefix, kind string) map[string]any {
+	route := func(name, prefix, kind, service string) map[string]any {
 		return map[string]any{
 			"name": name, "host": "h", "prefix": prefix, "route_kind": kind, "timeout_s": 1.5, "aim_s": 0.5,
-			"service": "s", "max_attempts": 2,
+			"service": service, "max_attempts": 2,
 		}
 	}
 	b, err := json.Marshal(map[string]any{
-		"version":  fmt.Sprintf("%08x", version),
-		"routes":   []any{route("lookup", "/lookup/", "idempotent"), route("order", "/order/", "non_idempotent")},
-		"services": []any{map[string]any{"name": "s", "warmup_s": warmupDuration.Seconds(), "warmup_per_s": warmupRate}},
+		"version": fmt.Sprintf("%08x", version),
+		"routes": []any{
+			route("lookup", "/lookup/", "idempotent", "s"), route("order", "/order/", "non_idempotent", "s"),
+			route("fatal", "/fatal/", "idempotent", "f"),
+		},
+		"services": []any{map[string]any{"name": "s", "warmup_s": warmupDuration.Seconds(), "warmup_per_s": warmupRate}, map[string]any{"name": "f"}},
 		"tenants": []any{
 			map[string]any{"name": "w", "api_keys": []string{key}},
 			map[string]any{"name": "limited", "api_keys": []string{limitedKey}, "rate_per_s": limitedRate, "burst": limitedBurst},
