Requests under which servers ended outlive restarts of the whole fleet

Each restart of all instances allowed one more end, three restarts 8 sends (TestRestartedFleetBoundsFatalRequests, now with real ends of the processes' work instead of a planned stop beside the new ones).

The instance that sees an end writes a row to the table of instances, which every instance reads before it serves. With the store away one restart is covered by the lower limit as before (TestRestartedFleetBoundsFatalRequestsThatWereNotStored). Old rows are removed after an hour by those that remove gone instances.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -91,6 +91,8 @@
 	fetchNow chan struct{}
 	// verifyNow wakes the verifier of the tables.
 	verifyNow chan struct{}
+	// storeSuspectsNow wakes the writer of suspects.
+	storeSuspectsNow chan struct{}
 	// storeReadable is closed when this instance may read the store.
 	storeReadable chan struct{}
 	joinOnce      sync.Once
@@ -196,6 +198,8 @@
 	reach *reach.Tracker
 	// quarantine holds the requests under which backend servers ended.
 	quarantine *quarantine.Tracker
+	// unstoredSuspects has the requests whose rows in the store must be written.
+	unstoredSuspects map[quarantine.Fingerprint]struct{}
 }
 
 // routeStats holds the moving averages of one route's requests.
@@ -235,6 +239,8 @@
 		fetchNow:      make(chan struct{}, 1),
 		verifyNow:     make(chan struct{}, 1),
 		storeReadable: make(chan struct{}),
+
+		storeSuspectsNow: make(chan struct{}, 1),
 	}
 	e.startedAt = e.clock.Now()
 	for _, o := range options {
@@ -261,6 +267,8 @@
 		backoffs:       backoff.NewTracker(),
 		reach:          reach.NewTracker(),
 		quarantine:     quarantine.NewTracker(s.FirstStart, e.startedAt),
+
+		unstoredSuspects: make(map[quarantine.Fingerprint]struct{}),
 	}
 	e.state.placer.SetWarmUpLimiter(e.state.limiter)
 	e.state.placer.SetRateLimiter(e.state.throttle)
@@ -359,6 +367,7 @@
 	e.supervisor.Add(namedService{"fetcher", e.fetchConfig})
 	e.supervisor.Add(namedService{"verifier", e.verifyTables})
 	e.supervisor.Add(namedService{"register", e.registerInstances})
+	e.supervisor.Add(namedService{"suspects", e.storeSuspects})
 	e.supervisor.Add(namedService{"snapshots", e.serveSnapshots})
 	e.supervisor.Add(namedService{"history", e.adoptHistory})
 	e.supervisor.Add(namedService{"forwarding", e.serveForwarding})
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -204,6 +204,9 @@
 // applyInstanceRow applies one row of the instance table; this instance's own
 // row is ignored.
 func (e *Edge) applyInstanceRow(r replica.Row, now time.Duration) {
+	if e.applySuspectRow(r, now) {
+		return
+	}
 	id, err := parseIPv4(r.Key)
 	if err != nil || id == e.self {
 		return
--- a/edge/fatal_fixture_test.go
+++ b/edge/fatal_fixture_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"foxtailspoke/edge/settings"
 )
 
 // mortalServers are backend servers whose process ends when it works on a request for
@@ -163,6 +165,32 @@
 	})
 }
 
+// restart ends all instances, starts two others and returns their indices once they are ready.
+func (f *fleet) restart() (first, second int) {
+	f.t.Helper()
+	f.endAll()
+	first = len(f.instances)
+	second = first + 1
+	for range 2 {
+		f.start(func(s *settings.Settings) { s.Seeds = []string{f.address(first, 3), f.address(second, 3)} })
+	}
+	for _, n := range []int{first, second} {
+		eventually(f.t, 8*time.Second, "instance is ready", func() bool { return f.ready(n) })
+	}
+	return first, second
+}
+
+// endAll ends all instances and waits until none runs.
+func (f *fleet) endAll() {
+	f.t.Helper()
+	for _, i := range f.instances {
+		i.cancel()
+	}
+	for _, i := range f.instances {
+		i.done <- <-i.done
+	}
+}
+
 func requireFewSends(t *testing.T, m *mortalServers) {
 	t.Helper()
 	must.LessEq(t, maxEndedServers, m.sendCount(), must.Sprint("servers that a fatal request was sent to"))
--- a/edge/fatal_test.go
+++ b/edge/fatal_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"foxtailspoke/internal/standin"
+	"foxtailspoke/internal/standin/rowstore"
 )
 
 // Guards against a request that ends each server that works on it, and is sent to all of a
@@ -75,7 +76,8 @@
 	requireFewSends(t, m)
 }
 
-// Guards against a whole restart of the fleet that lets a fatal request end as many servers again.
+// Guards against restarts of the whole fleet, each of which lets a fatal request end servers
+// again.
 func TestRestartedFleetBoundsFatalRequests(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
@@ -83,18 +85,30 @@
 	f.configure(1000, key)
 	f.startFirst(2)
 	m.repeat(http.MethodGet, fatalPath, 4, 0, 1)
-	for _, i := range f.instances {
-		i.cancel()
+	for range 3 {
+		first, second := f.restart()
+		m.repeat(http.MethodGet, fatalPath, 4, first, second)
 	}
-	first := f.start(nil)
-	second := f.start(nil)
-	for _, n := range []int{first, second} {
-		eventually(t, 8*time.Second, "instance is ready", func() bool { return f.ready(n) })
-	}
-	m.repeat(http.MethodGet, fatalPath, 6, first, second)
 	requireFewSends(t, m)
 }
 
+// The store is away when servers end, and the whole fleet restarts once. Guards against a bound that
+// depends on the store.
+func TestRestartedFleetBoundsFatalRequestsThatWereNotStored(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	m := newMortalServers(f).start(20)
+	f.configure(1000, key)
+	f.startFirst(2)
+	f.store.SetFault(func(string) rowstore.Fault { return rowstore.Unavailable })
+	m.repeat(http.MethodGet, fatalPath, 2, 0, 1)
+	f.endAll()
+	f.store.SetFault(nil)
+	first, second := f.restart()
+	m.repeat(http.MethodGet, fatalPath, 6, first, second)
+	must.Eq(t, maxEndedServers, m.sendCount())
+}
+
 // Guards against orders that end servers and are sent on as callers repeat them.
 func TestFatalOrderEndsFewServers(t *testing.T) {
 	t.Parallel()
--- a/edge/register.go
+++ b/edge/register.go
@@ -126,7 +126,8 @@
 // that was only cut off gets its row again once it is heard.
 func (e *Edge) removeGoneInstances(ctx context.Context) {
 	e.mu.Lock()
-	rows := e.goneInstanceRows(e.now())
+	rows := append(e.goneInstanceRows(e.now()), e.oldSuspectRows(e.now())...)
+	rows = rows[:min(len(rows), maxRowsPerWrite)]
 	e.mu.Unlock()
 	if len(rows) == 0 {
 		return
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -50,6 +50,7 @@
 		if q.Empty() || !q.RecordServed(c.fingerprint(), now) {
 			return nil
 		}
+		e.storeSuspect(c.fingerprint())
 	case a.result == health.Incomplete && a.answer.ServerEnded && !server.Draining:
 		e.addServerEnd(c.fingerprint(), server, "refuses connections", now)
 	case a.result == health.Incomplete || a.result == health.Timeout:
@@ -90,6 +91,7 @@
 	if !isNew {
 		return
 	}
+	e.storeSuspect(f)
 	for _, delay := range quarantine.RepeatDelays() {
 		time.AfterFunc(delay, func() { e.repeatSuspect(f) })
 	}
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -46,6 +47,10 @@
 	ends int
 	// repeats has the instances that repeat a report, by time.
 	repeats map[time.Duration][]int
+	// stored is the report that the store has, as of storedAt. It has none while it is away.
+	stored    quarantine.Report
+	storedAt  time.Duration
+	storeAway bool
 	// late counts the sends after toleratedEnds servers had ended.
 	late int
 }
@@ -66,10 +71,21 @@
 	return i
 }
 
-// restart restarts an instance, which asks an older one before it serves requests.
+// restart restarts an instance, which asks an older one and the store before it serves
+// requests.
 func (s *simulation) restart(n int) {
-	s.instances[n] = s.started(s.instances[n].side, false)
-	s.adopt(s.instances[n])
+	i := s.started(s.instances[n].side, false)
+	s.instances[n] = i
+	s.adopt(i)
+	if s.storeAway {
+		return
+	}
+	r := s.stored
+	r.Ends = slices.Clone(r.Ends)
+	for n := range r.Ends {
+		r.Ends[n].Age += s.now - s.storedAt
+	}
+	i.q.Apply([]quarantine.Report{r}, s.now)
 }
 
 func (s *simulation) informed(i *simulatedInstance) bool {
@@ -107,6 +123,9 @@
 		s.ends++
 		i.q.RecordEnd(request, quarantine.ServerRun(s.ends), s.now)
 		s.report(n)
+		if !s.storeAway {
+			s.stored, s.storedAt = i.q.Report(request, s.now), s.now
+		}
 		for _, delay := range quarantine.RepeatDelays() {
 			s.repeats[s.now+delay] = append(s.repeats[s.now+delay], n)
 		}
@@ -167,14 +186,25 @@
 			}
 			s.run(10*time.Second, period)
 		},
-		"all instances are killed once": func(s *simulation) {
+		"all instances are killed again and again": func(s *simulation) {
+			for range 10 {
+				s.run(s.randomTime(), period)
+				for n := range s.instances {
+					s.restart(n)
+				}
+			}
+			s.run(10*time.Second, period)
+		},
+		"all instances are killed once while the store is away": func(s *simulation) {
+			s.storeAway = true
 			s.run(s.randomTime(), period)
 			for n := range s.instances {
 				s.restart(n)
 			}
 			s.run(10*time.Second, period)
 		},
-		"one instance after the other is restarted": func(s *simulation) {
+		"one instance after the other is restarted while the store is away": func(s *simulation) {
+			s.storeAway = true
 			for n := range s.instances {
 				s.run(s.randomTime(), period)
 				s.restart(n)
