standin: backend servers that end under a request, and responses without end

fatalPath ends the stand-in's process under marked requests, after their execution time; endlessRatio sends headers without end. Both by the faults' address of foxtailspoke-standin backend.

--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -78,6 +78,9 @@
 	requestsStarted int
 	draining        bool
 	drainingSince   time.Duration
+	// endOnce guards ended, which is closed when the server has ended under a request.
+	endOnce sync.Once
+	ended   chan struct{}
 	// recentResponses holds the latest responses, which MismatchedRatio sends
 	// in response to other requests.
 	recentResponses []response
@@ -94,6 +97,7 @@
 		executions: newExecutionLog(),
 		rawCapture: newRawCapture(),
 		rng:        rand.New(rand.NewPCG(o.Seed, 0)),
+		ended:      make(chan struct{}),
 	}
 	b.slots = newSlotPool(o.Slots, o.QueueSize, b.now)
 	b.faults = newFaultStore(BackendFaults.validate, func(BackendFaults) {})
@@ -199,6 +203,23 @@
 	b.controlServer.close()
 }
 
+// Ended is closed when the server has ended under a request; see BackendFaults.FatalPath.
+func (b *Backend) Ended() <-chan struct{} { return b.ended }
+
+// end ends the server like a crash of its process: nothing is announced. It doesn't wait, as a
+// request in progress calls it.
+func (b *Backend) end() {
+	b.endOnce.Do(func() {
+		go func() {
+			defer close(b.ended)
+			if b.announcer != nil {
+				b.announcer.stop()
+			}
+			b.requestServer.close()
+		}()
+	})
+}
+
 // now returns the time since the start of the server.
 func (b *Backend) now() time.Duration { return time.Since(b.startTime) }
 
--- a/internal/standin/backend_faults.go
+++ b/internal/standin/backend_faults.go
@@ -42,9 +42,16 @@
 	// execution.
 	LateRatio float64         `json:"lateRatio"`
 	LateDelay config.Duration `json:"lateBy"`
+	// EndlessRatio is the share of requests that get headers without end until the
+	// connection is closed.
+	EndlessRatio float64 `json:"endlessRatio"`
 	// DuplicateRatio is the share of responses sent twice on their connection.
 	DuplicateRatio float64 `json:"duplicateRatio"`
 
+	// FatalPath, if not empty, makes requests whose path begins with it end the server:
+	// after the execution time its connections are closed, and new ones are refused.
+	FatalPath string `json:"fatalPath"`
+
 	// FlapPeriod, if not 0, makes all faults above flap: inactive for one
 	// period, active for the next.
 	FlapPeriod config.Duration `json:"flapPeriod"`
@@ -106,6 +113,7 @@
 	lateResponse
 	duplicatedResponse
 	stalledResponse
+	endlessResponse
 )
 
 // ratios returns the ratio of each responseFault after noFault, in the order of
@@ -113,7 +121,7 @@
 func (f BackendFaults) ratios() []float64 {
 	return []float64{
 		f.TruncatedRatio, f.ErrorRatio, f.HangRatio, f.MismatchedRatio,
-		f.MissingAttemptRatio, f.LateRatio, f.DuplicateRatio, f.StalledRatio,
+		f.MissingAttemptRatio, f.LateRatio, f.DuplicateRatio, f.StalledRatio, f.EndlessRatio,
 	}
 }
 
--- a/internal/standin/backend_faults_test.go
+++ b/internal/standin/backend_faults_test.go
@@ -191,3 +191,29 @@
 	report := callControlAPI(t, http.MethodGet, strings.Replace(url, "faults", "executions", 1), "").body
 	must.Eq(t, `{"executions":null,"dropped":0}`+"\n", report)
 }
+
+// A fatal request must end the server with all of its connections, after the execution time.
+func TestBackendEndsUnderFatalRequest(t *testing.T) {
+	b := startBackend(t, standin.BackendOptions{Faults: standin.BackendFaults{FatalPath: "/fatal/"}})
+	must.Eq(t, http.StatusOK, request{path: "/x"}.send(t, newClient(t), b.URL()).status)
+	must.Error(t, request{path: "/fatal/1"}.send(t, newClient(t), b.URL()).err)
+	select {
+	case <-b.Ended():
+	case <-time.After(time.Second):
+		t.Fatal("server did not end")
+	}
+	must.ErrorIs(t, request{path: "/x"}.send(t, newClient(t), b.URL()).err, syscall.ECONNREFUSED)
+}
+
+// An endless response must last until the client closes the connection.
+func TestBackendSendsHeadersWithoutEnd(t *testing.T) {
+	b := startBackend(t, standin.BackendOptions{Faults: standin.BackendFaults{EndlessRatio: 1}})
+	conn, err := net.Dial("tcp", b.Address())
+	must.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\nFoxtailspoke-Attempt: a1\r\n\r\n")
+	must.NoError(t, err)
+	n, err := io.CopyN(io.Discard, conn, 4<<20)
+	must.NoError(t, err)
+	must.Eq(t, 4<<20, n)
+}
--- a/internal/standin/backend_requests.go
+++ b/internal/standin/backend_requests.go
@@ -130,6 +130,10 @@
 		writeText(w, r, http.StatusGatewayTimeout, "gave up\n")
 		return
 	}
+	if faults.FatalPath != "" && strings.HasPrefix(execution.Path, faults.FatalPath) {
+		b.end()
+		panic(http.ErrAbortHandler)
+	}
 	completions := b.executions.finish(index, b.now(), ExecutionCompleted, execution.Operation)
 	if fault == lateResponse {
 		_ = waitFor(ctx, ctx, time.Duration(faults.LateDelay))
--- a/internal/standin/backend_response.go
+++ b/internal/standin/backend_response.go
@@ -65,6 +65,9 @@
 		writeTruncated(w, resp)
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
+	case endlessResponse:
+		writeEndless(w)
+		return
 	case duplicatedResponse:
 		writeDuplicated(w, resp)
 		return
@@ -99,6 +102,19 @@
 	_ = http.NewResponseController(w).Flush()
 }
 
+// writeEndless sends headers until the client closes the connection.
+func writeEndless(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	block := bytes.Repeat([]byte("X-Padding: endless\r\n"), 1000)
+	for _, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"); err == nil; {
+		_, err = conn.Write(block)
+	}
+}
+
 // writeDuplicated sends the same response twice. A client that reuses the
 // connection would take the second for the response to its next request.
 func writeDuplicated(w http.ResponseWriter, resp response) {
--- a/internal/standin/command/backend.go
+++ b/internal/standin/command/backend.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"foxtailspoke/config"
 	"foxtailspoke/internal/standin"
 	"foxtailspoke/storage/client"
@@ -33,6 +35,8 @@
 {"noEchoRatio":0.1} -- responses without attempt ID
 {"lateRatio":0.1,"lateBy":"2s"} -- delayed responses, ignoring the timeout
 {"duplicateRatio":0.1} -- responses sent twice
+{"endlessRatio":0.1} -- headers without end
+{"fatalPath":"/fatal/"} -- requests whose path begins so end the process
 {"flapPeriod":"5s"} -- turns all of the above off and on periodically
 {"health":"ok"} or {"health":"bad"} -- fixed health report
 {"reportLag":"3s"}, {"hideLoad":true} -- outdated reports, no load reported
@@ -88,7 +92,11 @@
 	if err != nil {
 		return err
 	}
-	<-c.env.ctx.Done()
+	select {
+	case <-b.Ended():
+		return errors.New("ended under a request, as fatalPath says")
+	case <-c.env.ctx.Done():
+	}
 	c.shutdown(b)
 	return nil
 }
