edge: names and files of requests under which servers ended

SuspectRequests tells them from the suspect servers of the status page; the history of an instance has a file of its own. No change of behaviour.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -275,7 +275,7 @@
 	e.state.placer.SetBackoffs(e.state.backoffs)
 	e.state.messenger = fleet.NewMessenger(fleet.Settings{
 		Self: e.selfMember(), Epoch: e.epoch, Seeds: e.seedIDs(), Leaving: func() bool { return !e.readyLocked() }, Stopping: e.stopping.Load,
-		Partitioned: e.state.reach.Partitioned, ServiceAttempts: e.recentServiceAttempts, Suspects: e.recentSuspects,
+		Partitioned: e.state.reach.Partitioned, ServiceAttempts: e.recentServiceAttempts, SuspectRequests: e.recentSuspectRequests,
 	})
 	if err := e.listen(); err != nil {
 		return nil, err
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -109,7 +109,7 @@
 	}))
 	m.gauge("withheld_requests", "Requests that aren't sent to backend servers, as too many ended under them.", e.locked(func() float64 {
 		now := e.now()
-		return float64(e.state.quarantine.WithheldCount(e.knowsSuspects(now), now))
+		return float64(e.state.quarantine.WithheldCount(e.knowsSuspectRequests(now), now))
 	}))
 	m.gauge("partitioned", "1 if this instance fails to connect to any backend server, otherwise 0.", e.locked(func() float64 {
 		if e.state.reach.Partitioned() {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -187,7 +187,7 @@
 		}, now)
 	}
 	e.applyServiceAttempts(m, now)
-	s.quarantine.Apply(suspectReports(m.Suspects), now)
+	s.quarantine.Apply(suspectReports(m.SuspectRequests), now)
 	for _, a := range m.Attempts {
 		e.applyAttempt(m.Source, a, m.Latest, now)
 	}
--- a/edge/publish.go
+++ b/edge/publish.go
@@ -74,9 +74,9 @@
 	// The first of a series of failures must reach all instances at once: each
 	// request that they send to the server before that may be lost.
 	m := evidence.Message{
-		Attempts: []evidence.Attempt{report}, ServiceAttempts: e.countStrayRetry(a, c.service, now), Suspects: e.recordServerEnd(c, a, now),
+		Attempts: []evidence.Attempt{report}, ServiceAttempts: e.countStrayRetry(a, c.service, now), SuspectRequests: e.recordServerEnd(c, a, now),
 	}
-	e.publish(m, len(m.Suspects) > 0 || (a.result.Failed() && a.choice.Risk < urgentRiskBound))
+	e.publish(m, len(m.SuspectRequests) > 0 || (a.result.Failed() && a.choice.Risk < urgentRiskBound))
 	e.metrics.attempts.WithLabelValues(a.result.String()).Inc()
 	e.logAttempt(c, a, now)
 }
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -47,8 +47,8 @@
 	Era    uint64
 	Clock  time.Duration
 	Tables []SnapshotTable
-	// Suspects are the requests under which servers ended; nil if not included.
-	Suspects *quarantine.Knowledge `json:",omitempty"`
+	// SuspectRequests are those under which servers ended; nil if not included.
+	SuspectRequests *quarantine.Knowledge `json:",omitempty"`
 	// source is the instance that a received snapshot came from.
 	source string
 }
@@ -150,7 +150,7 @@
 func (e *Edge) snapshot(now time.Duration) Snapshot {
 	s := &e.state
 	suspects := s.quarantine.Knowledge(now)
-	all := Snapshot{Era: s.era, Suspects: &suspects}
+	all := Snapshot{Era: s.era, SuspectRequests: &suspects}
 	if clock, known := s.clock.Now(now); known {
 		all.Clock = clock
 	}
@@ -238,8 +238,8 @@
 
 // applySnapshot applies the snapshot of another instance.
 func (e *Edge) applySnapshot(snapshot Snapshot, now time.Duration) {
-	if snapshot.Suspects != nil {
-		e.state.quarantine.Adopt(*snapshot.Suspects, now)
+	if snapshot.SuspectRequests != nil {
+		e.state.quarantine.Adopt(*snapshot.SuspectRequests, now)
 	}
 	if !e.observeSnapshot(snapshot, now) {
 		return
--- a/edge/suspects.go
+++ b/edge/suspect_requests.go
@@ -23,16 +23,16 @@
 	if e.state.quarantine.Empty() {
 		return nil
 	}
-	left, withheld := e.state.quarantine.Withheld(c.fingerprint(), e.knowsSuspects(now), now)
+	left, withheld := e.state.quarantine.Withheld(c.fingerprint(), e.knowsSuspectRequests(now), now)
 	if !withheld {
 		return nil
 	}
 	return &refusal{http.StatusServiceUnavailable, RuleFatalRequest, left}
 }
 
-// knowsSuspects reports whether this instance knows the requests under which servers ended as
+// knowsSuspectRequests reports whether this instance knows the requests under which servers ended as
 // other instances saw.
-func (e *Edge) knowsSuspects(now time.Duration) bool {
+func (e *Edge) knowsSuspectRequests(now time.Duration) bool {
 	return e.state.quarantine.Informed(e.contact(now).OnTimeShare >= completeContactShare, now)
 }
 
@@ -43,7 +43,7 @@
 
 // recordServerEnd records what the end of an attempt says about its request, and returns what
 // to publish. The lock must be held.
-func (e *Edge) recordServerEnd(c *call, a *attempt, now time.Duration) []evidence.Suspect {
+func (e *Edge) recordServerEnd(c *call, a *attempt, now time.Duration) []evidence.SuspectRequest {
 	q, server := e.state.quarantine, a.choice.Server
 	switch {
 	case a.result == health.OK || a.result == health.ServerError:
@@ -59,7 +59,7 @@
 	default:
 		return nil
 	}
-	return wireSuspects(q.Report(c.fingerprint(), now))
+	return wireSuspectRequests(q.Report(c.fingerprint(), now))
 }
 
 // recordFormerRunEnd records the end of the former run of a server whose entry has disappeared
@@ -81,7 +81,7 @@
 		ended = append(ended, e.state.quarantine.Report(f, now))
 	}
 	if len(ended) > 0 {
-		e.publish(evidence.Message{Suspects: wireSuspects(ended...)}, true)
+		e.publish(evidence.Message{SuspectRequests: wireSuspectRequests(ended...)}, true)
 	}
 }
 
@@ -96,7 +96,7 @@
 		time.AfterFunc(delay, func() { e.repeatSuspect(f) })
 	}
 	e.metrics.serverEnds.WithLabelValues(proof).Inc()
-	_, withheld := e.state.quarantine.Withheld(f, e.knowsSuspects(now), now)
+	_, withheld := e.state.quarantine.Withheld(f, e.knowsSuspectRequests(now), now)
 	event.ServerEndedUnderRequest.Log(e.log, slog.String("fingerprint", f.String()), slog.String("server", server.ID),
 		slog.String("service", server.Service), slog.String("proof", proof), slog.Int("ends", ends), slog.Bool("withheld", withheld))
 }
@@ -105,18 +105,18 @@
 func (e *Edge) repeatSuspect(f quarantine.Fingerprint) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.publish(evidence.Message{Suspects: wireSuspects(e.state.quarantine.Report(f, e.now()))}, true)
+	e.publish(evidence.Message{SuspectRequests: wireSuspectRequests(e.state.quarantine.Report(f, e.now()))}, true)
 }
 
-// recentSuspects returns what this instance has observed lately, for announcements and
+// recentSuspectRequests returns what this instance has observed lately, for announcements and
 // heartbeats.
-func (e *Edge) recentSuspects() []evidence.Suspect {
-	return wireSuspects(e.state.quarantine.RecentReports(e.now())...)
+func (e *Edge) recentSuspectRequests() []evidence.SuspectRequest {
+	return wireSuspectRequests(e.state.quarantine.RecentReports(e.now())...)
 }
 
-func wireSuspects(reports ...quarantine.Report) (suspects []evidence.Suspect) {
+func wireSuspectRequests(reports ...quarantine.Report) (suspects []evidence.SuspectRequest) {
 	for _, r := range reports {
-		s := evidence.Suspect{Request: uint64(r.Request), Served: r.Served, ServedAgeMS: wireAge(r.ServedAge)}
+		s := evidence.SuspectRequest{Fingerprint: uint64(r.Request), Served: r.Served, ServedAgeMS: wireAge(r.ServedAge)}
 		for _, end := range r.Ends {
 			s.Ends = append(s.Ends, evidence.ServerEnd{Run: uint32(end.Run), AgeMS: wireAge(end.Age)})
 		}
@@ -127,9 +127,9 @@
 
 func wireAge(d time.Duration) uint32 { return uint32(max(d, 0).Milliseconds()) }
 
-func suspectReports(suspects []evidence.Suspect) (reports []quarantine.Report) {
+func suspectReports(suspects []evidence.SuspectRequest) (reports []quarantine.Report) {
 	for _, s := range suspects {
-		r := quarantine.Report{Request: quarantine.Fingerprint(s.Request), Served: s.Served, ServedAge: age(s.ServedAgeMS)}
+		r := quarantine.Report{Request: quarantine.Fingerprint(s.Fingerprint), Served: s.Served, ServedAge: age(s.ServedAgeMS)}
 		for _, end := range s.Ends {
 			r.Ends = append(r.Ends, quarantine.End{Run: quarantine.ServerRun(end.Run), Age: age(end.AgeMS)})
 		}
--- a/evidence/evidence.go
+++ b/evidence/evidence.go
@@ -51,10 +51,10 @@
 	// start of an attempt that of its service, in announcements and heartbeats that of all
 	// recently used.
 	ServiceAttempts []ServiceAttempts
-	// Suspects holds the requests under which servers ended as the source saw, or which
+	// SuspectRequests holds the requests under which servers ended as the source saw, or which
 	// were served afterwards: in messages about that, and for some time in announcements
 	// and heartbeats.
-	Suspects []Suspect
+	SuspectRequests []SuspectRequest
 }
 
 // Announcement describes an instance to the others.
@@ -109,11 +109,10 @@
 	Retries  uint16
 }
 
-// Suspect is all that the source knows of a request under which servers ended.
-type Suspect struct {
-	_ struct{} `cbor:",toarray"`
-	// Request is its fingerprint.
-	Request uint64
+// SuspectRequest is all that the source knows of a request under which servers ended.
+type SuspectRequest struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint uint64
 	// Served reports that a server has responded to it, ServedAgeMS ago.
 	Served      bool
 	ServedAgeMS uint32
--- a/evidence/evidence_test.go
+++ b/evidence/evidence_test.go
@@ -22,7 +22,7 @@
 		}},
 		Unserved:        []uint32{5},
 		ServiceAttempts: []evidence.ServiceAttempts{{Service: 6, Requests: 7, Retries: 8}},
-		Suspects:        []evidence.Suspect{{Request: 9, Served: true, ServedAgeMS: 10, Ends: []evidence.ServerEnd{{Run: 11, AgeMS: 12}}}},
+		SuspectRequests: []evidence.SuspectRequest{{Fingerprint: 9, Served: true, ServedAgeMS: 10, Ends: []evidence.ServerEnd{{Run: 11, AgeMS: 12}}}},
 	}
 }
 
--- a/fleet/messenger.go
+++ b/fleet/messenger.go
@@ -47,9 +47,9 @@
 	// ServiceAttempts returns the totals of the services that this instance used recently,
 	// for announcements and heartbeats.
 	ServiceAttempts func() []evidence.ServiceAttempts
-	// Suspects returns the requests under which servers ended recently as this instance saw,
+	// SuspectRequests returns the requests under which servers ended recently as this instance saw,
 	// for announcements and heartbeats.
-	Suspects func() []evidence.Suspect
+	SuspectRequests func() []evidence.SuspectRequest
 }
 
 // Messenger is the messaging endpoint of one instance: it tracks which
@@ -133,7 +133,7 @@
 func (m *Messenger) Announce(urgent bool, now time.Duration) ([]relay.Datagram, error) {
 	m.lastAnnounce = now
 	msg := m.announcement()
-	msg.ServiceAttempts, msg.Suspects = m.ServiceAttempts(), m.Suspects()
+	msg.ServiceAttempts, msg.SuspectRequests = m.ServiceAttempts(), m.SuspectRequests()
 	return m.Publish(msg, urgent, now)
 }
 
@@ -155,7 +155,7 @@
 	case announce:
 		out, err = m.Announce(false, now)
 	case now-m.lastPublish >= HeartbeatInterval-TickInterval/2:
-		out, err = m.Publish(evidence.Message{ServiceAttempts: m.ServiceAttempts(), Suspects: m.Suspects()}, false, now)
+		out, err = m.Publish(evidence.Message{ServiceAttempts: m.ServiceAttempts(), SuspectRequests: m.SuspectRequests()}, false, now)
 	}
 	if err != nil {
 		return silenced, out, err
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -142,7 +142,7 @@
 		Partitioned: func() bool { return false },
 
 		ServiceAttempts: func() []evidence.ServiceAttempts { return nil },
-		Suspects:        func() []evidence.Suspect { return nil },
+		SuspectRequests: func() []evidence.SuspectRequest { return nil },
 	})
 	w.tick(n, n.generation)
 	w.publishRandomly(n, n.generation)
