The simulation restarts all instances at the same moment

On the commit before, instances that restarted in turn asked those not yet restarted, so that 'all instances are killed' kept what was known, and TestFewServersEndInRestartsWhileTheStoreIsAway passed although its message says that it fails.

--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -74,9 +74,20 @@
 // restart restarts an instance, which asks an older one and the store before it serves
 // requests.
 func (s *simulation) restart(n int) {
-	i := s.started(s.instances[n].side, false)
-	s.instances[n] = i
-	s.adopt(i)
+	s.instances[n] = s.started(s.instances[n].side, false)
+	s.adopt(s.instances[n])
+	s.readStore(s.instances[n])
+}
+
+// restartAll restarts all instances at the same moment: none can ask another one.
+func (s *simulation) restartAll() {
+	for n := range s.instances {
+		s.instances[n] = s.started(s.instances[n].side, false)
+		s.readStore(s.instances[n])
+	}
+}
+
+func (s *simulation) readStore(i *simulatedInstance) {
 	if s.storeAway {
 		return
 	}
@@ -189,18 +200,14 @@
 		"all instances are killed again and again": func(s *simulation) {
 			for range 10 {
 				s.run(s.randomTime(), period)
-				for n := range s.instances {
-					s.restart(n)
-				}
+				s.restartAll()
 			}
 			s.run(10*time.Second, period)
 		},
 		"all instances are killed once while the store is away": func(s *simulation) {
 			s.storeAway = true
 			s.run(s.randomTime(), period)
-			for n := range s.instances {
-				s.restart(n)
-			}
+			s.restartAll()
 			s.run(10*time.Second, period)
 		},
 		"one instance after the other is restarted while the store is away": func(s *simulation) {
@@ -251,9 +258,7 @@
 	s.storeAway = true
 	for range 3 {
 		s.run(time.Second, 200*time.Millisecond)
-		for n := range s.instances {
-			s.restart(n)
-		}
+		s.restartAll()
 	}
 	s.run(time.Second, 200*time.Millisecond)
 	must.Zero(t, s.late, must.Sprintf("sends after three of %d servers had ended", s.ends))
