quarantine: the ninth end of a request is recorded

A record keeps eight ends and ignored further ones, so that a request with eight was no longer withheld once its time was over, however many servers ended under it. The oldest end is dropped now. TestHoldDoublesWithEachFurtherEnd, with ten rounds instead of six, fails before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -162,15 +162,33 @@
 	return len(r.ends), isNew
 }
 
+// add adds an end and reports whether it is new. Of too many ends the oldest is dropped.
 func (r *record) add(run ServerRun, at time.Duration) bool {
-	if _, known := r.ends[run]; known || at <= r.servedAt || len(r.ends) >= maxEndsKept {
+	if _, known := r.ends[run]; known || at <= r.servedAt {
 		return false
 	}
+	if len(r.ends) >= maxEndsKept {
+		oldest := r.oldestEnd()
+		if at <= r.ends[oldest] {
+			return false
+		}
+		delete(r.ends, oldest)
+	}
 	r.ends[run] = at
 	r.lastEnd = max(r.lastEnd, at)
 	return true
 }
 
+func (r *record) oldestEnd() (oldest ServerRun) {
+	for run, at := range r.ends {
+		o, found := r.ends[oldest]
+		if !found || cmp.Or(cmp.Compare(at, o), cmp.Compare(run, oldest)) < 0 {
+			oldest = run
+		}
+	}
+	return oldest
+}
+
 // RecordServed acquits a request: a server has responded to it. It reports whether that
 // changes what is known.
 func (t *Tracker) RecordServed(f Fingerprint, now time.Duration) bool {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -44,7 +44,7 @@
 	q, now := informed(), time.Duration(0)
 	q.RecordEnd(request, 1, now)
 	q.RecordEnd(request, 2, now)
-	for run, minutes := range []time.Duration{1, 2, 4, 8, 16, 16} {
+	for run, minutes := range []time.Duration{1, 2, 4, 8, 16, 16, 16, 16, 16, 16} {
 		left, w := q.Withheld(request, true, now)
 		must.True(t, w)
 		must.Eq(t, minutes*time.Minute, left)
