--- a/edge/suspect_request_rows.go
+++ b/edge/suspect_request_rows.go
@@ -42,7 +42,9 @@
 
 func suspectKey(f quarantine.Fingerprint) string { return suspectKeyPrefix + f.String() }
 
-// storeSuspect has a suspect written to the store. The lock must be held.
+// storeSuspect has a suspect written to the store. Those that this instance doesn't withhold
+// needn't be: an end that a restart of all instances forgets is made up for by the lower limit
+// afterwards. The lock must be held.
 func (e *Edge) storeSuspect(f quarantine.Fingerprint) {
 	e.state.unstoredSuspects[f] = struct{}{}
 	wake(e.storeSuspectsNow)
--- a/edge/suspect_requests.go
+++ b/edge/suspect_requests.go
@@ -50,7 +50,9 @@
 		if q.Empty() || !q.RecordServed(c.fingerprint(), now) {
 			return nil
 		}
-		e.storeSuspect(c.fingerprint())
+		if _, stored := e.state.instances.Row(suspectKey(c.fingerprint())); stored {
+			e.storeSuspect(c.fingerprint())
+		}
 	case a.result == health.Incomplete && a.answer.ServerEnded && !server.Draining:
 		e.addServerEnd(c.fingerprint(), server, "refuses connections", now)
 	case a.result == health.Incomplete || a.result == health.Timeout:
@@ -91,12 +93,14 @@
 	if !isNew {
 		return
 	}
-	e.storeSuspect(f)
 	for _, delay := range quarantine.RepeatDelays() {
 		time.AfterFunc(delay, func() { e.repeatSuspect(f) })
 	}
 	e.metrics.serverEnds.WithLabelValues(proof).Inc()
 	_, withheld := e.state.quarantine.Withheld(f, e.knowsSuspectRequests(now), now)
+	if withheld {
+		e.storeSuspect(f)
+	}
 	event.ServerEndedUnderRequest.Log(e.log, slog.String("fingerprint", f.String()), slog.String("server", server.ID),
 		slog.String("service", server.Service), slog.String("proof", proof), slog.Int("ends", ends), slog.Bool("withheld", withheld))
 }
