--- a/edge/fatal_test.go
+++ b/edge/fatal_test.go
@@ -92,7 +92,7 @@
 	requireFewSends(t, m)
 }
 
-// The store is away when servers end, and the whole fleet restarts once. Guards against a bound that
+// The store is unavailable when servers end, and the whole fleet restarts once. Guards against a bound that
 // depends on the store.
 func TestRestartedFleetBoundsFatalRequestsThatWereNotStored(t *testing.T) {
 	t.Parallel()
--- a/edge/suspect_requests.go
+++ b/edge/suspect_requests.go
@@ -14,8 +14,8 @@
 	"foxtailspoke/quarantine"
 )
 
-// completeContactShare is the share of instances that are heard in time from which on this one
-// knows what the others report.
+// completeContactShare is the share of instances whose heartbeats must arrive in time for their
+// reports to count as complete.
 const completeContactShare = 0.9
 
 // withhold refuses a request under which too many servers ended. The lock must be held.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -10,7 +10,7 @@
 // a connection that breaks off doesn't suffice, as servers reset connections and live on.
 // Instances report the ends to each other. After maxEnds of them without a response in
 // between, the request is withheld for some time, which doubles with each further end. An
-// instance that may lack ends that others know, as it has just started or is partitioned,
+// instance that may lack ends that others have recorded, as it has just started or is partitioned,
 // withholds requests after one.
 //
 // Trade-off: a request that meets maxEnds servers which end for other reasons is withheld,
@@ -29,16 +29,16 @@
 
 const (
 	// maxEnds is the number of servers that may end under a request before it is withheld.
-	// The platform tolerates three: one is left for an instance that doesn't know of them.
+	// The platform tolerates three: one is left for an instance that hasn't received the reports.
 	maxEnds = 2
-	// maxEndsUninformed is that number while an instance may lack ends that others know.
+	// maxEndsUninformed is that number while an instance may lack ends that others have recorded.
 	maxEndsUninformed = 1
 	// baseHold is the time for which a request is withheld after its last end, maxHold the
 	// longest.
 	baseHold = time.Minute
 	maxHold  = 16 * time.Minute
-	// informedAfter is the time after its start at which an instance that found nobody to
-	// ask is informed: callers have given up their repeats by then.
+	// informedAfter is the time after its start at which an instance that could adopt nothing
+	// counts as informed: callers have given up their retries by then.
 	informedAfter = 10 * time.Second
 	// interruptionRetention is the time within which a server whose connection broke off
 	// proves to have ended: its entry disappears after three missing heartbeats.
@@ -60,7 +60,7 @@
 	// interruptions has the attempts without a response whose server isn't known to have
 	// ended, the oldest first.
 	interruptions []interruption
-	// knownSince is the time since which the ends that other instances know are known here.
+	// knownSince is the time since which the reports of other instances were received.
 	knownSince time.Duration
 }
 
@@ -87,7 +87,7 @@
 }
 
 // NewTracker returns a tracker of an instance that starts now. If it is the first start of the
-// whole fleet, there is nothing that others know.
+// whole fleet, there is nothing to adopt.
 func NewTracker(firstStart bool, now time.Duration) *Tracker {
 	t := &Tracker{records: make(map[Fingerprint]*record), knownSince: now}
 	if firstStart {
@@ -109,7 +109,7 @@
 }
 
 // Informed reports whether this instance knows the ends that others have observed. The
-// parameter connected says that all other instances are heard.
+// parameter connected reports that heartbeats of the other instances arrive in time.
 func (t *Tracker) Informed(connected bool, now time.Duration) bool {
 	return connected && now-t.knownSince >= informedAfter
 }
--- a/quarantine/reports.go
+++ b/quarantine/reports.go
@@ -8,7 +8,7 @@
 
 const (
 	// reportPeriod is the time for which an instance repeats what it observed, so that
-	// others learn of it that missed the first report or were partitioned.
+	// instances receive it that missed the first report or were partitioned.
 	reportPeriod = 12 * time.Second
 	// maxReports is the number of requests in one message.
 	maxReports = 8
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -47,7 +47,7 @@
 	ends int
 	// repeats has the instances that repeat a report, by time.
 	repeats map[time.Duration][]int
-	// stored is the report that the store has, as of storedAt. It has none while it is away.
+	// stored is the report that the store has, as of storedAt. It has none while it is unavailable.
 	stored    quarantine.Report
 	storedAt  time.Duration
 	storeAway bool
--- a/upstream/server_end.go
+++ b/upstream/server_end.go
@@ -21,7 +21,7 @@
 
 // refusesConnections reports whether nothing listens at an address. Servers that live on after
 // they reset a connection accept another one, which is kept for a request. The result isn't
-// passed to onDial: that a process has ended says nothing about the way to the server.
+// passed to onDial: the end of a process is no evidence about the network path.
 func (p *Pool) refusesConnections(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, endProbeTimeout)
 	defer cancel()
