--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,6 +27,9 @@
 	graceS = 6.0
 )
 
+// zones are those of the instances, in turn.
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
 // Ports of an instance; all instances use the same ones.
 const (
 	portCallers = iota
@@ -41,10 +46,12 @@
 	record *record
 	dir    string
 	store  *rowstore.Store
-	server *httptest.Server
-	ports  [portCount]int
-	count  int
-	procs  []*exec.Cmd
+	// servers serve the store, one to each instance; cut has the instances that get no answer.
+	servers []*httptest.Server
+	cut     []atomic.Bool
+	ports   [portCount]int
+	count   int
+	procs   []*exec.Cmd
 }
 
 func newFleet(r *record, count int) (*fleet, error) {
@@ -52,8 +59,18 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: r, dir: dir, store: rowstore.New("op", "servers"), count: count, procs: make([]*exec.Cmd, count)}
-	f.server = httptest.NewServer(f.store)
+	f := &fleet{record: r, dir: dir, store: rowstore.New("op", "servers"), count: count, procs: make([]*exec.Cmd, count), cut: make([]atomic.Bool, count)}
+	for n := range count {
+		f.servers = append(f.servers, httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if f.cut[n].Load() {
+				// The end of the connection is noticed once the body is read.
+				_, _ = io.Copy(io.Discard, r.Body)
+				<-r.Context().Done()
+				return
+			}
+			f.store.ServeHTTP(w, r)
+		})))
+	}
 	for i := range f.ports {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
@@ -84,18 +101,18 @@
 // settings returns what the platform renders from deploy/settings.template.jsonc.
 func (f *fleet) settings(n int, firstStart bool) ([]byte, error) {
 	s := map[string]any{
-		"name": fmt.Sprintf("edge-%d", n), "dataCentre": "zone-a", "ip": f.ip(n),
-		"regions": map[string]string{"zone-a": "region"},
+		"name": fmt.Sprintf("edge-%d", n), "dataCentre": zones[n%len(zones)], "ip": f.ip(n),
+		"regions": map[string]string{"zone-a": "region", "zone-b": "region", "zone-c": "region"},
 		"listen": map[string]string{
 			"callers": f.address(n, portCallers), "readiness": f.address(n, portReadiness), "directory": f.address(n, portDirectory),
 			"peers": f.address(n, portPeers), "forwarding": f.address(n, portForwarding), "metrics": f.address(n, portMetrics),
 		},
-		"store": map[string]string{"address": strings.TrimPrefix(f.server.URL, "http://")},
+		"store": map[string]string{"address": strings.TrimPrefix(f.servers[n].URL, "http://")},
 		"bounds": map[string]float64{
 			"revokeS": 5, "applyS": 2, "drainS": drainS, "graceS": graceS, "addressTTLS": 5, "retryRatio": 0.2, "retrySlack": 60,
 			"rateOvershoot": 0.1, "rateSlack": 20, "rateWindowS": 5,
 		},
-		"seeds":    []string{f.address(0, portPeers)},
+		"seeds":    []string{f.address(0, portPeers), f.address(1, portPeers), f.address(2, portPeers)},
 		"linkMbps": 1000, "crossDataCentre": map[string]string{"plan": "auto"}, "memoryMB": 284,
 		"log": map[string]int{"linesPerSecond": 150},
 	}
@@ -172,8 +189,10 @@
 		_ = p.Process.Kill()
 		_ = p.Wait()
 	}
-	f.server.CloseClientConnections()
-	f.server.Close()
+	for _, s := range f.servers {
+		s.CloseClientConnections()
+		s.Close()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
 	}
--- a/review/standin/slow_reader.go
+++ b/review/standin/slow_reader.go
@@ -22,6 +22,8 @@
 	readPause = 1800 * time.Millisecond
 	// termAfter is when the instance gets SIGTERM, counted from the requests.
 	termAfter = 200 * time.Millisecond
+	// readDeadline is the deadline of the requests, that of rate-check on the site.
+	readDeadline = 12 * time.Second
 	// receiveBytes is the receive buffer of a caller; without a bound the kernel lets it grow.
 	receiveBytes = 64 << 10
 )
@@ -84,7 +86,7 @@
 	return map[string]any{
 		"version": "00000007",
 		"routes": []any{map[string]any{
-			"name": "r-lookups", "host": "lookups.example", "prefix": "/lookups/", "route_kind": "idempotent", "timeout_s": 6, "aim_s": 1.5,
+			"name": "r-lookups", "host": "lookups.example", "prefix": "/lookups/", "route_kind": "idempotent", "timeout_s": 12, "aim_s": 1.5,
 			"priority": 1, "service": "lookups", "max_attempts": 2, "public": true,
 		}},
 		"services": []any{map[string]any{"name": "lookups", "health_path": "/healthz", "max_conns": 360, "protocol": "h1", "tls": false}},
@@ -105,11 +107,10 @@
 		return 0, err
 	}
 	defer func() { _ = c.Close() }()
-	// The deadline of the request.
-	_ = c.SetDeadline(time.Now().Add(6 * time.Second))
+	_ = c.SetDeadline(time.Now().Add(readDeadline))
 	id := fmt.Sprintf("%016x", caller)
 	rec.line("caller %d sends %s to %s", caller, id, address)
-	if _, err := fmt.Fprintf(c, "GET /lookups/2f HTTP/1.1\r\nHost: lookups.example\r\n%s: %s\r\n%s: 6000\r\n\r\n", headerAttempt, id, headerDeadline); err != nil {
+	if _, err := fmt.Fprintf(c, "GET /lookups/2f HTTP/1.1\r\nHost: lookups.example\r\n%s: %s\r\n%s: %d\r\n\r\n", headerAttempt, id, headerDeadline, readDeadline.Milliseconds()); err != nil {
 		return 0, err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
