soak: a probe's workspace names the version that handled it

The judge of TestConfigChangesComeIntoForce derived the version from the service that ran a probe, modulo eight. A run by a version that is eight behind counted as the newest, so that lags beyond eight changes (1.2 to 3.2 s in a series) went unseen, and the next honest run counted as a return to an older version. Each version now gives the probes' key to a workspace of its own, whose name reaches the backend server. That a probe went to the service of its version is checked besides. Bounds and counted probes are as before.

--- a/internal/soak/config_changes_test.go
+++ b/internal/soak/config_changes_test.go
@@ -41,6 +41,9 @@
 	// paused process after that.
 	probeTimeout = 1200 * time.Millisecond
 	probeKey     = "key-of-probes"
+	// probeWorkspacePrefix is followed by the index of the version, so that the workspace of a
+	// request names the version that handled it.
+	probeWorkspacePrefix = "version-"
 )
 
 // TestConfigChangesComeIntoForce changes the configuration again and again while instances
@@ -145,7 +148,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	f.history.handled(id, service, time.Now())
+	version, err := strconv.Atoi(strings.TrimPrefix(r.Header.Get("X-Tenant"), probeWorkspacePrefix))
+	if err != nil {
+		f.t.Errorf("probe %s names no version: X-Tenant is %q", id, r.Header.Get("X-Tenant"))
+		return
+	}
+	f.history.handled(id, version, service, time.Now())
 	w.Header().Set("X-Attempt-Id", id)
 	w.Header().Set("X-Response-Seal", "seal")
 	_, _ = io.WriteString(w, strconv.Itoa(service))
@@ -192,7 +200,7 @@
 	}
 	b, err := json.Marshal(map[string]any{
 		"version": fmt.Sprintf("%08x", 2*index+1), "routes": routes, "services": services,
-		"tenants": []any{map[string]any{"name": "w", "api_keys": []string{probeKey}}},
+		"tenants": []any{map[string]any{"name": fmt.Sprintf("%s%d", probeWorkspacePrefix, index), "api_keys": []string{probeKey}}},
 	})
 	must.NoError(f.t, err)
 	f.store.Put("op", "config", b)
--- a/internal/soak/config_history_test.go
+++ b/internal/soak/config_history_test.go
@@ -32,9 +32,11 @@
 	// newestSeen is the newest version that each instance has used in its current run.
 	newestSeen  map[int]seenVersion
 	regressions []string
-	statuses    map[int]int
-	failures    int
-	injections  map[string]int
+	// misrouted has the probes that went to a service other than that of their version.
+	misrouted  []string
+	statuses   map[int]int
+	failures   int
+	injections map[string]int
 }
 
 type configVersion struct {
@@ -139,18 +141,16 @@
 	}
 }
 
-// handled records that a backend server of a service runs a probe.
-func (h *configHistory) handled(id string, service int, at time.Time) {
+// handled records that a backend server of a service runs a probe that a version handled.
+func (h *configHistory) handled(id string, version, service int, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p, ok := h.probes[id]
 	if !ok {
 		return
 	}
-	newest := len(h.versions) - 1
-	version := newest - (newest-service+probedServices)%probedServices
-	if version < 0 {
-		return
+	if service != version%probedServices {
+		h.misrouted = append(h.misrouted, fmt.Sprintf("instance %d sent a probe that version %d handled to service %d", p.instance, version, service))
 	}
 	h.checkRegression(p, version, at)
 	h.addStale(p, version, at, false)
@@ -200,7 +200,7 @@
 func (h *configHistory) report() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	violations := slices.Clone(h.regressions)
+	violations := slices.Concat(h.regressions, h.misrouted)
 	for _, s := range h.stale {
 		kinds := h.recentFaults(s)
 		if s.lag <= configApplyBound || kinds[faultRestart] || kinds[faultStore] {
