Log and count requests by a configuration that is known to be replaced or not proved

Line 531 now has replaced_ms, expired_because and own_read_ms, 523 the method and the time of a failed call, 540 a fetch that brought nothing. Metrics: configuration_replaced_seconds, requests_by_replaced_configuration_total, requests_by_expired_copies_total{reason}; the status has replacedMS and ownReadMS. No decision changes.

--- a/edge/call.go
+++ b/edge/call.go
@@ -80,6 +80,7 @@
 	service   string
 	version   uint32
 	configAge time.Duration
+	copies    copyState
 	// charged is set once the request was counted against the workspace's rate.
 	charged bool
 	// reserved is the number of tokens that more urgent requests of the workspace were left when the
@@ -137,7 +138,8 @@
 	}
 	c.version = s.table.Version
 	c.configAge = e.configAge(e.now())
-	e.metrics.observeConfigAge(c.configAge)
+	c.copies = e.copyState(e.now())
+	e.metrics.observeCopies(c.configAge, c.copies)
 	c.route = s.table.Route(r.Host, path)
 	if c.route == nil {
 		return c, &refusal{status: http.StatusNotFound, rule: RuleNoRoute}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -134,8 +134,13 @@
 	// announcedConfig is the newest version of the configuration's row that another
 	// instance has announced. fetchConfig reads its content.
 	announcedConfig replica.Position
+	// announcedConfigClock is the store's clock at the read that the announcement is of.
+	announcedConfigClock time.Duration
 	// announcedConfigAt is when this instance received that announcement.
 	announcedConfigAt time.Duration
+	// replacedSince is when this instance received the first announcement of a
+	// configuration that is newer than the local copy.
+	replacedSince time.Duration
 	// stalls detects that the process has not run for a while.
 	stalls freshness.StallDetector
 	// lease decides whether requests may be handled by the copies of the tables.
@@ -157,6 +162,9 @@
 	serversProof time.Duration
 	// outageEnd is the time at which the store last returned after an outage.
 	outageEnd time.Duration
+	// lastOwnRead is when this instance last read all due tables from the store, 0 if it
+	// hasn't.
+	lastOwnRead time.Duration
 	// lastReader is the instance that is known to have read the store most recently.
 	lastReader uint32
 	// missedServersDue is when to read server changes that this instance has missed,
--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"foxtailspoke/event"
 	"foxtailspoke/evidence"
 	"foxtailspoke/platform"
 	"foxtailspoke/relay"
@@ -45,16 +47,30 @@
 		if !sleepContext(ctx, time.Duration(rand.Float64()*float64(fetchJitter))) {
 			return ctx.Err()
 		}
+		begin := e.now()
 		if e.hasAnnouncedConfig() || e.fetchFromReaders(ctx, methodConfig, configSnapshotTimeout, e.hasAnnouncedConfig) {
 			continue
 		}
 		if !e.readConfig(ctx) {
 			e.fetchFromPeer(ctx)
+			e.logNotFetched(begin)
 			sleepContext(ctx, fetchRetryDelay)
 		}
 	}
 }
 
+// logNotFetched logs that this instance still lacks a configuration that another one has
+// announced, after trying to get it since begin.
+func (e *Edge) logNotFetched(begin time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	if replacedFor := e.replacedFor(now); replacedFor > 0 {
+		event.ConfigNotFetched.Log(e.log, slog.Int64("replaced_ms", replacedFor.Milliseconds()),
+			slog.Int64("round_ms", (now-begin).Milliseconds()), slog.Int64("own_read_ms", millisOrUnknown(e.ownReadAge(now))))
+	}
+}
+
 // fetchFromReaders requests snapshots from the readers of this data centre
 // until complete returns true. It returns false if this instance is a reader
 // itself or if no reader has the missing data.
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -140,6 +140,7 @@
 		slog.Int64("took_ms", (now - c.start).Milliseconds()),
 		slog.Uint64("version", uint64(c.version)), ageAttr(c.configAge),
 	}
+	attrs = append(attrs, c.copies.logAttrs()...)
 	if c.route != nil {
 		attrs = append(attrs, slog.String("route", c.route.Name), slog.String("service", c.service),
 			slog.Int64("aim_ms", c.route.LatencyTarget.Milliseconds()))
--- a/edge/lease.go
+++ b/edge/lease.go
@@ -62,6 +62,64 @@
 	return s.bounds.Expiry(e.configAge(now), serversAge)
 }
 
+// copyState describes the copies by which a request is handled.
+type copyState struct {
+	// exemption is why their proof may be older than allowed.
+	exemption freshness.Exemption
+	// replacedFor is the time for which the configuration is known to be replaced, 0 if
+	// it isn't known.
+	replacedFor time.Duration
+	ownReadAge  time.Duration
+}
+
+// copyState returns the state of the copies for a request that is handled now.
+func (e *Edge) copyState(now time.Duration) copyState {
+	st := copyState{replacedFor: e.replacedFor(now), ownReadAge: e.ownReadAge(now)}
+	if e.expiry(now) > 1 {
+		st.exemption = e.state.lease.Exemption()
+		if e.configUnprovable(now) {
+			st.exemption = freshness.NothingToProveBy
+		}
+	}
+	return st
+}
+
+// ownReadAge returns the time since this instance's last complete read of the store.
+func (e *Edge) ownReadAge(now time.Duration) time.Duration {
+	if e.state.lastOwnRead == 0 {
+		return freshness.UnknownAge
+	}
+	return now - e.state.lastOwnRead
+}
+
+// logAttrs returns the log attributes of copies that aren't proved to be current.
+func (c copyState) logAttrs() (attrs []slog.Attr) {
+	if c.replacedFor > 0 {
+		attrs = append(attrs, slog.Int64("replaced_ms", c.replacedFor.Milliseconds()))
+	}
+	if c.exemption != freshness.NotExempt {
+		attrs = append(attrs, slog.String("expired_because", string(c.exemption)))
+	}
+	if len(attrs) > 0 {
+		attrs = append(attrs, slog.Int64("own_read_ms", millisOrUnknown(c.ownReadAge)))
+	}
+	return attrs
+}
+
+// replacedFor returns the time for which another instance's announcement of a newer
+// configuration than the local copy is known, 0 if there is none.
+func (e *Edge) replacedFor(now time.Duration) time.Duration {
+	s := &e.state
+	if !e.isCurrentEra(s.config) || !e.configRowPosition().Before(s.announcedConfig) {
+		return 0
+	}
+	if s.configProved && s.configProof >= s.announcedConfigClock {
+		// A later read of the store found no newer one: operators have removed it.
+		return 0
+	}
+	return max(now-s.replacedSince, 1)
+}
+
 // renewLease records a proof that may have made the copies fresh enough.
 func (e *Edge) renewLease(now time.Duration) {
 	if e.expiry(now) <= 1 {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -27,6 +27,8 @@
 	serverEnds        *prometheus.CounterVec
 	stalls            prometheus.Counter
 	configAges        prometheus.Histogram
+	onReplaced        prometheus.Counter
+	onExpired         *prometheus.CounterVec
 
 	crossDataCentreBytes *prometheus.CounterVec
 	memoryMetrics
@@ -70,6 +72,18 @@
 		Help:    "Age of the proof that the configuration is the newest, when a request is handled.",
 		Buckets: []float64{0.25, 0.5, 0.75, 1, 1.25, 1.5, 1.75, 2, 2.5, 3, 4, 5},
 	})
+	m.onReplaced = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "requests_by_replaced_configuration_total",
+		Help: "Requests handled by a configuration that another instance had announced as replaced.",
+	})
+	m.onExpired = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "requests_by_expired_copies_total",
+		Help: "Requests handled by copies of the store whose proof was older than allowed, by why that was accepted.",
+	}, []string{"reason"})
+	m.registry.MustRegister(m.onReplaced, m.onExpired)
+	m.gauge("configuration_replaced_seconds", "Time since another instance announced a newer configuration than the one in force; 0 if none did.", e.locked(func() float64 {
+		return e.replacedFor(e.now()).Seconds()
+	}))
 	m.crossDataCentreBytes = newCrossDataCentreBytes()
 	m.registry.MustRegister(m.crossDataCentreBytes)
 	m.registry.MustRegister(m.requests, m.durations, m.attempts, m.serviceAttempts, m.forwarded, m.datagrams, m.datagramsReceived, m.serverEnds, m.stalls, m.configAges)
@@ -161,11 +175,18 @@
 	return mux
 }
 
-// observeConfigAge records the age of the configuration, unless it is unknown.
-func (m *metrics) observeConfigAge(age time.Duration) {
+// observeCopies records the age of the configuration, unless it is unknown, and whether
+// the copies by which a request is handled are replaced or expired.
+func (m *metrics) observeCopies(age time.Duration, copies copyState) {
 	if age != freshness.UnknownAge {
 		m.configAges.Observe(age.Seconds())
 	}
+	if copies.replacedFor > 0 {
+		m.onReplaced.Inc()
+	}
+	if copies.exemption != freshness.NotExempt {
+		m.onExpired.WithLabelValues(string(copies.exemption)).Inc()
+	}
 }
 
 func (m *metrics) observeRequest(rule Rule, took time.Duration) {
--- a/edge/poll.go
+++ b/edge/poll.go
@@ -186,7 +186,7 @@
 		}
 	}
 	if allRead {
-		s.lastReader = e.self
+		s.lastReader, s.lastOwnRead = e.self, now
 		s.poll.OwnCallSucceeded()
 	} else {
 		s.poll.OwnCallFailed(now)
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -226,9 +226,11 @@
 func (e *Edge) fetchSnapshot(ctx context.Context, peer uint32, method string, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	begin := e.now()
 	snapshot, err := callSnapshot(ctx, addrPort(peer, e.peerPort).String(), method)
 	if err != nil {
-		event.PeerMessageFailed.Log(e.log, slog.String("peer", addrPort(peer, 0).Addr().String()), slog.Any("error", err))
+		event.PeerMessageFailed.Log(e.log, slog.String("peer", addrPort(peer, 0).Addr().String()), slog.String("method", method),
+			slog.Int64("took_ms", (e.now()-begin).Milliseconds()), slog.Any("error", err))
 		return
 	}
 	e.mu.Lock()
--- a/edge/status.go
+++ b/edge/status.go
@@ -38,6 +38,11 @@
 	// of the proof that it is the newest.
 	Version     uint32 `json:"version"`
 	ConfigAgeMS int64  `json:"configAgeMS"`
+	// ReplacedMS is the time since another instance announced a newer configuration than
+	// the one in force; 0 if none did.
+	ReplacedMS int64 `json:"replacedMS"`
+	// OwnReadMS is the time since this instance's last complete read of the store.
+	OwnReadMS int64 `json:"ownReadMS"`
 	// ServersAgeMS is the age of the list of backend servers.
 	ServersAgeMS int64 `json:"serversAgeMS"`
 	// Reader is the instance that read the store most recently.
@@ -145,7 +150,8 @@
 	s, now := &e.state, e.now()
 	st := Status{
 		Instance: e.settings.Name, DataCentre: e.settings.DataCentre, Ready: e.readyLocked(), Partitioned: s.reach.Partitioned(),
-		ConfigAgeMS: millisOrUnknown(e.configAge(now)), ServersAgeMS: -1, RateShare: round3(s.usage.RateShare),
+		ConfigAgeMS: millisOrUnknown(e.configAge(now)), ReplacedMS: e.replacedFor(now).Milliseconds(), OwnReadMS: millisOrUnknown(e.ownReadAge(now)),
+		ServersAgeMS: -1, RateShare: round3(s.usage.RateShare),
 		Evacuated: s.evacuations.List(), Memory: e.memoryStatus(),
 	}
 	if s.table != nil {
--- a/edge/table_updates.go
+++ b/edge/table_updates.go
@@ -124,7 +124,10 @@
 	if n.Table == evidence.Config {
 		changed := replica.Position{Era: n.Era, Version: n.LatestRowVersion}
 		if s.announcedConfig.Before(changed) {
-			s.announcedConfig, s.announcedConfigAt = changed, now
+			if e.replacedFor(now) == 0 {
+				s.replacedSince = now
+			}
+			s.announcedConfig, s.announcedConfigClock, s.announcedConfigAt = changed, n.StoreClock(), now
 		}
 		complete = e.isCurrentEra(s.config) && !e.configRowPosition().Before(changed)
 		n.Since = version
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -134,7 +134,7 @@
 	}
 	PeerMessageFailed = Event{
 		523, slog.LevelWarn, "message between instances failed",
-		"A message couldn't be decoded or encoded.", "Check whether all instances run the same version.",
+		"A message couldn't be decoded or encoded, or a call of another instance failed: `method` says which, `took_ms` after what time.", "If messages can't be decoded, check whether all instances run the same version; if calls fail, check the network and the load of `peer`.",
 	}
 	RelayChanged = Event{
 		524, slog.LevelInfo, "relay changed",
@@ -162,7 +162,7 @@
 	}
 	RequestEnded = Event{
 		531, slog.LevelInfo, "request ended",
-		"A caller's request was answered: `status` and `rule` say how, the other fields by which figures.", "See OPERATIONS.md; `foxtailspoke-edge explain` summarises these lines.",
+		"A caller's request was answered: `status` and `rule` say how, the other fields by which figures. `replaced_ms` is there if the instance knew, for that long, that its configuration was replaced; `expired_because` if the proofs of its copies were older than allowed, and `own_read_ms` then is the time since its last complete read of the store.", "See OPERATIONS.md; `foxtailspoke-edge explain` summarises these lines.",
 	}
 	AttemptEnded = Event{
 		532, slog.LevelInfo, "attempt ended",
@@ -193,6 +193,11 @@
 		534, slog.LevelInfo, "retry counts taken over from a peer",
 		"This instance lacked a part of the fleet's retry counts, as it has just started or was partitioned, and took over those of `peer`. `coverage` is the lowest share of the instances that these counts include. `buckets` is the number of workspaces whose tokens it took over as well.", "Nothing.",
 	}
+	ConfigNotFetched = Event{
+		540, slog.LevelWarn, "newer configuration not fetched yet",
+		"This instance knows that its configuration was replaced, `replaced_ms` ago, and neither the store nor another instance has given it the newer one. `round_ms` is how long it tried this time, `own_read_ms` the time since its last complete read of the store.",
+		"If it lasts, check the network between this instance, the others and the store.",
+	}
 	LeavingShareChanged = Event{
 		539, slog.LevelInfo, "share of requests that leaves the data centre changed",
 		"By plan, `share` of this data centre's requests to `service` is sent to other data centres, instead of `before`. `reason` is \"no capacity\" if `demand` (requests per second) is above what the local servers usually take of their `capacity`, \"few servers\" if they are so few that requests would often wait below that, \"none\" if the share ends.", "If it lasts, add servers in this data centre.",
@@ -211,6 +216,6 @@
 		EvacuationStarted, EvacuationEnded, ServerLimited, StaleResponseIgnored, StoreRestored,
 		PeerReachable, PeerUnreachable, PeerMessageFailed, RelayChanged, ServerBackoff, ServerLeaving, ServersUnreachable, ServersReachable, ProcessStalled,
 		RequestEnded, AttemptEnded, LogLinesDropped, RetryHistoryAdopted, ServerEndedUnderRequest, AdmissionChanged,
-		CallerCutOff, ServersBounded, LeavingShareChanged,
+		CallerCutOff, ServersBounded, LeavingShareChanged, ConfigNotFetched,
 	}
 }
--- a/freshness/lease.go
+++ b/freshness/lease.go
@@ -77,6 +77,29 @@
 	return l.ownFailures > 0 || l.othersFailed
 }
 
+// Exemption is why copies whose proof is too old may be used.
+type Exemption string
+
+// Exemptions.
+const (
+	NotExempt        Exemption = ""
+	OwnReadsFail     Exemption = "own-reads-fail"
+	OthersReadsFail  Exemption = "others-reads-fail"
+	NothingToProveBy Exemption = "no-proof-possible"
+)
+
+// Exemption returns why expired copies may be used now.
+func (l *Lease) Exemption() Exemption {
+	switch {
+	case !l.StoreUnavailable():
+		return NotExempt
+	case l.ownFailures > 0:
+		return OwnReadsFail
+	default:
+		return OthersReadsFail
+	}
+}
+
 // Decide returns what to do with a request, given the result of Bounds.Expiry.
 func (l *Lease) Decide(expiry float64, now time.Duration) LeaseDecision {
 	if expiry <= 1 || l.StoreUnavailable() {
