freshness: others' failed attempts hold an instance back for a bounded time

What callers saw: an instance that reaches the store again refuses requests with 404, or runs them, by a configuration that was replaced seconds before, while in touch. Cause: while the store gives nobody an answer, the whole fleet shares one gap of 0.12 to 0.24 s between attempts. An instance that failed lately itself had to wait for such a gap without limit, so that with K of N instances in reach the first useful read came after about N/(6 K) s. Change: after its own last failure an instance waits for others' attempts for 1.0 to 1.4 s at most. Attempts in an outage now grow with the fleet, about one in two seconds for each instance (99 instances: some 50 a second, two calls each; the deployment's store takes 6,000 reads a second).

--- a/freshness/poll.go
+++ b/freshness/poll.go
@@ -47,6 +47,13 @@
 	// in turn leave no gap of minAttemptGap, the others cannot ask, and
 	// requests go to a server that has left.
 	maxHoldOff = 2 * minAttemptGap
+	// maxFailedHoldOff is how long attempts of others hold back an instance after its
+	// own last failure, stretched randomly by up to failedHoldOffJitter: these attempts
+	// may all fail while this instance reaches the store again. A call that failed just
+	// before, this wait and the next read together stay below three seconds, after
+	// which the instance must apply changes in time again.
+	maxFailedHoldOff    = time.Second
+	failedHoldOffJitter = 400 * time.Millisecond
 	// initialBackoff is the wait after a failed own call. It doubles with each
 	// further failure up to maxBackoff.
 	initialBackoff = 250 * time.Millisecond
@@ -120,9 +127,11 @@
 	}
 	if p.hasAttempt {
 		earliest := p.lastAttempt + minAttemptGap + time.Duration(random*float64(minAttemptGap))
-		if !p.recentlyFailed(now) {
-			earliest = min(earliest, p.firstAttempt+maxHoldOff)
+		holdOffEnd := p.firstAttempt + maxHoldOff
+		if p.recentlyFailed(now) {
+			holdOffEnd = p.lastFailure + maxFailedHoldOff + time.Duration(random*float64(failedHoldOffJitter))
 		}
+		earliest = min(earliest, holdOffEnd)
 		due = max(due, earliest)
 	}
 	if p.failures > 0 {
