freshness: a failed read exempts from the check on old proofs for a limited time

Cause: one failed read, its own or one that any other instance announced, counted as an outage of the store until the next proof, however long ago it was. An instance that missed the proofs after it was never made to read. Change: an own failure counts for 2.5 s, in which PollSchedule has the instance read again. Failures of others count for a second, and only up to the platform's bound itself, to which the margin of the copies' maximum age extends; beyond it an instance must have failed by itself. The case of others' failures at an expiry of 1.3 in TestLastCopiesAreUsedDuringOutage demanded the fault: an instance used copies 2.1 s old, of 2 s, without having tried to read. Two tests replace it: up to the bound others' failures still exempt, past it they must not.

--- a/edge/lease.go
+++ b/edge/lease.go
@@ -76,7 +76,7 @@
 func (e *Edge) copyState(now time.Duration) copyState {
 	st := copyState{replacedFor: e.replacedFor(now), ownReadAge: e.ownReadAge(now)}
 	if e.expiry(now) > 1 {
-		st.exemption = e.state.lease.Exemption()
+		st.exemption = e.state.lease.Exemption(e.expiry(now), now)
 		if e.configUnprovable(now) {
 			st.exemption = freshness.NothingToProveBy
 		}
@@ -170,7 +170,7 @@
 	defer e.mu.Unlock()
 	if allRead && e.proofDueLocked(e.now()) {
 		// The response was too old when it arrived.
-		e.state.lease.ObserveOwnFailure()
+		e.state.lease.ObserveOwnFailure(e.now())
 	}
 	e.notifyLeaseWaiters()
 }
@@ -191,7 +191,8 @@
 // proofDueLocked reports whether this instance should read the store to prove its
 // copies. The lock must be held.
 func (e *Edge) proofDueLocked(now time.Duration) bool {
-	return e.expiry(now) > freshness.RefreshExpiry && !e.state.lease.StoreUnavailable() && !e.configUnprovable(now)
+	expiry := e.expiry(now)
+	return expiry > freshness.RefreshExpiry && e.state.lease.Exemption(expiry, now) == freshness.NotExempt && !e.configUnprovable(now)
 }
 
 // configUnprovable reports whether an own read is of no use to prove the
--- a/edge/poll.go
+++ b/edge/poll.go
@@ -190,7 +190,7 @@
 		s.poll.OwnCallSucceeded()
 	} else {
 		s.poll.OwnCallFailed(now)
-		s.lease.ObserveOwnFailure()
+		s.lease.ObserveOwnFailure(now)
 		updates = append(updates, evidence.TableUpdate{})
 	}
 	e.updateRateShare()
--- a/edge/replaced_config_internal_test.go
+++ b/edge/replaced_config_internal_test.go
@@ -62,7 +62,7 @@
 func TestReplacedConfigurationIsNotUsed(t *testing.T) {
 	e, store := expiredInstance(t, 1800*ms)
 	announceChange(t, e, store, e.now()-1200*ms)
-	e.state.lease.ObserveOwnFailure()
+	e.state.lease.ObserveOwnFailure(e.now())
 	mustRefuse(t, e)
 }
 
@@ -79,7 +79,7 @@
 // Guards against refusing requests in an outage of the store when nothing newer is known.
 func TestLastConfigurationIsUsedWhileReadsFail(t *testing.T) {
 	e, _ := expiredInstance(t, 1800*ms)
-	e.state.lease.ObserveOwnFailure()
+	e.state.lease.ObserveOwnFailure(e.now())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	must.Nil(t, e.awaitProof(context.Background()))
--- a/edge/table_updates.go
+++ b/edge/table_updates.go
@@ -112,7 +112,7 @@
 	s := &e.state
 	if n.StoreClockUS == 0 {
 		s.poll.ObserveAttempt(now)
-		s.lease.ObserveOtherFailure()
+		s.lease.ObserveOtherFailure(now)
 		return
 	}
 	if !e.observeStore(n.Era, n.StoreClock(), now) {
--- a/freshness/lease.go
+++ b/freshness/lease.go
@@ -8,14 +8,19 @@
 // A change must be in force within a bound of its confirmation. Usually several
 // proofs that the copies are current arrive within that time. An instance that
 // stalled or missed them can't know of a change, so it reads the store before it
-// handles another request. While the store is unavailable no instance can do
-// that, and requests are handled by the last copies.
+// handles another request. While the store is unavailable to this instance it
+// can't do that, and requests are handled by the last copies. Only its own reads
+// show that, and only for a limited time.
 type Lease struct {
 	// stalled is set from a stall of the process until the next proof.
 	stalled bool
-	// ownFailures counts this instance's failed reads, and othersFailed reports
-	// that another instance announced one, since the newest proof or stall.
-	ownFailures  int
+	// ownFailures counts this instance's failed reads since the newest proof or stall,
+	// lastOwnFailure is when the last one failed.
+	ownFailures    int
+	lastOwnFailure time.Duration
+	// otherFailure is when another instance last announced a failed read since then,
+	// valid if othersFailed is set.
+	otherFailure time.Duration
 	othersFailed bool
 	// verifyingSince is when the first request had to wait for a proof; valid if
 	// verifying is set.
@@ -46,6 +51,15 @@
 	// stallFailures is the number of failed reads after a stall that show that
 	// the store is unavailable: the stall itself may have broken the first.
 	stallFailures = 2
+	// ownFailureValidity is how long a failed read shows that the store is unavailable to
+	// this instance. PollSchedule has it read again before that.
+	ownFailureValidity = 2500 * time.Millisecond
+	// otherFailureValidity is how long a failed read of another instance does.
+	otherFailureValidity = time.Second
+	// maxExpiryByOthers is the result of Bounds.Expiry up to which failures of others count.
+	// Copies of that age are within the platform's bound, by an estimate without a margin;
+	// beyond it this instance must have tried by itself.
+	maxExpiryByOthers = 1 / maxAgeShare
 )
 
 // ObserveProof records that the copies are proved and fresh enough to serve
@@ -61,21 +75,14 @@
 
 // ObserveOwnFailure records that a read of this instance failed or proved
 // nothing.
-func (l *Lease) ObserveOwnFailure() { l.ownFailures++ }
+func (l *Lease) ObserveOwnFailure(now time.Duration) {
+	l.ownFailures++
+	l.lastOwnFailure = now
+}
 
 // ObserveOtherFailure records that another instance announced that it gets no
 // answer of the store.
-func (l *Lease) ObserveOtherFailure() { l.othersFailed = true }
-
-// StoreUnavailable reports whether a further read would be of no use. After a
-// stall only reads of this instance count: the announcements of others may have
-// waited in a buffer.
-func (l *Lease) StoreUnavailable() bool {
-	if l.stalled {
-		return l.ownFailures >= stallFailures
-	}
-	return l.ownFailures > 0 || l.othersFailed
-}
+func (l *Lease) ObserveOtherFailure(now time.Duration) { l.othersFailed, l.otherFailure = true, now }
 
 // Exemption is why copies whose proof is too old may be used.
 type Exemption string
@@ -88,21 +95,27 @@
 	NothingToProveBy Exemption = "no-proof-possible"
 )
 
-// Exemption returns why expired copies may be used now.
-func (l *Lease) Exemption() Exemption {
+// Exemption returns why copies with the given result of Bounds.Expiry may be used now although
+// they are expired, or about to be. After a stall only reads of this instance count: the
+// announcements of others may have waited in a buffer.
+func (l *Lease) Exemption(expiry float64, now time.Duration) Exemption {
+	failures := 1
+	if l.stalled {
+		failures = stallFailures
+	}
 	switch {
-	case !l.StoreUnavailable():
-		return NotExempt
-	case l.ownFailures > 0:
+	case l.ownFailures >= failures && now-l.lastOwnFailure < ownFailureValidity:
 		return OwnReadsFail
-	default:
+	case !l.stalled && l.othersFailed && now-l.otherFailure < otherFailureValidity && expiry <= maxExpiryByOthers:
 		return OthersReadsFail
+	default:
+		return NotExempt
 	}
 }
 
 // Decide returns what to do with a request, given the result of Bounds.Expiry.
 func (l *Lease) Decide(expiry float64, now time.Duration) LeaseDecision {
-	if expiry <= 1 || l.StoreUnavailable() {
+	if expiry <= 1 || l.Exemption(expiry, now) != NotExempt {
 		return Serve
 	}
 	if !l.verifying {
--- a/freshness/lease_test.go
+++ b/freshness/lease_test.go
@@ -30,16 +30,48 @@
 // Guards against refusing requests in an outage of the store, in which no instance can verify
 // its copies.
 func TestLastCopiesAreUsedDuringOutage(t *testing.T) {
-	for name, fail := range map[string]func(*freshness.Lease){
+	var l freshness.Lease
+	now := 10 * time.Second
+	for range 5 {
+		l.ObserveOwnFailure(now)
+		must.Eq(t, freshness.Serve, l.Decide(1.3, now+2*time.Second))
+		now += 2 * time.Second
+	}
+	l.ObserveProof()
+	must.Eq(t, freshness.Verify, l.Decide(1.3, now))
+}
+
+// Other instances fail to read the store, and this one's own read takes until its copies have just
+// expired. Guards against refusing requests until then.
+func TestFailuresOfOthersCountUpToTheBound(t *testing.T) {
+	var l freshness.Lease
+	now := 10 * time.Second
+	l.ObserveOtherFailure(now)
+	must.Eq(t, freshness.Serve, l.Decide(1.24, now+900*ms))
+	l.ObserveProof()
+	must.Eq(t, freshness.Verify, l.Decide(1.24, now+900*ms))
+}
+
+// Guards against handling requests by copies past the bound, without a read of this instance, as
+// others fail to read the store.
+func TestFailuresOfOthersAreNoOutage(t *testing.T) {
+	var l freshness.Lease
+	now := 10 * time.Second
+	l.ObserveOtherFailure(now)
+	must.Eq(t, freshness.Verify, l.Decide(1.26, now))
+}
+
+// Guards against taking a failure that is long past for an outage that goes on.
+func TestFailuresLapse(t *testing.T) {
+	for name, fail := range map[string]func(*freshness.Lease, time.Duration){
 		"own read failed":      (*freshness.Lease).ObserveOwnFailure,
 		"others' reads failed": (*freshness.Lease).ObserveOtherFailure,
 	} {
 		t.Run(name, func(t *testing.T) {
 			var l freshness.Lease
-			fail(&l)
-			must.Eq(t, freshness.Serve, l.Decide(1.3, 10*time.Second))
-			l.ObserveProof()
-			must.Eq(t, freshness.Verify, l.Decide(1.3, 20*time.Second))
+			fail(&l, 10*time.Second)
+			must.Eq(t, freshness.Serve, l.Decide(1.2, 10*time.Second))
+			must.Eq(t, freshness.Verify, l.Decide(1.2, 13*time.Second))
 		})
 	}
 }
@@ -49,12 +81,12 @@
 func TestFailuresBeforeStallDontCount(t *testing.T) {
 	var l freshness.Lease
 	now := 10 * time.Second
-	l.ObserveOwnFailure()
+	l.ObserveOwnFailure(now)
 	l.ObserveStall()
-	l.ObserveOtherFailure()
+	l.ObserveOtherFailure(now)
 	must.Eq(t, freshness.Verify, l.Decide(1.3, now))
-	l.ObserveOwnFailure()
+	l.ObserveOwnFailure(now)
 	must.Eq(t, freshness.Verify, l.Decide(1.3, now+ms))
-	l.ObserveOwnFailure()
+	l.ObserveOwnFailure(now)
 	must.Eq(t, freshness.Serve, l.Decide(1.3, now+2*ms))
 }
