A configuration that is known to be replaced isn't used past its bound

What callers saw: requests handled by the older version, or refused with 404, over 2.5 s after a change was confirmed, by an instance to which the change had been announced. Cause: a failed read exempted an instance from the check on old proofs, although another instance had read the newer version from the store meanwhile. The instance knew that its copy was replaced and used it for as long as the fetch took; nothing bounds that where readers have just started, answer late, or the store is starved. Change: while a live instance has announced to have a newer configuration, no failure of the store counts. Without a live holder, as in an outage in which the only reader dies, failed reads count as before, so that callers are served. A later read of the store that finds nothing newer ends it (the row was removed).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -131,16 +131,7 @@
 	servers       *replica.Table
 	instances     *replica.Table
 	recent        [evidence.TableCount]replica.RecentChanges
-	// announcedConfig is the newest version of the configuration's row that another
-	// instance has announced. fetchConfig reads its content.
-	announcedConfig replica.Position
-	// announcedConfigClock is the store's clock at the read that the announcement is of.
-	announcedConfigClock time.Duration
-	// announcedConfigAt is when this instance received that announcement.
-	announcedConfigAt time.Duration
-	// replacedSince is when this instance received the first announcement of a
-	// configuration that is newer than the local copy.
-	replacedSince time.Duration
+	announcedConfig announcedConfig
 	// stalls detects that the process has not run for a while.
 	stalls freshness.StallDetector
 	// lease decides whether requests may be handled by the copies of the tables.
--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -96,7 +96,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	_, known := e.state.config.Position()
-	return known && !e.configRowPosition().Before(e.state.announcedConfig)
+	return known && !e.configRowPosition().Before(e.state.announcedConfig.row)
 }
 
 // configRowPosition returns the era and version of the configuration row in the
--- a/edge/lease.go
+++ b/edge/lease.go
@@ -29,7 +29,7 @@
 		if e.configUnprovable(now) {
 			return nil
 		}
-		switch s.lease.Decide(e.expiry(now), now) {
+		switch s.lease.Decide(e.expiry(now), e.isConfigReplaceable(now), now) {
 		case freshness.Serve:
 			return nil
 		case freshness.Reject:
@@ -106,20 +106,6 @@
 	return attrs
 }
 
-// replacedFor returns the time for which another instance's announcement of a newer
-// configuration than the local copy is known, 0 if there is none.
-func (e *Edge) replacedFor(now time.Duration) time.Duration {
-	s := &e.state
-	if !e.isCurrentEra(s.config) || !e.configRowPosition().Before(s.announcedConfig) {
-		return 0
-	}
-	if s.configProved && s.configProof >= s.announcedConfigClock {
-		// A later read of the store found no newer one: operators have removed it.
-		return 0
-	}
-	return max(now-s.replacedSince, 1)
-}
-
 // renewLease records a proof that may have made the copies fresh enough.
 func (e *Edge) renewLease(now time.Duration) {
 	if e.expiry(now) <= 1 {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -185,6 +185,7 @@
 	if m.Restarted {
 		s.placer.RemoveInstance(m.Source)
 		s.serverBytes.RemoveInstance(m.Source)
+		e.forgetConfigHolder(m.Source)
 	}
 	for _, u := range m.Usage {
 		s.usage.ApplyReport(usage.Report{
@@ -206,6 +207,7 @@
 			s.lastReader = m.Source
 		}
 		e.applyTableUpdate(n, now)
+		e.observeConfigHolder(m.Source, n)
 	}
 }
 
--- a/edge/poll.go
+++ b/edge/poll.go
@@ -233,6 +233,7 @@
 	changed = e.applyRows(t, a, changed, restored, now)
 	if t == evidence.Config {
 		e.applyUnfetchedProof(now)
+		e.notifyLeaseWaiters()
 	}
 	return changed, true
 }
--- a/edge/table_updates.go
+++ b/edge/table_updates.go
@@ -123,12 +123,7 @@
 	rows, err := evidence.Unpack(n.Packed)
 	if n.Table == evidence.Config {
 		changed := replica.Position{Era: n.Era, Version: n.LatestRowVersion}
-		if s.announcedConfig.Before(changed) {
-			if e.replacedFor(now) == 0 {
-				s.replacedSince = now
-			}
-			s.announcedConfig, s.announcedConfigClock, s.announcedConfigAt = changed, n.StoreClock(), now
-		}
+		e.observeAnnouncedConfig(n, now)
 		complete = e.isCurrentEra(s.config) && !e.configRowPosition().Before(changed)
 		n.Since = version
 		if err == nil {
