Test: a replaced configuration is used if no live instance has the newer one

Control for the refusal of replaced configurations: with the store away and the announcing instances dead, requests are served by the last copy.

--- a/edge/replaced_config_internal_test.go
+++ b/edge/replaced_config_internal_test.go
@@ -85,6 +85,18 @@
 	must.Nil(t, e.awaitProof(context.Background()))
 }
 
+// The store is away, and the instances that announced to have a newer configuration are dead. Guards
+// against refusing requests until the store returns.
+func TestReplacedConfigurationIsUsedIfNobodyHasTheNewOne(t *testing.T) {
+	e, store := expiredInstance(t, 1800*ms)
+	announceChange(t, e, store, e.now()-1200*ms)
+	e.state.lease.ObserveOwnFailure(e.now())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.messenger.Fleet().All()[holderID].Alive = false
+	must.Nil(t, e.awaitProof(context.Background()))
+}
+
 // updateFrom returns the message by which an instance announces a read.
 func updateFrom(id uint32, n evidence.TableUpdate) *fleet.ReceivedMessage {
 	m := evidence.Message{Source: id, TableUpdates: []evidence.TableUpdate{n}}
