--- a/edge/edge.go
+++ b/edge/edge.go
@@ -124,14 +124,15 @@
 	eraStart time.Duration
 	// restoredUntil is the time until which entries that the store had confirmed may
 	// be missing after it was restored from a copy.
-	restoredUntil   time.Duration
-	clock           freshness.StoreClock
-	poll            freshness.PollSchedule
-	config          *replica.Table
-	servers         *replica.Table
-	instances       *replica.Table
-	recent          [evidence.TableCount]replica.RecentChanges
-	announcedConfig announcedConfig
+	restoredUntil time.Duration
+	clock         freshness.StoreClock
+	poll          freshness.PollSchedule
+	config        *replica.Table
+	servers       *replica.Table
+	instances     *replica.Table
+	recent        [evidence.TableCount]replica.RecentChanges
+	// announced has the newest versions that other instances have announced.
+	announced [evidence.TableCount]replica.Announced
 	// stalls detects that the process has not run for a while.
 	stalls freshness.StallDetector
 	// lease decides whether requests may be handled by the copies of the tables.
@@ -141,9 +142,6 @@
 	// unfetchedConfig is the newest update about the configuration table that names
 	// a row that this instance has yet to fetch.
 	unfetchedConfig evidence.TableUpdate
-	// announcedServers is the newest version of the server list that another
-	// instance has announced.
-	announcedServers replica.Position
 	// configProof is the store's timestamp up to which the configuration in force is
 	// proved to be the newest, valid if configProved is set.
 	configProof  time.Duration
--- a/edge/entries.go
+++ b/edge/entries.go
@@ -97,10 +97,10 @@
 // announced a version of the configuration row, or an empty one if none did.
 func (e *Edge) announcedAttr(version uint64, now time.Duration) slog.Attr {
 	s := &e.state
-	if s.announcedConfig.at == 0 || s.announcedConfig.row.Version != version {
+	if a := s.announced[evidence.Config]; a.At == 0 || a.Version != version {
 		return slog.Attr{}
 	}
-	return slog.Int64("announced_ms", (now - s.announcedConfig.at).Milliseconds())
+	return slog.Int64("announced_ms", (now - s.announced[evidence.Config].At).Milliseconds())
 }
 
 // retainConfigRow stores the active configuration in the local copy of the
--- a/edge/era_internal_test.go
+++ b/edge/era_internal_test.go
@@ -41,7 +41,7 @@
 	e.applyTableUpdate(evidence.TableUpdate{Table: evidence.Servers, Since: 5, Version: 80, StoreClockUS: 180_000_000}, now)
 	at, _ := e.state.servers.Position()
 	must.Eq(t, replica.Position{Era: 1, Version: 5}, at)
-	must.Eq(t, replica.Position{}, e.state.announcedServers)
+	must.Eq(t, replica.Position{}, e.state.announced[evidence.Servers].Position)
 	clock, _ := e.state.clock.Now(now)
 	must.Eq(t, 100*time.Second, clock)
 }
--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -69,26 +69,32 @@
 type fetch func(context.Context)
 
 // configSources returns the fetches by which this instance may get the announced
-// configuration, in the order in which they are started: from the readers of its data centre,
-// from an instance that announced to have it, from the store, and from any other
-// instance. Readers ask the store first.
+// configuration, in the order in which they are started: from instances that should have it, from
+// the store, and from any other instance. Readers ask the store first.
 func (e *Edge) configSources() []fetch {
+	fromStore := func(ctx context.Context) { e.readConfig(ctx) }
+	return append(e.instanceSources(evidence.Config, methodConfig, configSnapshotTimeout), fromStore, e.fetchFromPeer)
+}
+
+// instanceSources returns fetches of the announced version of a table from the readers of this
+// data centre and from an instance that announced to have it; none if this instance is a
+// reader itself.
+func (e *Edge) instanceSources(t evidence.Table, method string, timeout time.Duration) []fetch {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	fromStore := func(ctx context.Context) { e.readConfig(ctx) }
 	instances := e.readers()
 	if slices.Contains(instances, e.self) {
-		return []fetch{fromStore, e.fetchFromPeer}
+		return nil
 	}
-	holders := slices.DeleteFunc(e.aliveConfigHolders(), func(id uint32) bool { return slices.Contains(instances, id) })
+	holders := slices.DeleteFunc(e.aliveHolders(t), func(id uint32) bool { return slices.Contains(instances, id) })
 	if len(holders) > 0 {
 		instances = append(instances, holders[rand.IntN(len(holders))])
 	}
 	sources := []fetch{func(ctx context.Context) { sleepContext(ctx, readerHeadStart) }}
 	for _, id := range instances {
-		sources = append(sources, func(ctx context.Context) { e.fetchSnapshot(ctx, id, methodConfig, configSnapshotTimeout) })
+		sources = append(sources, func(ctx context.Context) { e.fetchSnapshot(ctx, id, method, timeout) })
 	}
-	return append(sources, fromStore, e.fetchFromPeer)
+	return sources
 }
 
 // fetchStaggered starts fetches one after the other, each once the one before has ended or
@@ -126,38 +132,23 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	if replacedFor := e.replacedFor(now); replacedFor > 0 {
+	if replacedFor := e.replacedFor(evidence.Config, now); replacedFor > 0 {
 		event.ConfigNotFetched.Log(e.log, slog.Int64("replaced_ms", replacedFor.Milliseconds()),
 			slog.Int64("round_ms", (now-begin).Milliseconds()), slog.Int64("own_read_ms", millisOrUnknown(e.ownReadAge(now))))
 	}
 }
 
-// fetchFromReaders requests snapshots from the readers of this data centre
-// until complete returns true. It returns false if this instance is a reader
-// itself or if no reader has the missing data.
-func (e *Edge) fetchFromReaders(ctx context.Context, method string, timeout time.Duration, complete func() bool) bool {
-	e.mu.Lock()
-	readers := e.readers()
-	e.mu.Unlock()
-	if slices.Contains(readers, e.self) || !sleepContext(ctx, readerHeadStart) {
-		return false
-	}
-	for _, reader := range readers {
-		if complete() {
-			return true
-		}
-		e.fetchSnapshot(ctx, reader, method, timeout)
-	}
-	return complete()
+// fetchFromInstances fetches the announced version of a table from other instances, with whole
+// snapshots, until complete returns true. It returns false if this instance is a reader itself or
+// if none of them has the missing data.
+func (e *Edge) fetchFromInstances(ctx context.Context, t evidence.Table, complete func() bool) bool {
+	sources := e.instanceSources(t, methodGet, snapshotTimeout)
+	return len(sources) > 0 && e.fetchStaggered(ctx, sources, complete)
 }
 
-// hasAnnouncedConfig reports whether this instance has the newest configuration
-// that another instance has announced.
-func (e *Edge) hasAnnouncedConfig() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.hasAnnouncedConfigLocked()
-}
+func (e *Edge) hasAnnouncedConfig() bool { return e.hasAnnounced(evidence.Config) }
+
+func (e *Edge) hasAnnouncedServers() bool { return e.hasAnnounced(evidence.Servers) }
 
 // configRowPosition returns the era and version of the configuration row in the
 // local copy.
@@ -168,15 +159,6 @@
 	return replica.Position{Era: at.Era, Version: row.Version}
 }
 
-// hasAnnouncedServers reports whether this instance has the newest list of
-// servers that another instance has announced.
-func (e *Edge) hasAnnouncedServers() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	at, known := e.state.servers.Position()
-	return known && !at.Before(e.state.announcedServers)
-}
-
 // readers returns the instances of this data centre that read the store for the
 // others. All instances select the same ones: ready ones first, as those that have just
 // started have nothing to forward, then those with fast links.
--- a/edge/join.go
+++ b/edge/join.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"foxtailspoke/evidence"
 )
 
 const (
@@ -37,7 +39,7 @@
 		if !sleepContext(ctx, joinPollInterval) {
 			return
 		}
-		if e.hasReadyPeer() && !e.fetchFromReaders(ctx, methodGet, snapshotTimeout, e.hasConfigAndServers) {
+		if e.hasReadyPeer() && !e.fetchFromInstances(ctx, evidence.Servers, e.hasConfigAndServers) {
 			e.fetchFromPeer(ctx)
 		}
 	}
--- a/edge/lease.go
+++ b/edge/lease.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"foxtailspoke/event"
+	"foxtailspoke/evidence"
 	"foxtailspoke/freshness"
 )
 
@@ -29,7 +30,7 @@
 		if e.configUnprovable(now) {
 			return nil
 		}
-		switch s.lease.Decide(e.expiry(now), e.isConfigReplaceable(now), now) {
+		switch s.lease.Decide(e.expiry(now), e.isReplaced(now), now) {
 		case freshness.Serve:
 			return nil
 		case freshness.Reject:
@@ -74,7 +75,7 @@
 
 // copyState returns the state of the copies for a request that is handled now.
 func (e *Edge) copyState(now time.Duration) copyState {
-	st := copyState{replacedFor: e.replacedFor(now), ownReadAge: e.ownReadAge(now)}
+	st := copyState{replacedFor: e.replacedFor(evidence.Config, now), ownReadAge: e.ownReadAge(now)}
 	if e.expiry(now) > 1 {
 		st.exemption = e.state.lease.Exemption(e.expiry(now), now)
 		if e.configUnprovable(now) {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"foxtailspoke/evidence"
 	"foxtailspoke/freshness"
 )
 
@@ -82,7 +83,7 @@
 	}, []string{"reason"})
 	m.registry.MustRegister(m.onReplaced, m.onExpired)
 	m.gauge("configuration_replaced_seconds", "Time since another instance announced a newer configuration than the one in force; 0 if none did.", e.locked(func() float64 {
-		return e.replacedFor(e.now()).Seconds()
+		return e.replacedFor(evidence.Config, e.now()).Seconds()
 	}))
 	m.crossDataCentreBytes = newCrossDataCentreBytes()
 	m.registry.MustRegister(m.crossDataCentreBytes)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -185,7 +185,7 @@
 	if m.Restarted {
 		s.placer.RemoveInstance(m.Source)
 		s.serverBytes.RemoveInstance(m.Source)
-		e.forgetConfigHolder(m.Source)
+		e.forgetHolder(m.Source)
 	}
 	for _, u := range m.Usage {
 		s.usage.ApplyReport(usage.Report{
@@ -207,7 +207,7 @@
 			s.lastReader = m.Source
 		}
 		e.applyTableUpdate(n, now)
-		e.observeConfigHolder(m.Source, n)
+		e.observeHolder(m.Source, n)
 	}
 }
 
--- a/edge/poll.go
+++ b/edge/poll.go
@@ -84,7 +84,7 @@
 	e.mu.Lock()
 	hasGap := e.state.missedServersDue > 0
 	e.mu.Unlock()
-	if !hasGap || !e.fetchFromReaders(ctx, methodGet, snapshotTimeout, e.hasAnnouncedServers) {
+	if !hasGap || !e.fetchFromInstances(ctx, evidence.Servers, e.hasAnnouncedServers) {
 		return false
 	}
 	e.mu.Lock()
--- a/edge/replaced_config_internal_test.go
+++ b/edge/replaced_internal_test.go
@@ -85,6 +85,21 @@
 	must.Nil(t, e.awaitProof(context.Background()))
 }
 
+// An instance lacks changes of the list of servers that another one announced, and its own reads
+// fail. Guards against sending requests to servers that have left meanwhile.
+func TestReplacedServerListIsNotUsed(t *testing.T) {
+	e, _ := expiredInstance(t, 1800*ms)
+	e.mu.Lock()
+	now := e.now()
+	e.state.messenger.Fleet().GetOrAdd(holderID, now).Alive = true
+	storeClock, _ := e.state.clock.Now(now)
+	gap := evidence.TableUpdate{Table: evidence.Servers, Since: 5, Version: 6, StoreClockUS: storeClock.Microseconds()}
+	e.applyMessage(updateFrom(holderID, gap), now)
+	e.state.lease.ObserveOwnFailure(now)
+	e.mu.Unlock()
+	mustRefuse(t, e)
+}
+
 // The store is away, and the instances that announced to have a newer configuration are dead. Guards
 // against refusing requests until the store returns.
 func TestReplacedConfigurationIsUsedIfNobodyHasTheNewOne(t *testing.T) {
--- a/edge/status.go
+++ b/edge/status.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"foxtailspoke/event"
+	"foxtailspoke/evidence"
 	"foxtailspoke/health"
 	"foxtailspoke/placement"
 )
@@ -150,7 +151,7 @@
 	s, now := &e.state, e.now()
 	st := Status{
 		Instance: e.settings.Name, DataCentre: e.settings.DataCentre, Ready: e.readyLocked(), Partitioned: s.reach.Partitioned(),
-		ConfigAgeMS: millisOrUnknown(e.configAge(now)), ReplacedMS: e.replacedFor(now).Milliseconds(), OwnReadMS: millisOrUnknown(e.ownReadAge(now)),
+		ConfigAgeMS: millisOrUnknown(e.configAge(now)), ReplacedMS: e.replacedFor(evidence.Config, now).Milliseconds(), OwnReadMS: millisOrUnknown(e.ownReadAge(now)),
 		ServersAgeMS: -1, RateShare: round3(s.usage.RateShare),
 		Evacuated: s.evacuations.List(), Memory: e.memoryStatus(),
 	}
--- a/edge/table_updates.go
+++ b/edge/table_updates.go
@@ -123,7 +123,7 @@
 	rows, err := evidence.Unpack(n.Packed)
 	if n.Table == evidence.Config {
 		changed := replica.Position{Era: n.Era, Version: n.LatestRowVersion}
-		e.observeAnnouncedConfig(n, now)
+		e.observeAnnounced(n, now)
 		complete = e.isCurrentEra(s.config) && !e.configRowPosition().Before(changed)
 		n.Since = version
 		if err == nil {
@@ -131,7 +131,7 @@
 		}
 	}
 	if n.Table == evidence.Servers {
-		s.announcedServers = laterPosition(s.announcedServers, replica.Position{Era: n.Era, Version: n.Version})
+		e.observeAnnounced(n, now)
 	}
 	if !complete {
 		if n.Table == evidence.Config && n.StoreClockUS > s.unfetchedConfig.StoreClockUS {
@@ -226,13 +226,6 @@
 	}
 }
 
-func laterPosition(a, b replica.Position) replica.Position {
-	if a.Before(b) {
-		return b
-	}
-	return a
-}
-
 func wake(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
