soak: store faults reach the instances; instances return to the store apart

Two gaps of TestConfigChangesComeIntoForce. And instances that reach the store again at different times weren't played: return-apart has the store answer nobody for 4 to 7 s, then one to three instances, then all. While it doesn't answer an instance, that counts as a fault of the instance all the time.

--- a/internal/soak/config_changes_test.go
+++ b/internal/soak/config_changes_test.go
@@ -116,6 +116,8 @@
 	*cluster
 	history *configHistory
 	servers *httptest.Server
+	// storeServers are the servers of the store, one for each instance.
+	storeServers []*httptest.Server
 	probes  atomic.Int64
 	// size is the number of instances.
 	size int
@@ -163,7 +165,7 @@
 	f.change()
 	for n := range f.size {
 		f.processes = append(f.processes, &process{index: n})
-		f.storeLinks = append(f.storeLinks, f.startLink(strings.TrimPrefix(f.storeServer.URL, "http://")))
+		f.storeLinks = append(f.storeLinks, f.startLink(strings.TrimPrefix(f.startStoreServer(n).URL, "http://")))
 		f.launch(f.processes[n])
 	}
 	deadline := time.Now().Add(20 * time.Second)
@@ -179,6 +181,17 @@
 	f.onLaunch = func(n int) { f.recordFault(n, faultRestart) }
 }
 
+// startStoreServer starts a server of the store for one instance. All instances call it from the
+// same loopback address, so that the server sets the one by which the store selects its faults.
+func (f *configFleet) startStoreServer(n int) *httptest.Server {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.RemoteAddr = net.JoinHostPort(f.instanceIP(n), "1")
+		f.store.ServeHTTP(w, r)
+	}))
+	f.storeServers = append(f.storeServers, server)
+	return server
+}
+
 // change writes the next version: the probed route goes to the next service, a route is
 // added, and one is removed.
 func (f *configFleet) change() {
--- a/internal/soak/config_faults_test.go
+++ b/internal/soak/config_faults_test.go
@@ -29,27 +29,12 @@
 
 // failStoreFor has the store fail calls of the instances for which only returns true.
 func (f *configFleet) failStoreFor(d time.Duration, fault rowstore.Fault, only func(n int) bool) {
-	ips := make(map[string]bool)
-	for n := range f.processes {
-		if only(n) {
-			ips[f.instanceIP(n)] = true
-			f.recordFault(n, faultStore)
-		}
-	}
-	f.store.SetFault(func(ip string) rowstore.Fault {
-		if ips[ip] {
-			return fault
-		}
-		return rowstore.NoFault
-	})
+	f.recordStoreFaults(only)
+	f.store.SetFault(f.faultOf(fault, only))
 	f.wg.Go(func() {
 		time.Sleep(d)
 		f.store.SetFault(nil)
-		for n := range f.processes {
-			if only(n) {
-				f.recordFault(n, faultStore)
-			}
-		}
+		f.recordStoreFaults(only)
 	})
 }
 
@@ -59,16 +44,12 @@
 	if stale {
 		set = f.store.SetResponseDelay
 	}
-	for n := range f.processes {
-		f.recordFault(n, faultStore)
-	}
+	f.recordStoreFaults(everyInstance)
 	set(delay)
 	f.wg.Go(func() {
 		time.Sleep(d)
 		set(0)
-		for n := range f.processes {
-			f.recordFault(n, faultStore)
-		}
+		f.recordStoreFaults(everyInstance)
 	})
 }
 
@@ -83,14 +64,61 @@
 
 func (f *configFleet) shutdown() {
 	f.cluster.shutdown()
-	f.servers.CloseClientConnections()
-	f.servers.Close()
+	for _, s := range append(f.storeServers, f.servers) {
+		s.CloseClientConnections()
+		s.Close()
+	}
+}
+
+// returnStoreApart has the store answer nobody for alone, then only the first few instances for as
+// long again, and then all.
+func (f *configFleet) returnStoreApart(alone time.Duration, first, count int) {
+	stages := []func(n int) bool{everyInstance, func(n int) bool { return (n-first+f.size)%f.size >= count }}
+	f.wg.Go(func() {
+		for _, lost := range stages {
+			f.store.SetFault(f.faultOf(rowstore.NoResponse, lost))
+			for end := time.Now().Add(alone); time.Now().Before(end); {
+				f.recordStoreFaults(lost)
+				select {
+				case <-time.After(contactPeriod / 4):
+				case <-f.stop:
+					return
+				}
+			}
+		}
+		f.store.SetFault(nil)
+		f.recordStoreFaults(stages[len(stages)-1])
+	})
+}
+
+// recordStoreFaults records a fault of the store for the instances for which only returns true.
+func (f *configFleet) recordStoreFaults(only func(n int) bool) {
+	for n := range f.processes {
+		if only(n) {
+			f.recordFault(n, faultStore)
+		}
+	}
+}
+
+// faultOf returns the function by which the store fails calls of the instances for which only
+// returns true.
+func (f *configFleet) faultOf(fault rowstore.Fault, only func(n int) bool) func(ip string) rowstore.Fault {
+	ips := make(map[string]bool)
+	for n := range f.processes {
+		ips[f.instanceIP(n)] = only(n)
+	}
+	return func(ip string) rowstore.Fault {
+		if ips[ip] {
+			return fault
+		}
+		return rowstore.NoFault
+	}
 }
 
 func everyInstance(int) bool { return true }
 
 // configFaultNames are the values of the flag config.faults.
-var configFaultNames = []string{"none", "series", "kill", "kill-share", "kill-all", "pause", "pause-many", "pause-through-changes", "silent", "slow", "stale", "refuse-some"}
+var configFaultNames = []string{"none", "series", "kill", "kill-share", "kill-all", "pause", "pause-many", "pause-through-changes", "silent", "slow", "stale", "refuse-some", "return-apart"}
 
 // play changes the configuration beside faults for d.
 func (f *configFleet) play(d time.Duration) {
@@ -160,6 +188,8 @@
 		f.slowStoreFor(f.randomDuration(time.Second, 3*time.Second), f.randomDuration(100*time.Millisecond, 1200*time.Millisecond), false)
 	case "stale":
 		f.slowStoreFor(f.randomDuration(time.Second, 3*time.Second), f.randomDuration(100*time.Millisecond, 800*time.Millisecond), true)
+	case "return-apart":
+		f.returnStoreApart(f.randomDuration(4*time.Second, 7*time.Second), f.randomInt(size), 1+f.randomInt(3))
 	case "refuse-some":
 		third := f.randomInt(3)
 		faults := []rowstore.Fault{rowstore.Unavailable, rowstore.TooManyRequests, rowstore.ConnectionReset, rowstore.NoResponse}
