Waits begin anew after an outage; updates of unknown tables are ignored

A request that waited for a proof until reads failed left its start behind, so that the next request that needed a proof, seconds later, was refused without a wait (TestRequestsWaitAgainAfterAnOutage fails before). An update of a table that only a later version of the program knows would have been an index out of range in the new record of announcements (TestUpdateOfUnknownTableIsIgnored).

--- a/edge/entries.go
+++ b/edge/entries.go
@@ -96,11 +96,11 @@
 // announcedAttr returns the log attribute of the time since another instance
 // announced a version of the configuration row, or an empty one if none did.
 func (e *Edge) announcedAttr(version uint64, now time.Duration) slog.Attr {
-	s := &e.state
-	if a := s.announced[evidence.Config]; a.At == 0 || a.Version != version {
+	a := &e.state.announced[evidence.Config]
+	if a.At == 0 || a.Version != version {
 		return slog.Attr{}
 	}
-	return slog.Int64("announced_ms", (now - s.announced[evidence.Config].At).Milliseconds())
+	return slog.Int64("announced_ms", (now - a.At).Milliseconds())
 }
 
 // retainConfigRow stores the active configuration in the local copy of the
--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -27,8 +27,7 @@
 	// them. If every instance read it, the calls would grow with the fleet up
 	// to the limit of the store.
 	readersPerDataCentre = 2
-	// fetchStagger is how long a fetch of the configuration takes at least before the next
-	// source is asked as well.
+	// fetchStagger is how long a fetch may take until the next source is asked as well.
 	fetchStagger = 100 * time.Millisecond
 	// readerHeadStart gives the readers time for their own call, which usually
 	// takes 4 ms.
--- a/edge/lease.go
+++ b/edge/lease.go
@@ -70,7 +70,8 @@
 	// replacedFor is the time for which the configuration is known to be replaced, 0 if
 	// it isn't known.
 	replacedFor time.Duration
-	ownReadAge  time.Duration
+	// ownReadAge is the time since this instance's last complete read of the store.
+	ownReadAge time.Duration
 }
 
 // copyState returns the state of the copies for a request that is handled now.
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -81,13 +81,12 @@
 		Namespace: namespace, Name: "requests_by_expired_copies_total",
 		Help: "Requests handled by copies of the store whose proof was older than allowed, by why that was accepted.",
 	}, []string{"reason"})
-	m.registry.MustRegister(m.onReplaced, m.onExpired)
 	m.gauge("configuration_replaced_seconds", "Time since another instance announced a newer configuration than the one in force; 0 if none did.", e.locked(func() float64 {
 		return e.replacedFor(evidence.Config, e.now()).Seconds()
 	}))
 	m.crossDataCentreBytes = newCrossDataCentreBytes()
 	m.registry.MustRegister(m.crossDataCentreBytes)
-	m.registry.MustRegister(m.requests, m.durations, m.attempts, m.serviceAttempts, m.forwarded, m.datagrams, m.datagramsReceived, m.serverEnds, m.stalls, m.configAges)
+	m.registry.MustRegister(m.requests, m.durations, m.attempts, m.serviceAttempts, m.forwarded, m.datagrams, m.datagramsReceived, m.serverEnds, m.stalls, m.configAges, m.onReplaced, m.onExpired)
 	m.gauge("rounds_total", "Rounds sent to listeners and other relays.", e.locked(func() float64 {
 		return float64(e.state.messenger.Hub().Rounds())
 	}))
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -203,6 +203,10 @@
 		e.recordUnserved(u, now)
 	}
 	for _, n := range m.TableUpdates {
+		if n.Table >= evidence.TableCount {
+			// A later version of the program may know more tables.
+			continue
+		}
 		if n.StoreClockUS != 0 {
 			s.lastReader = m.Source
 		}
--- a/edge/replaced_internal_test.go
+++ b/edge/replaced_internal_test.go
@@ -100,6 +100,15 @@
 	mustRefuse(t, e)
 }
 
+// Guards against a crash by an update of a table that only a later version of the program knows.
+func TestUpdateOfUnknownTableIsIgnored(t *testing.T) {
+	e, _ := expiredInstance(t, time.Second)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := evidence.TableUpdate{Table: evidence.TableCount, Version: 6, StoreClockUS: 1}
+	e.applyMessage(updateFrom(holderID, n), e.now())
+}
+
 // The store is away, and the instances that announced to have a newer configuration are dead. Guards
 // against refusing requests until the store returns.
 func TestReplacedConfigurationIsUsedIfNobodyHasTheNewOne(t *testing.T) {
--- a/freshness/lease.go
+++ b/freshness/lease.go
@@ -118,6 +118,7 @@
 // exempts: it has answered another instance.
 func (l *Lease) Decide(expiry float64, replaced bool, now time.Duration) LeaseDecision {
 	if expiry <= 1 || (!replaced && l.Exemption(expiry, now) != NotExempt) {
+		l.verifying = false
 		return Serve
 	}
 	if !l.verifying {
--- a/freshness/lease_test.go
+++ b/freshness/lease_test.go
@@ -61,6 +61,17 @@
 	must.Eq(t, freshness.Verify, l.Decide(1.26, false, now))
 }
 
+// A request waited for a proof, and then the reads failed. Guards against refusing the next request
+// that needs a proof without a wait.
+func TestRequestsWaitAgainAfterAnOutage(t *testing.T) {
+	var l freshness.Lease
+	now := 10 * time.Second
+	must.Eq(t, freshness.Verify, l.Decide(1.3, false, now))
+	l.ObserveOwnFailure(now + 100*ms)
+	must.Eq(t, freshness.Serve, l.Decide(1.3, false, now+200*ms))
+	must.Eq(t, freshness.Verify, l.Decide(1.3, false, now+3*time.Second))
+}
+
 // Guards against taking a failure that is long past for an outage that goes on.
 func TestFailuresLapse(t *testing.T) {
 	for name, fail := range map[string]func(*freshness.Lease, time.Duration){
