--- a/internal/edgecommand/status.go
+++ b/internal/edgecommand/status.go
@@ -62,6 +62,9 @@
 	line := func(format string, args ...any) { _, _ = fmt.Fprintf(t, format+"\n", args...) }
 	line("%s in %s, %s", s.Instance, s.DataCentre, readiness(s.Ready))
 	line("configuration %d, proved %s ago; servers as of %s ago; read by %s", s.Version, ago(s.ConfigAgeMS), ago(s.ServersAgeMS), orNone(s.Reader))
+	if s.ReplacedMS > 0 {
+		line("  replaced: another instance announced a newer configuration %s ago; the store was last read by this instance %s ago", ago(s.ReplacedMS), ago(s.OwnReadMS))
+	}
 	line("may count on %.0f%% of each workspace's rate", 100*s.RateShare)
 	line("bodies take %.1f MB for requests and %.1f MB for responses, of %.1f MB",
 		megabytes(s.Memory.RequestBytes), megabytes(s.Memory.ResponseBytes), megabytes(s.Memory.LimitBytes))
--- a/internal/edgecommand/status_test.go
+++ b/internal/edgecommand/status_test.go
@@ -25,7 +25,7 @@
 
 func TestStatusOutput(t *testing.T) {
 	s := edge.Status{
-		Instance: "edge-1", DataCentre: "luz-a", Ready: true, Version: 12, ConfigAgeMS: 230, ServersAgeMS: -1,
+		Instance: "edge-1", DataCentre: "luz-a", Ready: true, Version: 12, ConfigAgeMS: 230, ReplacedMS: 640, OwnReadMS: -1, ServersAgeMS: -1,
 		Reader: "10.1.0.31", RateShare: 0.5, Evacuated: []string{"luz-c"},
 		Instances:  []edge.InstanceStatus{{IP: "10.1.0.31", DataCentre: "luz-a", Alive: true, Leaving: true, HeardMS: 120, SlowLink: true}},
 		Services:   []edge.ServiceStatus{{Service: "order-desk", Servers: 15, Draining: 1, Cold: 2, Limited: 3, Evacuated: 4, Outstanding: 9, Suspects: 1}},
@@ -42,6 +42,7 @@
 	must.Eq(t, exitOK, code)
 	for _, part := range []string{
 		"edge-1 in luz-a, ready", "configuration 12, proved 230ms ago; servers as of unknown ago; read by 10.1.0.31",
+		"announced a newer configuration 640ms ago; the store was last read by this instance unknown ago",
 		"50% of each workspace's rate", "incomplete 1.5s ago", "boatyard", "not ready, slow link",
 		"evacuated data centres: luz-c",
 	} {
