freshness: instances that failed lately are spaced in the next outage, too

Found while reading: the wait of an instance that has failed counted from its last failure only. If that was seconds ago and the store has answered since, others' attempts no longer held it back at all, so that all instances would read a store that fails again within the same 0.1 s. The wait now counts from the first attempt since the newest response if that is later. Also formats internal/soak/config_changes_test.go, which left unformatted.

--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -119,6 +119,21 @@
 	t.Fatal("instance did not ask the store within 1.3 s")
 }
 
+// All instances failed in an outage that has ended, and the next one begins. Guards against reads of
+// all of them at the same moment.
+func TestAttemptsAreSpacedInTheNextOutage(t *testing.T) {
+	var p freshness.PollSchedule
+	p.OwnCallFailed(10 * time.Second)
+	p.OwnCallSucceeded()
+	p.Yield()
+	p.ObserveResponse(0, 12*time.Second)
+	p.ObserveAttempt(12500 * ms)
+	now := 13 * time.Second
+	p.ObserveAttempt(now)
+	must.GreaterEq(t, now+120*ms, p.Next(3, 0, now))
+	must.LessEq(t, 13500*ms, p.Next(3, 0.9, now))
+}
+
 // If the store refuses only the instance first in rank, that instance must leave
 // the asking to others for a while instead of failing first each time.
 func TestRefusedInstanceGetsLowestRank(t *testing.T) {
--- a/freshness/lease.go
+++ b/freshness/lease.go
@@ -113,9 +113,9 @@
 	}
 }
 
-// Decide returns what to do with a request, given the result of Bounds.Expiry and whether the
-// configuration is known to be replaced by one that can be fetched. Then no failure of the store
-// exempts: it has answered another instance.
+// Decide returns what to do with a request, given the result of Bounds.Expiry and whether a
+// copy is known to be replaced by one that can be fetched. Then no failure of the store exempts:
+// it has answered another instance.
 func (l *Lease) Decide(expiry float64, replaced bool, now time.Duration) LeaseDecision {
 	if expiry <= 1 || (!replaced && l.Exemption(expiry, now) != NotExempt) {
 		l.verifying = false
--- a/freshness/poll.go
+++ b/freshness/poll.go
@@ -48,7 +48,8 @@
 	// requests go to a server that has left.
 	maxHoldOff = 2 * minAttemptGap
 	// maxFailedHoldOff is how long attempts of others hold back an instance after its
-	// own last failure, stretched randomly by up to failedHoldOffJitter: these attempts
+	// own last failure or, if that was before the newest response, after their first
+	// attempt since. It is stretched randomly by up to failedHoldOffJitter. These attempts
 	// may all fail while this instance reaches the store again. A call that failed just
 	// before, this wait and the next read together stay below three seconds, after
 	// which the instance must apply changes in time again.
@@ -129,7 +130,7 @@
 		earliest := p.lastAttempt + minAttemptGap + time.Duration(random*float64(minAttemptGap))
 		holdOffEnd := p.firstAttempt + maxHoldOff
 		if p.recentlyFailed(now) {
-			holdOffEnd = p.lastFailure + maxFailedHoldOff + time.Duration(random*float64(failedHoldOffJitter))
+			holdOffEnd = max(p.firstAttempt, p.lastFailure) + maxFailedHoldOff + time.Duration(random*float64(failedHoldOffJitter))
 		}
 		earliest = min(earliest, holdOffEnd)
 		due = max(due, earliest)
--- a/internal/soak/config_changes_test.go
+++ b/internal/soak/config_changes_test.go
@@ -118,7 +118,7 @@
 	servers *httptest.Server
 	// storeServers are the servers of the store, one for each instance.
 	storeServers []*httptest.Server
-	probes  atomic.Int64
+	probes       atomic.Int64
 	// size is the number of instances.
 	size int
 }
