--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -72,7 +72,12 @@
 // the store, and from any other instance. Readers ask the store first.
 func (e *Edge) configSources() []fetch {
 	fromStore := func(ctx context.Context) { e.readConfig(ctx) }
-	return append(e.instanceSources(evidence.Config, methodConfig, configSnapshotTimeout), fromStore, e.fetchFromPeer)
+	fromPeer := func(ctx context.Context) {
+		if peer, ok := e.randomPeer(); ok {
+			e.fetchSnapshot(ctx, peer, methodConfig, configSnapshotTimeout)
+		}
+	}
+	return append(e.instanceSources(evidence.Config, methodConfig, configSnapshotTimeout), fromStore, fromPeer)
 }
 
 // instanceSources returns fetches of the announced version of a table from the readers of this
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -197,9 +197,16 @@
 	}
 }
 
-// fetchFromPeer fetches a full snapshot from a random peer, preferably one that
-// is ready and so has the configuration and the servers.
+// fetchFromPeer fetches a full snapshot from a random peer.
 func (e *Edge) fetchFromPeer(ctx context.Context) {
+	if peer, ok := e.randomPeer(); ok {
+		e.fetchSnapshot(ctx, peer, methodGet, snapshotTimeout)
+	}
+}
+
+// randomPeer returns a random peer, preferably one that is ready and so has the
+// configuration and the servers.
+func (e *Edge) randomPeer() (id uint32, ok bool) {
 	e.mu.Lock()
 	var ready, alive []uint32
 	for id, m := range e.state.messenger.Fleet().All() {
@@ -214,9 +221,10 @@
 	if len(ready) == 0 {
 		ready = alive
 	}
-	if len(ready) > 0 {
-		e.fetchSnapshot(ctx, ready[rand.IntN(len(ready))], methodGet, snapshotTimeout)
+	if len(ready) == 0 {
+		return 0, false
 	}
+	return ready[rand.IntN(len(ready))], true
 }
 
 // fetchSnapshot calls a method of Snapshots on another instance and applies the
