Comments: when failures of others count, and the first source of a fetch

Read as a newcomer: the comment of Lease denied what Exemption does with others' failures up to the bound, and the first source of a fetch, a pause, had no reason. No code changes.

--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -82,7 +82,7 @@
 
 // instanceSources returns fetches of the announced version of a table from the readers of this
 // data centre and from an instance that announced to have it; none if this instance is a
-// reader itself.
+// reader itself. The first source only waits, so that readers can read the store.
 func (e *Edge) instanceSources(t evidence.Table, method string, timeout time.Duration) []fetch {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/freshness/lease.go
+++ b/freshness/lease.go
@@ -9,8 +9,8 @@
 // proofs that the copies are current arrive within that time. An instance that
 // stalled or missed them can't know of a change, so it reads the store before it
 // handles another request. While the store is unavailable to this instance it
-// can't do that, and requests are handled by the last copies. Only its own reads
-// show that, and only for a limited time.
+// can't do that, and requests are handled by the last copies. Only its own failed
+// reads show that beyond the bound, and only for a limited time.
 type Lease struct {
 	// stalled is set from a stall of the process until the next proof.
 	stalled bool
@@ -54,7 +54,7 @@
 	// ownFailureValidity is how long a failed read shows that the store is unavailable to
 	// this instance. PollSchedule has it read again before that.
 	ownFailureValidity = 2500 * time.Millisecond
-	// otherFailureValidity is how long a failed read of another instance does.
+	// otherFailureValidity is how long a failed read of another instance shows the same.
 	otherFailureValidity = time.Second
 	// maxExpiryByOthers is the result of Bounds.Expiry up to which failures of others count.
 	// Copies of that age are within the platform's bound, by an estimate without a margin;
