review: show that a late second rejection makes an order run twice

Cause: upstream.Request.matches accepts a response of 400 or above without an X-Attempt-Id as the answer to the latest request on a kept connection.

--- /dev/null
+++ b/review/fleet2/target.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Headers of the platform between callers, instances and backend servers.
+const (
+	headerAttempt     = "X-Attempt-Id"
+	headerExpect      = "X-Expect-Instance"
+	headerNotExecuted = "X-Not-Executed"
+	headerSeal        = "X-Response-Seal"
+	headerDeadline    = "X-Deadline-Ms"
+)
+
+// target is a backend server that speaks the platform's protocol: one request at a time on a
+// connection, a number of slots and a short queue.
+type target struct {
+	id, service  string
+	slots, queue int
+	work         time.Duration
+	// bodyBytes is the length of its answers.
+	bodyBytes int
+	born      time.Time
+	rec       *record
+	listener  net.Listener
+	slot      chan struct{}
+	// extra decides whether an answer is sent a second time, late: where the next response on
+	// its connection is expected. nil means never.
+	extra func() bool
+
+	mu     sync.Mutex
+	held   int
+	runs   map[string]int
+	sheds  int
+	extras int
+}
+
+func newTarget(rec *record, id, service string, slots, queue int, work time.Duration) (*target, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	t := &target{
+		id: id, service: service, slots: slots, queue: queue, work: work, bodyBytes: 400, born: time.Now(), rec: rec,
+		listener: l, slot: make(chan struct{}, slots), runs: make(map[string]int),
+	}
+	go t.accept()
+	return t, nil
+}
+
+func (t *target) address() string { return t.listener.Addr().String() }
+
+func (t *target) close() { _ = t.listener.Close() }
+
+func (t *target) accept() {
+	for {
+		c, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		go t.serve(c)
+	}
+}
+
+// serve serves a connection.
+func (t *target) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	late := ""
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if late != "" {
+			// The second copy of the answer to an earlier request.
+			if _, err := io.WriteString(c, late); err != nil {
+				return
+			}
+			late = ""
+		}
+		answer := t.answer(r)
+		if t.extra != nil && t.extra() {
+			t.mu.Lock()
+			t.extras++
+			t.mu.Unlock()
+			late = answer
+		}
+		if _, err := io.WriteString(c, answer); err != nil {
+			return
+		}
+	}
+}
+
+// answer runs a request, or rejects it, and returns the answer as it is sent.
+func (t *target) answer(r *http.Request) string {
+	id := r.Header.Get(headerAttempt)
+	if r.Header.Get(headerExpect) != t.id {
+		return "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " + t.id + "\r\nContent-Length: 0\r\n\r\n"
+	}
+	if !t.enter() {
+		t.rec.printf("target %s rejects %s as full", t.id, id)
+		return "HTTP/1.1 503 Service Unavailable\r\n" + headerNotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	defer t.leave()
+	t.slot <- struct{}{}
+	t.mu.Lock()
+	t.runs[id]++
+	t.mu.Unlock()
+	t.rec.printf("target %s runs %s", t.id, id)
+	time.Sleep(t.work)
+	<-t.slot
+	return t.success(id)
+}
+
+func (t *target) success(id string) string {
+	body := make([]byte, t.bodyBytes)
+	for i := range body {
+		body[i] = 'a' + byte(i%26)
+	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal.%s\r\nContent-Length: %d\r\n\r\n%s", headerAttempt, id, headerSeal, id, len(body), body)
+}
+
+// enter reports whether there is a slot or a place in the queue.
+func (t *target) enter() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.held >= t.slots+t.queue {
+		t.sheds++
+		return false
+	}
+	t.held++
+	return true
+}
+
+func (t *target) leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.held--
+}
+
+// runsOf returns how often the targets ran a request.
+func (f *fleet) runsOf(id string) (n int) {
+	for _, t := range f.targets {
+		t.mu.Lock()
+		n += t.runs[id]
+		t.mu.Unlock()
+	}
+	return n
+}
