--- a/review/fleet2/target.go
+++ b/review/fleet2/target.go
@@ -35,11 +35,14 @@
 	// its connection is expected. nil means never.
 	extra func() bool
 
-	mu     sync.Mutex
-	held   int
-	runs   map[string]int
-	sheds  int
-	extras int
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+	held  int
+	runs  map[string]int
+	// arrivals has the times at which requests that weren't rejected arrived.
+	arrivals []time.Time
+	sheds    int
+	extras   int
 }
 
 func newTarget(rec *record, id, service string, slots, queue int, work time.Duration) (*target, error) {
@@ -50,6 +53,7 @@
 	t := &target{
 		id: id, service: service, slots: slots, queue: queue, work: work, bodyBytes: 400, born: time.Now(), rec: rec,
 		listener: l, slot: make(chan struct{}, slots), runs: make(map[string]int),
+		conns: make(map[net.Conn]struct{}),
 	}
 	go t.accept()
 	return t, nil
@@ -57,7 +61,15 @@
 
 func (t *target) address() string { return t.listener.Addr().String() }
 
-func (t *target) close() { _ = t.listener.Close() }
+// close ends the target: it closes its connections, whatever is in progress.
+func (t *target) close() {
+	_ = t.listener.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		_ = c.Close()
+	}
+}
 
 func (t *target) accept() {
 	for {
@@ -71,7 +83,15 @@
 
 // serve serves a connection.
 func (t *target) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	t.mu.Lock()
+	t.conns[c] = struct{}{}
+	t.mu.Unlock()
+	defer func() {
+		_ = c.Close()
+		t.mu.Lock()
+		delete(t.conns, c)
+		t.mu.Unlock()
+	}()
 	in := bufio.NewReader(c)
 	late := ""
 	for {
@@ -116,6 +136,7 @@
 	t.slot <- struct{}{}
 	t.mu.Lock()
 	t.runs[id]++
+	t.arrivals = append(t.arrivals, time.Now())
 	t.mu.Unlock()
 	t.rec.printf("target %s runs %s", t.id, id)
 	time.Sleep(t.work)
