review: show that a target born earlier than its former run isn't seen to drain

Cause: discovery.Server.olderThan orders the runs of a target by its machine's time of day, which may jump back.

--- a/review/fleet2/fleet.go
+++ b/review/fleet2/fleet.go
@@ -218,15 +218,7 @@
 // register writes a target's entry, again at each heartbeat.
 func (f *fleet) register(t *target) {
 	f.targets = append(f.targets, t)
-	write := func(seq int) {
-		b, err := json.Marshal(map[string]any{
-			"service": t.service, "address": t.address(), "zone": dataCentre, "version": "v1", "slots": t.slots,
-			"state": "ready", "warmup_left_s": 0, "seq": seq, "born": t.born.UnixMilli(),
-		})
-		if err == nil {
-			f.store.Put("servers", t.id, b)
-		}
-	}
+	write := func(seq int) { f.store.Put("servers", t.id, t.entry("ready", seq)) }
 	write(1)
 	f.wg.Go(func() {
 		for seq := 2; ; seq++ {
--- a/review/fleet2/target.go
+++ b/review/fleet2/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -46,7 +47,11 @@
 }
 
 func newTarget(rec *record, id, service string, slots, queue int, work time.Duration) (*target, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	return newTargetAt(rec, "127.0.0.1:0", id, service, slots, queue, work)
+}
+
+func newTargetAt(rec *record, address, id, service string, slots, queue int, work time.Duration) (*target, error) {
+	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
@@ -152,6 +157,50 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal.%s\r\nContent-Length: %d\r\n\r\n%s", headerAttempt, id, headerSeal, id, len(body), body)
 }
 
+// entry returns what the target writes about itself.
+func (t *target) entry(state string, seq int) []byte {
+	b, err := json.Marshal(map[string]any{
+		"service": t.service, "address": t.address(), "zone": dataCentre, "version": "v1", "slots": t.slots,
+		"state": state, "warmup_left_s": 0, "seq": seq, "born": t.born.UnixMilli(),
+	})
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// arrivalsAfter returns how many requests that weren't rejected arrived after a time.
+func (t *target) arrivalsAfter(at time.Time) (n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, a := range t.arrivals {
+		if a.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// hasRun reports whether the target has begun to work on a request.
+func (t *target) hasRun(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.runs[id] > 0
+}
+
+// lost returns the number of requests that the target had begun and that weren't served.
+func (r *results) lost(t *target) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, status := range r.statuses {
+		if status != http.StatusOK && t.hasRun(id) {
+			n++
+			t.rec.printf("%s, which %s had begun, got %d", id, t.id, status)
+		}
+	}
+	return n
+}
+
 // enter reports whether there is a slot or a place in the queue.
 func (t *target) enter() bool {
 	t.mu.Lock()
