--- a/review/fleet2/fleet.go
+++ b/review/fleet2/fleet.go
@@ -209,12 +209,6 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// signal sends a signal to the process of an instance.
-func (f *fleet) signal(i int, s syscall.Signal) {
-	f.rec.printf("%v to instance %d", s, i)
-	_ = f.instances[i].cmd.Process.Signal(s)
-}
-
 // register writes a target's entry, again at each heartbeat.
 func (f *fleet) register(t *target) {
 	f.targets = append(f.targets, t)
--- a/review/fleet2/target.go
+++ b/review/fleet2/target.go
@@ -32,9 +32,6 @@
 	rec       *record
 	listener  net.Listener
 	slot      chan struct{}
-	// extra decides whether an answer is sent a second time, late: where the next response on
-	// its connection is expected. nil means never.
-	extra func() bool
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -42,8 +39,6 @@
 	runs  map[string]int
 	// arrivals has the times at which requests that weren't rejected arrived.
 	arrivals []time.Time
-	sheds    int
-	extras   int
 }
 
 func newTarget(rec *record, id, service string, slots, queue int, work time.Duration) (*target, error) {
@@ -98,7 +93,6 @@
 		t.mu.Unlock()
 	}()
 	in := bufio.NewReader(c)
-	late := ""
 	for {
 		r, err := http.ReadRequest(in)
 		if err != nil {
@@ -107,21 +101,7 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		if late != "" {
-			// The second copy of the answer to an earlier request.
-			if _, err := io.WriteString(c, late); err != nil {
-				return
-			}
-			late = ""
-		}
-		answer := t.answer(r)
-		if t.extra != nil && t.extra() {
-			t.mu.Lock()
-			t.extras++
-			t.mu.Unlock()
-			late = answer
-		}
-		if _, err := io.WriteString(c, answer); err != nil {
+		if _, err := io.WriteString(c, t.answer(r)); err != nil {
 			return
 		}
 	}
@@ -206,7 +186,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.held >= t.slots+t.queue {
-		t.sheds++
 		return false
 	}
 	t.held++
