--- a/review/fleet2/clock_step.go
+++ b/review/fleet2/clock_step.go
@@ -53,6 +53,7 @@
 		f.store.Put("servers", t.id, t.entry("ready", seq))
 		time.Sleep(heartbeat)
 	}
+	t.leaving.Store(true)
 	f.store.Put("servers", t.id, t.entry("draining", seq))
 	drainedAt := time.Now()
 	f.rec.printf("target %s reports that it drains", t.id)
--- a/review/fleet2/late_heartbeat.go
+++ b/review/fleet2/late_heartbeat.go
@@ -46,6 +46,7 @@
 		f.store.Put("servers", leaving.id, leaving.entry("ready", beats))
 	}
 	time.Sleep(200 * time.Millisecond)
+	leaving.leaving.Store(true)
 	f.store.Remove("servers", leaving.id)
 	goneAt := time.Now()
 	f.rec.printf("the entry of %s is removed; it serves on", leaving.id)
--- a/review/fleet2/target.go
+++ b/review/fleet2/target.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,18 +22,24 @@
 	headerDeadline    = "X-Deadline-Ms"
 )
 
+// closeHeader ends the connection after an answer.
+const closeHeader = "Connection: close\r\n"
+
+// bodyBytes is the length of the targets' answers.
+const bodyBytes = 400
+
 // target is a backend server that speaks the platform's protocol: one request at a time on a
 // connection, a number of slots and a short queue.
 type target struct {
 	id, service  string
 	slots, queue int
 	work         time.Duration
-	// bodyBytes is the length of its answers.
-	bodyBytes int
-	born      time.Time
-	rec       *record
-	listener  net.Listener
-	slot      chan struct{}
+	born         time.Time
+	rec          *record
+	listener     net.Listener
+	slot         chan struct{}
+	// leaving means that its answers ask to close the connection.
+	leaving atomic.Bool
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -51,7 +59,7 @@
 		return nil, err
 	}
 	t := &target{
-		id: id, service: service, slots: slots, queue: queue, work: work, bodyBytes: 400, born: time.Now(), rec: rec,
+		id: id, service: service, slots: slots, queue: queue, work: work, born: time.Now(), rec: rec,
 		listener: l, slot: make(chan struct{}, slots), runs: make(map[string]int),
 		conns: make(map[net.Conn]struct{}),
 	}
@@ -101,7 +109,8 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		if _, err := io.WriteString(c, t.answer(r)); err != nil {
+		answer := t.answer(r)
+		if _, err := io.WriteString(c, answer); err != nil || strings.Contains(answer, closeHeader) {
 			return
 		}
 	}
@@ -130,11 +139,14 @@
 }
 
 func (t *target) success(id string) string {
-	body := make([]byte, t.bodyBytes)
-	for i := range body {
-		body[i] = 'a' + byte(i%26)
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 200 OK\r\n")
+	if t.leaving.Load() {
+		b.WriteString(closeHeader)
 	}
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal.%s\r\nContent-Length: %d\r\n\r\n%s", headerAttempt, id, headerSeal, id, len(body), body)
+	body := strings.Repeat("x", bodyBytes)
+	fmt.Fprintf(&b, "%s: %s\r\n%s: seal.%s\r\nContent-Length: %d\r\n\r\n%s", headerAttempt, id, headerSeal, id, len(body), body)
+	return b.String()
 }
 
 // entry returns what the target writes about itself.
