--- a/Makefile
+++ b/Makefile
@@ -24,14 +24,18 @@
 # The tests of edge run some sixty instances at once, by themselves: beside them,
 # tests of other packages that wait for whole seconds became late.
 #
+# The tests of clientlimits measure the memory of processes beside hundreds of connections, one at a
+# time and apart from the others.
+#
 # The tests in KNOWN-RED.txt are run and shown, but don't decide.
 KNOWN_RED := $(shell awk '!/^\#/ && NF { print $$1 }' KNOWN-RED.txt | paste -sd'|')
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
 test: check
-	go test -race -timeout 20m $(SKIP) $$(go list ./... | grep -vE '/(edge|internal/(harness|proofs|soak|trial))$$')
+	go test -race -timeout 20m $(SKIP) $$(go list ./... | grep -vE '/(edge|internal/(clientlimits|harness|proofs|soak|trial))$$')
 	go test -race -timeout 10m $(SKIP) ./edge
 	go test -race -count=1 -timeout 20m $(SKIP) $(PROCESSES)
+	go test -race -count=1 -timeout 10m $(SKIP) ./internal/clientlimits
 	@if [ -n "$(KNOWN_RED)" ]; then \
 		echo "known red, not decisive:"; grep -v '^#' KNOWN-RED.txt; \
 		go test -race -count=1 -timeout 5m -run '^($(KNOWN_RED))$$' \
--- a/entry/attempt/attempt_test.go
+++ b/entry/attempt/attempt_test.go
@@ -109,6 +109,27 @@
 	}
 }
 
+// Guards against responses with an invalid status or field name that are passed on, with a body
+// that is framed otherwise than the server meant.
+func TestMalformedResponsesAreNoResult(t *testing.T) {
+	const id = "Foxtailspoke-Attempt: a1\r\n"
+	for _, response := range []string{
+		"HTTP/1.1 000 X\r\n" + id + "Content-Length: 2\r\n\r\nok",
+		"HTTP/1.1 099 X\r\n" + id + "Content-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\n" + id + "Bad name: 1\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\n" + id + "Content-Length: 2\r\nTransfer-Encoding : chunked\r\n\r\nok",
+		"HTTP/1.1 101 Switching Protocols\r\n" + id + "Content-Length: 2\r\n\r\nok",
+	} {
+		address, _ := startRawServer(t, func(_ int32, conn net.Conn, _ string) {
+			_, _ = io.WriteString(conn, response)
+			_ = conn.Close()
+		})
+		o := newTestSender(t).Send(context.Background(), newTestRequest(address, http.MethodPost, "x"))
+		must.Eq(t, ConnectionLost, o.Result, must.Sprintf("%q", response))
+		must.False(t, o.ProvedNotRun())
+	}
+}
+
 // Guards against a duplicate execution: the backend server reads a request on a
 // kept-alive connection and closes it without a response. Because of the
 // Idempotency-Key, http.Transport would resend a request without a body by
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -90,6 +90,20 @@
 	must.NotEq(t, "", r.Header.Get("Date"))
 }
 
+// Guards against a response without a valid status that callers get as a success or as no response.
+func TestInvalidStatusIsAnError(t *testing.T) {
+	for _, status := range []int{0, -1, 99, 101, 1000} {
+		dial := serve(t, newServer(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, "x")
+		}))
+		c, in := dial()
+		write(t, c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		r, _ := readResponse(t, in, http.MethodGet)
+		must.Eq(t, http.StatusInternalServerError, r.StatusCode, must.Sprintf("status %d", status))
+	}
+}
+
 // A caller that waits for 100 Continue gets it before it sends the body.
 func TestExpectContinue(t *testing.T) {
 	dial := serve(t, newServer(echo))
