Heads of callers' requests count in an account of memory before they are parsed

Callers saw an instance end when clients sent heads of very many short lines, finished or not: it ran out of memory.

Cause: net/http parses a head line by line as it arrives, and each line takes an entry of a map, a slice and strings, 130 bytes or more however short it is, and as much again in the copy for the backend server. Neither the limit in bytes nor the number of connections bounds that, and nothing counted it.

Now package httphead buffers a head as it was sent until it is complete, and counts its lines. What doesn't fit is answered with 503 as not run.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -86,6 +86,8 @@
 	// closing is set when a stopping instance no longer accepts requests.
 	closing      atomic.Bool
 	callerServer *pipeline.Server
+	// heads counts the memory of the heads of all requests.
+	heads *memory.Heads
 	// pollNow wakes the poller.
 	pollNow chan struct{}
 	// fetchNow wakes the configuration fetcher.
@@ -257,6 +259,7 @@
 	}
 	e.pool = upstream.NewPool(e.serverDialer, e.recordDial)
 	e.peerPool = upstream.NewPool(e.dialPeer, nil)
+	e.heads = memory.NewHeads(machineBytes(s))
 	e.callerServer = e.newCallerServer()
 	e.metrics = newMetrics(e)
 	e.state = state{
@@ -273,7 +276,7 @@
 		ownOutstanding: make(map[uint32]uint16),
 		serverBytes:    memory.NewServers(),
 		ownBytes:       make(map[uint32]int64),
-		memory:         memory.NewAccount(int64(s.MemoryMB * (1 << 20))),
+		memory:         memory.NewAccount(machineBytes(s)),
 		limiter:        warmup.NewLimiter(self),
 		throttle:       throttle.NewLimiter(self),
 		backoffs:       backoff.NewTracker(),
--- a/edge/memory.go
+++ b/edge/memory.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"foxtailspoke/edge/settings"
 	"foxtailspoke/event"
 	"foxtailspoke/memory"
 	"foxtailspoke/upstream"
@@ -22,6 +23,9 @@
 // have room; at this one bodies are done within the time that requests take.
 const retryAfterNoMemory = retryAfterShort
 
+// machineBytes returns the memory of the machine, 0 if unknown.
+func machineBytes(s settings.Settings) int64 { return int64(s.MemoryMB * (1 << 20)) }
+
 // readAccountedBody reads the body of a request into memory that counts for its workspace.
 func (e *Edge) readAccountedBody(c *call, w http.ResponseWriter, r *http.Request, limit int64) *refusal {
 	if e.memorySizeKnown() {
@@ -104,11 +108,19 @@
 	ResponseBytes int64 `json:"responseBytes"`
 	// Refused counts the bodies that didn't fit since the start.
 	Refused uint64 `json:"refused"`
+	// HeadBytes is what the heads of requests take, of HeadLimitBytes; HeadsRefused counts those
+	// that didn't fit since the start.
+	HeadBytes      int64  `json:"headBytes"`
+	HeadLimitBytes int64  `json:"headLimitBytes"`
+	HeadsRefused   uint64 `json:"headsRefused"`
 }
 
 func (e *Edge) memoryStatus() MemoryStatus {
 	m := e.state.memory
-	return MemoryStatus{m.LimitBytes(), m.Held(memory.Request), m.Held(memory.Response), m.Refused()}
+	return MemoryStatus{
+		LimitBytes: m.LimitBytes(), RequestBytes: m.Held(memory.Request), ResponseBytes: m.Held(memory.Response), Refused: m.Refused(),
+		HeadBytes: e.heads.Held(), HeadLimitBytes: e.heads.LimitBytes(), HeadsRefused: e.heads.Refused(),
+	}
 }
 
 // memoryMetrics are the metrics of the bytes that an instance holds.
@@ -125,7 +137,7 @@
 		}),
 		rejectedForMemory: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "rejected_for_memory_total",
-			Help: "Requests that were rejected because their bodies didn't fit.",
+			Help: "Requests that were rejected because their bodies or their heads didn't fit.",
 		}),
 	}
 	m.registry.MustRegister(mm.callersCutOff, mm.rejectedForMemory)
@@ -135,9 +147,20 @@
 			ConstLabels: prometheus.Labels{"kind": k.String()},
 		}, e.locked(func() float64 { return float64(e.state.memory.Held(k)) })))
 	}
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "held_head_bytes", Help: "Bytes that the heads of requests take once parsed.",
+	}, func() float64 { return float64(e.heads.Held()) }))
 	return mm
 }
 
+// handleHeadRefused records that a request was refused because its head didn't fit into memory.
+func (e *Edge) handleHeadRefused(remoteAddr string) {
+	e.metrics.rejectedForMemory.Inc()
+	if e.budget.Allow(e.now(), 1) {
+		event.HeadRefused.Log(e.log, slog.String("caller", remoteAddr), slog.Int64("held", e.heads.Held()))
+	}
+}
+
 // handleCallerCutOff records that a caller was disconnected because it didn't read its
 // response.
 func (e *Edge) handleCallerCutOff(remoteAddr string) {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -79,6 +79,7 @@
 	s := &pipeline.Server{
 		Handler: http.HandlerFunc(e.handleRequest), AllowConcurrent: e.repeatable, MaxPipelined: maxPipelinedRequests,
 		HeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		HeadMemory: e.heads, OnHeadRefused: e.handleHeadRefused,
 		WriteTimeout: callerWriteTimeout, OnCutOff: e.handleCallerCutOff,
 	}
 	s.SetIdleTimeout(initialIdleTimeout)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -185,6 +185,10 @@
 		537, slog.LevelWarn, "caller disconnected",
 		"A caller, `caller`, accepted and acknowledged nothing of its response for 5 s; this instance closed the connection and freed the bytes.", "Look at the caller: it has stopped reading, or its network is down.",
 	}
+	HeadRefused = Event{
+		541, slog.LevelWarn, "head refused",
+		"The headers of a request of `caller` didn't fit into the memory for them, of which others take `held` bytes; it was answered with 503 as not run, and its connection closed.", "Look at the caller, and at those that hold the memory: ordinary requests take some KB.",
+	}
 	ServersBounded = Event{
 		538, slog.LevelWarn, "bytes of a service's servers bounded",
 		"Backend server `server` ended while it held `held_kb` of requests. For a minute no server of `service` gets a request that would bring it above `limit_kb`; the bound then doubles each minute and is lifted after three.", "If it happens again and again, give the servers more memory or fewer slots.",
@@ -216,6 +220,6 @@
 		EvacuationStarted, EvacuationEnded, ServerLimited, StaleResponseIgnored, StoreRestored,
 		PeerReachable, PeerUnreachable, PeerMessageFailed, RelayChanged, ServerBackoff, ServerLeaving, ServersUnreachable, ServersReachable, ProcessStalled,
 		RequestEnded, AttemptEnded, LogLinesDropped, RetryHistoryAdopted, ServerEndedUnderRequest, AdmissionChanged,
-		CallerCutOff, ServersBounded, LeavingShareChanged, ConfigNotFetched,
+		CallerCutOff, ServersBounded, LeavingShareChanged, ConfigNotFetched, HeadRefused,
 	}
 }
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
+
+	"foxtailspoke/httphead"
 )
 
 const (
@@ -31,10 +33,8 @@
 type conn struct {
 	server *Server
 	net    net.Conn
-	// limit counts down the bytes that a request's headers may still take.
-	limit *io.LimitedReader
-	in    *bufio.Reader
-	out   *bufio.Writer
+	in     *httphead.Reader
+	out    *bufio.Writer
 	// progress writes for out.
 	progress *progressWriter
 
@@ -62,9 +62,9 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{server: s, net: nc, limit: &io.LimitedReader{R: nc}}
+	c := &conn{server: s, net: nc, in: httphead.NewReader(nc)}
 	c.progress = &progressWriter{conn: nc, timeout: s.WriteTimeout, start: time.Now()}
-	c.in, c.out = bufio.NewReader(c.limit), bufio.NewWriter(c.progress)
+	c.out = bufio.NewWriter(c.progress)
 	c.changed.L = &c.mu
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -75,14 +75,15 @@
 	defer c.server.untrack(c)
 	defer c.close()
 	for c.awaitQueueSlot() {
-		r, err := c.read()
+		r, held, err := c.read()
 		if err != nil {
 			c.rejectRequest(err)
 			return
 		}
 		concurrent := r.Body == http.NoBody && c.server.AllowConcurrent != nil && c.server.AllowConcurrent(r)
-		x := c.start(r, concurrent)
+		x := c.start(r, concurrent, held)
 		if x == nil {
+			c.server.releaseHead(held)
 			return
 		}
 		if !c.awaitBody(x) {
@@ -104,28 +105,36 @@
 
 // read reads the headers of the next request. With no request in progress the
 // connection is idle until the first byte. With requests in progress, the wait
-// for that byte also detects that the caller disconnects.
-func (c *conn) read() (*http.Request, error) {
-	c.limit.N = c.server.MaxHeaderBytes
+// for that byte also detects that the caller disconnects. The caller of read releases
+// the returned memory, of which none is held after an error.
+func (c *conn) read() (r *http.Request, held int, err error) {
 	if err := c.awaitByte(); err != nil {
-		return nil, errors.Mark(err, errDisconnected)
+		return nil, 0, errors.Mark(err, errDisconnected)
 	}
-	deadline := time.Now().Add(c.server.HeaderTimeout)
-	_ = c.net.SetReadDeadline(deadline)
-	r, err := http.ReadRequest(c.in)
-	switch {
-	case err != nil && !time.Now().Before(deadline):
-		// A line cut off by the deadline is reported as malformed.
-		return nil, errHeaderTimeout
-	case err != nil && c.limit.N <= 0:
-		return nil, errHeadersTooLarge
-	case err != nil:
-		return nil, err
+	maxBytes, timeout := c.server.headerLimits()
+	_ = c.net.SetReadDeadline(time.Now().Add(timeout))
+	head, err := c.in.Buffer(maxBytes, c.server.HeadMemory)
+	if isTimeout(err) {
+		return nil, 0, errHeaderTimeout
+	}
+	if err != nil {
+		return nil, 0, err
 	}
 	_ = c.net.SetReadDeadline(time.Time{})
-	c.limit.N = 1<<63 - 1
-	r.RemoteAddr = c.net.RemoteAddr().String()
-	return r, validate(r)
+	held = head.ParsedBytes()
+	if !c.server.reserveHead(held) {
+		return nil, 0, httphead.ErrNoMemory
+	}
+	r, err = http.ReadRequest(c.in.Reader)
+	if err == nil {
+		r.RemoteAddr = c.net.RemoteAddr().String()
+		err = validate(r)
+	}
+	if err != nil {
+		c.server.releaseHead(held)
+		return nil, 0, err
+	}
+	return r, held, nil
 }
 
 func (c *conn) awaitByte() error {
@@ -147,11 +156,14 @@
 // Errors of reading a request. errDisconnected and errHeaderTimeout end the
 // connection without an error response.
 var (
-	errDisconnected    = errors.New("caller disconnected or idle timeout expired")
-	errHeaderTimeout   = errors.New("timed out reading request headers")
-	errHeadersTooLarge = errors.New("request headers exceed the size limit")
+	errDisconnected  = errors.New("caller disconnected or idle timeout expired")
+	errHeaderTimeout = errors.New("timed out reading request headers")
 )
 
+// retryAfterNoMemory is the Retry-After, in seconds, of a request whose headers don't fit into
+// memory. Heads are held for the time that requests take.
+const retryAfterNoMemory = "1"
+
 // validate rejects requests that net/http parses but its server rejects.
 func validate(r *http.Request) error {
 	if len(r.Header["Host"]) > 1 || (r.ProtoAtLeast(1, 1) && r.Host == "") || !httpguts.ValidHostHeader(r.Host) {
@@ -180,8 +192,10 @@
 		// still answered.
 		c.awaitResponses()
 		return
-	case errors.Is(err, errHeadersTooLarge):
+	case errors.Is(err, httphead.ErrTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, httphead.ErrNoMemory):
+		status = http.StatusServiceUnavailable
 	case strings.Contains(err.Error(), "transfer encoding"):
 		status = http.StatusNotImplemented
 	}
@@ -190,6 +204,10 @@
 	}
 	x := &exchange{conn: c, header: make(http.Header), status: status, closes: true}
 	x.header.Set("Content-Type", "text/plain; charset=utf-8")
+	if status == http.StatusServiceUnavailable {
+		x.header.Set("Retry-After", retryAfterNoMemory)
+		c.server.notifyHeadRefused(c.net.RemoteAddr().String())
+	}
 	x.body = []byte(http.StatusText(status) + "\n")
 	_ = x.write(true)
 }
@@ -236,7 +254,7 @@
 // first. A request that may not run concurrently waits for the earlier ones: if
 // one of their responses closes the connection, the request counts as not read,
 // so its caller may resend it whether or not it is idempotent.
-func (c *conn) start(r *http.Request, concurrent bool) *exchange {
+func (c *conn) start(r *http.Request, concurrent bool, held int) *exchange {
 	if !concurrent && !c.awaitResponsesOrDisconnect() {
 		return nil
 	}
@@ -254,7 +272,10 @@
 		return nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	x := &exchange{conn: c, request: r.WithContext(ctx), cancel: cancel, header: make(http.Header), bodyDone: make(chan struct{})}
+	x := &exchange{
+		conn: c, request: r.WithContext(ctx), isHead: r.Method == http.MethodHead, held: held, cancel: cancel,
+		header: make(http.Header), bodyDone: make(chan struct{}),
+	}
 	x.wrapBody(concurrent)
 	c.queue = append(c.queue, x)
 	c.server.inFlight.Add(1)
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -13,9 +13,14 @@
 // exchange is a request with its response, which is buffered until it is next
 // in order. It is the http.ResponseWriter of the handler.
 type exchange struct {
-	conn    *conn
+	conn *conn
+	// request is nil once the handler has returned: a response that waits for its turn holds no
+	// headers.
 	request *http.Request
-	cancel  context.CancelFunc
+	isHead  bool
+	// held is the memory reserved for the headers of the request.
+	held   int
+	cancel context.CancelFunc
 
 	header http.Header
 	status int
@@ -70,6 +75,8 @@
 	x.conn.server.Handler.ServeHTTP(x, x.request)
 	x.WriteHeader(http.StatusOK)
 	x.closes = x.request.Close || !x.request.ProtoAtLeast(1, 1) || x.header.Get("Connection") == "close" || !x.discardBody()
+	x.request = nil
+	x.conn.server.releaseHead(x.held)
 	x.conn.mu.Lock()
 	x.done = true
 	x.conn.mu.Unlock()
@@ -122,19 +129,18 @@
 	if x.header.Get("Date") == "" {
 		x.header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
 	}
-	head := x.request != nil && x.request.Method == http.MethodHead
 	bodiless := x.status == http.StatusNoContent || x.status == http.StatusNotModified || x.status < http.StatusOK
 	switch {
 	case bodiless:
 		x.header.Del("Content-Length")
-	case !head:
+	case !x.isHead:
 		x.header.Set("Content-Length", strconv.Itoa(len(x.body)))
 	}
 	// A bufio.Writer keeps its first error until Flush returns it.
 	_, _ = fmt.Fprintf(out, "HTTP/1.1 %03d %s\r\n", x.status, http.StatusText(x.status))
 	_ = x.header.Write(out)
 	_, _ = out.WriteString("\r\n")
-	if !bodiless && !head {
+	if !bodiless && !x.isHead {
 		_, _ = out.Write(x.body)
 	}
 	return out.Flush()
@@ -165,6 +171,8 @@
 	b.read += int64(n)
 	if err == io.EOF {
 		b.eof = true
+		// It keeps the request as it was read, with the trailers.
+		b.in = http.NoBody
 		b.exchange.finishBody()
 	}
 	return n, err
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -28,6 +28,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/httphead"
 )
 
 // Server serves the connections of callers. Its fields must not change after
@@ -42,10 +44,17 @@
 	// progress or waiting for their turn to be answered; at least 1.
 	MaxPipelined int
 	// HeaderTimeout bounds the reading of a request's headers from the first
-	// byte.
+	// byte, unless SetHeaderLimits was called.
 	HeaderTimeout time.Duration
-	// MaxHeaderBytes bounds the size of a request's headers.
-	MaxHeaderBytes int64
+	// MaxHeaderBytes bounds the size of a request's head, likewise.
+	MaxHeaderBytes int
+	// HeadMemory counts the memory of the requests' heads, from their arrival until
+	// their handlers return. A request whose head doesn't fit is answered with 503.
+	// nil means no bound.
+	HeadMemory httphead.Memory
+	// OnHeadRefused, if not nil, is called with the address of each caller that got
+	// that response.
+	OnHeadRefused func(remoteAddr string)
 	// WriteTimeout is the time after which a caller that neither accepts nor
 	// acknowledges any byte of the response being written is disconnected. 0 disables
 	// the timeout.
@@ -54,6 +63,7 @@
 	// disconnected for that.
 	OnCutOff func(remoteAddr string)
 
+	limits   atomic.Pointer[headerLimits]
 	idle     atomic.Int64
 	inFlight atomic.Int64
 
@@ -66,6 +76,38 @@
 // applies to connections that become idle from now on; 0 disables the timeout.
 func (s *Server) SetIdleTimeout(d time.Duration) { s.idle.Store(int64(d)) }
 
+type headerLimits struct {
+	maxBytes int
+	timeout  time.Duration
+}
+
+// SetHeaderLimits replaces MaxHeaderBytes and HeaderTimeout for requests that begin to
+// arrive from now on.
+func (s *Server) SetHeaderLimits(maxBytes int, timeout time.Duration) {
+	s.limits.Store(&headerLimits{maxBytes, timeout})
+}
+
+func (s *Server) headerLimits() (maxBytes int, timeout time.Duration) {
+	if l := s.limits.Load(); l != nil {
+		return l.maxBytes, l.timeout
+	}
+	return s.MaxHeaderBytes, s.HeaderTimeout
+}
+
+func (s *Server) reserveHead(n int) bool { return s.HeadMemory == nil || s.HeadMemory.Reserve(n) }
+
+func (s *Server) releaseHead(n int) {
+	if s.HeadMemory != nil {
+		s.HeadMemory.Release(n)
+	}
+}
+
+func (s *Server) notifyHeadRefused(remoteAddr string) {
+	if s.OnHeadRefused != nil {
+		s.OnHeadRefused(remoteAddr)
+	}
+}
+
 // InFlight returns the number of requests that were read and are not yet
 // answered.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -209,3 +210,38 @@
 }
 
 func itoa(n int) string { return strconv.Itoa(n) }
+
+// headAccount is memory for a number of bytes.
+type headAccount struct{ left atomic.Int64 }
+
+func (a *headAccount) Reserve(n int) bool {
+	if a.left.Add(-int64(n)) < 0 {
+		a.left.Add(int64(n))
+		return false
+	}
+	return true
+}
+
+func (a *headAccount) Release(n int) { a.left.Add(int64(n)) }
+
+// Guards against a promise not to run a request that doesn't reach its caller, and against memory that is
+// never freed.
+func TestHeadsThatDoNotFitAreRefusedAsNotRun(t *testing.T) {
+	a := &headAccount{}
+	a.left.Store(10 << 10)
+	s := newServer(echo)
+	s.HeadMemory = a
+	dial := serve(t, s)
+	many := "GET /a HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 1000) + "\r\n"
+	for range 20 {
+		c, in := dial()
+		write(t, c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"+many)
+		r, _ := readResponse(t, in, http.MethodGet)
+		must.Eq(t, http.StatusOK, r.StatusCode)
+		r, _ = readResponse(t, in, http.MethodGet)
+		must.Eq(t, http.StatusServiceUnavailable, r.StatusCode)
+		must.Eq(t, "1", r.Header.Get("Retry-After"))
+		must.True(t, r.Close)
+	}
+	must.Eq(t, 10<<10, a.left.Load())
+}
