upstream: a response without length isn't complete if the write was reset

Callers got a part of a response as a complete one (MIXED): a server answers a long upload at once, without a length, sends part of the body and resets the connection.

Cause: the upload is written beside the reading of the response. The kernel reports the error of a socket once; the writer gets the reset, and the reader an end of file, which is the proper end of a body without a length. Pool.Do used the writer's error only to decide whether the connection is kept.

Now the write is ended when such a body has ended, and the response is broken if the connection failed for the writer. A write that is merely unfinished, as after a half close, says nothing against the response. Forwarded requests and those to other instances use the same pool. The clients of the store, of entry/attempt and of the operators send short bodies, or already reject responses without length (entry/attempt).

--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -82,6 +83,8 @@
 	ServerEnded bool
 	// BytesSent is the number of bytes of the request that were written.
 	BytesSent int
+	// endsWithConnection means that the body has no length: the end of the connection is its end.
+	endsWithConnection bool
 }
 
 const (
@@ -112,6 +115,12 @@
 	reused := c.reused
 	c.reused = true
 	resp, reusable := c.read(r)
+	if resp.Outcome == Completed && resp.endsWithConnection {
+		if err := endWrite(c, written); err != nil {
+			resp = Response{Outcome: Broken, Err: errors.Wrap(err, "response without length")}
+		}
+		reusable = false
+	}
 	resp.Reused, resp.BytesSent = reused, int(w.sent.Load())
 	if resp.Outcome != Completed {
 		_ = c.Close()
@@ -140,6 +149,20 @@
 	return resp
 }
 
+// endWrite ends the write of a request whose response has ended with its connection, and returns
+// the error that the connection had before. The kernel reports a reset once: if the writer gets it,
+// the reader gets an end of file, as after a complete response.
+func endWrite(c *conn, written chan error) error {
+	_ = c.SetWriteDeadline(time.Now())
+	err := <-written
+	// Do and failureOutcome read it again.
+	written <- err
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
 func failureOutcome(ctx context.Context, writeErr error, w *countingConn, resp Response) Outcome {
 	switch {
 	case writeErr != nil && w.sent.Load() == 0:
@@ -155,7 +178,7 @@
 
 // start writes the request. A long body is written concurrently with the
 // reading, because the server may respond before it has read the body.
-func (r Request) start(w io.Writer) <-chan error {
+func (r Request) start(w io.Writer) chan error {
 	written := make(chan error, 1)
 	if len(r.Body) <= maxSyncWriteBytes {
 		written <- r.write(w)
@@ -245,5 +268,8 @@
 		return Response{Outcome: Broken, Err: errors.Wrap(err, "read response body")}, true
 	}
 	releaseAfter(r.Lifetime, reserved, memory)
-	return Response{Outcome: Completed, Status: resp.StatusCode, Header: resp.Header, Body: body}, resp.Close
+	return Response{
+		Outcome: Completed, Status: resp.StatusCode, Header: resp.Header, Body: body,
+		endsWithConnection: length < 0 && len(resp.TransferEncoding) == 0,
+	}, resp.Close
 }
