edge: the directory, readiness, forwarding and metrics ports bound heads, too

An instance ended when clients sent heads of very many short lines to a port that isn't the callers'.

Cause: these ports were served by net/http, which parses a head as it arrives, without a bound on its lines.

Now package pipeline serves them all, with the account of heads that the callers' port has. Whether a forwarded request comes from an instance is decided as before: a sender that isn't known gets an answer that says that nothing was sent, where a closed connection would say nothing. A planned stop waits for the responses of the forwarding port themselves, which are buffered, instead of its handlers.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -13,7 +13,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -86,6 +85,8 @@
 	// closing is set when a stopping instance no longer accepts requests.
 	closing      atomic.Bool
 	callerServer *pipeline.Server
+	// forwardingServer serves other instances' requests.
+	forwardingServer *pipeline.Server
 	// heads counts the memory of the heads of all requests.
 	heads *memory.Heads
 	// pollNow wakes the poller.
@@ -260,7 +261,7 @@
 	e.pool = upstream.NewPool(e.serverDialer, e.recordDial)
 	e.peerPool = upstream.NewPool(e.dialPeer, nil)
 	e.heads = memory.NewHeads(machineBytes(s))
-	e.callerServer = e.newCallerServer()
+	e.callerServer, e.forwardingServer = e.newCallerServer(), e.newForwardingServer()
 	e.metrics = newMetrics(e)
 	e.state = state{
 		bounds:         s.Bounds.Freshness(),
@@ -392,10 +393,10 @@
 	e.supervisor.Add(namedService{"forwarding", e.serveForwarding})
 	e.supervisor.Add(namedService{"settings", e.watchSettings})
 	e.supervisor.Add(namedService{"callers", e.serveCallers})
-	e.supervisor.Add(namedService{"readiness", e.serveHTTP(e.ports.readiness, http.HandlerFunc(e.handleReadiness))})
-	e.supervisor.Add(namedService{"directory", e.serveHTTP(e.ports.directory, http.HandlerFunc(e.handleDirectory))})
+	e.supervisor.Add(namedService{"readiness", e.serveHTTP(e.ports.readiness, e.handleReadiness)})
+	e.supervisor.Add(namedService{"directory", e.serveHTTP(e.ports.directory, e.handleDirectory)})
 	operators := e.metrics.handler(e.handleStatus, &configurationHandler{edge: e})
-	e.supervisor.Add(namedService{"metrics", e.serveHTTP(e.ports.metrics, operators)})
+	e.supervisor.Add(namedService{"metrics", e.serveHTTP(e.ports.metrics, operators.ServeHTTP)})
 }
 
 // namedService is a service of the supervisor tree with a name.
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -18,6 +18,7 @@
 	"foxtailspoke/event"
 	"foxtailspoke/mechanism"
 	"foxtailspoke/memory"
+	"foxtailspoke/pipeline"
 	"foxtailspoke/placement"
 	"foxtailspoke/platform"
 	"foxtailspoke/reach"
@@ -181,10 +182,14 @@
 
 // serveForwarding serves the requests that other instances can't send themselves.
 func (e *Edge) serveForwarding(ctx context.Context) error {
-	return serve(ctx, e.ports.forwarding, &http.Server{
-		Handler: http.HandlerFunc(e.handleForwarded), ReadHeaderTimeout: headerTimeout, IdleTimeout: initialIdleTimeout,
-		MaxHeaderBytes: maxForwardedHeaderBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
-	})
+	return e.forwardingServer.Serve(ctx, e.ports.forwarding)
+}
+
+// newForwardingServer returns the server for other instances' requests.
+func (e *Edge) newForwardingServer() *pipeline.Server {
+	s := e.newServer(e.handleForwarded)
+	s.MaxHeaderBytes = maxForwardedHeaderBytes
+	return s
 }
 
 // handleForwarded sends a request of another instance to a backend server. All decisions
@@ -202,15 +207,17 @@
 		writeForwardFailure(w, outcomeDeclined, "server has asked for no requests for some time")
 		return
 	}
-	ctx, control := r.Context(), http.NewResponseController(w)
-	if left := platform.Deadline(r.Header); left > 0 {
+	ctx := r.Context()
+	left := platform.Deadline(r.Header)
+	if left > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, left)
 		defer cancel()
+	}
+	if left > 0 && r.ContentLength != 0 {
 		// A sender that loses power closes no connection; its bodies would hold their memory
 		// for minutes.
-		end := time.Now().Add(left)
-		_, _ = control.SetReadDeadline(end), control.SetWriteDeadline(end.Add(callerWriteTimeout))
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(left))
 	}
 	direct := e.isDirect(address)
 	held := e.heldBy(r.Header.Get(platform.HeaderWorkspace), memory.Request)
@@ -225,8 +232,6 @@
 		writeForwardFailure(w, upstream.NotSent.String(), "request body incomplete")
 		return
 	}
-	// Once passed, it would cancel the context of the request while the server works.
-	_ = control.SetReadDeadline(time.Time{})
 	h := withoutHopByHop(r.Header)
 	h.Del(headerForwardTo)
 	resp := e.pool.Do(ctx, address, upstream.Request{
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"foxtailspoke/edge/settings"
 	"foxtailspoke/event"
 	"foxtailspoke/pipeline"
@@ -30,6 +28,9 @@
 	// progress. It is enough for the lookups of one page, and less than a tenth of
 	// the servers' slots in a small deployment.
 	maxPipelinedRequests = 6
+	// watchedRequests is the number of requests of a connection that isn't a caller's. The second
+	// one is read while the first is in progress, which detects that its sender disconnects.
+	watchedRequests = 2
 	// addressTTL is how long callers may cache a response of the directory. A failed
 	// instance is left out of responses after about 1 s; callers then learn of it
 	// within this time.
@@ -61,13 +62,20 @@
 )
 
 // serveHTTP returns a service that serves h on l until its context ends.
-func (e *Edge) serveHTTP(l net.Listener, h http.Handler) func(context.Context) error {
-	return func(ctx context.Context) error {
-		return serve(ctx, l, &http.Server{
-			Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: initialIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
-		})
+func (e *Edge) serveHTTP(l net.Listener, h http.HandlerFunc) func(context.Context) error {
+	s := e.newServer(h)
+	return func(ctx context.Context) error { return s.Serve(ctx, l) }
+}
+
+// newServer returns a server whose requests' heads count in the memory of the instance.
+func (e *Edge) newServer(h http.HandlerFunc) *pipeline.Server {
+	s := &pipeline.Server{
+		Handler: h, MaxPipelined: watchedRequests, HeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		HeadMemory: e.heads, OnHeadRefused: e.handleHeadRefused,
+		WriteTimeout: callerWriteTimeout, OnCutOff: e.handleCallerCutOff,
 	}
+	s.SetIdleTimeout(initialIdleTimeout)
+	return s
 }
 
 func (e *Edge) serveCallers(ctx context.Context) error {
@@ -76,13 +84,8 @@
 
 // newCallerServer returns the server for callers' connections.
 func (e *Edge) newCallerServer() *pipeline.Server {
-	s := &pipeline.Server{
-		Handler: http.HandlerFunc(e.handleRequest), AllowConcurrent: e.repeatable, MaxPipelined: maxPipelinedRequests,
-		HeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		HeadMemory: e.heads, OnHeadRefused: e.handleHeadRefused,
-		WriteTimeout: callerWriteTimeout, OnCutOff: e.handleCallerCutOff,
-	}
-	s.SetIdleTimeout(initialIdleTimeout)
+	s := e.newServer(e.handleRequest)
+	s.AllowConcurrent, s.MaxPipelined = e.repeatable, maxPipelinedRequests
 	return s
 }
 
@@ -98,16 +101,6 @@
 	return route != nil && route.Kind.Repeatable()
 }
 
-func serve(ctx context.Context, l net.Listener, s *http.Server) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-	defer stop()
-	err := s.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		return ctx.Err()
-	}
-	return errors.Wrap(err, "serving HTTP")
-}
-
 // readyLocked reports whether callers should use this instance. The lock must be
 // held.
 func (e *Edge) readyLocked() bool {
@@ -193,7 +186,7 @@
 	time.Sleep(time.Duration(acceptShare * float64(grace)))
 	e.closing.Store(true)
 	e.callerServer.CloseIdle()
-	for int64(e.callerServer.AwaitedRequests())+e.forwarding.Load() > 0 && e.now()-start < grace-killMargin {
+	for e.callerServer.AwaitedRequests()+e.forwardingServer.AwaitedRequests() > 0 && e.now()-start < grace-killMargin {
 		time.Sleep(drainPollInterval)
 	}
 	event.EdgeStopped.Log(e.log, slog.Int64("cut", e.callerServer.InFlight()))
