upstream: heads of responses count in the memory of bodies before they are parsed

An instance ran out of memory while a server sent heads of very many short lines, as many as there were requests in progress.

Cause: as with callers' heads, http.ReadResponse has a cost for each line of a head of up to 64 KiB, some 2 MB, which nothing counted.

Now the head is buffered first (httphead), and if it takes more than 64 KiB once parsed, it is reserved in the memory of response bodies until the caller was answered. One that doesn't fit ends as a body that doesn't fit: no evidence about the server. Trailers stay bounded by net/http's check that they end within its buffer of 4 KiB.

--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -250,7 +250,11 @@
 // readOne returns the next response and whether the server closes the
 // connection after it.
 func (c *conn) readOne(r Request) (_ Response, closes bool) {
-	resp, err := c.readHead(r.Method)
+	memory := r.Memory
+	if memory == nil {
+		memory = c.memory
+	}
+	resp, headBytes, err := c.readHead(r.Method, memory)
 	if err != nil {
 		return Response{Outcome: Broken, Err: errors.Wrap(err, "read response")}, true
 	}
@@ -259,14 +263,12 @@
 		length = 0
 	}
 	// The body isn't closed on errors, as that would read the rest of it.
-	memory := r.Memory
-	if memory == nil {
-		memory = c.memory
-	}
 	body, reserved, err := ReadBody(&bodyReader{r: resp.Body, limit: c.limit, initial: c.limit.left}, length, maxResponseBytes, memory)
 	if err != nil {
+		memory.Release(headBytes)
 		return Response{Outcome: Broken, Err: errors.Wrap(err, "read response body")}, true
 	}
+	releaseAfter(r.Lifetime, headBytes, memory)
 	releaseAfter(r.Lifetime, reserved, memory)
 	return Response{
 		Outcome: Completed, Status: resp.StatusCode, Header: resp.Header, Body: body,
--- a/upstream/limits.go
+++ b/upstream/limits.go
@@ -9,6 +9,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/httphead"
 )
 
 const (
@@ -63,28 +65,45 @@
 // responsePrefix begins each response.
 const responsePrefix = "HTTP/1."
 
-// readHead returns the next final response, without its body. It skips interim responses.
-func (c *conn) readHead(method string) (*http.Response, error) {
+// readHead returns the next final response, without its body. It skips interim responses. The caller
+// releases the memory that the parsed head has reserved; none is held after an error.
+func (c *conn) readHead(method string, m BodyMemory) (resp *http.Response, reserved int, err error) {
 	c.limit.left, c.limit.err = maxHeadBytes, ErrHeadTooLarge
 	for {
-		if err := checkPrefix(c.reader); err != nil {
-			return nil, err
+		if err := checkPrefix(c.reader.Reader); err != nil {
+			return nil, 0, err
 		}
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil && c.limit.left <= 0 {
-			// A line that the limit cuts off is reported as malformed.
-			return nil, ErrHeadTooLarge
+		head, err := c.reader.Buffer(maxHeadBytes, nil)
+		if errors.Is(err, httphead.ErrTooLarge) {
+			return nil, 0, ErrHeadTooLarge
 		}
 		if err != nil {
-			return nil, shortened(err)
+			return nil, 0, err
+		}
+		if reserved = accountedBytes(head); reserved > 0 && !m.Reserve(reserved) {
+			return nil, 0, errors.Wrap(ErrNoBodyMemory, "response headers")
+		}
+		resp, err = http.ReadResponse(c.reader.Reader, &http.Request{Method: method})
+		if err != nil {
+			m.Release(reserved)
+			return nil, 0, shortened(err)
 		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			c.limit.left, c.limit.err = 2*maxResponseBytes+maxFramingBytes, ErrBodyTooLarge
-			return resp, nil
+			return resp, reserved, nil
 		}
+		m.Release(reserved)
 	}
 }
 
+// accountedBytes returns what a parsed head counts: like a body, nothing if it is small.
+func accountedBytes(h httphead.Head) int {
+	if n := h.ParsedBytes(); n > smallBodyBytes {
+		return n
+	}
+	return 0
+}
+
 // checkPrefix reports as soon as possible that what arrives is no response.
 func checkPrefix(b *bufio.Reader) error {
 	for n := 1; n <= len(responsePrefix); n++ {
@@ -203,9 +222,12 @@
 	return larger, size, nil
 }
 
-// releaseAfter releases what a body has reserved when the lifetime ends, or now if that is nil.
+// releaseAfter releases what a head or a body has reserved when the lifetime ends, or now if that is nil.
 func releaseAfter(lifetime context.Context, n int, m BodyMemory) {
-	if lifetime == nil {
+	switch {
+	case n == 0:
+		return
+	case lifetime == nil:
 		m.Release(n)
 		return
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -7,7 +7,6 @@
 package upstream
 
 import (
-	"bufio"
 	"cmp"
 	"context"
 	"net"
@@ -20,6 +19,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"foxtailspoke/httphead"
 )
 
 const (
@@ -93,7 +94,7 @@
 	net.Conn
 	// limit bounds what reader reads for the head or the body of a response.
 	limit  *limiter
-	reader *bufio.Reader
+	reader *httphead.Reader
 	memory *poolMemory
 	// lastUsed is when the connection was last used, and expires when the
 	// server may close it.
@@ -174,7 +175,7 @@
 	p.mu.Unlock()
 	setTCPUserTimeout(nc, tcpUserTimeout)
 	limit := &limiter{r: nc}
-	return &conn{Conn: nc, limit: limit, reader: bufio.NewReader(limit), memory: &p.memory}
+	return &conn{Conn: nc, limit: limit, reader: httphead.NewReader(limit), memory: &p.memory}
 }
 
 // setTCPUserTimeout makes the kernel end a connection whose peer acknowledges
