upstream: a response with a status below 100 isn't an interim response

Callers could get something from the body of a response as the response itself (MIXED), or an answer whose status was 000.

Cause: net/http accepts any three digits, and whatever was below 200 was skipped as an interim response. The body of a response with status 000 was then read as the next head: one that looked like a response was believed. A switch of protocols, which no request asks for, was passed on with the rest of the connection as its body.

Now a status below 100 and 101 make the attempt fail as broken. 600 to 999 are still passed on as the server sent them: the status of a server's response is returned unchanged.

--- a/upstream/limits.go
+++ b/upstream/limits.go
@@ -84,11 +84,14 @@
 			return nil, 0, errors.Wrap(ErrNoBodyMemory, "response headers")
 		}
 		resp, err = http.ReadResponse(c.reader.Reader, &http.Request{Method: method})
+		if err == nil {
+			err = httphead.CheckResponse(resp)
+		}
 		if err != nil {
 			m.Release(reserved)
 			return nil, 0, shortened(err)
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode >= http.StatusOK {
 			c.limit.left, c.limit.err = 2*maxResponseBytes+maxFramingBytes, ErrBodyTooLarge
 			return resp, reserved, nil
 		}
