upstream: responses with field names that aren't tokens are broken

Cause: net/http accepts blanks in field names and keeps such a field as it is. `Content-Length : 2` and `Transfer-Encoding : chunked` then aren't what they look like: the body is taken to end with the connection, with the framing of the chunks or the bytes of whatever follows in it. Control bytes were rejected before.

--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"foxtailspoke/httphead"
 )
 
 // Request is a request to a backend server. The headers are sent unchanged.
@@ -264,6 +266,11 @@
 	}
 	// The body isn't closed on errors, as that would read the rest of it.
 	body, reserved, err := ReadBody(&bodyReader{r: resp.Body, limit: c.limit, initial: c.limit.left}, length, maxResponseBytes, memory)
+	if err == nil {
+		if err = httphead.CheckNames(resp.Trailer); err != nil {
+			memory.Release(reserved)
+		}
+	}
 	if err != nil {
 		memory.Release(headBytes)
 		return Response{Outcome: Broken, Err: errors.Wrap(err, "read response body")}, true
