--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -38,13 +38,20 @@
 // Header implements http.ResponseWriter.
 func (x *exchange) Header() http.Header { return x.header }
 
-// WriteHeader implements http.ResponseWriter.
+// WriteHeader implements http.ResponseWriter. A status that isn't one of a final response becomes
+// 500: the request may have run.
 func (x *exchange) WriteHeader(status int) {
+	if status < http.StatusOK || status > maxStatus {
+		status = http.StatusInternalServerError
+	}
 	if x.status == 0 {
 		x.status = status
 	}
 }
 
+// maxStatus is the largest status of three digits.
+const maxStatus = 999
+
 // Write implements http.ResponseWriter.
 func (x *exchange) Write(b []byte) (int, error) {
 	x.WriteHeader(http.StatusOK)
@@ -129,7 +136,7 @@
 	if x.header.Get("Date") == "" {
 		x.header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
 	}
-	bodiless := x.status == http.StatusNoContent || x.status == http.StatusNotModified || x.status < http.StatusOK
+	bodiless := x.status == http.StatusNoContent || x.status == http.StatusNotModified
 	switch {
 	case bodiless:
 		x.header.Del("Content-Length")
