--- a/entry/attempt/attempt.go
+++ b/entry/attempt/attempt.go
@@ -20,6 +20,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailspoke/httphead"
 	"foxtailspoke/wire"
 )
 
@@ -158,7 +159,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.transport.RoundTrip(out)
+	return httphead.Transport{Next: s.transport}.RoundTrip(out)
 }
 
 func newHTTPRequest(ctx context.Context, r Request) (*http.Request, error) {
--- a/internal/edgecommand/check.go
+++ b/internal/edgecommand/check.go
@@ -17,6 +17,7 @@
 
 	"foxtailspoke/configcheck"
 	"foxtailspoke/edge"
+	"foxtailspoke/httphead"
 	"foxtailspoke/platform"
 )
 
@@ -178,7 +179,7 @@
 }
 
 func fetchConfiguration(address string) ([]byte, error) {
-	client := http.Client{Timeout: configurationTimeout}
+	client := http.Client{Timeout: configurationTimeout, Transport: httphead.Transport{Next: http.DefaultTransport}}
 	resp, err := client.Get("http://" + address + edge.PathConfiguration)
 	if err != nil {
 		return nil, errors.Wrap(err, "the instance doesn't answer")
--- a/internal/edgecommand/status.go
+++ b/internal/edgecommand/status.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"foxtailspoke/edge"
+	"foxtailspoke/httphead"
 )
 
 // statusTimeout bounds a status request. An instance answers within
@@ -45,7 +46,7 @@
 
 func fetchStatus(address string) (edge.Status, error) {
 	var s edge.Status
-	client := http.Client{Timeout: statusTimeout}
+	client := http.Client{Timeout: statusTimeout, Transport: httphead.Transport{Next: http.DefaultTransport}}
 	resp, err := client.Get("http://" + address + edge.PathStatus)
 	if err != nil {
 		return s, errors.Wrap(err, "the instance doesn't answer")
--- a/operator/fleet/fleet.go
+++ b/operator/fleet/fleet.go
@@ -15,6 +15,7 @@
 	api "foxtailspoke/api/operator"
 	"foxtailspoke/api/operator/oas"
 	"foxtailspoke/decision"
+	"foxtailspoke/httphead"
 	"foxtailspoke/operator"
 	"foxtailspoke/storage"
 )
@@ -50,7 +51,7 @@
 	return &Fleet{
 		instances: instances,
 		token:     token,
-		client:    &http.Client{Timeout: timeout, Transport: bodyLimit{http.DefaultTransport}},
+		client:    &http.Client{Timeout: timeout, Transport: bodyLimit{httphead.Transport{Next: http.DefaultTransport}}},
 		clients:   map[string]*oas.Client{},
 	}
 }
--- a/storage/client/client.go
+++ b/storage/client/client.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"foxtailspoke/api/platform/oas"
+	"foxtailspoke/httphead"
 	"foxtailspoke/storage"
 )
 
@@ -63,7 +64,7 @@
 	s = s.withDefaults()
 	transport := newTransport(s)
 	httpClient := &http.Client{
-		Transport:     limitedTransport{next: transport, maxBytes: s.MaxResponseBytes},
+		Transport:     limitedTransport{next: httphead.Transport{Next: transport}, maxBytes: s.MaxResponseBytes},
 		CheckRedirect: rejectRedirects,
 	}
 	api, err := oas.NewClient(baseURL, oas.WithClient(httpClient))
