Connections that send nothing leave descriptors to the rest of an instance

Callers and the platform got no answer from an instance to which clients had opened many connections without sending anything: it wasn't ready, and came back when these connections ended.

Cause: all connections are kept until the idle timeout, and the calls of the store, connections to servers and answers to the platform share the descriptors with callers.

At the limit a new connection takes the place of the one that needs it least: one that never had a request, else the one that is idle for longest, else one on which the body of a request is still arriving. Requests in progress are never cut off for others. A fixed limit that refuses new connections was ruled out: silent ones would keep callers out.

--- /dev/null
+++ b/edge/connections.go
@@ -0,0 +1,72 @@
+package edge
+
+import (
+	"log/slog"
+	"math"
+
+	"golang.org/x/sys/unix"
+
+	"foxtailspoke/edge/settings"
+	"foxtailspoke/event"
+	"foxtailspoke/pipeline"
+)
+
+// connectionShare is the part of the process's descriptors that the connections to a port may take.
+type connectionShare float64
+
+// Shares of the ports. More than a fifth is left to connections of the instance itself: to the store,
+// to backend servers and to other instances.
+const (
+	callersShare    connectionShare = 1. / 2
+	forwardingShare connectionShare = 1. / 8
+	directoryShare  connectionShare = 1. / 16
+	readinessShare  connectionShare = 1. / 32
+	metricsShare    connectionShare = 1. / 32
+)
+
+const (
+	// connectionBytes is the memory of an idle connection: its buffers and the stack of its reader.
+	connectionBytes = 16 << 10
+	// connectionMemoryShare is the part of the machine's memory that the connections to a port may
+	// take while they are idle.
+	connectionMemoryShare = 1. / 8
+	// minConnections is the least number of connections to a port.
+	minConnections = 4
+)
+
+// connectionLimit returns how many connections a port accepts.
+func connectionLimit(share connectionShare, descriptors, machineBytes int64) int {
+	limit := float64(share) * float64(descriptors)
+	if machineBytes > 0 {
+		limit = min(limit, connectionMemoryShare*float64(machineBytes)/connectionBytes)
+	}
+	return max(int(limit), minConnections)
+}
+
+// descriptorLimit returns the number of descriptors that the process may have: the limit of the
+// settings or that of the operating system, whichever is lower.
+func descriptorLimit(s settings.Settings) int64 {
+	limit := int64(math.MaxInt32)
+	if s.MaxDescriptors > 0 {
+		limit = s.MaxDescriptors
+	}
+	var r unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err == nil && r.Cur < uint64(limit) {
+		limit = int64(r.Cur)
+	}
+	return limit
+}
+
+// limitConnections bounds the connections to the port of a server.
+func (e *Edge) limitConnections(s *pipeline.Server, share connectionShare) {
+	s.MaxConnections = connectionLimit(share, descriptorLimit(e.settings), machineBytes(e.settings))
+	s.OnEvicted = e.handleEvicted
+}
+
+// handleEvicted records that a connection was closed for another one.
+func (e *Edge) handleEvicted(remoteAddr string) {
+	e.metrics.connectionsEvicted.Inc()
+	if e.budget.Allow(e.now(), routineLogShare) {
+		event.ConnectionEvicted.Log(e.log, slog.String("caller", remoteAddr))
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -393,10 +393,10 @@
 	e.supervisor.Add(namedService{"forwarding", e.serveForwarding})
 	e.supervisor.Add(namedService{"settings", e.watchSettings})
 	e.supervisor.Add(namedService{"callers", e.serveCallers})
-	e.supervisor.Add(namedService{"readiness", e.serveHTTP(e.ports.readiness, e.handleReadiness)})
-	e.supervisor.Add(namedService{"directory", e.serveHTTP(e.ports.directory, e.handleDirectory)})
+	e.supervisor.Add(namedService{"readiness", e.serveHTTP(e.ports.readiness, e.handleReadiness, readinessShare)})
+	e.supervisor.Add(namedService{"directory", e.serveHTTP(e.ports.directory, e.handleDirectory, directoryShare)})
 	operators := e.metrics.handler(e.handleStatus, &configurationHandler{edge: e})
-	e.supervisor.Add(namedService{"metrics", e.serveHTTP(e.ports.metrics, operators.ServeHTTP)})
+	e.supervisor.Add(namedService{"metrics", e.serveHTTP(e.ports.metrics, operators.ServeHTTP, metricsShare)})
 }
 
 // namedService is a service of the supervisor tree with a name.
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -187,7 +187,7 @@
 
 // newForwardingServer returns the server for other instances' requests.
 func (e *Edge) newForwardingServer() *pipeline.Server {
-	s := e.newServer(e.handleForwarded)
+	s := e.newServer(e.handleForwarded, forwardingShare)
 	s.MaxHeaderBytes = maxForwardedHeaderBytes
 	return s
 }
--- a/edge/memory.go
+++ b/edge/memory.go
@@ -127,6 +127,8 @@
 type memoryMetrics struct {
 	callersCutOff     prometheus.Counter
 	rejectedForMemory prometheus.Counter
+	// connectionsEvicted counts connections that were closed for others.
+	connectionsEvicted prometheus.Counter
 }
 
 func newMemoryMetrics(e *Edge, m *metrics) memoryMetrics {
@@ -139,8 +141,12 @@
 			Namespace: namespace, Name: "rejected_for_memory_total",
 			Help: "Requests that were rejected because their bodies or their heads didn't fit.",
 		}),
+		connectionsEvicted: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "connections_evicted_total",
+			Help: "Connections that were closed because a port had as many as it accepts.",
+		}),
 	}
-	m.registry.MustRegister(mm.callersCutOff, mm.rejectedForMemory)
+	m.registry.MustRegister(mm.callersCutOff, mm.rejectedForMemory, mm.connectionsEvicted)
 	for _, k := range []memory.Kind{memory.Request, memory.Response} {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "held_bytes", Help: "Bytes of the bodies that this instance holds, by kind.",
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -62,19 +62,21 @@
 )
 
 // serveHTTP returns a service that serves h on l until its context ends.
-func (e *Edge) serveHTTP(l net.Listener, h http.HandlerFunc) func(context.Context) error {
-	s := e.newServer(h)
+func (e *Edge) serveHTTP(l net.Listener, h http.HandlerFunc, share connectionShare) func(context.Context) error {
+	s := e.newServer(h, share)
 	return func(ctx context.Context) error { return s.Serve(ctx, l) }
 }
 
-// newServer returns a server whose requests' heads count in the memory of the instance.
-func (e *Edge) newServer(h http.HandlerFunc) *pipeline.Server {
+// newServer returns a server whose requests' heads count in the memory of the instance, and whose
+// connections may take a share of its descriptors.
+func (e *Edge) newServer(h http.HandlerFunc, share connectionShare) *pipeline.Server {
 	s := &pipeline.Server{
 		Handler: h, MaxPipelined: watchedRequests, HeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		HeadMemory: e.heads, OnHeadRefused: e.handleHeadRefused,
 		WriteTimeout: callerWriteTimeout, OnCutOff: e.handleCallerCutOff,
 	}
 	s.SetIdleTimeout(initialIdleTimeout)
+	e.limitConnections(s, share)
 	return s
 }
 
@@ -84,7 +86,7 @@
 
 // newCallerServer returns the server for callers' connections.
 func (e *Edge) newCallerServer() *pipeline.Server {
-	s := e.newServer(e.handleRequest)
+	s := e.newServer(e.handleRequest, callersShare)
 	s.AllowConcurrent, s.MaxPipelined = e.repeatable, maxPipelinedRequests
 	return s
 }
--- a/edge/settings/settings.go
+++ b/edge/settings/settings.go
@@ -49,7 +49,11 @@
 	// MemoryMB is the machine's memory; 0 if unknown. A quarter of it bounds the bodies of
 	// requests and responses.
 	MemoryMB float64 `json:"memoryMB"`
-	Log      Log     `json:"log"`
+	// MaxDescriptors is the number of file descriptors that the process may have open; 0 or missing
+	// means the limit of the operating system, which applies if it is lower. Callers' connections may
+	// take half of them.
+	MaxDescriptors int64 `json:"maxDescriptors"`
+	Log            Log   `json:"log"`
 	// Trial is for experiments only and must not be used on machines that serve
 	// users.
 	Trial Trial `json:"trial"`
@@ -198,6 +202,9 @@
 	if s.MemoryMB < 0 {
 		return errors.New("settings: memoryMB must not be negative")
 	}
+	if s.MaxDescriptors < 0 {
+		return errors.New("settings: maxDescriptors must not be negative")
+	}
 	if s.DataCentre == "" {
 		return errors.New("settings: dataCentre must be set")
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -189,6 +189,10 @@
 		541, slog.LevelWarn, "head refused",
 		"The headers of a request of `caller` didn't fit into the memory for them, of which others take `held` bytes; it was answered with 503 as not run, and its connection closed.", "Look at the caller, and at those that hold the memory: ordinary requests take some KB.",
 	}
+	ConnectionEvicted = Event{
+		542, slog.LevelWarn, "connection closed for another one",
+		"A port had as many connections as it accepts; the one of `caller` was closed. Those that never had a request go first, then idle ones, then those on which the body of a request is still arriving; if all have a request in progress, the new one is closed.", "Look at the callers' connections; `maxDescriptors` and `memoryMB` decide how many there may be.",
+	}
 	ServersBounded = Event{
 		538, slog.LevelWarn, "bytes of a service's servers bounded",
 		"Backend server `server` ended while it held `held_kb` of requests. For a minute no server of `service` gets a request that would bring it above `limit_kb`; the bound then doubles each minute and is lifted after three.", "If it happens again and again, give the servers more memory or fewer slots.",
@@ -220,6 +224,6 @@
 		EvacuationStarted, EvacuationEnded, ServerLimited, StaleResponseIgnored, StoreRestored,
 		PeerReachable, PeerUnreachable, PeerMessageFailed, RelayChanged, ServerBackoff, ServerLeaving, ServersUnreachable, ServersReachable, ProcessStalled,
 		RequestEnded, AttemptEnded, LogLinesDropped, RetryHistoryAdopted, ServerEndedUnderRequest, AdmissionChanged,
-		CallerCutOff, ServersBounded, LeavingShareChanged, ConfigNotFetched, HeadRefused,
+		CallerCutOff, ServersBounded, LeavingShareChanged, ConfigNotFetched, HeadRefused, ConnectionEvicted,
 	}
 }
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -413,6 +413,42 @@
 	}
 }
 
+// closeUnlessBusy closes the connection unless it has a request, and reports whether it did. The
+// head of one may have begun to arrive.
+func (c *conn) closeUnlessBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) > 0 {
+		return false
+	}
+	c.endLocked()
+	_ = c.net.Close()
+	return true
+}
+
+// closeUnlessRunning closes the connection if the body of its only request is still arriving, and
+// reports whether it did.
+func (c *conn) closeUnlessRunning() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) != 1 || c.queue[0].done || isClosed(c.queue[0].bodyDone) {
+		return false
+	}
+	c.endLocked()
+	c.changed.Broadcast()
+	_ = c.net.Close()
+	return true
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // abort ends the connection at once, also if a response is being written.
 func (c *conn) abort() {
 	_ = c.net.Close()
--- /dev/null
+++ b/pipeline/connections_test.go
@@ -0,0 +1,80 @@
+package pipeline_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// isClosedByServer reports whether a connection on which nothing is sent ends soon.
+func isClosedByServer(t *testing.T, c net.Conn) bool {
+	t.Helper()
+	must.NoError(t, c.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err := c.Read(make([]byte, 1))
+	must.NoError(t, c.SetReadDeadline(time.Time{}))
+	ne, ok := err.(net.Error)
+	return !ok || !ne.Timeout()
+}
+
+// Guards against connections without a request that keep out others, and against requests in progress
+// that are cut off for new connections.
+func TestConnectionsWithoutRequestMakeRoom(t *testing.T) {
+	release := make(chan struct{})
+	s := newServer(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+		if _, err := io.ReadAll(r.Body); err == nil {
+			echo(w, r)
+		}
+	})
+	s.MaxConnections = 4
+	s.HeaderTimeout = time.Minute
+	dial := serve(t, s)
+	busy, busyIn := dial()
+	write(t, busy, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	idle, idleIn := dial()
+	write(t, idle, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, _ = readResponse(t, idleIn, http.MethodGet)
+	silent, _ := dial()
+	begun, _ := dial()
+	write(t, begun, "GET /a HT")
+	eventuallyOpen(t, s.OpenConnections, 4)
+
+	uploading, _ := dial()
+	write(t, uploading, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc")
+	must.True(t, isClosedByServer(t, silent))
+	_, _ = dial()
+	must.True(t, isClosedByServer(t, begun))
+	must.False(t, isClosedByServer(t, idle))
+	for range 3 {
+		c, in := dial()
+		write(t, c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+		r, _ := readResponse(t, in, http.MethodGet)
+		must.Eq(t, http.StatusOK, r.StatusCode)
+	}
+	must.True(t, isClosedByServer(t, idle))
+	for range 3 {
+		c, _ := dial()
+		write(t, c, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+		must.False(t, isClosedByServer(t, c))
+	}
+	must.True(t, isClosedByServer(t, uploading))
+	refused, _ := dial()
+	must.True(t, isClosedByServer(t, refused))
+	must.LessEq(t, 4, s.OpenConnections())
+	close(release)
+	r, _ := readResponse(t, busyIn, http.MethodGet)
+	must.Eq(t, http.StatusOK, r.StatusCode)
+}
+
+func eventuallyOpen(t *testing.T, open func() int, want int) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); open() != want; time.Sleep(time.Millisecond) {
+		must.True(t, time.Now().Before(end), must.Sprintf("%d connections instead of %d", open(), want))
+	}
+}
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -88,6 +88,7 @@
 	x.done = true
 	x.conn.mu.Unlock()
 	x.conn.writeReady()
+	x.conn.server.touch(x.conn)
 	x.finishBody()
 }
 
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -63,12 +63,19 @@
 	// disconnected for that.
 	OnCutOff func(remoteAddr string)
 
+	// MaxConnections bounds the open connections; 0 means no bound. While it is reached, a
+	// new connection takes the place of the one that needs it least, see connections.evict.
+	MaxConnections int
+	// OnEvicted, if not nil, is called with the address of each caller whose connection was
+	// closed for another one, or not accepted.
+	OnEvicted func(remoteAddr string)
+
 	limits   atomic.Pointer[headerLimits]
 	idle     atomic.Int64
 	inFlight atomic.Int64
 
 	mu     sync.Mutex
-	conns  map[*conn]struct{}
+	conns  connections
 	closed bool
 }
 
@@ -118,7 +125,7 @@
 func (s *Server) AwaitedRequests() (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c := range s.conns {
+	for c := range s.conns.all {
 		n += c.awaitedRequests()
 	}
 	return n
@@ -128,7 +135,7 @@
 func (s *Server) OpenConnections() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns)
+	return len(s.conns.all)
 }
 
 // Serve serves the connections of a listener until the context ends, which
@@ -155,9 +162,13 @@
 			return errors.Wrap(err, "accept connection")
 		}
 		c := newConn(s, nc)
-		if !s.track(c) {
+		accepted, evicted := s.track(c)
+		if evicted != nil {
+			s.notifyEvicted(evicted)
+		}
+		if !accepted {
 			_ = nc.Close()
-			return ctx.Err()
+			continue
 		}
 		go c.serve()
 	}
@@ -176,7 +187,7 @@
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c := range s.conns {
+	for c := range s.conns.all {
 		c.closeIfIdle()
 	}
 }
@@ -185,26 +196,46 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	for c := range s.conns {
+	for c := range s.conns.all {
 		c.abort()
 	}
 }
 
-func (s *Server) track(c *conn) bool {
+// track adds a connection. It returns the one that is closed for lack of room, if any: another
+// one, or c itself, which isn't accepted then, as after closeAll.
+func (s *Server) track(c *conn) (accepted bool, evicted *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
-		return false
+		return false, nil
 	}
-	if s.conns == nil {
-		s.conns = make(map[*conn]struct{})
+	if s.MaxConnections > 0 && len(s.conns.all) >= s.MaxConnections {
+		if evicted = s.conns.evict(); evicted == nil {
+			return false, c
+		}
 	}
-	s.conns[c] = struct{}{}
-	return true
+	s.conns.add(c)
+	return true, evicted
 }
 
 func (s *Server) untrack(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.conns, c)
+	s.conns.remove(c)
+}
+
+// touch records that a request of a connection was answered.
+func (s *Server) touch(c *conn) {
+	if s.MaxConnections == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns.touch(c)
+}
+
+func (s *Server) notifyEvicted(c *conn) {
+	if s.OnEvicted != nil {
+		s.OnEvicted(c.net.RemoteAddr().String())
+	}
 }
