edge: the limits of a configuration bound the heads of callers' requests

Now they bound callers' requests, and those that instances forward. 4 KiB are added for the request line, which the limit may not include, and a second for a packet that is lost and sent again; 64 KiB and 5 s apply until a configuration is in force. Single requests of exactly 16,384 bytes, and one that takes 2.5 of 3 s, are served (TestLargestHeadsAreServedInCalm).

TestLimitsOfAConfigurationBoundHeads failed before: a head of 30,000 bytes got 404 where 16,384 are allowed; now 431.

--- a/edge/entries.go
+++ b/edge/entries.go
@@ -79,6 +79,7 @@
 	if c.Limits.IdleTimeout > 0 {
 		e.callerServer.SetIdleTimeout(c.Limits.IdleTimeout)
 	}
+	e.applyHeaderLimits(c.Limits)
 	event.ConfigInForce.Log(e.log, slog.Uint64("version", uint64(c.Version)),
 		slog.Int("routes", len(c.Routes)), slog.Int("workspaces", len(c.Workspaces)),
 		slog.String("source", cmp.Or(a.Source, "store")), ageAttr(e.readAge(a, now)), e.announcedAttr(r.Version, now))
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -38,9 +38,9 @@
 	headerForwardServerEnded = "Foxtailspoke-Forward-Server-Ended"
 )
 
-// maxForwardedHeaderBytes bounds the headers of a forwarded request: those of the caller
-// and some of the instance's own.
-const maxForwardedHeaderBytes = maxHeaderBytes + 4<<10
+// forwardingHeaderBytes is what the headers of a forwarded request may have in addition to those
+// of the caller: some of the instance's own.
+const forwardingHeaderBytes = 4 << 10
 
 // connectTimeout bounds the opening of a connection to a server if another instance can
 // forward the request instead. It is far above a round trip between data centres of a
@@ -188,7 +188,7 @@
 // newForwardingServer returns the server for other instances' requests.
 func (e *Edge) newForwardingServer() *pipeline.Server {
 	s := e.newServer(e.handleForwarded, forwardingShare)
-	s.MaxHeaderBytes = maxForwardedHeaderBytes
+	s.MaxHeaderBytes += forwardingHeaderBytes
 	return s
 }
 
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -12,18 +13,25 @@
 	"foxtailspoke/event"
 	"foxtailspoke/pipeline"
 	"foxtailspoke/platform"
+	"foxtailspoke/routing"
 )
 
 const (
-	// headerTimeout bounds the reading of a request's headers. It is the platform's
-	// usual value and applies until a configuration is in force.
+	// headerTimeout bounds the reading of a request's headers until a configuration is in
+	// force.
 	headerTimeout = 5 * time.Second
 	// initialIdleTimeout is how long callers' idle connections stay open until a
 	// configuration is in force.
 	initialIdleTimeout = 60 * time.Second
-	// maxHeaderBytes bounds the size of a request's headers. It is the platform's
-	// usual value.
+	// headerTimeoutMargin is added to the limit of a configuration: a lost packet is sent
+	// again within a second.
+	headerTimeoutMargin = time.Second
+	// maxHeaderBytes bounds the size of a request's headers until a configuration is in
+	// force.
 	maxHeaderBytes = 64 << 10
+	// requestLineBytes is added to the limit of a configuration, which may not include the
+	// request line.
+	requestLineBytes = 4 << 10
 	// maxPipelinedRequests bounds the requests of one connection that are in
 	// progress. It is enough for the lookups of one page, and less than a tenth of
 	// the servers' slots in a small deployment.
@@ -80,6 +88,19 @@
 	return s
 }
 
+// applyHeaderLimits applies the limits of a configuration to the heads of callers' requests, and of those
+// that instances forward. Callers keep to the limits as they send; what arrives may be later by a
+// retransmission.
+func (e *Edge) applyHeaderLimits(l routing.Limits) {
+	size, timeout := cmp.Or(max(l.MaxHeaderBytes, 0), maxHeaderBytes), headerTimeout
+	if l.HeaderTimeout > 0 {
+		timeout = l.HeaderTimeout + headerTimeoutMargin
+	}
+	size += requestLineBytes
+	e.callerServer.SetHeaderLimits(size, timeout)
+	e.forwardingServer.SetHeaderLimits(size+forwardingHeaderBytes, timeout)
+}
+
 func (e *Edge) serveCallers(ctx context.Context) error {
 	return e.callerServer.Serve(ctx, e.ports.callers)
 }
