edge: a forwarder without memory for the headers has not sent the request

The response without an outcome was taken for one that says nothing.

Such a 503 now counts as not sent, so that another instance is tried. All other responses without an outcome stay broken. The Date that a server left out is again not added to a forwarded response.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -159,20 +159,30 @@
 	if resp.Outcome != upstream.Completed {
 		return resp
 	}
+	return attemptOf(resp, addrPort(peer, 0).Addr())
+}
+
+// attemptOf returns the response to the attempt that another instance has made, by its response to the
+// forwarded request.
+func attemptOf(resp upstream.Response, peer netip.Addr) upstream.Response {
 	outcome := resp.Header.Get(headerForwardOutcome)
 	resp.Header.Del(headerForwardOutcome)
 	switch outcome {
 	case upstream.Completed.String():
 		return resp
 	case outcomeDeclined:
-		return upstream.Response{Outcome: upstream.NotSent, Err: errors.Wrapf(errDeclined, "forwarded by %s", addrPort(peer, 0).Addr())}
+		return upstream.Response{Outcome: upstream.NotSent, Err: errors.Wrapf(errDeclined, "forwarded by %s", peer)}
 	case outcomeNoMemory:
-		return upstream.Response{Outcome: upstream.Broken, Err: errors.Wrapf(upstream.ErrNoBodyMemory, "forwarded by %s", addrPort(peer, 0).Addr())}
+		return upstream.Response{Outcome: upstream.Broken, Err: errors.Wrapf(upstream.ErrNoBodyMemory, "forwarded by %s", peer)}
+	}
+	if outcome == "" && resp.Status == http.StatusServiceUnavailable {
+		// The instance had no memory for the head, and its handler didn't see the request.
+		return upstream.Response{Outcome: upstream.NotSent, Err: errors.Wrapf(errDeclined, "no memory for the headers at %s", peer)}
 	}
 	for _, o := range []upstream.Outcome{upstream.NotSent, upstream.TimedOut, upstream.Broken} {
 		if outcome == o.String() {
 			return upstream.Response{
-				Outcome: o, Err: errors.Newf("forwarded by %s: %s", addrPort(peer, 0).Addr(), resp.Body),
+				Outcome: o, Err: errors.Newf("forwarded by %s: %s", peer, resp.Body),
 				ServerEnded: resp.Header.Get(headerForwardServerEnded) != "",
 			}
 		}
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -134,7 +134,8 @@
 	if closes {
 		x.header.Set("Connection", "close")
 	}
-	if x.header.Get("Date") == "" {
+	// A handler that sets the field to nil leaves it out, as with net/http.
+	if _, ok := x.header["Date"]; !ok {
 		x.header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
 	}
 	bodiless := x.status == http.StatusNoContent || x.status == http.StatusNotModified
