foxtailspoke-entry: heads count in an account of memory before they are parsed

An entry instance took far more memory than the smallest machine has while clients sent whole heads of 15 KB of short lines: 215 MB of 136 MB with 300 connections, of the 4,096 that it accepts.

The limit of 16 KiB on a head bounds its bytes, not the memory of its lines once parsed.

The entry's responses are streamed, so that it stays on net/http. A httphead.Guard holds a head back from the server until it is complete, and reserves what it takes until the next one of its connection. What doesn't fit gets 503 as not run; heads that are too long still get 431 from net/http. New setting callers.headMemoryBytes, 16 MiB by default.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,6 +35,7 @@
 	"foxtailspoke/entry/store"
 	"foxtailspoke/entry/trace"
 	"foxtailspoke/event"
+	"foxtailspoke/memory"
 	"foxtailspoke/node"
 	"foxtailspoke/peer"
 	"foxtailspoke/storage"
@@ -78,7 +79,9 @@
 	tree      *suture.Supervisor
 
 	callerServer *http.Server
-	leaving      atomic.Bool
+	// heads counts the memory of the heads of all requests.
+	heads   *memory.Heads
+	leaving atomic.Bool
 	// traceFile is nil if tracing is disabled.
 	traceFile *os.File
 }
@@ -96,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{settings: s, log: log, metrics: metrics.New()}
+	e := &Entry{settings: s, log: log, metrics: metrics.New(), heads: memory.NewHeadsWithin(s.Callers.HeadMemoryBytes)}
 	if err := e.bind(); err != nil {
 		return nil, err
 	}
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -44,6 +44,9 @@
 	MaxConnections int `json:"maxConnections"`
 	// MaxHeaderBytes bounds a request's headers. Default 16384.
 	MaxHeaderBytes int `json:"maxHeaderBytes"`
+	// HeadMemoryBytes bounds the memory of the heads of all requests in progress, at 320 bytes a
+	// header line besides their length. Default 16777216 (16 MiB).
+	HeadMemoryBytes int64 `json:"headMemoryBytes"`
 	// MaxBodyBytes bounds a request's body. Default 67108864 (64 MiB).
 	MaxBodyBytes int64 `json:"maxBodyBytes"`
 	// MaxBufferedBytes of a request body or an answer are buffered in memory,
@@ -148,6 +151,7 @@
 		Callers: Callers{
 			MaxConnections:   4096,
 			MaxHeaderBytes:   16 << 10,
+			HeadMemoryBytes:  16 << 20,
 			MaxBodyBytes:     64 << 20,
 			MaxBufferedBytes: 256 << 10,
 			HeaderTimeout:    config.Duration(5 * time.Second),
@@ -215,6 +219,7 @@
 	f.between("fleet.locateAddresses", int64(s.Fleet.LocateAddresses), 1, 100)
 	f.between("callers.maxConnections", int64(s.Callers.MaxConnections), 1, 1<<20)
 	f.between("callers.maxHeaderBytes", int64(s.Callers.MaxHeaderBytes), 1024, 1<<20)
+	f.between("callers.headMemoryBytes", s.Callers.HeadMemoryBytes, 1<<20, 1<<40)
 	f.between("callers.maxBodyBytes", s.Callers.MaxBodyBytes, 1, 1<<40)
 	f.between("callers.holdBytes", s.Callers.MaxBufferedBytes, 64<<10, 64<<20)
 	f.between("peers.maxConnections", int64(s.Peers.MaxConnections), 1, 1<<20)
--- a/entry/supervisor.go
+++ b/entry/supervisor.go
@@ -11,12 +11,15 @@
 	"github.com/thejerf/suture/v4"
 	"golang.org/x/net/netutil"
 
+	"foxtailspoke/decision"
 	"foxtailspoke/entry/operators"
 	"foxtailspoke/event"
+	"foxtailspoke/httphead"
 	"foxtailspoke/node"
 	"foxtailspoke/peer"
 	"foxtailspoke/storage"
 	"foxtailspoke/storage/client"
+	"foxtailspoke/wire"
 )
 
 const (
@@ -45,11 +48,11 @@
 	e.tree.Add(child{"peers", func(ctx context.Context) error { return server.Serve(ctx, e.listeners.peers) }})
 	e.tree.Add(child{"callers", func(ctx context.Context) error {
 		l := netutil.LimitListener(e.listeners.callers, e.settings.Callers.MaxConnections)
-		return serveHTTP(ctx, e.callerServer, l)
+		return e.serveHTTP(ctx, e.callerServer, l)
 	}})
 	e.tree.Add(child{"operators", func(ctx context.Context) error {
 		l := netutil.LimitListener(e.listeners.operators, maxOperatorConnections)
-		return serveHTTP(ctx, e.httpServer(operatorAPI), l)
+		return e.serveHTTP(ctx, e.httpServer(operatorAPI), l)
 	}})
 	e.tree.Add(child{"announcer", e.announce})
 	e.tree.Add(child{"records", e.records.Serve})
@@ -94,10 +97,17 @@
 	}
 }
 
-func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
+// serverHeaderSlack is what http.Server accepts beyond MaxHeaderBytes.
+const serverHeaderSlack = 4 << 10
+
+func (e *Entry) serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
-	err := s.Serve(l)
+	guard := httphead.Guard{
+		MaxBytes: s.MaxHeaderBytes + serverHeaderSlack, Timeout: s.ReadHeaderTimeout, Memory: e.heads,
+		Header: http.Header{wire.HeaderOutcome: {string(decision.NotRun)}},
+	}
+	err := guard.Serve(s, l)
 	if errors.Is(err, http.ErrServerClosed) {
 		<-ctx.Done()
 		return ctx.Err()
--- /dev/null
+++ b/internal/clientlimits/entry_test.go
@@ -0,0 +1,85 @@
+package clientlimits_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"foxtailspoke/internal/harness"
+	"foxtailspoke/internal/standin"
+)
+
+// startEntry starts foxtailspoke-entry beside a stand-in of the platform.
+func startEntry(t *testing.T) *harness.Process {
+	t.Helper()
+	platform, err := standin.StartPlatform(standin.PlatformOptions{InstanceTimeout: 5 * time.Second})
+	must.NoError(t, err)
+	t.Cleanup(platform.Close)
+	dir := t.TempDir()
+	for _, name := range []string{"secret", "token"} {
+		must.NoError(t, os.WriteFile(filepath.Join(dir, name), []byte("a secret of all instances"), 0o600))
+	}
+	settings := filepath.Join(dir, "entry.json")
+	must.NoError(t, os.WriteFile(settings, fmt.Appendf(nil, `{
+		"dataCentre": "dc", "region": "luzon",
+		"callers": { "listen": "127.0.0.1:0" },
+		"peers": { "listen": "127.0.0.1:0", "secretFile": %q },
+		"operators": { "listen": "127.0.0.1:0", "tokenFile": %q },
+		"platform": { "url": %q },
+	}`, filepath.Join(dir, "secret"), filepath.Join(dir, "token"), platform.URL()), 0o600))
+	program, err := harness.Program("foxtailspoke-entry")
+	must.NoError(t, err)
+	p, err := harness.Start(harness.Spec{Path: program, Args: []string{"--settings", settings}})
+	must.NoError(t, err)
+	t.Cleanup(p.Kill)
+	return p
+}
+
+// Guards against an entry instance that runs out of memory while clients send heads of many short lines.
+func TestHeadsOfEntry(t *testing.T) {
+	for name, head := range map[string]string{
+		"too long":   begin("/x") + distinctLines(unfinishedBytes),
+		"unfinished": begin("/x") + distinctLines(wholeBytes),
+		"whole":      begin("/x") + distinctLines(wholeBytes-200) + "\r\n",
+	} {
+		for _, port := range []string{"callers", "operators"} {
+			t.Run(name+", "+port, func(t *testing.T) { sendToEntry(t, port, head) })
+		}
+	}
+}
+
+// sendToEntry sends a head to a port on many connections, again and again, and checks that the process
+// stays within its memory and answers.
+func sendToEntry(t *testing.T, port, head string) {
+	t.Helper()
+	p := startEntry(t)
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	address, err := p.Address(ctx, port)
+	must.NoError(t, err)
+	callers, err := p.Address(ctx, "callers")
+	must.NoError(t, err)
+	crowd(address, crowdSize, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		for _, err := io.WriteString(c, head); err == nil && skipResponse(in); {
+			_, err = io.WriteString(c, head)
+		}
+	})
+	peak := peakMB(t, p)
+	t.Logf("peak memory %d MB", peak)
+	must.LessEq(t, machineMB, peak)
+	c := http.Client{Timeout: answerTimeout}
+	resp, err := c.Get("http://" + callers + "/-/v1/live")
+	must.NoError(t, err, must.Sprint(p.Log()))
+	must.NoError(t, resp.Body.Close())
+	must.Eq(t, http.StatusNoContent, resp.StatusCode)
+}
--- a/memory/heads.go
+++ b/memory/heads.go
@@ -27,11 +27,14 @@
 // NewHeads returns an account without a head for a machine with the given memory, 0 if unknown.
 func NewHeads(machineBytes int64) *Heads {
 	if machineBytes <= 0 {
-		return &Heads{limit: unknownHeadBytes}
+		return NewHeadsWithin(unknownHeadBytes)
 	}
-	return &Heads{limit: int64(headShare * float64(machineBytes))}
+	return NewHeadsWithin(int64(headShare * float64(machineBytes)))
 }
 
+// NewHeadsWithin returns an account with the given limit.
+func NewHeadsWithin(limitBytes int64) *Heads { return &Heads{limit: limitBytes} }
+
 // Reserve adds the n bytes of a head, unless they don't fit.
 func (h *Heads) Reserve(n int) bool {
 	limit := h.limit
