edge: a length announced on the instances' port is bounded before it is allocated

A client ends an instance with a few bytes on the port between instances: a message of package gob that is announced as 9 MB and never comes.

Cause: the decoder allocates what a message announces, up to 10 MiB, before it reads it, and each of the 32 connections may hold that for a second, again and again. The limit of 64 KiB on the bytes of a connection doesn't help, as they are never sent. Connections of strangers can't be refused at once: an instance that has just started isn't known yet.

Now the announced lengths are read along, and a connection ends at the first one beyond 64 KiB.

--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -192,7 +192,8 @@
 			defer func() { <-slots }()
 			_ = c.SetDeadline(time.Now().Add(2 * snapshotTimeout))
 			counted := countedConn{c, e, purposeSnapshots, e.peerDataCentre(c.RemoteAddr().String())}
-			server.ServeConn(limitedConn{counted, io.LimitReader(c, maxSnapshotRequestBytes)})
+			frames := &gobFrames{r: io.LimitReader(c, maxSnapshotRequestBytes), max: maxSnapshotRequestBytes}
+			server.ServeConn(limitedConn{counted, frames})
 		}()
 	}
 }
