memory: small bodies of requests are bounded, too

An instance took more memory than its machine has while many callers held requests with bodies of 60 KB that never ended.

Cause: bodies of up to 64 KiB were always accepted, whatever others took; with as many connections as an instance accepts they take half of a small machine's memory, and the garbage collector as much again.

Now small bodies of requests are accepted until all bodies take one and a half times the limit of long ones. Small responses are always accepted, as their requests have run.

TestSmallRequestsAreBounded failed before by the code (no bound; not run).

--- a/memory/memory.go
+++ b/memory/memory.go
@@ -12,8 +12,8 @@
 // which its requests can't use the last part either.
 //
 // Trade-off: a workspace that has taken more than its half while it was alone keeps that until
-// its bodies are done, so that others wait for at most that long. Small bodies are always
-// accepted, so that the limit can be exceeded by many of them.
+// its bodies are done, so that others wait for at most that long. Small bodies of requests are
+// accepted until all take one and a half times the limit, small responses always.
 //
 // The package does no I/O and reads no clock: time is passed in.
 package memory
@@ -21,7 +21,8 @@
 import "time"
 
 const (
-	// SmallBodyBytes is the size up to which bodies are always accepted.
+	// SmallBodyBytes is the size up to which responses are always accepted, and requests far beyond the
+	// limit of the others.
 	SmallBodyBytes = 64 << 10
 	// limitShare is the part of the machine's memory that bodies may take: the garbage
 	// collector may need as much again, and the rest of the process and the kernel's buffers
@@ -35,6 +36,9 @@
 	// responses with 0.95, none with 0.9 or 0.85. On a machine of 136 MB, 0.85 leaves 5 MB to
 	// responses, half of it within the share of a workspace.
 	requestShare = 0.85
+	// smallRequestShare is the multiple of the limit up to which small bodies of requests are accepted. It
+	// leaves room for the smallest while others are refused, and bounds them.
+	smallRequestShare = 1.5
 	// workspaceShare is the part of the limit that a workspace may hold while others need some.
 	workspaceShare = 0.5
 	// needRetention is the time for which a workspace counts as needing memory after it was
@@ -100,8 +104,7 @@
 // Refused returns the number of calls of Reserve that were refused.
 func (a *Account) Refused() uint64 { return a.refused }
 
-// Reserve adds n bytes of a body for a workspace, unless they don't fit. Buffers of up to
-// SmallBodyBytes always fit.
+// Reserve adds n bytes of a body for a workspace, unless they don't fit.
 func (a *Account) Reserve(workspace string, k Kind, n int64, now time.Duration) bool {
 	a.expire(now)
 	h, known := a.workspaces[workspace]
@@ -109,7 +112,7 @@
 		h = &holding{refusedAt: never}
 		a.workspaces[workspace] = h
 	}
-	if n > SmallBodyBytes && !a.fits(h, k, n) {
+	if n > SmallBodyBytes && !a.fits(h, k, n) || n <= SmallBodyBytes && !a.fitsSmall(k, n) {
 		a.refused++
 		h.refusedAt = now
 		return false
@@ -119,6 +122,11 @@
 	return true
 }
 
+// fitsSmall is fits for a small body. Small responses always fit: their requests have run.
+func (a *Account) fitsSmall(k Kind, n int64) bool {
+	return k == Response || !a.sizeKnown || a.held[Request]+a.held[Response]+n <= int64(smallRequestShare*float64(a.limit))
+}
+
 func (a *Account) fits(h *holding, k Kind, n int64) bool {
 	if !a.sizeKnown {
 		return k == Request || a.held[Response]+n <= a.limit
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -119,3 +119,18 @@
 	must.True(t, a.Reserve("b", memory.Response, 32*mb, 0))
 	must.False(t, a.Reserve("c", memory.Response, mb, 0))
 }
+
+// Guards against small bodies that are accepted without end because they are small.
+func TestSmallRequestsAreBounded(t *testing.T) {
+	a := memory.NewAccount(136 << 20)
+	held := int64(0)
+	for a.Reserve("w", memory.Request, memory.SmallBodyBytes, 0) {
+		held += memory.SmallBodyBytes
+	}
+	must.Greater(t, a.LimitBytes(), held)
+	must.LessEq(t, 2*a.LimitBytes(), held)
+	must.True(t, a.Reserve("w", memory.Response, memory.SmallBodyBytes, 0))
+	must.False(t, a.Reserve("v", memory.Request, 1<<20, 0))
+	a.Release("w", memory.Request, held)
+	must.True(t, a.Reserve("w", memory.Request, 1<<20, 0))
+}
