--- a/internal/clientlimits/crowd_test.go
+++ b/internal/clientlimits/crowd_test.go
@@ -13,6 +13,8 @@
 	// crowdSize is the number of connections that misbehave at a time, and crowdTime how long.
 	crowdSize = 300
 	crowdTime = 4 * time.Second
+	// allPortsCrowd is the size of each crowd where all ports have one.
+	allPortsCrowd = 500
 	// unfinishedBytes is the size of a head that is never finished; all instances accept it until a
 	// configuration says otherwise.
 	unfinishedBytes = 60 << 10
--- a/internal/clientlimits/heads_test.go
+++ b/internal/clientlimits/heads_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -73,6 +74,38 @@
 	}
 }
 
+// Guards against instances that run out of memory while all ports have crowds and all connections of
+// callers are in use.
+func TestCrowdsOnAllPorts(t *testing.T) {
+	f := startFleet(t, 1, 0, startServer(t))
+	var wg sync.WaitGroup
+	for _, port := range []int{portCallers, portDirectory, portForwarding, portReadiness, portMetrics} {
+		wg.Go(func() {
+			crowd(f.address(0, port), allPortsCrowd, sendAndHold(begin("/lookup/1")+distinctLines(wholeBytes)))
+		})
+	}
+	wg.Go(func() { crowd(f.address(0, portCallers), silentConns, sendAndHold("")) })
+	wg.Wait()
+	f.verify()
+}
+
+// Guards against instances that allocate what a client on the instances' own port announces.
+func TestAnnouncedLengthsOnPeersPort(t *testing.T) {
+	f := startFleet(t, 1, 0, startServer(t))
+	// A message of package gob of 9,000,000 bytes, of which only the first are sent.
+	message := "\xfd\x89\x54\x40" + strings.Repeat("x", 100)
+	crowd(f.address(0, portPeers), crowdSize, sendAndHold(message))
+	f.verify()
+}
+
+// Guards against instances that run out of memory because of bodies that are too small to be refused.
+func TestUnfinishedSmallBodies(t *testing.T) {
+	f := startFleet(t, 1, 0, startServer(t))
+	request := strings.Replace(begin("/order/1"), "GET", "POST", 1) + "Content-Length: 60001\r\n\r\n" + strings.Repeat("x", 60000)
+	crowd(f.address(0, portCallers), silentConns, sendAndHold(request))
+	f.verify()
+}
+
 // skipResponse reads a response and reports whether the connection stays open.
 func skipResponse(in *bufio.Reader) bool {
 	resp, err := http.ReadResponse(in, nil)
