Requests in progress leave descriptors to the rest of an instance

The store, the platform and other callers shared the descriptors with requests in progress: an instance with 600 of them held all while callers pipelined slow look-ups, each of which has a connection to a server.

Cause: the connections to servers were not bounded. A caller's connection may have six requests in progress, so that a bound on callers' connections doesn't bound them.

Now the pool of connections to servers may take 0.35 of the descriptors, that to forwarding instances a sixteenth, and callers 0.3 instead of a half. At the bound an idle connection makes room; if there is none, the attempt has not been sent, which is no evidence about the server.

TestConnectionsAreBounded is new with the bound.

--- a/edge/attempts.go
+++ b/edge/attempts.go
@@ -283,7 +283,7 @@
 func classify(a upstream.Response) health.Result {
 	switch a.Outcome {
 	case upstream.NotSent:
-		if errors.Is(a.Err, errDeclined) {
+		if errors.Is(a.Err, errDeclined) || errors.Is(a.Err, upstream.ErrTooManyConnections) {
 			return health.NotRun
 		}
 		return health.ConnectFailed
--- a/edge/connections.go
+++ b/edge/connections.go
@@ -14,14 +14,18 @@
 // connectionShare is the part of the process's descriptors that the connections to a port may take.
 type connectionShare float64
 
-// Shares of the ports. More than a fifth is left to connections of the instance itself: to the store,
-// to backend servers and to other instances.
+// Shares of the ports and of the connections to backend servers and to forwarding instances. More than a
+// tenth is left to the rest, such as the calls of the store.
 const (
-	callersShare    connectionShare = 1. / 2
-	forwardingShare connectionShare = 1. / 8
-	directoryShare  connectionShare = 1. / 16
-	readinessShare  connectionShare = 1. / 32
-	metricsShare    connectionShare = 1. / 32
+	callersShare        connectionShare = 0.3
+	serversShare        connectionShare = 0.35
+	forwardingShare     connectionShare = 1. / 16
+	forwardersShare     connectionShare = 1. / 16
+	directoryShare      connectionShare = 1. / 16
+	readinessShare      connectionShare = 1. / 32
+	metricsShare        connectionShare = 1. / 64
+	connectionSharesSum                 = callersShare + serversShare + forwardingShare + forwardersShare + directoryShare +
+		readinessShare + metricsShare
 )
 
 const (
@@ -63,6 +67,13 @@
 	s.OnEvicted = e.handleEvicted
 }
 
+// limitServerConnections bounds the connections to backend servers and to forwarding instances.
+func (e *Edge) limitServerConnections() {
+	descriptors := descriptorLimit(e.settings)
+	e.pool.SetMaxConnections(connectionLimit(serversShare, descriptors, 0))
+	e.peerPool.SetMaxConnections(connectionLimit(forwardersShare, descriptors, 0))
+}
+
 // handleEvicted records that a connection was closed for another one.
 func (e *Edge) handleEvicted(remoteAddr string) {
 	e.metrics.connectionsEvicted.Inc()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -260,6 +260,7 @@
 	}
 	e.pool = upstream.NewPool(e.serverDialer, e.recordDial)
 	e.peerPool = upstream.NewPool(e.dialPeer, nil)
+	e.limitServerConnections()
 	e.heads = memory.NewHeads(machineBytes(s))
 	e.callerServer, e.forwardingServer = e.newCallerServer(), e.newForwardingServer()
 	e.metrics = newMetrics(e)
--- a/edge/settings/settings.go
+++ b/edge/settings/settings.go
@@ -50,8 +50,8 @@
 	// requests and responses.
 	MemoryMB float64 `json:"memoryMB"`
 	// MaxDescriptors is the number of file descriptors that the process may have open; 0 or missing
-	// means the limit of the operating system, which applies if it is lower. Callers' connections may
-	// take half of them.
+	// means the limit of the operating system, which applies if it is lower. Callers' connections and those to
+	// backend servers may each take about a third of them.
 	MaxDescriptors int64 `json:"maxDescriptors"`
 	Log            Log   `json:"log"`
 	// Trial is for experiments only and must not be used on machines that serve
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -62,6 +62,8 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	opened uint64
+	// open is the number of open connections, which maxOpen bounds unless it is 0.
+	open, maxOpen int
 }
 
 // Dialer opens a TCP connection. The connection must implement syscall.Conn.
@@ -83,6 +85,18 @@
 	return d.DialContext(ctx, "tcp4", address)
 }
 
+// SetMaxConnections bounds the open connections; 0 means no bound. At the bound an idle connection makes
+// room for a new one. If there is none, an attempt ends with ErrTooManyConnections, and nothing is sent.
+func (p *Pool) SetMaxConnections(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxOpen = n
+}
+
+// ErrTooManyConnections is the cause of an attempt for which no connection may be opened. It is no
+// evidence about the server.
+var ErrTooManyConnections = errors.New("too many connections to backend servers")
+
 // ConnectionsOpened returns the number of connections opened so far.
 func (p *Pool) ConnectionsOpened() uint64 {
 	p.mu.Lock()
@@ -92,6 +106,9 @@
 
 type conn struct {
 	net.Conn
+	pool *Pool
+	// closed makes sure that the connection is counted once.
+	closed sync.Once
 	// limit bounds what reader reads for the head or the body of a response.
 	limit  *limiter
 	reader *httphead.Reader
@@ -156,6 +173,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	if !p.reserve() {
+		return nil, ErrTooManyConnections
+	}
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	nc, err := p.dialer(dialCtx, address)
@@ -163,19 +183,65 @@
 		p.onDial(address, err)
 	}
 	if err != nil {
+		p.release()
 		return nil, errors.Wrap(err, "dial backend server")
 	}
 	return p.newConn(nc), nil
 }
 
-// newConn returns a connection that has just been opened.
+// reserve counts a connection that is to be opened, and reports whether it may be. An idle connection is
+// closed for it if need be.
+func (p *Pool) reserve() bool {
+	p.mu.Lock()
+	var idle *conn
+	full := p.maxOpen > 0 && p.open >= p.maxOpen
+	if full {
+		idle = p.takeOldestLocked()
+	}
+	if !full || idle != nil {
+		p.open++
+	}
+	p.mu.Unlock()
+	if idle != nil {
+		_ = idle.Close()
+	}
+	return !full || idle != nil
+}
+
+func (p *Pool) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+// takeOldestLocked removes the connection that is idle for longest and returns it, nil if there is none.
+func (p *Pool) takeOldestLocked() (oldest *conn) {
+	from := ""
+	for address, conns := range p.idle {
+		if len(conns) > 0 && (oldest == nil || conns[0].lastUsed.Before(oldest.lastUsed)) {
+			oldest, from = conns[0], address
+		}
+	}
+	if oldest != nil {
+		p.idle[from] = p.idle[from][1:]
+	}
+	return oldest
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.closed.Do(c.pool.release)
+	return c.Conn.Close()
+}
+
+// newConn returns a connection that has just been opened and was reserved.
 func (p *Pool) newConn(nc net.Conn) *conn {
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
 	setTCPUserTimeout(nc, tcpUserTimeout)
 	limit := &limiter{r: nc}
-	return &conn{Conn: nc, limit: limit, reader: httphead.NewReader(limit), memory: &p.memory}
+	return &conn{Conn: nc, pool: p, limit: limit, reader: httphead.NewReader(limit), memory: &p.memory}
 }
 
 // setTCPUserTimeout makes the kernel end a connection whose peer acknowledges
@@ -196,15 +262,22 @@
 func (p *Pool) put(address string, c *conn, h http.Header) {
 	c.lastUsed = time.Now()
 	c.expires = c.lastUsed.Add(idleTimeout(h))
+	if surplus := p.keep(address, c); surplus != nil {
+		_ = surplus.Close()
+	}
+}
+
+// keep adds a connection to the idle ones, and returns the one that is to be closed, nil if none.
+func (p *Pool) keep(address string, c *conn) (surplus *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := append(p.idle[address], c)
 	if len(conns) > maxIdlePerServer {
 		// The connection idle for longest is the likeliest to be dead.
-		_ = conns[0].Close()
-		conns = conns[1:]
+		surplus, conns = conns[0], conns[1:]
 	}
 	p.idle[address] = conns
+	return surplus
 }
 
 // CloseIdle closes the idle connections to an address.
--- a/upstream/server_end.go
+++ b/upstream/server_end.go
@@ -25,8 +25,12 @@
 func (p *Pool) refusesConnections(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, endProbeTimeout)
 	defer cancel()
+	if !p.reserve() {
+		return false
+	}
 	nc, err := p.dialer(ctx, address)
 	if err != nil {
+		p.release()
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	p.put(address, p.newConn(nc), nil)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -374,3 +374,53 @@
 	must.Len(t, 1, results)
 	must.ErrorIs(t, results[0], context.DeadlineExceeded)
 }
+
+// Guards against connections that are counted for ever, or in use beyond the bound.
+func TestConnectionsAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	s := serve(t, func(s *scriptedServer, n int, c net.Conn, r *bufio.Reader) {
+		for {
+			id, ok := s.request(r)
+			if !ok {
+				return
+			}
+			if id == "slow" {
+				<-release
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	other := serve(t, answerAll)
+	p := upstream.NewPool(nil, nil)
+	p.SetMaxConnections(2)
+	slow := make(chan upstream.Response)
+	for range 2 {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			slow <- p.Do(ctx, s.listener.Addr().String(), postRequest("slow"))
+		}()
+	}
+	for end := time.Now().Add(5 * time.Second); s.arrived.Load() < 2; time.Sleep(time.Millisecond) {
+		must.True(t, time.Now().Before(end))
+	}
+	resp := other.do(t, p, postRequest("1"))
+	must.Eq(t, upstream.NotSent, resp.Outcome)
+	must.ErrorIs(t, resp.Err, upstream.ErrTooManyConnections)
+	close(release)
+	must.Eq(t, upstream.Completed, (<-slow).Outcome)
+	must.Eq(t, upstream.Completed, (<-slow).Outcome)
+	// Idle connections, refused ones and broken ones make room.
+	closed, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, closed.Close())
+	for range 5 {
+		must.Eq(t, upstream.Completed, other.do(t, p, postRequest("1")).Outcome)
+		must.Eq(t, upstream.Completed, s.do(t, p, postRequest("2")).Outcome)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		must.Eq(t, upstream.NotSent, p.Do(ctx, closed.Addr().String(), postRequest("3")).Outcome)
+		cancel()
+	}
+	p.CloseAllIdle()
+	must.Eq(t, upstream.Completed, other.do(t, p, postRequest("1")).Outcome)
+}
