foxtailspoke-entry: silent connections leave descriptors to the rest

An entry instance with 600 descriptors held all of them while clients opened 1,500 connections without sending anything, so that its calls of the platform and connections to servers had none.

Cause: it accepts callers.maxConnections, 4,096 by default, whatever the operating system allows.

Now callers take at most half of the process's descriptors. Silent connections are closed after callers.headerTimeout, as before; callers that come meanwhile wait in the system's queue.

--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -40,7 +40,8 @@
 	// Advertise is the address that callers and other instances connect to.
 	// Default is the listen address.
 	Advertise string `json:"advertise"`
-	// MaxConnections bounds the connections of all callers. Default 4096.
+	// MaxConnections bounds the connections of all callers. Default 4096. They take at most half of the
+	// descriptors that the operating system allows the process.
 	MaxConnections int `json:"maxConnections"`
 	// MaxHeaderBytes bounds a request's headers. Default 16384.
 	MaxHeaderBytes int `json:"maxHeaderBytes"`
--- a/entry/supervisor.go
+++ b/entry/supervisor.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
 	"golang.org/x/net/netutil"
+	"golang.org/x/sys/unix"
 
 	"foxtailspoke/decision"
 	"foxtailspoke/entry/operators"
@@ -47,7 +48,7 @@
 	e.tree.Add(child{"loop", e.serveLoop})
 	e.tree.Add(child{"peers", func(ctx context.Context) error { return server.Serve(ctx, e.listeners.peers) }})
 	e.tree.Add(child{"callers", func(ctx context.Context) error {
-		l := netutil.LimitListener(e.listeners.callers, e.settings.Callers.MaxConnections)
+		l := netutil.LimitListener(e.listeners.callers, maxCallerConnections(e.settings.Callers.MaxConnections))
 		return e.serveHTTP(ctx, e.callerServer, l)
 	}})
 	e.tree.Add(child{"operators", func(ctx context.Context) error {
@@ -97,6 +98,20 @@
 	}
 }
 
+// callerDescriptorShare is the part of the process's descriptors that callers' connections may take. The rest is
+// for the platform, backend servers and other instances.
+const callerDescriptorShare = 0.5
+
+// maxCallerConnections returns how many connections callers may have, by the settings and the limit of the
+// operating system on descriptors.
+func maxCallerConnections(configured int) int {
+	var r unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err != nil {
+		return configured
+	}
+	return max(1, int(min(float64(configured), callerDescriptorShare*float64(r.Cur))))
+}
+
 // serverHeaderSlack is what http.Server accepts beyond MaxHeaderBytes.
 const serverHeaderSlack = 4 << 10
 
--- a/internal/clientlimits/descriptors_test.go
+++ b/internal/clientlimits/descriptors_test.go
@@ -3,11 +3,12 @@
 import (
 	"net"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"foxtailspoke/internal/harness"
 )
 
 const (
@@ -46,19 +47,8 @@
 // largest number of descriptors.
 func serveBesideCrowd(f *fleet, port, size int, play func(net.Conn)) int {
 	f.t.Helper()
-	var peak atomic.Int64
-	stop, watched, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(watched)
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(10 * time.Millisecond):
-				peak.Store(max(peak.Load(), int64(openDescriptors(f.t, f.processes[0]))))
-			}
-		}
-	}()
+	peak := watchDescriptors(f.t, f.processes[0])
+	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		crowd(f.address(0, port), size, play)
@@ -69,9 +59,31 @@
 		f.awaitStatus(0, portCallers, "/lookup/1")
 	}
 	<-ended
-	close(stop)
-	<-watched
-	return int(peak.Load())
+	return peak()
+}
+
+// watchDescriptors returns a function that returns the largest number of descriptors that the process has
+// had until then.
+func watchDescriptors(t *testing.T, p *harness.Process) func() int {
+	t.Helper()
+	peak := 0
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+				peak = max(peak, openDescriptors(t, p))
+			}
+		}
+	}()
+	return func() int {
+		close(stop)
+		<-done
+		return peak
+	}
 }
 
 // Guards against keeping so many connections that a process runs out of memory.
--- a/internal/clientlimits/entry_test.go
+++ b/internal/clientlimits/entry_test.go
@@ -18,8 +18,8 @@
 	"foxtailspoke/internal/standin"
 )
 
-// startEntry starts foxtailspoke-entry beside a stand-in of the platform.
-func startEntry(t *testing.T) *harness.Process {
+// startEntry starts foxtailspoke-entry with a limit on descriptors beside a stand-in of the platform.
+func startEntry(t *testing.T, descriptors int) *harness.Process {
 	t.Helper()
 	platform, err := standin.StartPlatform(standin.PlatformOptions{InstanceTimeout: 5 * time.Second})
 	must.NoError(t, err)
@@ -38,7 +38,7 @@
 	}`, filepath.Join(dir, "secret"), filepath.Join(dir, "token"), platform.URL()), 0o600))
 	program, err := harness.Program("foxtailspoke-entry")
 	must.NoError(t, err)
-	p, err := harness.Start(harness.Spec{Path: program, Args: []string{"--settings", settings}})
+	p, err := harness.Start(specWithin(descriptors, program, "--settings", settings))
 	must.NoError(t, err)
 	t.Cleanup(p.Kill)
 	return p
@@ -61,7 +61,7 @@
 // stays within its memory and answers.
 func sendToEntry(t *testing.T, port, head string) {
 	t.Helper()
-	p := startEntry(t)
+	p := startEntry(t, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 	defer cancel()
 	address, err := p.Address(ctx, port)
@@ -77,9 +77,30 @@
 	peak := peakMB(t, p)
 	t.Logf("peak memory %d MB", peak)
 	must.LessEq(t, machineMB, peak)
+	verifyEntry(t, p, callers)
+}
+
+// verifyEntry checks that an entry instance answers an ordinary request.
+func verifyEntry(t *testing.T, p *harness.Process, callers string) {
+	t.Helper()
 	c := http.Client{Timeout: answerTimeout}
 	resp, err := c.Get("http://" + callers + "/-/v1/live")
 	must.NoError(t, err, must.Sprint(p.Log()))
 	must.NoError(t, resp.Body.Close())
 	must.Eq(t, http.StatusNoContent, resp.StatusCode)
 }
+
+// Guards against an entry instance whose descriptors are all taken by connections that send nothing.
+func TestSilentConnectionsLeaveEntryDescriptors(t *testing.T) {
+	p := startEntry(t, descriptorLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	callers, err := p.Address(ctx, "callers")
+	must.NoError(t, err)
+	peak := watchDescriptors(t, p)
+	crowd(callers, silentConns, sendAndHold(""))
+	n := peak()
+	t.Logf("peak of %d descriptors", n)
+	must.Less(t, descriptorLimit, n)
+	verifyEntry(t, p, callers)
+}
--- a/internal/clientlimits/fleet_test.go
+++ b/internal/clientlimits/fleet_test.go
@@ -89,12 +89,7 @@
 	program, err := harness.Program("foxtailspoke-edge")
 	must.NoError(f.t, err)
 	for n := range instances {
-		spec := harness.Spec{Path: program, Args: []string{"--settings", f.settings(n)}}
-		if descriptors > 0 {
-			script := fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, descriptors)
-			spec = harness.Spec{Path: "/bin/sh", Args: append([]string{"-c", script, program}, spec.Args...)}
-		}
-		p, err := harness.Start(spec)
+		p, err := harness.Start(specWithin(descriptors, program, "--settings", f.settings(n)))
 		must.NoError(f.t, err)
 		f.t.Cleanup(p.Kill)
 		f.processes = append(f.processes, p)
@@ -105,6 +100,15 @@
 	return f
 }
 
+// specWithin returns the process of a program with a limit on descriptors, 0 for that of the test.
+func specWithin(descriptors int, program string, args ...string) harness.Spec {
+	if descriptors == 0 {
+		return harness.Spec{Path: program, Args: args}
+	}
+	script := fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, descriptors)
+	return harness.Spec{Path: "/bin/sh", Args: append([]string{"-c", script, program}, args...)}
+}
+
 func (f *fleet) publish(server string) {
 	route := func(prefix, kind string) map[string]any {
 		return map[string]any{
