pipeline: a connection counts as used before its first response is written

Found while reading: a caller that had its response could still be among the connections without a request for a moment, and its connection be closed before those of callers that never sent one. The connection is now moved before the response is written.

The test of it relied on 100 ms for what must happen; it now waits for that, and only what must not happen is bounded by 100 ms.

--- a/pipeline/connections_test.go
+++ b/pipeline/connections_test.go
@@ -10,16 +10,26 @@
 	"github.com/shoenig/test/must"
 )
 
-// isClosedByServer reports whether a connection on which nothing is sent ends soon.
-func isClosedByServer(t *testing.T, c net.Conn) bool {
+// endsWithin reports whether a connection on which nothing is sent ends within a time.
+func endsWithin(t *testing.T, d time.Duration, c net.Conn) bool {
 	t.Helper()
-	must.NoError(t, c.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	must.NoError(t, c.SetReadDeadline(time.Now().Add(d)))
 	_, err := c.Read(make([]byte, 1))
 	must.NoError(t, c.SetReadDeadline(time.Time{}))
 	ne, ok := err.(net.Error)
 	return !ok || !ne.Timeout()
 }
 
+func ends(t *testing.T, c net.Conn) bool {
+	t.Helper()
+	return endsWithin(t, 10*time.Second, c)
+}
+
+func staysOpen(t *testing.T, c net.Conn) bool {
+	t.Helper()
+	return !endsWithin(t, 100*time.Millisecond, c)
+}
+
 // Guards against connections without a request that keep out others, and against requests in progress
 // that are cut off for new connections.
 func TestConnectionsWithoutRequestMakeRoom(t *testing.T) {
@@ -43,38 +53,40 @@
 	silent, _ := dial()
 	begun, _ := dial()
 	write(t, begun, "GET /a HT")
-	eventuallyOpen(t, s.OpenConnections, 4)
+	eventually(t, 4, s.OpenConnections)
 
 	uploading, _ := dial()
 	write(t, uploading, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc")
-	must.True(t, isClosedByServer(t, silent))
+	must.True(t, ends(t, silent))
+	eventually(t, 2, func() int { return int(s.InFlight()) })
 	_, _ = dial()
-	must.True(t, isClosedByServer(t, begun))
-	must.False(t, isClosedByServer(t, idle))
+	must.True(t, ends(t, begun))
+	must.True(t, staysOpen(t, idle))
 	for range 3 {
 		c, in := dial()
 		write(t, c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
 		r, _ := readResponse(t, in, http.MethodGet)
 		must.Eq(t, http.StatusOK, r.StatusCode)
 	}
-	must.True(t, isClosedByServer(t, idle))
+	must.True(t, ends(t, idle))
 	for range 3 {
 		c, _ := dial()
 		write(t, c, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
-		must.False(t, isClosedByServer(t, c))
+		must.True(t, staysOpen(t, c))
 	}
-	must.True(t, isClosedByServer(t, uploading))
+	must.True(t, ends(t, uploading))
 	refused, _ := dial()
-	must.True(t, isClosedByServer(t, refused))
+	must.True(t, ends(t, refused))
 	must.LessEq(t, 4, s.OpenConnections())
 	close(release)
 	r, _ := readResponse(t, busyIn, http.MethodGet)
 	must.Eq(t, http.StatusOK, r.StatusCode)
 }
 
-func eventuallyOpen(t *testing.T, open func() int, want int) {
+// eventually waits until a count has a value.
+func eventually(t *testing.T, want int, count func() int) {
 	t.Helper()
-	for end := time.Now().Add(5 * time.Second); open() != want; time.Sleep(time.Millisecond) {
-		must.True(t, time.Now().Before(end), must.Sprintf("%d connections instead of %d", open(), want))
+	for end := time.Now().Add(10 * time.Second); count() != want; time.Sleep(time.Millisecond) {
+		must.True(t, time.Now().Before(end), must.Sprintf("%d instead of %d", count(), want))
 	}
 }
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -84,11 +84,11 @@
 	x.closes = x.request.Close || !x.request.ProtoAtLeast(1, 1) || x.header.Get("Connection") == "close" || !x.discardBody()
 	x.request = nil
 	x.conn.server.releaseHead(x.held)
+	x.conn.server.touch(x.conn)
 	x.conn.mu.Lock()
 	x.done = true
 	x.conn.mu.Unlock()
 	x.conn.writeReady()
-	x.conn.server.touch(x.conn)
 	x.finishBody()
 }
 
