clientlimits: the backend server's settings stand before it starts

Cause: startServer called httptest.NewServer, which starts to accept connections, and set Config.MaxHeaderBytes afterwards; the pool of an instance connects to the server within that time. No process of the product is concerned: they run without the detector, and none of the tests' own checks failed.

The server is started after its settings are set. Crowds, bounds and checks are unchanged.

--- a/internal/clientlimits/fleet_test.go
+++ b/internal/clientlimits/fleet_test.go
@@ -222,7 +222,7 @@
 // startServer starts a backend server that answers all requests.
 func startServer(t *testing.T) (address string) {
 	t.Helper()
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		if strings.HasPrefix(r.URL.Path, "/slow/") || r.URL.Path == "/lookup/slow" {
 			time.Sleep(slowWork)
@@ -232,6 +232,7 @@
 		_, _ = io.WriteString(w, "ok")
 	}))
 	s.Config.MaxHeaderBytes = 1 << 20
+	s.Start()
 	t.Cleanup(s.Close)
 	return strings.TrimPrefix(s.URL, "http://")
 }
