foxtailspoke-entry: the garbage collector keeps to the machine's memory

foxtailspoke-entry took more memory than the smallest machine has while 1,500 connections sent a request with a body and, directly behind it, 3.9 KB of a head that they never finished.

The new setting memoryMB gives the memory of the machine; above 0.7 of it the garbage collector runs more often. Default 0, unknown, as before. The function moves from edgecommand to package memory, where both use it.

--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -22,6 +22,9 @@
 	// DataCentre and Region that the instance runs in. Required.
 	DataCentre string `json:"dataCentre"`
 	Region     string `json:"region"`
+	// MemoryMB is the memory of the machine, of which the garbage collector lets the process take 0.7
+	// before it runs more often. Default 0: unknown.
+	MemoryMB int64 `json:"memoryMB"`
 
 	Callers   Callers   `json:"callers"`
 	Peers     Peers     `json:"peers"`
@@ -204,6 +207,7 @@
 func (s Settings) Check() error {
 	var f fieldErrors
 	f.require("dataCentre", s.DataCentre)
+	f.between("memoryMB", s.MemoryMB, 0, 1<<30)
 	f.address("callers.listen", s.Callers.Listen, true)
 	f.address("peers.listen", s.Peers.Listen, true)
 	f.address("operators.listen", s.Operators.Listen, true)
--- a/internal/clientlimits/crowd_test.go
+++ b/internal/clientlimits/crowd_test.go
@@ -20,6 +20,8 @@
 	unfinishedBytes = 60 << 10
 	// wholeBytes is the size of a whole head within the limits of the configuration.
 	wholeBytes = 15 << 10
+	// bufferBytes fill most of the buffer that net/http reads connections into.
+	bufferBytes = 3900
 )
 
 // distinctLines returns header lines of 3 to 5 bytes with distinct names, of n bytes at least.
--- a/internal/clientlimits/entry_test.go
+++ b/internal/clientlimits/entry_test.go
@@ -30,12 +30,12 @@
 	}
 	settings := filepath.Join(dir, "entry.json")
 	must.NoError(t, os.WriteFile(settings, fmt.Appendf(nil, `{
-		"dataCentre": "dc", "region": "luzon",
+		"dataCentre": "dc", "region": "luzon", "memoryMB": %d,
 		"callers": { "listen": "127.0.0.1:0" },
 		"peers": { "listen": "127.0.0.1:0", "secretFile": %q },
 		"operators": { "listen": "127.0.0.1:0", "tokenFile": %q },
 		"platform": { "url": %q },
-	}`, filepath.Join(dir, "secret"), filepath.Join(dir, "token"), platform.URL()), 0o600))
+	}`, machineMB, filepath.Join(dir, "secret"), filepath.Join(dir, "token"), platform.URL()), 0o600))
 	program, err := harness.Program("foxtailspoke-entry")
 	must.NoError(t, err)
 	p, err := harness.Start(specWithin(descriptors, program, "--settings", settings))
@@ -52,14 +52,25 @@
 		"whole":      begin("/x") + distinctLines(wholeBytes-200) + "\r\n",
 	} {
 		for _, port := range []string{"callers", "operators"} {
-			t.Run(name+", "+port, func(t *testing.T) { sendToEntry(t, port, head) })
+			t.Run(name+", "+port, func(t *testing.T) { sendToEntry(t, port, crowdSize, head) })
 		}
 	}
 }
 
+// Guards against an entry instance that runs out of memory by heads that it reads together with the body
+// before them.
+func TestHeadsAfterBodiesOfEntry(t *testing.T) {
+	body := "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n1"
+	for _, port := range []string{"callers", "operators"} {
+		t.Run(port, func(t *testing.T) {
+			sendToEntry(t, port, silentConns, body+begin("/x")+distinctLines(bufferBytes))
+		})
+	}
+}
+
 // sendToEntry sends a head to a port on many connections, again and again, and checks that the process
 // stays within its memory and answers.
-func sendToEntry(t *testing.T, port, head string) {
+func sendToEntry(t *testing.T, port string, size int, head string) {
 	t.Helper()
 	p := startEntry(t, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
@@ -68,7 +79,7 @@
 	must.NoError(t, err)
 	callers, err := p.Address(ctx, "callers")
 	must.NoError(t, err)
-	crowd(address, crowdSize, func(c net.Conn) {
+	crowd(address, size, func(c net.Conn) {
 		in := bufio.NewReader(c)
 		for _, err := io.WriteString(c, head); err == nil && skipResponse(in); {
 			_, err = io.WriteString(c, head)
--- a/internal/edgecommand/command.go
+++ b/internal/edgecommand/command.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"os"
-	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
@@ -14,6 +13,7 @@
 	"foxtailspoke/edge"
 	"foxtailspoke/edge/settings"
 	"foxtailspoke/logging"
+	"foxtailspoke/memory"
 )
 
 // Exit statuses.
@@ -84,7 +84,7 @@
 		_, _ = fmt.Fprintln(stdout, "settings are in order")
 		return exitOK
 	}
-	limitMemory(s)
+	memory.SetSoftLimit(s.MemoryMB)
 	e, err := edge.New(o.Settings, s, logging.NewWriter(stdout), options...)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
@@ -97,18 +97,6 @@
 	return exitOK
 }
 
-// collectedShare is the part of the machine's memory up to which the garbage collector lets the memory of
-// the process grow. The rest is for the program itself and the kernel's buffers of its connections.
-const collectedShare = 0.7
-
-// limitMemory makes the garbage collector run more often near the limit. Without it the process may take
-// twice the memory that is in use.
-func limitMemory(s settings.Settings) {
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(collectedShare * s.MemoryMB * (1 << 20)))
-	}
-}
-
 func (o arguments) runCommand(name string, stdout io.Writer) error {
 	if name == "explain" {
 		return o.Explain.run(os.Stdin, stdout)
--- a/internal/entrycommand/command.go
+++ b/internal/entrycommand/command.go
@@ -12,6 +12,7 @@
 
 	"foxtailspoke/entry"
 	"foxtailspoke/entry/settings"
+	"foxtailspoke/memory"
 )
 
 // Exit statuses.
@@ -73,6 +74,7 @@
 		return errors.Wrap(err, "log.level")
 	}
 	log := slog.New(slog.NewJSONHandler(stderr, &slog.HandlerOptions{Level: level}))
+	memory.SetSoftLimit(float64(s.MemoryMB))
 	e, err := entry.New(s, log)
 	if err != nil {
 		return err
