httphead: heads behind bodies are counted

Heads of many lines that lie directly behind the body of a request took memory of foxtailspoke-entry that nothing counted: up to 4 KiB of each connection, some 300 KB once parsed.

Cause: while a request is in progress Guard passed on whatever arrived. net/http reads bodies through a buffer of 4 KiB, which then holds the next head, and parses it without another read.

What net/http reads into its buffer now ends with the first line, so that one line of the next head is in it at most; the rest is awaited and counted as always. Bodies that a handler reads past the buffer are passed on whole. A refused head is answered once: the sending side is closed behind the 503, as net/http answered the line that it had with 400.

Tried and taken back: a bound on the lines that the buffer may hold, reserved between two requests, and a refusal by the handler.

TestGuardCountsHeadsBehindBodies failed before: the head was served.

--- a/httphead/guard.go
+++ b/httphead/guard.go
@@ -11,8 +11,6 @@
 
 // Guard bounds the memory of the heads that an http.Server parses. A head that doesn't fit is answered
 // with 503 by the Guard, and its connection is closed.
-//
-// A head that follows a body and lies with it in the server's buffer of 4 KiB is not counted.
 type Guard struct {
 	// MaxBytes is the size up to which the server accepts heads. Timeout bounds the arrival of one from
 	// its first byte.
@@ -24,8 +22,12 @@
 	Header http.Header
 }
 
-// initialBytes is the initial size of the buffer of a head.
-const initialBytes = 4 << 10
+const (
+	// initialBytes is the initial size of the buffer of a head.
+	initialBytes = 4 << 10
+	// serverBufferBytes is the size of the buffer that the server reads a connection into.
+	serverBufferBytes = 4 << 10
+)
 
 // Serve serves the connections of a listener like s.Serve. It replaces s.ConnState.
 func (g *Guard) Serve(s *http.Server, l net.Listener) error {
@@ -82,23 +84,51 @@
 
 // Read implements net.Conn.
 func (c *guardedConn) Read(b []byte) (int, error) {
-	if c.awaitsHead && c.ready == 0 {
+	if !c.awaitsHead {
+		return c.readBody(b)
+	}
+	if c.ready == 0 {
 		if err := c.awaitHead(); err != nil {
 			return 0, err
 		}
 	}
-	if !c.awaitsHead {
-		c.ready = len(c.ahead)
+	return c.take(b[:min(len(b), c.ready)]), nil
+}
+
+// readBody reads while a request is in progress. What the server reads into its buffer ends with the first
+// line, so that it holds no more than one line of a head that follows the body. A handler that reads past
+// the buffer gets no more than the body.
+func (c *guardedConn) readBody(b []byte) (int, error) {
+	buffered := len(b) <= serverBufferBytes
+	if len(c.ahead) > 0 {
+		if buffered {
+			b = b[:min(len(b), firstLine(c.ahead))]
+		}
+		return c.take(b), nil
 	}
-	if c.ready == 0 {
-		return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	if end := firstLine(b[:n]); buffered && end < n {
+		c.ahead, n = bytes.Clone(b[end:n]), end
+	}
+	return n, err
+}
+
+// firstLine returns the size of the first line of b, with its end.
+func firstLine(b []byte) int {
+	if i := bytes.IndexByte(b, '\n'); i >= 0 {
+		return i + 1
 	}
-	n := copy(b, c.ahead[:c.ready])
-	c.ahead, c.ready = c.ahead[n:], c.ready-n
+	return len(b)
+}
+
+// take returns bytes that were read before.
+func (c *guardedConn) take(b []byte) int {
+	n := copy(b, c.ahead)
+	c.ahead, c.ready = c.ahead[n:], max(c.ready-n, 0)
 	if len(c.ahead) == 0 {
 		c.ahead = nil
 	}
-	return n, nil
+	return n
 }
 
 // awaitHead reads a whole head and reserves its memory.
@@ -160,6 +190,10 @@
 	_ = c.SetWriteDeadline(time.Now().Add(c.guard.Timeout))
 	// A write error means that the caller has disconnected.
 	_, _ = c.Conn.Write(b.Bytes())
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// If the server has read the beginning of the head, it would answer the rest with 400.
+		_ = tcp.CloseWrite()
+	}
 	c.ahead, c.ready = nil, 0
 	return io.EOF
 }
--- a/httphead/guard_test.go
+++ b/httphead/guard_test.go
@@ -139,3 +139,21 @@
 		must.True(t, time.Now().Before(end), must.Sprintf("%d bytes are still held", a.heldBytes()))
 	}
 }
+
+// Guards against heads that aren't counted as they lie in the server's buffer behind a body.
+func TestGuardCountsHeadsBehindBodies(t *testing.T) {
+	for _, body := range []string{"Content-Length: 1\r\n\r\nb", "Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n\r\n"} {
+		a := &sharedAccount{account: account{limit: 256 << 10}}
+		c, in := connect(t, serveGuarded(t, a))
+		_, err := io.WriteString(c, "POST /1 HTTP/1.1\r\nHost: h\r\n"+body+"GET /2 HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", 900)+"\r\n")
+		must.NoError(t, err)
+		_, got := readBody(t, in)
+		must.Eq(t, "/1b", got)
+		r, _ := readBody(t, in)
+		must.Eq(t, http.StatusServiceUnavailable, r.StatusCode)
+		must.Eq(t, "1", r.Header.Get("Retry-After"))
+		must.Eq(t, "not-run", r.Header.Get("X-Outcome"))
+		_, err = in.ReadByte()
+		must.ErrorIs(t, err, io.EOF)
+	}
+}
