edge: strangers leave the port between instances to the fleet

The fleet then gets changes from the store or later.

Cause: the port had 32 places, and a silent connection kept its one for a second. All others, of instances too, waited in the accept queue behind it, in the order of their arrival.

As on the other ports, a new connection now takes the place of the oldest one that hasn't been answered. Connections from the address of an instance of the fleet keep their places, and take that of a stranger who is being answered; while known instances have them all, another known one waits, and a stranger is closed. The port has a sixty-fourth of the descriptors, 32 at least as before.

--- a/edge/connections.go
+++ b/edge/connections.go
@@ -14,8 +14,8 @@
 // connectionShare is the part of the process's descriptors that the connections to a port may take.
 type connectionShare float64
 
-// Shares of the ports and of the connections to backend servers and to forwarding instances. More than a
-// tenth is left to the rest, such as the calls of the store.
+// Shares of the ports and of the connections to backend servers and to forwarding instances. A tenth
+// is left to the rest, such as the calls of the store.
 const (
 	callersShare        connectionShare = 0.3
 	serversShare        connectionShare = 0.35
@@ -24,8 +24,9 @@
 	directoryShare      connectionShare = 1. / 16
 	readinessShare      connectionShare = 1. / 32
 	metricsShare        connectionShare = 1. / 64
+	peersShare          connectionShare = 1. / 64
 	connectionSharesSum                 = callersShare + serversShare + forwardingShare + forwardersShare + directoryShare +
-		readinessShare + metricsShare
+		readinessShare + metricsShare + peersShare
 )
 
 const (
@@ -34,8 +35,10 @@
 	// connectionMemoryShare is the part of the machine's memory that the connections to a port may
 	// take while they are idle.
 	connectionMemoryShare = 1. / 8
-	// minConnections is the least number of connections to a port.
-	minConnections = 4
+	// minConnections is the least number of connections to a port, minPeerConnections that to the port
+	// between instances.
+	minConnections     = 4
+	minPeerConnections = 32
 )
 
 // connectionLimit returns how many connections a port accepts.
@@ -67,6 +70,12 @@
 	s.OnEvicted = e.handleEvicted
 }
 
+// newPeerConns returns the connections to the port between instances.
+func (e *Edge) newPeerConns() *peerConns {
+	limit := connectionLimit(peersShare, descriptorLimit(e.settings), machineBytes(e.settings))
+	return newPeerConns(max(limit, minPeerConnections))
+}
+
 // limitServerConnections bounds the connections to backend servers and to forwarding instances.
 func (e *Edge) limitServerConnections() {
 	descriptors := descriptorLimit(e.settings)
--- a/edge/snapshots.go
+++ b/edge/snapshots.go
@@ -30,8 +30,6 @@
 	configSnapshotTimeout = 600 * time.Millisecond
 	// snapshotCacheTime is how long an encoded snapshot is reused.
 	snapshotCacheTime = 100 * time.Millisecond
-	// maxSnapshotConns bounds the concurrent connections of other instances.
-	maxSnapshotConns = 32
 
 	methodGet    = "Snapshots.Get"
 	methodConfig = "Snapshots.Config"
@@ -178,18 +176,25 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = e.ports.snapshots.Close() })
 	defer stop()
-	slots := make(chan struct{}, maxSnapshotConns)
+	conns := e.newPeerConns()
 	for {
-		c, err := e.ports.snapshots.Accept()
+		accepted, err := e.ports.snapshots.Accept()
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 		if err != nil {
 			return errors.Wrap(err, "accepting a snapshot connection")
 		}
-		slots <- struct{}{}
+		c := &peerConn{Conn: accepted, conns: conns, known: e.isKnownInstance(accepted.RemoteAddr().String())}
+		evicted := conns.add(c)
+		if evicted != nil {
+			e.handleEvicted(evicted.RemoteAddr().String())
+		}
+		if evicted == c {
+			continue
+		}
 		go func() {
-			defer func() { <-slots }()
+			defer conns.remove(c)
 			_ = c.SetDeadline(time.Now().Add(2 * snapshotTimeout))
 			counted := countedConn{c, e, purposeSnapshots, e.peerDataCentre(c.RemoteAddr().String())}
 			frames := &gobFrames{r: io.LimitReader(c, maxSnapshotRequestBytes), max: maxSnapshotRequestBytes}
--- a/internal/clientlimits/descriptors_test.go
+++ b/internal/clientlimits/descriptors_test.go
@@ -92,3 +92,15 @@
 	crowd(f.address(0, portCallers), 4000, func(c net.Conn) { sendAndHold("G")(c) })
 	f.verify()
 }
+
+// Guards against connections that send nothing and keep other instances from the port between instances.
+func TestSilentConnectionsLeavePeersPort(t *testing.T) {
+	f := startFleet(t, 1, 0, startServer(t))
+	for range silentConns {
+		c, err := net.DialTimeout("tcp4", f.address(0, portPeers), answerTimeout)
+		must.NoError(t, err)
+		defer func() { _ = c.Close() }()
+	}
+	f.fetchSnapshot(0)
+	f.verify()
+}
--- a/internal/clientlimits/fleet_test.go
+++ b/internal/clientlimits/fleet_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/rpc"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -181,6 +182,19 @@
 	f.t.Fatalf("%s%s of instance %d isn't served: %s\n%s", portNames[port], path, n, last, f.processes[n].Log())
 }
 
+// fetchSnapshot fetches a snapshot of an instance as another instance does.
+func (f *fleet) fetchSnapshot(n int) {
+	f.t.Helper()
+	c, err := net.DialTimeout("tcp4", f.address(n, portPeers), answerTimeout)
+	must.NoError(f.t, err)
+	must.NoError(f.t, c.SetDeadline(time.Now().Add(answerTimeout)))
+	client := rpc.NewClient(c)
+	defer func() { _ = client.Close() }()
+	var reply struct{ Data []byte }
+	must.NoError(f.t, client.Call("Snapshots.Get", struct{ None bool }{}, &reply))
+	must.SliceNotEmpty(f.t, reply.Data)
+}
+
 // verify checks that all processes live, have stayed within the memory of their machines and
 // serve an ordinary request.
 func (f *fleet) verify() {
