--- a/edge/outage_test.go
+++ b/edge/outage_test.go
@@ -18,7 +18,7 @@
 
 // newIdleInstance returns an instance that listens but isn't run; the test
 // calls its methods.
-func newIdleInstance(t *testing.T) *Edge {
+func newIdleInstance(t testing.TB) *Edge {
 	t.Helper()
 	const any = "127.0.0.1:0"
 	e, err := New("", settings.Settings{
