foxtailspoke-entry: strangers leave the port of other instances

1,500 connections to the port between instances of foxtailspoke-entry that sent nothing took all 600 descriptors of the process: callers and the platform got none. With more descriptors they took all of peers.maxConnections, and other instances were turned away.

Cause: the port accepted peers.maxConnections (4,096 by default) whatever the operating system allows, and closed a new connection at that bound, also if the others hadn't proved that they know the secret.

Connections of other instances may take a quarter of the descriptors. At the bound a new one takes the place of the oldest that has no proof yet.

TestSilentConnectionsLeaveEntryDescriptors has the ports of instances and of operators besides that of callers, with the same crowd and bound; it failed before on that of instances with 600 of 600 descriptors, now 315, 166 and 79. TestSilentConnectionsGiveWay of package peer failed before: the call of an instance ended with EOF.

--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -77,7 +77,8 @@
 	// SecretFile is a file with the secret that all instances share, at least
 	// 16 bytes. Required.
 	SecretFile string `json:"secretFile"`
-	// MaxConnections bounds the connections of other instances. Default 4096.
+	// MaxConnections bounds the connections of other instances. Default 4096. They take at most a quarter
+	// of the descriptors that the operating system allows the process.
 	MaxConnections int `json:"maxConnections"`
 	// Seeds are peer addresses of instances that are expected to run. They let
 	// this instance start while the platform is unavailable. Default none.
--- a/entry/supervisor.go
+++ b/entry/supervisor.go
@@ -33,7 +33,7 @@
 // buildTree creates the supervisor tree and adds its children.
 func (e *Entry) buildTree(secret, token []byte) error {
 	e.tree = suture.New("entry", suture.Spec{EventHook: e.logFailure, Timeout: 5 * time.Second})
-	server, err := peer.NewServer(secret, e.settings.Peers.MaxConnections, handshakeTimeout, e.driver.peers.Handle)
+	server, err := peer.NewServer(secret, maxConnections(e.settings.Peers.MaxConnections, peerDescriptorShare), handshakeTimeout, e.driver.peers.Handle)
 	if err != nil {
 		return err
 	}
@@ -48,7 +48,7 @@
 	e.tree.Add(child{"loop", e.serveLoop})
 	e.tree.Add(child{"peers", func(ctx context.Context) error { return server.Serve(ctx, e.listeners.peers) }})
 	e.tree.Add(child{"callers", func(ctx context.Context) error {
-		l := netutil.LimitListener(e.listeners.callers, maxCallerConnections(e.settings.Callers.MaxConnections))
+		l := netutil.LimitListener(e.listeners.callers, maxConnections(e.settings.Callers.MaxConnections, callerDescriptorShare))
 		return e.serveHTTP(ctx, e.callerServer, l)
 	}})
 	e.tree.Add(child{"operators", func(ctx context.Context) error {
@@ -98,18 +98,21 @@
 	}
 }
 
-// callerDescriptorShare is the part of the process's descriptors that callers' connections may take. The rest is
-// for the platform, backend servers and other instances.
-const callerDescriptorShare = 0.5
+// Parts of the process's descriptors that the connections of callers and of other instances may take. The
+// rest is for the platform, backend servers and operators.
+const (
+	callerDescriptorShare = 0.5
+	peerDescriptorShare   = 0.25
+)
 
-// maxCallerConnections returns how many connections callers may have, by the settings and the limit of the
-// operating system on descriptors.
-func maxCallerConnections(configured int) int {
+// maxConnections returns how many connections a port accepts, by the settings and its share of the
+// descriptors that the operating system allows.
+func maxConnections(configured int, share float64) int {
 	var r unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err != nil {
 		return configured
 	}
-	return max(1, int(min(float64(configured), callerDescriptorShare*float64(r.Cur))))
+	return max(1, int(min(float64(configured), share*float64(r.Cur))))
 }
 
 // serverHeaderSlack is what http.Server accepts beyond MaxHeaderBytes.
--- a/internal/clientlimits/entry_test.go
+++ b/internal/clientlimits/entry_test.go
@@ -103,15 +103,21 @@
 
 // Guards against an entry instance whose descriptors are all taken by connections that send nothing.
 func TestSilentConnectionsLeaveEntryDescriptors(t *testing.T) {
-	p := startEntry(t, descriptorLimit)
-	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
-	defer cancel()
-	callers, err := p.Address(ctx, "callers")
-	must.NoError(t, err)
-	peak := watchDescriptors(t, p)
-	crowd(callers, silentConns, sendAndHold(""))
-	n := peak()
-	t.Logf("peak of %d descriptors", n)
-	must.Less(t, descriptorLimit, n)
-	verifyEntry(t, p, callers)
+	for _, port := range []string{"callers", "peers", "operators"} {
+		t.Run(port, func(t *testing.T) {
+			p := startEntry(t, descriptorLimit)
+			ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+			defer cancel()
+			address, err := p.Address(ctx, port)
+			must.NoError(t, err)
+			callers, err := p.Address(ctx, "callers")
+			must.NoError(t, err)
+			peak := watchDescriptors(t, p)
+			crowd(address, silentConns, sendAndHold(""))
+			n := peak()
+			t.Logf("peak of %d descriptors", n)
+			must.Less(t, descriptorLimit, n)
+			verifyEntry(t, p, callers)
+		})
+	}
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -22,11 +22,14 @@
 	gob.Register(pong{})
 }
 
+// maxTestConns is the number of connections that the server of a test accepts.
+const maxTestConns = 10
+
 // startServer serves handle on the loopback interface until the test ends. It
 // returns the address and a channel of clients whose handshake failed.
 func startServer(t *testing.T, secret string, handle Handler) (string, chan string) {
 	t.Helper()
-	s, err := NewServer([]byte(secret), 10, time.Second, handle)
+	s, err := NewServer([]byte(secret), maxTestConns, time.Second, handle)
 	must.NoError(t, err)
 	failed := make(chan string, 10)
 	s.OnHandshakeFailure(func(address string) { failed <- address })
@@ -73,6 +76,20 @@
 	must.StrContains(t, <-failed, "127.0.0.1:")
 }
 
+// Guards against connections that send nothing and keep other instances out.
+func TestSilentConnectionsGiveWay(t *testing.T) {
+	address, _ := startServer(t, "secret", echo)
+	for range maxTestConns {
+		silent, err := net.Dial("tcp", address)
+		must.NoError(t, err)
+		defer func() { _ = silent.Close() }()
+	}
+	c := NewClient("a", []byte("secret"), 5*time.Second)
+	defer c.Close()
+	_, err := c.Call(context.Background(), address, ping{})
+	must.NoError(t, err)
+}
+
 // Guards against a call queueing behind one that has timed out. The peer hangs
 // on the first call; the next call must use a new connection.
 func TestCallAfterTimeoutReconnects(t *testing.T) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,7 +27,9 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
-	wg    sync.WaitGroup
+	// unproved has the connections whose handshake isn't complete, the oldest first.
+	unproved []net.Conn
+	wg       sync.WaitGroup
 }
 
 // receiver is registered with net/rpc and passes calls to the handler.
@@ -43,7 +46,8 @@
 }
 
 // NewServer returns a server that accepts at most maxConns connections, each
-// of which must complete its handshake within handshakeTimeout.
+// of which must complete its handshake within handshakeTimeout. While there are as
+// many, a new one takes the place of the oldest one that hasn't completed it.
 func NewServer(secret []byte, maxConns int, handshakeTimeout time.Duration, handle Handler) (*Server, error) {
 	s := &Server{
 		secret:           secret,
@@ -97,6 +101,9 @@
 		}
 		return
 	}
+	s.mu.Lock()
+	s.removeUnprovedLocked(conn)
+	s.mu.Unlock()
 	s.rpc.ServeConn(conn)
 }
 
@@ -104,17 +111,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.conns) >= s.maxConns {
-		return false
+		if len(s.unproved) == 0 {
+			return false
+		}
+		oldest := s.unproved[0]
+		_ = oldest.Close()
+		delete(s.conns, oldest)
+		s.removeUnprovedLocked(oldest)
 	}
 	s.conns[conn] = struct{}{}
+	s.unproved = append(s.unproved, conn)
 	return true
 }
 
+func (s *Server) removeUnprovedLocked(conn net.Conn) {
+	s.unproved = slices.DeleteFunc(s.unproved, func(c net.Conn) bool { return c == conn })
+}
+
 func (s *Server) remove(conn net.Conn) {
 	_ = conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
+	s.removeUnprovedLocked(conn)
 }
 
 func (s *Server) closeAll() {
