pipeline: a test waits until its requests are in progress

Cause: the test opens connections up to the limit without waiting for the server to have read the request of the first one. While that is unread the connection has no request in progress, is the oldest, and gives way instead of the silent one, as it should. The requests that the test sends later are open to the same.

The handler reports each request that it has begun, and the test waits for that. Checks, limits and order are unchanged. With a second of delay before the first connection is read (scratch copy): failed at the same line before, passes now; with 0.1 s before each: passes. 240 runs of the old test on six processes with GOMAXPROCS=2 had not shown it.

--- a/pipeline/connections_test.go
+++ b/pipeline/connections_test.go
@@ -33,9 +33,10 @@
 // Guards against connections without a request that keep out others, and against requests in progress
 // that are cut off for new connections.
 func TestConnectionsWithoutRequestMakeRoom(t *testing.T) {
-	release := make(chan struct{})
+	started, release := make(chan struct{}, 4), make(chan struct{})
 	s := newServer(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
+			started <- struct{}{}
 			<-release
 		}
 		if _, err := io.ReadAll(r.Body); err == nil {
@@ -47,6 +48,7 @@
 	dial := serve(t, s)
 	busy, busyIn := dial()
 	write(t, busy, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-started
 	idle, idleIn := dial()
 	write(t, idle, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
 	_, _ = readResponse(t, idleIn, http.MethodGet)
@@ -72,6 +74,7 @@
 	for range 3 {
 		c, _ := dial()
 		write(t, c, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+		<-started
 		must.True(t, staysOpen(t, c))
 	}
 	must.True(t, ends(t, uploading))
