clientlimits: the address of an entry's port is found in one place

Three tests of foxtailspoke-entry each waited for the addresses of two ports with the same six lines. entryAddress does it now; crowds, bounds and checks are unchanged.

--- a/internal/clientlimits/entry_test.go
+++ b/internal/clientlimits/entry_test.go
@@ -44,6 +44,16 @@
 	return p
 }
 
+// entryAddress returns the address of a port of an entry instance.
+func entryAddress(t *testing.T, p *harness.Process, port string) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	address, err := p.Address(ctx, port)
+	must.NoError(t, err)
+	return address
+}
+
 // Guards against an entry instance that runs out of memory while clients send heads of many short lines.
 func TestHeadsOfEntry(t *testing.T) {
 	for name, head := range map[string]string{
@@ -73,13 +83,7 @@
 func sendToEntry(t *testing.T, port string, size int, head string) {
 	t.Helper()
 	p := startEntry(t, 0)
-	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
-	defer cancel()
-	address, err := p.Address(ctx, port)
-	must.NoError(t, err)
-	callers, err := p.Address(ctx, "callers")
-	must.NoError(t, err)
-	crowd(address, size, func(c net.Conn) {
+	crowd(entryAddress(t, p, port), size, func(c net.Conn) {
 		in := bufio.NewReader(c)
 		for _, err := io.WriteString(c, head); err == nil && skipResponse(in); {
 			_, err = io.WriteString(c, head)
@@ -88,14 +92,14 @@
 	peak := peakMB(t, p)
 	t.Logf("peak memory %d MB", peak)
 	must.LessEq(t, machineMB, peak)
-	verifyEntry(t, p, callers)
+	verifyEntry(t, p)
 }
 
 // verifyEntry checks that an entry instance answers an ordinary request.
-func verifyEntry(t *testing.T, p *harness.Process, callers string) {
+func verifyEntry(t *testing.T, p *harness.Process) {
 	t.Helper()
 	c := http.Client{Timeout: answerTimeout}
-	resp, err := c.Get("http://" + callers + "/-/v1/live")
+	resp, err := c.Get("http://" + entryAddress(t, p, "callers") + "/-/v1/live")
 	must.NoError(t, err, must.Sprint(p.Log()))
 	must.NoError(t, resp.Body.Close())
 	must.Eq(t, http.StatusNoContent, resp.StatusCode)
@@ -106,18 +110,12 @@
 	for _, port := range []string{"callers", "peers", "operators"} {
 		t.Run(port, func(t *testing.T) {
 			p := startEntry(t, descriptorLimit)
-			ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
-			defer cancel()
-			address, err := p.Address(ctx, port)
-			must.NoError(t, err)
-			callers, err := p.Address(ctx, "callers")
-			must.NoError(t, err)
 			peak := watchDescriptors(t, p)
-			crowd(address, silentConns, sendAndHold(""))
+			crowd(entryAddress(t, p, port), silentConns, sendAndHold(""))
 			n := peak()
 			t.Logf("peak of %d descriptors", n)
 			must.Less(t, descriptorLimit, n)
-			verifyEntry(t, p, callers)
+			verifyEntry(t, p)
 		})
 	}
 }
